--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+VENV := .venv
+PY := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test lint format model bench capacity clean
+
+$(STAMP): pyproject.toml constraints.txt
+	python3 -m venv $(VENV)
+	$(PY) -m pip install --quiet --constraint constraints.txt --editable '.[dev]'
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(PY) -m standins.demo --shape=$(or $(SHAPE),harada)
+
+test: $(STAMP)
+	$(PY) -m standins.run_tests
+
+lint: $(STAMP)
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/mypy
+
+format: $(STAMP)
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+model: $(STAMP)
+	$(PY) -m endivepick.model
+
+bench: $(STAMP)
+	$(VENV)/bin/endivepick bench table
+
+capacity: $(STAMP)
+	$(VENV)/bin/endivepick bench capacity
+
+clean:
+	rm -rf $(VENV) build var
--- /dev/null
+++ b/endivepick/__init__.py
@@ -0,0 +1,3 @@
+"""Layer-4 load balancer: coordination parts and thin daemons."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/endivepick/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool."""
--- /dev/null
+++ b/endivepick/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line."""
--- /dev/null
+++ b/endivepick/client/__init__.py
@@ -0,0 +1,1 @@
+"""Caller library."""
--- /dev/null
+++ b/endivepick/core/messages.py
@@ -0,0 +1,289 @@
+"""Typed messages on the wire.
+
+Two families exist.  *Packets* travel as single datagrams between a caller and
+any instance.  *Peer messages* travel between instances.  Both are encoded as
+MessagePack arrays whose first item is the tag of the type.
+"""
+
+import msgspec
+
+__all__ = [
+    "Acknowledge",
+    "Accepted",
+    "AnswerPart",
+    "Cancel",
+    "CallerPacket",
+    "CallerAddress",
+    "FlowClosed",
+    "InstancePacket",
+    "Open",
+    "OpenRefused",
+    "Opened",
+    "Outcome",
+    "Refused",
+    "Reissued",
+    "Renew",
+    "RequestHead",
+    "RequestPart",
+    "RequestProgress",
+    "Unreachable",
+    "AnswerHead",
+    "PART_SIZE_BYTES",
+    "MAX_DATAGRAM_BYTES",
+    "PROTOCOL_VERSION",
+]
+
+PROTOCOL_VERSION = 1
+MAX_DATAGRAM_BYTES = 1452
+"""Largest datagram that any part sends or accepts, in bytes."""
+PART_SIZE_BYTES = 1024
+"""Payload of one request or answer part, in bytes."""
+
+CallerAddress = tuple[str, int]
+"""IPv4 address and UDP port of a caller."""
+
+
+class Open(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """Ask any instance to open a flow; carries no request.
+
+    Attributes
+    ----------
+    open_id : int
+        Random number by which the caller recognises the answer.
+    service : str
+        Name of the service.
+    """
+
+    open_id: int
+    service: str
+
+
+class RequestPart(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """One part of a request.
+
+    The concatenated ``data`` of all parts is a MessagePack ``RequestHead``.
+
+    Attributes
+    ----------
+    token : bytes
+        Flow token.
+    seq : int
+        Request number within the flow, from 1, never used again.
+    index : int
+        Number of this part, from 0.
+    count : int
+        Number of parts.
+    idempotent : bool
+        Whether the request may run more than once.
+    deadline_ms : int
+        Time that the caller still waits, in milliseconds.
+    data : bytes
+        At most ``PART_SIZE_BYTES`` bytes.
+    """
+
+    token: bytes
+    seq: int
+    index: int
+    count: int
+    idempotent: bool
+    deadline_ms: int
+    data: bytes
+
+
+class Acknowledge(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """Report which answer parts arrived and ask for the others.
+
+    Attributes
+    ----------
+    token : bytes
+        Flow token.
+    seq : int
+        Request number.
+    next_index : int
+        All parts below this number arrived.
+    missing : list of int
+        Parts from ``next_index`` up that are missing although later ones arrived.
+    window : int
+        How many parts beyond ``next_index`` the caller accepts.
+    done : bool
+        The whole answer arrived: its owner may forget it.
+    """
+
+    token: bytes
+    seq: int
+    next_index: int
+    missing: list[int]
+    window: int
+    done: bool
+
+
+class Cancel(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """Give up a request; it is cancelled at the target if it runs."""
+
+    token: bytes
+    seq: int
+
+
+class Renew(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """Ask for a token with the present key; keeps an idle flow established."""
+
+    token: bytes
+
+
+class FlowClosed(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Tell the owner that the caller has closed the flow."""
+
+    token: bytes
+
+
+class Opened(msgspec.Struct, frozen=True, array_like=True, tag=32):
+    """Answer to ``Open``: the flow and its token."""
+
+    open_id: int
+    flow_id: int
+    token: bytes
+    renew_after_s: float
+
+
+class OpenRefused(msgspec.Struct, frozen=True, array_like=True, tag=33):
+    """Answer to ``Open``: no flow, and when to come back."""
+
+    open_id: int
+    reason: str
+    retry_after_ms: int
+
+
+class Accepted(msgspec.Struct, frozen=True, array_like=True, tag=34):
+    """The owner holds the whole request; promises nothing about its run."""
+
+    flow_id: int
+    binding: int
+    seq: int
+
+
+class RequestProgress(msgspec.Struct, frozen=True, array_like=True, tag=35):
+    """Parts of a long request that the owner still misses."""
+
+    flow_id: int
+    binding: int
+    seq: int
+    next_index: int
+    missing: list[int]
+
+
+class AnswerPart(msgspec.Struct, frozen=True, array_like=True, tag=36):
+    """One part of an answer.
+
+    Part 0 holds a MessagePack ``AnswerHead``; the following ones hold the body
+    in order.  ``final`` marks the last part.
+    """
+
+    flow_id: int
+    binding: int
+    seq: int
+    index: int
+    final: bool
+    data: bytes
+
+
+class Refused(msgspec.Struct, frozen=True, array_like=True, tag=37):
+    """The owner's word that this request did not run and never will."""
+
+    flow_id: int
+    binding: int
+    seq: int
+    reason: str
+    retry_after_ms: int
+
+
+class Outcome(msgspec.Struct, frozen=True, array_like=True, tag=38):
+    """The owner sent the request to a target and does not know whether it ran."""
+
+    flow_id: int
+    binding: int
+    seq: int
+    reason: str
+    retry_after_ms: int
+
+
+class Unreachable(msgspec.Struct, frozen=True, array_like=True, tag=39):
+    """A relay cannot reach the owner; says nothing about the run."""
+
+    flow_id: int
+    binding: int
+    seq: int
+    retry_after_ms: int
+
+
+class Reissued(msgspec.Struct, frozen=True, array_like=True, tag=40):
+    """A new token for an established flow.
+
+    Attributes
+    ----------
+    flow_id : int
+        The flow, the same for all its tokens.
+    old_binding : int
+        Binding of the token that the caller used.
+    token : bytes
+        The new token.
+    binding : int
+        Binding of the new token.
+    continues : bool
+        True if the new owner holds the replay window of ``old_binding``, so that
+        unanswered requests go on.  False after the loss of the owner: unanswered
+        non-idempotent requests have an unknown outcome.
+    renew_after_s : float
+        When to ask for the next token, in seconds.
+    """
+
+    flow_id: int
+    old_binding: int
+    token: bytes
+    binding: int
+    continues: bool
+    renew_after_s: float
+
+
+class RequestHead(msgspec.Struct, frozen=True, array_like=True):
+    """Request as the target sees it.
+
+    Attributes
+    ----------
+    method : str
+        HTTP method.
+    path : str
+        Path with query.
+    headers : list of tuple of str
+        Headers, in order.
+    body : bytes
+        Body, empty if there is none.
+    stream : bool
+        The answer is an event stream that can be resumed after an event id.
+    """
+
+    method: str
+    path: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    stream: bool = False
+
+
+class AnswerHead(msgspec.Struct, frozen=True, array_like=True):
+    """Status and headers of an answer."""
+
+    status: int
+    headers: list[tuple[str, str]]
+
+
+CallerPacket = Open | RequestPart | Acknowledge | Cancel | Renew | FlowClosed
+InstancePacket = (
+    Opened
+    | OpenRefused
+    | Accepted
+    | RequestProgress
+    | AnswerPart
+    | Refused
+    | Outcome
+    | Unreachable
+    | Reissued
+)
--- /dev/null
+++ b/endivepick/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Thin gevent daemon around the decision core."""
--- /dev/null
+++ b/endivepick/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership from a lagging list and direct evidence."""
--- /dev/null
+++ b/endivepick/model/__init__.py
@@ -0,0 +1,1 @@
+"""Specification of the core protocol and its exhaustive check."""
--- /dev/null
+++ b/endivepick/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's object API."""
--- /dev/null
+++ b/endivepick/records/__init__.py
@@ -0,0 +1,1 @@
+"""Service records: schemas, validation and conversion."""
--- /dev/null
+++ b/endivepick/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""Logs of all processes merged into one time line."""
