--- a/endivepick/errors.py
+++ b/endivepick/errors.py
@@ -1,6 +1,7 @@
 """Errors and warnings of the package; each message names the remedy."""
 
 __all__ = [
+    "ChartError",
     "EndivepickError",
     "PacketInvalidError",
     "PlatformUnavailableError",
@@ -16,6 +17,10 @@
     """Base of all errors of this package."""
 
 
+class ChartError(EndivepickError):
+    """A state chart is missing or lacks a transition."""
+
+
 class PacketInvalidError(EndivepickError):
     """A datagram is not a packet of this protocol.
 
