Write the owner, relay and hand-over of flows

An owner claims a request number when the request is complete, keeps the answer until the caller has acknowledged it, and in a planned stop freezes a flow before it sends it to its one successor.

--- /dev/null
+++ b/endivepick/core/actions.py
@@ -0,0 +1,124 @@
+"""What the decision core asks its surroundings to do."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from endivepick.core.messages import CallerAddress, InstancePacket, RequestHead
+
+__all__ = [
+    "Action",
+    "CancelAttempt",
+    "Count",
+    "Log",
+    "RequestId",
+    "SendToCaller",
+    "SendToPeer",
+    "StartAttempt",
+    "StopFinished",
+]
+
+RequestId = tuple[int, int]
+"""Binding and request number."""
+
+
+@dataclass(frozen=True, slots=True)
+class SendToCaller:
+    """Send one datagram to a caller through the fabric."""
+
+    caller: CallerAddress
+    packet: InstancePacket
+
+
+@dataclass(frozen=True, slots=True)
+class SendToPeer:
+    """Send one message to another instance, without a promise of arrival."""
+
+    name: str
+    message: Any
+
+
+@dataclass(frozen=True, slots=True)
+class StartAttempt:
+    """Send a request to a target.
+
+    Attributes
+    ----------
+    request_id : tuple of int
+        Binding and request number.
+    attempt : int
+        Counts the attempts of this request; events about it carry the number.
+    service : str
+        Service that the target has to confirm.
+    target : str
+        Name of the target.
+    target_incarnation : int
+        Incarnation that the target has to confirm.
+    address : str
+        ``host:port`` of the target.
+    head : RequestHead
+        The request.
+    idempotency_key : str
+        The same for all attempts of a request.
+    idempotent : bool
+        Whether the request may run more than once.
+    timeout_s : float
+        Time left, in seconds.
+    last_event_id : str
+        Where a stream goes on; empty at its start.
+    """
+
+    request_id: RequestId
+    attempt: int
+    service: str
+    target: str
+    target_incarnation: int
+    address: str
+    head: RequestHead
+    idempotency_key: str
+    idempotent: bool
+    timeout_s: float
+    last_event_id: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class CancelAttempt:
+    """Cancel a request at its target and close the connection."""
+
+    request_id: RequestId
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class Count:
+    """Count something, by name and label."""
+
+    name: str
+    label: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Log:
+    """Write one event into the log."""
+
+    part: str
+    name: str
+    message: str
+    ids: dict[str, Any] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class StopFinished:
+    """The planned stop is complete; the process may end."""
+
+    open_flows: int
+
+
+Action = (
+    SendToCaller
+    | SendToPeer
+    | StartAttempt
+    | CancelAttempt
+    | Count
+    | Log
+    | StopFinished
+)
--- /dev/null
+++ b/endivepick/core/events.py
@@ -0,0 +1,112 @@
+"""What the surroundings tell the decision core."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from endivepick.core.actions import RequestId
+from endivepick.core.dispatch import FinishKind
+from endivepick.core.messages import CallerAddress
+
+__all__ = [
+    "AttemptAnswered",
+    "AttemptFailed",
+    "CallerDatagram",
+    "Event",
+    "PeerMessage",
+    "StreamData",
+    "StreamEnded",
+    "StreamOpened",
+    "StopRequested",
+    "Tick",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class CallerDatagram:
+    """A datagram came from the fabric."""
+
+    caller: CallerAddress
+    datagram: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class PeerMessage:
+    """A message came from another instance."""
+
+    sender: str
+    incarnation: int
+    message: Any
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptAnswered:
+    """The target's whole answer is here."""
+
+    request_id: RequestId
+    attempt: int
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+    duration_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptFailed:
+    """An attempt ended without an answer."""
+
+    request_id: RequestId
+    attempt: int
+    kind: FinishKind
+    duration_s: float
+    retry_after_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class StreamOpened:
+    """The target began to answer with an event stream."""
+
+    request_id: RequestId
+    attempt: int
+    status: int
+    headers: list[tuple[str, str]]
+
+
+@dataclass(frozen=True, slots=True)
+class StreamData:
+    """One whole event of a stream."""
+
+    request_id: RequestId
+    attempt: int
+    data: bytes
+    event_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class StreamEnded:
+    """The target ended a stream."""
+
+    request_id: RequestId
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class StopRequested:
+    """A planned stop begins."""
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Time passed."""
+
+
+Event = (
+    CallerDatagram
+    | PeerMessage
+    | AttemptAnswered
+    | AttemptFailed
+    | StreamOpened
+    | StreamData
+    | StreamEnded
+    | StopRequested
+    | Tick
+)
--- /dev/null
+++ b/endivepick/core/executor.py
@@ -0,0 +1,411 @@
+"""Runs requests at targets: from a complete request to its final word."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from endivepick.core.actions import (
+    Action,
+    CancelAttempt,
+    Count,
+    Log,
+    RequestId,
+    SendToCaller,
+    StartAttempt,
+)
+from endivepick.core.answer import AnswerBuffer
+from endivepick.core.dispatch import (
+    CancelRunning,
+    CostClass,
+    Decision,
+    Fail,
+    FinishKind,
+    Queued,
+    Refuse,
+    Repin,
+    RequestIntent,
+    ServiceDispatcher,
+    Start,
+)
+from endivepick.core.events import (
+    AttemptAnswered,
+    AttemptFailed,
+    StreamData,
+    StreamEnded,
+    StreamOpened,
+)
+from endivepick.core.flow import OwnedFlow, OwnedRequest
+from endivepick.core.flow_table import FlowTable
+from endivepick.core.messages import AnswerHead, Outcome, Refused
+from endivepick.core.settings import FlowSettings
+
+__all__ = ["RequestExecutor"]
+
+UNKNOWN_SERVICE_RETRY_MS = 1000
+NO_RETRY_MS = 0
+COST_CLASS_HEADER = "endivepick-cost"
+
+
+@dataclass(frozen=True, slots=True)
+class _Held:
+    flow: OwnedFlow
+    request: OwnedRequest
+
+    @property
+    def request_id(self) -> RequestId:
+        return (self.flow.binding, self.request.seq)
+
+
+class RequestExecutor:
+    """Carries complete requests through the dispatcher of their service.
+
+    Parameters
+    ----------
+    settings : FlowSettings
+        Limits and times.
+    table : FlowTable
+        Flows of this instance.
+    random_number : callable
+        Returns a float from 0 up to 1.
+    """
+
+    def __init__(
+        self,
+        settings: FlowSettings,
+        table: FlowTable,
+        random_number: Callable[[], float],
+    ) -> None:
+        self._settings = settings
+        self._table = table
+        self._random_number = random_number
+        self.dispatchers: dict[str, ServiceDispatcher] = {}
+
+    def submit(
+        self, flow: OwnedFlow, request: OwnedRequest, now_s: float
+    ) -> list[Action]:
+        """Hand a complete request to the dispatcher."""
+        dispatcher = self.dispatchers.get(flow.service)
+        if dispatcher is None:
+            held = _Held(flow, request)
+            return self._refuse(held, "unknown_service", UNKNOWN_SERVICE_RETRY_MS)
+        intent = self._intent(flow, request)
+        decisions = dispatcher.submit(intent, now_s, self._random_number())
+        return self.carry_out(decisions, now_s)
+
+    def _intent(self, flow: OwnedFlow, request: OwnedRequest) -> RequestIntent:
+        others = [
+            other
+            for other in flow.requests.values()
+            if other is not request and other.at_dispatcher
+        ]
+        return RequestIntent(
+            request_id=(flow.binding, request.seq),
+            pinned_target=flow.target,
+            deadline_at_s=request.deadline_at_s,
+            idempotent=request.idempotent,
+            stream=request.is_stream,
+            established=request.seq > 1,
+            cost_class=_cost_class(request),
+            movable=not others,
+        )
+
+    def carry_out(self, decisions: list[Decision], now_s: float) -> list[Action]:
+        """Turn the dispatcher's decisions into actions."""
+        actions: list[Action] = []
+        for decision in decisions:
+            actions += self._carry_out_one(decision, now_s)
+        return actions
+
+    def _carry_out_one(self, decision: Decision, now_s: float) -> list[Action]:
+        held = self._find(decision.request_id)
+        if held is None:
+            return []
+        match decision:
+            case Start():
+                return self._start(held, decision)
+            case Refuse(reason=reason, retry_after_ms=retry_after_ms):
+                return self._refuse(held, reason.value, retry_after_ms)
+            case Fail(reason=reason, retry_after_ms=retry_after_ms):
+                return self._fail(held, reason.value, retry_after_ms)
+            case CancelRunning():
+                return [CancelAttempt(held.request_id, held.request.attempt)]
+            case Repin(new_target=new_target):
+                held.flow.target = new_target
+                return []
+            case Queued():
+                return []
+
+    def _find(self, request_id: RequestId) -> _Held | None:
+        binding, seq = request_id
+        flow = self._table.get(binding)
+        request = flow.requests.get(seq) if flow else None
+        if flow is None or request is None:
+            return None
+        return _Held(flow, request)
+
+    def _start(self, held: _Held, start: Start) -> list[Action]:
+        flow, request = held.flow, held.request
+        assert request.head is not None
+        request.step("start")
+        request.attempt += 1
+        return [
+            StartAttempt(
+                request_id=held.request_id,
+                attempt=request.attempt,
+                service=flow.service,
+                target=start.target,
+                target_incarnation=start.target_incarnation,
+                address=start.address,
+                head=request.head,
+                idempotency_key=idempotency_key(flow, request),
+                idempotent=request.idempotent,
+                timeout_s=start.timeout_s,
+                last_event_id=request.last_event_id,
+            ),
+            Log(
+                "owner",
+                "attempt_started",
+                "request sent to target",
+                _ids(held, target=start.target, attempt=request.attempt),
+            ),
+        ]
+
+    def _refuse(self, held: _Held, reason: str, retry_after_ms: int) -> list[Action]:
+        flow, request = held.flow, held.request
+        request.step("refuse")
+        request.verdict = Refused(
+            flow.flow_id, flow.binding, request.seq, reason, retry_after_ms
+        )
+        return [
+            SendToCaller(flow.caller, request.verdict),
+            Count("refused", reason),
+            Log(
+                "owner",
+                "request_refused",
+                "request refused before any run",
+                _ids(held, reason=reason),
+            ),
+        ]
+
+    def _fail(
+        self, held: _Held, reason: str, retry_after_ms: int = NO_RETRY_MS
+    ) -> list[Action]:
+        flow, request = held.flow, held.request
+        request.step("fail")
+        request.answer = None
+        request.verdict = Outcome(
+            flow.flow_id, flow.binding, request.seq, reason, retry_after_ms
+        )
+        return [
+            SendToCaller(flow.caller, request.verdict),
+            Count("outcome_unknown", reason),
+            Log(
+                "owner",
+                "outcome_unknown",
+                "request may have run",
+                _ids(held, reason=reason),
+            ),
+        ]
+
+    def _running(self, request_id: RequestId, attempt: int) -> _Held | None:
+        """Find the request of an attempt; None if the attempt is an old one."""
+        held = self._find(request_id)
+        if held is None or held.request.attempt != attempt:
+            return None
+        if held.request.state != "running":
+            return None
+        return held
+
+    def answered(self, event: AttemptAnswered, now_s: float) -> list[Action]:
+        """Take a target's whole answer."""
+        held = self._running(event.request_id, event.attempt)
+        if held is None:
+            return []
+        request = held.request
+        request.step("finish")
+        request.answer = AnswerBuffer()
+        request.answer.begin(AnswerHead(event.status, event.headers))
+        request.answer.extend(event.body)
+        request.answer.finish()
+        actions = send_unsent_parts(held.flow, request)
+        actions.append(
+            Log(
+                "owner",
+                "request_answered",
+                "answer is complete",
+                _ids(held, status=event.status),
+            )
+        )
+        actions += self._finished(held, FinishKind.OK, event.duration_s, now_s)
+        return actions
+
+    def failed(self, event: AttemptFailed, now_s: float) -> list[Action]:
+        """Take the end of an attempt that has no answer."""
+        held = self._running(event.request_id, event.attempt)
+        if held is None:
+            return []
+        held.request.step("requeue")
+        actions: list[Action] = [
+            Log(
+                "owner",
+                "attempt_failed",
+                "attempt ended without an answer",
+                _ids(held, reason=event.kind.value),
+            )
+        ]
+        actions += self._finished(
+            held, event.kind, event.duration_s, now_s, event.retry_after_s
+        )
+        return actions
+
+    def _finished(
+        self,
+        held: _Held,
+        kind: FinishKind,
+        duration_s: float,
+        now_s: float,
+        retry_after_s: float = 0.0,
+    ) -> list[Action]:
+        dispatcher = self.dispatchers.get(held.flow.service)
+        if dispatcher is None:
+            return [] if kind is FinishKind.OK else self._fail(held, "unknown_service")
+        decisions = dispatcher.finished(
+            held.request_id, now_s, kind, duration_s, retry_after_s
+        )
+        return self.carry_out(decisions, now_s)
+
+    def stream_opened(self, event: StreamOpened) -> list[Action]:
+        """Take the head of a stream; a resumed stream goes on under its first."""
+        held = self._running(event.request_id, event.attempt)
+        if held is None or held.request.answer is not None:
+            return []
+        held.request.answer = AnswerBuffer()
+        held.request.answer.begin(AnswerHead(event.status, event.headers))
+        return send_unsent_parts(held.flow, held.request)
+
+    def stream_data(self, event: StreamData, now_s: float) -> list[Action]:
+        """Take one event of a stream."""
+        held = self._running(event.request_id, event.attempt)
+        if held is None or held.request.answer is None:
+            return []
+        request = held.request
+        assert request.answer is not None
+        request.answer.extend(event.data)
+        request.last_event_id = event.event_id or request.last_event_id
+        actions = send_unsent_parts(held.flow, request)
+        if request.answer.size_bytes > self._settings.stream_buffer_bytes:
+            actions += self.suspend(held.flow, request, now_s)
+        return actions
+
+    def stream_ended(self, event: StreamEnded, now_s: float) -> list[Action]:
+        """Take the end of a stream."""
+        held = self._running(event.request_id, event.attempt)
+        if held is None:
+            return []
+        held.request.step("finish")
+        if held.request.answer is None:
+            held.request.answer = AnswerBuffer()
+        held.request.answer.finish()
+        actions = send_unsent_parts(held.flow, held.request)
+        actions += self._finished(held, FinishKind.OK, 0.0, now_s)
+        return actions
+
+    def suspend(
+        self, flow: OwnedFlow, request: OwnedRequest, now_s: float
+    ) -> list[Action]:
+        """Close a stream at its target; it can be resumed after its last event."""
+        actions = self._leave_target(flow, request, now_s)
+        request.step("freeze")
+        return actions
+
+    def resume(
+        self, flow: OwnedFlow, request: OwnedRequest, now_s: float
+    ) -> list[Action]:
+        """Open a suspended stream again after its last event."""
+        request.step("resume")
+        return self.submit(flow, request, now_s)
+
+    def withdraw(
+        self, flow: OwnedFlow, request: OwnedRequest, now_s: float
+    ) -> list[Action]:
+        """Take a request that waits back from the dispatcher."""
+        return self._leave_dispatcher(flow, request, now_s)
+
+    def cancel(
+        self, flow: OwnedFlow, request: OwnedRequest, now_s: float
+    ) -> list[Action]:
+        """Give a request up, at its target too if it runs."""
+        if not request.allows("cancel"):
+            return []
+        actions: list[Action] = []
+        if request.state == "running":
+            actions += self._leave_target(flow, request, now_s)
+        elif request.state == "waiting":
+            actions += self._leave_dispatcher(flow, request, now_s)
+        request.step("cancel")
+        request.answer = None
+        actions.append(
+            Log(
+                "owner",
+                "request_cancelled",
+                "request cancelled",
+                _ids(_Held(flow, request)),
+            )
+        )
+        return actions
+
+    def _leave_target(
+        self, flow: OwnedFlow, request: OwnedRequest, now_s: float
+    ) -> list[Action]:
+        actions: list[Action] = [
+            CancelAttempt((flow.binding, request.seq), request.attempt)
+        ]
+        return actions + self._leave_dispatcher(flow, request, now_s)
+
+    def _leave_dispatcher(
+        self, flow: OwnedFlow, request: OwnedRequest, now_s: float
+    ) -> list[Action]:
+        dispatcher = self.dispatchers.get(flow.service)
+        if dispatcher is None:
+            return []
+        request_id = (flow.binding, request.seq)
+        decisions = dispatcher.cancel(request_id, now_s)
+        others = [
+            decision for decision in decisions if decision.request_id != request_id
+        ]
+        return self.carry_out(others, now_s)
+
+
+def send_unsent_parts(flow: OwnedFlow, request: OwnedRequest) -> list[Action]:
+    """Send the parts of an answer that the caller's window allows."""
+    answer = request.answer
+    assert answer is not None
+    return [
+        SendToCaller(
+            flow.caller, answer.packet(flow.flow_id, flow.binding, request.seq, index)
+        )
+        for index in answer.unsent()
+    ]
+
+
+def idempotency_key(flow: OwnedFlow, request: OwnedRequest) -> str:
+    """Return the key that all attempts of a request carry."""
+    return f"{flow.flow_id:016x}-{flow.binding:016x}-{request.seq}"
+
+
+def _cost_class(request: OwnedRequest) -> CostClass:
+    assert request.head is not None
+    for name, value in request.head.headers:
+        if name.lower() == COST_CLASS_HEADER and value == CostClass.LONG.value:
+            return CostClass.LONG
+    return CostClass.SHORT
+
+
+def _ids(held: _Held, **more: object) -> dict[str, object]:
+    return {
+        "flow": held.flow.flow_id,
+        "binding": held.flow.binding,
+        "seq": held.request.seq,
+        "key": idempotency_key(held.flow, held.request),
+        "service": held.flow.service,
+        **more,
+    }
--- /dev/null
+++ b/endivepick/core/owner.py
@@ -0,0 +1,402 @@
+"""Owner of flows: the one place where their requests are accepted."""
+
+from collections.abc import Callable
+
+from endivepick.core.actions import Action, Count, Log, SendToCaller
+from endivepick.core.codec import decode_struct
+from endivepick.core.executor import RequestExecutor, send_unsent_parts
+from endivepick.core.flow import OwnedFlow, OwnedRequest
+from endivepick.core.flow_table import FlowTable
+from endivepick.core.messages import (
+    PART_SIZE_BYTES,
+    Accepted,
+    Acknowledge,
+    CallerAddress,
+    Cancel,
+    FlowClosed,
+    Opened,
+    Outcome,
+    Refused,
+    Reissued,
+    Renew,
+    RequestHead,
+    RequestPart,
+    RequestProgress,
+    Unreachable,
+)
+from endivepick.core.settings import FlowSettings
+from endivepick.core.token import FlowToken, TokenCodec
+from endivepick.core.window import SeqState
+from endivepick.errors import PacketInvalidError
+
+__all__ = ["FlowOwner", "TokenPacket"]
+
+FROZEN_RETRY_MS = 100
+"""When to come back to a flow that is being handed over, in milliseconds."""
+PARTS_PER_PROGRESS = 8
+"""Request parts after which the owner reports what it has."""
+MISSING_PARTS_MAX = 64
+"""Missing request parts that one message names."""
+
+TokenPacket = RequestPart | Acknowledge | Cancel | Renew | FlowClosed
+
+
+class FlowOwner:
+    """Handles the packets of flows whose window this instance holds.
+
+    Parameters
+    ----------
+    settings : FlowSettings
+        Limits and times.
+    table : FlowTable
+        Flows of this instance.
+    codec : TokenCodec
+        Signs tokens.
+    executor : RequestExecutor
+        Runs complete requests.
+    random_number : callable
+        Returns a float from 0 up to 1.
+    """
+
+    def __init__(
+        self,
+        settings: FlowSettings,
+        table: FlowTable,
+        codec: TokenCodec,
+        executor: RequestExecutor,
+        random_number: Callable[[], float],
+    ) -> None:
+        self._settings = settings
+        self._table = table
+        self._codec = codec
+        self._executor = executor
+        self._random_number = random_number
+        self.leaving = False
+
+    @property
+    def renew_after_s(self) -> float:
+        """When a caller should ask for a new token, in seconds after the last."""
+        return self._settings.token_lifetime_s * self._settings.renew_share
+
+    def open_flow(
+        self, service: str, open_id: int, caller: CallerAddress, now_s: float
+    ) -> list[Action]:
+        """Open a flow to a service whose dispatcher is here."""
+        dispatcher = self._executor.dispatchers[service]
+        target = dispatcher.place_flow(now_s, self._random_number())
+        flow = self._table.open(service, target, caller, now_s)
+        sealed = self._codec.seal(self._table.token(flow, now_s))
+        return [
+            SendToCaller(
+                caller, Opened(open_id, flow.flow_id, sealed, self.renew_after_s)
+            ),
+            Count("flows_opened", service),
+            Log(
+                "owner",
+                "flow_opened",
+                "flow opened",
+                {
+                    "flow": flow.flow_id,
+                    "binding": flow.binding,
+                    "service": service,
+                    "target": target,
+                },
+            ),
+        ]
+
+    def find_flow(
+        self, token: FlowToken, caller: CallerAddress, now_s: float
+    ) -> OwnedFlow:
+        """Return the flow of a token that names this incarnation as its owner."""
+        flow = self._table.get(token.binding)
+        return flow or self._table.adopt(token, caller, now_s)
+
+    def handle(
+        self,
+        flow: OwnedFlow,
+        packet: TokenPacket,
+        caller: CallerAddress,
+        now_s: float,
+    ) -> list[Action]:
+        """Handle a packet of a flow that is held here."""
+        if flow.frozen:
+            return [_come_back(flow, packet, caller)]
+        flow.caller = caller
+        flow.heard_at_s = now_s
+        match packet:
+            case RequestPart():
+                return self._request_part(flow, packet, now_s)
+            case Acknowledge():
+                return self._acknowledge(flow, packet, now_s)
+            case Cancel(seq=seq):
+                return self._cancel(flow, seq, now_s)
+            case Renew():
+                return [self.reissue(flow, now_s)]
+            case FlowClosed():
+                return self._close(flow, now_s)
+
+    def reissue(self, flow: OwnedFlow, now_s: float) -> Action:
+        """Send a new token that names this instance and the same binding."""
+        sealed = self._codec.seal(self._table.token(flow, now_s))
+        packet = Reissued(
+            flow.flow_id, flow.binding, sealed, flow.binding, True, self.renew_after_s
+        )
+        return SendToCaller(flow.caller, packet)
+
+    def _request_part(
+        self, flow: OwnedFlow, packet: RequestPart, now_s: float
+    ) -> list[Action]:
+        request = flow.requests.get(packet.seq)
+        if request is None:
+            return self._new_request(flow, packet, now_s)
+        request.heard_at_s = now_s
+        if request.state == "receiving":
+            return self._receive(flow, request, packet, now_s)
+        return self._repeat_state(flow, request)
+
+    def _new_request(
+        self, flow: OwnedFlow, packet: RequestPart, now_s: float
+    ) -> list[Action]:
+        match flow.window.state(packet.seq):
+            case SeqState.CLAIMED:
+                return [_forgotten(flow, packet.seq)]
+            case SeqState.OUT_OF_RANGE:
+                return [Count("packets_dropped", "seq_out_of_range")]
+            case SeqState.FRESH:
+                return self._admit(flow, packet, now_s)
+
+    def _admit(
+        self, flow: OwnedFlow, packet: RequestPart, now_s: float
+    ) -> list[Action]:
+        if self.leaving:
+            return [_come_back(flow, packet, flow.caller)]
+        if len(flow.requests) >= self._settings.outstanding_requests_max:
+            return [Count("packets_dropped", "too_many_requests")]
+        request = OwnedRequest(
+            seq=packet.seq,
+            idempotent=packet.idempotent,
+            deadline_at_s=now_s + self._time_left_s(flow, packet.deadline_ms),
+            heard_at_s=now_s,
+            part_count=packet.count,
+        )
+        flow.requests[packet.seq] = request
+        if flow.closed:
+            return self._refuse_unclaimed(flow, request, "flow_closed")
+        if packet.count * PART_SIZE_BYTES > self._settings.request_bytes_max:
+            return self._refuse_unclaimed(flow, request, "request_too_large")
+        return self._receive(flow, request, packet, now_s)
+
+    def _time_left_s(self, flow: OwnedFlow, deadline_ms: int) -> float:
+        asked_s = max(deadline_ms, 0) / 1000
+        dispatcher = self._executor.dispatchers.get(flow.service)
+        if dispatcher is None:
+            return asked_s
+        return min(asked_s, dispatcher.record.request_timeout_s)
+
+    def _receive(
+        self,
+        flow: OwnedFlow,
+        request: OwnedRequest,
+        packet: RequestPart,
+        now_s: float,
+    ) -> list[Action]:
+        if packet.count != request.part_count or not 0 <= packet.index < packet.count:
+            return [Count("packets_dropped", "part_out_of_range")]
+        request.parts[packet.index] = packet.data
+        if len(request.parts) == request.part_count:
+            return self._complete(flow, request, now_s)
+        if len(request.parts) % PARTS_PER_PROGRESS:
+            return []
+        return [_progress(flow, request)]
+
+    def _complete(
+        self, flow: OwnedFlow, request: OwnedRequest, now_s: float
+    ) -> list[Action]:
+        data = b"".join(request.parts[index] for index in range(request.part_count))
+        request.parts = {}
+        try:
+            request.head = decode_struct(data, RequestHead)
+        except PacketInvalidError:
+            return self._refuse_unclaimed(flow, request, "malformed_request")
+        flow.window.claim(request.seq)
+        request.step("complete")
+        actions: list[Action] = [
+            SendToCaller(
+                flow.caller, Accepted(flow.flow_id, flow.binding, request.seq)
+            ),
+            Log(
+                "owner",
+                "request_accepted",
+                "request is complete",
+                {
+                    "flow": flow.flow_id,
+                    "binding": flow.binding,
+                    "seq": request.seq,
+                    "service": flow.service,
+                },
+            ),
+        ]
+        return actions + self._executor.submit(flow, request, now_s)
+
+    def _refuse_unclaimed(
+        self, flow: OwnedFlow, request: OwnedRequest, reason: str
+    ) -> list[Action]:
+        # Claim first: no later copy of a refused request may run.
+        flow.window.claim(request.seq)
+        request.step("refuse")
+        request.verdict = Refused(flow.flow_id, flow.binding, request.seq, reason, 0)
+        return [SendToCaller(flow.caller, request.verdict), Count("refused", reason)]
+
+    def _repeat_state(self, flow: OwnedFlow, request: OwnedRequest) -> list[Action]:
+        """Answer a copy of a request, or a question about it."""
+        if request.verdict is not None:
+            return [SendToCaller(flow.caller, request.verdict)]
+        answer = request.answer
+        if answer is not None and answer.base_index < answer.sent_index:
+            packet = answer.packet(
+                flow.flow_id, flow.binding, request.seq, answer.base_index
+            )
+            return [SendToCaller(flow.caller, packet)]
+        if request.state == "cancelled":
+            return []
+        accepted = Accepted(flow.flow_id, flow.binding, request.seq)
+        return [SendToCaller(flow.caller, accepted)]
+
+    def _acknowledge(
+        self, flow: OwnedFlow, packet: Acknowledge, now_s: float
+    ) -> list[Action]:
+        request = flow.requests.get(packet.seq)
+        if request is None:
+            return self._acknowledge_unknown(flow, packet)
+        request.heard_at_s = now_s
+        if packet.done:
+            return self._done(flow, request, now_s)
+        if request.state == "receiving":
+            return [_progress(flow, request)]
+        if request.answer is None:
+            return self._repeat_state(flow, request)
+        return self._continue_answer(flow, request, packet, now_s)
+
+    def _acknowledge_unknown(
+        self, flow: OwnedFlow, packet: Acknowledge
+    ) -> list[Action]:
+        if packet.done:
+            return []
+        if flow.window.state(packet.seq) is SeqState.CLAIMED:
+            return [_forgotten(flow, packet.seq)]
+        missing_all = RequestProgress(flow.flow_id, flow.binding, packet.seq, 0, [])
+        return [SendToCaller(flow.caller, missing_all)]
+
+    def _continue_answer(
+        self,
+        flow: OwnedFlow,
+        request: OwnedRequest,
+        packet: Acknowledge,
+        now_s: float,
+    ) -> list[Action]:
+        answer = request.answer
+        assert answer is not None
+        repeats = answer.acknowledge(packet.next_index, packet.missing, packet.window)
+        actions: list[Action] = [
+            SendToCaller(
+                flow.caller,
+                answer.packet(flow.flow_id, flow.binding, request.seq, index),
+            )
+            for index in repeats
+        ]
+        actions += send_unsent_parts(flow, request)
+        if not actions:
+            # The caller learns that its stream or request is still known.
+            accepted = Accepted(flow.flow_id, flow.binding, request.seq)
+            actions.append(SendToCaller(flow.caller, accepted))
+        if request.state == "suspended":
+            actions += self._resume_if_drained(flow, request, now_s)
+        return actions
+
+    def _resume_if_drained(
+        self, flow: OwnedFlow, request: OwnedRequest, now_s: float
+    ) -> list[Action]:
+        assert request.answer is not None
+        if request.answer.size_bytes > self._settings.stream_buffer_bytes // 2:
+            return []
+        return self._executor.resume(flow, request, now_s)
+
+    def _done(
+        self, flow: OwnedFlow, request: OwnedRequest, now_s: float
+    ) -> list[Action]:
+        if request.state == "receiving":
+            return []
+        actions: list[Action] = []
+        if not request.allows("acknowledge"):
+            actions = self._executor.cancel(flow, request, now_s)
+        flow.requests.pop(request.seq, None)
+        return actions
+
+    def _cancel(self, flow: OwnedFlow, seq: int, now_s: float) -> list[Action]:
+        request = flow.requests.get(seq)
+        # A cancellation that overtakes its request must stop the later parts.
+        flow.window.claim(seq)
+        if request is None:
+            return []
+        return self._executor.cancel(flow, request, now_s)
+
+    def _close(self, flow: OwnedFlow, now_s: float) -> list[Action]:
+        flow.closed = True
+        actions: list[Action] = []
+        for request in list(flow.requests.values()):
+            flow.window.claim(request.seq)
+            actions += self._executor.cancel(flow, request, now_s)
+        flow.requests.clear()
+        return actions
+
+    def tick(self, now_s: float) -> list[Action]:
+        """Forget answers that nobody fetched and cancel requests nobody awaits."""
+        actions: list[Action] = []
+        for flow in self._table:
+            if flow.requests and not flow.frozen:
+                actions += self._sweep(flow, now_s)
+        return actions
+
+    def _sweep(self, flow: OwnedFlow, now_s: float) -> list[Action]:
+        actions: list[Action] = []
+        for request in list(flow.requests.values()):
+            silent_s = now_s - request.heard_at_s
+            if request.state == "receiving":
+                if now_s >= request.deadline_at_s:
+                    del flow.requests[request.seq]
+            elif request.at_dispatcher or request.state == "suspended":
+                if silent_s > self._settings.caller_silence_s:
+                    actions += self._executor.cancel(flow, request, now_s)
+            elif silent_s > self._settings.unacknowledged_s:
+                del flow.requests[request.seq]
+        return actions
+
+
+def _progress(flow: OwnedFlow, request: OwnedRequest) -> Action:
+    next_index = 0
+    while next_index in request.parts:
+        next_index += 1
+    highest = max(request.parts, default=-1)
+    missing = [
+        index for index in range(next_index, highest) if index not in request.parts
+    ]
+    packet = RequestProgress(
+        flow.flow_id,
+        flow.binding,
+        request.seq,
+        next_index,
+        missing[:MISSING_PARTS_MAX],
+    )
+    return SendToCaller(flow.caller, packet)
+
+
+def _forgotten(flow: OwnedFlow, seq: int) -> Action:
+    packet = Outcome(flow.flow_id, flow.binding, seq, "answer_forgotten", 0)
+    return SendToCaller(flow.caller, packet)
+
+
+def _come_back(flow: OwnedFlow, packet: TokenPacket, caller: CallerAddress) -> Action:
+    seq = getattr(packet, "seq", 0)
+    return SendToCaller(
+        caller, Unreachable(flow.flow_id, flow.binding, seq, FROZEN_RETRY_MS)
+    )
--- /dev/null
+++ b/endivepick/core/peer_messages.py
@@ -0,0 +1,113 @@
+"""Messages between instances about flows; tags 80 to 95."""
+
+import msgspec
+
+from endivepick.core.messages import (
+    CallerAddress,
+    Outcome,
+    Refused,
+    RequestHead,
+)
+from endivepick.core.window import WindowSnapshot
+
+__all__ = [
+    "AnswerSnapshot",
+    "FlowSnapshot",
+    "HandOver",
+    "HandOverAccepted",
+    "HandOverRefused",
+    "InFlightReport",
+    "RelayedPacket",
+    "RequestSnapshot",
+    "TargetDraining",
+]
+
+
+class RelayedPacket(msgspec.Struct, frozen=True, array_like=True, tag=80):
+    """A caller's datagram on its way to the owner of its flow.
+
+    Attributes
+    ----------
+    caller : tuple
+        Where answers go.
+    hops : int
+        How many instances it passed.
+    datagram : bytes
+        The packet as the caller sent it.
+    """
+
+    caller: CallerAddress
+    hops: int
+    datagram: bytes
+
+
+class AnswerSnapshot(msgspec.Struct, frozen=True, array_like=True):
+    """Parts of an answer that the caller has not acknowledged."""
+
+    base_index: int
+    final: bool
+    parts: list[bytes]
+
+
+class RequestSnapshot(msgspec.Struct, frozen=True, array_like=True):
+    """A request whose answer is not acknowledged, or a suspended stream.
+
+    ``time_left_ms`` is what remains of its deadline, in milliseconds.
+    """
+
+    seq: int
+    idempotent: bool
+    time_left_ms: int
+    state: str
+    attempt: int
+    last_event_id: str
+    head: RequestHead | None
+    answer: AnswerSnapshot | None
+    verdict: Refused | Outcome | None
+
+
+class FlowSnapshot(msgspec.Struct, frozen=True, array_like=True):
+    """Everything that the successor of a flow's owner needs."""
+
+    flow_id: int
+    binding: int
+    service: str
+    target: str
+    closed: bool
+    caller: CallerAddress
+    window: WindowSnapshot
+    requests: list[RequestSnapshot]
+
+
+class HandOver(msgspec.Struct, frozen=True, array_like=True, tag=81):
+    """Flows that the sender has frozen for good; sent again until answered."""
+
+    transfer_id: int
+    flows: list[FlowSnapshot]
+
+
+class HandOverAccepted(msgspec.Struct, frozen=True, array_like=True, tag=82):
+    """The receiver holds the flows of this transfer."""
+
+    transfer_id: int
+
+
+class HandOverRefused(msgspec.Struct, frozen=True, array_like=True, tag=83):
+    """The receiver holds nothing of this transfer and never will."""
+
+    transfer_id: int
+
+
+class InFlightReport(msgspec.Struct, frozen=True, array_like=True, tag=84):
+    """Requests that the sender has in progress at a service's targets."""
+
+    service: str
+    in_flight: dict[str, int]
+
+
+class TargetDraining(msgspec.Struct, frozen=True, array_like=True, tag=85):
+    """A target said by itself that it is leaving."""
+
+    service: str
+    target: str
+    target_incarnation: int
--- /dev/null
+++ b/endivepick/core/relay.py
@@ -0,0 +1,196 @@
+"""Relay: finds who holds a flow and what to say if nobody can be reached."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Protocol
+
+from endivepick.core.actions import Action, Count, Log, SendToCaller, SendToPeer
+from endivepick.core.flow_table import Identity
+from endivepick.core.messages import (
+    CallerAddress,
+    OpenRefused,
+    Reissued,
+    Unreachable,
+)
+from endivepick.core.peer_messages import RelayedPacket
+from endivepick.core.rendezvous import rank
+from endivepick.core.token import FlowToken, TokenCodec
+
+__all__ = ["Holder", "HolderLost", "HolderSilent", "Peers", "Relay", "choose_owner"]
+
+HOPS_MAX = 4
+"""Instances that a datagram may pass before it is given up."""
+SILENT_RETRY_MS = 300
+"""When to come back while the owner is suspected, in milliseconds."""
+
+
+class Peers(Protocol):
+    """What the relay asks of the membership."""
+
+    def ready_names(self) -> Iterable[str]:
+        """Return the names that may take a role, this instance included."""
+
+    def is_silent(self, name: str) -> bool:
+        """Tell whether an instance is suspected and not yet declared dead."""
+
+    def is_incarnation_dead(self, name: str, incarnation: int) -> bool:
+        """Tell whether an incarnation is known to be gone."""
+
+    def successor_of(self, incarnation: int, service: str) -> Identity | None:
+        """Return who took over a service's flows from an incarnation."""
+
+    def incarnation_of(self, name: str) -> int:
+        """Return the known incarnation of an instance, or 0."""
+
+
+@dataclass(frozen=True, slots=True)
+class Holder:
+    """This instance holds the flow, or the named one does."""
+
+    identity: Identity
+
+
+@dataclass(frozen=True, slots=True)
+class HolderSilent:
+    """The holder does not answer but may be alive."""
+
+    identity: Identity
+
+
+@dataclass(frozen=True, slots=True)
+class HolderLost:
+    """The holder is gone and has handed nothing over."""
+
+    identity: Identity
+
+
+Whereabouts = Holder | HolderSilent | HolderLost
+
+
+def choose_owner(service: str, names: Iterable[str]) -> str:
+    """Return the instance that opens a service's flows.
+
+    Examples
+    --------
+    >>> choose_owner("notes", ["a"])
+    'a'
+    """
+    return rank(service, names)[0]
+
+
+class Relay:
+    """Decides where a packet of a flow goes.
+
+    Parameters
+    ----------
+    me : Identity
+        This instance.
+    peers : Peers
+        What is known of the others.
+    codec : TokenCodec
+        Signs tokens.
+    new_id : callable
+        Returns a random 64-bit number.
+    renew_after_s : float
+        When a caller should ask for a new token, in seconds.
+    """
+
+    def __init__(
+        self,
+        me: Identity,
+        peers: Peers,
+        codec: TokenCodec,
+        new_id: Callable[[], int],
+        renew_after_s: float,
+    ) -> None:
+        self._me = me
+        self._peers = peers
+        self._codec = codec
+        self._new_id = new_id
+        self._renew_after_s = renew_after_s
+
+    def locate(self, token: FlowToken) -> Whereabouts:
+        """Find the holder of a token's binding."""
+        named = Identity(token.owner, token.owner_incarnation)
+        successor = self._peers.successor_of(token.owner_incarnation, token.service)
+        holder = successor or named
+        if holder == self._me:
+            return Holder(holder)
+        if self._peers.is_incarnation_dead(holder.name, holder.incarnation):
+            return HolderLost(holder)
+        if self._peers.is_silent(holder.name):
+            return HolderSilent(holder)
+        return Holder(holder)
+
+    def forward(
+        self, identity: Identity, caller: CallerAddress, hops: int, datagram: bytes
+    ) -> list[Action]:
+        """Hand a datagram to another instance."""
+        if hops >= HOPS_MAX:
+            return [Count("packets_dropped", "too_many_hops")]
+        message = RelayedPacket(caller, hops + 1, datagram)
+        return [SendToPeer(identity.name, message), Count("packets_relayed")]
+
+    def say_unreachable(
+        self, token: FlowToken, seq: int, caller: CallerAddress
+    ) -> list[Action]:
+        """Tell the caller to come back; promise nothing about the run."""
+        packet = Unreachable(token.flow_id, token.binding, seq, SILENT_RETRY_MS)
+        return [SendToCaller(caller, packet), Count("owner_unreachable")]
+
+    def reissue_after_loss(
+        self, token: FlowToken, caller: CallerAddress, now_s: float
+    ) -> list[Action]:
+        """Give the flow a new owner and a new, empty binding."""
+        owner = self._present_owner(token.service)
+        renewed = FlowToken(
+            service=token.service,
+            flow_id=token.flow_id,
+            binding=self._new_id(),
+            owner=owner.name,
+            owner_incarnation=owner.incarnation,
+            target=token.target,
+            issued_at_s=int(now_s),
+        )
+        packet = Reissued(
+            flow_id=token.flow_id,
+            old_binding=token.binding,
+            token=self._codec.seal(renewed),
+            binding=renewed.binding,
+            continues=False,
+            renew_after_s=self._renew_after_s,
+        )
+        return [
+            SendToCaller(caller, packet),
+            Count("flows_reissued"),
+            Log(
+                "relay",
+                "flow_reissued",
+                "owner lost, flow has a new owner",
+                {
+                    "flow": token.flow_id,
+                    "binding": renewed.binding,
+                    "old_binding": token.binding,
+                    "peer": owner.name,
+                },
+            ),
+        ]
+
+    def _present_owner(self, service: str) -> Identity:
+        name = self.owner_name(service)
+        incarnation = self._peers.incarnation_of(name)
+        if name == self._me.name or not incarnation:
+            return self._me
+        return Identity(name, incarnation)
+
+    def owner_name(self, service: str) -> str:
+        """Return the instance that opens this service's flows at present."""
+        names = list(self._peers.ready_names())
+        return choose_owner(service, names) if names else self._me.name
+
+    def refuse_open(
+        self, open_id: int, reason: str, retry_after_ms: int, caller: CallerAddress
+    ) -> list[Action]:
+        """Answer that no flow was opened, and when to come back."""
+        packet = OpenRefused(open_id, reason, retry_after_ms)
+        return [SendToCaller(caller, packet), Count("refused", reason)]
--- a/endivepick/core/window.py
+++ b/endivepick/core/window.py
@@ -89,6 +89,11 @@
             self._claimed.remove(self.floor)
             self.floor += 1
 
+    @property
+    def is_untouched(self) -> bool:
+        """Whether no number was ever claimed."""
+        return self.floor == 1 and not self._claimed
+
     def skip_below(self, seq: int) -> None:
         """Give up all numbers below ``seq`` that were never claimed."""
         if seq <= self.floor:
