Check settings files and explain every key

An operator must learn from the refusal alone what to change, so each fault names line, key and remedy; json5 gives values without their lines.

--- /dev/null
+++ b/endivepick/settings/__init__.py
@@ -0,0 +1,39 @@
+"""Settings of an instance: JSON with comments, checked, with an explanation."""
+
+from endivepick.settings.address import parse_address
+from endivepick.settings.explain import explain, explain_markdown
+from endivepick.settings.model import (
+    DaemonSettings,
+    DispatchSettings,
+    FabricSettings,
+    FlowSettings,
+    InstanceSettings,
+    ListenSettings,
+    LogSettings,
+    MembershipSettings,
+    PlatformSettings,
+    SecretsSettings,
+    StopSettings,
+    TargetSettings,
+)
+from endivepick.settings.reader import load_settings, parse_settings
+
+__all__ = [
+    "DaemonSettings",
+    "DispatchSettings",
+    "FabricSettings",
+    "FlowSettings",
+    "InstanceSettings",
+    "ListenSettings",
+    "LogSettings",
+    "MembershipSettings",
+    "PlatformSettings",
+    "SecretsSettings",
+    "StopSettings",
+    "TargetSettings",
+    "explain",
+    "explain_markdown",
+    "load_settings",
+    "parse_address",
+    "parse_settings",
+]
--- /dev/null
+++ b/endivepick/settings/explain.py
@@ -0,0 +1,100 @@
+"""Reference text of all settings, made from the border models."""
+
+from collections.abc import Iterator
+from typing import Any, Literal, get_args, get_origin
+
+import annotated_types
+from pydantic.fields import FieldInfo
+
+from endivepick.settings.schema import SettingsModel
+
+__all__ = ["explain", "explain_markdown"]
+
+_UNITS = {
+    "_bytes_max": "bytes",
+    "_bytes": "bytes",
+    "_s": "seconds",
+    "_ms": "milliseconds",
+    "_share": "share",
+    "_share_max": "share",
+    "_hex": "hexadecimal digits",
+    "_address": "host:port",
+}
+_TITLE = """# Settings
+
+A settings file is JSON with comments. Unknown keys, wrong types, values outside
+their range and impossible combinations are refused with line, key and remedy.
+Check a file with `endivepick check-settings FILE`. This page is the output of
+`endivepick settings --explain --markdown`.
+"""
+
+
+def _unit(name: str) -> str:
+    suffixes = sorted(_UNITS, key=len, reverse=True)
+    for suffix in suffixes:
+        if f"_{name}".endswith(suffix):
+            return _UNITS[suffix]
+    return ""
+
+
+def _range(field: FieldInfo) -> str:
+    if get_origin(field.annotation) is Literal:
+        return ", ".join(get_args(field.annotation))
+    low, high = "", ""
+    for constraint in field.metadata:
+        match constraint:
+            case annotated_types.Ge(ge=bound):
+                low = f"{bound:.10g}"
+            case annotated_types.Le(le=bound):
+                high = f"{bound:.10g}"
+    return f"{low} to {high}" if low else ""
+
+
+def _default(field: FieldInfo) -> str:
+    if field.is_required():
+        return "required"
+    return _literal(field.default)
+
+
+def _literal(value: Any) -> str:
+    return f'"{value}"' if isinstance(value, str) else f"{value:.10g}"
+
+
+def _sections() -> Iterator[tuple[str, Any]]:
+    for name, field in SettingsModel.model_fields.items():
+        yield name, field.annotation
+
+
+def explain() -> str:
+    """Describe all keys with meaning, unit, default and range as plain text."""
+    lines = []
+    for section, group in _sections():
+        lines.append(f"{section}: {(group.__doc__ or '').strip()}")
+        for name, field in group.model_fields.items():
+            facts = [f"default: {_default(field)}"]
+            facts += [f"unit: {_unit(name)}"] if _unit(name) else []
+            facts += [f"range: {_range(field)}"] if _range(field) else []
+            lines.append(f"  {section}.{name} ({'; '.join(facts)})")
+            lines.append(f"      {field.description}")
+        lines.append("")
+    return "\n".join(lines)
+
+
+def explain_markdown() -> str:
+    """Describe all keys as the operators' page ``docs/operators/settings.md``."""
+    lines = [_TITLE]
+    for section, group in _sections():
+        lines.append(f"## {section}\n\n{(group.__doc__ or '').strip()}\n")
+        lines.append("| key | meaning | unit | default | range |")
+        lines.append("| --- | --- | --- | --- | --- |")
+        for name, field in group.model_fields.items():
+            cells = (
+                f"`{name}`",
+                str(field.description),
+                _unit(name),
+                _default(field),
+                _range(field),
+            )
+            lines.append(f"| {' | '.join(cells)} |")
+        lines.append("")
+    return "\n".join(lines)
