--- /dev/null
+++ b/endivepick/daemon/logs.py
@@ -0,0 +1,187 @@
+"""Log events of one process as JSON lines, written through eliot.
+
+Each line has ``at_s`` (wall time), ``clock`` (hybrid logical clock),
+``process``, ``part``, ``event``, ``level``, ``message`` (short sentence that
+starts with the part's prefix) and the ids that the event is about.  Events go
+straight to eliot's logger: its actions would draw a random id for each event,
+while here the request key ties the events of one request together.
+"""
+
+import sys
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any, BinaryIO
+
+import eliot
+import msgspec
+
+from endivepick.settings.model import LogLevel, LogSettings
+from endivepick.timeline.clock import HybridClock
+
+__all__ = ["PartLog", "process_log", "request_key"]
+
+_SEVERITY: dict[LogLevel, int] = {"debug": 0, "info": 1, "warning": 2, "error": 3}
+_SEVERITY_OFF = len(_SEVERITY)
+_HEX_IDS = frozenset({"flow", "binding", "incarnation", "successor"})
+"""Ids of 64 bits: written in hexadecimal, since JSON readers lose their low bits."""
+
+_eliot_logger = eliot.Logger()
+_encoder = msgspec.json.Encoder(enc_hook=str)
+
+
+class _Threshold:
+    """Least severity that is written, shared by all parts of the process.
+
+    Nothing is written before ``process_log`` opens: eliot would keep such events
+    and hand them to the first destination, whatever its level.
+    """
+
+    severity = _SEVERITY_OFF
+
+
+def request_key(flow: int, binding: int, seq: int) -> str:
+    """Name a request in logs and towards targets.
+
+    Examples
+    --------
+    >>> request_key(255, 16, 1)
+    '00000000000000ff-0000000000000010-1'
+    """
+    return f"{flow:016x}-{binding:016x}-{seq}"
+
+
+class PartLog:
+    """Log of one part of a process.
+
+    Parameters
+    ----------
+    prefix : str
+        Name of the part, for example ``"owner"``.
+
+    Examples
+    --------
+    >>> log = PartLog("owner")
+    >>> log.event("request_accepted", "request accepted", flow=1, seq=2)
+    """
+
+    def __init__(self, prefix: str) -> None:
+        self.prefix = prefix
+
+    def debug(self, name: str, message: str, **ids: Any) -> None:
+        """Write an event that happens for each request or packet."""
+        if _Threshold.severity <= _SEVERITY["debug"]:
+            self._write("debug", name, message, ids)
+
+    def event(self, name: str, message: str, **ids: Any) -> None:
+        """Write an event that changes a role, a record, a flow or a peer's state.
+
+        Parameters
+        ----------
+        name : str
+            Stable name that programs filter by, for example ``"flow_opened"``.
+        message : str
+            Short sentence without the prefix.
+        **ids
+            What the event is about: ``flow``, ``binding``, ``seq``, ``request``,
+            ``target``, ``service``, ``record``, ``version``, ``peer``,
+            ``incarnation`` and others; JSON values or objects with a ``str`` form.
+        """
+        if _Threshold.severity <= _SEVERITY["info"]:
+            self._write("info", name, message, ids)
+
+    def warning(self, name: str, message: str, **ids: Any) -> None:
+        """Write an event that an operator may want to look at."""
+        if _Threshold.severity <= _SEVERITY["warning"]:
+            self._write("warning", name, message, ids)
+
+    def error(self, name: str, message: str, **ids: Any) -> None:
+        """Write a failure that an operator has to look at."""
+        if _Threshold.severity <= _SEVERITY["error"]:
+            self._write("error", name, message, ids)
+
+    def _write(
+        self, level: LogLevel, name: str, message: str, ids: dict[str, Any]
+    ) -> None:
+        for key in _HEX_IDS & ids.keys():
+            if isinstance(ids[key], int):
+                ids[key] = f"{ids[key]:016x}"
+        fields = {
+            "part": self.prefix,
+            "event": name,
+            "level": level,
+            "message": f"{self.prefix}: {message}",
+        }
+        _eliot_logger.write(fields | ids)
+
+
+class _LineWriter:
+    """Eliot destination that stamps events and writes one line for each."""
+
+    def __init__(
+        self,
+        stream: BinaryIO,
+        process: str,
+        clock: HybridClock,
+        wall_time: Callable[[], float],
+    ) -> None:
+        self._stream = stream
+        self._process = process
+        self._clock = clock
+        self._wall_time = wall_time
+
+    def __call__(self, message: dict[str, Any]) -> None:
+        now_s = self._wall_time()
+        stamp = {
+            "at_s": round(now_s, 6),
+            "clock": self._clock.tick(now_s),
+            "process": self._process,
+        }
+        self._stream.write(_encoder.encode(stamp | message) + b"\n")
+
+
+@contextmanager
+def process_log(
+    settings: LogSettings,
+    process: str,
+    clock: HybridClock,
+    wall_time: Callable[[], float] = time.time,
+) -> Iterator[None]:
+    """Write the events of this process while the context is open.
+
+    Parameters
+    ----------
+    settings : LogSettings
+        Path and level.
+    process : str
+        Name of the instance or caller.
+    clock : HybridClock
+        The clock whose stamps also travel with peer messages.
+    wall_time : callable
+        Gives seconds since 1970.
+
+    Raises
+    ------
+    OSError
+        If the file cannot be opened.
+    """
+    with _open_stream(settings.path) as stream:
+        writer = _LineWriter(stream, process, clock, wall_time)
+        severity_before = _Threshold.severity
+        _Threshold.severity = _SEVERITY[settings.level]
+        eliot.add_destinations(writer)
+        try:
+            yield
+        finally:
+            eliot.remove_destination(writer)
+            _Threshold.severity = severity_before
+
+
+@contextmanager
+def _open_stream(path: str) -> Iterator[BinaryIO]:
+    """Open without buffer, so that no line is lost when the process is killed."""
+    if not path:
+        yield sys.stderr.buffer
+        return
+    with open(path, "ab", buffering=0) as stream:
+        yield stream
--- a/endivepick/settings/model.py
+++ b/endivepick/settings/model.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import dataclass, field
+from typing import Literal
 
 __all__ = [
     "DaemonSettings",
@@ -13,6 +14,7 @@
     "FlowSettings",
     "InstanceSettings",
     "ListenSettings",
+    "LogLevel",
     "LogSettings",
     "MembershipSettings",
     "PlatformSettings",
@@ -21,6 +23,9 @@
     "TargetSettings",
 ]
 
+LogLevel = Literal["debug", "info", "warning", "error"]
+"""Severity of a log event, least severe first."""
+
 
 @dataclass(frozen=True)
 class InstanceSettings:
@@ -68,7 +73,7 @@
     """Where log lines go and how many of them."""
 
     path: str = ""
-    level: str = "info"
+    level: LogLevel = "info"
 
 
 @dataclass(frozen=True)
--- a/endivepick/settings/schema.py
+++ b/endivepick/settings/schema.py
@@ -1,6 +1,6 @@
 """Border models: what a settings file may contain, with ranges and meaning."""
 
-from typing import Annotated, Literal
+from typing import Annotated
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field
 
@@ -109,7 +109,7 @@
         default=model.LogSettings.path,
         description="File that log lines are appended to; empty: standard error.",
     )
-    level: Literal["debug", "info", "warning", "error"] = Field(
+    level: model.LogLevel = Field(
         default=model.LogSettings.level,
         description="Least severe events that are written; debug includes one line "
         "or more per request, which the time line needs.",
