--- a/endivepick/core/actions.py
+++ b/endivepick/core/actions.py
@@ -10,6 +10,7 @@
     "CancelAttempt",
     "Count",
     "Log",
+    "Probe",
     "RequestId",
     "SendToCaller",
     "SendToPeer",
@@ -88,6 +89,15 @@
     attempt: int
 
 
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """Ask a target for its health and load."""
+
+    service: str
+    target: str
+    address: str
+
+
 @dataclass(frozen=True, slots=True)
 class Count:
     """Count something, by name and label."""
@@ -119,6 +129,7 @@
     | StartAttempt
     | CancelAttempt
     | Count
+    | Probe
     | Log
     | StopFinished
 )
--- a/endivepick/core/events.py
+++ b/endivepick/core/events.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from endivepick.core.actions import RequestId
-from endivepick.core.dispatch import FinishKind
+from endivepick.core.dispatch import FinishKind, ProbeOutcome
 from endivepick.core.messages import CallerAddress
 
 __all__ = [
@@ -13,6 +13,7 @@
     "CallerDatagram",
     "Event",
     "PeerMessage",
+    "Probed",
     "StreamData",
     "StreamEnded",
     "StreamOpened",
@@ -89,6 +90,15 @@
     attempt: int
 
 
+@dataclass(frozen=True, slots=True)
+class Probed:
+    """A target was asked for its health and load."""
+
+    service: str
+    target: str
+    outcome: ProbeOutcome
+
+
 @dataclass(frozen=True, slots=True)
 class StopRequested:
     """A planned stop begins."""
@@ -102,6 +112,7 @@
 Event = (
     CallerDatagram
     | PeerMessage
+    | Probed
     | AttemptAnswered
     | AttemptFailed
     | StreamOpened
--- a/endivepick/core/token.py
+++ b/endivepick/core/token.py
@@ -6,9 +6,12 @@
 
 from endivepick.errors import TokenInvalidError
 
-__all__ = ["FlowToken", "TokenCodec", "TokenKeys"]
+__all__ = ["UNKNOWN_KEY", "FlowToken", "TokenCodec", "TokenKeys"]
 
 MAC_SIZE_BYTES = 16
+KEY_ID_SIZE_BYTES = 4
+UNKNOWN_KEY = "unknown_key"
+"""Reason of a token whose key has not reached this instance."""
 _encoder = msgspec.msgpack.Encoder()
 
 
@@ -52,13 +55,16 @@
         """Return the present key's id and the code of ``data``."""
 
     def verify(self, key_id: int, data: bytes, mac: bytes) -> bool:
-        """Tell whether the code is right; raise if the key is unknown."""
+        """Tell whether the code is right."""
+
+    def holds(self, key_id: int) -> bool:
+        """Tell whether the key is known here."""
 
 
 class TokenCodec:
     """Signs and verifies flow tokens.
 
-    A token on the wire is the key id in two bytes, the MessagePack array and a
+    A token on the wire is the key id in four bytes, the MessagePack array and a
     16-byte message authentication code over both.
 
     Parameters
@@ -77,7 +83,7 @@
         """Encode and sign a token."""
         payload = _encoder.encode(token)
         key_id, mac = self.keys.sign(payload)
-        return key_id.to_bytes(2, "big") + payload + mac
+        return key_id.to_bytes(KEY_ID_SIZE_BYTES, "big") + payload + mac
 
     def unseal(self, sealed: bytes, now_s: float) -> FlowToken:
         """Verify and decode a token.
@@ -87,10 +93,14 @@
         TokenInvalidError
             If it is forged, cut off, expired or of an unknown key.
         """
-        payload = sealed[2:-MAC_SIZE_BYTES]
+        payload = sealed[KEY_ID_SIZE_BYTES:-MAC_SIZE_BYTES]
         if not payload:
             raise TokenInvalidError("malformed", "Echo the token unchanged.")
-        key_id = int.from_bytes(sealed[:2], "big")
+        key_id = int.from_bytes(sealed[:KEY_ID_SIZE_BYTES], "big")
+        if not self.keys.holds(key_id):
+            raise TokenInvalidError(
+                UNKNOWN_KEY, "Send the packet again after a while."
+            )
         if not self.keys.verify(key_id, payload, sealed[-MAC_SIZE_BYTES:]):
             raise TokenInvalidError("forged", "Echo the token unchanged.")
         return self._decode(payload, now_s)
--- /dev/null
+++ b/endivepick/daemon/peers.py
@@ -0,0 +1,206 @@
+"""Task that owns the sockets between instances.
+
+Each instance binds one ROUTER socket and connects one DEALER socket to each peer
+that it speaks to; messages go one way.  All sockets use CURVE with one key pair
+that the instances derive from their shared secret: only its holders can connect,
+and keys for tokens travel encrypted.
+"""
+
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from hashlib import blake2b
+from typing import Any
+
+import gevent
+import msgspec
+import zmq.auth
+import zmq.green as zmq
+from zmq.utils import z85
+
+from endivepick.core.events import PeerMessage
+from endivepick.core.wire import Envelope, decode_envelope, encode_envelope
+from endivepick.daemon.logs import PartLog
+from endivepick.errors import PacketInvalidError
+from endivepick.settings.address import parse_address
+from endivepick.settings.model import DaemonSettings
+from endivepick.timeline.clock import HybridClock
+
+__all__ = ["PeerTask", "curve_keys", "peer_task"]
+
+ZAP_ENDPOINT = "inproc://zeromq.zap.01"
+SEND_QUEUE_MESSAGES = 4096
+RECONNECT_MS = 50
+RECONNECT_MAX_MS = 500
+HEARTBEAT_MS = 1000
+HEARTBEAT_TIMEOUT_MS = 3000
+MESSAGE_BYTES_MAX = 64 << 20
+_log = PartLog("peers")
+
+
+def curve_keys(secret: bytes) -> tuple[bytes, bytes]:
+    """Derive the public and secret CURVE keys of the installation.
+
+    Parameters
+    ----------
+    secret : bytes
+        Secret that all instances share.
+
+    Returns
+    -------
+    bytes, bytes
+        Public and secret key in Z85 form.
+    """
+    seed = blake2b(secret, digest_size=32, person=b"endivepick-peer").digest()
+    secret_key = z85.encode(seed)
+    return zmq.curve_public(secret_key), secret_key
+
+
+class PeerTask:
+    """Sends and receives messages between instances.
+
+    Parameters
+    ----------
+    settings : DaemonSettings
+        Peer address and shared secret.
+    incarnation : int
+        Incarnation of this instance, sent with each message.
+    clock : HybridClock
+        Its stamps travel with each message.
+    deliver : callable
+        Takes each ``PeerMessage``.
+    """
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        incarnation: int,
+        clock: HybridClock,
+        deliver: Callable[[PeerMessage], None],
+    ) -> None:
+        self._name = settings.instance.name
+        self._incarnation = incarnation
+        self._clock = clock
+        self._deliver = deliver
+        self._keys = curve_keys(settings.secrets.peer_secret)
+        self._host, port = parse_address(settings.listen.peer_address)
+        self._context = zmq.Context()
+        self._zap = self._open_zap()
+        self._router = self._open_router(port)
+        self._dealers: dict[str, tuple[str, Any]] = {}
+
+    def _open_zap(self) -> zmq.auth.Authenticator:
+        authenticator = zmq.auth.Authenticator(self._context)
+        authenticator.start()
+        authenticator.configure_curve_callback("*", credentials_provider=self)
+        return authenticator
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Tell the authenticator whether a client's public key is allowed."""
+        return z85.encode(key) == self._keys[0]
+
+    def _open_router(self, port: int) -> Any:
+        router = self._context.socket(zmq.ROUTER)
+        router.curve_publickey, router.curve_secretkey = self._keys
+        router.curve_server = True
+        router.linger = 0
+        router.rcvhwm = SEND_QUEUE_MESSAGES
+        router.setsockopt(zmq.MAXMSGSIZE, MESSAGE_BYTES_MAX)
+        wanted = f"tcp://{self._host}:{port or '*'}"
+        router.bind(wanted)
+        return router
+
+    @property
+    def address(self) -> str:
+        """Bound address as ``host:port``."""
+        endpoint = self._router.getsockopt_string(zmq.LAST_ENDPOINT)
+        return endpoint.removeprefix("tcp://")
+
+    def run(self) -> None:
+        """Receive until the task is killed."""
+        while True:
+            frames = self._router.recv_multipart()
+            try:
+                envelope = decode_envelope(frames[-1])
+            except PacketInvalidError as error:
+                _log.warning("message_invalid", "message dropped", reason=error.reason)
+                continue
+            self._clock.observe(envelope.clock, time.time())
+            self._deliver(
+                PeerMessage(envelope.sender, envelope.incarnation, envelope.message)
+            )
+
+    def run_zap(self) -> None:
+        """Answer the library's questions about clients' keys."""
+        while True:
+            message = self._zap.zap_socket.recv_multipart()
+            self._zap.handle_zap_message(message)
+
+    def send(self, name: str, address: str, message: msgspec.Struct) -> bool:
+        """Send to a peer; False if its connection is down or its queue is full."""
+        if not address:
+            return False
+        envelope = Envelope(
+            self._name, self._incarnation, self._clock.tick(time.time()), message
+        )
+        dealer = self._dealer(name, address)
+        try:
+            dealer.send(encode_envelope(envelope), zmq.NOBLOCK)
+        except zmq.Again:
+            return False
+        return True
+
+    def _dealer(self, name: str, address: str) -> Any:
+        known = self._dealers.get(name)
+        if known is not None and known[0] == address:
+            return known[1]
+        self.forget(name)
+        dealer = self._connect(address)
+        self._dealers[name] = (address, dealer)
+        return dealer
+
+    def _connect(self, address: str) -> Any:
+        dealer = self._context.socket(zmq.DEALER)
+        dealer.curve_publickey, dealer.curve_secretkey = self._keys
+        dealer.curve_serverkey = self._keys[0]
+        dealer.linger = 0
+        dealer.sndhwm = SEND_QUEUE_MESSAGES
+        # Nothing waits for a connection: what is late is better lost here.
+        dealer.immediate = True
+        dealer.reconnect_ivl = RECONNECT_MS
+        dealer.reconnect_ivl_max = RECONNECT_MAX_MS
+        dealer.heartbeat_ivl = HEARTBEAT_MS
+        dealer.heartbeat_timeout = HEARTBEAT_TIMEOUT_MS
+        dealer.connect(f"tcp://{self._host}:0;{address}")
+        return dealer
+
+    def forget(self, name: str) -> None:
+        """Close the connection to a peer that is gone."""
+        known = self._dealers.pop(name, None)
+        if known is not None:
+            known[1].close()
+
+    def close(self) -> None:
+        """Close all sockets."""
+        for name in list(self._dealers):
+            self.forget(name)
+        self._router.close()
+        self._zap.stop()
+        self._context.term()
+
+
+@contextmanager
+def peer_task(
+    settings: DaemonSettings,
+    incarnation: int,
+    clock: HybridClock,
+    deliver: Callable[[PeerMessage], None],
+) -> Iterator[PeerTask]:
+    """Run the task while the context is open."""
+    task = PeerTask(settings, incarnation, clock, deliver)
+    readers = [gevent.spawn(task.run_zap), gevent.spawn(task.run)]
+    try:
+        yield task
+    finally:
+        gevent.killall(readers)
+        task.close()
