Add the dispatcher of a service's owner

An owner knows its in-flight counts exactly, so it can place, queue, admit and refuse without the targets' own queues. One queue ordered by arrival plus a delay for each class was weighed against strict priorities: it cannot starve a class. Not run is said only if every attempt surely did not run.

No measurement against other placements yet.

--- /dev/null
+++ b/endivepick/core/dispatch/__init__.py
@@ -0,0 +1,48 @@
+"""Placement, admission, retries and target states at a service's owner."""
+
+from endivepick.core.dispatch.dispatcher import ServiceDispatcher
+from endivepick.core.dispatch.messages import (
+    CancelRunning,
+    CostClass,
+    Decision,
+    Fail,
+    FailReason,
+    FinishKind,
+    ProbeFailed,
+    ProbeOutcome,
+    ProbeResult,
+    Queued,
+    RefusalReason,
+    Refuse,
+    Repin,
+    RequestIntent,
+    Start,
+    TargetHealth,
+)
+from endivepick.core.dispatch.retry_budget import RetryBudget
+from endivepick.core.dispatch.settings import DispatchSettings
+from endivepick.core.dispatch.snapshot import DispatchSnapshot, TargetSnapshot
+
+__all__ = [
+    "CancelRunning",
+    "CostClass",
+    "Decision",
+    "DispatchSettings",
+    "DispatchSnapshot",
+    "Fail",
+    "FailReason",
+    "FinishKind",
+    "ProbeFailed",
+    "ProbeOutcome",
+    "ProbeResult",
+    "Queued",
+    "RefusalReason",
+    "Refuse",
+    "Repin",
+    "RequestIntent",
+    "RetryBudget",
+    "ServiceDispatcher",
+    "Start",
+    "TargetHealth",
+    "TargetSnapshot",
+]
--- /dev/null
+++ b/endivepick/core/dispatch/target.py
@@ -0,0 +1,298 @@
+"""What the owner knows about one target."""
+
+from collections.abc import Hashable
+
+from endivepick.core.chart import load_chart
+from endivepick.core.dispatch.load import LoadView
+from endivepick.core.dispatch.messages import (
+    FinishKind,
+    ProbeFailed,
+    ProbeResult,
+    TargetHealth,
+)
+from endivepick.core.dispatch.settings import DispatchSettings
+from endivepick.core.dispatch.waiting import PendingRequest, WaitingQueue
+from endivepick.records.model import TargetRecord
+
+__all__ = ["TargetState"]
+
+_SERVING = frozenset({"cold", "ready", "trial"})
+
+
+class TargetState:
+    """Life cycle, load and queue of one target.
+
+    Parameters
+    ----------
+    settings : DispatchSettings
+        Settings of the dispatcher.
+    record : TargetRecord
+        The target's part of the service record.
+    service : str
+        Service that it has to serve.
+    new : bool
+        It joined a service that was in force already, so it starts cold.
+    """
+
+    def __init__(
+        self, settings: DispatchSettings, record: TargetRecord, service: str, new: bool
+    ) -> None:
+        self._chart = load_chart("target")
+        self._settings = settings
+        self._service = service
+        self._new = new
+        self._since_s = 0.0
+        self._failures = 0
+        self._ejections = 0
+        self._ejected_until_s = 0.0
+        self._draining_note: tuple[int, float] | None = None
+        self._succeeded_at_s = float("-inf")
+        self.record = record
+        self.state = self._chart.initial
+        self.incarnation = 0
+        self.probed = False
+        self.healthy = True
+        self.backoff_until_s = 0.0
+        self.flows = 0
+        self.running: dict[Hashable, PendingRequest] = {}
+        self.streams: dict[Hashable, PendingRequest] = {}
+        self.queue = WaitingQueue()
+        self.load = LoadView(settings)
+
+    @property
+    def name(self) -> str:
+        """Name of the target."""
+        return self.record.name
+
+    @property
+    def serving(self) -> bool:
+        """Whether it takes requests."""
+        return self.state in _SERVING
+
+    @property
+    def keeps_flows(self) -> bool:
+        """Whether its flows stay pinned to it; true until its first probe."""
+        return self.serving or (self.state == "unknown" and not self.probed)
+
+    @property
+    def leaving(self) -> bool:
+        """Whether it must get no new work."""
+        return self.state in ("draining", "gone")
+
+    def update_record(self, record: TargetRecord, now_s: float) -> None:
+        """Take in its part of a newer service record."""
+        if record.address != self.record.address:
+            self._lose_identity(now_s)
+        self.record = record
+        self._step_if_allowed("return", now_s)
+        if record.draining:
+            self._step_if_allowed("drain", now_s)
+        elif self._draining_note is None:
+            self._step_if_allowed("undrain", now_s)
+
+    def remove(self, now_s: float) -> None:
+        """Note that the record names it no more."""
+        self._step_if_allowed("remove", now_s)
+
+    def note_draining(self, incarnation: int, now_s: float) -> None:
+        """Take in a peer's word that this incarnation drains."""
+        if self.incarnation not in (0, incarnation):
+            return
+        self._draining_note = (incarnation, now_s)
+        self._step_if_allowed("drain", now_s)
+
+    def on_probe(self, outcome: ProbeResult | ProbeFailed, now_s: float) -> None:
+        """Take in the outcome of a health and load probe."""
+        self.probed = True
+        match outcome:
+            case ProbeFailed():
+                self.healthy = False
+            case ProbeResult(service=service) if service != self._service:
+                self._lose_identity(now_s)
+            case ProbeResult(state=TargetHealth.STARTING):
+                self._lose_identity(now_s)
+                self._new = True
+            case ProbeResult(state=TargetHealth.DRAINING):
+                self.healthy = True
+                self._identify(outcome.incarnation, now_s)
+                self._draining_note = (outcome.incarnation, float("-inf"))
+                self._step_if_allowed("drain", now_s)
+            case ProbeResult():
+                self.healthy = True
+                self._on_ready(outcome, now_s)
+
+    def on_finished(self, kind: FinishKind, retry_after_s: float, now_s: float) -> None:
+        """Learn from the end of an attempt."""
+        match kind:
+            case FinishKind.OK:
+                self._on_success(now_s)
+            case FinishKind.SHED:
+                self._on_shed(retry_after_s, now_s)
+            case FinishKind.MISDIRECTED:
+                self._lose_identity(now_s)
+            case FinishKind.CONNECT_FAILED:
+                self._failures += 1
+                self._back_off(self._connect_backoff_s(), now_s)
+            case FinishKind.BROKEN | FinishKind.LATE:
+                self._failures += 1
+            case FinishKind.CANCELLED | FinishKind.EXPIRED:
+                pass
+
+    def failing(self, stall_after_s: float, now_s: float) -> bool:
+        """Tell whether its requests give reason to eject it.
+
+        Parameters
+        ----------
+        stall_after_s : float
+            Time without a completion that is too long, in seconds.
+        now_s : float
+            Present time, in seconds.
+        """
+        limit = 1 if self.state == "trial" else self._settings.failures_to_eject
+        return self._failures >= limit or self._stalled(stall_after_s, now_s)
+
+    def eject(self, now_s: float) -> None:
+        """Give it no work for a time that doubles with each ejection."""
+        self._step("eject", now_s)
+        length_s = self._settings.ejection_s * 2.0 ** min(self._ejections, 30)
+        self._ejected_until_s = now_s + min(length_s, self._settings.ejection_limit_s)
+        self._ejections += 1
+        self._failures = 0
+
+    def advance(self, now_s: float) -> None:
+        """Follow the passing of time: ejection and slow start end."""
+        if self.state == "ejected" and now_s >= self._ejected_until_s:
+            self._step("ejection_over", now_s)
+        if (
+            self.state == "cold"
+            and now_s - self._since_s >= self._settings.slow_start_s
+        ):
+            self._step("warmed", now_s)
+
+    def usable_slots(self, ignore_health: bool, now_s: float) -> int:
+        """Return how many requests it may run at once.
+
+        Parameters
+        ----------
+        ignore_health : bool
+            So many health endpoints fail that they are not believed.
+        now_s : float
+            Present time, in seconds.
+        """
+        if now_s < self.backoff_until_s:
+            return 0
+        match self.state:
+            case "ready":
+                slots = self.record.slots
+            case "cold":
+                slots = self._ramped_slots(now_s)
+            case "trial":
+                return 1
+            case _:
+                return 0
+        if not self.healthy and not ignore_health:
+            slots = max(1, int(slots * self._settings.unhealthy_slot_share))
+        return slots
+
+    def blocked_until_s(self) -> float:
+        """Return when it may take requests again at the earliest, in seconds."""
+        if self.state == "ejected":
+            return max(self.backoff_until_s, self._ejected_until_s)
+        return self.backoff_until_s
+
+    def free_slots(self, ignore_health: bool, now_s: float) -> int:
+        """Return how many requests could start now, never below zero."""
+        usable = self.usable_slots(ignore_health, now_s)
+        if usable == 0:
+            return 0
+        own = len(self.running)
+        return max(0, usable - own - self.load.others(usable, now_s))
+
+    def in_use(self, now_s: float) -> int:
+        """Return the slots that its own and known other requests hold."""
+        return len(self.running) + self.load.peers(now_s)
+
+    def free_connections(self) -> int:
+        """Return how many connections it can still hold."""
+        return self.record.connections - len(self.running) - len(self.streams)
+
+    def takes_any(self, now_s: float) -> bool:
+        """Tell whether a non-idempotent request may start on it."""
+        if self.state != "trial":
+            return True
+        return now_s - self._since_s >= self._settings.trial_idempotent_s
+
+    def _on_ready(self, result: ProbeResult, now_s: float) -> None:
+        if self._draining_note is not None and not self._note_holds(result, now_s):
+            self._draining_note = None
+            if not self.record.draining:
+                self._step_if_allowed("undrain", now_s)
+        self._identify(result.incarnation, now_s)
+        self.load.on_report(result, len(self.running), now_s)
+
+    def _note_holds(self, result: ProbeResult, now_s: float) -> bool:
+        assert self._draining_note is not None
+        incarnation, noted_at_s = self._draining_note
+        recent = now_s - noted_at_s < self._settings.draining_note_s
+        return incarnation == result.incarnation and recent
+
+    def _identify(self, incarnation: int, now_s: float) -> None:
+        if self.state == "gone":
+            return
+        changed = self.incarnation not in (0, incarnation)
+        if self.incarnation != incarnation:
+            self._failures = 0
+            self._ejections = 0
+            self.backoff_until_s = 0.0
+        self.incarnation = incarnation
+        if self.record.draining or self._draining_note is not None:
+            return
+        if changed:
+            self._step("identified_new", now_s)
+        elif self.state == "unknown":
+            self._step("identified_new" if self._new else "identified", now_s)
+        self._new = False
+
+    def _lose_identity(self, now_s: float) -> None:
+        self._new = self._new or self.incarnation != 0
+        self.incarnation = 0
+        self._step_if_allowed("identity_lost", now_s)
+
+    def _on_success(self, now_s: float) -> None:
+        self._succeeded_at_s = now_s
+        self._failures = 0
+        if self.state == "trial":
+            self._step("trial_passed", now_s)
+        elif self.state == "ready":
+            self._ejections = 0
+
+    def _on_shed(self, retry_after_s: float, now_s: float) -> None:
+        wait_s = retry_after_s if retry_after_s > 0 else self._settings.shed_backoff_s
+        self._back_off(min(wait_s, self._settings.shed_backoff_limit_s), now_s)
+
+    def _connect_backoff_s(self) -> float:
+        length_s = self._settings.connect_backoff_s * 2.0 ** min(self._failures - 1, 30)
+        return min(length_s, self._settings.connect_backoff_limit_s)
+
+    def _back_off(self, length_s: float, now_s: float) -> None:
+        self.backoff_until_s = max(self.backoff_until_s, now_s + length_s)
+
+    def _stalled(self, stall_after_s: float, now_s: float) -> bool:
+        if not self.running:
+            return False
+        oldest_s = min(request.started_at_s for request in self.running.values())
+        return now_s - max(oldest_s, self._succeeded_at_s) > stall_after_s
+
+    def _ramped_slots(self, now_s: float) -> int:
+        if self._settings.slow_start_s == 0:
+            return self.record.slots
+        share = (now_s - self._since_s) / self._settings.slow_start_s
+        return min(self.record.slots, 1 + int(share * self.record.slots))
+
+    def _step(self, event: str, now_s: float) -> None:
+        self.state = self._chart.step(self.state, event)
+        self._since_s = now_s
+
+    def _step_if_allowed(self, event: str, now_s: float) -> None:
+        if self._chart.allows(self.state, event):
+            self._step(event, now_s)
--- /dev/null
+++ b/endivepick/core/dispatch/tests/test_dispatcher.py
@@ -0,0 +1,320 @@
+import dataclasses
+import unittest
+
+from endivepick.core.dispatch import (
+    CancelRunning,
+    CostClass,
+    Fail,
+    FailReason,
+    FinishKind,
+    ProbeFailed,
+    Queued,
+    RefusalReason,
+    Refuse,
+    Repin,
+    TargetHealth,
+)
+from endivepick.core.dispatch.tests.support import (
+    make_dispatcher,
+    make_record,
+    ready,
+    starts,
+    submit,
+)
+from endivepick.records.model import Affinity
+
+FLOW = Affinity.FLOW
+
+
+def drain(record, name, version=2):
+    targets = tuple(
+        dataclasses.replace(t, draining=t.name == name) for t in record.targets
+    )
+    return dataclasses.replace(record, targets=targets, version=version)
+
+
+class PlacementTest(unittest.TestCase):
+    def test_requests_spread_over_all_slots_then_wait(self):
+        dispatcher = make_dispatcher()
+        chosen = [starts(submit(dispatcher, i)).get(i) for i in range(3)]
+        self.assertEqual(sorted(chosen), ["t0", "t1", "t2"])
+        self.assertEqual(submit(dispatcher, 3), [Queued(3)])
+        decisions = dispatcher.finished(1, 1.0, FinishKind.OK, 1.0)
+        self.assertEqual(starts(decisions), {3: chosen[1]})
+
+    def test_start_names_identity_and_time_left(self):
+        dispatcher = make_dispatcher(make_record(targets=1))
+        (start,) = submit(dispatcher, "a", now_s=1.0, deadline_at_s=4.0)
+        self.assertEqual(start.target_incarnation, 100)
+        self.assertEqual(start.timeout_s, 3.0)
+
+    def test_no_start_before_identity_is_known(self):
+        dispatcher = make_dispatcher(make_record(FLOW, targets=1), probe=False)
+        self.assertEqual(submit(dispatcher, "a", pinned="t0"), [Queued("a")])
+        self.assertEqual(
+            dispatcher.on_probe("t0", 0.1, ready(service="other")),
+            [],
+        )
+        self.assertEqual(starts(dispatcher.on_probe("t0", 0.2, ready())), {"a": "t0"})
+
+    def test_misdirected_target_gets_nothing_until_probed_again(self):
+        dispatcher = make_dispatcher(make_record(targets=2))
+        first = starts(submit(dispatcher, "a"))["a"]
+        decisions = dispatcher.finished("a", 0.1, FinishKind.MISDIRECTED, 0.1)
+        self.assertNotEqual(starts(decisions)["a"], first)
+        self.assertEqual(submit(dispatcher, "b", now_s=0.2), [Queued("b")])
+
+    def test_flows_spread_by_slots(self):
+        dispatcher = make_dispatcher(make_record(FLOW))
+        chosen = [dispatcher.place_flow(0.0, 0.9) for _ in range(6)]
+        self.assertEqual(sorted(chosen), ["t0", "t0", "t1", "t1", "t2", "t2"])
+
+    def test_request_affinity_pins_no_flow(self):
+        self.assertEqual(make_dispatcher().place_flow(0.0, 0.5), "")
+
+    def test_pinned_request_waits_for_its_target(self):
+        dispatcher = make_dispatcher(make_record(FLOW))
+        submit(dispatcher, "a", pinned="t1")
+        self.assertEqual(submit(dispatcher, "b", pinned="t1"), [Queued("b")])
+        decisions = dispatcher.finished("a", 1.0, FinishKind.OK, 1.0)
+        self.assertEqual(starts(decisions), {"b": "t1"})
+
+    def test_stream_holds_no_slot(self):
+        dispatcher = make_dispatcher(make_record(FLOW, targets=1))
+        submit(dispatcher, "s", pinned="t0", stream=True)
+        self.assertEqual(dispatcher.in_flight("t0"), 0)
+        self.assertEqual(starts(submit(dispatcher, "a", pinned="t0")), {"a": "t0"})
+
+    def test_peer_in_flight_holds_slots_until_it_ages(self):
+        dispatcher = make_dispatcher(make_record(targets=1))
+        dispatcher.on_peer_in_flight("other", {"t0": 1}, 0.0)
+        self.assertEqual(submit(dispatcher, "a"), [Queued("a")])
+        self.assertEqual(starts(dispatcher.tick(5.0)), {"a": "t0"})
+
+    def test_spill_share_caps_requests_that_leave_the_zone(self):
+        dispatcher = make_dispatcher(make_record(slots=2, spill_share=0.0))
+        chosen = [starts(submit(dispatcher, i))[i] for i in range(3)]
+        self.assertEqual(chosen[:2], ["t0", "t0"])
+        self.assertNotEqual(chosen[2], "t0")
+
+
+class LeavingTargetTest(unittest.TestCase):
+    def check_moves(self, leave):
+        record = make_record(FLOW, targets=2)
+        dispatcher = make_dispatcher(record)
+        submit(dispatcher, "a", pinned="t0")
+        submit(dispatcher, "b", pinned="t0")
+        decisions = leave(dispatcher, record)
+        self.assertEqual(decisions[0], Repin("b", "t0", "t1"))
+        self.assertEqual(starts(decisions), {"b": "t1"})
+        dispatcher.finished("a", 1.0, FinishKind.OK, 1.0)
+        dispatcher.finished("b", 1.0, FinishKind.OK, 1.0)
+        self.assertEqual(
+            starts(submit(dispatcher, "c", now_s=1.0, pinned="t0")), {"c": "t1"}
+        )
+
+    def test_record_drains(self):
+        self.check_moves(lambda d, record: d.update_record(drain(record, "t0"), 0.5))
+
+    def test_health_says_draining(self):
+        result = ready(state=TargetHealth.DRAINING)
+        self.check_moves(lambda d, _: d.on_probe("t0", 0.5, result))
+
+    def test_peer_says_draining_while_health_lags(self):
+        def leave(dispatcher, _):
+            decisions = dispatcher.on_draining_note("t0", 100, 0.5)
+            dispatcher.on_probe("t0", 0.6, ready())
+            return decisions
+
+        self.check_moves(leave)
+
+    def test_target_removed_from_record(self):
+        def leave(dispatcher, record):
+            newer = dataclasses.replace(record, targets=record.targets[1:], version=2)
+            return dispatcher.update_record(newer, 0.5)
+
+        self.check_moves(leave)
+
+    def test_older_record_changes_nothing(self):
+        record = make_record(version=5)
+        dispatcher = make_dispatcher(record)
+        dispatcher.update_record(drain(record, "t0", version=4), 0.5)
+        self.assertEqual(dispatcher.snapshot().record_version, 5)
+        self.assertEqual(dispatcher.snapshot().targets[0].state, "ready")
+
+
+class AdmissionTest(unittest.TestCase):
+    def test_refuses_at_once_what_would_wait_too_long(self):
+        dispatcher = make_dispatcher(make_record(targets=1), initial_service_time_s=1)
+        submit(dispatcher, "a")
+        submit(dispatcher, "b")
+        (refusal,) = submit(dispatcher, "c", deadline_at_s=2.0)
+        self.assertEqual(refusal.reason, RefusalReason.WAIT_TOO_LONG)
+        self.assertGreater(refusal.retry_after_ms, 1000)
+
+    def test_full_queue_refuses_the_last_in_order(self):
+        dispatcher = make_dispatcher(make_record(targets=1, waiting_per_slot=1))
+        submit(dispatcher, "a")
+        submit(dispatcher, "new", established=False)
+        decisions = submit(dispatcher, "old")
+        self.assertEqual(decisions[0].request_id, "new")
+        self.assertEqual(decisions[0].reason, RefusalReason.QUEUE_FULL)
+        self.assertEqual(decisions[1], Queued("old"))
+        (refusal,) = submit(dispatcher, "late", now_s=0.1)
+        self.assertEqual(refusal.request_id, "late")
+
+    def test_expired_request_is_refused_as_not_run(self):
+        dispatcher = make_dispatcher(make_record(targets=1))
+        submit(dispatcher, "a")
+        submit(dispatcher, "b", deadline_at_s=1.0)
+        (refusal,) = dispatcher.tick(1.0)
+        self.assertIsInstance(refusal, Refuse)
+        self.assertEqual(refusal.reason, RefusalReason.DEADLINE_PASSED)
+
+    def test_short_goes_first_but_long_does_not_starve(self):
+        dispatcher = make_dispatcher(make_record(targets=1), long_request_delay_s=2)
+        submit(dispatcher, "a")
+        submit(dispatcher, "long", cost_class=CostClass.LONG)
+        submit(dispatcher, "short", now_s=1.0)
+        submit(dispatcher, "later", now_s=2.5)
+        order = []
+        running = "a"
+        for now_s in (3.0, 4.0, 5.0):
+            decisions = dispatcher.finished(running, now_s, FinishKind.OK, 1.0)
+            (running,) = starts(decisions)
+            order.append(running)
+        self.assertEqual(order, ["short", "long", "later"])
+
+    def test_cancel_drops_a_waiting_and_cancels_a_running_request(self):
+        dispatcher = make_dispatcher(make_record(targets=1))
+        submit(dispatcher, "a")
+        submit(dispatcher, "b")
+        (refusal,) = dispatcher.cancel("b", 0.1)
+        self.assertEqual(refusal.reason, RefusalReason.CANCELLED)
+        self.assertIsInstance(dispatcher.cancel("a", 0.1)[0], CancelRunning)
+        self.assertEqual(dispatcher.finished("a", 0.2, FinishKind.CANCELLED, 0.2), [])
+        self.assertEqual(dispatcher.in_flight("t0"), 0)
+
+
+class RetryTest(unittest.TestCase):
+    def test_shed_request_goes_to_another_target(self):
+        dispatcher = make_dispatcher()
+        first = starts(submit(dispatcher, "a", idempotent=False))["a"]
+        decisions = dispatcher.finished("a", 0.1, FinishKind.SHED, 0.1, 5.0)
+        self.assertNotEqual(starts(decisions)["a"], first)
+
+    def test_shedding_target_rests_for_the_time_it_asked(self):
+        dispatcher = make_dispatcher(make_record(targets=1))
+        submit(dispatcher, "a")
+        self.assertEqual(dispatcher.finished("a", 0.1, FinishKind.SHED, 0.1, 5.0), [])
+        self.assertEqual(dispatcher.tick(5.0), [])
+        self.assertEqual(starts(dispatcher.tick(5.2)), {"a": "t0"})
+
+    def test_budget_bounds_retries(self):
+        dispatcher = make_dispatcher(
+            make_record(targets=20),
+            retry_burst=3,
+            retry_share=0,
+            retry_constant_per_s=0,
+        )
+        outcomes = []
+        for i in range(5):
+            submit(dispatcher, i)
+            outcomes += dispatcher.finished(i, 0.1, FinishKind.SHED, 0.1, 1.0)
+        self.assertEqual(len(starts(outcomes)), 3)
+        refused = [d.reason for d in outcomes if isinstance(d, Refuse)]
+        self.assertEqual(refused, [RefusalReason.TARGETS_SHED] * 2)
+
+    def test_broken_non_idempotent_request_is_not_sent_again(self):
+        dispatcher = make_dispatcher()
+        submit(dispatcher, "a", idempotent=False)
+        (failure,) = dispatcher.finished("a", 0.1, FinishKind.BROKEN, 0.1)
+        self.assertEqual(failure.reason, FailReason.BROKEN)
+
+    def test_not_run_only_if_no_attempt_may_have_run(self):
+        dispatcher = make_dispatcher(attempts=2)
+        submit(dispatcher, "a")
+        decisions = dispatcher.finished("a", 0.1, FinishKind.BROKEN, 0.1)
+        self.assertIn("a", starts(decisions))
+        (failure,) = dispatcher.finished("a", 0.2, FinishKind.SHED, 0.1, 1.0)
+        self.assertIsInstance(failure, Fail)
+        self.assertEqual(failure.reason, FailReason.RETRY_REFUSED)
+
+    def test_failed_connection_moves_the_flow(self):
+        dispatcher = make_dispatcher(make_record(FLOW, targets=2))
+        submit(dispatcher, "a", pinned="t0", idempotent=False)
+        decisions = dispatcher.finished("a", 0.1, FinishKind.CONNECT_FAILED, 0.1)
+        self.assertEqual(decisions[0], Repin("a", "t0", "t1"))
+
+
+class FaultyTargetTest(unittest.TestCase):
+    def states(self, dispatcher):
+        return [target.state for target in dispatcher.snapshot().targets]
+
+    def test_stuck_target_is_ejected_although_it_reports_idle(self):
+        dispatcher = make_dispatcher(make_record(targets=2), stall_min_s=2.0)
+        stuck = starts(submit(dispatcher, "a"))["a"]
+        for tick in range(40):
+            now_s = tick * 0.1
+            dispatcher.on_probe(stuck, now_s, ready(int(stuck[1:])))
+        self.assertEqual(sorted(self.states(dispatcher)), ["ejected", "ready"])
+
+    def eject(self, dispatcher):
+        dispatcher.on_peer_in_flight("peer", {"t1": 1}, 0.0)
+        for i in range(3):
+            submit(dispatcher, i, now_s=0.0)
+            dispatcher.finished(i, 0.0, FinishKind.LATE, 1.0)
+        dispatcher.remove_peer("peer", 0.0)
+
+    def test_ejected_target_comes_back_by_one_idempotent_request(self):
+        dispatcher = make_dispatcher(make_record(targets=2, slots=2), ejection_s=2)
+        self.eject(dispatcher)
+        submit(dispatcher, "x", now_s=3.0, idempotent=False)
+        submit(dispatcher, "y", now_s=3.0, idempotent=False)
+        self.assertEqual(self.states(dispatcher), ["trial", "ready"])
+        self.assertEqual(
+            submit(dispatcher, "z", now_s=3.0, idempotent=False), [Queued("z")]
+        )
+        trial = submit(dispatcher, "a", now_s=3.0)
+        self.assertEqual(starts(trial), {"a": "t0"})
+        dispatcher.finished("a", 3.5, FinishKind.OK, 0.5)
+        self.assertEqual(self.states(dispatcher), ["cold", "ready"])
+
+    def test_never_more_than_the_limit_is_ejected(self):
+        dispatcher = make_dispatcher(make_record(targets=4), attempts=1)
+        for i in range(60):
+            submit(dispatcher, i, now_s=float(i) / 100)
+            dispatcher.finished(i, float(i) / 100, FinishKind.LATE, 1.0)
+        self.assertEqual(self.states(dispatcher).count("ejected"), 2)
+
+    def test_failing_health_halves_a_target_that_works(self):
+        dispatcher = make_dispatcher(make_record(targets=3, slots=2))
+        dispatcher.on_probe("t0", 0.1, ProbeFailed())
+        for i in range(6):
+            submit(dispatcher, i, now_s=0.2)
+        self.assertEqual(dispatcher.in_flight("t0"), 1)
+
+    def test_all_health_endpoints_failing_changes_nothing(self):
+        dispatcher = make_dispatcher(make_record(targets=3, slots=2))
+        for i in range(3):
+            dispatcher.on_probe(f"t{i}", 0.1, ProbeFailed())
+        for i in range(6):
+            self.assertIn(i, starts(submit(dispatcher, i, now_s=0.2)))
+
+    def test_replaced_target_starts_slowly(self):
+        dispatcher = make_dispatcher(make_record(targets=1, slots=2), slow_start_s=10)
+        dispatcher.on_probe("t0", 0.1, ready(5))
+        self.assertIn("a", starts(submit(dispatcher, "a", now_s=0.2)))
+        self.assertEqual(submit(dispatcher, "b", now_s=0.2), [Queued("b")])
+        self.assertEqual(starts(dispatcher.tick(5.2)), {"b": "t0"})
+
+    def test_misleading_load_report_leaves_one_slot(self):
+        dispatcher = make_dispatcher(make_record(targets=1, slots=2))
+        dispatcher.on_probe("t0", 0.1, ready(in_progress=2, waiting=9))
+        self.assertIn("a", starts(submit(dispatcher, "a", now_s=0.2)))
+        self.assertEqual(submit(dispatcher, "b", now_s=0.2), [Queued("b")])
+        self.assertEqual(starts(dispatcher.tick(1.9)), {"b": "t0"})
+
+
+if __name__ == "__main__":
+    unittest.main()
