--- a/endivepick/core/actions.py
+++ b/endivepick/core/actions.py
@@ -18,8 +18,8 @@
     "StopFinished",
 ]
 
-RequestId = tuple[int, int]
-"""Binding and request number."""
+RequestId = tuple[int, int, int]
+"""Binding, request number, and how often the request was submitted."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,7 +45,7 @@
     Attributes
     ----------
     request_id : tuple of int
-        Binding and request number.
+        Binding, request number, and how often the request was submitted.
     attempt : int
         Counts the attempts of this request; events about it carry the number.
     service : str
--- a/endivepick/core/dispatch/dispatcher.py
+++ b/endivepick/core/dispatch/dispatcher.py
@@ -75,6 +75,11 @@
         self._tie = 0.5
         self._take_targets(record, new=False, now_s=now_s)
 
+    @property
+    def record(self) -> ServiceRecord:
+        """Record in force."""
+        return self._record
+
     def update_record(self, record: ServiceRecord, now_s: float) -> list[Decision]:
         """Take a newer record into force; leaving targets get no new work."""
         if record.version < self._record.version:
--- a/endivepick/core/executor.py
+++ b/endivepick/core/executor.py
@@ -52,7 +52,7 @@
 
     @property
     def request_id(self) -> RequestId:
-        return (self.flow.binding, self.request.seq)
+        return (self.flow.binding, self.request.seq, self.request.submissions)
 
 
 class RequestExecutor:
@@ -78,27 +78,30 @@
         self._table = table
         self._random_number = random_number
         self.dispatchers: dict[str, ServiceDispatcher] = {}
+        self._at_target: dict[RequestId, str] = {}
 
     def submit(
         self, flow: OwnedFlow, request: OwnedRequest, now_s: float
     ) -> list[Action]:
         """Hand a complete request to the dispatcher."""
+        request.submissions += 1
+        held = _Held(flow, request)
         dispatcher = self.dispatchers.get(flow.service)
         if dispatcher is None:
-            held = _Held(flow, request)
             return self._refuse(held, "unknown_service", UNKNOWN_SERVICE_RETRY_MS)
-        intent = self._intent(flow, request)
+        intent = self._intent(held)
         decisions = dispatcher.submit(intent, now_s, self._random_number())
         return self.carry_out(decisions, now_s)
 
-    def _intent(self, flow: OwnedFlow, request: OwnedRequest) -> RequestIntent:
+    def _intent(self, held: _Held) -> RequestIntent:
+        flow, request = held.flow, held.request
         others = [
             other
             for other in flow.requests.values()
             if other is not request and other.at_dispatcher
         ]
         return RequestIntent(
-            request_id=(flow.binding, request.seq),
+            request_id=held.request_id,
             pinned_target=flow.target,
             deadline_at_s=request.deadline_at_s,
             idempotent=request.idempotent,
@@ -135,10 +138,10 @@
                 return []
 
     def _find(self, request_id: RequestId) -> _Held | None:
-        binding, seq = request_id
+        binding, seq, submission = request_id
         flow = self._table.get(binding)
         request = flow.requests.get(seq) if flow else None
-        if flow is None or request is None:
+        if flow is None or request is None or request.submissions != submission:
             return None
         return _Held(flow, request)
 
@@ -147,6 +150,7 @@
         assert request.head is not None
         request.step("start")
         request.attempt += 1
+        self._at_target[held.request_id] = flow.service
         return [
             StartAttempt(
                 request_id=held.request_id,
@@ -219,7 +223,7 @@
         """Take a target's whole answer."""
         held = self._running(event.request_id, event.attempt)
         if held is None:
-            return []
+            return self._free_slot(event.request_id, now_s)
         request = held.request
         request.step("finish")
         request.answer = AnswerBuffer()
@@ -242,7 +246,7 @@
         """Take the end of an attempt that has no answer."""
         held = self._running(event.request_id, event.attempt)
         if held is None:
-            return []
+            return self._free_slot(event.request_id, now_s)
         held.request.step("requeue")
         actions: list[Action] = [
             Log(
@@ -257,6 +261,15 @@
         )
         return actions
 
+    def _free_slot(self, request_id: RequestId, now_s: float) -> list[Action]:
+        """Take the end of an attempt that nobody waits for any more."""
+        service = self._at_target.pop(request_id, "")
+        dispatcher = self.dispatchers.get(service)
+        if dispatcher is None:
+            return []
+        decisions = dispatcher.finished(request_id, now_s, FinishKind.CANCELLED, 0.0)
+        return self.carry_out(decisions, now_s)
+
     def _finished(
         self,
         held: _Held,
@@ -265,6 +278,7 @@
         now_s: float,
         retry_after_s: float = 0.0,
     ) -> list[Action]:
+        self._at_target.pop(held.request_id, None)
         dispatcher = self.dispatchers.get(held.flow.service)
         if dispatcher is None:
             return [] if kind is FinishKind.OK else self._fail(held, "unknown_service")
@@ -293,14 +307,14 @@
         request.last_event_id = event.event_id or request.last_event_id
         actions = send_unsent_parts(held.flow, request)
         if request.answer.size_bytes > self._settings.stream_buffer_bytes:
-            actions += self.suspend(held.flow, request, now_s)
+            actions += self.suspend(held.flow, request)
         return actions
 
     def stream_ended(self, event: StreamEnded, now_s: float) -> list[Action]:
         """Take the end of a stream."""
         held = self._running(event.request_id, event.attempt)
         if held is None:
-            return []
+            return self._free_slot(event.request_id, now_s)
         held.request.step("finish")
         if held.request.answer is None:
             held.request.answer = AnswerBuffer()
@@ -309,11 +323,9 @@
         actions += self._finished(held, FinishKind.OK, 0.0, now_s)
         return actions
 
-    def suspend(
-        self, flow: OwnedFlow, request: OwnedRequest, now_s: float
-    ) -> list[Action]:
+    def suspend(self, flow: OwnedFlow, request: OwnedRequest) -> list[Action]:
         """Close a stream at its target; it can be resumed after its last event."""
-        actions = self._leave_target(flow, request, now_s)
+        actions = self._leave_target(flow, request)
         request.step("freeze")
         return actions
 
@@ -338,7 +350,7 @@
             return []
         actions: list[Action] = []
         if request.state == "running":
-            actions += self._leave_target(flow, request, now_s)
+            actions += self._leave_target(flow, request)
         elif request.state == "waiting":
             actions += self._leave_dispatcher(flow, request, now_s)
         request.step("cancel")
@@ -353,13 +365,10 @@
         )
         return actions
 
-    def _leave_target(
-        self, flow: OwnedFlow, request: OwnedRequest, now_s: float
-    ) -> list[Action]:
-        actions: list[Action] = [
-            CancelAttempt((flow.binding, request.seq), request.attempt)
-        ]
-        return actions + self._leave_dispatcher(flow, request, now_s)
+    def _leave_target(self, flow: OwnedFlow, request: OwnedRequest) -> list[Action]:
+        # The slot stays taken until the attempt has reported its end.
+        request_id = _Held(flow, request).request_id
+        return [CancelAttempt(request_id, request.attempt)]
 
     def _leave_dispatcher(
         self, flow: OwnedFlow, request: OwnedRequest, now_s: float
@@ -367,7 +376,7 @@
         dispatcher = self.dispatchers.get(flow.service)
         if dispatcher is None:
             return []
-        request_id = (flow.binding, request.seq)
+        request_id = _Held(flow, request).request_id
         decisions = dispatcher.cancel(request_id, now_s)
         others = [
             decision for decision in decisions if decision.request_id != request_id
--- a/endivepick/core/flow.py
+++ b/endivepick/core/flow.py
@@ -37,6 +37,8 @@
         The answer, once it begins.
     verdict : Refused or Outcome or None
         The final word, if there is no answer.
+    submissions : int
+        How often the dispatcher got it.
     attempt : int
         Number of the present attempt, 0 before the first.
     last_event_id : str
@@ -55,6 +57,7 @@
     head: RequestHead | None = None
     answer: AnswerBuffer | None = None
     verdict: Refused | Outcome | None = None
+    submissions: int = 0
     attempt: int = 0
     last_event_id: str = ""
 
--- a/endivepick/core/handover.py
+++ b/endivepick/core/handover.py
@@ -124,7 +124,7 @@
             del flow.requests[request.seq]
             return []
         if request.state == "running":
-            return self.executor.suspend(flow, request, now_s)
+            return self.executor.suspend(flow, request)
         if request.state == "waiting":
             return self.executor.withdraw(flow, request, now_s)
         return []
@@ -201,9 +201,7 @@
             )
         ]
 
-    def refused(
-        self, sender: Identity, transfer_id: int, now_s: float
-    ) -> list[Action]:
+    def refused(self, sender: Identity, transfer_id: int, now_s: float) -> list[Action]:
         """Choose another successor: the first holds nothing and never will."""
         transfer = self._transfers.get(transfer_id)
         if transfer is None or transfer.successor != sender:
--- a/endivepick/core/snapshot.py
+++ b/endivepick/core/snapshot.py
@@ -54,9 +54,7 @@
     return AnswerSnapshot(answer.base_index, answer.final, answer.parts)
 
 
-def restore_flow(
-    snapshot: FlowSnapshot, window_size: int, now_s: float
-) -> OwnedFlow:
+def restore_flow(snapshot: FlowSnapshot, window_size: int, now_s: float) -> OwnedFlow:
     """Build the flow that a snapshot describes."""
     flow = OwnedFlow(
         flow_id=snapshot.flow_id,
--- /dev/null
+++ b/endivepick/core/tests/test_owner.py
@@ -0,0 +1,142 @@
+import unittest
+
+from endivepick.core.actions import CancelAttempt
+from endivepick.core.dispatch import FinishKind
+from endivepick.core.events import AttemptFailed, StreamData, StreamOpened
+from endivepick.core.messages import (
+    Accepted,
+    Acknowledge,
+    AnswerPart,
+    Cancel,
+    Outcome,
+    Refused,
+    RequestPart,
+    RequestProgress,
+    Unreachable,
+)
+from endivepick.core.tests._fixture import (
+    NOW_S,
+    OwnerFixture,
+    packets,
+    request_part,
+    starts,
+)
+
+
+class TestOwner(unittest.TestCase):
+    def setUp(self):
+        self.fixture = OwnerFixture()
+        self.token, _ = self.fixture.open()
+
+    def fail(self, start, kind, **more):
+        event = AttemptFailed(start.request_id, start.attempt, kind, 0.01, **more)
+        return self.fixture.executor.failed(event, NOW_S)
+
+    def test_request_runs_once_whatever_copies_arrive(self):
+        first = self.fixture.request(self.token, 1)
+        copies = [self.fixture.request(self.token, 1) for _ in range(3)]
+        self.assertEqual(len(starts(first)), 1)
+        self.assertEqual([starts(copy) for copy in copies], [[], [], []])
+        self.assertTrue(all(packets(copy, Accepted) for copy in copies))
+
+    def test_copy_after_the_answer_gets_the_same_answer(self):
+        [start] = starts(self.fixture.request(self.token, 1))
+        sent = packets(self.fixture.answer(start, b"x" * 2000), AnswerPart)
+        copy = self.fixture.request(self.token, 1)
+        self.assertEqual([part.index for part in sent], [0, 1, 2])
+        self.assertTrue(sent[-1].final)
+        self.assertEqual(packets(copy, AnswerPart), sent[:1])
+
+    def test_copy_after_everything_is_forgotten_never_runs(self):
+        [start] = starts(self.fixture.request(self.token, 1))
+        self.fixture.answer(start)
+        self.fixture.send(self.token, Acknowledge(b"", 1, 2, [], 64, True))
+        copy = self.fixture.request(self.token, 1)
+        self.assertEqual(starts(copy), [])
+        self.assertEqual(len(packets(copy, Outcome)), 1)
+
+    def test_refused_request_never_runs_later(self):
+        [start] = starts(self.fixture.request(self.token, 1))
+        dispatcher = self.fixture.executor.dispatchers.pop("notes")
+        refused = self.fixture.request(self.token, 2)
+        self.fixture.executor.dispatchers["notes"] = dispatcher
+        copy = self.fixture.request(self.token, 2)
+        self.assertEqual(len(packets(refused, Refused)), 1)
+        self.assertEqual(packets(copy, Refused), packets(refused, Refused))
+        self.assertEqual(starts(copy), [])
+
+    def test_broken_connection_leaves_the_outcome_unknown(self):
+        [start] = starts(self.fixture.request(self.token, 1))
+        actions = self.fail(start, FinishKind.BROKEN)
+        self.assertEqual(len(packets(actions, Outcome)), 1)
+        self.assertEqual(packets(actions, Refused), [])
+
+    def test_shed_request_goes_to_another_target(self):
+        [start] = starts(self.fixture.request(self.token, 1))
+        actions = self.fail(start, FinishKind.SHED, retry_after_s=5.0)
+        [second] = starts(actions)
+        self.assertNotEqual(second.target, start.target)
+        self.assertEqual(second.idempotency_key, start.idempotency_key)
+
+    def test_cancellation_that_overtakes_its_request_stops_it(self):
+        self.fixture.send(self.token, Cancel(b"", 1))
+        self.assertEqual(starts(self.fixture.request(self.token, 1)), [])
+
+    def test_cancelled_request_is_cancelled_at_its_target(self):
+        [start] = starts(self.fixture.request(self.token, 1))
+        actions = self.fixture.send(self.token, Cancel(b"", 1))
+        self.assertIn(CancelAttempt(start.request_id, start.attempt), actions)
+        dispatcher = self.fixture.executor.dispatchers["notes"]
+        self.assertEqual(dispatcher.in_flight(start.target), 1)
+        self.fail(start, FinishKind.CANCELLED)
+        self.assertEqual(dispatcher.in_flight(start.target), 0)
+
+    def test_caller_that_falls_silent_has_its_request_cancelled(self):
+        [start] = starts(self.fixture.request(self.token, 1))
+        later_s = NOW_S + self.fixture.settings.caller_silence_s + 1
+        actions = self.fixture.owner.tick(later_s)
+        self.assertIn(CancelAttempt(start.request_id, start.attempt), actions)
+
+    def test_late_answer_of_an_old_attempt_is_dropped(self):
+        [start] = starts(self.fixture.request(self.token, 1))
+        [second] = starts(self.fail(start, FinishKind.SHED, retry_after_s=5.0))
+        self.assertEqual(packets(self.fixture.answer(start, b"old"), AnswerPart), [])
+        [part0, part1] = packets(self.fixture.answer(second, b"new"), AnswerPart)
+        self.assertEqual(part1.data, b"new")
+
+    def test_parts_in_any_order_make_one_request(self):
+        whole = request_part(1).data + b""
+        half = len(whole) // 2
+        late = RequestPart(b"", 1, 1, 2, False, 10_000, whole[half:])
+        early = RequestPart(b"", 1, 0, 2, False, 10_000, whole[:half])
+        self.assertEqual(starts(self.fixture.send(self.token, late)), [])
+        asked = self.fixture.send(self.token, Acknowledge(b"", 1, 0, [], 64, False))
+        self.assertEqual(packets(asked, RequestProgress)[0].missing, [0])
+        self.assertEqual(len(starts(self.fixture.send(self.token, early))), 1)
+
+    def test_part_that_contradicts_the_others_is_dropped(self):
+        self.fixture.send(self.token, RequestPart(b"", 1, 0, 3, False, 1000, b"a"))
+        for packet in (
+            RequestPart(b"", 1, 1, 9, False, 1000, b"a"),
+            RequestPart(b"", 1, -1, 3, False, 1000, b"a"),
+        ):
+            self.assertEqual(starts(self.fixture.send(self.token, packet)), [])
+
+    def test_stream_resumes_after_its_last_event(self):
+        [start] = starts(self.fixture.request(self.token, 1, stream=True))
+        executor = self.fixture.executor
+        executor.stream_opened(StreamOpened(start.request_id, 1, 200, []))
+        event = StreamData(start.request_id, 1, b"id: 4\n\n", "4")
+        executor.stream_data(event, NOW_S)
+        [second] = starts(self.fail(start, FinishKind.BROKEN))
+        self.assertEqual(second.last_event_id, "4")
+
+    def test_leaving_owner_promises_nothing_about_new_requests(self):
+        self.fixture.owner.leaving = True
+        actions = self.fixture.request(self.token, 1)
+        self.assertEqual(starts(actions), [])
+        self.assertEqual(len(packets(actions, Unreachable)), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/endivepick/core/token.py
+++ b/endivepick/core/token.py
@@ -98,9 +98,7 @@
             raise TokenInvalidError("malformed", "Echo the token unchanged.")
         key_id = int.from_bytes(sealed[:KEY_ID_SIZE_BYTES], "big")
         if not self.keys.holds(key_id):
-            raise TokenInvalidError(
-                UNKNOWN_KEY, "Send the packet again after a while."
-            )
+            raise TokenInvalidError(UNKNOWN_KEY, "Send the packet again after a while.")
         if not self.keys.verify(key_id, payload, sealed[-MAC_SIZE_BYTES:]):
             raise TokenInvalidError("forged", "Echo the token unchanged.")
         return self._decode(payload, now_s)
--- a/endivepick/daemon/fabric.py
+++ b/endivepick/daemon/fabric.py
@@ -83,7 +83,9 @@
         if destination is None:
             return
         try:
-            self._socket.sendto(pack_prefix(caller) + encode_packet(packet), destination)
+            self._socket.sendto(
+                pack_prefix(caller) + encode_packet(packet), destination
+            )
         except OSError as error:
             _log.debug("send_failed", "datagram not sent", reason=str(error))
 
--- a/endivepick/daemon/targets.py
+++ b/endivepick/daemon/targets.py
@@ -208,9 +208,7 @@
             )
         )
         for event in split_events(_chunks(response)):
-            self._deliver(
-                StreamData(request_id, attempt, event.data, event.event_id)
-            )
+            self._deliver(StreamData(request_id, attempt, event.data, event.event_id))
         return StreamEnded(request_id, attempt)
 
     def _probe(self, action: Probe) -> None:
