Split the dispatcher into scheduler, backlog and target set

The dispatcher now takes events, the scheduler moves requests, the target set ejects with a floor, and each target keeps its failures apart from its load.

--- /dev/null
+++ b/endivepick/core/dispatch/scheduler.py
@@ -0,0 +1,276 @@
+"""Start, queue, refuse and retry the requests of one service."""
+
+from collections.abc import Hashable, Sequence
+
+from endivepick.core.dispatch.admission import predict_wait_s, queue_limit
+from endivepick.core.dispatch.backlog import Backlog
+from endivepick.core.dispatch.messages import (
+    Decision,
+    FailReason,
+    FinishKind,
+    Queued,
+    RefusalReason,
+    Repin,
+    Start,
+)
+from endivepick.core.dispatch.placement import SpillCounter, choose_target
+from endivepick.core.dispatch.refusal import fail_request, refuse_request
+from endivepick.core.dispatch.retry_budget import RetryBudget
+from endivepick.core.dispatch.service_time import ServiceTimeEstimate
+from endivepick.core.dispatch.settings import DispatchSettings
+from endivepick.core.dispatch.target import TargetState
+from endivepick.core.dispatch.target_set import TargetSet
+from endivepick.core.dispatch.waiting import PendingRequest
+from endivepick.records.model import Affinity, ServiceRecord
+
+__all__ = ["Scheduler"]
+
+_GOLDEN_RATIO = 0.6180339887498949
+_NO_TARGET_WAIT_S = 1.0
+
+
+class Scheduler:
+    """Moves requests between the queues, the targets and their final answers.
+
+    Parameters
+    ----------
+    settings : DispatchSettings
+        Settings of the dispatcher.
+    record : ServiceRecord
+        Record in force; replaced by assignment.
+    own_zone : str
+        Availability zone of the owner.
+    now_s : float
+        Present time, in seconds.
+    """
+
+    def __init__(
+        self,
+        settings: DispatchSettings,
+        record: ServiceRecord,
+        own_zone: str,
+        now_s: float,
+    ) -> None:
+        self._settings = settings
+        self._spill = SpillCounter(own_zone)
+        self._tie = 0.5
+        self.record = record
+        self.budget = RetryBudget(settings, now_s)
+        self.estimate = ServiceTimeEstimate(settings)
+        self.targets = TargetSet(settings, record, self.estimate, now_s)
+        self.backlog = Backlog(self.targets)
+        self.running: dict[Hashable, PendingRequest] = {}
+
+    def take_random(self, random_number: float) -> None:
+        """Use a fresh random number, from 0 to 1, to decide between equals."""
+        self._tie = random_number
+
+    def settle(self, now_s: float) -> list[Decision]:
+        """Bring targets and queues in line with what has changed."""
+        self.targets.advance(now_s)
+        decisions: list[Decision] = [
+            self.refuse(request, RefusalReason.DEADLINE_PASSED, 0.0)
+            for request in self.backlog.take_expired(now_s)
+        ]
+        for target in self.targets:
+            if not self._keeps_queue(target):
+                for request in self.backlog.take_pinned(target):
+                    decisions += self.place(request, now_s, queued=True)
+            decisions += self._fill(target, now_s)
+        self.targets.forget_gone()
+        return decisions
+
+    def place(
+        self, request: PendingRequest, now_s: float, queued: bool = False
+    ) -> list[Decision]:
+        """Start a request now, or let it wait, or refuse it.
+
+        Parameters
+        ----------
+        request : PendingRequest
+            A request that neither runs nor waits.
+        now_s : float
+            Present time, in seconds.
+        queued : bool
+            It has waited or run before, so ``Queued`` is no news.
+        """
+        if now_s >= request.intent.deadline_at_s:
+            return [self.refuse(request, RefusalReason.DEADLINE_PASSED, 0.0)]
+        pinned = self._pinned_target(request, now_s)
+        candidates = self.targets.staying() if pinned is None else [pinned]
+        if not candidates:
+            return [self.refuse(request, RefusalReason.NO_TARGET, _NO_TARGET_WAIT_S)]
+        if request.intent.stream:
+            return self._place_stream(request, candidates, now_s)
+        target = self._free_target(request, candidates, now_s)
+        if target is not None:
+            return self._start(request, target, now_s)
+        return self._enqueue(request, pinned, candidates, now_s, queued)
+
+    def after_attempt(
+        self, request: PendingRequest, kind: FinishKind, now_s: float
+    ) -> list[Decision]:
+        """Retry a request or give its final answer, if it still needs one."""
+        match kind:
+            case FinishKind.OK | FinishKind.CANCELLED:
+                return []
+            case FinishKind.SHED:
+                return self._retry(request, RefusalReason.TARGETS_SHED, now_s)
+            case FinishKind.MISDIRECTED:
+                return self._retry(request, RefusalReason.NO_TARGET, now_s)
+            case FinishKind.CONNECT_FAILED:
+                request.unpinned = request.intent.movable
+                return self._retry(request, RefusalReason.TARGETS_UNREACHABLE, now_s)
+            case FinishKind.EXPIRED:
+                return [self.refuse(request, RefusalReason.DEADLINE_PASSED, 0.0)]
+            case FinishKind.LATE:
+                return [self._fail(request, FailReason.LATE)]
+            case FinishKind.BROKEN:
+                return self._after_broken(request, now_s)
+
+    def refuse(
+        self, request: PendingRequest, reason: RefusalReason, wait_s: float
+    ) -> Decision:
+        """Say that a request did not run, unless one of its attempts may have."""
+        spread = self._next_tie()
+        return refuse_request(self._settings, request, reason, wait_s, spread)
+
+    def _after_broken(self, request: PendingRequest, now_s: float) -> list[Decision]:
+        request.may_have_run = True
+        if not request.intent.idempotent:
+            return [self._fail(request, FailReason.BROKEN)]
+        request.unpinned = request.intent.movable
+        return self._retry(request, RefusalReason.TARGETS_UNREACHABLE, now_s)
+
+    def _retry(
+        self, request: PendingRequest, reason: RefusalReason, now_s: float
+    ) -> list[Decision]:
+        if request.attempt < self._settings.attempts and self.budget.take(now_s):
+            return self.place(request, now_s, queued=True)
+        return [self.refuse(request, reason, self.targets.blocked_s(now_s))]
+
+    def _fail(self, request: PendingRequest, reason: FailReason) -> Decision:
+        return fail_request(self._settings, request, reason, 0.0, self._next_tie())
+
+    def _keeps_queue(self, target: TargetState) -> bool:
+        return target.keeps_flows and self.record.affinity is Affinity.FLOW
+
+    def _pinned_target(
+        self, request: PendingRequest, now_s: float
+    ) -> TargetState | None:
+        if self.record.affinity is Affinity.REQUEST or request.unpinned:
+            return None
+        target = self.targets.get(request.intent.pinned_target)
+        if target is None or not target.keeps_flows:
+            return None
+        backoff_s = target.backoff_until_s - now_s
+        if request.intent.movable and backoff_s > self._settings.pin_patience_s:
+            return None
+        return target
+
+    def _free_target(
+        self, request: PendingRequest, candidates: Sequence[TargetState], now_s: float
+    ) -> TargetState | None:
+        ignore_health = self.targets.ignore_health()
+        free = [
+            target
+            for target in candidates
+            if target.can_start(ignore_health, now_s) and _suits(request, target, now_s)
+        ]
+        if not free:
+            return None
+        allowed = self._spill.allowed(free, self.record.spill_share)
+        target = choose_target(allowed, request.tried, self._next_tie(), now_s)
+        self._spill.count(free, target)
+        return target
+
+    def _place_stream(
+        self, request: PendingRequest, candidates: Sequence[TargetState], now_s: float
+    ) -> list[Decision]:
+        serving = [target for target in candidates if target.serving]
+        if not serving:
+            return [self.refuse(request, RefusalReason.NO_TARGET, _NO_TARGET_WAIT_S)]
+        able = [target for target in serving if target.free_connections() > 0]
+        if not able:
+            reason = RefusalReason.CONNECTIONS_FULL
+            return [self.refuse(request, reason, _NO_TARGET_WAIT_S)]
+        fewest = min(able, key=lambda target: len(target.streams) / target.record.slots)
+        return self._start(request, fewest, now_s)
+
+    def _enqueue(
+        self,
+        request: PendingRequest,
+        pinned: TargetState | None,
+        candidates: Sequence[TargetState],
+        now_s: float,
+        queued: bool,
+    ) -> list[Decision]:
+        usable = [target for target in candidates if target.keeps_flows] or candidates
+        queues = [self.backlog.unpinned, *(target.queue for target in usable)]
+        wait_s = predict_wait_s(request, usable, queues, self.estimate, now_s)
+        service_s = self.estimate.mean_s(request.intent.cost_class)
+        if now_s + wait_s + service_s > request.intent.deadline_at_s:
+            return [self.refuse(request, RefusalReason.WAIT_TOO_LONG, wait_s)]
+        decisions: list[Decision] = []
+        queue = self.backlog.queue_of(pinned)
+        if len(queue) >= queue_limit(usable, self.record.waiting_per_slot):
+            last = queue.last()
+            if last is None or last.order < request.order:
+                return [self.refuse(request, RefusalReason.QUEUE_FULL, wait_s)]
+            self.backlog.remove(last)
+            decisions.append(self.refuse(last, RefusalReason.QUEUE_FULL, wait_s))
+        self.backlog.push(request, pinned)
+        if not queued:
+            decisions.append(Queued(request.intent.request_id))
+        return decisions
+
+    def _fill(self, target: TargetState, now_s: float) -> list[Decision]:
+        """Start waiting requests on a target while it has free slots."""
+        decisions: list[Decision] = []
+        ignore_health = self.targets.ignore_health()
+        while len(self.backlog) and target.can_start(ignore_health, now_s):
+            request = self.backlog.take_next(
+                target, lambda waiting: _suits(waiting, target, now_s)
+            )
+            if request is None:
+                break
+            decisions += self._start(request, target, now_s)
+        return decisions
+
+    def _start(
+        self, request: PendingRequest, target: TargetState, now_s: float
+    ) -> list[Decision]:
+        intent = request.intent
+        request.target = target.name
+        request.attempt += 1
+        request.started_at_s = now_s
+        request.tried.add(target.name)
+        self.running[intent.request_id] = request
+        target.add(request)
+        start = Start(
+            intent.request_id,
+            target.name,
+            target.incarnation,
+            target.record.address,
+            intent.deadline_at_s - now_s,
+            request.attempt,
+        )
+        return [*self._repin(request, target), start]
+
+    def _repin(self, request: PendingRequest, target: TargetState) -> list[Decision]:
+        old_name = request.intent.pinned_target
+        if self.record.affinity is Affinity.REQUEST or old_name == target.name:
+            return []
+        old = self.targets.get(old_name)
+        if old is not None:
+            old.flows = max(0, old.flows - 1)
+        target.flows += 1
+        return [Repin(request.intent.request_id, old_name, target.name)]
+
+    def _next_tie(self) -> float:
+        self._tie = (self._tie + _GOLDEN_RATIO) % 1.0
+        return self._tie
+
+
+def _suits(request: PendingRequest, target: TargetState, now_s: float) -> bool:
+    return request.intent.idempotent or target.takes_any(now_s)
--- a/endivepick/core/dispatch/target.py
+++ b/endivepick/core/dispatch/target.py
@@ -3,6 +3,7 @@
 from collections.abc import Hashable
 
 from endivepick.core.chart import load_chart
+from endivepick.core.dispatch.failures import FailureRecord
 from endivepick.core.dispatch.load import LoadView
 from endivepick.core.dispatch.messages import (
     FinishKind,
@@ -42,17 +43,13 @@
         self._service = service
         self._new = new
         self._since_s = 0.0
-        self._failures = 0
-        self._ejections = 0
-        self._ejected_until_s = 0.0
+        self._failures = FailureRecord(settings)
         self._draining_note: tuple[int, float] | None = None
-        self._succeeded_at_s = float("-inf")
         self.record = record
         self.state = self._chart.initial
         self.incarnation = 0
         self.probed = False
         self.healthy = True
-        self.backoff_until_s = 0.0
         self.flows = 0
         self.running: dict[Hashable, PendingRequest] = {}
         self.streams: dict[Hashable, PendingRequest] = {}
@@ -64,6 +61,11 @@
         """Name of the target."""
         return self.record.name
 
+    @property
+    def backoff_until_s(self) -> float:
+        """End of the back-off that it asked for or earned, in seconds."""
+        return self._failures.backoff_until_s
+
     @property
     def serving(self) -> bool:
         """Whether it takes requests."""
@@ -127,14 +129,13 @@
             case FinishKind.OK:
                 self._on_success(now_s)
             case FinishKind.SHED:
-                self._on_shed(retry_after_s, now_s)
+                self._failures.on_shed(retry_after_s, now_s)
             case FinishKind.MISDIRECTED:
                 self._lose_identity(now_s)
             case FinishKind.CONNECT_FAILED:
-                self._failures += 1
-                self._back_off(self._connect_backoff_s(), now_s)
+                self._failures.on_connect_failed(now_s)
             case FinishKind.BROKEN | FinishKind.LATE:
-                self._failures += 1
+                self._failures.on_no_answer()
             case FinishKind.CANCELLED | FinishKind.EXPIRED:
                 pass
 
@@ -149,19 +150,18 @@
             Present time, in seconds.
         """
         limit = 1 if self.state == "trial" else self._settings.failures_to_eject
-        return self._failures >= limit or self._stalled(stall_after_s, now_s)
+        if self._failures.too_many(limit):
+            return True
+        return self._failures.stalled(self.running.values(), stall_after_s, now_s)
 
     def eject(self, now_s: float) -> None:
         """Give it no work for a time that doubles with each ejection."""
         self._step("eject", now_s)
-        length_s = self._settings.ejection_s * 2.0 ** min(self._ejections, 30)
-        self._ejected_until_s = now_s + min(length_s, self._settings.ejection_limit_s)
-        self._ejections += 1
-        self._failures = 0
+        self._failures.start_ejection(now_s)
 
     def advance(self, now_s: float) -> None:
         """Follow the passing of time: ejection and slow start end."""
-        if self.state == "ejected" and now_s >= self._ejected_until_s:
+        if self.state == "ejected" and now_s >= self._failures.ejected_until_s:
             self._step("ejection_over", now_s)
         if (
             self.state == "cold"
@@ -197,7 +197,7 @@
     def blocked_until_s(self) -> float:
         """Return when it may take requests again at the earliest, in seconds."""
         if self.state == "ejected":
-            return max(self.backoff_until_s, self._ejected_until_s)
+            return max(self.backoff_until_s, self._failures.ejected_until_s)
         return self.backoff_until_s
 
     def free_slots(self, ignore_health: bool, now_s: float) -> int:
@@ -212,6 +212,25 @@
         """Return the slots that its own and known other requests hold."""
         return len(self.running) + self.load.peers(now_s)
 
+    def can_start(self, ignore_health: bool, now_s: float) -> bool:
+        """Tell whether a request could start now."""
+        free = self.free_slots(ignore_health, now_s) > 0
+        return free and self.free_connections() > 0
+
+    def add(self, request: PendingRequest) -> None:
+        """Count a request in that starts now."""
+        request_id = request.intent.request_id
+        if request.intent.stream:
+            self.streams[request_id] = request
+            return
+        self.running[request_id] = request
+        self.load.on_own_count(len(self.running))
+
+    def remove_request(self, request_id: Hashable) -> None:
+        """Count a request out whose attempt ended."""
+        self.running.pop(request_id, None)
+        self.streams.pop(request_id, None)
+
     def free_connections(self) -> int:
         """Return how many connections it can still hold."""
         return self.record.connections - len(self.running) - len(self.streams)
@@ -241,9 +260,7 @@
             return
         changed = self.incarnation not in (0, incarnation)
         if self.incarnation != incarnation:
-            self._failures = 0
-            self._ejections = 0
-            self.backoff_until_s = 0.0
+            self._failures = FailureRecord(self._settings)
         self.incarnation = incarnation
         if self.record.draining or self._draining_note is not None:
             return
@@ -259,29 +276,8 @@
         self._step_if_allowed("identity_lost", now_s)
 
     def _on_success(self, now_s: float) -> None:
-        self._succeeded_at_s = now_s
-        self._failures = 0
-        if self.state == "trial":
-            self._step("trial_passed", now_s)
-        elif self.state == "ready":
-            self._ejections = 0
-
-    def _on_shed(self, retry_after_s: float, now_s: float) -> None:
-        wait_s = retry_after_s if retry_after_s > 0 else self._settings.shed_backoff_s
-        self._back_off(min(wait_s, self._settings.shed_backoff_limit_s), now_s)
-
-    def _connect_backoff_s(self) -> float:
-        length_s = self._settings.connect_backoff_s * 2.0 ** min(self._failures - 1, 30)
-        return min(length_s, self._settings.connect_backoff_limit_s)
-
-    def _back_off(self, length_s: float, now_s: float) -> None:
-        self.backoff_until_s = max(self.backoff_until_s, now_s + length_s)
-
-    def _stalled(self, stall_after_s: float, now_s: float) -> bool:
-        if not self.running:
-            return False
-        oldest_s = min(request.started_at_s for request in self.running.values())
-        return now_s - max(oldest_s, self._succeeded_at_s) > stall_after_s
+        self._failures.on_success(now_s, forgive=self.state == "ready")
+        self._step_if_allowed("trial_passed", now_s)
 
     def _ramped_slots(self, now_s: float) -> int:
         if self._settings.slow_start_s == 0:
