--- a/endivepick/errors.py
+++ b/endivepick/errors.py
@@ -4,11 +4,13 @@
     "ChartError",
     "EndivepickError",
     "PacketInvalidError",
+    "PlatformAnswerError",
     "PlatformUnavailableError",
     "RecordConflictError",
     "RecordInvalidError",
     "SettingsInvalidError",
     "TokenInvalidError",
+    "WatchExpiredError",
     "WriteOutcomeUnknownError",
 ]
 
@@ -58,16 +60,66 @@
 
 
 class RecordInvalidError(EndivepickError):
-    """A record is refused; the message names field and remedy."""
+    """A record is refused; the message names field and remedy.
+
+    Parameters
+    ----------
+    message : str
+        Record, field and remedy.
+    field : str, default=""
+        Path of the field in the record, empty if the record as a whole is refused.
+    """
+
+    def __init__(self, message: str, field: str = "") -> None:
+        super().__init__(message)
+        self.field = field
 
 
 class RecordConflictError(EndivepickError):
-    """Another writer changed the record first."""
+    """Another writer changed the record first; nothing was written.
+
+    Parameters
+    ----------
+    message : str
+        What changed, and the remedy.
+    current : object, default=None
+        The ``StoredObject`` that stands now, None if there is none.
+    differences : tuple, default=()
+        ``FieldDifference`` items from the version that the writer read to the
+        present one.
+    """
+
+    def __init__(
+        self, message: str, current: object = None, differences: tuple = ()
+    ) -> None:
+        super().__init__(message)
+        self.current = current
+        self.differences = differences
 
 
 class PlatformUnavailableError(EndivepickError):
-    """The object API did not take the call; nothing was written."""
+    """The object API did not take the call; nothing was written.
+
+    Parameters
+    ----------
+    message : str
+        Cause and remedy.
+    retry_after_s : float, default=None
+        When the platform asked to come back, in seconds.
+    """
+
+    def __init__(self, message: str, retry_after_s: float | None = None) -> None:
+        super().__init__(message)
+        self.retry_after_s = retry_after_s
+
+
+class PlatformAnswerError(EndivepickError):
+    """The object API refused a call or gave an answer outside its contract."""
+
+
+class WatchExpiredError(EndivepickError):
+    """The platform no longer has the changes after this revision: list again."""
 
 
 class WriteOutcomeUnknownError(EndivepickError):
-    """The answer to a write was lost and reading back failed as well."""
+    """The answer to a write was lost and reading back did not tell its outcome."""
--- /dev/null
+++ b/endivepick/records/schema.py
@@ -0,0 +1,278 @@
+"""Service records as operators write them: schemas, checks and conversion.
+
+Schema 2 is the present one.  Schema 1 knows one zone, one number of slots and
+one number of connections for all targets.  Both convert to ``ServiceRecord``.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from pydantic import ValidationError
+from returns.result import Failure, Result, Success
+
+from endivepick.errors import RecordInvalidError
+from endivepick.records._schema_models import (
+    NAME_PATTERN,
+    ServiceBody,
+    ServiceBodyV1,
+    ServiceBodyV2,
+    TargetBodyV2,
+)
+from endivepick.records.model import Affinity, ServiceRecord, TargetRecord
+
+__all__ = [
+    "NEWEST_SCHEMA_VERSION",
+    "SCHEMA_VERSIONS",
+    "ConvertedBody",
+    "parse_service",
+    "write_service",
+]
+
+_BODIES: dict[int, type[ServiceBody]] = {1: ServiceBodyV1, 2: ServiceBodyV2}
+SCHEMA_VERSIONS = tuple(sorted(_BODIES))
+"""Schema versions that this program reads."""
+NEWEST_SCHEMA_VERSION = SCHEMA_VERSIONS[-1]
+
+
+@dataclass(frozen=True)
+class ConvertedBody:
+    """A record written in a chosen schema.
+
+    Attributes
+    ----------
+    body : dict
+        Content for the object API.
+    lost : tuple of str
+        Fields of the record that this schema cannot express, each with what the
+        reader sees in its place.
+    """
+
+    body: dict[str, Any]
+    lost: tuple[str, ...]
+
+
+def parse_service(
+    name: str, version: int, body: Mapping[str, Any]
+) -> Result[ServiceRecord, RecordInvalidError]:
+    """Check a record and convert it to the internal form.
+
+    Parameters
+    ----------
+    name : str
+        Name of the object.
+    version : int
+        Version of the object.
+    body : mapping
+        Content of the object, in any schema of ``SCHEMA_VERSIONS``.
+
+    Returns
+    -------
+    Result of ServiceRecord
+        A failure names the first wrong field and its remedy.
+
+    Examples
+    --------
+    >>> body = {"schema_version": 2, "affinity": "flow", "targets": [
+    ...     {"name": "a", "zone": "z", "address": "127.0.0.1:80", "slots": 2,
+    ...      "connections": 2000}]}
+    >>> parse_service("notes", 7, body).unwrap().targets[0].slots
+    2
+    >>> print(parse_service("notes", 8, body | {"affinty": "flow"}).failure())
+    Record notes, field affinty: unknown field. Remove it or correct its name.
+    """
+    if NAME_PATTERN.fullmatch(name) is None:
+        return _refuse(
+            name, "name", "use lower-case letters, digits and '-', at most 63"
+        )
+    if not isinstance(body, Mapping):
+        return _refuse(name, "body", "write a JSON object")
+    schema_version = body.get("schema_version")
+    if type(schema_version) is not int or schema_version not in _BODIES:
+        return _refuse(name, "schema_version", _schema_remedy(schema_version))
+    try:
+        checked = _BODIES[schema_version].model_validate(dict(body))
+    except ValidationError as error:
+        return _refuse(name, *_first_fault(error))
+    return Success(_to_record(name, version, checked))
+
+
+def write_service(record: ServiceRecord, schema_version: int) -> ConvertedBody:
+    """Write a record in a chosen schema.
+
+    Parameters
+    ----------
+    record : ServiceRecord
+        The internal form.
+    schema_version : int
+        One of ``SCHEMA_VERSIONS``.
+
+    Returns
+    -------
+    ConvertedBody
+        The body, and what an older schema cannot express.
+
+    Raises
+    ------
+    RecordInvalidError
+        If this program does not know the schema version.
+    """
+    match schema_version:
+        case 1:
+            return _write_v1(record)
+        case 2:
+            return ConvertedBody(_write_v2(record), ())
+        case _:
+            raise RecordInvalidError(
+                f"Record {record.name}, field schema_version: "
+                f"{_schema_remedy(schema_version)}.",
+                "schema_version",
+            )
+
+
+def _refuse(
+    name: str, field: str, remedy: str
+) -> Result[ServiceRecord, RecordInvalidError]:
+    message = f"Record {name}, field {field}: {remedy}."
+    return Failure(RecordInvalidError(message, field))
+
+
+def _schema_remedy(schema_version: object) -> str:
+    known = " or ".join(map(str, SCHEMA_VERSIONS))
+    if type(schema_version) is int and schema_version > NEWEST_SCHEMA_VERSION:
+        return (
+            f"schema {schema_version} is newer than this program; update it "
+            f"everywhere first, or write schema {known}"
+        )
+    return f"write the whole number {known}"
+
+
+def _first_fault(error: ValidationError) -> tuple[str, str]:
+    fault = error.errors(include_url=False)[0]
+    field = ".".join(str(part) for part in fault["loc"]) or "body"
+    match fault["type"]:
+        case "extra_forbidden":
+            return field, "unknown field. Remove it or correct its name"
+        case "missing":
+            return field, "missing. Add it"
+        case "value_error":
+            return field, str(fault["ctx"]["error"])
+        case _:
+            return field, f"{fault['msg']}, not {_shorten(fault['input'])}"
+
+
+def _shorten(value: object, longest: int = 40) -> str:
+    text = repr(value)
+    return text if len(text) <= longest else text[: longest - 3] + "..."
+
+
+def _to_record(name: str, version: int, body: ServiceBody) -> ServiceRecord:
+    match body:
+        case ServiceBodyV1():
+            return _from_v1(name, version, body)
+        case ServiceBodyV2():
+            return _from_v2(name, version, body)
+        case _:
+            raise TypeError(f"No conversion for {type(body).__name__}.")
+
+
+def _from_v1(name: str, version: int, body: ServiceBodyV1) -> ServiceRecord:
+    targets = (
+        TargetRecord(
+            name=address,
+            zone=body.zone,
+            address=address,
+            slots=body.slots,
+            connections=body.connections,
+            draining=address in body.drain,
+        )
+        for address in body.targets
+    )
+    return ServiceRecord(
+        name=name,
+        version=version,
+        schema_version=1,
+        write_id=body.write_id,
+        affinity=Affinity.FLOW if body.sticky else Affinity.REQUEST,
+        targets=_by_name(targets),
+        request_timeout_s=body.timeout_ms / 1000,
+    )
+
+
+def _from_v2(name: str, version: int, body: ServiceBodyV2) -> ServiceRecord:
+    targets = (TargetRecord(**target.model_dump()) for target in body.targets)
+    return ServiceRecord(
+        name=name,
+        version=version,
+        schema_version=2,
+        write_id=body.write_id,
+        affinity=Affinity(body.affinity),
+        targets=_by_name(targets),
+        waiting_per_slot=body.waiting_per_slot,
+        request_timeout_s=body.request_timeout_s,
+        spill_share=body.spill_share,
+    )
+
+
+def _by_name(targets: Any) -> tuple[TargetRecord, ...]:
+    return tuple(sorted(targets, key=lambda target: target.name))
+
+
+def _write_v2(record: ServiceRecord) -> dict[str, Any]:
+    targets = [
+        TargetBodyV2(
+            name=target.name,
+            zone=target.zone,
+            address=target.address,
+            slots=target.slots,
+            connections=target.connections,
+            draining=target.draining,
+        )
+        for target in record.targets
+    ]
+    return ServiceBodyV2(
+        schema_version=2,
+        write_id=record.write_id,
+        affinity=record.affinity.value,
+        request_timeout_s=record.request_timeout_s,
+        waiting_per_slot=record.waiting_per_slot,
+        spill_share=record.spill_share,
+        targets=targets,
+    ).model_dump()
+
+
+def _write_v1(record: ServiceRecord) -> ConvertedBody:
+    targets = record.targets
+    zones = {target.zone for target in targets}
+    slots = min(target.slots for target in targets)
+    connections = min(target.connections for target in targets)
+    body = ServiceBodyV1(
+        schema_version=1,
+        write_id=record.write_id,
+        sticky=record.affinity is Affinity.FLOW,
+        timeout_ms=max(1, round(record.request_timeout_s * 1000)),
+        zone=zones.pop() if len(zones) == 1 else "",
+        slots=slots,
+        connections=connections,
+        targets=[target.address for target in targets],
+        drain=[target.address for target in targets if target.draining],
+    )
+    return ConvertedBody(body.model_dump(), tuple(_lost_in_v1(record, body)))
+
+
+def _lost_in_v1(record: ServiceRecord, body: ServiceBodyV1) -> list[str]:
+    targets = record.targets
+    lost = []
+    if any(target.zone != body.zone for target in targets):
+        lost.append("targets.zone: left empty, the targets stand in several zones")
+    if any(target.slots != body.slots for target in targets):
+        lost.append(f"targets.slots: {body.slots}, the smallest, for all")
+    if any(target.connections != body.connections for target in targets):
+        lost.append(f"targets.connections: {body.connections}, the smallest, for all")
+    if any(target.name != target.address for target in targets):
+        lost.append("targets.name: the address takes its place")
+    defaults = ServiceRecord("", 0, 1, "", record.affinity, ())
+    for field in ("waiting_per_slot", "spill_share"):
+        if getattr(record, field) != getattr(defaults, field):
+            lost.append(f"{field}: the default, {getattr(defaults, field)}")
+    return lost
