--- a/endivepick/records/__init__.py
+++ b/endivepick/records/__init__.py
@@ -1,1 +1,41 @@
-"""Service records: schemas, validation and conversion."""
+"""Service records: schemas, validation, conversion and the monotonic cache."""
+
+from endivepick.records.cache import CACHED_KINDS, CacheDigest, Change, RecordCache
+from endivepick.records.difference import FieldDifference, body_differences
+from endivepick.records.model import Affinity, ServiceRecord, TargetRecord
+from endivepick.records.objects import (
+    KEYRING_KIND,
+    SERVICE_KIND,
+    STATUS_KIND,
+    ObjectKey,
+    StoredObject,
+)
+from endivepick.records.schema import (
+    NEWEST_SCHEMA_VERSION,
+    SCHEMA_VERSIONS,
+    ConvertedBody,
+    parse_service,
+    write_service,
+)
+
+__all__ = [
+    "CACHED_KINDS",
+    "KEYRING_KIND",
+    "NEWEST_SCHEMA_VERSION",
+    "SCHEMA_VERSIONS",
+    "SERVICE_KIND",
+    "STATUS_KIND",
+    "Affinity",
+    "CacheDigest",
+    "Change",
+    "ConvertedBody",
+    "FieldDifference",
+    "ObjectKey",
+    "RecordCache",
+    "ServiceRecord",
+    "StoredObject",
+    "TargetRecord",
+    "body_differences",
+    "parse_service",
+    "write_service",
+]
