Add the harness that runs installations of real processes

One context manager starts each stand-in with port 0 and its ready line, registers instances in the platform's list, and ends by process id in a finally. A harness per user was weighed; it would have stood three times. Address and log code of the target goes to what the other stand-ins share.

The instances' side waits for the daemon and has not run yet.

--- /dev/null
+++ b/standins/clustersettings.py
@@ -0,0 +1,120 @@
+"""What a cluster starts, and the settings and records that follow from it."""
+
+import uuid
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from standins.nodes import Target
+from standins.shapes import InstancePlan, ServicePlan, Shape, TargetPlan
+
+__all__ = [
+    "ClusterSettings",
+    "Endpoints",
+    "daemon_settings",
+    "keyring_body",
+    "record_body",
+    "target_arguments",
+]
+
+_PEER_SECRET_HEX = "5e" * 32
+_KEY_SECRET_HEX = "a7" * 32
+
+
+@dataclass(frozen=True)
+class ClusterSettings:
+    """What to start.
+
+    Attributes
+    ----------
+    shape : Shape
+        Zones, instances and targets.
+    faults : bool
+        Lead all links between instances, to targets and to the platform through
+        the fault proxy, so that zones can be cut.
+    folder : str
+        Where logs and settings files go; empty: a temporary directory.
+    instance_settings : dict
+        Merged into the settings file of each instance, group by group.
+    record_settings : dict
+        Merged into the record of each service.
+    target_flags : dict
+        Further command line flags of the targets.
+    seed : int
+        Seed of fabric and fault proxy.
+    """
+
+    shape: Shape
+    faults: bool = False
+    folder: str = ""
+    instance_settings: dict[str, dict[str, Any]] = field(default_factory=dict)
+    record_settings: dict[str, Any] = field(default_factory=dict)
+    target_flags: dict[str, Any] = field(default_factory=dict)
+    seed: int = 1
+
+
+@dataclass(frozen=True)
+class Endpoints:
+    """Addresses that every instance needs."""
+
+    platform: str
+    fabric_return: str
+
+
+def daemon_settings(
+    settings: ClusterSettings, plan: InstancePlan, endpoints: Endpoints, log: Path
+) -> dict[str, dict[str, Any]]:
+    """Return the settings file of an instance."""
+    groups: dict[str, dict[str, Any]] = {
+        "instance": {"name": plan.name, "zone": plan.zone},
+        "listen": {
+            "data_address": f"{plan.host}:0",
+            "peer_address": f"{plan.host}:0",
+            "http_address": f"{plan.host}:0",
+        },
+        "platform": {"address": endpoints.platform},
+        "fabric": {"return_address": endpoints.fabric_return},
+        "log": {"path": str(log)},
+        "secrets": {"peer_secret_hex": _PEER_SECRET_HEX},
+    }
+    for group, values in settings.instance_settings.items():
+        groups[group] = {**groups.get(group, {}), **values}
+    return groups
+
+
+def target_arguments(
+    settings: ClusterSettings, plan: TargetPlan, log: Path
+) -> list[str]:
+    """Return the command line of a target."""
+    flags = {
+        "service": plan.service,
+        "target": plan.name,
+        "zone": plan.zone,
+        "listen": f"{plan.host}:0",
+        "slots": plan.slots,
+        "connections": plan.connections,
+        "log": log,
+        **settings.target_flags,
+    }
+    return [f"--{name}={value}" for name, value in flags.items()]
+
+
+def record_body(
+    settings: ClusterSettings, service: ServicePlan, targets: list[Target]
+) -> dict[str, Any]:
+    """Return the record of a service with these targets."""
+    return {
+        "schema_version": 2,
+        "write_id": str(uuid.uuid4()),
+        "affinity": service.affinity,
+        "request_timeout_s": 30,
+        "waiting_per_slot": 8,
+        "targets": [target.record_entry() for target in targets],
+        **settings.record_settings,
+    }
+
+
+def keyring_body() -> dict[str, Any]:
+    """Return a keyring with one key."""
+    key = {"key_id": 1, "secret_hex": _KEY_SECRET_HEX, "created_at_s": 0}
+    return {"schema_version": 1, "current": 1, "keys": [key]}
--- /dev/null
+++ b/standins/launcher.py
@@ -0,0 +1,69 @@
+"""Starts processes, names their logs, and ends them."""
+
+import json
+import signal
+import time
+from pathlib import Path
+from typing import Any
+
+from standins.process import ChildProcess
+
+__all__ = ["Launcher"]
+
+_END_TIMEOUT_S = 3.0
+
+
+class Launcher:
+    """All processes of one installation and the folder of their files.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        Folder for settings files, logs and standard errors.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self._processes: list[ChildProcess] = []
+        self._names: dict[str, int] = {}
+
+    def spawn(self, name: str, module: str, arguments: list[str]) -> ChildProcess:
+        """Start a process which ends with the cluster; does not wait for it."""
+        errors = self.folder / f"{self._unique(name)}.err"
+        process = ChildProcess(name, module, arguments, str(errors))
+        self._processes.append(process)
+        return process
+
+    def log_path(self, part: str, name: str) -> Path:
+        """Return a new path for the log of a process of this part."""
+        (self.folder / part).mkdir(exist_ok=True)
+        return self.folder / part / f"{self._unique(name)}.jsonl"
+
+    def logs(self, part: str) -> list[Path]:
+        """Return the logs of a part: callers, targets, platform, instances."""
+        return sorted((self.folder / part).glob("*.jsonl"))
+
+    def _unique(self, name: str) -> str:
+        number = self._names[name] = self._names.get(name, 0) + 1
+        return f"{name}.{number}"
+
+    def write_settings(self, name: str, settings: dict[str, Any]) -> str:
+        """Write a settings file and return its path."""
+        path = self.folder / f"{self._unique(name + '-settings')}.json"
+        path.write_text("// Written by standins.cluster.\n" + json.dumps(settings))
+        return str(path)
+
+    def spawn_standin(self, part: str, settings: dict[str, Any]) -> ChildProcess:
+        """Start ``standins.<part>`` with these settings and a log."""
+        log = str(self.log_path(part, part))
+        path = self.write_settings(part, {**settings, "log_path": log})
+        return self.spawn(part, f"standins.{part}", [f"--settings={path}"])
+
+    def end(self) -> None:
+        """End all processes that were started: ask, then kill."""
+        for process in self._processes:
+            process.signal(signal.SIGCONT)
+            process.signal(signal.SIGTERM)
+        end_s = time.monotonic() + _END_TIMEOUT_S
+        for process in self._processes:
+            process.terminate(max(0.0, end_s - time.monotonic()))
--- a/standins/process.py
+++ b/standins/process.py
@@ -18,7 +18,6 @@
     "ChildProcess",
     "ProcessNotReadyError",
     "run_until_stopped",
-    "split_address",
     "wait_until",
 ]
 
@@ -30,18 +29,6 @@
     """A process ended or stayed silent; read its error output for the cause."""
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Split ``host:port``.
-
-    Examples
-    --------
-    >>> split_address("127.0.0.1:80")
-    ('127.0.0.1', 80)
-    """
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
 def run_until_stopped(ready: dict[str, Any], max_life_s: float) -> None:
     """Print the ready line, then block until SIGTERM, SIGINT or the time limit."""
     stopped = gevent.event.Event()
--- a/standins/target.py
+++ b/standins/target.py
@@ -19,8 +19,9 @@
 import msgspec
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+from standins.control import parse_address
 from standins.payload import make_answer, make_event
-from standins.process import run_until_stopped, split_address
+from standins.process import run_until_stopped
 from standins.target_state import Run, TargetSettings, TargetState, WorkRequest
 
 __all__ = ["TargetServer", "main"]
@@ -90,7 +91,7 @@
         incarnation = settings.incarnation or random.SystemRandom().getrandbits(64)
         self.state = TargetState(settings, incarnation)
         self.server = WSGIServer(
-            split_address(settings.listen),
+            parse_address(settings.listen),
             self._application,
             handler_class=_Handler,
             spawn=settings.connections,
@@ -142,7 +143,7 @@
         )
 
     def _misdirected(self, run: Run, start_response: StartResponse) -> Body:
-        self.state.log.write("misdirected", **run.log_fields())
+        self.state.log("misdirected", **run.log_fields())
         return _reply(start_response, 421, self.state.health())
 
     def _work(self, environ: Environ, start_response: StartResponse) -> Body:
@@ -214,7 +215,7 @@
         if not self._is_own(environ):
             return self._misdirected(run, start_response)
         if self.state.control.shed:
-            self.state.log.write("shed", **run.log_fields())
+            self.state.log("shed", **run.log_fields())
             headers = [_NOT_RUN, _RETRY_AFTER]
             return _reply(start_response, 503, {"error": "shed"}, headers)
         headers = [("Content-Type", "text/event-stream"), ("Cache-Control", "no-store")]
@@ -225,7 +226,7 @@
     def _stream(
         self, run: Run, numbers: range, interval_s: float, connection: socket.socket
     ) -> Iterator[bytes]:
-        self.state.log.write("stream_start", first=numbers.start, **run.log_fields())
+        self.state.log("stream_start", first=numbers.start, **run.log_fields())
         sent = numbers.start - 1
         try:
             with self._held(run), _cancel_when_closed(run, connection):
@@ -235,7 +236,7 @@
                     yield make_event(run.echo, number)
                     sent = number
         finally:
-            self.state.log.write("stream_end", last=sent, **run.log_fields())
+            self.state.log("stream_end", last=sent, **run.log_fields())
 
     @contextmanager
     def _held(self, run: Run) -> Iterator[None]:
--- a/standins/target_state.py
+++ b/standins/target_state.py
@@ -9,7 +9,7 @@
 import gevent.lock
 import msgspec
 
-from standins.jsonlines import JsonLinesLog
+from standins.control import EventLog
 
 __all__ = ["Control", "End", "Run", "TargetSettings", "TargetState", "WorkRequest"]
 
@@ -140,12 +140,7 @@
         self.settings = settings
         self.incarnation = incarnation
         self.control = Control()
-        self.log = JsonLinesLog(
-            settings.log,
-            service=settings.service,
-            target=settings.target,
-            incarnation=incarnation,
-        )
+        self._log = EventLog(settings.log or None)
         self._started_s = time.monotonic()
         self._control_changed = gevent.event.Event()
         self._free_slots = gevent.lock.BoundedSemaphore(settings.slots)
@@ -155,11 +150,21 @@
         self._history: deque[tuple[float, int, int]] = deque(maxlen=_HISTORY_LENGTH)
         self._note_load()
 
+    def log(self, event: str, **fields: Any) -> None:
+        """Append a line to the log, with the identity of this target."""
+        self._log.append(
+            event,
+            service=self.settings.service,
+            target=self.settings.target,
+            incarnation=self.incarnation,
+            **fields,
+        )
+
     def update_control(self, change: dict[str, Any]) -> Control:
         """Merge ``change`` into the control; raises `msgspec.ValidationError`."""
         merged = {**msgspec.structs.asdict(self.control), **change}
         self.control = msgspec.convert(merged, Control)
-        self.log.write("control", change=change)
+        self.log("control", change=change)
         self._control_changed.set()
         self._control_changed = gevent.event.Event()
         return self.control
@@ -222,7 +227,7 @@
         end = self._enter(run, deadline_s)
         if end is None:
             end = self._occupy(run, request)
-        self.log.write(end.event, **run.log_fields())
+        self.log(end.event, **run.log_fields())
         return end
 
     def _enter(self, run: Run, deadline_s: float) -> End | None:
@@ -255,7 +260,7 @@
     def _occupy(self, run: Run, request: WorkRequest) -> End:
         self._in_progress += 1
         self._note_load()
-        self.log.write("start", **run.log_fields())
+        self.log("start", **run.log_fields())
         try:
             completed = self._work(run, request)
         finally:
--- /dev/null
+++ b/standins/tests/test_cluster.py
@@ -0,0 +1,71 @@
+import unittest
+from dataclasses import replace
+
+from standins.cluster import ClusterSettings, cluster
+from standins.endpoint import EndpointError, call, call_ok
+from standins.shapes import HARADA, LEAVE_DESK, SMALL
+
+WITHOUT_INSTANCES = replace(SMALL, instances=())
+
+
+class TestShapes(unittest.TestCase):
+    def test_sizes(self):
+        for shape, zones, instances, targets in (
+            (HARADA, 3, 8, [7, 3]),
+            (LEAVE_DESK, 4, 9, [7, 4]),
+            (SMALL, 2, 3, [2, 2]),
+        ):
+            self.assertEqual(len(shape.zones), zones)
+            self.assertEqual(len(shape.instances), instances)
+            self.assertEqual([len(s.targets) for s in shape.services], targets)
+            plans = [*shape.instances, *(t for s in shape.services for t in s.targets)]
+            self.assertEqual(len({plan.host for plan in plans}), len(plans))
+
+
+class TestClusterWithoutInstances(unittest.TestCase):
+    def setUp(self):
+        settings = ClusterSettings(WITHOUT_INSTANCES, faults=True)
+        self.cluster = self.enterContext(cluster(settings))
+
+    def test_records_name_running_targets(self):
+        record = self.cluster.platform.get("service", "sessions")["body"]
+        self.assertEqual(len(record["targets"]), 2)
+        for entry in record["targets"]:
+            health = call_ok(entry["address"], "GET", "/health")
+            self.assertEqual(health["target"], entry["name"])
+
+    def test_drain_changes_the_record(self):
+        before = self.cluster.platform.get("service", "sessions")
+        after = self.cluster.drain_target("sessions", "sessions-2")
+        self.assertGreater(after["version"], before["version"])
+        draining = [entry["draining"] for entry in after["body"]["targets"]]
+        self.assertEqual(draining, [False, True])
+
+    def test_platform_outage(self):
+        self.cluster.platform.control(outage="unavailable")
+        with self.assertRaises(EndpointError):
+            self.cluster.platform.list("service")
+        self.cluster.platform.control(outage=None)
+        self.assertEqual(len(self.cluster.platform.list("service")), 2)
+
+    def test_blocked_link_and_heal(self):
+        target = self.cluster.targets["sessions-1"]
+        self.cluster.faults.add_rule({"type": "cut"}, route="target:sessions-1")
+        with self.assertRaises(OSError):
+            call(target.address, "GET", "/health")
+        self.cluster.heal()
+        self.assertEqual(call(target.address, "GET", "/health").status, 200)
+
+
+class TestClusterEnds(unittest.TestCase):
+    def test_nothing_runs_after_the_block(self):
+        settings = ClusterSettings(WITHOUT_INSTANCES)
+        with self.assertRaises(KeyError), cluster(settings) as running:
+            processes = [target.process for target in running.targets.values()]
+            processes += [running.platform.process, running.fabric]
+            raise KeyError
+        self.assertFalse(any(process.running for process in processes))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/standins/tests/test_target.py
+++ b/standins/tests/test_target.py
@@ -5,9 +5,10 @@
 import unittest
 from pathlib import Path
 
+from standins.control import parse_address
 from standins.jsonlines import read_lines
 from standins.payload import verify_answer, verify_event
-from standins.process import ChildProcess, split_address, wait_until
+from standins.process import ChildProcess, wait_until
 
 
 class TestTarget(unittest.TestCase):
@@ -20,7 +21,7 @@
         )
         self.addCleanup(self.process.kill)
         ready = self.process.wait_ready()
-        self.address = split_address(ready["address"])
+        self.address = parse_address(ready["address"])
         self.headers = {
             "Endivepick-Service": "s",
             "Endivepick-Target-Incarnation": str(ready["incarnation"]),
