--- a/endivepick/core/dispatch/dispatcher.py
+++ b/endivepick/core/dispatch/dispatcher.py
@@ -71,11 +71,6 @@
         """Record in force."""
         return self._scheduler.record
 
-    @property
-    def record(self) -> ServiceRecord:
-        """Record in force."""
-        return self._record
-
     def update_record(self, record: ServiceRecord, now_s: float) -> list[Decision]:
         """Take a newer record into force; leaving targets get no new work.
 
--- a/endivepick/core/relay.py
+++ b/endivepick/core/relay.py
@@ -45,7 +45,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Holder:
-    """This instance holds the flow, or the named one does."""
+    """The named instance holds the flow; it may be this one."""
 
     identity: Identity
 
