--- /dev/null
+++ b/endivepick/core/roles.py
@@ -0,0 +1,257 @@
+"""Services that this instance places requests for."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from endivepick.core.actions import Action, Log, Probe, SendToPeer
+from endivepick.core.catalog import Catalog
+from endivepick.core.dispatch import (
+    DispatchSettings,
+    ProbeOutcome,
+    ProbeResult,
+    ServiceDispatcher,
+    TargetHealth,
+)
+from endivepick.core.executor import RequestExecutor
+from endivepick.core.flow_table import FlowTable
+from endivepick.core.peer_messages import InFlightReport, TargetDraining
+
+__all__ = ["RoleSettings", "ServiceRoles"]
+
+
+@dataclass(frozen=True)
+class RoleSettings:
+    """How an owner looks after its services.
+
+    Attributes
+    ----------
+    probe_every_s : float
+        Time between two probes of one target, in seconds.
+    report_every_s : float
+        Time between two reports of requests in progress, in seconds.
+    report_kept_s : float
+        Silence after which another owner's report is forgotten, in seconds.
+    review_every_s : float
+        Time between two reviews of which services are still needed, in seconds.
+    """
+
+    probe_every_s: float = 0.5
+    report_every_s: float = 0.25
+    report_kept_s: float = 3.0
+    review_every_s: float = 1.0
+
+
+@dataclass
+class _ActiveService:
+    """What is due when, and which other instances send to the same targets."""
+
+    next_probe_s: float
+    next_report_s: float
+    reporters: dict[str, float] = field(default_factory=dict)
+    draining: set[tuple[str, int]] = field(default_factory=set)
+
+
+class ServiceRoles:
+    """Keeps a dispatcher for each service that is opened or held here.
+
+    Parameters
+    ----------
+    settings : RoleSettings
+        Periods.
+    dispatch : DispatchSettings
+        Settings of the dispatchers.
+    zone : str
+        Availability zone of this instance.
+    catalog : Catalog
+        Records in force.
+    table : FlowTable
+        Flows held here.
+    executor : RequestExecutor
+        Holds the dispatchers.
+    owner_name : callable
+        Returns the owner of a service.
+    my_name : str
+        Name of this instance.
+    """
+
+    def __init__(
+        self,
+        settings: RoleSettings,
+        dispatch: DispatchSettings,
+        zone: str,
+        catalog: Catalog,
+        table: FlowTable,
+        executor: RequestExecutor,
+        owner_name: Callable[[str], str],
+        my_name: str,
+    ) -> None:
+        self._settings = settings
+        self._dispatch = dispatch
+        self._zone = zone
+        self._catalog = catalog
+        self._table = table
+        self._executor = executor
+        self._owner_name = owner_name
+        self._my_name = my_name
+        self._active: dict[str, _ActiveService] = {}
+        self._next_review_s = 0.0
+
+    @property
+    def active(self) -> Iterable[str]:
+        """Names of the services with a dispatcher here."""
+        return self._active.keys()
+
+    def activate(self, service: str, now_s: float) -> bool:
+        """Make sure that a service has a dispatcher; False if it has no record."""
+        if service in self._active:
+            return True
+        record = self._catalog.services.get(service)
+        if record is None:
+            return False
+        self._executor.dispatchers[service] = ServiceDispatcher(
+            self._dispatch, record, self._zone, now_s
+        )
+        self._active[service] = _ActiveService(now_s, now_s)
+        return True
+
+    def record_changed(self, service: str, now_s: float) -> list[Action]:
+        """Bring a new version of a record into force at its dispatcher."""
+        dispatcher = self._executor.dispatchers.get(service)
+        record = self._catalog.services.get(service)
+        if dispatcher is None:
+            return []
+        if record is None:
+            return self._drop(service)
+        active = self._active[service]
+        active.next_probe_s = now_s
+        return self._executor.carry_out(
+            dispatcher.update_record(record, now_s), now_s
+        )
+
+    def _drop(self, service: str) -> list[Action]:
+        del self._active[service]
+        del self._executor.dispatchers[service]
+        return [
+            Log("owner", "service_released", "service released", {"service": service})
+        ]
+
+    def tick(self, now_s: float) -> list[Action]:
+        """Do what is due: probes, reports, reviews, and the dispatchers' own."""
+        actions: list[Action] = []
+        if now_s >= self._next_review_s:
+            self._next_review_s = now_s + self._settings.review_every_s
+            actions += self.review(now_s)
+        for service, active in self._active.items():
+            dispatcher = self._executor.dispatchers[service]
+            actions += self._executor.carry_out(dispatcher.tick(now_s), now_s)
+            if now_s >= active.next_probe_s:
+                active.next_probe_s = now_s + self._settings.probe_every_s
+                actions += self._probes(service)
+            if now_s >= active.next_report_s:
+                active.next_report_s = now_s + self._settings.report_every_s
+                actions += self._reports(service, active, now_s)
+        return actions
+
+    def review(self, now_s: float) -> list[Action]:
+        """Take up services that fall to this instance, and let others go."""
+        actions: list[Action] = []
+        held = {flow.service for flow in self._table}
+        for service in self._catalog.services:
+            owned = self._owner_name(service) == self._my_name
+            if owned and service not in self._active:
+                self.activate(service, now_s)
+                actions.append(
+                    Log("owner", "service_taken", "service taken", {"service": service})
+                )
+            if not owned and service not in held and service in self._active:
+                actions += self._drop(service)
+        return actions
+
+    def _probes(self, service: str) -> list[Action]:
+        record = self._catalog.services.get(service)
+        if record is None:
+            return []
+        return [
+            Probe(service, target.name, target.address) for target in record.targets
+        ]
+
+    def _in_flight(self, service: str) -> dict[str, int]:
+        dispatcher = self._executor.dispatchers[service]
+        counts = {
+            target.name: dispatcher.in_flight(target.name)
+            for target in dispatcher.record.targets
+        }
+        return {name: count for name, count in counts.items() if count}
+
+    def _reports(
+        self, service: str, active: _ActiveService, now_s: float
+    ) -> list[Action]:
+        """Tell the other owners of flows of a service what runs from here."""
+        oldest_s = now_s - self._settings.report_kept_s
+        active.reporters = {
+            name: heard_s
+            for name, heard_s in active.reporters.items()
+            if heard_s >= oldest_s
+        }
+        receivers = set(active.reporters)
+        owner = self._owner_name(service)
+        if owner != self._my_name:
+            receivers.add(owner)
+        if not receivers:
+            return []
+        report = InFlightReport(service, self._in_flight(service))
+        return [SendToPeer(name, report) for name in sorted(receivers)]
+
+    def on_report(
+        self, sender: str, report: InFlightReport, now_s: float
+    ) -> list[Action]:
+        """Take in what another owner runs at the same targets."""
+        active = self._active.get(report.service)
+        if active is None:
+            return []
+        active.reporters[sender] = now_s
+        dispatcher = self._executor.dispatchers[report.service]
+        decisions = dispatcher.on_peer_in_flight(sender, report.in_flight, now_s)
+        return self._executor.carry_out(decisions, now_s)
+
+    def on_probed(
+        self, service: str, target: str, outcome: ProbeOutcome, now_s: float
+    ) -> list[Action]:
+        """Take in what a target said about itself."""
+        dispatcher = self._executor.dispatchers.get(service)
+        if dispatcher is None:
+            return []
+        actions = self._executor.carry_out(
+            dispatcher.on_probe(target, now_s, outcome), now_s
+        )
+        match outcome:
+            case ProbeResult(state=TargetHealth.DRAINING, incarnation=incarnation):
+                actions += self._note_draining(service, target, incarnation)
+        return actions
+
+    def _note_draining(
+        self, service: str, target: str, incarnation: int
+    ) -> list[Action]:
+        active = self._active[service]
+        if (target, incarnation) in active.draining:
+            return []
+        active.draining.add((target, incarnation))
+        note = TargetDraining(service, target, incarnation)
+        receivers = {self._owner_name(service), *active.reporters} - {self._my_name}
+        log = Log(
+            "owner",
+            "target_draining",
+            "target says that it drains",
+            {"service": service, "target": target},
+        )
+        return [log, *(SendToPeer(name, note) for name in sorted(receivers))]
+
+    def on_draining_note(self, note: TargetDraining, now_s: float) -> list[Action]:
+        """Take another owner's word that a target drains."""
+        dispatcher = self._executor.dispatchers.get(note.service)
+        if dispatcher is None:
+            return []
+        decisions = dispatcher.on_draining_note(
+            note.target, note.target_incarnation, now_s
+        )
+        return self._executor.carry_out(decisions, now_s)
