Add membership from a lagging list and direct evidence

Roles, relays and token re-issue need one view of the instances that costs the same at any size. A heartbeat to all and reading the platform's list alone were weighed: the first grows with the fleet, the second lags. A constant number of probes a period, indirect probes, suspicion with refutation, bounded piggy-backed news, digests that mend losses; mass losses and own pauses are held back. All of it is free of sockets, clock and randomness.

--- a/endivepick/membership/__init__.py
+++ b/endivepick/membership/__init__.py
@@ -1,1 +1,29 @@
 """Membership from a lagging list and direct evidence."""
+
+from endivepick.membership.actions import (
+    Action,
+    LeaveRequested,
+    Log,
+    PeerChanged,
+    Send,
+    Superseded,
+)
+from endivepick.membership.core import Membership
+from endivepick.membership.peer_messages import MembershipMessage
+from endivepick.membership.settings import MembershipSettings
+from endivepick.membership.view import InstanceView, ListedInstance, PeerState
+
+__all__ = [
+    "Action",
+    "InstanceView",
+    "LeaveRequested",
+    "ListedInstance",
+    "Log",
+    "Membership",
+    "MembershipMessage",
+    "MembershipSettings",
+    "PeerChanged",
+    "PeerState",
+    "Send",
+    "Superseded",
+]
--- /dev/null
+++ b/endivepick/membership/_prober.py
@@ -0,0 +1,253 @@
+"""Probes: a constant number in each period, whatever the number of peers."""
+
+from collections import deque
+from dataclasses import dataclass
+from random import Random
+
+from endivepick.membership._departed import DepartedLog
+from endivepick.membership._member import Member
+from endivepick.membership._outbox import Outbox
+from endivepick.membership._table import MemberTable
+from endivepick.membership.peer_messages import (
+    Ack,
+    MemberUpdate,
+    Phase,
+    Ping,
+    PingRequest,
+    ProbeReport,
+)
+from endivepick.membership.settings import MembershipSettings
+
+_URGENT_COUNT = 64
+_RELAYED_COUNT = 256
+
+
+@dataclass(slots=True)
+class _Probe:
+    name: str
+    sent_s: float
+    refutation: int
+    """Refutation of the own status that went along, -1 if none did."""
+    requester: str = ""
+    requester_sequence: int = 0
+    helpers: int = 0
+    reports: int = 0
+    asked: bool = False
+
+
+class Prober:
+    """Starts probes, answers them, and suspects peers that don't answer."""
+
+    def __init__(
+        self,
+        settings: MembershipSettings,
+        table: MemberTable,
+        departed: DepartedLog,
+        outbox: Outbox,
+    ) -> None:
+        self._settings = settings
+        self._table = table
+        self._departed = departed
+        self._outbox = outbox
+        self._probes: dict[int, _Probe] = {}
+        self._sequence = 0
+        self._round: list[str] = []
+        self._urgent: deque[str] = deque(maxlen=_URGENT_COUNT)
+        self._dead_round: deque[str] = deque()
+        self._next_probe_s = float("-inf")
+        self._next_dead_s = float("-inf")
+
+    def restart(self, now_s: float) -> None:
+        """Forget the open probes, after a pause."""
+        self._probes.clear()
+        self._next_probe_s = now_s
+
+    def hurry(self, name: str) -> None:
+        """Probe a peer next."""
+        if name not in self._urgent:
+            self._urgent.append(name)
+
+    # Time
+
+    def tick(self, now_s: float, random_number: int) -> bool:
+        """Go on with open probes and start due ones.
+
+        Returns
+        -------
+        bool
+            Whether a new period began.
+        """
+        self._follow_up(now_s, random_number)
+        if self._urgent:
+            self._probe(now_s, self._urgent.popleft())
+        if now_s < self._next_probe_s:
+            return False
+        period_s = self._settings.probe_period_s
+        self._next_probe_s = max(self._next_probe_s + period_s, now_s)
+        self._probe_next(now_s, random_number)
+        if now_s >= self._next_dead_s:
+            self._next_dead_s = now_s + self._settings.dead_probe_period_s
+            self._probe_next_dead(now_s)
+        return True
+
+    def _probe_next(self, now_s: float, random_number: int) -> None:
+        refilled = False
+        while True:
+            if not self._round:
+                if refilled:
+                    return
+                self._round = self._shuffled(random_number)
+                refilled = True
+                if not self._round:
+                    return
+            name = self._round.pop()
+            member = self._table.members.get(name)
+            if member is not None and name not in self._table.dead:
+                self._probe(now_s, name)
+                return
+
+    def _shuffled(self, random_number: int) -> list[str]:
+        names = [n for n in self._table.members if n not in self._table.dead]
+        Random(random_number).shuffle(names)
+        return names
+
+    def _probe_next_dead(self, now_s: float) -> None:
+        if not self._dead_round:
+            self._dead_round.extend(self._table.dead)
+        while self._dead_round:
+            name = self._dead_round.popleft()
+            member = self._table.dead.get(name)
+            if member is not None and member.phase is not Phase.STOPPED:
+                self._probe(now_s, name)
+                return
+
+    def _probe(
+        self, now_s: float, name: str, requester: str = "", sequence: int = 0
+    ) -> None:
+        member = self._table.members.get(name)
+        if member is None or (not requester and self._is_probed(name)):
+            return
+        self._sequence += 1
+        own = self._table.own
+        introduce = member.introduced_refutation != own.refutation
+        self._probes[self._sequence] = _Probe(
+            name, now_s, own.refutation if introduce else -1, requester, sequence
+        )
+        updates = [own.to_update()] if introduce else []
+        self._outbox.send(
+            name,
+            Ping(
+                self._sequence,
+                member.incarnation,
+                member.refutation,
+                self._news(updates, member),
+                self._departed.take_news(now_s, self._settings.piggyback_count),
+            ),
+        )
+
+    def _is_probed(self, name: str) -> bool:
+        return any(p.name == name and not p.requester for p in self._probes.values())
+
+    def _news(
+        self, updates: list[MemberUpdate], receiver: Member | None
+    ) -> list[MemberUpdate]:
+        """Add the receiver's own bad news, which it may refute, and others."""
+        if receiver is not None and receiver.heard and receiver.state != "alive":
+            updates.append(receiver.to_update())
+        return updates + self._table.take_news(self._settings.piggyback_count)
+
+    def _follow_up(self, now_s: float, random_number: int) -> None:
+        factor = self._table.health.multiplier
+        deadline_s = self._settings.probe_deadline_s * factor
+        timeout_s = self._settings.probe_timeout_s * factor
+        for sequence, probe in list(self._probes.items()):
+            waited_s = now_s - probe.sent_s
+            if waited_s >= deadline_s:
+                del self._probes[sequence]
+                self._fail(now_s, probe)
+            elif waited_s >= timeout_s and not probe.asked:
+                probe.asked = True
+                self._ask_others(sequence, probe, random_number)
+
+    def _ask_others(self, sequence: int, probe: _Probe, random_number: int) -> None:
+        if probe.requester or probe.name in self._table.dead:
+            return
+        names = [n for n in self._table.live_names if n != probe.name]
+        if self._table.own.takes_roles:
+            names.remove(self._table.own.name)
+        count = min(self._settings.indirect_probes, len(names))
+        for name in Random(random_number ^ sequence).sample(names, count):
+            probe.helpers += 1
+            self._outbox.send(name, PingRequest(sequence, probe.name))
+
+    def _fail(self, now_s: float, probe: _Probe) -> None:
+        member = self._table.members.get(probe.name)
+        if member is not None:
+            member.introduced_refutation = -1
+        if probe.requester:
+            self._report(probe, reached=False)
+            return
+        if probe.name in self._table.dead:
+            return
+        if probe.reports < probe.helpers:
+            self._table.health.worsen()
+        self._table.suspect(now_s, probe.name, self._table.own.name)
+
+    def _report(self, probe: _Probe, reached: bool) -> None:
+        update = self._table.update_of(probe.name)
+        updates = [update] if reached and update is not None else []
+        self._outbox.send(
+            probe.requester,
+            ProbeReport(probe.requester_sequence, probe.name, reached, updates),
+        )
+
+    # Messages
+
+    def on_ping(self, now_s: float, sender: str, incarnation: int, ping: Ping) -> None:
+        """Answer a probe, with the own status if the sender lacks it."""
+        own = self._table.own
+        known = (ping.known_incarnation, ping.known_refutation)
+        updates = []
+        if known != (own.incarnation, own.refutation):
+            updates.append(own.to_update())
+        member = self._table.members.get(sender)
+        news = self._news(updates, member)
+        if member and member.heard and member.incarnation != incarnation:
+            news.append(member.to_update())
+        handed_over = self._departed.take_news(now_s, self._settings.piggyback_count)
+        self._outbox.send(sender, Ack(ping.sequence, news, handed_over))
+
+    def on_ack(self, now_s: float, sender: str, incarnation: int, ack: Ack) -> None:
+        """Take the answer to a probe."""
+        probe = self._probes.get(ack.sequence)
+        member = self._table.members.get(sender)
+        if probe is None or probe.name != sender or member is None:
+            return
+        del self._probes[ack.sequence]
+        if member.incarnation != incarnation:
+            return
+        member.last_ack_s = now_s
+        if probe.refutation >= 0:
+            member.introduced_refutation = probe.refutation
+        if probe.requester:
+            self._report(probe, reached=True)
+        else:
+            self._table.health.improve()
+
+    def on_ping_request(self, now_s: float, sender: str, request: PingRequest) -> None:
+        """Probe an instance for a peer."""
+        if request.name in self._table.members and len(self._probes) < _RELAYED_COUNT:
+            self._probe(now_s, request.name, sender, request.sequence)
+            return
+        self._outbox.send(
+            sender, ProbeReport(request.sequence, request.name, False, [])
+        )
+
+    def on_report(self, report: ProbeReport) -> None:
+        """Take a peer's word that it reached an instance, or did not."""
+        probe = self._probes.get(report.sequence)
+        if probe is None or probe.name != report.name:
+            return
+        probe.reports += 1
+        if report.reached:
+            del self._probes[report.sequence]
--- /dev/null
+++ b/endivepick/membership/_table.py
@@ -0,0 +1,252 @@
+"""The table of peers and the rules by which news about them merge."""
+
+from types import MappingProxyType
+
+from endivepick.membership._health import LocalHealth
+from endivepick.membership._losses import LossWatch
+from endivepick.membership._member import BUCKET_COUNT, Member, bucket_of
+from endivepick.membership._outbox import Outbox
+from endivepick.membership._own import OwnStatus
+from endivepick.membership._spread import SpreadQueue
+from endivepick.membership._suspicion import SuspicionTimers
+from endivepick.membership.actions import PeerChanged, Superseded
+from endivepick.membership.peer_messages import Liveness, MemberUpdate, Phase
+from endivepick.membership.settings import MembershipSettings
+from endivepick.membership.view import InstanceView, ListedInstance, PeerState
+
+
+class MemberTable:
+    """All peers by name; owns their entries and timers."""
+
+    def __init__(
+        self, settings: MembershipSettings, own: OwnStatus, outbox: Outbox
+    ) -> None:
+        self._settings = settings
+        self._outbox = outbox
+        self.own = own
+        self.members: dict[str, Member] = {}
+        self.buckets: list[dict[str, Member]] = [{} for _ in range(BUCKET_COUNT)]
+        self.dead: dict[str, Member] = {}
+        self.superseded: dict[int, tuple[str, float]] = {}
+        self.health = LocalHealth(settings)
+        self.losses = LossWatch(settings)
+        self.timers = SuspicionTimers(settings, self.losses)
+        self.spread: SpreadQueue[str] = SpreadQueue(settings.spread_factor)
+        self._views: dict[str, InstanceView] = {own.name: own.to_view()}
+        self._live: tuple[str, ...] | None = None
+
+    # What others read
+
+    @property
+    def view(self) -> MappingProxyType[str, InstanceView]:
+        """Return all known instances, this one included."""
+        return MappingProxyType(self._views)
+
+    @property
+    def live_names(self) -> tuple[str, ...]:
+        """Return the names that take roles, sorted."""
+        if self._live is None:
+            names = [m.name for m in self.members.values() if m.takes_roles]
+            if self.own.takes_roles:
+                names.append(self.own.name)
+            self._live = tuple(sorted(names))
+        return self._live
+
+    def update_of(self, name: str) -> MemberUpdate | None:
+        """Return the news about an instance, or None if there are none."""
+        if name == self.own.name:
+            return self.own.to_update()
+        member = self.members.get(name)
+        return member.to_update() if member and member.heard else None
+
+    def take_news(self, count: int) -> list[MemberUpdate]:
+        """Return the piggy-backed updates of one message."""
+        updates = [self.update_of(name) for name in self.spread.take(count)]
+        return [update for update in updates if update is not None]
+
+    # Events
+
+    def merge(self, now_s: float, update: MemberUpdate) -> None:
+        """Take over news about an instance if they are newer."""
+        if update.name == self.own.name:
+            self._merge_own(update)
+            return
+        if update.incarnation == 0:
+            return
+        member = self.members.get(update.name)
+        if member is None:
+            member = self._insert(update.name, update.zone, update.peer_address)
+        if member.incarnation == update.incarnation:
+            self._merge_same(now_s, member, update)
+        elif not member.heard or self._supersedes(update, member):
+            self._replace(now_s, member, update)
+        else:
+            self._bury_incarnation(now_s, update.incarnation, update.name)
+
+    def add_listed(self, now_s: float, entry: ListedInstance) -> Member:
+        """Add a peer that only the platform's list knows."""
+        member = self._insert(entry.name, entry.zone, entry.peer_address)
+        member.heard_since_s = now_s
+        self.losses.add(member.name, member.zone)
+        self.publish(member)
+        return member
+
+    def suspect(self, now_s: float, name: str, accuser: str) -> None:
+        """Suspect a peer by an own finding."""
+        member = self.members.get(name)
+        if member is None or member.liveness is Liveness.DEAD:
+            return
+        self._set_suspect(now_s, member, accuser)
+
+    def declare_dead(self, now_s: float, name: str) -> None:
+        """Give a peer up, by an own time-out or by its own word."""
+        member = self.members[name]
+        member.accuser = ""
+        self._set_dead(now_s, member)
+
+    def forget(self, name: str) -> None:
+        """Drop the entry of a peer."""
+        member = self.members.pop(name)
+        del self.buckets[bucket_of(name)][name]
+        self.dead.pop(name, None)
+        self.timers.stop(name)
+        self.spread.discard(name)
+        self.losses.remove(name)
+        old = self._views.pop(name, None)
+        if old is not None:
+            self._outbox.add(PeerChanged(old, None))
+        if member.takes_roles:
+            self._live = None
+
+    def own_changed(self) -> None:
+        """Spread and show a change of this instance's own status."""
+        self.spread.put(self.own.name, len(self.members))
+        self._views[self.own.name] = self.own.to_view()
+        self._live = None
+
+    def publish(self, member: Member) -> None:
+        """Show a change of a peer, if there is one to show."""
+        old = self._views.get(member.name)
+        new = member.to_view()
+        if old == new:
+            return
+        self._views[member.name] = new
+        self._live = None
+        self._outbox.add(PeerChanged(old, new))
+
+    # Rules
+
+    def _insert(self, name: str, zone: str, peer_address: str) -> Member:
+        member = Member(name, zone, peer_address)
+        self.members[name] = member
+        self.buckets[bucket_of(name)][name] = member
+        return member
+
+    def _merge_own(self, update: MemberUpdate) -> None:
+        own = self.own
+        if update.incarnation == own.incarnation:
+            if own.refute(update):
+                self.health.worsen()
+                self.own_changed()
+            return
+        known = own.superseded_by
+        if own.meet_namesake(update):
+            self.own_changed()
+        elif own.superseded_by != known:
+            self._outbox.add(Superseded(own.superseded_by))
+            self._outbox.log("another incarnation took this name")
+            self.own_changed()
+
+    def _supersedes(self, update: MemberUpdate, member: Member) -> bool:
+        return (update.generation, update.incarnation) > member.age_key
+
+    def _replace(self, now_s: float, member: Member, update: MemberUpdate) -> None:
+        if member.heard:
+            self._bury_incarnation(now_s, member.incarnation, member.name)
+        self.timers.stop(member.name)
+        self.dead.pop(member.name, None)
+        member.adopt(update, now_s)
+        self._merge_same(now_s, member, update, news=True)
+
+    def _bury_incarnation(self, now_s: float, incarnation: int, name: str) -> None:
+        self.superseded.pop(incarnation, None)
+        self.superseded[incarnation] = (name, now_s)
+
+    def _merge_same(
+        self, now_s: float, member: Member, update: MemberUpdate, news: bool = False
+    ) -> None:
+        if update.generation > member.generation:
+            member.generation = update.generation
+            news = True
+        if update.phase > member.phase:
+            member.advance_phase(update.phase)
+            news = True
+        if update.refutation > member.refutation:
+            member.refutation = update.refutation
+            self._set_alive(member)
+            news = True
+        if update.refutation == member.refutation:
+            news |= self._merge_liveness(now_s, member, update)
+        if member.phase is Phase.STOPPED and member.liveness is not Liveness.DEAD:
+            self._set_dead(now_s, member)
+        if news:
+            self._spread_and_publish(member)
+
+    def _merge_liveness(
+        self, now_s: float, member: Member, update: MemberUpdate
+    ) -> bool:
+        if update.liveness is Liveness.ALIVE:
+            if member.liveness is Liveness.ALIVE:
+                self.losses.add(member.name, member.zone)
+            return False
+        if member.liveness is Liveness.DEAD:
+            return False
+        if update.liveness is Liveness.DEAD and self._believes_death(now_s, member):
+            self._set_dead(now_s, member)
+            return True
+        return self._set_suspect(now_s, member, update.accuser)
+
+    def _believes_death(self, now_s: float, member: Member) -> bool:
+        """Doubt a death by hearsay against own evidence or in a mass loss."""
+        if now_s - member.last_ack_s < self._settings.fresh_evidence_s:
+            return False
+        return not self.losses.is_mass(member.zone)
+
+    def _set_alive(self, member: Member) -> None:
+        member.accuser = ""
+        member.set_liveness(Liveness.ALIVE)
+        self.timers.stop(member.name)
+        self.dead.pop(member.name, None)
+        self.losses.add(member.name, member.zone)
+
+    def _set_suspect(self, now_s: float, member: Member, accuser: str) -> bool:
+        began = member.liveness is Liveness.ALIVE
+        if began:
+            member.set_liveness(Liveness.SUSPECT)
+            self.losses.add(member.name, member.zone)
+            self.timers.start(member.name, now_s)
+            self._outbox.log("suspects a peer", member.name)
+        confirmed = self.timers.confirm(member.name, accuser)
+        if confirmed:
+            member.accuser = accuser
+        if began or confirmed:
+            self._spread_and_publish(member)
+        return began or confirmed
+
+    def _set_dead(self, now_s: float, member: Member) -> None:
+        member.set_liveness(Liveness.DEAD)
+        member.died_s = now_s
+        self.timers.stop(member.name)
+        self.losses.bury(member.name, now_s)
+        self.dead[member.name] = member
+        self._outbox.log("declares a peer dead", member.name)
+        self._spread_and_publish(member)
+
+    def _spread_and_publish(self, member: Member) -> None:
+        if member.heard:
+            self.spread.put(member.name, len(self.members))
+        self.publish(member)
+
+    def is_dead(self, member: Member) -> bool:
+        """Tell whether a peer is given up."""
+        return member.state == PeerState.DEAD.value
--- /dev/null
+++ b/endivepick/membership/peer_messages.py
@@ -0,0 +1,186 @@
+"""Messages of the membership between instances, tags 64 to 79.
+
+The envelope around each message names the sender and its incarnation.
+"""
+
+from enum import IntEnum
+
+import msgspec
+
+__all__ = [
+    "Ack",
+    "HandedOver",
+    "Liveness",
+    "MemberUpdate",
+    "MembershipMessage",
+    "Phase",
+    "Ping",
+    "PingRequest",
+    "ProbeReport",
+    "SyncDigest",
+    "SyncPage",
+    "SyncRequest",
+]
+
+
+class Phase(IntEnum):
+    """What an instance says about itself; only grows within an incarnation."""
+
+    JOINING = 0
+    READY = 1
+    LEAVING = 2
+    STOPPED = 3
+
+
+class Liveness(IntEnum):
+    """What others say about an instance; the higher one wins, until refuted."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+
+
+class MemberUpdate(msgspec.Struct, frozen=True, array_like=True):
+    """News about one instance.
+
+    Attributes
+    ----------
+    name, zone, peer_address : str
+        As in its settings.
+    incarnation : int
+        Random number drawn at its start.
+    generation : int
+        Orders the incarnations of one name; the higher one supersedes.
+    phase : Phase
+        What it said about itself.
+    refutation : int
+        Counts what the instance said about itself; a higher one overrides
+        ``liveness`` of a lower one.
+    liveness : Liveness
+        What others found.
+    accuser : str
+        Who suspects it; empty if nobody does.
+    """
+
+    name: str
+    zone: str
+    peer_address: str
+    incarnation: int
+    generation: int
+    phase: Phase
+    refutation: int
+    liveness: Liveness
+    accuser: str = ""
+
+
+class HandedOver(msgspec.Struct, frozen=True, array_like=True):
+    """An incarnation handed the flows of a service to a successor.
+
+    Attributes
+    ----------
+    incarnation : int
+        Incarnation of the giver.
+    service : str
+        Name of the service.
+    to_name : str
+        Name of the successor.
+    to_incarnation : int
+        Incarnation of the successor.
+    order : int
+        Larger than the order of every earlier hand-over to the giver.
+    remaining_s : int
+        How long the entry stays of use, in seconds.
+    """
+
+    incarnation: int
+    service: str
+    to_name: str
+    to_incarnation: int
+    order: int
+    remaining_s: int
+
+
+class Ping(msgspec.Struct, frozen=True, array_like=True, tag=64):
+    """Ask for a sign of life.
+
+    Attributes
+    ----------
+    sequence : int
+        Number that comes back in the answer.
+    known_incarnation, known_refutation : int
+        What the sender knows of the receiver, which answers with news only.
+    updates : list of MemberUpdate
+        Piggy-backed news.
+    handed_over : list of HandedOver
+        Piggy-backed hand-overs.
+    """
+
+    sequence: int
+    known_incarnation: int
+    known_refutation: int
+    updates: list[MemberUpdate]
+    handed_over: list[HandedOver]
+
+
+class Ack(msgspec.Struct, frozen=True, array_like=True, tag=65):
+    """Answer to ``Ping``."""
+
+    sequence: int
+    updates: list[MemberUpdate]
+    handed_over: list[HandedOver]
+
+
+class PingRequest(msgspec.Struct, frozen=True, array_like=True, tag=66):
+    """Ask a peer to probe another instance."""
+
+    sequence: int
+    name: str
+
+
+class ProbeReport(msgspec.Struct, frozen=True, array_like=True, tag=67):
+    """Answer to ``PingRequest``, also when the instance was not reached."""
+
+    sequence: int
+    name: str
+    reached: bool
+    updates: list[MemberUpdate]
+
+
+class SyncRequest(msgspec.Struct, frozen=True, array_like=True, tag=68):
+    """Ask for one page of all that a peer knows; ``cursor`` starts at 0."""
+
+    cursor: int
+    me: MemberUpdate
+
+
+class SyncPage(msgspec.Struct, frozen=True, array_like=True, tag=69):
+    """One page of entries.
+
+    Attributes
+    ----------
+    next_cursor : int
+        Where the next page starts; 0 after the last one.
+    wanted : list of int
+        Buckets of which the sender wants the receiver's entries.
+    members : list of MemberUpdate
+        Entries of the membership.
+    handed_over : list of HandedOver
+        Entries of the hand-overs.
+    """
+
+    next_cursor: int
+    wanted: list[int]
+    members: list[MemberUpdate]
+    handed_over: list[HandedOver]
+
+
+class SyncDigest(msgspec.Struct, frozen=True, array_like=True, tag=70):
+    """Compare two views: one hash for each bucket of entries."""
+
+    members: list[int]
+    handed_over: list[int]
+
+
+MembershipMessage = (
+    Ping | Ack | PingRequest | ProbeReport | SyncRequest | SyncPage | SyncDigest
+)
--- /dev/null
+++ b/endivepick/membership/tests/test_membership.py
@@ -0,0 +1,364 @@
+import doctest
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from endivepick.core.chart import load_chart
+from endivepick.membership import (
+    LeaveRequested,
+    ListedInstance,
+    Membership,
+    MembershipSettings,
+    PeerChanged,
+    PeerState,
+    Superseded,
+    core,
+)
+from endivepick.membership._loop import Loop
+
+SETTINGS = MembershipSettings()
+ZONES = ("fukuoka", "kumamoto", "kagoshima")
+
+
+def started(count=9, seed=1, **network):
+    loop = Loop(seed, **network)
+    for number in range(count):
+        loop.add(f"entry-{number}", ZONES[number % 3])
+    loop.list_all()
+    loop.run_until(lambda: everybody_sees(loop, count), 30)
+    return loop
+
+
+def everybody_sees(loop, count):
+    return all(len(node.live_names()) == count for node in loop.nodes.values())
+
+
+def deaths(loop):
+    return [
+        (at_s, observer, action.new.name)
+        for at_s, observer, action in loop.actions
+        if isinstance(action, PeerChanged)
+        and action.new is not None
+        and action.new.state is PeerState.DEAD
+    ]
+
+
+def count_of(loop, kind):
+    return sum(isinstance(action, kind) for _, _, action in loop.actions)
+
+
+class DetectionTest(unittest.TestCase):
+    def test_examples_run(self):
+        self.assertEqual(doctest.testmod(core).failed, 0)
+
+    def test_killed_instance_is_found_dead_by_all(self):
+        loop = started(loss=0.05)
+        dead = loop.me["entry-4"].incarnation
+        loop.kill("entry-4")
+        took_s = loop.run_until(
+            lambda: all(
+                node.is_incarnation_dead("entry-4", dead)
+                for node in loop.nodes.values()
+            ),
+            30,
+        )
+        self.assertLess(took_s, 6.0)
+        self.assertEqual({name for _, _, name in deaths(loop)}, {"entry-4"})
+
+    @settings(derandomize=True, max_examples=8, deadline=None)
+    @given(
+        st.integers(0, 2**32),
+        st.sampled_from([0.0, 0.05, 0.1]),
+        st.sampled_from([0.002, 0.04]),
+    )
+    def test_nobody_is_ejected_by_loss_and_delay(self, seed, loss, max_delay_s):
+        loop = started(seed=seed, loss=loss, max_delay_s=max_delay_s)
+        loop.run(60)
+        self.assertEqual(deaths(loop), [])
+
+    def test_messages_do_not_grow_with_the_fleet(self):
+        rates = []
+        for count in (9, 36):
+            loop = started(count)
+            loop.run(30)
+            loop.actions.clear()
+            loop.run(20)
+            rates.append(len(loop.actions) / 20 / count)
+        self.assertLess(max(rates), 10.0)
+
+    def test_direct_failure_hurries_the_probe(self):
+        loop = started()
+        loop.run(5)
+        loop.kill("entry-4")
+        node = loop.nodes["entry-0"]
+        loop.carry_out("entry-0", node.direct_failure(loop.now_s, "entry-4"))
+        loop.run(0.4)
+        self.assertIs(node.view()["entry-4"].state, PeerState.SUSPECT)
+
+    def test_lost_rack_is_dropped_and_the_rest_stay(self):
+        loop = started(12)
+        for name in ("entry-0", "entry-3", "entry-6", "entry-9"):
+            loop.kill(name)
+        loop.run_until(lambda: everybody_sees(loop, 8), 20)
+        lost = {"entry-0", "entry-3", "entry-6", "entry-9"}
+        self.assertEqual({name for _, _, name in deaths(loop)}, lost)
+
+    def test_list_that_drops_a_suspect_ends_the_wait(self):
+        loop = started(3)
+        loop.run(2)
+        loop.kill("entry-1")
+        loop.kill("entry-2")
+        loop.list_all()
+        took_s = loop.run_until(lambda: everybody_sees(loop, 1), 20)
+        self.assertLess(took_s, SETTINGS.mass_dead_after_s - 2)
+
+
+class MassLossTest(unittest.TestCase):
+    def test_cut_zone_is_held_then_dropped_on_both_sides_and_comes_back(self):
+        loop = started()
+        loop.run(5)
+        cut = {name for name, me in loop.me.items() if me.zone == "kumamoto"}
+        loop.is_cut = lambda sender, receiver: (sender in cut) != (receiver in cut)
+        began_s = loop.now_s
+        loop.run_until(
+            lambda: all(
+                set(node.live_names()) == (cut if name in cut else set(loop.me) - cut)
+                for name, node in loop.nodes.items()
+            ),
+            30,
+        )
+        early = [at_s for at_s, _, _ in deaths(loop) if at_s < began_s + 6.0]
+        self.assertLessEqual(len({name for _, _, name in deaths(loop)}), 9)
+        self.assertEqual(early, [])
+        loop.run(30)
+        loop.is_cut = lambda sender, receiver: False
+        loop.run_until(lambda: everybody_sees(loop, 9), 30)
+
+    def test_paused_instance_wakes_without_declaring_others_dead(self):
+        for pause_s in (2.0, 30.0):
+            loop = started()
+            loop.run(5)
+            loop.paused.add("entry-2")
+            loop.run(pause_s)
+            loop.resume("entry-2")
+            loop.run_until(lambda loop=loop: everybody_sees(loop, 9), 30)
+            loop.run(20)
+            observers = {observer for _, observer, _ in deaths(loop)}
+            self.assertNotIn("entry-2", observers)
+            self.assertTrue({name for _, _, name in deaths(loop)} <= {"entry-2"})
+
+    def test_instance_that_hears_nobody_does_not_eject_the_others(self):
+        loop = started()
+        loop.run(5)
+        loop.is_cut = lambda sender, receiver: receiver == "entry-2"
+        loop.run(40)
+        others = [name for name in loop.nodes if name != "entry-2"]
+        for name in others:
+            live = set(loop.nodes[name].live_names())
+            self.assertEqual(live, set(others))
+        by_others = [d for d in deaths(loop) if d[1] != "entry-2"]
+        self.assertEqual({name for _, _, name in by_others}, {"entry-2"})
+
+
+class IncarnationTest(unittest.TestCase):
+    def test_new_incarnation_supersedes_at_once(self):
+        loop = started()
+        old = loop.me["entry-1"].incarnation
+        loop.add("entry-1", "fukuoka", generation=2)
+        loop.list_all()
+        new = loop.me["entry-1"].incarnation
+        took_s = loop.run_until(
+            lambda: all(
+                node.view()["entry-1"].incarnation == new
+                and node.is_incarnation_dead("entry-1", old)
+                and not node.is_incarnation_dead("entry-1", new)
+                for node in loop.nodes.values()
+            ),
+            20,
+        )
+        self.assertLess(took_s, 3.0)
+
+    def test_clock_set_back_does_not_keep_the_new_incarnation_out(self):
+        loop = started()
+        loop.run(2)
+        loop.add("entry-1", "fukuoka", generation=0)
+        loop.list_all()
+        new = loop.me["entry-1"].incarnation
+        loop.run_until(
+            lambda: all(
+                node.view()["entry-1"].incarnation == new
+                for node in loop.nodes.values()
+            ),
+            20,
+        )
+        self.assertEqual(count_of(loop, Superseded), 0)
+
+    def test_old_incarnation_that_wakes_learns_that_it_is_superseded(self):
+        loop = started()
+        old_node, old_me = loop.nodes["entry-1"], loop.me["entry-1"]
+        loop.run(2)
+        loop.add("entry-1", "kumamoto", generation=2)
+        loop.list_all()
+        loop.run(10)
+        new_me = loop.me["entry-1"]
+        loop.nodes["entry-1"], loop.me["entry-1"] = old_node, old_me
+        loop.run_until(lambda: count_of(loop, Superseded) > 0, 20)
+        self.assertNotIn("entry-1", old_node.live_names())
+        seen = loop.nodes["entry-0"].view()["entry-1"].incarnation
+        self.assertEqual(seen, new_me.incarnation)
+
+    def test_unknown_incarnation_of_a_known_name_is_found_out(self):
+        loop = started()
+        node = loop.nodes["entry-0"]
+        loop.run_until(lambda: node.is_incarnation_dead("entry-1", 12345), 5)
+        known = loop.me["entry-1"].incarnation
+        self.assertFalse(node.is_incarnation_dead("entry-1", known))
+
+    def test_unknown_name_counts_as_dead_only_after_a_while(self):
+        loop = started()
+        node = loop.nodes["entry-0"]
+        self.assertFalse(node.is_incarnation_dead("nobody", 12345))
+        took_s = loop.run_until(lambda: node.is_incarnation_dead("nobody", 12345), 20)
+        self.assertGreaterEqual(took_s, SETTINGS.unknown_dead_after_s - 0.1)
+
+
+class PlannedStopTest(unittest.TestCase):
+    def test_leaving_instance_takes_no_role_and_is_not_dead(self):
+        loop = started(loss=0.05)
+        loop.carry_out("entry-3", loop.nodes["entry-3"].leave(loop.now_s))
+        loop.run_until(lambda: everybody_sees(loop, 8), 10)
+        for node in loop.nodes.values():
+            self.assertIs(node.view()["entry-3"].state, PeerState.LEAVING)
+        loop.carry_out("entry-3", loop.nodes["entry-3"].stop(loop.now_s))
+        loop.kill("entry-3")
+        loop.run_until(
+            lambda: all(
+                node.view()["entry-3"].state is PeerState.DEAD
+                for node in loop.nodes.values()
+            ),
+            10,
+        )
+
+    def test_platform_can_ask_to_leave(self):
+        loop = started()
+        loop.run(10)
+        loop.list_all(age_s=1.0, leaving=("entry-3",))
+        self.assertEqual(count_of(loop, LeaveRequested), 1)
+        self.assertTrue(everybody_sees(loop, 8) or "entry-3" in loop.nodes)
+        self.assertNotIn("entry-3", loop.nodes["entry-0"].live_names())
+
+    def test_stale_list_does_not_stop_a_new_incarnation(self):
+        loop = started()
+        loop.run(5)
+        loop.add("entry-3", "fukuoka", generation=2)
+        loop.run(5)
+        loop.list_all(age_s=8.0, leaving=("entry-3",))
+        self.assertEqual(count_of(loop, LeaveRequested), 0)
+        self.assertIn("entry-3", loop.nodes["entry-0"].live_names())
+
+    def test_joining_instance_takes_no_role_until_it_is_ready(self):
+        loop = started()
+        loop.add("entry-9", "fukuoka", ready=False)
+        loop.list_all()
+        loop.run(5)
+        self.assertTrue(loop.nodes["entry-9"].joined)
+        self.assertTrue(everybody_sees(loop, 9))
+        loop.carry_out("entry-9", loop.nodes["entry-9"].set_ready(loop.now_s))
+        loop.run_until(lambda: everybody_sees(loop, 10), 10)
+
+
+class HandOverTest(unittest.TestCase):
+    def hand_over(self, loop, giver, receiver, service="notes"):
+        to = loop.me[receiver]
+        actions = loop.nodes[giver].announce_hand_over(
+            service, receiver, to.incarnation
+        )
+        loop.carry_out(giver, actions)
+        loop.run(5)
+
+    def test_chains_reach_everybody_and_those_who_join_later(self):
+        loop = started(loss=0.05)
+        self.hand_over(loop, "entry-0", "entry-1")
+        self.hand_over(loop, "entry-1", "entry-2")
+        loop.add("entry-9", "fukuoka")
+        loop.list_all()
+        loop.run_until(lambda: everybody_sees(loop, 10), 10)
+        first, last = loop.me["entry-0"], loop.me["entry-2"]
+        for node in loop.nodes.values():
+            self.assertEqual(
+                node.successor_of(first.incarnation, "notes"),
+                ("entry-2", last.incarnation),
+            )
+            self.assertIsNone(node.successor_of(first.incarnation, "packs"))
+
+    def test_chain_that_comes_back_ends_at_its_last_holder(self):
+        loop = started(3)
+        self.hand_over(loop, "entry-0", "entry-1")
+        self.hand_over(loop, "entry-1", "entry-0")
+        node = loop.nodes["entry-2"]
+        me = loop.me["entry-0"]
+        for name in ("entry-0", "entry-1"):
+            successor = node.successor_of(loop.me[name].incarnation, "notes")
+            self.assertEqual(successor, ("entry-0", me.incarnation))
+
+    def test_hand_overs_are_forgotten_after_the_token_lifetime(self):
+        short = MembershipSettings(departed_kept_s=60.0, sync_period_s=1.0)
+        loop = Loop()
+        for name in ("a", "b", "c"):
+            loop.add(name, "thamel", short)
+        loop.list_all()
+        loop.run(5)
+        self.hand_over(loop, "a", "b")
+        giver = loop.me["a"].incarnation
+        self.assertIsNotNone(loop.nodes["c"].successor_of(giver, "notes"))
+        loop.run(90)
+        self.assertIsNone(loop.nodes["c"].successor_of(giver, "notes"))
+
+
+class HealingTest(unittest.TestCase):
+    @settings(derandomize=True, max_examples=6, deadline=None)
+    @given(st.integers(0, 2**32))
+    def test_views_agree_after_random_faults(self, seed):
+        loop = started(seed=seed, loss=0.1, max_delay_s=0.02)
+        random = loop.random
+        for _ in range(4):
+            side = set(random.sample(sorted(loop.nodes), random.randrange(5)))
+            loop.is_cut = lambda a, b, side=side: (a in side) != (b in side)
+            loop.paused.add(random.choice(sorted(loop.nodes)))
+            loop.run(random.uniform(1, 15))
+            for name in list(loop.paused):
+                loop.resume(name)
+        loop.is_cut = lambda a, b: False
+        loop.run_until(lambda: everybody_sees(loop, 9), 60)
+
+    def test_list_forgets_a_peer_that_was_never_heard(self):
+        loop = Loop()
+        node = loop.add("a", "thamel")
+        ghost = ListedInstance("ghost", "thamel", "127.0.0.1:9")
+        loop.carry_out("a", node.on_list(0.0, [ghost]))
+        self.assertIn("ghost", node.view())
+        self.assertNotIn("ghost", node.live_names())
+        loop.carry_out("a", node.on_list(0.0, []))
+        self.assertNotIn("ghost", node.view())
+
+    def test_membership_can_start_alone(self):
+        loop = Loop()
+        node = loop.add("a", "thamel")
+        self.assertIsInstance(node, Membership)
+        loop.list_all()
+        self.assertEqual((node.joined, node.live_names()), (True, ("a",)))
+
+
+class ChartTest(unittest.TestCase):
+    def test_instance_stops_in_order(self):
+        chart = load_chart("instance")
+        state = chart.initial
+        for event in ("listen", "join", "stop", "hand_over", "finish"):
+            state = chart.step(state, event)
+        self.assertEqual((state, chart.final), ("stopped", frozenset({"stopped"})))
+
+    def test_peer_states_are_those_of_the_view(self):
+        chart = load_chart("peer")
+        states = {state for state, _ in chart.transitions}
+        self.assertEqual(states, {state.value for state in PeerState})
--- a/endivepick/membership/view.py
+++ b/endivepick/membership/view.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-__all__ = ["InstanceView", "PeerState"]
+__all__ = ["InstanceView", "ListedInstance", "PeerState"]
 
 
 class PeerState(Enum):
@@ -33,6 +33,8 @@
         ``host:port`` for peer messages.
     state : PeerState
         Present belief.
+    ready : bool
+        It has joined and takes roles.
     """
 
     name: str
@@ -40,3 +42,26 @@
     incarnation: int
     peer_address: str
     state: PeerState
+    ready: bool = True
+
+
+@dataclass(frozen=True)
+class ListedInstance:
+    """One entry of the platform's list of instances.
+
+    Attributes
+    ----------
+    name : str
+        Name of the instance.
+    zone : str
+        Its availability zone.
+    peer_address : str
+        ``host:port`` for peer messages.
+    leaving : bool
+        The platform means to stop it.
+    """
+
+    name: str
+    zone: str
+    peer_address: str
+    leaving: bool = False
