Build the settings from the settings of each part

The flow core, the dispatcher, the membership and the platform client each bring their own settings; a second copy here would drift. The border models now bound and describe those classes and take defaults from them; hand-overs are remembered for the token lifetime.

--- a/endivepick/settings/__init__.py
+++ b/endivepick/settings/__init__.py
@@ -12,9 +12,8 @@
     LogLevel,
     LogSettings,
     MembershipSettings,
-    PlatformSettings,
+    PlatformAccessSettings,
     SecretsSettings,
-    StopSettings,
     TargetSettings,
 )
 from endivepick.settings.reader import load_settings, parse_settings
@@ -29,9 +28,8 @@
     "LogLevel",
     "LogSettings",
     "MembershipSettings",
-    "PlatformSettings",
+    "PlatformAccessSettings",
     "SecretsSettings",
-    "StopSettings",
     "TargetSettings",
     "explain",
     "explain_markdown",
--- a/endivepick/settings/_combinations.py
+++ b/endivepick/settings/_combinations.py
@@ -20,45 +20,32 @@
 
 def combination_faults(settings: DaemonSettings) -> Iterator[CombinationFault]:
     """List what cannot work although each key is valid by itself."""
-    yield from _membership_faults(settings)
+    membership, dispatch = settings.membership, settings.dispatch
+    for group, values, low, high in (
+        ("membership", membership, "probe_timeout_s", "probe_deadline_s"),
+        ("membership", membership, "suspect_min_s", "suspect_max_s"),
+        ("membership", membership, "suspect_max_s", "mass_dead_after_s"),
+        ("dispatch", dispatch, "shed_backoff_s", "shed_backoff_limit_s"),
+        ("dispatch", dispatch, "connect_backoff_s", "connect_backoff_limit_s"),
+        ("dispatch", dispatch, "ejection_s", "ejection_limit_s"),
+    ):
+        if getattr(values, low) > getattr(values, high):
+            yield CombinationFault(
+                (group, high),
+                f"it is less than {group}.{low}",
+                f"Use at least {getattr(values, low):g}, or lower {group}.{low}.",
+            )
     yield from _flow_faults(settings)
-    yield from _stop_faults(settings)
     yield from _listen_faults(settings)
 
 
-def _membership_faults(settings: DaemonSettings) -> Iterator[CombinationFault]:
-    membership = settings.membership
-    if membership.suspect_after_s < 2 * membership.probe_period_s:
-        yield CombinationFault(
-            ("membership", "suspect_after_s"),
-            "one lost probe would make a peer suspect",
-            "Use at least twice membership.probe_period_s.",
-        )
-    if membership.dead_after_s <= membership.suspect_after_s:
-        yield CombinationFault(
-            ("membership", "dead_after_s"),
-            "a peer would be dead before it is suspect",
-            "Use more than membership.suspect_after_s.",
-        )
-
-
 def _flow_faults(settings: DaemonSettings) -> Iterator[CombinationFault]:
     flow = settings.flow
-    if flow.idle_timeout_s < flow.token_lifetime_s:
-        yield CombinationFault(
-            ("flow", "idle_timeout_s"),
-            "a flow would be forgotten while its token is valid",
-            "Use at least flow.token_lifetime_s.",
-        )
-
-
-def _stop_faults(settings: DaemonSettings) -> Iterator[CombinationFault]:
-    stop = settings.stop
-    if stop.hand_over_timeout_s > stop.drain_timeout_s:
+    if flow.outstanding_requests_max > flow.window_size:
         yield CombinationFault(
-            ("stop", "hand_over_timeout_s"),
-            "a hand-over would outlast the planned stop",
-            "Use at most stop.drain_timeout_s.",
+            ("flow", "outstanding_requests_max"),
+            "the replay window cannot track that many requests",
+            "Use at most flow.window_size.",
         )
 
 
--- a/endivepick/settings/explain.py
+++ b/endivepick/settings/explain.py
@@ -15,8 +15,9 @@
     "_bytes": "bytes",
     "_s": "seconds",
     "_ms": "milliseconds",
+    "_per_s": "per second",
     "_share": "share",
-    "_share_max": "share",
+    "_share_limit": "share",
     "_hex": "hexadecimal digits",
     "_address": "host:port",
 }
@@ -45,8 +46,12 @@
         match constraint:
             case annotated_types.Ge(ge=bound):
                 low = f"{bound:.10g}"
+            case annotated_types.Gt(gt=bound):
+                low = f"more than {bound:.10g}"
             case annotated_types.Le(le=bound):
                 high = f"{bound:.10g}"
+            case annotated_types.Lt(lt=bound):
+                high = f"less than {bound:.10g}"
     return f"{low} to {high}" if low else ""
 
 
--- a/endivepick/settings/reader.py
+++ b/endivepick/settings/reader.py
@@ -145,6 +145,10 @@
             return "unknown key", _remedy_for_unknown(path)
         case "missing":
             return "the key is missing", f"Add it: {_description(path)}"
+        case "greater_than":
+            return "the value is too small", f"Use more than {context['gt']:g}."
+        case "less_than":
+            return "the value is too large", f"Use less than {context['lt']:g}."
         case "greater_than_equal":
             return "the value is too small", f"Use at least {context['ge']:g}."
         case "less_than_equal":
@@ -196,10 +200,15 @@
 
 
 def _to_settings(checked: SettingsModel) -> model.DaemonSettings:
-    """Convert the border model into the data classes used inside."""
+    """Convert the border model into the classes used inside."""
     groups = {
         item.name: item.type(**getattr(checked, item.name).model_dump())
         for item in dataclasses.fields(model.DaemonSettings)
         if callable(item.type)
     }
-    return model.DaemonSettings(**groups)
+    settings = model.DaemonSettings(**groups)
+    # Hand-overs have to be remembered while a token can name the giver.
+    membership = dataclasses.replace(
+        settings.membership, departed_kept_s=settings.flow.token_lifetime_s
+    )
+    return dataclasses.replace(settings, membership=membership)
--- a/endivepick/settings/schema.py
+++ b/endivepick/settings/schema.py
@@ -12,6 +12,7 @@
 _NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"
 _SECRET_PATTERN = r"^([0-9a-fA-F]{2}){16,64}$"
 _DAY_S = 86400.0
+_MIB = 1 << 20
 
 
 def _check_listen_address(text: str) -> str:
@@ -26,12 +27,19 @@
     return text
 
 
+def _check_optional_host(text: str) -> str:
+    if text:
+        parse_address(f"{text}:0")
+    return text
+
+
 def _check_optional_address(text: str) -> str:
     return _check_remote_address(text) if text else text
 
 
 _ListenAddress = Annotated[str, AfterValidator(_check_listen_address)]
 _RemoteAddress = Annotated[str, AfterValidator(_check_remote_address)]
+_OptionalHost = Annotated[str, AfterValidator(_check_optional_host)]
 _OptionalAddress = Annotated[str, AfterValidator(_check_optional_address)]
 
 
@@ -72,20 +80,42 @@
     """The platform's object API."""
 
     address: _RemoteAddress = Field(description="TCP address of the object API.")
-    timeout_s: float = Field(
-        default=model.PlatformSettings.timeout_s,
+    source_host: _OptionalHost = Field(
+        default=model.PlatformAccessSettings.source_host,
+        description="IPv4 number that calls come from; empty: the system chooses.",
+    )
+    connect_timeout_s: float = Field(
+        default=model.PlatformAccessSettings.connect_timeout_s,
+        ge=0.05,
+        le=60,
+        description="Longest wait for a connection.",
+    )
+    call_timeout_s: float = Field(
+        default=model.PlatformAccessSettings.call_timeout_s,
         ge=0.05,
         le=60,
         description="Longest wait for the answer to a call other than a watch.",
     )
     watch_wait_s: float = Field(
-        default=model.PlatformSettings.watch_wait_s,
+        default=model.PlatformAccessSettings.watch_wait_s,
         ge=0.1,
         le=300,
         description="How long one watch call waits for a change.",
     )
+    write_attempts: int = Field(
+        default=model.PlatformAccessSettings.write_attempts,
+        ge=1,
+        le=20,
+        description="How often a write whose answer was lost is followed up.",
+    )
+    connections: int = Field(
+        default=model.PlatformAccessSettings.connections,
+        ge=1,
+        le=64,
+        description="Connections kept open.",
+    )
     list_every_s: float = Field(
-        default=model.PlatformSettings.list_every_s,
+        default=model.PlatformAccessSettings.list_every_s,
         ge=0.1,
         le=300,
         description="Period of reading the list of instances.",
@@ -133,31 +163,77 @@
         default=model.MembershipSettings.probe_period_s,
         ge=0.02,
         le=10,
-        description="Period of probing peers.",
+        description="Period of probing one peer.",
+    )
+    probe_timeout_s: float = Field(
+        default=model.MembershipSettings.probe_timeout_s,
+        ge=0.01,
+        le=10,
+        description="Time after which other peers are asked to probe as well.",
+    )
+    probe_deadline_s: float = Field(
+        default=model.MembershipSettings.probe_deadline_s,
+        ge=0.02,
+        le=10,
+        description="Time after which a probe has failed.",
     )
-    suspect_after_s: float = Field(
-        default=model.MembershipSettings.suspect_after_s,
+    suspect_min_s: float = Field(
+        default=model.MembershipSettings.suspect_min_s,
         ge=0.05,
         le=60,
-        description="Time without an answer after which a peer is suspect.",
+        description="Shortest time from suspicion to death, when enough peers "
+        "confirm it.",
+    )
+    suspect_max_s: float = Field(
+        default=model.MembershipSettings.suspect_max_s,
+        ge=0.05,
+        le=600,
+        description="Time from suspicion to death when nobody confirms it.",
+    )
+    suspect_confirmations: int = Field(
+        default=model.MembershipSettings.suspect_confirmations,
+        ge=0,
+        le=20,
+        description="Independent suspicions after which suspect_min_s holds.",
+    )
+    mass_share: float = Field(
+        default=model.MembershipSettings.mass_share,
+        ge=0.05,
+        le=1,
+        description="Share of the peers, or of a zone's, whose loss at once "
+        "counts as a mass loss.",
     )
-    dead_after_s: float = Field(
-        default=model.MembershipSettings.dead_after_s,
+    mass_dead_after_s: float = Field(
+        default=model.MembershipSettings.mass_dead_after_s,
         ge=0.1,
         le=600,
-        description="Time without an answer after which a peer is dead and others "
-        "take over its roles.",
+        description="Time from suspicion to death in a mass loss, such as a cut zone.",
+    )
+    pause_s: float = Field(
+        default=model.MembershipSettings.pause_s,
+        ge=0.1,
+        le=60,
+        description="A longer gap between two events means that this instance was "
+        "paused.",
+    )
+    sync_period_s: float = Field(
+        default=model.MembershipSettings.sync_period_s,
+        ge=0.5,
+        le=600,
+        description="Period of comparing the view with a random peer.",
     )
 
 
 class FlowModel(_Group):
-    """Flows and their tokens."""
+    """Flows, their tokens and requests, and the planned stop."""
 
     token_lifetime_s: float = Field(
         default=model.FlowSettings.token_lifetime_s,
         ge=10,
         le=30 * _DAY_S,
-        description="How long a token is valid after its issue.",
+        description="How long a token is valid after its issue; longer lets "
+        "callers stay away longer, and an instance remembers its "
+        "flows for as long.",
     )
     renew_share: float = Field(
         default=model.FlowSettings.renew_share,
@@ -165,25 +241,68 @@
         le=0.9,
         description="Share of the lifetime after which callers ask for a new token.",
     )
-    idle_timeout_s: float = Field(
-        default=model.FlowSettings.idle_timeout_s,
-        ge=10,
-        le=60 * _DAY_S,
-        description="Time without packets after which a flow is forgotten.",
-    )
-    unacknowledged_bytes_max: int = Field(
-        default=model.FlowSettings.unacknowledged_bytes_max,
-        ge=64 * 1024,
-        le=1024 * 1024 * 1024,
-        description="Most answer bytes kept for one flow until the caller "
-        "acknowledges them.",
-    )
     window_size: int = Field(
         default=model.FlowSettings.window_size,
         ge=16,
         le=65536,
         description="Request numbers that the replay window of a flow remembers.",
     )
+    outstanding_requests_max: int = Field(
+        default=model.FlowSettings.outstanding_requests_max,
+        ge=1,
+        le=65536,
+        description="Requests of one flow that are not done.",
+    )
+    request_bytes_max: int = Field(
+        default=model.FlowSettings.request_bytes_max,
+        ge=1024,
+        le=64 * _MIB,
+        description="Largest request.",
+    )
+    answer_bytes_max: int = Field(
+        default=model.FlowSettings.answer_bytes_max,
+        ge=1024,
+        le=1024 * _MIB,
+        description="Largest answer.",
+    )
+    stream_buffer_bytes: int = Field(
+        default=model.FlowSettings.stream_buffer_bytes,
+        ge=1024,
+        le=64 * _MIB,
+        description="Bytes of an event stream that wait for a slow caller before "
+        "the stream is cut off, to be resumed later.",
+    )
+    unacknowledged_s: float = Field(
+        default=model.FlowSettings.unacknowledged_s,
+        ge=1,
+        le=3600,
+        description="How long a finished answer waits for its caller.",
+    )
+    caller_silence_s: float = Field(
+        default=model.FlowSettings.caller_silence_s,
+        ge=1,
+        le=3600,
+        description="Silence of a caller after which its request is cancelled at "
+        "the target.",
+    )
+    drain_timeout_s: float = Field(
+        default=model.FlowSettings.drain_timeout_s,
+        ge=0.1,
+        le=3600,
+        description="Longest duration of a planned stop.",
+    )
+    hand_over_retry_s: float = Field(
+        default=model.FlowSettings.hand_over_retry_s,
+        ge=0.01,
+        le=10,
+        description="Time between two sendings of one hand-over.",
+    )
+    hand_over_bytes: int = Field(
+        default=model.FlowSettings.hand_over_bytes,
+        ge=1024,
+        le=16 * _MIB,
+        description="Size of one hand-over message, but for a single larger flow.",
+    )
 
 
 class TargetModel(_Group):
@@ -209,56 +328,8 @@
     )
 
 
-class DispatchModel(_Group):
-    """Choice of targets."""
-
-    retry_budget_share: float = Field(
-        default=model.DispatchSettings.retry_budget_share,
-        ge=0,
-        le=1,
-        description="Most retries, as a share of recent requests.",
-    )
-    slow_start_s: float = Field(
-        default=model.DispatchSettings.slow_start_s,
-        ge=0,
-        le=3600,
-        description="Time in which a new target's load rises to its full share.",
-    )
-    ejection_failures: int = Field(
-        default=model.DispatchSettings.ejection_failures,
-        ge=1,
-        le=1000,
-        description="Failures in a row after which a target is ejected.",
-    )
-    ejection_s: float = Field(
-        default=model.DispatchSettings.ejection_s,
-        ge=0.1,
-        le=3600,
-        description="How long an ejected target gets no requests.",
-    )
-    ejected_share_max: float = Field(
-        default=model.DispatchSettings.ejected_share_max,
-        ge=0,
-        le=0.9,
-        description="Largest share of a service's targets that may be ejected.",
-    )
-
-
-class StopModel(_Group):
-    """Planned stop."""
-
-    drain_timeout_s: float = Field(
-        default=model.StopSettings.drain_timeout_s,
-        ge=0.1,
-        le=3600,
-        description="Longest duration of a planned stop, hand-over included.",
-    )
-    hand_over_timeout_s: float = Field(
-        default=model.StopSettings.hand_over_timeout_s,
-        ge=0.1,
-        le=600,
-        description="Longest wait for a successor to confirm one hand-over.",
-    )
+class DispatchModel(_Group, model.DispatchSettings):
+    """Choice of targets: queues, retries, cold targets and ejection."""
 
 
 class SettingsModel(_Group):
@@ -273,5 +344,6 @@
     membership: MembershipModel = MembershipModel()
     flow: FlowModel = FlowModel()
     targets: TargetModel = TargetModel()
-    dispatch: DispatchModel = DispatchModel()
-    stop: StopModel = StopModel()
+    dispatch: DispatchModel = Field(
+        default_factory=lambda: DispatchModel.model_validate({})
+    )
