--- a/endivepick/core/actions.py
+++ b/endivepick/core/actions.py
@@ -11,6 +11,7 @@
     "Count",
     "Log",
     "Probe",
+    "ReadinessChange",
     "RequestId",
     "SendToCaller",
     "SendToPeer",
@@ -116,6 +117,14 @@
     ids: dict[str, Any] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class ReadinessChange:
+    """The instance can serve from now on, or can't, and why not."""
+
+    ready: bool
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class StopFinished:
     """The planned stop is complete; the process may end."""
@@ -130,6 +139,7 @@
     | CancelAttempt
     | Count
     | Probe
+    | ReadinessChange
     | Log
     | StopFinished
 )
--- a/endivepick/core/events.py
+++ b/endivepick/core/events.py
@@ -6,13 +6,19 @@
 from endivepick.core.actions import RequestId
 from endivepick.core.dispatch import FinishKind, ProbeOutcome
 from endivepick.core.messages import CallerAddress
+from endivepick.membership import ListedInstance
+from endivepick.records.objects import StoredObject
 
 __all__ = [
     "AttemptAnswered",
     "AttemptFailed",
     "CallerDatagram",
     "Event",
+    "InstancesListed",
+    "ObjectsChanged",
+    "ObjectsListed",
     "PeerMessage",
+    "PeerSendFailed",
     "Probed",
     "StreamData",
     "StreamEnded",
@@ -99,6 +105,39 @@
     outcome: ProbeOutcome
 
 
+@dataclass(frozen=True, slots=True)
+class PeerSendFailed:
+    """A message could not be handed to the connection of a peer."""
+
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class InstancesListed:
+    """The platform listed the instances."""
+
+    entries: tuple[ListedInstance, ...]
+    age_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ObjectsListed:
+    """The platform listed all objects of a kind."""
+
+    kind: str
+    revision: int
+    objects: tuple[StoredObject, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ObjectsChanged:
+    """The platform told all changes between two revisions."""
+
+    after: int
+    revision: int
+    events: tuple[StoredObject, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class StopRequested:
     """A planned stop begins."""
@@ -111,7 +150,11 @@
 
 Event = (
     CallerDatagram
+    | InstancesListed
+    | ObjectsChanged
+    | ObjectsListed
     | PeerMessage
+    | PeerSendFailed
     | Probed
     | AttemptAnswered
     | AttemptFailed
--- a/endivepick/core/executor.py
+++ b/endivepick/core/executor.py
@@ -1,6 +1,6 @@
 """Runs requests at targets: from a complete request to its final word."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 from dataclasses import dataclass
 
 from endivepick.core.actions import (
@@ -137,7 +137,8 @@
             case Queued():
                 return []
 
-    def _find(self, request_id: RequestId) -> _Held | None:
+    def _find(self, request_id: Hashable) -> _Held | None:
+        assert isinstance(request_id, tuple)
         binding, seq, submission = request_id
         flow = self._table.get(binding)
         request = flow.requests.get(seq) if flow else None
--- a/endivepick/core/handover.py
+++ b/endivepick/core/handover.py
@@ -71,6 +71,16 @@
         """Flows that no successor has taken yet."""
         return len(self.table)
 
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is left that a longer wait could save."""
+        if self._transfers:
+            return False
+        return not any(
+            flow.in_progress or self.choose_successor(flow.service)
+            for flow in self.table
+        )
+
     @property
     def open_transfers(self) -> int:
         """Transfers without an answer."""
--- a/endivepick/core/relay.py
+++ b/endivepick/core/relay.py
@@ -116,12 +116,16 @@
         holder = successor or named
         if holder == self._me:
             return Holder(holder)
-        if self._peers.is_incarnation_dead(holder.name, holder.incarnation):
+        if self.is_lost(holder):
             return HolderLost(holder)
         if self._peers.is_silent(holder.name):
             return HolderSilent(holder)
         return Holder(holder)
 
+    def is_lost(self, identity: Identity) -> bool:
+        """Tell whether an incarnation is known to be gone."""
+        return self._peers.is_incarnation_dead(identity.name, identity.incarnation)
+
     def forward(
         self, identity: Identity, caller: CallerAddress, hops: int, datagram: bytes
     ) -> list[Action]:
--- a/endivepick/core/wire.py
+++ b/endivepick/core/wire.py
@@ -13,7 +13,13 @@
 from endivepick.errors import PacketInvalidError
 from endivepick.membership import MembershipMessage
 
-__all__ = ["Envelope", "FlowMessage", "decode_envelope", "encode_envelope"]
+__all__ = [
+    "AnyPeerMessage",
+    "Envelope",
+    "FlowMessage",
+    "decode_envelope",
+    "encode_envelope",
+]
 
 FlowMessage = (
     RelayedPacket
@@ -24,6 +30,8 @@
     | TargetDraining
 )
 
+AnyPeerMessage = FlowMessage | MembershipMessage
+
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
     """A message and who sent it.
@@ -43,7 +51,7 @@
     sender: str
     incarnation: int
     clock: int
-    message: FlowMessage | MembershipMessage
+    message: AnyPeerMessage
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/endivepick/daemon/peers.py
+++ b/endivepick/daemon/peers.py
@@ -13,13 +13,16 @@
 from typing import Any
 
 import gevent
-import msgspec
-import zmq.auth
 import zmq.green as zmq
 from zmq.utils import z85
 
 from endivepick.core.events import PeerMessage
-from endivepick.core.wire import Envelope, decode_envelope, encode_envelope
+from endivepick.core.wire import (
+    AnyPeerMessage,
+    Envelope,
+    decode_envelope,
+    encode_envelope,
+)
 from endivepick.daemon.logs import PartLog
 from endivepick.errors import PacketInvalidError
 from endivepick.settings.address import parse_address
@@ -89,15 +92,11 @@
         self._router = self._open_router(port)
         self._dealers: dict[str, tuple[str, Any]] = {}
 
-    def _open_zap(self) -> zmq.auth.Authenticator:
-        authenticator = zmq.auth.Authenticator(self._context)
-        authenticator.start()
-        authenticator.configure_curve_callback("*", credentials_provider=self)
-        return authenticator
-
-    def callback(self, domain: str, key: bytes) -> bool:
-        """Tell the authenticator whether a client's public key is allowed."""
-        return z85.encode(key) == self._keys[0]
+    def _open_zap(self) -> Any:
+        zap = self._context.socket(zmq.REP)
+        zap.linger = 0
+        zap.bind(ZAP_ENDPOINT)
+        return zap
 
     def _open_router(self, port: int) -> Any:
         router = self._context.socket(zmq.ROUTER)
@@ -131,12 +130,19 @@
             )
 
     def run_zap(self) -> None:
-        """Answer the library's questions about clients' keys."""
+        """Answer the library's questions whether a client may connect.
+
+        Questions and answers have the form of the ZeroMQ authentication protocol
+        (RFC 27): the client's public key is the last frame of a question.
+        """
         while True:
-            message = self._zap.zap_socket.recv_multipart()
-            self._zap.handle_zap_message(message)
+            frames = self._zap.recv_multipart()
+            version, request_id, key = frames[0], frames[1], frames[-1]
+            allowed = z85.encode(key) == self._keys[0]
+            status = (b"200", b"OK") if allowed else (b"400", b"unknown key")
+            self._zap.send_multipart([version, request_id, *status, b"", b""])
 
-    def send(self, name: str, address: str, message: msgspec.Struct) -> bool:
+    def send(self, name: str, address: str, message: AnyPeerMessage) -> bool:
         """Send to a peer; False if its connection is down or its queue is full."""
         if not address:
             return False
@@ -185,7 +191,7 @@
         for name in list(self._dealers):
             self.forget(name)
         self._router.close()
-        self._zap.stop()
+        self._zap.close()
         self._context.term()
 
 
