Write the caller library and its protocol core

Callers drive all repetition of the datagram protocol, so that instances keep no timers towards them. Weighed: a core inside the gevent task against a core without socket, clock and randomness; the second can be driven by a simulated clock through loss and reordering, and is what stands here.

--- a/endivepick/client/__init__.py
+++ b/endivepick/client/__init__.py
@@ -1,1 +1,36 @@
-"""Caller library."""
+"""Caller library: opens flows and sends requests through the fabric."""
+
+from endivepick.client.caller import Caller, Flow, PendingRequest, open_caller
+from endivepick.client.errors import (
+    CallerClosed,
+    GaveUp,
+    NotRun,
+    OpenRefused,
+    OpenTimedOut,
+    OutcomeUnknown,
+    RequestError,
+    StreamAnswerError,
+)
+from endivepick.client.model import Answer, StreamEvent, StreamHead
+from endivepick.client.settings import CallerSettings
+from endivepick.client.stream import EventStream
+
+__all__ = [
+    "Answer",
+    "Caller",
+    "CallerClosed",
+    "CallerSettings",
+    "EventStream",
+    "Flow",
+    "GaveUp",
+    "NotRun",
+    "OpenRefused",
+    "OpenTimedOut",
+    "OutcomeUnknown",
+    "PendingRequest",
+    "RequestError",
+    "StreamAnswerError",
+    "StreamEvent",
+    "StreamHead",
+    "open_caller",
+]
--- /dev/null
+++ b/endivepick/client/_core/caller_core.py
@@ -0,0 +1,208 @@
+"""All flows of one caller."""
+
+from collections import Counter
+
+from endivepick.client._core.actions import (
+    Action,
+    Completed,
+    FlowOpened,
+    OpenFailed,
+    Outbox,
+    RequestCall,
+)
+from endivepick.client._core.context import FlowContext, Repeat
+from endivepick.client._core.flow import FlowState, RequestPacket
+from endivepick.client._core.opening import Opening
+from endivepick.client._core.request import RequestState
+from endivepick.client._core.timing import RoundTrip, Timers
+from endivepick.client.errors import NotRun, OpenRefused
+from endivepick.client.settings import CallerSettings
+from endivepick.core.codec import decode_instance_packet
+from endivepick.core.messages import (
+    FlowClosed,
+    InstancePacket,
+    Open,
+    Opened,
+    Reissued,
+)
+from endivepick.core.messages import OpenRefused as OpenRefusedPacket
+from endivepick.errors import PacketInvalidError
+
+__all__ = ["CallerCore"]
+
+REMEMBERED_OPENINGS = 4096
+NOT_OPENED = 0
+
+
+class CallerCore:
+    """The caller's side of the protocol.
+
+    Each call returns the actions that it causes. Times are seconds on any clock
+    that does not go back.
+
+    Parameters
+    ----------
+    settings : CallerSettings
+        Settings of the caller.
+
+    Examples
+    --------
+    >>> core = CallerCore(CallerSettings(fabric_address="127.0.0.1:7000"))
+    >>> core.open(7, "notes", deadline_at_s=5.0, now_s=0.0)  # doctest: +ELLIPSIS
+    [SendDatagram(datagram=...)]
+    """
+
+    def __init__(self, settings: CallerSettings) -> None:
+        self._settings = settings
+        self._outbox = Outbox()
+        self._timers = Timers()
+        self._openings: dict[int, Opening] = {}
+        self._opened: dict[int, int] = {}
+        self._flows: dict[int, FlowState] = {}
+        self._requests: dict[int, tuple[FlowState, RequestState]] = {}
+
+    @property
+    def counts(self) -> Counter[str]:
+        """What was dropped or repeated, by name."""
+        return self._outbox.counts
+
+    @property
+    def next_tick_at_s(self) -> float:
+        """When `tick` has something to do; infinite if never."""
+        return self._timers.next_at_s
+
+    # Calls of the program
+
+    def open(
+        self, open_id: int, service: str, deadline_at_s: float, now_s: float
+    ) -> list[Action]:
+        """Open a flow; ``open_id`` is a random 64-bit number."""
+        packet = Open(open_id, service)
+        opening = Opening(packet, deadline_at_s, self._outbox, now_s)
+        self._openings[open_id] = opening
+        self._timers.update(opening)
+        return self.tick(now_s)
+
+    def request(self, call: RequestCall, now_s: float) -> list[Action]:
+        """Send a request on an open flow."""
+        flow = self._flows.get(call.flow_id)
+        if flow is None:
+            error = NotRun("the flow is closed")
+            self._outbox.emit(Completed(call.request_id, error))
+            return self._drain()
+        request = flow.request(call, now_s)
+        if request is not None:
+            self._requests[call.request_id] = (flow, request)
+        return self._drain()
+
+    def cancel(self, request_id: int, now_s: float) -> list[Action]:
+        """Give a request up; does nothing if it has ended."""
+        flow, request = self._requests.get(request_id, (None, None))
+        if flow is not None and request is not None and not request.ended:
+            request.cancel(now_s)
+            flow.settle(now_s)
+        return self._drain()
+
+    def close(self, flow_id: int, now_s: float) -> list[Action]:
+        """Close a flow; its requests end as cancelled."""
+        flow = self._flows.pop(flow_id, None)
+        if flow is not None:
+            flow.close(now_s)
+        return self._drain()
+
+    # Events
+
+    def tick(self, now_s: float) -> list[Action]:
+        """Do what is due."""
+        while (item := self._timers.pop_due(now_s)) is not None:
+            item.on_due(now_s)
+            self._timers.update(item)
+            self._settle(item, now_s)
+        return self._drain()
+
+    def _settle(self, item: object, now_s: float) -> None:
+        match item:
+            case RequestState() if item.ended:
+                flow, _ = self._requests[item.call.request_id]
+                flow.settle(now_s)
+            case Opening() if item.ended:
+                self._forget_opening(item.open_id, NOT_OPENED)
+
+    def datagram(self, datagram: bytes, now_s: float) -> list[Action]:
+        """Take a datagram; one that makes no sense is counted and dropped."""
+        try:
+            packet = decode_instance_packet(datagram)
+        except PacketInvalidError as error:
+            self.counts[f"invalid_{error.reason}"] += 1
+            return []
+        self._on_packet(packet, now_s)
+        return self._drain()
+
+    def _on_packet(self, packet: InstancePacket, now_s: float) -> None:
+        match packet:
+            case Opened():
+                self._on_opened(packet, now_s)
+            case OpenRefusedPacket():
+                self._on_open_refused(packet)
+            case _:
+                self._on_flow_packet(packet, now_s)
+
+    def _on_flow_packet(self, packet: RequestPacket | Reissued, now_s: float) -> None:
+        flow = self._flows.get(packet.flow_id)
+        if flow is None:
+            self.counts["unknown_flow"] += 1
+        elif isinstance(packet, Reissued):
+            flow.on_reissued(packet, now_s)
+        else:
+            flow.on_packet(packet, now_s)
+
+    # Opening
+
+    def _on_opened(self, packet: Opened, now_s: float) -> None:
+        opening = self._openings.get(packet.open_id)
+        if opening is None:
+            self._on_opened_again(packet, now_s)
+            return
+        opening.end()
+        self._forget_opening(packet.open_id, packet.flow_id)
+        context = FlowContext(
+            settings=self._settings,
+            outbox=self._outbox,
+            timers=self._timers,
+            round_trip=RoundTrip(self._settings),
+            token=packet.token,
+        )
+        flow = FlowState(packet, context, packet.open_id, now_s)
+        self._flows[packet.flow_id] = flow
+        self._outbox.emit(FlowOpened(packet.open_id, packet.flow_id))
+
+    def _on_opened_again(self, packet: Opened, now_s: float) -> None:
+        self.counts["opened_again"] += 1
+        used = self._opened.get(packet.open_id)
+        if used is None or used == packet.flow_id:
+            return
+        closing = Repeat(FlowClosed(packet.token), self._outbox, now_s)
+        self._timers.update(closing)
+
+    def _on_open_refused(self, packet: OpenRefusedPacket) -> None:
+        opening = self._openings.get(packet.open_id)
+        if opening is None:
+            self.counts["unknown_open"] += 1
+            return
+        opening.end()
+        self._forget_opening(packet.open_id, NOT_OPENED)
+        error = OpenRefused(packet.reason, max(0, packet.retry_after_ms))
+        self._outbox.emit(OpenFailed(packet.open_id, error))
+
+    def _forget_opening(self, open_id: int, flow_id: int) -> None:
+        self._openings.pop(open_id, None)
+        self._opened[open_id] = flow_id
+        if len(self._opened) > REMEMBERED_OPENINGS:
+            del self._opened[next(iter(self._opened))]
+
+    def _drain(self) -> list[Action]:
+        actions = self._outbox.drain()
+        for action in actions:
+            if isinstance(action, Completed):
+                self._requests.pop(action.request_id, None)
+        return actions
--- /dev/null
+++ b/endivepick/client/_core/request.py
@@ -0,0 +1,329 @@
+"""One request, from its first part to its end."""
+
+import math
+
+from endivepick.client._core.actions import Completed, RequestCall
+from endivepick.client._core.collector import (
+    AnswerUnusableError,
+    BodyCollector,
+    Collector,
+    StreamCollector,
+)
+from endivepick.client._core.context import FlowContext, Repeat, clamp_retry_s
+from endivepick.client._core.receiver import PartReceiver
+from endivepick.client._core.sender import PartSender
+from endivepick.client._core.timing import NEVER_S, Backoff, spread
+from endivepick.client._core.window import AnswerWindow
+from endivepick.client.errors import GaveUp, NotRun, OutcomeUnknown, RequestError
+from endivepick.client.model import Answer
+from endivepick.core.chart import load_chart
+from endivepick.core.codec import encode_struct
+from endivepick.core.messages import (
+    Acknowledge,
+    AnswerPart,
+    Cancel,
+    Outcome,
+    Refused,
+    RequestPart,
+    RequestProgress,
+    Unreachable,
+)
+
+__all__ = ["RequestState"]
+
+_CHART = load_chart("request")
+REISSUE_SPREAD_S = 0.01
+LONGEST_DEADLINE_MS = 7 * 24 * 3600 * 1000
+
+
+class RequestState:
+    """Drives one request; follows the chart ``request``.
+
+    Parameters
+    ----------
+    call : RequestCall
+        What to send.
+    context : FlowContext
+        What the flow's requests share.
+    seed : int
+        Seed of the spread of its intervals.
+
+    Attributes
+    ----------
+    seq : int
+        Number of the present attempt, 0 before the first.
+    state : str
+        State of the chart.
+    due_at_s : float
+        When `on_due` has to be called.
+    """
+
+    def __init__(self, call: RequestCall, context: FlowContext, seed: int) -> None:
+        self.call = call
+        self.seq = 0
+        self.state = _CHART.initial
+        self.due_at_s = call.deadline_at_s
+        self.listed_at_s = NEVER_S
+        self._context = context
+        self._seed = seed
+        self._may_have_run = False
+        self._sent_once_at_s = 0.0
+        self._backoff = Backoff(seed, context.settings.resend_max_s)
+        self._collector = self._new_collector()
+        self._sender = PartSender(encode_struct(call.head))
+        self._receiver = self._new_receiver()
+        context.timers.update(self)
+
+    def _new_collector(self) -> Collector:
+        if self.call.head.stream:
+            return StreamCollector(self.call.request_id, self._context.outbox)
+        return BodyCollector(self._context.settings.max_answer_bytes)
+
+    def _new_receiver(self) -> PartReceiver:
+        settings = self._context.settings
+        largest = settings.answer_window_max_parts
+        window = AnswerWindow(min(settings.answer_window_parts, largest), largest)
+        return PartReceiver(window)
+
+    @property
+    def ended(self) -> bool:
+        """Whether nothing more happens."""
+        return self.state in _CHART.final
+
+    @property
+    def unconfirmed(self) -> bool:
+        """Whether the owner may not know the request yet."""
+        return self.state == "sending"
+
+    @property
+    def payload_bytes(self) -> int:
+        """Size of the encoded request."""
+        return len(self._sender.payload)
+
+    # Calls of the program and the clock
+
+    def start(self, seq: int, now_s: float) -> None:
+        """Send the first parts."""
+        self.seq = seq
+        self._step("send")
+        self._begin_sending(now_s)
+
+    def cancel(self, now_s: float) -> None:
+        """Give up because the program wants it."""
+        self._give_up("cancel", now_s, OutcomeUnknown("cancelled"), "cancelled")
+
+    def on_due(self, now_s: float) -> None:
+        """Repeat what was not answered, or give up at the deadline."""
+        if self.ended:
+            self.due_at_s = NEVER_S
+        elif now_s >= self.call.deadline_at_s:
+            self._give_up(
+                "expire", now_s, GaveUp(), "deadline passed before it was sent"
+            )
+        elif self.state == "sending":
+            self._resend(now_s)
+        elif self.state in ("accepted", "receiving"):
+            self._poll(now_s)
+        else:
+            self.due_at_s = self.call.deadline_at_s
+
+    def _give_up(
+        self, event: str, now_s: float, error: RequestError, unsent_reason: str
+    ) -> None:
+        if self.seq:
+            self._repeat_cancel(now_s)
+            self._end(event, error)
+        else:
+            self._end(event, NotRun(unsent_reason))
+
+    def _repeat_cancel(self, now_s: float) -> None:
+        packet = Cancel(self._context.token, self.seq)
+        repeat = Repeat(packet, self._context.outbox, now_s)
+        self._context.timers.update(repeat)
+
+    # Packets
+
+    def on_accepted(self, now_s: float) -> None:
+        """Stop sending parts and begin to wait."""
+        if self.state != "sending":
+            return
+        if self._sent_once_at_s and self._sender.fits_window:
+            self._context.round_trip.sample(now_s - self._sent_once_at_s)
+        self._step("accept")
+        self._restart_backoff(self._context.settings.poll_max_s)
+        self._schedule(now_s + self._context.settings.poll_min_s)
+
+    def on_progress(self, packet: RequestProgress, now_s: float) -> None:
+        """Send the parts that the owner misses."""
+        if self.state == "sending":
+            self._step("progress")
+            self._send_wanted(packet, now_s)
+        elif packet.next_index == 0 and not packet.missing:
+            self._step("forget")
+            self._sender.restart()
+            self._begin_sending(now_s)
+        else:
+            self._context.outbox.counts["stale_progress"] += 1
+
+    def _send_wanted(self, packet: RequestProgress, now_s: float) -> None:
+        resend_s = self._context.round_trip.resend_s
+        before = self._sender.next_index
+        wanted = self._sender.report(packet.next_index, packet.missing, now_s, resend_s)
+        self._send_parts(wanted, now_s)
+        self._send_parts(list(self._sender.take_new(now_s)), now_s)
+        if self._sender.next_index > before:
+            self._backoff.reset()
+            self._schedule(now_s + resend_s)
+
+    def on_part(self, packet: AnswerPart, now_s: float) -> None:
+        """Take a part of the answer."""
+        receiver = self._receiver
+        asked_at_s = receiver.asked_once_at_s(packet.index)
+        if not receiver.accept(packet.index, packet.final, packet.data):
+            self._context.outbox.counts["duplicate_part"] += 1
+            return
+        self._step("part")
+        if asked_at_s is not None:
+            self._context.round_trip.sample(now_s - asked_at_s)
+        if self._hand_on():
+            self._go_on_receiving(now_s)
+
+    def _hand_on(self) -> bool:
+        try:
+            for index, data in self._receiver.take_ready():
+                self._collector.add(index, data)
+        except AnswerUnusableError as error:
+            self._acknowledge([], done=True)
+            self._end("fail", OutcomeUnknown(str(error)))
+            return False
+        return True
+
+    def _go_on_receiving(self, now_s: float) -> None:
+        if self._receiver.complete:
+            self._acknowledge([], done=True)
+            self._end("complete", self._collector.finish())
+            return
+        repeat_s = self._context.round_trip.repeat_s
+        missing = self._receiver.report_if_due(now_s, repeat_s)
+        if missing is not None:
+            self._acknowledge(missing, done=False)
+        self._backoff.reset()
+        self._schedule(now_s + self._poll_base_s)
+
+    def on_refused(self, packet: Refused) -> None:
+        """End as not run, unless an earlier attempt may have run."""
+        if not _CHART.allows(self.state, "refuse"):
+            self._context.outbox.counts["refused_after_answer"] += 1
+            return
+        self._acknowledge([], done=True)
+        if self._may_have_run:
+            reason = f"{packet.reason}, and an earlier attempt may have run"
+            self._end("fail", OutcomeUnknown(reason, packet.retry_after_ms))
+        else:
+            self._end("refuse", NotRun(packet.reason, packet.retry_after_ms))
+
+    def on_outcome(self, packet: Outcome) -> None:
+        """End with an unknown outcome."""
+        self._acknowledge([], done=True)
+        self._end("fail", OutcomeUnknown(packet.reason, packet.retry_after_ms))
+
+    def on_unreachable(self, packet: Unreachable, now_s: float) -> None:
+        """Wait as long as the relay says, then repeat under the same number."""
+        wait_s = clamp_retry_s(packet.retry_after_ms)
+        wait_s = max(wait_s, self._context.settings.resend_min_s)
+        self._backoff.reset()
+        self._sent_once_at_s = 0.0
+        self._schedule(now_s + wait_s * (1 + spread(self._seed, self.seq) / 4))
+
+    # New tokens
+
+    def on_continued(self, now_s: float) -> None:
+        """Go on under a new token of the same binding."""
+        self._backoff.reset()
+        self._sent_once_at_s = 0.0
+        self._schedule(now_s + REISSUE_SPREAD_S * spread(self._seed, self.seq))
+
+    def on_owner_lost(self, seq: int, now_s: float) -> None:
+        """Begin again under a new binding if idempotent, else end."""
+        if not self.call.idempotent:
+            self._end("fail", OutcomeUnknown("the owner of the flow was lost"))
+            return
+        self._may_have_run = True
+        self._step("reissue")
+        self._collector.restart()
+        self._receiver = self._new_receiver()
+        head = self._collector.resumed(self.call.head)
+        self._sender = PartSender(encode_struct(head))
+        self.seq = seq
+        self._begin_sending(now_s)
+
+    # Sending
+
+    def _begin_sending(self, now_s: float) -> None:
+        self._restart_backoff(self._context.settings.resend_max_s)
+        self._sent_once_at_s = now_s
+        self._send_parts(list(self._sender.take_new(now_s)), now_s)
+        resend_s = self._context.round_trip.resend_s
+        self._schedule(now_s + self._backoff.next_s(resend_s))
+
+    def _resend(self, now_s: float) -> None:
+        self._sent_once_at_s = 0.0
+        self._context.outbox.counts["resend"] += 1
+        self._send_parts(list(self._sender.take_unconfirmed(now_s)), now_s)
+        resend_s = self._context.round_trip.resend_s
+        self._schedule(now_s + self._backoff.next_s(resend_s))
+
+    def _send_parts(self, indexes: list[int], now_s: float) -> None:
+        for index in indexes:
+            self._context.outbox.send(self._part(index, now_s))
+
+    def _part(self, index: int, now_s: float) -> RequestPart:
+        left_ms = math.ceil((self.call.deadline_at_s - now_s) * 1000)
+        return RequestPart(
+            token=self._context.token,
+            seq=self.seq,
+            index=index,
+            count=self._sender.count,
+            idempotent=self.call.idempotent,
+            deadline_ms=min(max(left_ms, 1), LONGEST_DEADLINE_MS),
+            data=self._sender.data(index),
+        )
+
+    def _poll(self, now_s: float) -> None:
+        self._context.outbox.counts["poll"] += 1
+        self._acknowledge(self._receiver.probe(now_s), done=False)
+        self._schedule(now_s + self._backoff.next_s(self._poll_base_s))
+
+    @property
+    def _poll_base_s(self) -> float:
+        if self.state == "accepted" or self.call.head.stream:
+            return self._context.settings.poll_min_s
+        return self._context.round_trip.resend_s
+
+    def _acknowledge(self, missing: list[int], done: bool) -> None:
+        packet = Acknowledge(
+            token=self._context.token,
+            seq=self.seq,
+            next_index=self._receiver.next_index,
+            missing=missing,
+            window=self._receiver.window.size_parts,
+            done=done,
+        )
+        self._context.outbox.send(packet)
+
+    # State
+
+    def _restart_backoff(self, limit_s: float) -> None:
+        self._backoff = Backoff(self._seed, limit_s)
+
+    def _schedule(self, at_s: float) -> None:
+        self.due_at_s = min(at_s, self.call.deadline_at_s)
+        self._context.timers.update(self)
+
+    def _step(self, event: str) -> None:
+        self.state = _CHART.step(self.state, event)
+
+    def _end(self, event: str, result: Answer | RequestError) -> None:
+        self._step(event)
+        self.due_at_s = NEVER_S
+        self._context.outbox.emit(Completed(self.call.request_id, result))
--- /dev/null
+++ b/endivepick/client/caller.py
@@ -0,0 +1,272 @@
+"""Caller library: flows and requests for programs that run on gevent."""
+
+import itertools
+import secrets
+from collections import Counter
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
+
+import gevent
+from gevent.event import AsyncResult
+from returns.result import Failure, Result, Success
+
+from endivepick.client._messages import (
+    CancelRequest,
+    CloseFlow,
+    OpenFlow,
+    RequestSink,
+    SendRequest,
+    Stop,
+)
+from endivepick.client._task import SocketTask
+from endivepick.client.errors import CallerClosed, NotRun, OpenError, RequestError
+from endivepick.client.model import Answer, StreamEvent, StreamHead
+from endivepick.client.settings import CallerSettings
+from endivepick.client.stream import EventStream
+from endivepick.core.messages import RequestHead
+
+__all__ = ["Caller", "Flow", "PendingRequest", "open_caller"]
+
+DEFAULT_OPEN_S = 5.0
+DEFAULT_REQUEST_S = 10.0
+DEFAULT_STREAM_S = 12 * 3600.0
+
+Headers = Sequence[tuple[str, str]]
+
+
+class PendingRequest:
+    """A request under way.
+
+    Parameters
+    ----------
+    task : SocketTask
+        Task that drives it.
+    request_id : int
+        Its number in that task.
+    """
+
+    def __init__(self, task: SocketTask, request_id: int) -> None:
+        self._task = task
+        self._request_id = request_id
+        self._result: AsyncResult[Answer | RequestError] = AsyncResult()
+
+    def on_head(self, head: StreamHead) -> None:
+        """Ignore a stream's head."""
+
+    def on_event(self, event: StreamEvent) -> bool:
+        """Ignore a stream's event."""
+        return True
+
+    def on_end(self, result: Answer | RequestError) -> None:
+        """Take the end."""
+        self._result.set(result)
+
+    def cancel(self) -> None:
+        """Give the request up; `result` then tells what is known of its run."""
+        self._task.inbox.put(CancelRequest(self._request_id))
+
+    def result(self) -> Result[Answer, RequestError]:
+        """Wait for the end; a task that is killed meanwhile cancels the request."""
+        try:
+            result = self._result.get()
+        except BaseException:
+            self.cancel()
+            raise
+        if isinstance(result, RequestError):
+            return Failure(result)
+        return Success(result)
+
+
+class Flow:
+    """An open flow to one service.
+
+    Parameters
+    ----------
+    caller : Caller
+        Caller that opened it.
+    flow_id : int
+        Its number, the same for all its tokens.
+    service : str
+        Name of the service.
+    """
+
+    def __init__(self, caller: "Caller", flow_id: int, service: str) -> None:
+        self.flow_id = flow_id
+        self.service = service
+        self._caller = caller
+
+    def request(
+        self,
+        method: str = "GET",
+        path: str = "/",
+        headers: Headers = (),
+        body: bytes = b"",
+        idempotent: bool = False,
+        deadline_s: float = DEFAULT_REQUEST_S,
+    ) -> Result[Answer, RequestError]:
+        """Send a request and wait for its whole answer.
+
+        Parameters
+        ----------
+        method, path : str
+            As in HTTP.
+        headers : sequence of tuple of str
+            Headers, in order.
+        body : bytes
+            Body.
+        idempotent : bool
+            Whether running it twice does no harm. Only then is it sent again
+            when the owner of the flow is lost.
+        deadline_s : float
+            How long to wait, in seconds.
+
+        Returns
+        -------
+        returns.result.Result
+            The answer, or `NotRun`, `OutcomeUnknown` or `GaveUp`.
+        """
+        pending = self.send(method, path, headers, body, idempotent, deadline_s)
+        return pending.result()
+
+    def send(
+        self,
+        method: str = "GET",
+        path: str = "/",
+        headers: Headers = (),
+        body: bytes = b"",
+        idempotent: bool = False,
+        deadline_s: float = DEFAULT_REQUEST_S,
+    ) -> PendingRequest:
+        """Send a request without waiting; parameters as in `request`."""
+        head = RequestHead(method, path, list(headers), body)
+        request_id = self._caller.next_request_id()
+        pending = PendingRequest(self._caller.task, request_id)
+        self._submit(request_id, head, idempotent, deadline_s, pending)
+        return pending
+
+    def stream(
+        self,
+        path: str,
+        headers: Headers = (),
+        method: str = "GET",
+        body: bytes = b"",
+        idempotent: bool = True,
+        deadline_s: float = DEFAULT_STREAM_S,
+    ) -> EventStream:
+        """Ask for an event stream and return an iterator over its events.
+
+        An idempotent one goes on after the last event when the owner of the flow
+        is lost. Other parameters as in `request`.
+        """
+        request_id = self._caller.next_request_id()
+        head = RequestHead(method, path, list(headers), body, stream=True)
+        inbox = self._caller.task.inbox
+        stream = EventStream(
+            max_events=self._caller.settings.stream_buffer_events,
+            cancel=lambda: inbox.put(CancelRequest(request_id)),
+        )
+        self._submit(request_id, head, idempotent, deadline_s, stream)
+        return stream
+
+    def _submit(
+        self,
+        request_id: int,
+        head: RequestHead,
+        idempotent: bool,
+        deadline_s: float,
+        sink: RequestSink,
+    ) -> None:
+        if self._caller.closed:
+            sink.on_end(NotRun("the caller is closed"))
+            return
+        message = SendRequest(
+            request_id, self.flow_id, head, idempotent, deadline_s, sink
+        )
+        self._caller.task.inbox.put(message)
+
+    def close(self) -> None:
+        """Close the flow; requests under way are cancelled."""
+        self._caller.task.inbox.put(CloseFlow(self.flow_id))
+
+
+class Caller:
+    """Opens flows through the fabric; use `open_caller` to get one.
+
+    Parameters
+    ----------
+    settings : CallerSettings
+        Settings of the caller.
+
+    Attributes
+    ----------
+    closed : bool
+        Whether `close` was called.
+    """
+
+    def __init__(self, settings: CallerSettings) -> None:
+        self.settings = settings
+        self.closed = False
+        self.task = SocketTask(settings)
+        self._greenlet = gevent.spawn(self.task.run)
+        self._request_ids = itertools.count(1)
+
+    def next_request_id(self) -> int:
+        """Return a number for the next request."""
+        return next(self._request_ids)
+
+    @property
+    def counts(self) -> Counter[str]:
+        """What was dropped or repeated, by name."""
+        return self.task.counts
+
+    def open(
+        self, service: str, deadline_s: float = DEFAULT_OPEN_S
+    ) -> Result[Flow, OpenError]:
+        """Open a flow to a service.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        deadline_s : float
+            How long to try, in seconds.
+
+        Returns
+        -------
+        returns.result.Result
+            The flow, or `OpenRefused`, `OpenTimedOut` or `CallerClosed`.
+        """
+        if self.closed:
+            return Failure(CallerClosed())
+        opened: AsyncResult[int | OpenError] = AsyncResult()
+        message = OpenFlow(secrets.randbits(63), service, deadline_s, opened)
+        self.task.inbox.put(message)
+        result = opened.get()
+        if isinstance(result, int):
+            return Success(Flow(self, result, service))
+        return Failure(result)
+
+    def close(self) -> None:
+        """Close all flows and the socket."""
+        if self.closed:
+            return
+        self.closed = True
+        self.task.inbox.put(Stop())
+        self._greenlet.join()
+
+
+@contextmanager
+def open_caller(settings: CallerSettings) -> Iterator[Caller]:
+    """Give a caller and close it, with all its flows, at the end.
+
+    Examples
+    --------
+    >>> with open_caller(CallerSettings(fabric_address="127.0.0.1:7000")) as caller:
+    ...     caller.closed
+    False
+    """
+    caller = Caller(settings)
+    try:
+        yield caller
+    finally:
+        caller.close()
--- /dev/null
+++ b/endivepick/client/tests/test_caller.py
@@ -0,0 +1,99 @@
+"""The caller library over a real socket, against the fake owner."""
+
+import unittest
+
+import gevent
+from gevent import socket
+from returns.pipeline import is_successful
+
+from endivepick.client import (
+    CallerSettings,
+    NotRun,
+    OpenTimedOut,
+    OutcomeUnknown,
+    open_caller,
+)
+from endivepick.client.tests.fake_owner import FakeOwner
+from endivepick.core.codec import decode_caller_packet, encode_packet
+from endivepick.core.messages import Cancel, FlowClosed
+
+WAIT_S = 30.0
+
+
+class OwnerServer:
+    """Serves a fake owner on a port of the system's choice."""
+
+    def __init__(self, owner):
+        self.owner = owner
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.bind(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.socket.getsockname()[1]}"
+        self._greenlet = gevent.spawn(self._serve)
+
+    def _serve(self):
+        while True:
+            datagram, caller = self.socket.recvfrom(2048)
+            for packet in self.owner.on_packet(decode_caller_packet(datagram)):
+                self.socket.sendto(encode_packet(packet), caller)
+
+    def close(self):
+        self._greenlet.kill()
+        self.socket.close()
+
+
+class TestCaller(unittest.TestCase):
+    def setUp(self):
+        self.owner = FakeOwner()
+        server = OwnerServer(self.owner)
+        self.addCleanup(server.close)
+        self.settings = CallerSettings(fabric_address=server.address)
+
+    def _wait_for(self, kind):
+        with gevent.Timeout(WAIT_S):
+            while not self.owner.sent(kind):
+                gevent.sleep(0.01)
+
+    def test_request_is_answered(self):
+        with open_caller(self.settings) as caller:
+            flow = caller.open("notes", deadline_s=WAIT_S).unwrap()
+            answer = flow.request("POST", "/notes", body=b"abc", deadline_s=WAIT_S)
+            self.assertEqual(answer.unwrap().body, b"cba")
+            self.assertEqual(answer.unwrap().status, 200)
+        self._wait_for(FlowClosed)
+
+    def test_killed_task_cancels_its_request(self):
+        with open_caller(self.settings) as caller:
+            flow = caller.open("notes", deadline_s=WAIT_S).unwrap()
+            self.owner.silent = True
+            task = gevent.spawn(flow.request, deadline_s=WAIT_S)
+            gevent.sleep(0)
+            task.kill()
+            self._wait_for(Cancel)
+
+    def test_stream_yields_its_events_and_can_be_closed(self):
+        self.owner.body = b"id: 1\ndata: one\n\nid: 2\ndata: two\n\n"
+        with open_caller(self.settings) as caller:
+            flow = caller.open("alerts", deadline_s=WAIT_S).unwrap()
+            stream = flow.stream("/events")
+            events = [next(stream), next(stream)]
+            stream.close()
+            with self.assertRaises(OutcomeUnknown):
+                next(stream)
+        self.assertEqual([event.data for event in events], ["one", "two"])
+        self.assertEqual(events[1].event_id, "2")
+
+    def test_open_times_out_when_nobody_answers(self):
+        self.owner.silent = True
+        with open_caller(self.settings) as caller:
+            result = caller.open("notes", deadline_s=0.2)
+        self.assertFalse(is_successful(result))
+        self.assertIsInstance(result.failure(), OpenTimedOut)
+
+    def test_request_on_a_closed_caller_is_not_run(self):
+        with open_caller(self.settings) as caller:
+            flow = caller.open("notes", deadline_s=WAIT_S).unwrap()
+        self.assertIsInstance(flow.request().failure(), NotRun)
+
+
+if __name__ == "__main__":
+    unittest.main()
