Run an instance as a process

Tasks for fabric, peers, targets, platform and HTTP around the decision core. Not yet tried with other processes.

--- a/endivepick/core/instance.py
+++ b/endivepick/core/instance.py
@@ -86,7 +86,7 @@
     zone: str
     flow: FlowSettings = field(default_factory=FlowSettings)
     roles: RoleSettings = field(default_factory=RoleSettings)
-    dispatch: DispatchSettings = field(default_factory=lambda: DispatchSettings())
+    dispatch: DispatchSettings = field(default_factory=DispatchSettings)
     membership: MembershipSettings = field(default_factory=MembershipSettings)
 
 
@@ -204,10 +204,10 @@
             case Probed(service=service, target=target, outcome=outcome):
                 return self.roles.on_probed(service, target, outcome, now_s)
             case PeerSendFailed(name=name):
-                return self._follow(self.membership.direct_failure(now_s, name), now_s)
+                return self._plain(self.membership.direct_failure(now_s, name), now_s)
             case InstancesListed(entries=entries, age_s=age_s):
                 news = self.membership.on_list(now_s, entries, age_s)
-                return self._follow(news, now_s)
+                return self._plain(news, now_s)
             case ObjectsListed(kind=kind, revision=revision, objects=objects):
                 changes = self.cache.offer_list(kind, revision, objects)
                 return self._records_changed(changes, now_s)
@@ -248,7 +248,7 @@
                 news = self.membership.on_message(
                     now_s, event.sender, event.incarnation, event.message
                 )
-                return self._follow(news, now_s)
+                return self._plain(news, now_s)
 
     def _take_over(
         self, sender: Identity, message: HandOver, now_s: float
@@ -277,15 +277,16 @@
         return actions
 
     def _tick(self, now_s: float) -> list[Action]:
-        actions = self._follow(self.membership.tick(now_s, self._new_id()), now_s)
-        actions += self.lifecycle.check_ready(self._missing(), now_s)
+        actions = self._plain(self.membership.tick(now_s, self._new_id()), now_s)
+        readiness = self.lifecycle.check_ready(self._missing(), now_s)
+        actions += self._plain(readiness, now_s)
         actions += self.roles.tick(now_s)
         actions += self.owner.tick(now_s)
-        actions += self.lifecycle.tick(now_s)
+        actions += self._plain(self.lifecycle.tick(now_s), now_s)
         if now_s >= self._next_expiry_s:
             self._next_expiry_s = now_s + EXPIRY_EVERY_S
             self.table.expire(now_s)
-        return self._plain(actions, now_s)
+        return actions
 
     def _missing(self) -> str:
         """Return what keeps this instance from being ready."""
--- /dev/null
+++ b/endivepick/daemon/run.py
@@ -0,0 +1,219 @@
+"""One instance as a process: tasks around the decision core."""
+
+import json
+import random
+import signal
+import sys
+import time
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+
+import gevent
+from gevent.queue import Queue
+
+from endivepick.core.actions import Log
+from endivepick.core.events import Event, StopRequested, Tick
+from endivepick.core.instance import CoreSettings, InstanceCore
+from endivepick.core.roles import RoleSettings
+from endivepick.daemon.fabric import fabric_task
+from endivepick.daemon.http import http_task
+from endivepick.daemon.logs import PartLog, process_log
+from endivepick.daemon.metrics import DaemonMetrics
+from endivepick.daemon.peers import peer_task
+from endivepick.daemon.performer import Performer, PerformerTasks
+from endivepick.daemon.platform import platform_task
+from endivepick.daemon.status import instance_status, role_gauges
+from endivepick.daemon.targets import target_tasks
+from endivepick.settings.model import DaemonSettings
+from endivepick.timeline.clock import HybridClock
+
+__all__ = ["run"]
+
+INBOX_EVENTS = 512
+"""Events that wait for the core; a full inbox holds the socket tasks up."""
+TICK_S = 0.02
+GAUGES_EVERY_S = 1.0
+_log = PartLog("daemon")
+
+
+class _SteadyClock:
+    """Seconds since the epoch that never go back, whatever the wall clock does."""
+
+    def __init__(self) -> None:
+        self._offset_s = time.time() - time.monotonic()
+
+    def now_s(self) -> float:
+        return time.monotonic() + self._offset_s
+
+
+class _CoreLoop:
+    """Task that owns the core: takes events one by one."""
+
+    def __init__(self, core: InstanceCore, clock: _SteadyClock) -> None:
+        self.core = core
+        self._clock = clock
+        self._inbox: Queue[Event] = Queue(maxsize=INBOX_EVENTS)
+        self._urgent: Queue[Event] = Queue()
+
+    def deliver(self, event: Event) -> None:
+        """Queue an event from a socket task; waits while the inbox is full."""
+        self._inbox.put(event)
+
+    def deliver_now(self, event: Event) -> None:
+        """Queue an event from the core's own task, which must not wait."""
+        self._urgent.put(event)
+
+    def run(self, performer: Performer) -> None:
+        """Handle events until the planned stop is finished."""
+        while performer.finished is None:
+            event = self._next()
+            performer.perform(self.core.handle(event, self._clock.now_s()))
+
+    def _next(self) -> Event:
+        if not self._urgent.empty():
+            return self._urgent.get()
+        return self._inbox.get()
+
+    def tick(self) -> None:
+        """Put a tick into the inbox again and again."""
+        while True:
+            self._inbox.put(Tick())
+            gevent.sleep(TICK_S)
+
+
+def run(settings: DaemonSettings) -> int:
+    """Run an instance until its planned stop is finished.
+
+    Parameters
+    ----------
+    settings : DaemonSettings
+        All settings of the instance.
+
+    Returns
+    -------
+    int
+        Exit status: 0, or 1 if flows were left without a successor.
+    """
+    hybrid_clock = HybridClock()
+    with (
+        process_log(settings.log, settings.instance.name, hybrid_clock),
+        _instance(settings, hybrid_clock) as (loop, performer),
+    ):
+        _handle_signals(loop)
+        loop.run(performer)
+        finished = performer.finished
+        left = finished.open_flows if finished else 0
+        _log.event("stopped", "stopped", flows=left)
+        return 1 if left else 0
+
+
+@contextmanager
+def _instance(
+    settings: DaemonSettings, hybrid_clock: HybridClock
+) -> Iterator[tuple[_CoreLoop, Performer]]:
+    random_source = random.SystemRandom()
+    incarnation = random_source.getrandbits(64) | 1
+    clock = _SteadyClock()
+    metrics = DaemonMetrics()
+    holder: list[_CoreLoop] = []
+
+    def deliver(event: Event) -> None:
+        holder[0].deliver(event)
+
+    with ExitStack() as stack:
+        peers = stack.enter_context(
+            peer_task(settings, incarnation, hybrid_clock, deliver)
+        )
+        core = InstanceCore(
+            _core_settings(settings),
+            incarnation,
+            peers.address,
+            lambda: random_source.getrandbits(64),
+            clock.now_s(),
+        )
+        loop = _CoreLoop(core, clock)
+        holder.append(loop)
+        fabric = stack.enter_context(fabric_task(settings, deliver))
+        targets = stack.enter_context(target_tasks(settings, deliver))
+        http = stack.enter_context(
+            http_task(
+                settings.listen, metrics, lambda: instance_status(core, clock.now_s())
+            )
+        )
+        tasks = PerformerTasks(fabric, peers, targets, http)
+        performer = Performer(core, tasks, metrics, loop.deliver_now)
+        performer.perform(core.start())
+        _announce(settings, core, tasks)
+        stack.enter_context(platform_task(settings, deliver))
+        stack.enter_context(_spawned(loop.tick))
+        stack.enter_context(_spawned(_refresh_gauges, metrics, core))
+        yield loop, performer
+
+
+@contextmanager
+def _spawned(function, *arguments) -> Iterator[None]:  # type: ignore[no-untyped-def]
+    greenlet = gevent.spawn(function, *arguments)
+    try:
+        yield
+    finally:
+        greenlet.kill()
+
+
+def _refresh_gauges(metrics: DaemonMetrics, core: InstanceCore) -> None:
+    while True:
+        metrics.set_roles(role_gauges(core))
+        gevent.sleep(GAUGES_EVERY_S)
+
+
+def _core_settings(settings: DaemonSettings) -> CoreSettings:
+    return CoreSettings(
+        name=settings.instance.name,
+        zone=settings.instance.zone,
+        flow=settings.flow,
+        roles=RoleSettings(probe_every_s=settings.targets.probe_every_s),
+        dispatch=settings.dispatch,
+        membership=settings.membership,
+    )
+
+
+def _announce(
+    settings: DaemonSettings, core: InstanceCore, tasks: PerformerTasks
+) -> None:
+    """Print where this instance listens, for whoever started it."""
+    line = {
+        "ready": False,
+        "name": settings.instance.name,
+        "incarnation": core.me.incarnation,
+        "data_address": tasks.fabric.address,
+        "peer_address": tasks.peers.address,
+        "http_address": tasks.http.address,
+    }
+    print(json.dumps(line), flush=True)
+
+
+def _handle_signals(loop: _CoreLoop) -> None:
+    def stop() -> None:
+        if loop.core.lifecycle.stopping:
+            _say_what_is_open(loop.core)
+            return
+        loop.deliver_now(StopRequested())
+
+    gevent.signal_handler(signal.SIGTERM, stop)
+    gevent.signal_handler(signal.SIGINT, stop)
+
+
+def _say_what_is_open(core: InstanceCore) -> None:
+    open_flows = [flow for flow in core.table if flow.in_progress]
+    action = Log(
+        "daemon",
+        "stop_in_progress",
+        "planned stop goes on",
+        {"flows": len(core.table), "in_progress": len(open_flows)},
+    )
+    _log.event(action.name, action.message, **action.ids)
+    print(
+        f"{len(core.table)} flows to hand over, {len(open_flows)} of them with a "
+        "request in progress. Wait, or send SIGKILL to cut them.",
+        file=sys.stderr,
+        flush=True,
+    )
