--- a/endivepick/daemon/__main__.py
+++ b/endivepick/daemon/__main__.py
@@ -9,9 +9,9 @@
 import sys
 
 import fire
-from returns.result import Failure, Success
 
 from endivepick.daemon.run import run
+from endivepick.errors import SettingsInvalidError
 from endivepick.settings import load_settings
 
 USAGE_STATUS = 2
@@ -25,12 +25,12 @@
     settings : str
         Path of the settings file.
     """
-    match load_settings(settings):
-        case Success(loaded):
-            sys.exit(run(loaded))
-        case Failure(error):
-            print(error, file=sys.stderr)
-            sys.exit(USAGE_STATUS)
+    try:
+        loaded = load_settings(settings)
+    except SettingsInvalidError as error:
+        print(error, file=sys.stderr)
+        sys.exit(USAGE_STATUS)
+    sys.exit(run(loaded))
 
 
 if __name__ == "__main__":
