Bound membership numbers on the wire and type the unknown key

A counter at the end of its range could not be increased and encoded again, and an unknown key looked like a forged token. Dropping such messages in the core was weighed; the decoder does it once for all. Keys now outlive the longest cut in which an instance may have signed with them.

--- a/endivepick/core/keyring.py
+++ b/endivepick/core/keyring.py
@@ -8,7 +8,7 @@
 >>> from endivepick.core.keyring import first_keyring
 >>> keyring = first_keyring(bytes(range(32)), now_s=100.0)
 >>> key_id, mac = keyring.sign(b"flow")
->>> key_id, keyring.verify(key_id, b"flow", mac), keyring.verify(7, b"flow", mac)
+>>> key_id, keyring.verify(key_id, b"flow", mac), keyring.verify(1, b"other", mac)
 (1, True, False)
 """
 
@@ -21,7 +21,11 @@
 import pydantic
 from returns.result import Failure, Result, Success
 
-from endivepick.errors import EndivepickError, RecordInvalidError
+from endivepick.errors import (
+    EndivepickError,
+    RecordInvalidError,
+    TokenInvalidError,
+)
 from endivepick.membership.view import InstanceView, PeerState
 
 __all__ = [
@@ -30,6 +34,7 @@
     "Keyring",
     "MAC_SIZE_BYTES",
     "TokenKey",
+    "UNKNOWN_KEY_REASON",
     "activate_pending",
     "add_pending",
     "first_keyring",
@@ -42,6 +47,7 @@
 KEY_SIZE_BYTES = 32
 MAC_SIZE_BYTES = 16
 SCHEMA_VERSION = 1
+UNKNOWN_KEY_REASON = "unknown_key"
 
 
 class KeyActivationRefusedError(EndivepickError):
@@ -95,12 +101,17 @@
     def verify(self, key_id: int, data: bytes, mac: bytes) -> bool:
         """Tell whether a MAC is genuine, in constant time.
 
-        An unknown ``key_id`` gives False; ask ``holds`` first to tell it from a
-        forged token.
+        Raises
+        ------
+        TokenInvalidError
+            With reason ``unknown_key`` if the key is not here: fetch the keyring
+            and let the caller come back.  The flow is not lost by it.
         """
         key = self.keys.get(key_id)
         if key is None:
-            return False
+            raise TokenInvalidError(
+                UNKNOWN_KEY_REASON, "Come back when this instance has the new keyring."
+            )
         return hmac.compare_digest(_mac(key.secret, data), mac)
 
     def holds(self, key_id: int) -> bool:
@@ -212,7 +223,12 @@
     return Keyring(current=pending.key_id, keys=keys)
 
 
-def retire_old(keyring: Keyring, token_lifetime_s: float, now_s: float) -> Keyring:
+def retire_old(
+    keyring: Keyring,
+    token_lifetime_s: float,
+    cut_off_allowance_s: float,
+    now_s: float,
+) -> Keyring:
     """Return the keyring without keys of which no token can be valid.
 
     Parameters
@@ -221,13 +237,17 @@
         Present keyring.
     token_lifetime_s : float
         Longest validity of a token, clock error included, in seconds.
+    cut_off_allowance_s : float
+        How long an instance that missed the rotation may have gone on signing
+        with the earlier key, in seconds.
     now_s : float
         Present time, in seconds since the epoch.
     """
+    oldest_s = now_s - token_lifetime_s - cut_off_allowance_s
     keys = {
         key.key_id: key
         for key in keyring.keys.values()
-        if key.replaced_at_s is None or now_s - key.replaced_at_s <= token_lifetime_s
+        if key.replaced_at_s is None or key.replaced_at_s >= oldest_s
     }
     return replace(keyring, keys=keys)
 
@@ -235,7 +255,7 @@
 class _KeyBody(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra="forbid")
 
-    key_id: int = pydantic.Field(ge=1, lt=2**32)
+    key_id: int = pydantic.Field(ge=1, lt=2**16)
     secret_hex: str = pydantic.Field(pattern=rf"^[0-9a-f]{{{2 * KEY_SIZE_BYTES}}}$")
     created_at_s: float = pydantic.Field(ge=0, allow_inf_nan=False)
     replaced_at_s: float | None = pydantic.Field(None, ge=0, allow_inf_nan=False)
--- a/endivepick/core/tests/test_keyring.py
+++ b/endivepick/core/tests/test_keyring.py
@@ -5,6 +5,7 @@
 
 from endivepick.core import keyring as keyring_module
 from endivepick.core.keyring import (
+    UNKNOWN_KEY_REASON,
     activate_pending,
     add_pending,
     first_keyring,
@@ -13,10 +14,11 @@
     may_activate,
     retire_old,
 )
-from endivepick.errors import RecordInvalidError
+from endivepick.errors import RecordInvalidError, TokenInvalidError
 from endivepick.membership.view import InstanceView, PeerState
 
 LIFETIME_S = 3600.0
+ALLOWANCE_S = 60.0
 
 
 def secret(number):
@@ -52,10 +54,13 @@
         first = first_keyring(secret(1), 0.0)
         key_id, mac = first.sign(b"x")
         twice = rotated(rotated(first, 2, 100.0), 3, 200.0)
-        kept = retire_old(twice, LIFETIME_S, 100.0 + LIFETIME_S)
+        kept = retire_old(twice, LIFETIME_S, ALLOWANCE_S, 160.0 + LIFETIME_S)
         self.assertTrue(kept.verify(key_id, b"x", mac))
-        gone = retire_old(twice, LIFETIME_S, 101.0 + LIFETIME_S)
+        gone = retire_old(twice, LIFETIME_S, ALLOWANCE_S, 161.0 + LIFETIME_S)
         self.assertEqual(sorted(gone.keys), [2, 3])
+        with self.assertRaises(TokenInvalidError) as caught:
+            gone.verify(key_id, b"x", mac)
+        self.assertEqual(caught.exception.reason, UNKNOWN_KEY_REASON)
 
     def test_racing_rotations_add_one_key(self):
         once = add_pending(first_keyring(secret(1), 0.0), secret(2), 1.0)
--- a/endivepick/membership/_member.py
+++ b/endivepick/membership/_member.py
@@ -118,16 +118,17 @@
         if self.phase >= Phase.LEAVING or self.listed_leaving:
             self._step("leave")
 
-    def set_listed_leaving(self, leaving: bool) -> None:
-        """Take over what the platform's list says."""
+    def set_listed_leaving(self, leaving: bool) -> bool:
+        """Take over what the platform's list says; return whether it is new."""
         if leaving == self.listed_leaving:
-            return
+            return False
         self.listed_leaving = leaving
         if leaving:
             self._step("leave")
         elif self.phase < Phase.LEAVING:
             self._step("stay")
             self.set_liveness(self.liveness)
+        return True
 
     def _step(self, event: str) -> None:
         if _CHART.allows(self.state, event):
--- a/endivepick/membership/_questions.py
+++ b/endivepick/membership/_questions.py
@@ -32,8 +32,10 @@
             return True
         asked_s = self._ask(name, incarnation, now_s)
         if member is not None and member.heard and not self._table.is_dead(member):
-            self._prober.hurry(name)
-            return member.last_ack_s > asked_s
+            answered = member.last_ack_s > asked_s
+            if not answered:
+                self._prober.hurry(name)
+            return answered
         waited_s = now_s - asked_s
         joined = self._table.own.joined
         return joined and waited_s >= self._settings.unknown_dead_after_s
--- a/endivepick/membership/_table.py
+++ b/endivepick/membership/_table.py
@@ -15,6 +15,11 @@
 from endivepick.membership.view import InstanceView, ListedInstance, PeerState
 
 
+def _may_take_roles(view: InstanceView) -> bool:
+    serving = view.state in (PeerState.ALIVE, PeerState.SUSPECT)
+    return serving and view.ready and view.incarnation != 0
+
+
 class MemberTable:
     """All peers by name; owns their entries and timers."""
 
@@ -131,9 +136,15 @@
         if old == new:
             return
         self._views[member.name] = new
-        self._live = None
+        if old is None or _may_take_roles(old) != _may_take_roles(new):
+            self._live = None
         self._outbox.add(PeerChanged(old, new))
 
+    def set_listed(self, member: Member, leaving: bool) -> None:
+        """Take over whether the platform's list says that a peer leaves."""
+        if member.set_listed_leaving(leaving):
+            self.publish(member)
+
     # Rules
 
     def _insert(self, name: str, zone: str, peer_address: str) -> Member:
--- a/endivepick/membership/core.py
+++ b/endivepick/membership/core.py
@@ -270,9 +270,9 @@
         member.was_listed = True
         if not member.heard:
             member.describe(entry)
-        if member.heard and member.heard_since_s <= snapshot_s:
-            member.set_listed_leaving(entry.leaving)
-        self._table.publish(member)
+            self._table.publish(member)
+        elif member.heard_since_s <= snapshot_s:
+            self._table.set_listed(member, entry.leaving)
 
     def _unlist(self, name: str) -> None:
         member = self._table.members[name]
--- a/endivepick/membership/peer_messages.py
+++ b/endivepick/membership/peer_messages.py
@@ -4,6 +4,7 @@
 """
 
 from enum import IntEnum
+from typing import Annotated
 
 import msgspec
 
@@ -23,6 +24,12 @@
 ]
 
 
+_Counter = Annotated[int, msgspec.Meta(ge=0, lt=2**62)]
+"""Number that may be increased and still fits the wire."""
+_Incarnation = Annotated[int, msgspec.Meta(ge=0)]
+_Text = Annotated[str, msgspec.Meta(max_length=255)]
+
+
 class Phase(IntEnum):
     """What an instance says about itself; only grows within an incarnation."""
 
@@ -62,15 +69,15 @@
         Who suspects it; empty if nobody does.
     """
 
-    name: str
-    zone: str
-    peer_address: str
-    incarnation: int
-    generation: int
+    name: _Text
+    zone: _Text
+    peer_address: _Text
+    incarnation: _Incarnation
+    generation: _Counter
     phase: Phase
-    refutation: int
+    refutation: _Counter
     liveness: Liveness
-    accuser: str = ""
+    accuser: _Text = ""
 
 
 class HandedOver(msgspec.Struct, frozen=True, array_like=True):
@@ -92,12 +99,12 @@
         How long the entry stays of use, in seconds.
     """
 
-    incarnation: int
-    service: str
-    to_name: str
-    to_incarnation: int
-    order: int
-    remaining_s: int
+    incarnation: _Incarnation
+    service: _Text
+    to_name: _Text
+    to_incarnation: _Incarnation
+    order: _Counter
+    remaining_s: _Counter
 
 
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag=64):
@@ -115,9 +122,9 @@
         Piggy-backed hand-overs.
     """
 
-    sequence: int
-    known_incarnation: int
-    known_refutation: int
+    sequence: _Counter
+    known_incarnation: _Incarnation
+    known_refutation: _Counter
     updates: list[MemberUpdate]
     handed_over: list[HandedOver]
 
@@ -125,7 +132,7 @@
 class Ack(msgspec.Struct, frozen=True, array_like=True, tag=65):
     """Answer to ``Ping``."""
 
-    sequence: int
+    sequence: _Counter
     updates: list[MemberUpdate]
     handed_over: list[HandedOver]
 
@@ -133,15 +140,15 @@
 class PingRequest(msgspec.Struct, frozen=True, array_like=True, tag=66):
     """Ask a peer to probe another instance."""
 
-    sequence: int
-    name: str
+    sequence: _Counter
+    name: _Text
 
 
 class ProbeReport(msgspec.Struct, frozen=True, array_like=True, tag=67):
     """Answer to ``PingRequest``, also when the instance was not reached."""
 
-    sequence: int
-    name: str
+    sequence: _Counter
+    name: _Text
     reached: bool
     updates: list[MemberUpdate]
 
@@ -149,7 +156,7 @@
 class SyncRequest(msgspec.Struct, frozen=True, array_like=True, tag=68):
     """Ask for one page of all that a peer knows; ``cursor`` starts at 0."""
 
-    cursor: int
+    cursor: _Counter
     me: MemberUpdate
 
 
@@ -168,7 +175,7 @@
         Entries of the hand-overs.
     """
 
-    next_cursor: int
+    next_cursor: _Counter
     wanted: list[int]
     members: list[MemberUpdate]
     handed_over: list[HandedOver]
--- a/endivepick/membership/settings.py
+++ b/endivepick/membership/settings.py
@@ -78,7 +78,7 @@
     mass_dead_after_s: float = 6.0
     mass_window_s: float = 10.0
     fresh_evidence_s: float = 1.0
-    pause_s: float = 1.0
+    pause_s: float = 0.5
     health_max: int = 4
     dead_probe_period_s: float = 1.0
     dead_kept_s: float = 3600.0
