--- a/endivepick/core/roles.py
+++ b/endivepick/core/roles.py
@@ -124,9 +124,7 @@
             return self._drop(service)
         active = self._active[service]
         active.next_probe_s = now_s
-        return self._executor.carry_out(
-            dispatcher.update_record(record, now_s), now_s
-        )
+        return self._executor.carry_out(dispatcher.update_record(record, now_s), now_s)
 
     def _drop(self, service: str) -> list[Action]:
         del self._active[service]
--- a/endivepick/membership/_departed.py
+++ b/endivepick/membership/_departed.py
@@ -47,7 +47,7 @@
         lifetime_s = int(self._settings.departed_kept_s)
         self.merge(now_s, HandedOver(giver, service, *successor, order, lifetime_s))
 
-    def merge(self, now_s: float, news: HandedOver) -> None:
+    def merge(self, now_s: float, news: HandedOver, passed_on: bool = True) -> None:
         """Take over a hand-over; of two for one key the later order stays."""
         key = (news.incarnation, news.service)
         known = self._entries.get(key)
@@ -60,7 +60,8 @@
         self._make_room()
         remaining_s = min(float(news.remaining_s), self._settings.departed_kept_s)
         self._add(key, news, now_s + remaining_s)
-        self._spread.put(key, self.peer_count)
+        if passed_on:
+            self._spread.put(key, self.peer_count)
 
     def _add(self, key: _Key, news: HandedOver, expires_s: float) -> None:
         text = f"{key[0]}:{key[1]}:{news.order}:{news.to_incarnation}"
--- a/endivepick/membership/_member.py
+++ b/endivepick/membership/_member.py
@@ -50,6 +50,11 @@
         """The incarnation is known."""
         return self.incarnation != 0
 
+    @property
+    def accused(self) -> bool:
+        """Others found the incarnation suspect or dead, which it may refute."""
+        return self.heard and self.liveness is not Liveness.ALIVE
+
     @property
     def age_key(self) -> tuple[int, int]:
         """Order of the incarnations of one name."""
--- a/endivepick/membership/_prober.py
+++ b/endivepick/membership/_prober.py
@@ -79,7 +79,7 @@
         """
         self._follow_up(now_s, random_number)
         if self._urgent:
-            self._probe(now_s, self._urgent.popleft())
+            self._probe_or_repeat(now_s, self._urgent.popleft())
         if now_s < self._next_probe_s:
             return False
         period_s = self._settings.probe_period_s
@@ -90,6 +90,14 @@
             self._probe_next_dead(now_s)
         return True
 
+    def _probe_or_repeat(self, now_s: float, name: str) -> None:
+        """Probe a peer, or send open probes again: a new link loses the first."""
+        open_probes = [(s, p) for s, p in self._probes.items() if p.name == name]
+        for sequence, probe in open_probes:
+            self._send_ping(now_s, sequence, probe)
+        if not open_probes:
+            self._probe(now_s, name)
+
     def _probe_next(self, now_s: float, random_number: int) -> None:
         refilled = False
         while True:
@@ -128,22 +136,28 @@
         if member is None or (not requester and self._is_probed(name)):
             return
         self._sequence += 1
-        own = self._table.own
-        introduce = member.introduced_refutation != own.refutation
-        self._probes[self._sequence] = _Probe(
-            name, now_s, own.refutation if introduce else -1, requester, sequence
+        refutation = self._table.own.refutation
+        introduced = member.introduced_refutation == refutation
+        probe = _Probe(
+            name, now_s, -1 if introduced else refutation, requester, sequence
         )
-        updates = [own.to_update()] if introduce else []
-        self._outbox.send(
-            name,
-            Ping(
-                self._sequence,
-                member.incarnation,
-                member.refutation,
-                self._news(updates, member),
-                self._departed.take_news(now_s, self._settings.piggyback_count),
-            ),
+        self._probes[self._sequence] = probe
+        self._send_ping(now_s, self._sequence, probe)
+
+    def _send_ping(self, now_s: float, sequence: int, probe: _Probe) -> None:
+        member = self._table.members.get(probe.name)
+        if member is None:
+            return
+        updates = [] if probe.refutation < 0 else [self._table.own.to_update()]
+        handed_over = self._departed.take_news(now_s, self._settings.piggyback_count)
+        ping = Ping(
+            sequence,
+            member.incarnation,
+            member.refutation,
+            self._news(updates, member),
+            handed_over,
         )
+        self._outbox.send(probe.name, ping)
 
     def _is_probed(self, name: str) -> bool:
         return any(p.name == name and not p.requester for p in self._probes.values())
@@ -152,7 +166,7 @@
         self, updates: list[MemberUpdate], receiver: Member | None
     ) -> list[MemberUpdate]:
         """Add the receiver's own bad news, which it may refute, and others."""
-        if receiver is not None and receiver.heard and receiver.state != "alive":
+        if receiver is not None and receiver.accused:
             updates.append(receiver.to_update())
         return updates + self._table.take_news(self._settings.piggyback_count)
 
--- a/endivepick/membership/_sync.py
+++ b/endivepick/membership/_sync.py
@@ -107,9 +107,9 @@
     def on_page(self, now_s: float, sender: str, page: SyncPage) -> None:
         """Merge a page, and go on with the next one while joining."""
         for update in page.members:
-            self._table.merge(now_s, update)
+            self._table.merge(now_s, update, passed_on=update.name == sender)
         for news in page.handed_over:
-            self._departed.merge(now_s, news)
+            self._departed.merge(now_s, news, passed_on=False)
         if page.wanted:
             self._send_buckets(now_s, sender, page.wanted, wanted=[])
         elif not self._table.own.joined:
--- a/endivepick/membership/_table.py
+++ b/endivepick/membership/_table.py
@@ -39,6 +39,7 @@
         self.spread: SpreadQueue[str] = SpreadQueue(settings.spread_factor)
         self._views: dict[str, InstanceView] = {own.name: own.to_view()}
         self._live: tuple[str, ...] | None = None
+        self._passes_on = True
 
     # What others read
 
@@ -71,8 +72,23 @@
 
     # Events
 
-    def merge(self, now_s: float, update: MemberUpdate) -> None:
-        """Take over news about an instance if they are newer."""
+    def merge(self, now_s: float, update: MemberUpdate, passed_on: bool = True) -> None:
+        """Take over news about an instance if they are newer.
+
+        Parameters
+        ----------
+        now_s : float
+            Present time, in seconds.
+        update : MemberUpdate
+            The news.
+        passed_on : bool
+            Whether to spread them; False for what others know already.
+        """
+        self._passes_on = passed_on
+        self._merge(now_s, update)
+        self._passes_on = True
+
+    def _merge(self, now_s: float, update: MemberUpdate) -> None:
         if update.name == self.own.name:
             self._merge_own(update)
             return
@@ -254,7 +270,7 @@
         self._spread_and_publish(member)
 
     def _spread_and_publish(self, member: Member) -> None:
-        if member.heard:
+        if member.heard and self._passes_on:
             self.spread.put(member.name, len(self.members))
         self.publish(member)
 
--- a/endivepick/membership/tests/test_membership.py
+++ b/endivepick/membership/tests/test_membership.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from endivepick.core.chart import load_chart
+from endivepick.core.codec import decode_struct, encode_struct
 from endivepick.membership import (
     LeaveRequested,
     ListedInstance,
@@ -12,10 +13,24 @@
     MembershipSettings,
     PeerChanged,
     PeerState,
+    Send,
     Superseded,
     core,
 )
 from endivepick.membership._loop import Loop
+from endivepick.membership.peer_messages import (
+    Ack,
+    HandedOver,
+    Liveness,
+    MemberUpdate,
+    Phase,
+    Ping,
+    PingRequest,
+    ProbeReport,
+    SyncDigest,
+    SyncPage,
+    SyncRequest,
+)
 
 SETTINGS = MembershipSettings()
 ZONES = ("fukuoka", "kumamoto", "kagoshima")
@@ -48,6 +63,54 @@
     return sum(isinstance(action, kind) for _, _, action in loop.actions)
 
 
+def random_update(name, incarnation=5, generation=1, phase=1, refutation=0, dead=0):
+    return MemberUpdate(
+        name,
+        "thamel",
+        "127.0.0.1:1",
+        incarnation,
+        generation,
+        Phase(phase),
+        refutation,
+        Liveness(dead),
+    )
+
+
+def updates():
+    return st.builds(
+        random_update,
+        st.sampled_from(["b", "c", "entry-0", "entry-1"]),
+        st.integers(0, 3),
+        st.just(1),
+        st.integers(0, 3),
+        st.integers(0, 3),
+        st.integers(0, 2),
+    )
+
+
+OLDER = [(name, number) for name in ("b", "c") for number in (1, 2, 3)]
+
+
+def messages():
+    number = st.integers(0, 2**40)
+    news = st.lists(updates(), max_size=3)
+    hand_over = st.builds(
+        HandedOver, number, st.just("notes"), st.just("b"), number, number, number
+    )
+    hand_overs = st.lists(hand_over, max_size=3)
+    wanted = st.lists(st.integers(-1, 300), max_size=300)
+    message = st.one_of(
+        st.builds(Ping, number, number, number, news, hand_overs),
+        st.builds(Ack, number, news, hand_overs),
+        st.builds(PingRequest, number, st.sampled_from(["b", "entry-1"])),
+        st.builds(ProbeReport, number, st.just("entry-1"), st.booleans(), news),
+        st.builds(SyncRequest, number, updates()),
+        st.builds(SyncPage, number, wanted, news, hand_overs),
+        st.builds(SyncDigest, wanted, wanted),
+    )
+    return st.tuples(st.sampled_from(["b", "entry-0", "entry-1"]), message)
+
+
 class DetectionTest(unittest.TestCase):
     def test_examples_run(self):
         self.assertEqual(doctest.testmod(core).failed, 0)
@@ -96,6 +159,25 @@
         loop.run(0.4)
         self.assertIs(node.view()["entry-4"].state, PeerState.SUSPECT)
 
+    def test_probe_is_sent_again_when_its_link_was_not_up(self):
+        loop = started()
+        loop.run(5)
+        lost = set()
+
+        def loses_first(sender, receiver):
+            first = sender == "entry-0" and receiver not in lost
+            if first:
+                lost.add(receiver)
+                node = loop.nodes[sender]
+                loop.carry_out(sender, node.direct_failure(loop.now_s, receiver))
+            return first
+
+        before = count_of(loop, PeerChanged)
+        loop.is_cut = loses_first
+        loop.run(10)
+        self.assertEqual(len(lost), 8)
+        self.assertEqual(count_of(loop, PeerChanged), before)
+
     def test_lost_rack_is_dropped_and_the_rest_stay(self):
         loop = started(12)
         for name in ("entry-0", "entry-3", "entry-6", "entry-9"):
@@ -342,6 +424,52 @@
         loop.carry_out("a", node.on_list(0.0, []))
         self.assertNotIn("ghost", node.view())
 
+    @settings(derandomize=True, max_examples=200)
+    @given(st.lists(updates(), max_size=8), st.randoms(use_true_random=False))
+    def test_order_of_news_does_not_matter(self, news, random):
+        views = []
+        for _ in range(2):
+            loop = Loop()
+            node = loop.add("a", "thamel")
+            for update in news:
+                node.on_message(0.0, "p", 1, Ack(0, [update], []))
+            # Whether the present incarnation is dead may wait for a time-out.
+            seen = {u.name: u.incarnation for u in node.view().values()}
+            older = [one for one in OLDER if seen.get(one[0]) != one[1]]
+            views.append((seen, [node.is_incarnation_dead(*one) for one in older]))
+            random.shuffle(news)
+        self.assertEqual(*views)
+
+    @settings(derandomize=True, max_examples=300)
+    @given(st.lists(messages(), max_size=8))
+    def test_no_message_ends_the_core(self, received):
+        loop = Loop()
+        node = loop.add("entry-0", "thamel")
+        loop.add("entry-1", "thamel")
+        loop.list_all()
+        for sender, message in received:
+            decoded = decode_struct(encode_struct(message), type(message))
+            actions = node.on_message(0.0, sender, 7, decoded)
+            for action in actions + node.tick(0.0, 1) + node.tick(0.3, 2):
+                if isinstance(action, Send):
+                    encode_struct(action.message)
+
+    def test_what_comes_in_pages_is_not_spread_again(self):
+        loop = started(3)
+        loop.run(10)
+        known = [random_update(f"entry-{number}") for number in range(100, 120)]
+        node = loop.nodes["entry-0"]
+        node.on_message(loop.now_s, "entry-1", 1, SyncPage(0, [], known, []))
+        loop.actions.clear()
+        loop.run(5)
+        carried = [
+            update
+            for _, name, action in loop.actions
+            if name == "entry-0" and isinstance(action, Send)
+            for update in getattr(action.message, "updates", [])
+        ]
+        self.assertEqual([u for u in carried if u in known], [])
+
     def test_membership_can_start_alone(self):
         loop = Loop()
         node = loop.add("a", "thamel")
