--- a/endivepick/membership/_table.py
+++ b/endivepick/membership/_table.py
@@ -15,6 +15,11 @@
 from endivepick.membership.view import InstanceView, ListedInstance, PeerState
 
 
+def _may_take_roles(view: InstanceView) -> bool:
+    serving = view.state in (PeerState.ALIVE, PeerState.SUSPECT)
+    return serving and view.ready and view.incarnation != 0
+
+
 class MemberTable:
     """All peers by name; owns their entries and timers."""
 
@@ -34,6 +39,7 @@
         self.spread: SpreadQueue[str] = SpreadQueue(settings.spread_factor)
         self._views: dict[str, InstanceView] = {own.name: own.to_view()}
         self._live: tuple[str, ...] | None = None
+        self._passes_on = True
 
     # What others read
 
@@ -66,8 +72,23 @@
 
     # Events
 
-    def merge(self, now_s: float, update: MemberUpdate) -> None:
-        """Take over news about an instance if they are newer."""
+    def merge(self, now_s: float, update: MemberUpdate, passed_on: bool = True) -> None:
+        """Take over news about an instance if they are newer.
+
+        Parameters
+        ----------
+        now_s : float
+            Present time, in seconds.
+        update : MemberUpdate
+            The news.
+        passed_on : bool
+            Whether to spread them; False for what others know already.
+        """
+        self._passes_on = passed_on
+        self._merge(now_s, update)
+        self._passes_on = True
+
+    def _merge(self, now_s: float, update: MemberUpdate) -> None:
         if update.name == self.own.name:
             self._merge_own(update)
             return
@@ -131,9 +152,15 @@
         if old == new:
             return
         self._views[member.name] = new
-        self._live = None
+        if old is None or _may_take_roles(old) != _may_take_roles(new):
+            self._live = None
         self._outbox.add(PeerChanged(old, new))
 
+    def set_listed(self, member: Member, leaving: bool) -> None:
+        """Take over whether the platform's list says that a peer leaves."""
+        if member.set_listed_leaving(leaving):
+            self.publish(member)
+
     # Rules
 
     def _insert(self, name: str, zone: str, peer_address: str) -> Member:
@@ -243,7 +270,7 @@
         self._spread_and_publish(member)
 
     def _spread_and_publish(self, member: Member) -> None:
-        if member.heard:
+        if member.heard and self._passes_on:
             self.spread.put(member.name, len(self.members))
         self.publish(member)
 
