Accept the write id in a keyring object

Every conditional write carries a write id in the body, by which a writer whose answer was lost finds out the outcome; the keyring refused it as an unknown field, so that rotation by the command line could not work. The field is read and left out of the keyring. The command line's rotation test failed first for this.

--- a/endivepick/core/keyring.py
+++ b/endivepick/core/keyring.py
@@ -245,6 +245,7 @@
     model_config = pydantic.ConfigDict(extra="forbid")
 
     schema_version: int = pydantic.Field(ge=SCHEMA_VERSION, le=SCHEMA_VERSION)
+    write_id: str = pydantic.Field("", max_length=64)
     current: int
     keys: list[_KeyBody] = pydantic.Field(min_length=1, max_length=1000)
 
