Take the core's own event and counter names

The core emits Count and Log actions with names of its own; a method for each counter would have to follow every new one. Counters go by the core's name and label; the time line ties requests by attempt_started and the last attempt before an answer, since an answer names no target.

--- a/endivepick/daemon/metrics.py
+++ b/endivepick/daemon/metrics.py
@@ -14,6 +14,24 @@
     *(1.0, 2.5, 5.0, 10.0, 30.0, float("inf")),
 )
 _NO_LABELS: dict[str, str] = {}
+_PLAIN = ("reason", "")
+_COUNTERS = {
+    "refused": ("reason", "Requests answered as not run, by reason."),
+    "outcome_unknown": (
+        "reason",
+        "Requests whose outcome at the target is unknown, by reason.",
+    ),
+    "packets_dropped": ("reason", "Datagrams dropped, by reason."),
+    "packets_relayed": ("reason", "Datagrams handed to the owner of their flow."),
+    "owner_unreachable": ("reason", "Datagrams whose owner could not be reached."),
+    "flows_opened": ("service", "Flows opened, by service."),
+    "opens_refused": ("reason", "Flows not opened, by reason."),
+    "flows_reissued": ("reason", "Flows with a new owner after the loss of one."),
+    "flows_handed_over": ("reason", "Flows moved to a successor as planned."),
+    "attempts_retried": ("reason", "Requests sent to a second target, by reason."),
+    "platform_calls": ("result", "Calls of the platform's object API, by result."),
+}
+"""Label and meaning of each counter, by the name of the core's ``Count`` action."""
 
 
 @dataclass(frozen=True)
@@ -53,43 +71,17 @@
     Examples
     --------
     >>> metrics = DaemonMetrics()
-    >>> metrics.request_refused("queue_full")
+    >>> metrics.count("refused", "queue_full")
     >>> body, headers = metrics.render([])
-    >>> b'endivepick_requests_refused_total{reason="queue_full"} 1' in body
+    >>> b'endivepick_refused_total{reason="queue_full"} 1' in body
     True
     """
 
     def __init__(self) -> None:
         self._registry = Registry()
-        self._refused = self._counter(
-            "requests_refused_total", "Requests answered as not run, by reason."
-        )
-        self._unknown = self._counter(
-            "requests_outcome_unknown_total",
-            "Requests whose outcome at the target is unknown, by reason.",
-        )
-        self._dropped = self._counter(
-            "datagrams_dropped_total", "Datagrams dropped, by reason."
-        )
-        self._relayed = self._counter(
-            "datagrams_relayed_total", "Datagrams handed to another instance."
-        )
-        self._opened = self._counter("flows_opened_total", "Flows opened.")
-        self._open_refused = self._counter(
-            "opens_refused_total", "Flows not opened, by reason."
-        )
-        self._reissued = self._counter(
-            "flows_reissued_total", "Flows issued again after the loss of an owner."
-        )
-        self._handed_over = self._counter(
-            "flows_handed_over_total", "Flows handed over to a successor."
-        )
-        self._retried = self._counter(
-            "requests_retried_total", "Requests sent to a second target, by reason."
-        )
-        self._platform_calls = self._counter(
-            "platform_calls_total", "Calls of the platform's object API, by result."
-        )
+        self._counters = {
+            name: self._counter(name, text) for name, (_, text) in _COUNTERS.items()
+        }
         self._time_to_answer = Histogram(
             "endivepick_time_to_answer_seconds",
             "Time from the whole request at the owner to its answer, by service.",
@@ -112,7 +104,7 @@
         )
 
     def _counter(self, name: str, text: str) -> Counter:
-        return Counter(f"endivepick_{name}", text, registry=self._registry)
+        return Counter(f"endivepick_{name}_total", text, registry=self._registry)
 
     def _gauge(self, name: str, text: str) -> Gauge:
         return Gauge(f"endivepick_{name}", text, registry=self._registry)
@@ -121,45 +113,20 @@
         """Count an answer and the time that it took, in seconds."""
         self._time_to_answer.observe({"service": service}, float(duration_s))
 
-    def request_refused(self, reason: str) -> None:
-        """Count a request answered as not run."""
-        self._refused.inc({"reason": reason})
-
-    def request_outcome_unknown(self, reason: str) -> None:
-        """Count a request whose outcome is unknown."""
-        self._unknown.inc({"reason": reason})
+    def count(self, name: str, label: str = "") -> None:
+        """Count one event.
 
-    def request_retried(self, reason: str) -> None:
-        """Count a request that was sent to a second target."""
-        self._retried.inc({"reason": reason})
-
-    def datagram_dropped(self, reason: str) -> None:
-        """Count a datagram that was not understood or not wanted."""
-        self._dropped.inc({"reason": reason})
-
-    def datagram_relayed(self) -> None:
-        """Count a datagram handed to another instance."""
-        self._relayed.inc(_NO_LABELS)
-
-    def flow_opened(self) -> None:
-        """Count a new flow."""
-        self._opened.inc(_NO_LABELS)
-
-    def open_refused(self, reason: str) -> None:
-        """Count a flow that was not opened."""
-        self._open_refused.inc({"reason": reason})
-
-    def flow_reissued(self) -> None:
-        """Count a flow whose owner was lost."""
-        self._reissued.inc(_NO_LABELS)
-
-    def flow_handed_over(self) -> None:
-        """Count a flow that moved to a successor as planned."""
-        self._handed_over.inc(_NO_LABELS)
-
-    def platform_called(self, result: str) -> None:
-        """Count a call of the platform, ``ok`` or the kind of failure."""
-        self._platform_calls.inc({"result": result})
+        Parameters
+        ----------
+        name : str
+            What happened, as in the decision core's ``Count`` action.
+        label : str
+            Reason or service; empty if the counter has none.
+        """
+        if name not in self._counters:
+            self._counters[name] = self._counter(name, name.replace("_", " "))
+        key = _COUNTERS.get(name, _PLAIN)[0]
+        self._counters[name].inc({key: label} if label else _NO_LABELS)
 
     def set_roles(self, gauges: RoleGauges) -> None:
         """Replace all gauges."""
--- a/endivepick/timeline/causes.py
+++ b/endivepick/timeline/causes.py
@@ -15,8 +15,8 @@
 
 __all__ = [
     "ANSWER_RECEIVED",
+    "ATTEMPT_STARTED",
     "REQUEST_ANSWERED",
-    "REQUEST_DISPATCHED",
     "REQUEST_SENT",
     "Edge",
     "cross_edges",
@@ -25,7 +25,7 @@
 
 REQUEST_SENT = "request_sent"
 """Caller: the first part of a request is about to leave."""
-REQUEST_DISPATCHED = "request_dispatched"
+ATTEMPT_STARTED = "attempt_started"
 """Owner: the request is about to go to ``target``."""
 REQUEST_ANSWERED = "request_answered"
 """Owner: the target's whole answer has come."""
@@ -87,20 +87,36 @@
 def _target_edges(
     events: Sequence[LogEvent], indices: Sequence[int], answered: int | None
 ) -> Iterator[Edge]:
+    answering = _answering_target(events, indices, answered)
     for index in indices:
         event = events[index]
         if event.clock is not None or event.target is None:
             continue
         if event.event in _TARGET_FIRST:
-            dispatched = _first(events, indices, REQUEST_DISPATCHED, event.target)
-            if dispatched is not None:
-                yield Edge(dispatched, index)
-        if answered is None or event.event not in _TARGET_LAST:
-            continue
-        if events[answered].target == event.target:
+            started = _first(events, indices, ATTEMPT_STARTED, event.target)
+            if started is not None:
+                yield Edge(started, index)
+        is_end = event.event in _TARGET_LAST and event.target == answering
+        if is_end and answered is not None:
             yield Edge(index, answered)
 
 
+def _answering_target(
+    events: Sequence[LogEvent], indices: Sequence[int], answered: int | None
+) -> str | None:
+    """Find the target of the last attempt before the answer."""
+    if answered is None:
+        return None
+    until = events[answered].clock or 0
+    attempts = [
+        events[index]
+        for index in indices
+        if events[index].event == ATTEMPT_STARTED and (events[index].clock or 0) < until
+    ]
+    last = max(attempts, key=lambda event: event.clock or 0, default=None)
+    return last.target if last else None
+
+
 def _record_edges(events: Sequence[LogEvent]) -> Iterator[Edge]:
     written = {
         (event.record, event.fields.get("version")): index
