Add the command line

Operators drive the system only through records, so each command says what stands, what changed and what to do; scripts tell outcomes by exit code. Values that look like numbers (flow 1e5) stay text.

--- /dev/null
+++ b/endivepick/cli/main.py
@@ -0,0 +1,198 @@
+"""Entry of the ``endivepick`` command.
+
+Commands import what they need when they run, so that short ones start quickly.
+"""
+
+import os
+import sys
+from collections.abc import Sequence
+from typing import Any
+
+import fire
+from fire.parser import DefaultParseValue
+
+from endivepick.cli.exit_codes import ExitCode, exit_code_of
+from endivepick.cli.failures import CommandError
+from endivepick.cli.output import print_line
+from endivepick.errors import EndivepickError
+
+__all__ = ["Commands", "main"]
+
+
+class Commands:
+    """Layer-4 load balancer: run it, write its records, see what it does.
+
+    Examples
+    --------
+    endivepick check-settings entry-1.json5
+    endivepick run --settings entry-1.json5
+    endivepick records apply notes.json5 --platform 10.0.0.5:8080
+    endivepick status
+    endivepick timeline /var/log/endivepick --flow 1f00aa --format html --out t.html
+
+    Exit codes: 0 done, 1 failure, 2 usage, 3 settings refused, 4 record refused,
+    5 conflict with another writer, 6 platform unreachable, 7 outcome of the write
+    unknown, 8 not found, 9 differences found.
+    """
+
+    def run(self, settings: str) -> None:
+        """Run an instance until SIGTERM, which starts its planned stop.
+
+        Examples
+        --------
+        endivepick run --settings entry-1.json5
+
+        Parameters
+        ----------
+        settings : str
+            Settings file; see endivepick settings --explain.
+        """
+        from endivepick.daemon import run
+        from endivepick.settings import load_settings
+
+        run(load_settings(settings))
+
+    def check_settings(self, file: str) -> None:
+        """Check a settings file; line, key and remedy of each fault if refused.
+
+        Parameters
+        ----------
+        file : str
+            Settings file.
+        """
+        from endivepick.settings import load_settings
+
+        settings = load_settings(file)
+        instance = settings.instance
+        print_line(f"{file}: fine for instance {instance.name} in {instance.zone}")
+
+    def settings(self, explain: bool = False, markdown: bool = False) -> None:
+        """Print all settings with meaning, unit, default and range.
+
+        Parameters
+        ----------
+        explain : bool
+            Print the explanation.
+        markdown : bool
+            Print it as a page.
+        """
+        from endivepick.settings import explain as explain_text
+        from endivepick.settings import explain_markdown
+
+        if not explain:
+            message = "Nothing to do. Use: endivepick settings --explain."
+            raise CommandError(message, ExitCode.USAGE)
+        print_line((explain_markdown() if markdown else explain_text()).rstrip("\n"))
+
+    @property
+    def records(self) -> Any:
+        """Read and write service records."""
+        from endivepick.cli.records import RecordCommands
+
+        return RecordCommands()
+
+    @property
+    def drain(self) -> Any:
+        """Take a target or an instance out of service."""
+        from endivepick.cli.drain import DrainCommands
+
+        return DrainCommands()
+
+    @property
+    def keys(self) -> Any:
+        """Rotate and list the keys of flow tokens."""
+        from endivepick.cli.keys import KeyCommands
+
+        return KeyCommands()
+
+    def timeline(
+        self,
+        *logs: str,
+        flow: str = "",
+        request: str = "",
+        target: str = "",
+        record: str = "",
+        since: str = "",
+        until: str = "",
+        format: str = "text",
+        out: str = "",
+    ) -> None:
+        """Merge the logs of all processes into one list that respects causes.
+
+        Examples
+        --------
+        endivepick timeline var/logs --flow 1f00aa
+        endivepick timeline var/logs --since 2026-07-01T02:00 --format json
+        endivepick timeline entry-1.jsonl notes-1.jsonl --format html --out t.html
+
+        Parameters
+        ----------
+        logs : str
+            Log files, or folders that are searched for *.jsonl.
+        flow : str
+            Only this flow, in hexadecimal.
+        request : str
+            Only this request: flow-binding-number, as in the logs.
+        target : str
+            Only this target.
+        record : str
+            Only this service record.
+        since : str
+            Seconds since 1970 or an ISO time, UTC by default.
+        until : str
+            Likewise.
+        format : str
+            text, json (one object per line) or html (one page).
+        out : str
+            File to write; standard output by default.
+        """
+        from endivepick.cli.timeline import TimelineOptions, show_timeline
+
+        options = TimelineOptions(
+            *(flow, request, target, record, since, until, format)
+        )
+        show_timeline(logs, options, out)
+
+    def version(self) -> None:
+        """Print the version."""
+        from endivepick import __version__
+
+        print_line(__version__)
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Run a command and end the process with its exit code.
+
+    Parameters
+    ----------
+    arguments : sequence of str, default=None
+        Words after ``endivepick``; those of the process by default.
+    """
+    words = sys.argv[1:] if arguments is None else list(arguments)
+    try:
+        fire.Fire(Commands(), command=list(map(_as_text, words)), name="endivepick")
+    except CommandError as error:
+        _fail(error, error.code)
+    except EndivepickError as error:
+        _fail(error, exit_code_of(error))
+    except KeyboardInterrupt:
+        raise SystemExit(ExitCode.OK) from None
+    except BrokenPipeError:
+        # The reader of a pipe has gone; a second failure at exit is kept quiet.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        raise SystemExit(ExitCode.FAILURE) from None
+
+
+def _as_text(word: str) -> str:
+    """Quote a value that fire would read as a number, such as a flow id 1e5."""
+    flag, separator, value = word.rpartition("=")
+    if word[:1] != "-":
+        flag, separator, value = "", "", word
+    if value[:1] == "-" or isinstance(DefaultParseValue(value), str | bool):
+        return word
+    return f"{flag}{separator}{value!r}"
+
+
+def _fail(error: EndivepickError, code: ExitCode) -> None:
+    sys.stderr.write(f"endivepick: {error}\n")
+    raise SystemExit(code)
