Let the command line run an instance and call a service

People who look for a fault want one request and its outcome from a shell. The caller's own command is used as it is; its outcomes get exit codes of their own, and a test holds the two lists together. The daemon counts by the core's names, which replaces a case for each counter in the performer.

--- a/endivepick/cli/exit_codes.py
+++ b/endivepick/cli/exit_codes.py
@@ -38,6 +38,14 @@
     """There is no such record, target or instance."""
     DIFFERENT = 9
     """``records diff`` found differences."""
+    ERROR_STATUS = 10
+    """``call``: the target answered with a status of 400 or more."""
+    NOT_RUN = 11
+    """``call``: the request did not run."""
+    REQUEST_OUTCOME_UNKNOWN = 12
+    """``call``: the request may have run."""
+    NOT_OPENED = 13
+    """``call``: no flow was opened."""
 
 
 def exit_code_of(error: EndivepickError) -> ExitCode:
--- a/endivepick/cli/main.py
+++ b/endivepick/cli/main.py
@@ -12,7 +12,7 @@
 from fire.parser import DefaultParseValue
 
 from endivepick.cli.exit_codes import ExitCode, exit_code_of
-from endivepick.cli.failures import CommandError
+from endivepick.cli.failures import CommandError, option_values
 from endivepick.cli.output import print_line
 from endivepick.errors import EndivepickError
 
@@ -47,10 +47,16 @@
         settings : str
             Settings file; see endivepick settings --explain.
         """
-        from endivepick.daemon import run
         from endivepick.settings import load_settings
 
-        run(load_settings(settings))
+        loaded = load_settings(settings)
+        # The libraries for HTTP have to find gevent's sockets when imported.
+        from gevent import monkey
+
+        monkey.patch_all()
+        from endivepick.daemon.run import run
+
+        raise SystemExit(run(loaded))
 
     def check_settings(self, file: str) -> None:
         """Check a settings file; line, key and remedy of each fault if refused.
@@ -84,6 +90,82 @@
             raise CommandError(message, ExitCode.USAGE)
         print_line((explain_markdown() if markdown else explain_text()).rstrip("\n"))
 
+    def call(
+        self,
+        service: str,
+        path: str = "/",
+        method: str = "GET",
+        body: str = "",
+        header: str = "",
+        idempotent: bool = False,
+        deadline_s: str = "10",
+        fabric: str = "",
+        json: bool = False,
+    ) -> None:
+        """Open a flow to a service, send one request and print its answer.
+
+        Examples
+        --------
+        endivepick call notes /health --fabric 10.0.0.9:7000
+        endivepick call notes /notes --method POST --body '{"text": "seen"}'
+
+        Exit codes: 0 answered, 10 answered with status 400 or more, 11 not run,
+        12 outcome unknown, 13 no flow opened.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        path, method, body : str
+            The request.
+        header : str
+            Header as 'Name: value'; several on lines of their own.
+        idempotent : bool
+            Running it twice does no harm, so it may be sent again.
+        deadline_s : float
+            How long to wait.
+        fabric : str
+            host:port of the fabric; ENDIVEPICK_FABRIC by default.
+        json : bool
+            Print status, headers and body as JSON.
+        """
+        from endivepick.cli.calling import fabric_address
+        from endivepick.client.command import call
+
+        with option_values("--deadline_s"):
+            wait_s = float(deadline_s)
+        address = fabric_address(fabric)
+        request = (service, path, method, body, header.splitlines())
+        raise SystemExit(call(*request, idempotent, wait_s, address, json))
+
+    def stream(
+        self, service: str, path: str = "/", events: str = "0", fabric: str = ""
+    ) -> None:
+        """Open an event stream and print its events, one JSON object a line.
+
+        Examples
+        --------
+        endivepick stream alerts /alerts --events 10
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        path : str
+            Path of the stream.
+        events : int
+            End after so many; 0 for all.
+        fabric : str
+            host:port of the fabric; ENDIVEPICK_FABRIC by default.
+        """
+        from endivepick.cli.calling import fabric_address
+        from endivepick.client.command import stream
+
+        with option_values("--events"):
+            limit = int(events)
+        address = fabric_address(fabric)
+        raise SystemExit(stream(service, path, limit, fabric=address))
+
     @property
     def records(self) -> Any:
         """Read and write service records."""
--- a/endivepick/cli/tests/test_main.py
+++ b/endivepick/cli/tests/test_main.py
@@ -6,6 +6,7 @@
 import endivepick
 from endivepick.cli.exit_codes import ExitCode
 from endivepick.cli.tests.support import run_command
+from endivepick.client import command
 
 FLOW = "00000000000001e5"
 
@@ -25,12 +26,28 @@
             ("timeline", "--since=yesterday"),
             ("timeline",),
             ("settings",),
+            ("call", "notes", "--fabric=127.0.0.1:x"),
+            ("call", "notes", "--fabric=127.0.0.1:1", "--deadline_s=soon"),
+            ("stream", "notes", "--fabric=127.0.0.1:1", "--events=all"),
         ):
             with self.subTest(words):
                 outcome = run_command(*words)
                 self.assertEqual(outcome.code, ExitCode.USAGE)
                 self.assertTrue(outcome.err)
 
+    def test_codes_of_call_are_those_of_the_client(self):
+        for ours, theirs in (
+            (ExitCode.ERROR_STATUS, command.ExitCode.ERROR_STATUS),
+            (ExitCode.NOT_RUN, command.ExitCode.NOT_RUN),
+            (ExitCode.REQUEST_OUTCOME_UNKNOWN, command.ExitCode.OUTCOME_UNKNOWN),
+            (ExitCode.NOT_OPENED, command.ExitCode.NOT_OPENED),
+        ):
+            self.assertEqual(ours, theirs)
+
+    def test_call_without_an_answer(self):
+        words = ("call", "notes", "--fabric=127.0.0.1:1", "--deadline_s=0.1")
+        self.assertEqual(run_command(*words).code, ExitCode.NOT_OPENED)
+
     def test_settings_are_explained(self):
         self.assertIn("flow.token_lifetime_s", run_command("settings", "--explain").out)
 
--- a/endivepick/daemon/performer.py
+++ b/endivepick/daemon/performer.py
@@ -88,7 +88,7 @@
             case Probe():
                 self._tasks.targets.probe(action)
             case Count(name=name, label=label):
-                self._count(name, label)
+                self._metrics.count(name, label)
             case Log():
                 self._log(action)
             case ReadinessChange(ready=ready, reason=reason):
@@ -108,21 +108,3 @@
             log = self._logs[action.part] = PartLog(action.part)
         write = log.debug if action.name in _DEBUG_EVENTS else log.event
         write(action.name, action.message, **action.ids)
-
-    def _count(self, name: str, label: str) -> None:
-        metrics = self._metrics
-        match name:
-            case "packets_dropped":
-                metrics.datagram_dropped(label)
-            case "packets_relayed":
-                metrics.datagram_relayed()
-            case "refused":
-                metrics.request_refused(label)
-            case "outcome_unknown":
-                metrics.request_outcome_unknown(label)
-            case "flows_opened":
-                metrics.flow_opened()
-            case "flows_reissued":
-                metrics.flow_reissued()
-            case "owner_unreachable":
-                metrics.datagram_dropped("owner_unreachable")
