--- /dev/null
+++ b/standins/evidence.py
@@ -0,0 +1,231 @@
+"""What the logs of callers, targets and platform say, as data classes."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from standins.jsonlines import read_lines
+
+__all__ = ["Evidence", "Leaving", "Request", "Run", "Stream", "read_evidence"]
+
+_ANSWER_ENDS = frozenset({"answer", "status"})
+
+
+@dataclass
+class Request:
+    """One request of a caller.
+
+    Attributes
+    ----------
+    end : str
+        ``"answer"``, ``"status"`` (another status than 200), ``"not_run"``,
+        ``"unknown"``, ``"gave_up"``, or empty if the caller's log has no end.
+    verdict : str
+        ``"whole"``, ``"torn"`` or ``"crossed"`` if the end is an answer.
+    """
+
+    echo: str
+    service: str
+    flow: str
+    idempotent: bool
+    sent_s: float
+    ended_s: float = float("inf")
+    end: str = ""
+    verdict: str = ""
+    reason: str = ""
+
+    @property
+    def is_answered(self) -> bool:
+        """Whether an answer of a target came back."""
+        return self.end in _ANSWER_ENDS
+
+
+@dataclass
+class Stream:
+    """One event stream of a caller; ``error`` is empty if the caller ended it."""
+
+    echo: str
+    service: str
+    flow: str
+    sent_s: float
+    ended_s: float
+    events: int
+    wrong: int
+    by_caller: bool
+    error: str
+
+
+@dataclass
+class Run:
+    """Work that a target started."""
+
+    echo: str
+    key: str
+    service: str
+    target: str
+    idempotent: bool
+    started_s: float
+    ended_s: float = float("inf")
+    is_stream: bool = False
+
+
+@dataclass(frozen=True)
+class Leaving:
+    """A target that leaves, from the write that said so."""
+
+    service: str
+    target: str
+    from_s: float
+    until_s: float = float("inf")
+
+
+@dataclass
+class Evidence:
+    """All of it."""
+
+    requests: dict[str, Request] = field(default_factory=dict)
+    streams: list[Stream] = field(default_factory=list)
+    runs: list[Run] = field(default_factory=list)
+    misdirected: list[dict[str, Any]] = field(default_factory=list)
+    shed: int = 0
+    opens: int = 0
+    opens_failed: int = 0
+    leaving: list[Leaving] = field(default_factory=list)
+    writes: list[dict[str, Any]] = field(default_factory=list)
+
+    def runs_by_echo(self) -> dict[str, list[Run]]:
+        """Return the runs of requests, streams left out, by ``echo``."""
+        found: dict[str, list[Run]] = defaultdict(list)
+        for run in self.runs:
+            if run.echo and not run.is_stream:
+                found[run.echo].append(run)
+        return found
+
+
+def read_evidence(
+    callers: Iterable[Path], targets: Iterable[Path], platform: Iterable[Path]
+) -> Evidence:
+    """Read logs.
+
+    Parameters
+    ----------
+    callers, targets, platform : iterable of pathlib.Path
+        Logs of ``standins.load``, ``standins.target`` and ``standins.platform``.
+    """
+    evidence = Evidence()
+    for path in callers:
+        _read_caller(path, evidence)
+    for path in targets:
+        _read_target(path, evidence)
+    for path in platform:
+        _read_platform(path, evidence)
+    return evidence
+
+
+def _read_caller(path: Path, evidence: Evidence) -> None:
+    for line in read_lines(path):
+        match line["event"]:
+            case "open" if line["opened"]:
+                evidence.opens += 1
+            case "open":
+                evidence.opens_failed += 1
+            case "sent":
+                request = Request(
+                    echo=line["echo"],
+                    service=line["service"],
+                    flow=line["flow"],
+                    idempotent=line["idempotent"],
+                    sent_s=line["at_s"],
+                )
+                evidence.requests[request.echo] = request
+            case "ended":
+                _end_request(evidence.requests[line["echo"]], line)
+            case "stream_ended":
+                evidence.streams.append(_stream_of(line))
+
+
+def _end_request(request: Request, line: dict[str, Any]) -> None:
+    request.ended_s = line["at_s"]
+    request.end = line["end"]
+    request.verdict = line.get("verdict", "")
+    request.reason = line.get("reason", "")
+
+
+def _stream_of(line: dict[str, Any]) -> Stream:
+    return Stream(
+        echo=line["echo"],
+        service=line["service"],
+        flow=line["flow"],
+        sent_s=line["sent_s"],
+        ended_s=line["at_s"],
+        events=line["events"],
+        wrong=line["wrong"],
+        by_caller=line["by_caller"],
+        error=line["error"],
+    )
+
+
+def _read_target(path: Path, evidence: Evidence) -> None:
+    open_runs: dict[tuple[str, bool], list[Run]] = defaultdict(list)
+    for line in read_lines(path):
+        match line["event"]:
+            case "start" | "stream_start":
+                run = _run_of(line)
+                evidence.runs.append(run)
+                open_runs[run.key, run.is_stream].append(run)
+            case "end" | "cancelled" | "stream_end":
+                is_stream = line["event"] == "stream_end"
+                for run in open_runs.pop((line["key"], is_stream), []):
+                    run.ended_s = line["at_s"]
+            case "misdirected":
+                evidence.misdirected.append(line)
+            case "shed":
+                evidence.shed += 1
+            case "control" if line["change"].get("drain"):
+                leaving = Leaving(line["service"], line["target"], line["at_s"])
+                evidence.leaving.append(leaving)
+
+
+def _run_of(line: dict[str, Any]) -> Run:
+    return Run(
+        echo=line["echo"],
+        key=line["key"],
+        service=line["service"],
+        target=line["target"],
+        idempotent=line["idempotent"],
+        started_s=line["at_s"],
+        is_stream=line["event"] == "stream_start",
+    )
+
+
+def _read_platform(path: Path, evidence: Evidence) -> None:
+    writes = [line for line in read_lines(path) if line["event"] == "write"]
+    evidence.writes += writes
+    names = {line["name"] for line in writes if line["kind"] == "service"}
+    for name in sorted(names):
+        versions = [w for w in writes if (w["kind"], w["name"]) == ("service", name)]
+        evidence.leaving += _leaving_of(name, versions)
+
+
+def _leaving_of(service: str, versions: list[dict[str, Any]]) -> Iterator[Leaving]:
+    """Yield the spans in which a target was draining or gone from its record."""
+    serving: set[str] = set()
+    left_s: dict[str, float] = {}
+    for write in versions:
+        now = _serving(write)
+        for target in serving - now:
+            left_s[target] = write["at_s"]
+        for target in now & left_s.keys():
+            yield Leaving(service, target, left_s.pop(target), write["at_s"])
+        serving = now
+    for target, from_s in left_s.items():
+        yield Leaving(service, target, from_s)
+
+
+def _serving(write: dict[str, Any]) -> set[str]:
+    if write["type"] == "delete":
+        return set()
+    targets = write["body"].get("targets", [])
+    return {entry["name"] for entry in targets if not entry.get("draining")}
--- /dev/null
+++ b/standins/run_tests.py
@@ -0,0 +1,175 @@
+"""Runs all tests and documentation examples in a few parallel processes.
+
+Each test module runs in a process of its own.  Tests named in ``KNOWN-RED.txt``
+run as well, but their failures are printed without being counted.  The last
+line of the output is ``N passed, N failed``; the exit status is 0 only if some
+test ran and none failed.
+"""
+
+import json
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+import fire
+
+from standins.run_unit import EXAMPLES_PREFIX, Outcome
+
+__all__ = ["ModuleResult", "find_units", "judge", "main", "read_known_red"]
+
+ROOT = Path(__file__).parent.parent
+PACKAGES = ("endivepick", "standins")
+JOBS = 4
+TIMEOUT_S = 900.0
+_END_TIMEOUT_S = 30.0
+_EXAMPLE_MARK = ">>> "
+
+
+@dataclass(frozen=True)
+class ModuleResult:
+    """What came of one test module, or of the examples of one module.
+
+    Attributes
+    ----------
+    unit : str
+        Name of the module.
+    outcome : Outcome or None
+        None if the process ended without a result.
+    output : str
+        All that it printed.
+    """
+
+    unit: str
+    outcome: Outcome | None
+    output: str
+
+
+@dataclass(frozen=True)
+class Verdict:
+    """Counts over all modules, and what to print."""
+
+    passed: int
+    failed: list[str]
+    known_red: list[str]
+    reports: list[str]
+
+
+def _module_name(path: Path) -> str:
+    return ".".join(path.relative_to(ROOT).with_suffix("").parts)
+
+
+def find_units(words: Iterable[str] = ()) -> list[str]:
+    """Return the names of all units whose name holds one of the words."""
+    units = []
+    for package in PACKAGES:
+        sources = sorted((ROOT / package).rglob("*.py"))
+        units += [
+            _module_name(p)
+            for p in sources
+            if p.name.startswith("test_") and p.parent.name == "tests"
+        ]
+        units += [
+            EXAMPLES_PREFIX + _module_name(path)
+            for path in sources
+            if path.parent.name != "tests"
+            and path.name != "__main__.py"
+            and _EXAMPLE_MARK in path.read_text()
+        ]
+    wanted = list(words)
+    return [u for u in units if not wanted or any(word in u for word in wanted)]
+
+
+def read_known_red(path: Path) -> dict[str, str]:
+    """Return the lines of ``KNOWN-RED.txt`` by test id; empty without a file."""
+    if not path.exists():
+        return {}
+    lines = [line.strip() for line in path.read_text().splitlines()]
+    entries = [line for line in lines if line and not line.startswith("#")]
+    return {entry.split(",")[0].strip(): entry for entry in entries}
+
+
+def _run_unit(unit: str) -> ModuleResult:
+    with tempfile.TemporaryDirectory(prefix="tests-") as folder:
+        result_path = Path(folder) / "result.json"
+        command = [sys.executable, "-m", "standins.run_unit", unit, str(result_path)]
+        with open(Path(folder) / "output", "w+", encoding="utf-8") as output:
+            process = subprocess.Popen(
+                command, cwd=ROOT, stdout=output, stderr=subprocess.STDOUT
+            )
+            note = _wait(process)
+            output.seek(0)
+            text = output.read() + note
+        outcome = None
+        if result_path.exists():
+            outcome = Outcome(**json.loads(result_path.read_text()))
+        return ModuleResult(unit, outcome, text)
+
+
+def _wait(process: subprocess.Popen[bytes]) -> str:
+    """Wait for a test process; returns a remark if it had to be ended."""
+    try:
+        process.wait(TIMEOUT_S)
+    except subprocess.TimeoutExpired:
+        process.terminate()
+        try:
+            process.wait(_END_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
+        return f"\nended after {TIMEOUT_S} s\n"
+    return ""
+
+
+def judge(results: Iterable[ModuleResult], known_red: dict[str, str]) -> Verdict:
+    """Count passes and failures; known failures are listed, not counted."""
+    verdict = Verdict(0, [], [], [])
+    passed = 0
+    for result in results:
+        if result.outcome is None:
+            verdict.failed.append(result.unit)
+            verdict.reports.append(f"{result.unit} gave no result\n{result.output}")
+            continue
+        passed += result.outcome.passed
+        bad = result.outcome.failed
+        verdict.failed.extend(test for test in bad if test not in known_red)
+        verdict.known_red.extend(test for test in bad if test in known_red)
+        if bad:
+            verdict.reports.append(result.output)
+    return Verdict(passed, verdict.failed, verdict.known_red, verdict.reports)
+
+
+def _print_verdict(verdict: Verdict, known_red: dict[str, str]) -> None:
+    for report in verdict.reports:
+        print(report)
+    for test in verdict.failed:
+        print(f"FAILED {test}")
+    for test in verdict.known_red:
+        print(f"KNOWN RED, not counted: {known_red[test]}")
+    print(f"{verdict.passed} passed, {len(verdict.failed)} failed")
+
+
+def main(*words: str, jobs: int = JOBS) -> None:
+    """Run the tests and exit with status 1 on a failure or if none ran.
+
+    Parameters
+    ----------
+    *words : str
+        Run only modules whose name holds one of these.
+    jobs : int
+        Modules that run at once.
+    """
+    known_red = read_known_red(ROOT / "KNOWN-RED.txt")
+    with ThreadPoolExecutor(jobs) as pool:
+        results = list(pool.map(_run_unit, find_units(words)))
+    verdict = judge(results, known_red)
+    _print_verdict(verdict, known_red)
+    ran = verdict.passed + len(verdict.failed) + len(verdict.known_red)
+    sys.exit(1 if verdict.failed or not ran else 0)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
