--- a/endivepick/client/_core/receiver.py
+++ b/endivepick/client/_core/receiver.py
@@ -1,26 +1,19 @@
 """Parts of one answer as they arrive."""
 
-from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
+from endivepick.client._core.holes import HoleList
 from endivepick.client._core.window import AnswerWindow
 
 __all__ = ["PartReceiver"]
 
-ACKNOWLEDGE_EVERY_PARTS = 16
-ACKNOWLEDGEMENTS_PER_WINDOW = 4
-REORDER_PARTS = 3
-"""A part counts as lost once this many later ones arrived, at first."""
-REORDER_MAX_PARTS = 48
-"""The same on a path that turned out to reorder."""
+REPORT_EVERY_PARTS = 16
+REPORTS_PER_WINDOW = 4
 MAX_AHEAD_PARTS = 1024
 """Parts further ahead than this are dropped."""
-MAX_MISSING_LISTED = 64
-"""Most parts that one acknowledgement lists."""
 TAIL_PROBE_PARTS = 32
 """Parts beyond the last one seen that a probe asks for."""
-NEVER_ASKED_S = -1.0
 
 
 @dataclass(slots=True)
@@ -40,18 +33,16 @@
         Highest part that arrived, -1 for none.
     final_index : int or None
         Last part of the answer, once known.
+    holes : HoleList
+        Parts that are missing although a later one arrived.
     """
 
     window: AnswerWindow
     next_index: int = 0
     highest_index: int = -1
     final_index: int | None = None
+    holes: HoleList = field(default_factory=HoleList)
     _ahead: dict[int, bytes] = field(default_factory=dict)
-    _holes: dict[int, float] = field(default_factory=dict)
-    _not_asked: deque[int] = field(default_factory=deque)
-    _asked_again: set[int] = field(default_factory=set)
-    _distances: dict[int, int] = field(default_factory=dict)
-    _reorder_parts: int = REORDER_PARTS
     _since_report: int = 0
     _reported_index: int = 0
 
@@ -60,22 +51,16 @@
         """Whether the whole answer arrived."""
         return self.final_index is not None and self.next_index > self.final_index
 
-    def asked_once_at_s(self, index: int) -> float | None:
-        """Return when a missing part was asked for, if that was just once."""
-        if not self._holes or index in self._asked_again:
-            return None
-        asked_at_s = self._holes.get(index, NEVER_ASKED_S)
-        return None if asked_at_s == NEVER_ASKED_S else asked_at_s
-
-    def accept(self, index: int, final: bool, data: bytes) -> bool:
+    def accept(self, index: int, final: bool, data: bytes, now_s: float) -> bool:
         """Take a part; False if it is a duplicate or makes no sense."""
         if not self._is_plausible(index, final) or index in self._ahead:
-            self._learn_reordering(index)
+            if self.holes.learn_from_duplicate(index):
+                self.window.on_false_loss()
             return False
         if final:
             self.final_index = index
         self._ahead[index] = data
-        self._note_holes(index)
+        self._note_holes(index, now_s)
         self._since_report += 1
         self.window.on_part(self.highest_index)
         return True
@@ -89,25 +74,12 @@
             index < self.final_index or (final and index == self.final_index)
         )
 
-    def _note_holes(self, index: int) -> None:
-        for hole in range(self.highest_index + 1, index):
-            self._holes[hole] = NEVER_ASKED_S
-            self._not_asked.append(hole)
-        self.highest_index = max(self.highest_index, index)
-        if self._holes.pop(index, NEVER_ASKED_S) != NEVER_ASKED_S:
-            self._distances[index] = self.highest_index - index
-            self._asked_again.discard(index)
-            if len(self._distances) > MAX_AHEAD_PARTS:
-                del self._distances[next(iter(self._distances))]
-
-    def _learn_reordering(self, index: int) -> None:
-        """Wait longer for parts: one that was asked for came twice."""
-        distance = self._distances.pop(index, 0)
-        if distance == 0:
-            return
-        self.window.on_false_loss()
-        wanted = max(self._reorder_parts, distance + 1)
-        self._reorder_parts = min(wanted, REORDER_MAX_PARTS)
+    def _note_holes(self, index: int, now_s: float) -> None:
+        if index > self.highest_index:
+            self.holes.open(range(self.highest_index + 1, index), now_s)
+            self.highest_index = index
+        else:
+            self.holes.fill(index, now_s)
 
     def take_ready(self) -> Iterator[tuple[int, bytes]]:
         """Yield index and data of the parts that are next in order."""
@@ -133,49 +105,30 @@
             without progress and without missing parts would make the owner
             repeat what is still under way.
         """
-        every = min(
-            ACKNOWLEDGE_EVERY_PARTS,
-            self.window.size_parts // ACKNOWLEDGEMENTS_PER_WINDOW,
-        )
-        if not self._has_new_loss() and self._since_report < every:
+        last_judged = self._last_judged_index()
+        due = self._since_report >= self._report_every_parts
+        if not due and not self.holes.has_new_loss(last_judged, now_s):
             return None
         moved = self.next_index > self._reported_index
-        missing = self._report(now_s, repeat_s)
+        self._note_report()
+        missing, new_losses = self.holes.ask(last_judged, now_s, repeat_s)
+        self.window.on_losses(new_losses)
         return missing if moved or missing else None
 
-    def _has_new_loss(self) -> bool:
-        while self._not_asked and self._not_asked[0] not in self._holes:
-            self._not_asked.popleft()
-        if not self._not_asked:
-            return False
-        return self.highest_index - self._not_asked[0] >= self._reorder_parts
+    @property
+    def _report_every_parts(self) -> int:
+        return min(REPORT_EVERY_PARTS, self.window.size_parts // REPORTS_PER_WINDOW)
+
+    def _last_judged_index(self) -> int:
+        """Return the last part that counts as lost if it is missing now."""
+        if self.highest_index + 1 >= self._reported_index + self.window.size_parts:
+            # Nothing later comes before the next report: do not wait for it.
+            return self.highest_index
+        return self.highest_index - self.holes.reorder_parts
 
-    def _report(self, now_s: float, repeat_s: float) -> list[int]:
+    def _note_report(self) -> None:
         self._since_report = 0
         self._reported_index = self.next_index
-        missing: list[int] = []
-        for index, asked_at_s in self._holes.items():
-            if len(missing) == MAX_MISSING_LISTED:
-                break
-            if self._may_ask(index, asked_at_s, now_s, repeat_s):
-                missing.append(index)
-        for index in missing:
-            self._mark_asked(index, now_s)
-        return missing
-
-    def _may_ask(
-        self, index: int, asked_at_s: float, now_s: float, repeat_s: float
-    ) -> bool:
-        if asked_at_s == NEVER_ASKED_S:
-            return self.highest_index - index >= self._reorder_parts
-        return now_s - asked_at_s >= repeat_s
-
-    def _mark_asked(self, index: int, now_s: float) -> None:
-        if self._holes[index] == NEVER_ASKED_S:
-            self.window.on_loss()
-        else:
-            self._asked_again.add(index)
-        self._holes[index] = now_s
 
     def probe(self, now_s: float) -> list[int]:
         """Return what to list when nothing came for a while.
@@ -183,11 +136,9 @@
         Parts after the highest one may have been lost without a trace, so they
         are listed too.
         """
-        self._since_report = 0
-        self._reported_index = self.next_index
-        missing = list(self._holes)[:MAX_MISSING_LISTED]
-        for index in missing:
-            self._mark_asked(index, now_s)
+        self._note_report()
+        missing, new_losses = self.holes.ask(self.highest_index, now_s, repeat_s=0.0)
+        self.window.on_losses(new_losses)
         return missing + self._tail()
 
     def _tail(self) -> list[int]:
--- a/endivepick/client/_core/request.py
+++ b/endivepick/client/_core/request.py
@@ -178,8 +178,8 @@
     def on_part(self, packet: AnswerPart, now_s: float) -> None:
         """Take a part of the answer."""
         receiver = self._receiver
-        asked_at_s = receiver.asked_once_at_s(packet.index)
-        if not receiver.accept(packet.index, packet.final, packet.data):
+        asked_at_s = receiver.holes.asked_once_at_s(packet.index)
+        if not receiver.accept(packet.index, packet.final, packet.data, now_s):
             self._context.outbox.counts["duplicate_part"] += 1
             return
         self._step("part")
@@ -296,6 +296,8 @@
 
     @property
     def _poll_base_s(self) -> float:
+        if self._receiver.holes:
+            return self._context.round_trip.repeat_s
         if self.state == "accepted" or self.call.head.stream:
             return self._context.settings.poll_min_s
         return self._context.round_trip.resend_s
--- a/endivepick/client/_core/window.py
+++ b/endivepick/client/_core/window.py
@@ -5,7 +5,7 @@
 __all__ = ["AnswerWindow"]
 
 SMALLEST_WINDOW_PARTS = 16
-CONGESTION_LOSS = 0.15
+CONGESTION_LOSS = 0.25
 """Share of lost parts above which the path counts as congested.
 
 Losses below it are taken for a path that loses at random, which a smaller window
@@ -41,9 +41,9 @@
         self._round_parts = 0
         self._round_losses = 0
 
-    def on_loss(self) -> None:
-        """Count a part that was lost."""
-        self._round_losses += 1
+    def on_losses(self, count: int) -> None:
+        """Count parts that were lost."""
+        self._round_losses += count
 
     def on_false_loss(self) -> None:
         """Take a loss back: the part had only been late."""
--- a/endivepick/client/settings.py
+++ b/endivepick/client/settings.py
@@ -43,17 +43,17 @@
     model_config = ConfigDict(frozen=True, extra="forbid")
 
     fabric_address: str
-    resend_min_s: float = Field(0.03, ge=0.001, le=10)
-    resend_initial_s: float = Field(0.1, ge=0.001, le=10)
-    resend_max_s: float = Field(1.0, ge=0.01, le=60)
-    poll_min_s: float = Field(0.2, ge=0.01, le=60)
-    poll_max_s: float = Field(1.0, ge=0.01, le=60)
-    answer_window_parts: int = Field(64, ge=8, le=512)
-    answer_window_max_parts: int = Field(256, ge=8, le=512)
-    requests_per_flow: int = Field(64, ge=1, le=64)
-    max_request_bytes: int = Field(8 << 20, ge=1024, le=64 << 20)
-    max_answer_bytes: int = Field(64 << 20, ge=1024, le=1 << 30)
-    stream_buffer_events: int = Field(10_000, ge=1, le=1_000_000)
+    resend_min_s: float = Field(default=0.03, ge=0.001, le=10)
+    resend_initial_s: float = Field(default=0.1, ge=0.001, le=10)
+    resend_max_s: float = Field(default=1.0, ge=0.01, le=60)
+    poll_min_s: float = Field(default=0.2, ge=0.01, le=60)
+    poll_max_s: float = Field(default=1.0, ge=0.01, le=60)
+    answer_window_parts: int = Field(default=64, ge=8, le=512)
+    answer_window_max_parts: int = Field(default=256, ge=8, le=512)
+    requests_per_flow: int = Field(default=64, ge=1, le=64)
+    max_request_bytes: int = Field(default=8 << 20, ge=1024, le=64 << 20)
+    max_answer_bytes: int = Field(default=64 << 20, ge=1024, le=1 << 30)
+    stream_buffer_events: int = Field(default=10_000, ge=1, le=1_000_000)
 
     @field_validator("fabric_address")
     @classmethod
--- a/endivepick/client/tests/fake_owner.py
+++ b/endivepick/client/tests/fake_owner.py
@@ -40,6 +40,7 @@
     duplicates: float = 0.0
     delay_s: float = 0.001
     jitter_s: float = 0.0
+    spacing_s: float = 20e-6
 
 
 @dataclass
@@ -126,6 +127,7 @@
         self.flows = {}
         self._random = random.Random(seed)
         self._queue = []
+        self._free_at_s = {}
         self._count = 0
 
     def open(self, deadline_s=5.0):
@@ -173,13 +175,15 @@
                 self._perform(self.core.datagram(datagram, self.now_s))
 
     def _transmit(self, to_owner, datagram):
+        sent_at_s = max(self.now_s, self._free_at_s.get(to_owner, 0.0))
+        self._free_at_s[to_owner] = sent_at_s + self.path.spacing_s
         copies = 1 + (self._random.random() < self.path.duplicates)
         for _ in range(copies):
             if self._random.random() < self.path.loss:
                 continue
             delay_s = self.path.delay_s + self._random.random() * self.path.jitter_s
             self._count += 1
-            entry = (self.now_s + delay_s, self._count, to_owner, datagram)
+            entry = (sent_at_s + delay_s, self._count, to_owner, datagram)
             heapq.heappush(self._queue, entry)
 
     def _perform(self, actions):
