--- a/endivepick/core/flow_table.py
+++ b/endivepick/core/flow_table.py
@@ -1,5 +1,6 @@
 """Table of the flows that one instance owns or has handed over."""
 
+from collections import Counter
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
@@ -46,6 +47,7 @@
         self._me = me
         self._new_id = new_id
         self._flows: dict[int, OwnedFlow] = {}
+        self._counts: Counter[str] = Counter()
         self._successors: dict[int, Identity] = {}
 
     def __len__(self) -> int:
@@ -54,6 +56,20 @@
     def __iter__(self) -> Iterator[OwnedFlow]:
         return iter(list(self._flows.values()))
 
+    def _add(self, flow: OwnedFlow) -> None:
+        self._flows[flow.binding] = flow
+        self._counts[flow.service] += 1
+
+    def _remove(self, binding: int) -> None:
+        flow = self._flows.pop(binding, None)
+        if flow is not None:
+            self._counts[flow.service] -= 1
+
+    @property
+    def services(self) -> set[str]:
+        """Services of which a flow is held."""
+        return {service for service, count in self._counts.items() if count}
+
     def get(self, binding: int) -> OwnedFlow | None:
         """Return the flow that holds a binding, if this instance does."""
         return self._flows.get(binding)
@@ -75,7 +91,7 @@
             caller=caller,
             heard_at_s=now_s,
         )
-        self._flows[flow.binding] = flow
+        self._add(flow)
         return flow
 
     def adopt(self, token: FlowToken, caller: CallerAddress, now_s: float) -> OwnedFlow:
@@ -93,19 +109,19 @@
             caller=caller,
             heard_at_s=now_s,
         )
-        self._flows[flow.binding] = flow
+        self._add(flow)
         return flow
 
     def restore(self, flow: OwnedFlow) -> bool:
         """Take a handed-over flow in; False if the binding is here already."""
         if flow.binding in self._flows or flow.binding in self._successors:
             return False
-        self._flows[flow.binding] = flow
+        self._add(flow)
         return True
 
     def release(self, binding: int, successor: Identity) -> None:
         """Forget a flow that a successor holds, and remember the successor."""
-        self._flows.pop(binding, None)
+        self._remove(binding)
         self._successors[binding] = successor
 
     def token(self, flow: OwnedFlow, now_s: float) -> FlowToken:
@@ -130,7 +146,7 @@
         """
         dropped = [flow for flow in self._flows.values() if self._expired(flow, now_s)]
         for flow in dropped:
-            del self._flows[flow.binding]
+            self._remove(flow.binding)
         return len(dropped)
 
     def _expired(self, flow: OwnedFlow, now_s: float) -> bool:
--- a/endivepick/core/handover.py
+++ b/endivepick/core/handover.py
@@ -88,7 +88,7 @@
 
     def finished_services(self) -> dict[str, Identity]:
         """Return the successor of each service with no flow left here."""
-        remaining = {flow.service for flow in self.table}
+        remaining = self.table.services
         return {
             service: successor
             for service, successor in self.successors.items()
@@ -99,7 +99,7 @@
         """Freeze what is idle, send it, and send again what has no answer."""
         self._drop_lost_transfers()
         actions = self._send_again(now_s)
-        for service in sorted({flow.service for flow in self.table}):
+        for service in sorted(self.table.services):
             actions += self._give_service(service, now_s)
         return actions
 
--- a/endivepick/core/owner.py
+++ b/endivepick/core/owner.py
@@ -71,6 +71,7 @@
         self._codec = codec
         self._executor = executor
         self._random_number = random_number
+        self._next_sweep_s = 0.0
         self.leaving = False
 
     @property
@@ -351,6 +352,9 @@
 
     def tick(self, now_s: float) -> list[Action]:
         """Forget answers that nobody fetched and cancel requests nobody awaits."""
+        if now_s < self._next_sweep_s:
+            return []
+        self._next_sweep_s = now_s + self._settings.sweep_every_s
         actions: list[Action] = []
         for flow in self._table:
             if flow.requests and not flow.frozen:
--- a/endivepick/core/roles.py
+++ b/endivepick/core/roles.py
@@ -153,7 +153,7 @@
     def review(self, now_s: float) -> list[Action]:
         """Take up services that fall to this instance, and let others go."""
         actions: list[Action] = []
-        held = {flow.service for flow in self._table}
+        held = self._table.services
         for service in self._catalog.services:
             owned = self._owner_name(service) == self._my_name
             if owned and service not in self._active:
--- a/endivepick/core/settings.py
+++ b/endivepick/core/settings.py
@@ -30,6 +30,8 @@
         How long a finished answer waits for its caller, in seconds.
     caller_silence_s : float
         Silence after which a request is cancelled at its target, in seconds.
+    sweep_every_s : float
+        Time between two searches for requests that nobody awaits, in seconds.
     hand_over_retry_s : float
         Time between two sendings of one hand-over, in seconds.
     hand_over_bytes : int
@@ -47,6 +49,7 @@
     stream_buffer_bytes: int = 1 << 20
     unacknowledged_s: float = 60.0
     caller_silence_s: float = 15.0
+    sweep_every_s: float = 0.5
     hand_over_retry_s: float = 0.2
     hand_over_bytes: int = 256 << 10
     drain_timeout_s: float = 40.0
--- a/endivepick/settings/schema.py
+++ b/endivepick/settings/schema.py
@@ -291,6 +291,12 @@
         le=3600,
         description="Longest duration of a planned stop.",
     )
+    sweep_every_s: float = Field(
+        default=model.FlowSettings.sweep_every_s,
+        ge=0.01,
+        le=60,
+        description="Time between two searches for requests that nobody awaits.",
+    )
     hand_over_retry_s: float = Field(
         default=model.FlowSettings.hand_over_retry_s,
         ge=0.01,
