Spread the configuration from few watchers to all instances

The platform counts a waiting watch as a call, so an instance cannot watch alone at the size to come.

--- /dev/null
+++ b/endivepick/records/roles.py
@@ -0,0 +1,124 @@
+"""Who watches the platform, who feeds whom, who writes the status.
+
+All follow from rendezvous hashing over the instances that a node believes in.
+Disagreement costs a message or a call, never a wrong configuration.
+"""
+
+from collections.abc import Collection, Iterable, Sequence
+from dataclasses import dataclass
+
+from xxhash import xxh3_64_intdigest
+
+from endivepick.core.rendezvous import rank
+from endivepick.membership.view import InstanceView, PeerState
+from endivepick.records.settings import DisseminationSettings
+
+__all__ = ["ZoneRoles", "hash_names", "watchers_elsewhere", "zone_roles"]
+
+
+@dataclass(frozen=True)
+class ZoneRoles:
+    """Roles in one zone.
+
+    Attributes
+    ----------
+    ranked : tuple of str
+        Instances that can hold a role, first the watchers.
+    others : tuple of str
+        Instances that are leaving: fed, but without a role.
+    watchers : tuple of str
+        Instances that watch the platform.
+    """
+
+    ranked: tuple[str, ...]
+    others: tuple[str, ...]
+    watchers: tuple[str, ...]
+
+    @property
+    def status_writer(self) -> str | None:
+        """Instance that writes the status of the zone."""
+        return self.watchers[0] if self.watchers else None
+
+    def feeders(self, name: str, settings: DisseminationSettings) -> list[str]:
+        """Return whom an instance subscribes to, the first choice first.
+
+        The watchers form the first tier; each further tier is ``fan_out`` times
+        as large as the one before and subscribes to it.
+        """
+        tier = self._tier_above(name, settings)
+        chosen = rank(f"feeder:{name}", (peer for peer in tier if peer != name))
+        spare = [peer for peer in self.watchers if peer not in tier and peer != name]
+        return chosen + spare
+
+    def _tier_above(self, name: str, settings: DisseminationSettings) -> Sequence[str]:
+        if name in self.watchers or name not in self.ranked:
+            return self.watchers
+        position = self.ranked.index(name)
+        start, size = 0, len(self.watchers)
+        while position >= start + size + size * settings.fan_out:
+            start, size = start + size, size * settings.fan_out
+        return self.ranked[start : start + size]
+
+
+def zone_roles(
+    zone: str, members: Iterable[InstanceView], settings: DisseminationSettings
+) -> ZoneRoles:
+    """Work out the roles in a zone.
+
+    Parameters
+    ----------
+    zone : str
+        The zone.
+    members : iterable of InstanceView
+        All instances, this one included.
+    settings : DisseminationSettings
+        Number of watchers and fan-out.
+    """
+    present = [member for member in members if member.zone == zone]
+    able = [
+        member.name
+        for member in present
+        if member.state in (PeerState.ALIVE, PeerState.SUSPECT)
+    ]
+    leaving = [member.name for member in present if member.state is PeerState.LEAVING]
+    ranked = tuple(rank(f"configuration:{zone}", able))
+    return ZoneRoles(ranked, tuple(sorted(leaving)), ranked[: settings.watchers])
+
+
+def watchers_elsewhere(
+    zone: str,
+    peers: Collection[InstanceView],
+    turn: int,
+    settings: DisseminationSettings,
+) -> list[str]:
+    """Choose one watcher in each of some other zones.
+
+    Parameters
+    ----------
+    zone : str
+        The own zone.
+    peers : collection of InstanceView
+        All peers.
+    turn : int
+        Number that grows by one from choice to choice, so that all zones and all
+        their watchers have their turn.
+    settings : DisseminationSettings
+        How many zones to choose.
+    """
+    zones = sorted({peer.zone for peer in peers} - {zone})
+    count = min(len(zones), settings.zones_per_digest)
+    chosen = []
+    for step in range(turn * count, (turn + 1) * count):
+        lap, index = divmod(step, len(zones))
+        watchers = zone_roles(zones[index], peers, settings).watchers
+        if watchers:
+            chosen.append(watchers[lap % len(watchers)])
+    return chosen
+
+
+def hash_names(names: Iterable[str]) -> int:
+    """Return the exclusive or of the hashes of names, 64 bits."""
+    result = 0
+    for name in names:
+        result ^= xxh3_64_intdigest(name.encode())
+    return result
