--- a/endivepick/core/actions.py
+++ b/endivepick/core/actions.py
@@ -17,6 +17,8 @@
     "SendToPeer",
     "StartAttempt",
     "StopFinished",
+    "StopPlatformWatch",
+    "WatchPlatform",
 ]
 
 RequestId = tuple[int, int, int]
@@ -125,6 +127,18 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class WatchPlatform:
+    """Watch the platform after a revision; list all objects first if it is 0."""
+
+    after: int
+
+
+@dataclass(frozen=True, slots=True)
+class StopPlatformWatch:
+    """Stop watching the platform: peers bring the configuration."""
+
+
 @dataclass(frozen=True, slots=True)
 class StopFinished:
     """The planned stop is complete; the process may end."""
@@ -142,4 +156,6 @@
     | ReadinessChange
     | Log
     | StopFinished
+    | StopPlatformWatch
+    | WatchPlatform
 )
--- a/endivepick/core/catalog.py
+++ b/endivepick/core/catalog.py
@@ -1,17 +1,21 @@
 """Services and keys in force at this instance."""
 
-from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
-
-from returns.result import Failure, Success
+from collections.abc import Iterator
+from dataclasses import dataclass
 
 from endivepick.core.actions import Action, Log
 from endivepick.core.keyring import Keyring, keyring_from_body
 from endivepick.errors import RecordInvalidError
+from endivepick.records.book import (
+    ServiceBook,
+    ServiceChange,
+    ServiceChanged,
+    ServiceRefused,
+    ServiceRemoved,
+)
 from endivepick.records.cache import Change
 from endivepick.records.model import ServiceRecord
-from endivepick.records.objects import KEYRING_KIND, SERVICE_KIND, StoredObject
-from endivepick.records.schema import parse_service
+from endivepick.records.objects import KEYRING_KIND, StoredObject
 
 __all__ = ["Catalog", "HeldKeys"]
 
@@ -42,69 +46,50 @@
         return self.keyring is not None and self.keyring.holds(key_id)
 
 
-@dataclass
 class Catalog:
     """Last valid record of each service, and the keyring.
 
     Attributes
     ----------
-    services : dict
-        Records by service name.
+    book : ServiceBook
+        Records in force, and refused versions.
     keys : HeldKeys
         Keys for flow tokens.
-    refused : dict
-        Versions that were refused, with the reason, by service name.
     """
 
-    services: dict[str, ServiceRecord] = field(default_factory=dict)
-    keys: HeldKeys = field(default_factory=HeldKeys)
-    refused: dict[str, tuple[int, str]] = field(default_factory=dict)
+    def __init__(self) -> None:
+        self.book = ServiceBook()
+        self.keys = HeldKeys()
+
+    def service(self, name: str) -> ServiceRecord | None:
+        """Return the record in force of a service, or None."""
+        return self.book.get(name)
 
     def versions(self) -> Iterator[tuple[str, int]]:
         """Yield name and version in force of each service."""
-        for name, record in self.services.items():
-            yield name, record.version
+        for record in self.book.records():
+            yield record.name, record.version
 
-    def apply(self, changes: Iterable[Change]) -> tuple[list[str], list[Action]]:
+    def apply(self, changes: tuple[Change, ...]) -> tuple[list[str], list[Action]]:
         """Bring accepted changes into force.
 
         Returns
         -------
         list of str, list of Action
-            Names of the services that changed, and log entries.
+            Names of the services whose record in force changed, and log entries.
         """
-        changed: list[str] = []
         actions: list[Action] = []
         for change in changes:
-            stored = change.after
-            if stored.kind == KEYRING_KIND:
-                actions += self._apply_keyring(stored)
-            elif stored.kind == SERVICE_KIND:
-                changed.append(stored.name)
-                actions.append(self._apply_service(stored))
+            if change.after.kind == KEYRING_KIND:
+                actions += self._apply_keyring(change.after)
+        changed: list[str] = []
+        for applied in self.book.apply(changes):
+            name, log = _describe(applied)
+            if not isinstance(applied, ServiceRefused):
+                changed.append(name)
+            actions.append(log)
         return changed, actions
 
-    def _apply_service(self, stored: StoredObject) -> Action:
-        ids = {"record": stored.name, "version": stored.version}
-        if stored.body is None:
-            self.services.pop(stored.name, None)
-            return Log("records", "record_deleted", "record deleted", ids)
-        match parse_service(stored.name, stored.version, stored.body):
-            case Success(record):
-                self.services[stored.name] = record
-                self.refused.pop(stored.name, None)
-                return Log("records", "record_in_force", "record in force", ids)
-            case Failure(error):
-                # The last valid version stays in force.
-                self.refused[stored.name] = (stored.version, str(error))
-                return Log(
-                    "records",
-                    "record_refused",
-                    "record refused, earlier version stays",
-                    {**ids, "reason": str(error)},
-                )
-        raise AssertionError("parse_service returns a Result")
-
     def _apply_keyring(self, stored: StoredObject) -> list[Action]:
         ids = {"record": stored.name, "version": stored.version}
         if stored.body is None:
@@ -116,3 +101,24 @@
             reason = {**ids, "reason": str(error)}
             return [Log("keys", "keyring_refused", "keyring refused", reason)]
         return [Log("keys", "keyring_in_force", "keyring in force", ids)]
+
+
+def _describe(change: ServiceChange) -> tuple[str, Action]:
+    match change:
+        case ServiceChanged(record=record):
+            ids = {"record": record.name, "version": record.version}
+            log = Log("records", "record_in_force", "record in force", ids)
+            return record.name, log
+        case ServiceRemoved(before=before):
+            ids = {"record": before.name, "version": before.version}
+            log = Log("records", "record_deleted", "record deleted", ids)
+            return before.name, log
+        case ServiceRefused(refused=refused):
+            ids = {
+                "record": refused.name,
+                "version": refused.version,
+                "in_force": refused.in_force,
+                "reason": refused.reason,
+            }
+            text = "record refused, earlier version stays"
+            return refused.name, Log("records", "record_refused", text, ids)
--- a/endivepick/core/events.py
+++ b/endivepick/core/events.py
@@ -7,7 +7,7 @@
 from endivepick.core.dispatch import FinishKind, ProbeOutcome
 from endivepick.core.messages import CallerAddress
 from endivepick.membership import ListedInstance
-from endivepick.records.objects import StoredObject
+from endivepick.platform.answers import ObjectList, WatchResult
 
 __all__ = [
     "AttemptAnswered",
@@ -19,6 +19,7 @@
     "ObjectsListed",
     "PeerMessage",
     "PeerSendFailed",
+    "PlatformCallFailed",
     "Probed",
     "StreamData",
     "StreamEnded",
@@ -124,18 +125,19 @@
 class ObjectsListed:
     """The platform listed all objects of a kind."""
 
-    kind: str
-    revision: int
-    objects: tuple[StoredObject, ...]
+    listed: ObjectList
 
 
 @dataclass(frozen=True, slots=True)
 class ObjectsChanged:
     """The platform told all changes between two revisions."""
 
-    after: int
-    revision: int
-    events: tuple[StoredObject, ...]
+    result: WatchResult
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformCallFailed:
+    """A list or watch of the platform failed."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,6 +157,7 @@
     | ObjectsListed
     | PeerMessage
     | PeerSendFailed
+    | PlatformCallFailed
     | Probed
     | AttemptAnswered
     | AttemptFailed
--- a/endivepick/core/instance.py
+++ b/endivepick/core/instance.py
@@ -3,7 +3,14 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from endivepick.core.actions import Action, Count, Log, SendToPeer
+from endivepick.core.actions import (
+    Action,
+    Count,
+    Log,
+    SendToPeer,
+    StopPlatformWatch,
+    WatchPlatform,
+)
 from endivepick.core.catalog import Catalog
 from endivepick.core.codec import decode_caller_packet
 from endivepick.core.dispatch import DispatchSettings
@@ -17,6 +24,7 @@
     ObjectsListed,
     PeerMessage,
     PeerSendFailed,
+    PlatformCallFailed,
     Probed,
     StopRequested,
     StreamData,
@@ -57,6 +65,22 @@
 )
 from endivepick.membership import Log as MembershipLog
 from endivepick.records.cache import Change, RecordCache
+from endivepick.records.dissemination import Dissemination
+from endivepick.records.events import (
+    ConfigurationReady,
+    DisseminationEvent,
+    ListReceived,
+    MembersChanged,
+    PlatformFailed,
+    RecordsChanged,
+    RefusedChanged,
+    StartWatch,
+    StopWatch,
+    WatchReceived,
+)
+from endivepick.records.events import Tick as RecordsTick
+from endivepick.records.peer_messages import RecordsMessage, RefusedRecord
+from endivepick.records.settings import DisseminationSettings
 
 __all__ = ["CoreSettings", "InstanceCore"]
 
@@ -80,6 +104,8 @@
         How requests are placed.
     membership : MembershipSettings
         How peers are watched.
+    records : DisseminationSettings
+        How records spread.
     """
 
     name: str
@@ -88,6 +114,7 @@
     roles: RoleSettings = field(default_factory=RoleSettings)
     dispatch: DispatchSettings = field(default_factory=DispatchSettings)
     membership: MembershipSettings = field(default_factory=MembershipSettings)
+    records: DisseminationSettings = field(default_factory=DisseminationSettings)
 
 
 class InstanceCore:
@@ -121,6 +148,9 @@
         self._new_id = new_id
         self.catalog = Catalog()
         self.cache = RecordCache()
+        self.dissemination = Dissemination(
+            settings.records, settings.name, settings.zone, self.cache
+        )
         self.membership = Membership(
             settings.membership,
             InstanceView(
@@ -169,6 +199,8 @@
             settings.flow, self.membership, self.owner, self._giver
         )
         self._next_expiry_s = now_s + EXPIRY_EVERY_S
+        self._members_dirty = True
+        self._refused: tuple[RefusedRecord, ...] = ()
 
     def _random_number(self) -> float:
         return self._new_id() / RANDOM_RANGE
@@ -208,13 +240,14 @@
             case InstancesListed(entries=entries, age_s=age_s):
                 news = self.membership.on_list(now_s, entries, age_s)
                 return self._plain(news, now_s)
-            case ObjectsListed(kind=kind, revision=revision, objects=objects):
-                changes = self.cache.offer_list(kind, revision, objects)
-                return self._records_changed(changes, now_s)
-            case ObjectsChanged():
-                return self._objects_changed(event, now_s)
+            case ObjectsListed(listed=listed):
+                return self._disseminate(ListReceived(listed), now_s)
+            case ObjectsChanged(result=result):
+                return self._disseminate(WatchReceived(result), now_s)
+            case PlatformCallFailed():
+                return self._disseminate(PlatformFailed(), now_s)
             case StopRequested():
-                return self._plain(self.lifecycle.begin_stop(now_s), now_s)
+                return self._begin_stop(now_s)
             case Tick():
                 return self._tick(now_s)
 
@@ -244,6 +277,8 @@
                 return self.roles.on_report(sender.name, event.message, now_s)
             case TargetDraining():
                 return self.roles.on_draining_note(event.message, now_s)
+            case message if isinstance(message, RecordsMessage):
+                return self._disseminate(event, now_s)
             case _:
                 news = self.membership.on_message(
                     now_s, event.sender, event.incarnation, event.message
@@ -262,22 +297,47 @@
         actions += [self.owner.reissue(flow, now_s) for flow in flows]
         return actions
 
-    def _objects_changed(self, event: ObjectsChanged, now_s: float) -> list[Action]:
-        offered = [self.cache.offer(stored) for stored in event.events]
-        self.cache.advance(event.after, event.revision)
-        changes = [change for change in offered if change is not None]
-        return self._records_changed(changes, now_s)
+    def _disseminate(self, event: DisseminationEvent, now_s: float) -> list[Action]:
+        """Let the configuration's part take an event, and act on its decisions."""
+        actions: list[Action] = []
+        for decision in self.dissemination.handle(event, now_s):
+            match decision:
+                case SendToPeer():
+                    actions.append(decision)
+                case StartWatch(after=after):
+                    actions.append(WatchPlatform(after))
+                case StopWatch():
+                    actions.append(StopPlatformWatch())
+                case RecordsChanged(changes=changes):
+                    actions += self._records_changed(changes, now_s)
+                case ConfigurationReady(revision=revision):
+                    text = "configuration is as new as any reachable source's"
+                    ids = {"revision": revision}
+                    actions.append(Log("records", "configuration_ready", text, ids))
+        return actions
 
-    def _records_changed(self, changes: Iterable[Change], now_s: float) -> list[Action]:
+    def _records_changed(
+        self, changes: tuple[Change, ...], now_s: float
+    ) -> list[Action]:
         changed, actions = self.catalog.apply(changes)
         for service in changed:
             actions += self.roles.record_changed(service, now_s)
         if changed:
             actions += self.roles.review(now_s)
+        refused = self.catalog.book.refused
+        if refused != self._refused:
+            self._refused = refused
+            actions += self._disseminate(RefusedChanged(refused), now_s)
         return actions
 
+    def _begin_stop(self, now_s: float) -> list[Action]:
+        self._members_dirty = True
+        return self._plain(self.lifecycle.begin_stop(now_s), now_s)
+
     def _tick(self, now_s: float) -> list[Action]:
         actions = self._plain(self.membership.tick(now_s, self._new_id()), now_s)
+        actions += self._members_changed(now_s)
+        actions += self._disseminate(RecordsTick(self._random_number()), now_s)
         readiness = self.lifecycle.check_ready(self._missing(), now_s)
         actions += self._plain(readiness, now_s)
         actions += self.roles.tick(now_s)
@@ -288,10 +348,20 @@
             self.table.expire(now_s)
         return actions
 
+    def _members_changed(self, now_s: float) -> list[Action]:
+        """Tell the configuration's part whom it can spread to."""
+        if not self._members_dirty:
+            return []
+        self._members_dirty = False
+        view = self.membership.view()
+        peers = tuple(view[name] for name in sorted(view) if name != self.me.name)
+        own_state = view[self.me.name].state
+        return self._disseminate(MembersChanged(peers, own_state), now_s)
+
     def _missing(self) -> str:
         """Return what keeps this instance from being ready."""
-        if self.cache.revision == 0:
-            return "no configuration yet"
+        if not self.dissemination.ready:
+            return "no configuration as new as the peers' yet"
         if self.catalog.keys.keyring is None:
             return "no keyring yet"
         if not self.membership.joined:
@@ -319,7 +389,7 @@
             case PeerChanged(old=old, new=new):
                 return self._peer_changed(old, new, now_s)
             case LeaveRequested() | Superseded():
-                return self._plain(self.lifecycle.begin_stop(now_s), now_s)
+                return self._begin_stop(now_s)
             case MembershipLog(text=text, peer=peer):
                 return [Log("membership", "membership", text, {"peer": peer})]
             case _:
@@ -328,6 +398,7 @@
     def _peer_changed(
         self, old: InstanceView | None, new: InstanceView | None, now_s: float
     ) -> list[Action]:
+        self._members_dirty = True
         view = new or old
         assert view is not None
         state = new.state.value if new else "forgotten"
--- a/endivepick/core/roles.py
+++ b/endivepick/core/roles.py
@@ -105,7 +105,7 @@
         """Make sure that a service has a dispatcher; False if it has no record."""
         if service in self._active:
             return True
-        record = self._catalog.services.get(service)
+        record = self._catalog.service(service)
         if record is None:
             return False
         self._executor.dispatchers[service] = ServiceDispatcher(
@@ -117,7 +117,7 @@
     def record_changed(self, service: str, now_s: float) -> list[Action]:
         """Bring a new version of a record into force at its dispatcher."""
         dispatcher = self._executor.dispatchers.get(service)
-        record = self._catalog.services.get(service)
+        record = self._catalog.service(service)
         if dispatcher is None:
             return []
         if record is None:
@@ -154,7 +154,7 @@
         """Take up services that fall to this instance, and let others go."""
         actions: list[Action] = []
         held = self._table.services
-        for service in self._catalog.services:
+        for service, _ in self._catalog.versions():
             owned = self._owner_name(service) == self._my_name
             if owned and service not in self._active:
                 self.activate(service, now_s)
@@ -166,7 +166,7 @@
         return actions
 
     def _probes(self, service: str) -> list[Action]:
-        record = self._catalog.services.get(service)
+        record = self._catalog.service(service)
         if record is None:
             return []
         return [
--- a/endivepick/core/tests/test_bad_input.py
+++ b/endivepick/core/tests/test_bad_input.py
@@ -20,6 +20,7 @@
     RequestHead,
     RequestPart,
 )
+from endivepick.platform.answers import ObjectList
 from endivepick.records.objects import StoredObject
 
 CALLER = ("127.0.0.1", 4000)
@@ -62,7 +63,7 @@
         ("service", "notes", record_body()),
     ):
         stored = StoredObject(kind, name, 1, body)
-        core.handle(ObjectsListed(kind, 1, (stored,)), NOW_S)
+        core.handle(ObjectsListed(ObjectList(kind, 1, (stored,))), NOW_S)
     core.membership.on_list(NOW_S, [])
     core.handle(Tick(), NOW_S)
     return core
--- a/endivepick/core/wire.py
+++ b/endivepick/core/wire.py
@@ -12,6 +12,7 @@
 )
 from endivepick.errors import PacketInvalidError
 from endivepick.membership import MembershipMessage
+from endivepick.records.peer_messages import RecordsMessage
 
 __all__ = [
     "AnyPeerMessage",
@@ -30,7 +31,7 @@
     | TargetDraining
 )
 
-AnyPeerMessage = FlowMessage | MembershipMessage
+AnyPeerMessage = FlowMessage | MembershipMessage | RecordsMessage
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
--- a/endivepick/daemon/performer.py
+++ b/endivepick/daemon/performer.py
@@ -14,6 +14,8 @@
     SendToPeer,
     StartAttempt,
     StopFinished,
+    StopPlatformWatch,
+    WatchPlatform,
 )
 from endivepick.core.events import PeerSendFailed
 from endivepick.core.instance import InstanceCore
@@ -22,6 +24,7 @@
 from endivepick.daemon.logs import PartLog
 from endivepick.daemon.metrics import DaemonMetrics
 from endivepick.daemon.peers import PeerTask
+from endivepick.daemon.platform import PlatformTask
 from endivepick.daemon.targets import TargetTasks
 
 __all__ = ["Performer", "PerformerTasks"]
@@ -39,6 +42,7 @@
     peers: PeerTask
     targets: TargetTasks
     http: HttpTask
+    platform: PlatformTask
 
 
 class Performer:
@@ -93,6 +97,10 @@
                 self._log(action)
             case ReadinessChange(ready=ready, reason=reason):
                 self._tasks.http.inbox.put(ReadinessChanged(ready, reason))
+            case WatchPlatform(after=after):
+                self._tasks.platform.watch(after)
+            case StopPlatformWatch():
+                self._tasks.platform.stop_watching()
             case StopFinished():
                 self.finished = action
 
--- a/endivepick/daemon/platform.py
+++ b/endivepick/daemon/platform.py
@@ -13,8 +13,10 @@
     InstancesListed,
     ObjectsChanged,
     ObjectsListed,
+    PlatformCallFailed,
 )
 from endivepick.daemon.logs import PartLog
+from endivepick.errors import WatchExpiredError
 from endivepick.membership import ListedInstance
 from endivepick.platform.backoff import Backoff
 from endivepick.platform.client import PlatformClient
@@ -25,6 +27,8 @@
 __all__ = ["PlatformTask", "platform_task"]
 
 WATCHED_KINDS = (SERVICE_KIND, KEYRING_KIND)
+LIST_LESS_OFTEN_FACTOR = 5
+"""How much less often an instance lists that does not watch."""
 _log = PartLog("platform")
 
 
@@ -48,47 +52,65 @@
         self._settings = replace(settings.platform, source_host=source_host)
         self._deliver = deliver
         self._random = random.Random()
+        self._watch: gevent.Greenlet | None = None
         self._client = PlatformClient(self._settings, gevent.sleep, self._random.random)
 
     def close(self) -> None:
         """Close all connections."""
         self._client.close()
 
-    def run_objects(self) -> None:
-        """List, then watch, and list again when the watch has lost its place."""
+    def watch(self, after: int) -> None:
+        """Begin to watch after a revision; list all objects first if it is 0."""
+        self.stop_watching()
+        self._watch = gevent.spawn(self._run_watch, after)
+
+    def stop_watching(self) -> None:
+        """End the watch: peers bring the configuration."""
+        if self._watch is not None:
+            self._watch.kill()
+            self._watch = None
+
+    def _run_watch(self, revision: int) -> None:
+        """Watch, and list again when the watch has lost its place."""
         backoff = Backoff(self._settings.backoff)
+        place: int | None = revision or None
         while True:
-            revision = self._list_all()
-            if revision is None:
-                backoff = backoff.failed(self._random.random())
-                gevent.sleep(backoff.wait_s)
-                continue
-            backoff = backoff.succeeded()
-            self._watch_from(revision)
+            if place is None:
+                place = self._list_all()
+            if place is not None:
+                place, failed = self._watch_once(place)
+                if not failed:
+                    backoff = backoff.succeeded()
+                    continue
+            self._deliver(PlatformCallFailed())
+            backoff = backoff.failed(self._random.random())
+            gevent.sleep(backoff.wait_s)
 
     def _list_all(self) -> int | None:
         revisions: list[int] = []
         for kind in WATCHED_KINDS:
             match self._client.list(kind):
                 case Success(listed):
-                    self._deliver(ObjectsListed(kind, listed.revision, listed.objects))
+                    self._deliver(ObjectsListed(listed))
                     revisions.append(listed.revision)
                 case Failure(error):
                     _log.warning("list_failed", "objects not listed", reason=str(error))
                     return None
         return min(revisions)
 
-    def _watch_from(self, revision: int) -> None:
-        while True:
-            match self._client.watch(WATCHED_KINDS, revision):
-                case Success(result):
-                    self._deliver(
-                        ObjectsChanged(result.after, result.revision, result.events)
-                    )
-                    revision = result.revision
-                case Failure(error):
-                    _log.warning("watch_failed", "watch ended", reason=str(error))
-                    return
+    def _watch_once(self, revision: int) -> tuple[int | None, bool]:
+        """Return where to go on (None: list again), and whether the call failed."""
+        match self._client.watch(WATCHED_KINDS, revision):
+            case Success(result):
+                self._deliver(ObjectsChanged(result))
+                return result.revision, False
+            case Failure(WatchExpiredError() as error):
+                _log.warning("watch_expired", "watch lost its place", reason=str(error))
+                return None, False
+            case Failure(error):
+                _log.warning("watch_failed", "watch ended", reason=str(error))
+                return revision, True
+        raise AssertionError("watch returns a Result")
 
     def run_instances(self) -> None:
         """List the instances again and again."""
@@ -109,8 +131,13 @@
                     _log.warning(
                         "instances_failed", "instances not listed", reason=str(error)
                     )
-            spread = 0.5 + self._random.random()
-            gevent.sleep(self._settings.list_every_s * spread)
+            gevent.sleep(self._list_wait_s())
+
+    def _list_wait_s(self) -> float:
+        """Return a spread wait; who does not watch hears of peers from peers."""
+        spread = 0.5 + self._random.random()
+        factor = 1 if self._watch is not None else LIST_LESS_OFTEN_FACTOR
+        return self._settings.list_every_s * spread * factor
 
 
 @contextmanager
@@ -119,9 +146,10 @@
 ) -> Iterator[PlatformTask]:
     """Run the task while the context is open."""
     task = PlatformTask(settings, deliver)
-    loops = [gevent.spawn(task.run_objects), gevent.spawn(task.run_instances)]
+    loop = gevent.spawn(task.run_instances)
     try:
         yield task
     finally:
-        gevent.killall(loops)
+        loop.kill()
+        task.stop_watching()
         task.close()
--- a/endivepick/daemon/run.py
+++ b/endivepick/daemon/run.py
@@ -140,11 +140,11 @@
                 settings.listen, metrics, lambda: instance_status(core, clock.now_s())
             )
         )
-        tasks = PerformerTasks(fabric, peers, targets, http)
+        platform = stack.enter_context(platform_task(settings, deliver))
+        tasks = PerformerTasks(fabric, peers, targets, http, platform)
         performer = Performer(core, tasks, metrics, loop.deliver_now)
         performer.perform(core.start())
         _announce(settings, core, tasks)
-        stack.enter_context(platform_task(settings, deliver))
         stack.enter_context(_spawned(loop.tick))
         stack.enter_context(_spawned(_refresh_gauges, metrics, core))
         yield loop, performer
--- a/endivepick/daemon/status.py
+++ b/endivepick/daemon/status.py
@@ -6,6 +6,7 @@
 from endivepick.core.instance import InstanceCore
 from endivepick.daemon.metrics import RoleGauges
 from endivepick.membership import InstanceView, PeerState
+from endivepick.records.peer_messages import RefusedRecord
 
 __all__ = ["InstanceStatus", "instance_status", "role_gauges"]
 
@@ -28,8 +29,8 @@
         Flows held.
     records : dict
         Version in force of each record.
-    refused : dict
-        Refused versions, with the reason.
+    refused : tuple of RefusedRecord
+        Newest versions that are not in force, with the reason.
     peers : list of InstanceView
         What it believes about the others.
     services : list of DispatchSnapshot
@@ -42,7 +43,7 @@
     at_s: float
     flows: int
     records: dict[str, int]
-    refused: dict[str, tuple[int, str]]
+    refused: tuple[RefusedRecord, ...]
     peers: list[InstanceView]
     services: list[DispatchSnapshot]
 
@@ -57,7 +58,7 @@
         at_s=now_s,
         flows=len(core.table),
         records=dict(core.catalog.versions()),
-        refused=dict(core.catalog.refused),
+        refused=core.catalog.book.refused,
         peers=list(core.membership.view().values()),
         services=[dispatcher.snapshot() for dispatcher in dispatchers.values()],
     )
