Cache the owner of each service

Cause: each open sorted all live instances; at 8,000 names that is some thousand hashes for each of 90 opens a second. The winner is now cached, a new name is compared with cached winners only, and a silent owner is passed over at once.

--- a/endivepick/core/instance.py
+++ b/endivepick/core/instance.py
@@ -206,7 +206,7 @@
         return self._new_id() / RANDOM_RANGE
 
     def _choose_successor(self, service: str) -> Identity | None:
-        name = self._relay.owner_name(service)
+        name = self._relay.reachable_owner_name(service)
         incarnation = self._peers.incarnation_of(name)
         if name == self.me.name or not incarnation:
             return None
--- a/endivepick/core/peers.py
+++ b/endivepick/core/peers.py
@@ -1,7 +1,5 @@
 """What the relay asks of the membership."""
 
-from collections.abc import Iterable
-
 from endivepick.core.flow_table import Identity
 from endivepick.membership import Membership, PeerState
 
@@ -20,7 +18,7 @@
     def __init__(self, membership: Membership) -> None:
         self._membership = membership
 
-    def ready_names(self) -> Iterable[str]:
+    def ready_names(self) -> tuple[str, ...]:
         """Return the names that may take a role."""
         return self._membership.live_names()
 
--- a/endivepick/core/relay.py
+++ b/endivepick/core/relay.py
@@ -1,6 +1,6 @@
 """Relay: finds who holds a flow and what to say if nobody can be reached."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -12,11 +12,11 @@
     Reissued,
     Unreachable,
 )
+from endivepick.core.owners import ServiceOwners
 from endivepick.core.peer_messages import RelayedPacket
-from endivepick.core.rendezvous import rank
 from endivepick.core.token import FlowToken, TokenCodec
 
-__all__ = ["Holder", "HolderLost", "HolderSilent", "Peers", "Relay", "choose_owner"]
+__all__ = ["Holder", "HolderLost", "HolderSilent", "Peers", "Relay"]
 
 HOPS_MAX = 4
 """Instances that a datagram may pass before it is given up."""
@@ -27,8 +27,11 @@
 class Peers(Protocol):
     """What the relay asks of the membership."""
 
-    def ready_names(self) -> Iterable[str]:
-        """Return the names that may take a role, this instance included."""
+    def ready_names(self) -> tuple[str, ...]:
+        """Return the names that may take a role, this instance included.
+
+        The same tuple as long as no name comes or goes.
+        """
 
     def is_silent(self, name: str) -> bool:
         """Tell whether an instance is suspected and not yet declared dead."""
@@ -67,17 +70,6 @@
 Whereabouts = Holder | HolderSilent | HolderLost
 
 
-def choose_owner(service: str, names: Iterable[str]) -> str:
-    """Return the instance that opens a service's flows.
-
-    Examples
-    --------
-    >>> choose_owner("notes", ["a"])
-    'a'
-    """
-    return rank(service, names)[0]
-
-
 class Relay:
     """Decides where a packet of a flow goes.
 
@@ -108,6 +100,7 @@
         self._codec = codec
         self._new_id = new_id
         self._renew_after_s = renew_after_s
+        self._owners = ServiceOwners(peers.ready_names)
 
     def locate(self, token: FlowToken) -> Whereabouts:
         """Find the holder of a token's binding."""
@@ -181,7 +174,7 @@
         ]
 
     def _present_owner(self, service: str) -> Identity:
-        name = self.owner_name(service)
+        name = self.reachable_owner_name(service)
         incarnation = self._peers.incarnation_of(name)
         if name == self._me.name or not incarnation:
             return self._me
@@ -189,8 +182,14 @@
 
     def owner_name(self, service: str) -> str:
         """Return the instance that opens this service's flows at present."""
-        names = list(self._peers.ready_names())
-        return choose_owner(service, names) if names else self._me.name
+        return self._owners.owner(service) or self._me.name
+
+    def reachable_owner_name(self, service: str) -> str:
+        """Return the first instance in rank order that is not silent."""
+        name = self._owners.first_that(
+            service, lambda name: not self._peers.is_silent(name)
+        )
+        return name or self._me.name
 
     def refuse_open(
         self, open_id: int, reason: str, retry_after_ms: int, caller: CallerAddress
--- a/endivepick/core/router.py
+++ b/endivepick/core/router.py
@@ -78,7 +78,7 @@
         hops: int,
         now_s: float,
     ) -> list[Action]:
-        name = self._relay.owner_name(packet.service)
+        name = self._relay.reachable_owner_name(packet.service)
         # What was relayed is opened here even if the views differ, so that no
         # packet goes in circles; a leaving instance takes no new flow.
         opens_here = name == self._me.name or (hops > 0 and not self._owner.leaving)
