--- a/endivepick/client/__init__.py
+++ b/endivepick/client/__init__.py
@@ -12,6 +12,7 @@
     StreamAnswerError,
 )
 from endivepick.client.model import Answer, StreamEvent, StreamHead
+from endivepick.client.retry import RetryPolicy, request_with_retry
 from endivepick.client.settings import CallerSettings
 from endivepick.client.stream import EventStream
 
@@ -29,8 +30,10 @@
     "OutcomeUnknown",
     "PendingRequest",
     "RequestError",
+    "RetryPolicy",
     "StreamAnswerError",
     "StreamEvent",
     "StreamHead",
     "open_caller",
+    "request_with_retry",
 ]
--- a/endivepick/client/_core/__init__.py
+++ b/endivepick/client/_core/__init__.py
@@ -12,6 +12,7 @@
     OpenFailed,
     RequestCall,
     SendDatagram,
+    WriteLog,
 )
 from endivepick.client._core.caller_core import CallerCore
 
@@ -25,4 +26,5 @@
     "OpenFailed",
     "RequestCall",
     "SendDatagram",
+    "WriteLog",
 ]
--- a/endivepick/client/_core/actions.py
+++ b/endivepick/client/_core/actions.py
@@ -18,6 +18,7 @@
     "Outbox",
     "RequestCall",
     "SendDatagram",
+    "WriteLog",
 ]
 
 
@@ -93,7 +94,40 @@
     result: Answer | RequestError
 
 
-Action = SendDatagram | FlowOpened | OpenFailed | HeadArrived | EventArrived | Completed
+@dataclass(frozen=True, slots=True)
+class WriteLog:
+    """Write an event into the log.
+
+    Attributes
+    ----------
+    name : str
+        Name of the event.
+    message : str
+        Short sentence.
+    flow_id : int
+        Flow that it is about.
+    binding : int or None
+        Binding of its token, if known.
+    seq : int
+        Request number; 0 for an event of the flow.
+    """
+
+    name: str
+    message: str
+    flow_id: int
+    binding: int | None
+    seq: int = 0
+
+
+Action = (
+    SendDatagram
+    | FlowOpened
+    | OpenFailed
+    | HeadArrived
+    | EventArrived
+    | Completed
+    | WriteLog
+)
 
 
 @dataclass(slots=True)
--- a/endivepick/client/_core/caller_core.py
+++ b/endivepick/client/_core/caller_core.py
@@ -83,6 +83,16 @@
         self._timers.update(opening)
         return self.tick(now_s)
 
+    def abandon(self, open_id: int, now_s: float) -> list[Action]:
+        """Give an opening up; a flow that comes of it is closed."""
+        opening = self._openings.get(open_id)
+        if opening is not None:
+            opening.end()
+            self._timers.cancel(opening)
+            self._forget_opening(open_id, NOT_OPENED)
+            return []
+        return self.close(self._opened.get(open_id, NOT_OPENED), now_s)
+
     def request(self, call: RequestCall, now_s: float) -> list[Action]:
         """Send a request on an open flow."""
         flow = self._flows.get(call.flow_id)
@@ -164,12 +174,14 @@
             self._on_opened_again(packet, now_s)
             return
         opening.end()
+        self._timers.cancel(opening)
         self._forget_opening(packet.open_id, packet.flow_id)
         context = FlowContext(
             settings=self._settings,
             outbox=self._outbox,
             timers=self._timers,
             round_trip=RoundTrip(self._settings),
+            flow_id=packet.flow_id,
             token=packet.token,
         )
         flow = FlowState(packet, context, packet.open_id, now_s)
@@ -190,6 +202,7 @@
             self.counts["unknown_open"] += 1
             return
         opening.end()
+        self._timers.cancel(opening)
         self._forget_opening(packet.open_id, NOT_OPENED)
         error = OpenRefused(packet.reason, max(0, packet.retry_after_ms))
         self._outbox.emit(OpenFailed(packet.open_id, error))
--- a/endivepick/client/_core/context.py
+++ b/endivepick/client/_core/context.py
@@ -2,14 +2,13 @@
 
 from dataclasses import dataclass
 
-from endivepick.client._core.actions import Outbox
+from endivepick.client._core.actions import Outbox, WriteLog
 from endivepick.client._core.timing import NEVER_S, RoundTrip, Timers
 from endivepick.client.settings import CallerSettings
 from endivepick.core.messages import CallerPacket
 
-__all__ = ["FlowContext", "Repeat", "clamp_retry_s"]
+__all__ = ["FlowContext", "Repeat"]
 
-LONGEST_RETRY_S = 60.0
 REPEAT_AFTER_S = (0.05, 0.2)
 
 
@@ -27,15 +26,26 @@
         Timers of the caller.
     round_trip : RoundTrip
         Estimate for this flow.
+    flow_id : int
+        The flow.
     token : bytes
         Present token.
+    binding : int or None
+        Its binding, once a packet of an instance showed it.
     """
 
     settings: CallerSettings
     outbox: Outbox
     timers: Timers
     round_trip: RoundTrip
+    flow_id: int
     token: bytes
+    binding: int | None = None
+
+    def log(self, name: str, message: str, seq: int = 0) -> None:
+        """Write an event of the flow, or of one of its requests."""
+        entry = WriteLog(name, message, self.flow_id, self.binding, seq)
+        self.outbox.emit(entry)
 
 
 class Repeat:
@@ -63,8 +73,3 @@
         """Send the packet again."""
         self._outbox.send(self._packet)
         self.due_at_s = self._left_s.pop(0) if self._left_s else NEVER_S
-
-
-def clamp_retry_s(retry_after_ms: int) -> float:
-    """Turn a time to come back into seconds, within sane bounds."""
-    return min(max(retry_after_ms / 1000, 0.0), LONGEST_RETRY_S)
--- a/endivepick/client/_core/flow.py
+++ b/endivepick/client/_core/flow.py
@@ -50,18 +50,12 @@
         Seed of the spread of its intervals.
     now_s : float
         Time, in seconds.
-
-    Attributes
-    ----------
-    binding : int or None
-        Binding of the present token, once an answer showed it.
     """
 
     def __init__(
         self, opened: Opened, context: FlowContext, seed: int, now_s: float
     ) -> None:
         self.flow_id = opened.flow_id
-        self.binding: int | None = None
         self.due_at_s = NEVER_S
         self.listed_at_s = NEVER_S
         self._context = context
@@ -74,6 +68,7 @@
         self._renew_backoff = Backoff(seed, RENEW_RESEND_MAX_S)
         self._late_reply_at_s: dict[int, float] = {}
         self._schedule_renewal(opened.renew_after_s, now_s)
+        context.log("flow_opened", "flow opened")
 
     # Calls of the program and the clock
 
@@ -89,7 +84,7 @@
         if request.payload_bytes > self._context.settings.max_request_bytes:
             error = NotRun("request is longer than max_request_bytes")
             self._context.outbox.emit(Completed(call.request_id, error))
-            request.due_at_s = NEVER_S
+            self._context.timers.cancel(request)
             return None
         self._waiting.append(request)
         self.settle(now_s)
@@ -101,6 +96,8 @@
             request.cancel(now_s)
         self.settle(now_s)
         self.due_at_s = NEVER_S
+        self._context.timers.cancel(self)
+        self._context.log("flow_closed", "flow closed")
         packet = FlowClosed(self._context.token)
         self._context.timers.update(Repeat(packet, self._context.outbox, now_s))
 
@@ -116,9 +113,11 @@
             del self._active[seq]
         while self._waiting and (self._waiting[0].ended or self._may_start()):
             request = self._waiting.popleft()
+            if request.ended:
+                continue
             if now_s >= request.call.deadline_at_s:
                 request.on_due(now_s)
-            elif not request.ended:
+            else:
                 self._start(request, now_s)
 
     def _may_start(self) -> bool:
@@ -142,9 +141,9 @@
         if not 0 < packet.seq <= self._last_seq:
             self._context.outbox.counts["unknown_request"] += 1
             return
-        if self.binding is None:
-            self.binding = packet.binding
-        if packet.binding != self.binding:
+        if self._context.binding is None:
+            self._context.binding = packet.binding
+        if packet.binding != self._context.binding:
             self._context.outbox.counts["other_binding"] += 1
             return
         request = self._active.get(packet.seq)
@@ -189,9 +188,9 @@
 
     def on_reissued(self, packet: Reissued, now_s: float) -> None:
         """Use a new token, unless it replaces one that was replaced already."""
-        if self.binding is None:
-            self.binding = packet.old_binding
-        if packet.old_binding != self.binding or packet.token in self._tokens:
+        if self._context.binding is None:
+            self._context.binding = packet.old_binding
+        if packet.old_binding != self._context.binding or packet.token in self._tokens:
             self._context.outbox.counts["token_dropped"] += 1
             return
         if packet.continues != (packet.binding == packet.old_binding):
@@ -200,6 +199,7 @@
         self._context.token = packet.token
         self._tokens.append(packet.token)
         self._schedule_renewal(packet.renew_after_s, now_s)
+        self._context.log("token_replaced", "token replaced")
         if packet.continues:
             self._continue_requests(now_s)
         else:
@@ -210,7 +210,8 @@
             request.on_continued(now_s)
 
     def _replace_binding(self, binding: int, now_s: float) -> None:
-        self.binding = binding
+        self._context.binding = binding
+        self._context.log("owner_lost", "owner lost, new binding in use")
         requests = list(self._active.values())
         self._active = {}
         for request in requests:
--- a/endivepick/client/_core/request.py
+++ b/endivepick/client/_core/request.py
@@ -1,30 +1,22 @@
 """One request, from its first part to its end."""
 
-import math
-
 from endivepick.client._core.actions import Completed, RequestCall
+from endivepick.client._core.attempt import Attempt
 from endivepick.client._core.collector import (
     AnswerUnusableError,
     BodyCollector,
     Collector,
     StreamCollector,
 )
-from endivepick.client._core.context import FlowContext, Repeat, clamp_retry_s
-from endivepick.client._core.receiver import PartReceiver
-from endivepick.client._core.sender import PartSender
-from endivepick.client._core.timing import NEVER_S, Backoff, spread
-from endivepick.client._core.window import AnswerWindow
+from endivepick.client._core.context import FlowContext
+from endivepick.client._core.timing import NEVER_S, Backoff, clamp_retry_s, spread
 from endivepick.client.errors import GaveUp, NotRun, OutcomeUnknown, RequestError
 from endivepick.client.model import Answer
 from endivepick.core.chart import load_chart
-from endivepick.core.codec import encode_struct
 from endivepick.core.messages import (
-    Acknowledge,
     AnswerPart,
-    Cancel,
     Outcome,
     Refused,
-    RequestPart,
     RequestProgress,
     Unreachable,
 )
@@ -33,7 +25,6 @@
 
 _CHART = load_chart("request")
 REISSUE_SPREAD_S = 0.01
-LONGEST_DEADLINE_MS = 7 * 24 * 3600 * 1000
 
 
 class RequestState:
@@ -50,8 +41,6 @@
 
     Attributes
     ----------
-    seq : int
-        Number of the present attempt, 0 before the first.
     state : str
         State of the chart.
     due_at_s : float
@@ -60,18 +49,15 @@
 
     def __init__(self, call: RequestCall, context: FlowContext, seed: int) -> None:
         self.call = call
-        self.seq = 0
         self.state = _CHART.initial
         self.due_at_s = call.deadline_at_s
         self.listed_at_s = NEVER_S
         self._context = context
         self._seed = seed
         self._may_have_run = False
-        self._sent_once_at_s = 0.0
         self._backoff = Backoff(seed, context.settings.resend_max_s)
         self._collector = self._new_collector()
-        self._sender = PartSender(encode_struct(call.head))
-        self._receiver = self._new_receiver()
+        self._attempt = Attempt(call, call.head, context)
         context.timers.update(self)
 
     def _new_collector(self) -> Collector:
@@ -79,12 +65,6 @@
             return StreamCollector(self.call.request_id, self._context.outbox)
         return BodyCollector(self._context.settings.max_answer_bytes)
 
-    def _new_receiver(self) -> PartReceiver:
-        settings = self._context.settings
-        largest = settings.answer_window_max_parts
-        window = AnswerWindow(min(settings.answer_window_parts, largest), largest)
-        return PartReceiver(window)
-
     @property
     def ended(self) -> bool:
         """Whether nothing more happens."""
@@ -98,13 +78,13 @@
     @property
     def payload_bytes(self) -> int:
         """Size of the encoded request."""
-        return len(self._sender.payload)
+        return self._attempt.payload_bytes
 
     # Calls of the program and the clock
 
     def start(self, seq: int, now_s: float) -> None:
-        """Send the first parts."""
-        self.seq = seq
+        """Send the first parts under a number."""
+        self._attempt.seq = seq
         self._step("send")
         self._begin_sending(now_s)
 
@@ -114,14 +94,14 @@
 
     def on_due(self, now_s: float) -> None:
         """Repeat what was not answered, or give up at the deadline."""
-        if self.ended:
-            self.due_at_s = NEVER_S
-        elif now_s >= self.call.deadline_at_s:
+        if now_s >= self.call.deadline_at_s:
             self._give_up(
                 "expire", now_s, GaveUp(), "deadline passed before it was sent"
             )
         elif self.state == "sending":
-            self._resend(now_s)
+            self._context.outbox.counts["resend"] += 1
+            self._attempt.resend(now_s)
+            self._schedule_resend(now_s)
         elif self.state in ("accepted", "receiving"):
             self._poll(now_s)
         else:
@@ -130,16 +110,12 @@
     def _give_up(
         self, event: str, now_s: float, error: RequestError, unsent_reason: str
     ) -> None:
-        if self.seq:
-            self._repeat_cancel(now_s)
-            self._end(event, error)
-        else:
+        if self._attempt.seq == 0:
             self._end(event, NotRun(unsent_reason))
-
-    def _repeat_cancel(self, now_s: float) -> None:
-        packet = Cancel(self._context.token, self.seq)
-        repeat = Repeat(packet, self._context.outbox, now_s)
-        self._context.timers.update(repeat)
+            return
+        self._log("request_given_up", "request given up")
+        self._attempt.cancel(now_s)
+        self._end(event, error)
 
     # Packets
 
@@ -147,37 +123,27 @@
         """Stop sending parts and begin to wait."""
         if self.state != "sending":
             return
-        if self._sent_once_at_s and self._sender.fits_window:
-            self._context.round_trip.sample(now_s - self._sent_once_at_s)
+        self._attempt.on_accepted(now_s)
         self._step("accept")
-        self._restart_backoff(self._context.settings.poll_max_s)
+        self._backoff = Backoff(self._seed, self._context.settings.poll_max_s)
         self._schedule(now_s + self._context.settings.poll_min_s)
 
     def on_progress(self, packet: RequestProgress, now_s: float) -> None:
         """Send the parts that the owner misses."""
         if self.state == "sending":
             self._step("progress")
-            self._send_wanted(packet, now_s)
+            if self._attempt.on_progress(packet, now_s):
+                self._backoff.reset()
+                self._schedule(now_s + self._context.round_trip.resend_s)
         elif packet.next_index == 0 and not packet.missing:
             self._step("forget")
-            self._sender.restart()
             self._begin_sending(now_s)
         else:
             self._context.outbox.counts["stale_progress"] += 1
 
-    def _send_wanted(self, packet: RequestProgress, now_s: float) -> None:
-        resend_s = self._context.round_trip.resend_s
-        before = self._sender.next_index
-        wanted = self._sender.report(packet.next_index, packet.missing, now_s, resend_s)
-        self._send_parts(wanted, now_s)
-        self._send_parts(list(self._sender.take_new(now_s)), now_s)
-        if self._sender.next_index > before:
-            self._backoff.reset()
-            self._schedule(now_s + resend_s)
-
     def on_part(self, packet: AnswerPart, now_s: float) -> None:
         """Take a part of the answer."""
-        receiver = self._receiver
+        receiver = self._attempt.receiver
         asked_at_s = receiver.holes.asked_once_at_s(packet.index)
         if not receiver.accept(packet.index, packet.final, packet.data, now_s):
             self._context.outbox.counts["duplicate_part"] += 1
@@ -190,23 +156,24 @@
 
     def _hand_on(self) -> bool:
         try:
-            for index, data in self._receiver.take_ready():
+            for index, data in self._attempt.receiver.take_ready():
                 self._collector.add(index, data)
         except AnswerUnusableError as error:
-            self._acknowledge([], done=True)
+            self._attempt.acknowledge_end()
             self._end("fail", OutcomeUnknown(str(error)))
             return False
         return True
 
     def _go_on_receiving(self, now_s: float) -> None:
-        if self._receiver.complete:
-            self._acknowledge([], done=True)
+        receiver = self._attempt.receiver
+        if receiver.complete:
+            self._log("answer_received", "whole answer received")
+            self._attempt.acknowledge_end()
             self._end("complete", self._collector.finish())
             return
-        repeat_s = self._context.round_trip.repeat_s
-        missing = self._receiver.report_if_due(now_s, repeat_s)
+        missing = receiver.report_if_due(now_s, self._context.round_trip.repeat_s)
         if missing is not None:
-            self._acknowledge(missing, done=False)
+            self._attempt.acknowledge(missing)
         self._backoff.reset()
         self._schedule(now_s + self._poll_base_s)
 
@@ -215,7 +182,8 @@
         if not _CHART.allows(self.state, "refuse"):
             self._context.outbox.counts["refused_after_answer"] += 1
             return
-        self._acknowledge([], done=True)
+        self._log("request_refused", "request refused")
+        self._attempt.acknowledge_end()
         if self._may_have_run:
             reason = f"{packet.reason}, and an earlier attempt may have run"
             self._end("fail", OutcomeUnknown(reason, packet.retry_after_ms))
@@ -224,7 +192,8 @@
 
     def on_outcome(self, packet: Outcome) -> None:
         """End with an unknown outcome."""
-        self._acknowledge([], done=True)
+        self._log("outcome_unknown", "outcome unknown")
+        self._attempt.acknowledge_end()
         self._end("fail", OutcomeUnknown(packet.reason, packet.retry_after_ms))
 
     def on_unreachable(self, packet: Unreachable, now_s: float) -> None:
@@ -232,16 +201,16 @@
         wait_s = clamp_retry_s(packet.retry_after_ms)
         wait_s = max(wait_s, self._context.settings.resend_min_s)
         self._backoff.reset()
-        self._sent_once_at_s = 0.0
-        self._schedule(now_s + wait_s * (1 + spread(self._seed, self.seq) / 4))
+        self._attempt.spoil_round_trip()
+        self._schedule(now_s + wait_s * (1 + self._spread() / 4))
 
     # New tokens
 
     def on_continued(self, now_s: float) -> None:
         """Go on under a new token of the same binding."""
         self._backoff.reset()
-        self._sent_once_at_s = 0.0
-        self._schedule(now_s + REISSUE_SPREAD_S * spread(self._seed, self.seq))
+        self._attempt.spoil_round_trip()
+        self._schedule(now_s + REISSUE_SPREAD_S * self._spread())
 
     def on_owner_lost(self, seq: int, now_s: float) -> None:
         """Begin again under a new binding if idempotent, else end."""
@@ -251,81 +220,53 @@
         self._may_have_run = True
         self._step("reissue")
         self._collector.restart()
-        self._receiver = self._new_receiver()
         head = self._collector.resumed(self.call.head)
-        self._sender = PartSender(encode_struct(head))
-        self.seq = seq
+        self._attempt = Attempt(self.call, head, self._context)
+        self._attempt.seq = seq
         self._begin_sending(now_s)
 
-    # Sending
+    # Timing
 
     def _begin_sending(self, now_s: float) -> None:
-        self._restart_backoff(self._context.settings.resend_max_s)
-        self._sent_once_at_s = now_s
-        self._send_parts(list(self._sender.take_new(now_s)), now_s)
-        resend_s = self._context.round_trip.resend_s
-        self._schedule(now_s + self._backoff.next_s(resend_s))
+        self._log("request_sent", "request sent")
+        self._attempt.send_all(now_s)
+        self._backoff = Backoff(self._seed, self._context.settings.resend_max_s)
+        self._schedule_resend(now_s)
 
-    def _resend(self, now_s: float) -> None:
-        self._sent_once_at_s = 0.0
-        self._context.outbox.counts["resend"] += 1
-        self._send_parts(list(self._sender.take_unconfirmed(now_s)), now_s)
+    def _schedule_resend(self, now_s: float) -> None:
         resend_s = self._context.round_trip.resend_s
         self._schedule(now_s + self._backoff.next_s(resend_s))
 
-    def _send_parts(self, indexes: list[int], now_s: float) -> None:
-        for index in indexes:
-            self._context.outbox.send(self._part(index, now_s))
-
-    def _part(self, index: int, now_s: float) -> RequestPart:
-        left_ms = math.ceil((self.call.deadline_at_s - now_s) * 1000)
-        return RequestPart(
-            token=self._context.token,
-            seq=self.seq,
-            index=index,
-            count=self._sender.count,
-            idempotent=self.call.idempotent,
-            deadline_ms=min(max(left_ms, 1), LONGEST_DEADLINE_MS),
-            data=self._sender.data(index),
-        )
-
     def _poll(self, now_s: float) -> None:
         self._context.outbox.counts["poll"] += 1
-        self._acknowledge(self._receiver.probe(now_s), done=False)
+        self._attempt.acknowledge(self._attempt.receiver.probe(now_s))
         self._schedule(now_s + self._backoff.next_s(self._poll_base_s))
 
     @property
     def _poll_base_s(self) -> float:
-        if self._receiver.holes:
+        if self._attempt.receiver.holes:
             return self._context.round_trip.repeat_s
         if self.state == "accepted" or self.call.head.stream:
             return self._context.settings.poll_min_s
         return self._context.round_trip.resend_s
 
-    def _acknowledge(self, missing: list[int], done: bool) -> None:
-        packet = Acknowledge(
-            token=self._context.token,
-            seq=self.seq,
-            next_index=self._receiver.next_index,
-            missing=missing,
-            window=self._receiver.window.size_parts,
-            done=done,
-        )
-        self._context.outbox.send(packet)
-
-    # State
-
-    def _restart_backoff(self, limit_s: float) -> None:
-        self._backoff = Backoff(self._seed, limit_s)
-
     def _schedule(self, at_s: float) -> None:
         self.due_at_s = min(at_s, self.call.deadline_at_s)
         self._context.timers.update(self)
 
+    def _spread(self) -> float:
+        return spread(self._seed, self._attempt.seq)
+
+    # State
+
+    def _log(self, name: str, message: str) -> None:
+        self._context.log(name, message, self._attempt.seq)
+
     def _step(self, event: str) -> None:
         self.state = _CHART.step(self.state, event)
 
     def _end(self, event: str, result: Answer | RequestError) -> None:
         self._step(event)
         self.due_at_s = NEVER_S
+        self._context.timers.cancel(self)
         self._context.outbox.emit(Completed(self.call.request_id, result))
--- a/endivepick/client/_core/sender.py
+++ b/endivepick/client/_core/sender.py
@@ -85,7 +85,8 @@
         self._advance(next_index)
         wanted = {index for index in missing if self._is_open(index)}
         if wanted:
-            arrived = range(self.next_index, max(wanted))
+            # The next part cannot have arrived, or it would not be the next.
+            arrived = range(self.next_index + 1, max(wanted))
             self._held.update(index for index in arrived if index not in wanted)
         return [
             index for index in sorted(wanted) if self._retake(index, now_s, resend_s)
--- a/endivepick/client/_core/timing.py
+++ b/endivepick/client/_core/timing.py
@@ -8,9 +8,11 @@
 
 from endivepick.client.settings import CallerSettings
 
-__all__ = ["Backoff", "Due", "RoundTrip", "Timers", "spread"]
+__all__ = ["Backoff", "Due", "RoundTrip", "Timers", "clamp_retry_s", "spread"]
 
 _SPREAD_STEPS = 1 << 20
+LONGEST_RETRY_S = 60.0
+STALE_ENTRIES_KEPT = 64
 SHORTEST_REPEAT_S = 0.005
 NEVER_S = float("inf")
 
@@ -31,6 +33,11 @@
     return digest % _SPREAD_STEPS / _SPREAD_STEPS
 
 
+def clamp_retry_s(retry_after_ms: int) -> float:
+    """Turn a time to come back into seconds, within sane bounds."""
+    return min(max(retry_after_ms / 1000, 0.0), LONGEST_RETRY_S)
+
+
 @dataclass(slots=True)
 class Backoff:
     """Intervals that double up to a limit, with spread.
@@ -127,26 +134,48 @@
     """Heap of objects that become due.
 
     An object that moves its time ahead costs nothing until its old entry comes
-    up, so that a part of an answer need not touch the heap.
+    up, so that a part of an answer need not touch the heap. Entries of objects
+    that ended are cleared once they are the larger part.
     """
 
     _heap: list[tuple[float, int, Due]] = field(default_factory=list)
     _count: int = 0
+    _stale: int = 0
+
+    def __len__(self) -> int:
+        return len(self._heap)
 
     def update(self, item: Due) -> None:
         """Take note of an item's time, if it is earlier than known."""
         if item.due_at_s >= item.listed_at_s:
             return
+        self.cancel(item)
         self._count += 1
         item.listed_at_s = item.due_at_s
         heapq.heappush(self._heap, (item.due_at_s, self._count, item))
 
+    def cancel(self, item: Due) -> None:
+        """Forget an item's entry."""
+        if item.listed_at_s == NEVER_S:
+            return
+        item.listed_at_s = NEVER_S
+        self._stale += 1
+        if self._stale > STALE_ENTRIES_KEPT and self._stale * 2 > len(self._heap):
+            self._clear_stale()
+
+    def _clear_stale(self) -> None:
+        self._heap = [entry for entry in self._heap if _is_listed(entry)]
+        heapq.heapify(self._heap)
+        self._stale = 0
+
     def pop_due(self, now_s: float) -> Due | None:
         """Return the next item that is due, or None."""
         while self._heap and self._heap[0][0] <= now_s:
-            listed_at_s, _, item = heapq.heappop(self._heap)
-            if listed_at_s != item.listed_at_s:
+            entry = heapq.heappop(self._heap)
+            if not _is_listed(entry):
+                self._stale -= 1
                 continue
+            item = entry[2]
             item.listed_at_s = NEVER_S
             if item.due_at_s <= now_s:
                 return item
@@ -157,3 +186,8 @@
     def next_at_s(self) -> float:
         """When to look again; infinite if nothing is listed."""
         return self._heap[0][0] if self._heap else NEVER_S
+
+
+def _is_listed(entry: tuple[float, int, Due]) -> bool:
+    listed_at_s, _, item = entry
+    return listed_at_s == item.listed_at_s
--- a/endivepick/client/_messages.py
+++ b/endivepick/client/_messages.py
@@ -10,6 +10,7 @@
 from endivepick.core.messages import RequestHead
 
 __all__ = [
+    "AbandonOpen",
     "CancelRequest",
     "CloseFlow",
     "DatagramsArrived",
@@ -44,6 +45,13 @@
     opened: "AsyncResult[int | OpenError]"
 
 
+@dataclass(frozen=True, slots=True)
+class AbandonOpen:
+    """Give an opening up."""
+
+    open_id: int
+
+
 @dataclass(frozen=True, slots=True)
 class SendRequest:
     """Send a request; ``sink`` receives what comes of it."""
@@ -83,5 +91,11 @@
 
 
 TaskMessage = (
-    OpenFlow | SendRequest | CancelRequest | CloseFlow | DatagramsArrived | Stop
+    OpenFlow
+    | AbandonOpen
+    | SendRequest
+    | CancelRequest
+    | CloseFlow
+    | DatagramsArrived
+    | Stop
 )
--- a/endivepick/client/_task.py
+++ b/endivepick/client/_task.py
@@ -19,8 +19,10 @@
     OpenFailed,
     RequestCall,
     SendDatagram,
+    WriteLog,
 )
 from endivepick.client._messages import (
+    AbandonOpen,
     CancelRequest,
     CloseFlow,
     DatagramsArrived,
@@ -30,8 +32,9 @@
     Stop,
     TaskMessage,
 )
-from endivepick.client.errors import CallerClosed, OpenError, OutcomeUnknown
+from endivepick.client.errors import CallerClosed, NotRun, OpenError, OutcomeUnknown
 from endivepick.client.settings import CallerSettings
+from endivepick.daemon.logs import PartLog
 
 __all__ = ["SocketTask"]
 
@@ -40,6 +43,8 @@
 DATAGRAMS_PER_MESSAGE = 64
 LONGEST_WAIT_S = 1.0
 
+_log = PartLog("caller")
+
 
 class SocketTask:
     """Owns one UDP socket and the core; other tasks talk to it by messages.
@@ -82,6 +87,7 @@
         finally:
             reader.kill()
             self._socket.close()
+            self._end_all()
 
     def _step(self) -> bool:
         message = self._next_message()
@@ -116,6 +122,9 @@
                 self._request(message, now_s)
             case CancelRequest(request_id):
                 self._perform(self._core.cancel(request_id, now_s))
+            case AbandonOpen(open_id):
+                self._opens.pop(open_id, None)
+                self._perform(self._core.abandon(open_id, now_s))
             case CloseFlow(flow_id):
                 self._flow_ids.discard(flow_id)
                 self._perform(self._core.close(flow_id, now_s))
@@ -153,6 +162,8 @@
                     self._sinks[request_id].on_head(head)
                 case Completed(request_id, result):
                     self._sinks.pop(request_id).on_end(result)
+                case WriteLog():
+                    _write_log(action)
                 case FlowOpened(open_id, flow_id):
                     self._flow_ids.add(flow_id)
                     self._opens.pop(open_id).set(flow_id)
@@ -170,11 +181,23 @@
         now_s = time.monotonic()
         for flow_id in self._flow_ids:
             self._perform(self._core.close(flow_id, now_s))
+
+    def _end_all(self) -> None:
+        """Leave nobody waiting, also after a failure of this task."""
+        self._refuse_unread()
         for opened in self._opens.values():
             opened.set(CallerClosed())
         for sink in self._sinks.values():
             sink.on_end(OutcomeUnknown("the caller was closed"))
 
+    def _refuse_unread(self) -> None:
+        while not self.inbox.empty():
+            match self.inbox.get():
+                case OpenFlow(opened=opened):
+                    opened.set(CallerClosed())
+                case SendRequest(sink=sink):
+                    sink.on_end(NotRun("the caller is closed"))
+
     # Socket
 
     def _read(self) -> None:
@@ -196,3 +219,13 @@
             # A connected UDP socket reports here that nobody listens.
             self.counts["receive_failed"] += 1
         return datagrams
+
+
+def _write_log(entry: WriteLog) -> None:
+    ids: dict[str, int] = {"flow": entry.flow_id}
+    if entry.binding is not None:
+        ids["binding"] = entry.binding
+    if entry.seq:
+        _log.debug(entry.name, entry.message, seq=entry.seq, **ids)
+    else:
+        _log.event(entry.name, entry.message, **ids)
--- a/endivepick/client/caller.py
+++ b/endivepick/client/caller.py
@@ -11,6 +11,7 @@
 from returns.result import Failure, Result, Success
 
 from endivepick.client._messages import (
+    AbandonOpen,
     CancelRequest,
     CloseFlow,
     OpenFlow,
@@ -196,20 +197,20 @@
     ----------
     settings : CallerSettings
         Settings of the caller.
-
-    Attributes
-    ----------
-    closed : bool
-        Whether `close` was called.
     """
 
     def __init__(self, settings: CallerSettings) -> None:
         self.settings = settings
-        self.closed = False
+        self._closing = False
         self.task = SocketTask(settings)
         self._greenlet = gevent.spawn(self.task.run)
         self._request_ids = itertools.count(1)
 
+    @property
+    def closed(self) -> bool:
+        """Whether `close` was called or the socket task has failed."""
+        return self._closing or self._greenlet.ready()
+
     def next_request_id(self) -> int:
         """Return a number for the next request."""
         return next(self._request_ids)
@@ -239,18 +240,22 @@
         if self.closed:
             return Failure(CallerClosed())
         opened: AsyncResult[int | OpenError] = AsyncResult()
-        message = OpenFlow(secrets.randbits(63), service, deadline_s, opened)
-        self.task.inbox.put(message)
-        result = opened.get()
+        open_id = secrets.randbits(63)
+        self.task.inbox.put(OpenFlow(open_id, service, deadline_s, opened))
+        try:
+            result = opened.get()
+        except BaseException:
+            self.task.inbox.put(AbandonOpen(open_id))
+            raise
         if isinstance(result, int):
             return Success(Flow(self, result, service))
         return Failure(result)
 
     def close(self) -> None:
         """Close all flows and the socket."""
-        if self.closed:
+        if self._closing:
             return
-        self.closed = True
+        self._closing = True
         self.task.inbox.put(Stop())
         self._greenlet.join()
 
