Show both shapes under planned and unplanned changes

make demo needs real traffic, changes in the order of an operator's morning, and a verdict that does not come from the balancers. Callers are processes of their own; a checker reads the logs of callers, targets and platform only. The busiest instance is replaced and the then busiest is killed, since the loss of an idle one shows nothing. A stream that stays open but stands still counts as a broken flow, or a silent stall would pass.

--- a/standins/checker.py
+++ b/standins/checker.py
@@ -16,6 +16,8 @@
 """Time after which a leaving target gets no new work."""
 RECOVERY_S = 10.0
 """Time after an unplanned failure in which requests may still end badly."""
+STALL_S = 5.0
+"""Longest time without an event of a stream whose interval is far shorter."""
 
 
 class Promise(Enum):
@@ -53,6 +55,12 @@
         """Whether something that ran in this span may have suffered from it."""
         return ended_s >= self.from_s and sent_s <= self.until_s + RECOVERY_S
 
+    def overlap_s(self, from_s: float, until_s: float) -> float:
+        """Return how much of a span lies in the failure and the recovery."""
+        begin_s = max(from_s, self.from_s)
+        end_s = min(until_s, self.until_s + RECOVERY_S)
+        return max(0.0, end_s - begin_s)
+
 
 @dataclass
 class Report:
@@ -185,6 +193,16 @@
         if not stream.by_caller and not _is_excused(stream, disturbances):
             detail = f"stream {stream.echo} ended after {stream.events} events"
             yield Violation(Promise.FLOWS, f"{detail} ({stream.error})")
+        stalled_s = _stalled_s(stream, disturbances)
+        if stalled_s > STALL_S:
+            detail = f"stream {stream.echo} stood still for {stalled_s:.1f} s"
+            yield Violation(Promise.FLOWS, detail)
+
+
+def _stalled_s(stream: Stream, disturbances: list[Disturbance]) -> float:
+    from_s, until_s = stream.longest_gap_s
+    excused_s = sum(d.overlap_s(from_s, until_s) for d in disturbances)
+    return until_s - from_s - excused_s
 
 
 def _lost_flows(evidence: Evidence) -> Iterator[Violation]:
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -145,7 +145,8 @@
 
     def start_instances(self, names: Iterable[str]) -> None:
         """Start instances of the shape at once and wait until all are ready."""
-        plans = [plan for plan in self.shape.instances if plan.name in set(names)]
+        wanted = set(names)
+        plans = [plan for plan in self.shape.instances if plan.name in wanted]
         spawned = [(plan, *self._spawn_instance(plan)) for plan in plans]
         for plan, process, log in spawned:
             process.wait_ready()
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,317 @@
+"""Demonstration: one shape under load while instances and targets change.
+
+``python -m standins.demo --shape=harada`` starts all processes, replaces an
+instance as planned, drains a target, changes a record, kills an instance, and
+prints one screen.  The counts come from the logs of targets and callers.  The
+exit status is 1 if a promise was broken.
+"""
+
+import signal
+import sys
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+import fire
+
+from standins.checker import Disturbance, Promise, Report, Violation, check
+from standins.cluster import Cluster, ClusterSettings, cluster
+from standins.evidence import Evidence, read_evidence
+from standins.imbalance import Imbalance, measure_imbalance
+from standins.process import ChildProcess, wait_until
+from standins.shapes import SHAPES, ServicePlan, Shape
+from standins.versions import VersionWatch, wait_in_force, watch_versions
+
+__all__ = ["main", "run_demo"]
+
+CALLER_PROCESSES = 3
+IN_FORCE_LIMIT_S = 5.0
+"""Time in which an accepted configuration has to be in force everywhere."""
+_LOAD_SHARE = 0.6
+_WORK_MS = 60.0
+_THINK_MS = 60.0
+_STREAM_INTERVAL_MS = 200.0
+_LOAD_MAX_S = 60.0
+_STEADY_S = 2.0
+_DRAINED_S = 4.0
+_AFTER_KILL_S = 5.0
+_END_TIMEOUT_S = 30.0
+_SHOWN_VIOLATIONS = 10
+
+
+@dataclass
+class _Story:
+    """What was done, for the summary."""
+
+    started_s: float
+    steps: list[str] = field(default_factory=list)
+    disturbances: list[Disturbance] = field(default_factory=list)
+    violations: list[Violation] = field(default_factory=list)
+    in_force_s: list[float] = field(default_factory=list)
+    drained: str = ""
+
+    def note(self, step: str) -> None:
+        """Remember and print a step."""
+        line = f"{time.monotonic() - self.started_s:5.1f} s  {step}"
+        self.steps.append(line)
+        print(line, flush=True)
+
+
+def _flows_for(service: ServicePlan) -> int:
+    """Return how many flows keep the service at about the wanted load."""
+    slots = sum(target.slots for target in service.targets)
+    busy_share = _WORK_MS / (_WORK_MS + _THINK_MS)
+    return max(1, round(_LOAD_SHARE * slots / busy_share / CALLER_PROCESSES))
+
+
+def _start_callers(running: Cluster) -> list[ChildProcess]:
+    callers = []
+    for number in range(1, CALLER_PROCESSES + 1):
+        name = f"caller-{number}"
+        settings = {
+            "name": name,
+            "fabric_address": running.fabric_address,
+            "log_path": str(running.launcher.log_path("callers", name)),
+            "workloads": [
+                {
+                    "service": service.name,
+                    "flows": _flows_for(service),
+                    "work_ms": _WORK_MS,
+                    "think_ms": _THINK_MS,
+                    "stream_interval_ms": _STREAM_INTERVAL_MS,
+                }
+                for service in running.shape.services
+            ],
+            "seed": running.settings.seed,
+            "run_s": _LOAD_MAX_S,
+        }
+        path = running.launcher.write_settings(name, settings)
+        process = running.launcher.spawn(name, "standins.load", [f"--settings={path}"])
+        callers.append(process)
+    return callers
+
+
+def _stop_callers(callers: list[ChildProcess]) -> None:
+    for process in callers:
+        process.signal(signal.SIGTERM)
+    for process in callers:
+        process.wait(_END_TIMEOUT_S)
+
+
+def _busiest_instance(running: Cluster) -> str:
+    """Return the instance with most flows, whose loss matters most."""
+    flows = {name: one.status()["flows"] for name, one in running.instances.items()}
+    return max(flows, key=lambda name: flows[name])
+
+
+def _replace_instance(running: Cluster, story: _Story) -> None:
+    name = _busiest_instance(running)
+    flows = running.instances[name].status()["flows"]
+    status = running.stop_instance(name)
+    if status != 0:
+        detail = f"{name} ended its planned stop with status {status}"
+        story.violations.append(Violation(Promise.GRACEFUL, detail))
+    story.note(f"stopped instance {name} as planned; it held {flows} flows")
+    running.start_instance(name)
+    story.note(f"started its replacement {name}")
+
+
+def _put_in_force(
+    running: Cluster, story: _Story, what: str, write: Callable[[], dict[str, Any]]
+) -> None:
+    """Write a record and measure how long until it is in force everywhere."""
+    written_s = time.monotonic()
+    written = write()
+    wait_in_force(running, written["name"], written["version"])
+    took_s = time.monotonic() - written_s
+    story.in_force_s.append(took_s)
+    story.note(f"{what}: in force everywhere after {took_s:.2f} s")
+    if took_s > IN_FORCE_LIMIT_S:
+        detail = f"{what} took {took_s:.1f} s"
+        story.violations.append(Violation(Promise.IN_FORCE, detail))
+
+
+def _drain_target(running: Cluster, story: _Story) -> None:
+    target = running.shape.services[0].targets[0]
+    story.drained = target.name
+    _put_in_force(
+        running,
+        story,
+        f"drained target {target.name}",
+        lambda: running.drain_target(target.service, target.name),
+    )
+
+
+def _change_record(running: Cluster, story: _Story) -> None:
+    service = running.shape.services[1].name
+
+    def change(body: dict[str, Any]) -> None:
+        body["waiting_per_slot"] = 4
+
+    _put_in_force(
+        running,
+        story,
+        f"changed the record of {service}",
+        lambda: running.platform.change_record(service, change),
+    )
+
+
+def _kill_instance(running: Cluster, story: _Story) -> None:
+    name = _busiest_instance(running)
+    flows = running.instances[name].status()["flows"]
+    killed_s = time.time()
+    running.kill_instance(name)
+    story.disturbances.append(Disturbance(killed_s, killed_s))
+    story.note(f"killed instance {name}; it held {flows} flows")
+
+
+def _play(running: Cluster, story: _Story) -> None:
+    """Change the installation while callers use it."""
+    callers = _start_callers(running)
+    for process in callers:
+        process.wait_ready()
+    logs = running.launcher.logs("callers")
+    wait_until(lambda: all(log.stat().st_size for log in logs), "first requests")
+    story.note(f"{len(callers)} callers send requests")
+    # The following pauses give the load time between two changes.
+    time.sleep(_STEADY_S)
+    _replace_instance(running, story)
+    _drain_target(running, story)
+    _change_record(running, story)
+    time.sleep(_DRAINED_S)
+    _kill_instance(running, story)
+    time.sleep(_AFTER_KILL_S)
+    _stop_callers(callers)
+    story.note("callers have ended")
+
+
+def _imbalance(evidence: Evidence, service: ServicePlan, drained: str) -> Imbalance:
+    slots = {t.name: t.slots for t in service.targets if t.name != drained}
+    return measure_imbalance(evidence, slots)
+
+
+def _summarise(
+    running: Cluster, story: _Story, evidence: Evidence, report: Report
+) -> None:
+    counts = report.counts
+    broken = {promise: len(report.broken(promise)) for promise in Promise}
+    rows = [
+        ("requests sent", counts["requests"]),
+        ("whole answers", counts["answer_whole"]),
+        ("refused as not run", counts["not_run"]),
+        ("outcome unknown", counts["unknown"] + counts["gave_up"]),
+        ("non-idempotent requests run twice", broken[Promise.ONCE]),
+        ("packets that reached a wrong service", broken[Promise.SERVICE]),
+        ("flows opened", counts["flows"]),
+        ("streams held, events received", _streams(counts)),
+        ("flows broken by planned changes", broken[Promise.FLOWS]),
+        ("requests cut by planned changes", broken[Promise.GRACEFUL]),
+    ]
+    rows += [
+        (f"imbalance of {service.name}", _imbalance_text(evidence, service, story))
+        for service in running.shape.services
+    ]
+    in_force = ", ".join(f"{seconds:.2f}" for seconds in story.in_force_s)
+    rows.append(("seconds until changes were in force everywhere", in_force))
+    print()
+    for name, value in rows:
+        print(f"{name:<50} {value}")
+
+
+def _streams(counts: dict[str, int]) -> str:
+    return f"{counts['streams']}, {counts['stream_events']}"
+
+
+def _imbalance_text(evidence: Evidence, service: ServicePlan, story: _Story) -> str:
+    imbalance = _imbalance(evidence, service, story.drained)
+    return f"{imbalance.median:.2f} (median of {imbalance.windows} seconds)"
+
+
+def _judge(
+    running: Cluster, story: _Story, watch: VersionWatch
+) -> tuple[Evidence, Report]:
+    logs = running.launcher.logs
+    evidence = read_evidence(logs("callers"), logs("targets"), logs("platform"))
+    report = check(evidence, story.disturbances)
+    report.violations += story.violations
+    report.violations += [
+        Violation(Promise.IN_FORCE, detail) for detail in watch.reverted
+    ]
+    return evidence, report
+
+
+def run_demo(shape: Shape, seed: int = 1, folder: str = "") -> Report:
+    """Run the demonstration and print its summary.
+
+    Parameters
+    ----------
+    shape : Shape
+        Installation to run.
+    seed : int
+        Seed of load and fabric.
+    folder : str
+        Where logs go; empty: a temporary directory.
+
+    Returns
+    -------
+    Report
+        Counts and broken promises.
+    """
+    story = _Story(time.monotonic())
+    settings = ClusterSettings(shape, folder=folder, seed=seed)
+    with cluster(settings) as running, watch_versions(running) as watch:
+        targets = sum(len(service.targets) for service in shape.services)
+        instances = len(shape.instances)
+        story.note(f"{shape.name}: {instances} instances, {targets} targets serve")
+        _play(running, story)
+        evidence, report = _judge(running, story, watch)
+        _summarise(running, story, evidence, report)
+    return report
+
+
+@contextmanager
+def _exit_on_signal() -> Iterator[None]:
+    """Let SIGTERM raise, so that the clean-up ends all processes."""
+
+    def leave(_number: int, _frame: Any) -> None:
+        sys.exit("ended by a signal")
+
+    before = signal.signal(signal.SIGTERM, leave)
+    try:
+        yield
+    finally:
+        signal.signal(signal.SIGTERM, before)
+
+
+def main(shape: str = "harada", seed: int = 1, folder: str = "") -> None:
+    """Run the demonstration; exit status 1 if a promise was broken.
+
+    Parameters
+    ----------
+    shape : str
+        ``harada``, ``leave-desk`` or ``small``.
+    seed : int
+        Seed of load and fabric.
+    folder : str
+        Where logs go; empty: a temporary directory.
+    """
+    if shape not in SHAPES:
+        sys.exit(f"There is no shape {shape!r}. Use one of: {', '.join(SHAPES)}.")
+    started_s = time.monotonic()
+    with _exit_on_signal():
+        report = run_demo(SHAPES[shape], seed, folder)
+    print(f"{'duration in seconds':<50} {time.monotonic() - started_s:.1f}")
+    if not report.violations:
+        print("\nEvery promise was kept.")
+        return
+    print("\nBROKEN PROMISES")
+    for violation in report.violations[:_SHOWN_VIOLATIONS]:
+        print(f"  {violation}")
+    print(f"  {len(report.violations)} in all")
+    sys.exit(1)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/standins/evidence.py
+++ b/standins/evidence.py
@@ -44,7 +44,19 @@
 
 @dataclass
 class Stream:
-    """One event stream of a caller; ``error`` is empty if the caller ended it."""
+    """One event stream of a caller.
+
+    Attributes
+    ----------
+    events, wrong : int
+        Events that came, and those that were torn, doubled or out of order.
+    by_caller : bool
+        Whether the caller ended it.
+    error : str
+        Why it ended, if the caller did not end it.
+    longest_gap_s : tuple of float
+        Begin and end of the longest time without an event.
+    """
 
     echo: str
     service: str
@@ -55,6 +67,7 @@
     wrong: int
     by_caller: bool
     error: str
+    longest_gap_s: tuple[float, float]
 
 
 @dataclass
@@ -164,6 +177,7 @@
         wrong=line["wrong"],
         by_caller=line["by_caller"],
         error=line["error"],
+        longest_gap_s=tuple(line["longest_gap_s"]),
     )
 
 
--- a/standins/load.py
+++ b/standins/load.py
@@ -193,21 +193,23 @@
         sent_s = time.time()
         stream = flow.stream(path)
         closer = gevent.spawn(_close_after, stream, ended)
-        progress = _StreamProgress(echo)
+        progress = _StreamProgress(echo, sent_s)
         error = ""
         try:
             for event in stream:
-                progress.take(event.event_id, event.data)
+                progress.take(event.event_id, event.data, time.time())
                 if ended.is_set():
                     break
         except Exception as failure:
             error = f"{type(failure).__name__}: {failure}"
         closer.kill()
+        progress.note_gap(time.time())
         self._log.append(
             "stream_ended",
             sent_s=sent_s,
             events=progress.events,
             wrong=progress.wrong,
+            longest_gap_s=progress.longest_gap_s,
             by_caller=ended.is_set(),
             error="" if ended.is_set() else error,
             **fields,
@@ -233,19 +235,29 @@
 
 
 class _StreamProgress:
-    """Checks that events come whole, in order and each once."""
+    """Checks that events come whole, in order, each once, and without stalls."""
 
-    def __init__(self, echo: str) -> None:
+    def __init__(self, echo: str, now_s: float) -> None:
         self.events = 0
         self.wrong = 0
+        self.longest_gap_s = (now_s, now_s)
         self._echo = echo
+        self._last_s = now_s
 
-    def take(self, event_id: str, data: str) -> None:
+    def take(self, event_id: str, data: str, now_s: float) -> None:
         """Take the next event."""
         self.events += 1
         in_order = event_id == str(self.events)
         if not in_order or not verify_event(data, self._echo, self.events):
             self.wrong += 1
+        self.note_gap(now_s)
+
+    def note_gap(self, now_s: float) -> None:
+        """Remember the time since the last event if no other was longer."""
+        from_s, until_s = self.longest_gap_s
+        if now_s - self._last_s > until_s - from_s:
+            self.longest_gap_s = (self._last_s, now_s)
+        self._last_s = now_s
 
 
 def _close_after(stream: EventStream, ended: Event) -> None:
--- a/standins/nodes.py
+++ b/standins/nodes.py
@@ -34,6 +34,11 @@
         except OSError:
             return False
 
+    def status(self) -> dict[str, Any]:
+        """Return what it shows of itself to operators."""
+        status: dict[str, Any] = call_ok(self.http_address, "GET", "/status")
+        return status
+
 
 @dataclass(frozen=True)
 class Target:
