--- /dev/null
+++ b/endivepick/cli/tests/test_pages.py
@@ -0,0 +1,32 @@
+import re
+import unittest
+from pathlib import Path
+
+import endivepick
+from endivepick.core.dispatch.messages import FailReason, RefusalReason
+
+ROOT = Path(endivepick.__file__).parent.parent
+CORE = ROOT / "endivepick" / "core"
+REASON_PATTERN = re.compile(
+    r"(?:Count\(\s*\"packets_dropped\",|InvalidError\("
+    r"|_refuse_unclaimed\(flow, request,)"
+    r"\s*\"([a-z_]+)\""
+)
+LINK_PATTERN = re.compile(r"\]\((?!https?:)([^)#]+)")
+
+
+class PagesTest(unittest.TestCase):
+    def test_every_reason_is_explained(self):
+        reasons = {reason.value for reason in (*RefusalReason, *FailReason)}
+        for path in CORE.glob("*.py"):
+            reasons.update(REASON_PATTERN.findall(path.read_text()))
+        page = (ROOT / "docs" / "operators" / "refusals.md").read_text()
+        explained = set(re.findall(r"^\| `([a-z_]+)` \|", page, re.MULTILINE))
+        self.assertIn("forged", reasons)
+        self.assertEqual(reasons - explained, set())
+
+    def test_links_between_pages_lead_somewhere(self):
+        pages = [ROOT / "README.md", ROOT / "CONTRIBUTING.md"]
+        for page in (*pages, *(ROOT / "docs").rglob("*.md")):
+            for link in LINK_PATTERN.findall(page.read_text()):
+                self.assertTrue((page.parent / link).exists(), f"{page.name}: {link}")
