Show the status of records, targets and instances

An operator asks each morning whether a change is in force everywhere; the answer lies in several objects of the platform. The command joins records, the zones' status objects and the list of instances; a zone that has reported nothing, or something unreadable, counts as not reached. Unknown fields of newer instances are left alone. Also: the time line knows records of all kinds, and names a request once. 4 tests against the platform stand-in.

--- a/endivepick/cli/main.py
+++ b/endivepick/cli/main.py
@@ -235,6 +235,22 @@
         )
         show_timeline(logs, options, out)
 
+    def status(self, json: bool = False, platform: str = "") -> None:
+        """Show records by zone, targets with owner and load, and instances.
+
+        A record is honoured everywhere once no zone is left under "not reached".
+
+        Parameters
+        ----------
+        json : bool
+            Print JSON.
+        platform : str
+            host:port of the object API; ENDIVEPICK_PLATFORM by default.
+        """
+        from endivepick.cli.status import show_status
+
+        show_status(platform, json)
+
     def version(self) -> None:
         """Print the version."""
         from endivepick import __version__
--- a/endivepick/cli/records.py
+++ b/endivepick/cli/records.py
@@ -230,7 +230,9 @@
 
 
 def _as_file(stored: StoredObject) -> dict[str, Any]:
-    return {"name": stored.name, "version": stored.version, **(stored.body or {})}
+    body = dict(stored.body or {})
+    body.pop("write_id", None)
+    return {"name": stored.name, "version": stored.version, **body}
 
 
 def _parsed(stored: StoredObject) -> ServiceRecord | None:
--- /dev/null
+++ b/endivepick/cli/status_view.py
@@ -0,0 +1,206 @@
+"""What operators see of the system, joined from the platform's objects."""
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from endivepick.platform import ListedInstance
+from endivepick.records import StoredObject, parse_service
+
+__all__ = [
+    "InstanceRow",
+    "RecordRow",
+    "StatusSources",
+    "SystemView",
+    "TargetRow",
+    "view_system",
+]
+
+
+class _Refused(msgspec.Struct, frozen=True):
+    version: int
+    reason: str = ""
+
+
+class _RecordPart(msgspec.Struct, frozen=True):
+    in_force: int = 0
+    refused: _Refused | None = None
+
+
+class _InstancePart(msgspec.Struct, frozen=True):
+    state: str = "unknown"
+    started_at_s: float | None = None
+
+
+class _TargetPart(msgspec.Struct, frozen=True):
+    owner: str
+    state: str
+    in_progress: int = 0
+    waiting: int = 0
+    slots: int = 0
+
+
+class _ZoneStatus(msgspec.Struct, frozen=True):
+    """Body of a status object; fields that are not known here are left out."""
+
+    records: dict[str, _RecordPart] = {}
+    instances: dict[str, _InstancePart] = {}
+    targets: dict[str, _TargetPart] = {}
+
+
+@dataclass(frozen=True)
+class RecordRow:
+    """One record: what was accepted and where it is in force.
+
+    Attributes
+    ----------
+    in_force : mapping of str to int
+        Version in force by zone; 0 if the zone has reported none.
+    not_reached : sequence of str
+        Zones in which an older version may still be in force.
+    refused : mapping of str to str
+        Reason by zone, where the version was refused.
+    """
+
+    record: str
+    accepted: int
+    in_force: Mapping[str, int]
+    not_reached: Sequence[str]
+    refused: Mapping[str, str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class TargetRow:
+    """One target of a record, as its owner sees it."""
+
+    service: str
+    target: str
+    zone: str
+    state: str
+    owner: str
+    in_progress: int
+    waiting: int
+    slots: int
+
+
+@dataclass(frozen=True)
+class InstanceRow:
+    """One instance; ``age_s`` is None until it has reported its start."""
+
+    instance: str
+    zone: str
+    state: str
+    age_s: float | None
+
+
+@dataclass(frozen=True)
+class SystemView:
+    """Everything that the status command shows."""
+
+    records: Sequence[RecordRow]
+    targets: Sequence[TargetRow]
+    instances: Sequence[InstanceRow]
+
+
+@dataclass(frozen=True)
+class StatusSources:
+    """Answers of the platform that a view is made from.
+
+    Attributes
+    ----------
+    services, statuses : sequence of StoredObject
+        Records, and the status object of each zone.
+    instances : sequence of ListedInstance
+        The platform's list.
+    now_s : float
+        Present time in seconds since 1970, for ages.
+    """
+
+    services: Sequence[StoredObject]
+    statuses: Sequence[StoredObject]
+    instances: Sequence[ListedInstance]
+    now_s: float
+
+
+def view_system(sources: StatusSources) -> SystemView:
+    """Join the sources."""
+    zones = {stored.name: _zone_status(stored) for stored in sources.statuses}
+    listed_zones = {instance.zone for instance in sources.instances}
+    expected = sorted(listed_zones or zones)
+    return SystemView(
+        [_record_row(stored, zones, expected) for stored in _by_name(sources.services)],
+        list(_target_rows(sources.services, zones)),
+        list(_instance_rows(sources, zones)),
+    )
+
+
+def _by_name(objects: Sequence[StoredObject]) -> list[StoredObject]:
+    return sorted(objects, key=lambda stored: stored.name)
+
+
+def _zone_status(stored: StoredObject) -> _ZoneStatus:
+    """Read a status object; one that cannot be read counts as no report."""
+    try:
+        return msgspec.convert(dict(stored.body or {}), _ZoneStatus)
+    except msgspec.ValidationError:
+        return _ZoneStatus()
+
+
+def _record_row(
+    stored: StoredObject, zones: Mapping[str, _ZoneStatus], expected: Sequence[str]
+) -> RecordRow:
+    in_force, refused = {}, {}
+    for zone in expected:
+        status = zones.get(zone, _ZoneStatus())
+        part = status.records.get(stored.name, _RecordPart())
+        in_force[zone] = part.in_force
+        if part.refused is not None:
+            refused[zone] = f"version {part.refused.version}: {part.refused.reason}"
+    behind = [zone for zone, version in in_force.items() if version < stored.version]
+    return RecordRow(stored.name, stored.version, in_force, behind, refused)
+
+
+def _target_rows(
+    services: Sequence[StoredObject], zones: Mapping[str, _ZoneStatus]
+) -> Iterable[TargetRow]:
+    reports = {
+        name: part for status in zones.values() for name, part in status.targets.items()
+    }
+    for stored in _by_name(services):
+        record = parse_service(stored.name, stored.version, stored.body or {})
+        parsed = record.value_or(None)
+        for target in parsed.targets if parsed else ():
+            part = reports.get(f"{stored.name}/{target.name}")
+            yield _target_row(stored.name, target.name, target.zone, part)
+
+
+def _target_row(
+    service: str, target: str, zone: str, part: _TargetPart | None
+) -> TargetRow:
+    known = part or _TargetPart(owner="", state="not reported")
+    load = (known.in_progress, known.waiting, known.slots)
+    return TargetRow(service, target, zone, known.state, known.owner, *load)
+
+
+def _instance_rows(
+    sources: StatusSources, zones: Mapping[str, _ZoneStatus]
+) -> Iterable[InstanceRow]:
+    listed = {instance.name: instance for instance in sources.instances}
+    reported: dict[str, tuple[str, Any]] = {
+        name: (zone, part)
+        for zone, status in zones.items()
+        for name, part in status.instances.items()
+    }
+    for name in sorted(listed.keys() | reported.keys()):
+        zone, part = reported.get(name, ("", _InstancePart()))
+        state = part.state
+        if name in listed:
+            zone = listed[name].zone
+            state = state if name in reported else f"{listed[name].state}, no report"
+        else:
+            state = f"{state}, not listed"
+        started_s = part.started_at_s
+        age_s = None if started_s is None else max(0.0, sources.now_s - started_s)
+        yield InstanceRow(name, zone, state, age_s)
--- /dev/null
+++ b/endivepick/cli/tests/test_status.py
@@ -0,0 +1,68 @@
+import json
+import time
+
+from endivepick.cli.tests.support import PlatformCase
+from standins.platformcontrol import ListedInstance
+
+KUMAMOTO = {
+    "schema_version": 9,
+    "zone": "kumamoto",
+    "records": {"notes": {"accepted": 1, "in_force": 1, "instances": 1, "new": 0}},
+    "instances": {
+        "entry-1": {"state": "ready", "started_at_s": time.time() - 7200},
+        "entry-9": {"state": "dead"},
+    },
+    "targets": {
+        "notes/notes-1": {
+            **{"owner": "entry-1", "state": "ready", "slots": 2},
+            **{"in_progress": 1, "waiting": 3},
+        }
+    },
+}
+FUKUOKA = {
+    "records": {
+        "notes": {"in_force": 0, "refused": {"version": 1, "reason": "old program"}}
+    }
+}
+
+
+class StatusTest(PlatformCase):
+    def setUp(self):
+        super().setUp()
+        self.apply()
+        listed = [("entry-1", "kumamoto"), ("entry-2", "fukuoka"), ("entry-3", "kyoto")]
+        self.platform.list_instances(
+            [ListedInstance(n, z, "127.0.0.1:1", "127.0.0.1:2") for n, z in listed]
+        )
+        self.platform.put("status", "kumamoto", KUMAMOTO)
+        self.platform.put("status", "fukuoka", FUKUOKA)
+        self.platform.put("status", "kyoto", {"records": "not readable"})
+
+    def view(self):
+        return json.loads(self.run_on_platform("status", "--json").out)
+
+    def test_record_by_zone(self):
+        (row,) = self.view()["records"]
+        self.assertEqual(row["accepted"], 1)
+        self.assertEqual(row["in_force"], {"kumamoto": 1, "fukuoka": 0, "kyoto": 0})
+        self.assertEqual(row["not_reached"], ["fukuoka", "kyoto"])
+        self.assertIn("old program", row["refused"]["fukuoka"])
+
+    def test_targets(self):
+        first, second = self.view()["targets"]
+        self.assertEqual((first["owner"], first["waiting"]), ("entry-1", 3))
+        self.assertEqual(second["state"], "not reported")
+
+    def test_instances(self):
+        rows = {row["instance"]: row for row in self.view()["instances"]}
+        self.assertAlmostEqual(rows["entry-1"]["age_s"], 7200, delta=600)
+        self.assertEqual(rows["entry-2"]["state"], "live, no report")
+        self.assertEqual(rows["entry-9"]["state"], "dead, not listed")
+
+    def test_text(self):
+        text = self.run_on_platform("status").out
+        self.assertRegex(
+            text, r"notes +1 +fukuoka:0 kumamoto:1 kyoto:0 +fukuoka, kyoto"
+        )
+        self.assertRegex(text, r"notes-1 .* 1/2 busy, 3 waiting")
+        self.assertRegex(text, r"entry-1 +kumamoto +ready +2.0 h")
--- a/endivepick/timeline/events.py
+++ b/endivepick/timeline/events.py
@@ -12,7 +12,6 @@
 
 _KEY_PATTERN = re.compile(r"([0-9a-fA-F]{1,16})-([0-9a-fA-F]{1,16})-(\d{1,19})")
 _KEY_FIELDS = ("request", "key", "idempotency_key")
-_RECORD_KIND = "service"
 _STAMP_FIELDS = frozenset({"at_s", "clock", "process", "event", "message"})
 _decoder = msgspec.json.Decoder(dict[str, Any])
 
@@ -93,9 +92,9 @@
 
     @property
     def record(self) -> str | None:
-        """Service record that it is about."""
-        if self.fields.get("kind") == _RECORD_KIND:
-            return self.fields.get("name")
+        """Record that it is about: a service's, or another object's name."""
+        if "kind" in self.fields and "name" in self.fields:
+            return self.fields["name"]
         return self.fields.get("record", self.fields.get("service"))
 
     @property
--- a/endivepick/timeline/render.py
+++ b/endivepick/timeline/render.py
@@ -21,6 +21,7 @@
 _LABEL_EVERY = 12
 _LEVEL_CLASSES = {"warning": "warning", "error": "error"}
 _HIDDEN_IN_TEXT = frozenset({"part", "level", "body"})
+_NAMED_BY_KEY = frozenset({"flow", "binding", "seq"})
 
 
 def _clock_text(time_s: float) -> str:
@@ -29,11 +30,10 @@
 
 
 def _ids_text(event: TimelineEvent) -> str:
-    return " ".join(
-        f"{name}={value}"
-        for name, value in event.log.fields.items()
-        if name not in _HIDDEN_IN_TEXT
-    )
+    fields = event.log.fields
+    hidden = _HIDDEN_IN_TEXT | (_NAMED_BY_KEY if "key" in fields else frozenset())
+    shown = fields.items()
+    return " ".join(f"{name}={value}" for name, value in shown if name not in hidden)
 
 
 def render_text(timeline: Timeline) -> str:
