Check flows exhaustively with the real decision parts

A written state machine beside the code would drift from it, so each instance of the model is built of the core's own table, owner, executor, relay, router and hand-over; network, targets, views and caller are abstract and free.

--- /dev/null
+++ b/endivepick/model/_freeze.py
@@ -0,0 +1,59 @@
+"""Hashable pictures of mutable objects, by which equal states are recognised."""
+
+from collections.abc import Hashable, Mapping
+from enum import Enum
+from typing import Any
+
+import msgspec
+
+__all__ = ["freeze"]
+
+_PLAIN = (type(None), bool, int, float, str, bytes, Enum, type)
+
+
+def freeze(value: Any, skip: tuple[type, ...] = ()) -> Hashable:
+    """Return a hashable value that is equal for equal content.
+
+    Dictionaries keep their order, since the order in which they were filled can
+    decide what the code does next.
+
+    Parameters
+    ----------
+    value : object
+        Object graph without cycles.
+    skip : tuple of type
+        Types that hold no state; their objects are left out.
+
+    Examples
+    --------
+    >>> freeze([1, {2: {3}}]) == freeze([1, {2: {3}}])
+    True
+    >>> freeze([1]) == freeze([2])
+    False
+    """
+    if isinstance(value, _PLAIN):
+        return value
+    if isinstance(value, skip) or callable(value):
+        return None
+    if isinstance(value, Mapping):
+        pairs = ((freeze(key, skip), freeze(one, skip)) for key, one in value.items())
+        return (dict, *pairs)
+    if isinstance(value, (set, frozenset)):
+        return frozenset(freeze(one, skip) for one in value)
+    if isinstance(value, (list, tuple)):
+        return (type(value), *(freeze(one, skip) for one in value))
+    return (type(value), *(freeze(one, skip) for one in _fields(value)))
+
+
+def _fields(value: Any) -> list[Any]:
+    if isinstance(value, msgspec.Struct):
+        return [getattr(value, name) for name in value.__struct_fields__]
+    names = [*getattr(value, "__dict__", ()), *_slots(type(value))]
+    return [getattr(value, name) for name in names]
+
+
+def _slots(kind: type) -> list[str]:
+    slots: list[str] = []
+    for base in kind.__mro__:
+        slots += base.__dict__.get("__slots__", ())
+    return slots
--- /dev/null
+++ b/endivepick/model/_node.py
@@ -0,0 +1,343 @@
+"""One instance of the model: the real parts of the decision core.
+
+Each handling of an event works on a copy, so that a state can be left in several
+ways; the outcome is remembered for each pair of state and event.
+"""
+
+from collections.abc import Callable, Hashable
+from dataclasses import dataclass, field
+from typing import Any
+
+from endivepick.core.actions import (
+    Action,
+    CancelAttempt,
+    RequestId,
+    SendToCaller,
+    SendToPeer,
+    StartAttempt,
+)
+from endivepick.core.codec import decode_caller_packet, decode_struct, encode_struct
+from endivepick.core.dispatch import FinishKind
+from endivepick.core.events import AttemptAnswered, AttemptFailed
+from endivepick.core.executor import RequestExecutor
+from endivepick.core.flow_table import FlowTable, Identity
+from endivepick.core.handover import HandOverGiver, HandOverTaker
+from endivepick.core.keyring import first_keyring
+from endivepick.core.messages import (
+    AnswerPart,
+    InstancePacket,
+    Opened,
+    Outcome,
+    Refused,
+    Reissued,
+)
+from endivepick.core.owner import FlowOwner
+from endivepick.core.peer_messages import HandOver, HandOverAccepted, HandOverRefused
+from endivepick.core.relay import Relay
+from endivepick.core.router import PacketRouter
+from endivepick.core.settings import FlowSettings
+from endivepick.core.token import TokenCodec
+from endivepick.model._choices import (
+    AllServices,
+    ChoiceDispatcher,
+    ChoicePeers,
+    Placement,
+    View,
+)
+from endivepick.model._freeze import freeze
+
+__all__ = [
+    "CALLER",
+    "CODEC",
+    "Cancelled",
+    "Effect",
+    "Ended",
+    "Event",
+    "Forget",
+    "Give",
+    "Node",
+    "Packet",
+    "Parts",
+    "Peer",
+    "SERVICE",
+    "Sent",
+    "Stop",
+    "ToCaller",
+    "ToPeer",
+    "Turn",
+    "effects_of",
+]
+
+SERVICE = "notes"
+CALLER = ("127.0.0.1", 1)
+NOW_S = 0.0
+LATER_S = 1000.0
+"""Time at which unused flows are forgotten and tokens are still valid."""
+SETTINGS = FlowSettings(hand_over_retry_s=0.0)
+CODEC = TokenCodec(first_keyring(bytes(32), NOW_S), SETTINGS.token_lifetime_s)
+_TOLD = (AnswerPart, Outcome, Refused, Reissued)
+"""Packets that a caller acts on; the others promise nothing."""
+
+
+@dataclass(frozen=True)
+class Parts:
+    """Classes that an instance is built of; a mutation replaces one."""
+
+    table: Callable[..., FlowTable] = FlowTable
+    owner: Callable[..., FlowOwner] = FlowOwner
+    executor: Callable[..., RequestExecutor] = RequestExecutor
+    relay: Callable[..., Relay] = Relay
+    router: Callable[..., PacketRouter] = PacketRouter
+    giver: Callable[..., HandOverGiver] = HandOverGiver
+    taker: Callable[..., HandOverTaker] = HandOverTaker
+
+
+@dataclass(frozen=True)
+class Packet:
+    """A caller's packet arrives, from the fabric or from a relay."""
+
+    datagram: bytes
+    view: View = View()
+    placement: Placement = Placement.START
+
+
+@dataclass(frozen=True)
+class Ended:
+    """An attempt at a target ends."""
+
+    request_id: RequestId
+    attempt: int
+    kind: FinishKind
+    placement: Placement = Placement.START
+
+
+@dataclass(frozen=True)
+class Turn:
+    """The turn of a waiting request comes."""
+
+    request_id: Hashable
+    placement: Placement
+
+
+@dataclass(frozen=True)
+class Stop:
+    """A planned stop begins."""
+
+
+@dataclass(frozen=True)
+class Give:
+    """The leaving instance works on its hand-over."""
+
+    successor: Identity
+    dead: bool
+
+
+@dataclass(frozen=True)
+class Peer:
+    """A message about a hand-over arrives."""
+
+    sender: Identity
+    kind: type
+    data: bytes
+    placement: Placement = Placement.START
+
+
+@dataclass(frozen=True)
+class Forget:
+    """Time passes and flows that were never used are forgotten."""
+
+
+Event = Packet | Ended | Turn | Stop | Give | Peer | Forget
+
+
+@dataclass(frozen=True)
+class ToCaller:
+    """A packet that the caller acts on."""
+
+    packet: InstancePacket
+
+
+@dataclass(frozen=True)
+class ToPeer:
+    """A message about a hand-over."""
+
+    name: str
+    kind: type
+    data: bytes
+
+
+@dataclass(frozen=True)
+class Sent:
+    """A request went to a target."""
+
+    request_id: RequestId
+    attempt: int
+
+
+@dataclass(frozen=True)
+class Cancelled:
+    """An attempt was cut off."""
+
+    request_id: RequestId
+    attempt: int
+
+
+Effect = ToCaller | ToPeer | Sent | Cancelled
+
+
+@dataclass
+class _Ids:
+    """Numbers that differ between instances and incarnations."""
+
+    next_id: int
+
+    def __call__(self) -> int:
+        self.next_id += 1
+        return self.next_id
+
+
+@dataclass
+class _HandOverChoice:
+    event: Give | None = None
+
+    def choose_successor(self, service: str) -> Identity | None:
+        return self.event.successor if self.event else None
+
+    def is_dead(self, identity: Identity) -> bool:
+        return bool(self.event and self.event.dead)
+
+
+@dataclass
+class Node:
+    """The decision core of one instance.
+
+    Parameters
+    ----------
+    me : Identity
+        Name and incarnation.
+    parts : Parts
+        Classes that it is built of.
+    """
+
+    me: Identity
+    parts: Parts
+    _hand_over: _HandOverChoice = field(default_factory=_HandOverChoice)
+
+    def __post_init__(self) -> None:
+        parts, ids = self.parts, _Ids(1000 * self.me.incarnation)
+        self._ids = ids
+        self.peers = ChoicePeers(self.me)
+        self.dispatcher = ChoiceDispatcher()
+        self.table = parts.table(SETTINGS, self.me, ids)
+        self._executor = parts.executor(SETTINGS, self.table, _no_chance)
+        self._executor.dispatchers[SERVICE] = self.dispatcher  # type: ignore[assignment]
+        self.owner = parts.owner(
+            SETTINGS, self.table, CODEC, self._executor, _no_chance
+        )
+        relay = parts.relay(self.me, self.peers, CODEC, ids, 1.0)
+        self._router = parts.router(
+            self.me, CODEC, self.table, self.owner, relay, AllServices()
+        )
+        self.giver = parts.giver(
+            settings=SETTINGS,
+            table=self.table,
+            executor=self._executor,
+            new_id=ids,
+            choose_successor=self._hand_over.choose_successor,
+            is_dead=self._hand_over.is_dead,
+        )
+        self._taker = parts.taker(SETTINGS, self.table, self._executor)
+
+    def frozen(self) -> Hashable:
+        """Return a picture of everything that later behaviour depends on."""
+        state = (
+            self.me,
+            self._executor,
+            self.dispatcher.pending,
+            self.giver,
+            self._taker,
+            self.owner.leaving,
+            self._ids.next_id,
+        )
+        return freeze(state, skip=(FlowSettings, ChoiceDispatcher))
+
+    def open_flow(self) -> Opened:
+        """Open the flow that the model follows."""
+        actions = self.owner.open_flow(SERVICE, 1, CALLER, NOW_S)
+        first = actions[0]
+        assert isinstance(first, SendToCaller)
+        assert isinstance(first.packet, Opened)
+        return first.packet
+
+    def handle(self, event: Event) -> list[Action]:
+        """Take one event."""
+        match event:
+            case Packet(datagram=datagram, view=view, placement=placement):
+                self.peers.believe(view)
+                self.dispatcher.choose(placement)
+                return self._packet(datagram)
+            case Ended(placement=placement):
+                self.dispatcher.choose(placement)
+                return self._ended(event)
+            case Turn(request_id=request_id, placement=placement):
+                self.dispatcher.choose(placement)
+                decisions = self.dispatcher.turn(request_id)
+                return self._executor.carry_out(decisions, NOW_S)
+            case Stop():
+                self.owner.leaving = True
+                return []
+            case Give():
+                self._hand_over.event = event
+                return self.giver.tick(NOW_S)
+            case Peer(placement=placement):
+                self.dispatcher.choose(placement)
+                return self._peer(event)
+            case Forget():
+                self.table.expire(LATER_S)
+                return []
+
+    def _packet(self, datagram: bytes) -> list[Action]:
+        packet = decode_caller_packet(datagram)
+        return self._router.route(packet, CALLER, datagram, 0, NOW_S)
+
+    def _ended(self, event: Ended) -> list[Action]:
+        request_id, attempt = event.request_id, event.attempt
+        if event.kind is FinishKind.OK:
+            answer = AttemptAnswered(request_id, attempt, 200, [], b"", 0.0)
+            return self._executor.answered(answer, NOW_S)
+        failed = AttemptFailed(request_id, attempt, event.kind, 0.0)
+        return self._executor.failed(failed, NOW_S)
+
+    def _peer(self, event: Peer) -> list[Action]:
+        message: Any = decode_struct(event.data, event.kind)
+        match message:
+            case HandOver():
+                leaving = self.owner.leaving
+                flows, actions = self._taker.take(event.sender, message, leaving, NOW_S)
+                told = [self.owner.reissue(flow, NOW_S) for flow in flows]
+                return told + actions
+            case HandOverAccepted(transfer_id=transfer_id):
+                return self.giver.accepted(event.sender, transfer_id)
+            case HandOverRefused(transfer_id=transfer_id):
+                return self.giver.refused(event.sender, transfer_id, NOW_S)
+        return []
+
+
+def _no_chance() -> float:
+    return 0.5
+
+
+def effects_of(actions: list[Action]) -> tuple[Effect, ...]:
+    """Keep what another part of the model can see."""
+    effects: list[Effect] = []
+    for action in actions:
+        match action:
+            case SendToCaller(packet=packet) if isinstance(packet, _TOLD):
+                effects.append(ToCaller(packet))
+            case SendToPeer(name=name, message=message):
+                effects.append(ToPeer(name, type(message), encode_struct(message)))
+            case StartAttempt(request_id=request_id, attempt=attempt):
+                effects.append(Sent(request_id, attempt))
+            case CancelAttempt(request_id=request_id, attempt=attempt):
+                effects.append(Cancelled(request_id, attempt))
+    return tuple(effects)
--- /dev/null
+++ b/endivepick/model/flows.py
@@ -0,0 +1,457 @@
+"""Specification of a flow's life: owners, copies, crashes and hand-over.
+
+The instances are the real parts of the decision core (see `_node`); network,
+targets, membership views and the caller are abstract and do whatever they may.
+"""
+
+from collections.abc import Iterator
+from dataclasses import replace
+from functools import cache
+from typing import TypeVar
+
+from endivepick.core.codec import decode_caller_packet
+from endivepick.core.dispatch import FinishKind
+from endivepick.core.flow_table import Identity
+from endivepick.core.messages import InstancePacket, Open, Refused, Reissued
+from endivepick.core.token import FlowToken
+from endivepick.model import _caller
+from endivepick.model._choices import Placement, View
+from endivepick.model._node import (
+    CODEC,
+    NOW_S,
+    Cancelled,
+    Effect,
+    Ended,
+    Event,
+    Forget,
+    Give,
+    Packet,
+    Peer,
+    Sent,
+    Stop,
+    ToCaller,
+    ToPeer,
+    Turn,
+)
+from endivepick.model._node_states import NodeStates
+from endivepick.model._world import (
+    Attempt,
+    Bounds,
+    Caller,
+    Left,
+    Outcome,
+    World,
+    request,
+)
+from endivepick.model.checker import Specification
+
+__all__ = ["flow_specification"]
+
+_T = TypeVar("_T")
+Step = tuple[str, World]
+_MORE_PLACEMENTS = (Placement.QUEUE, Placement.REFUSE)
+
+
+def flow_specification(name: str, bounds: Bounds) -> Specification:
+    """Build the specification of one flow within some bounds.
+
+    Examples
+    --------
+    >>> from endivepick.model.checker import check
+    >>> check(flow_specification("no faults", Bounds(names=("a", "b")))).holds
+    True
+    """
+    model = _FlowModel(bounds)
+    return Specification(
+        name=name,
+        initial=model.initial(),
+        steps=model.steps,
+        invariants={
+            "a non-idempotent request runs at most once": model.at_most_once,
+            "'not run' is true": model.not_run_is_true,
+            "a window has one holder": model.one_holder,
+            "a planned stop cuts nothing": model.stop_cuts_nothing,
+        },
+    )
+
+
+class _FlowModel:
+    """Steps and invariants of one set of bounds."""
+
+    def __init__(self, bounds: Bounds) -> None:
+        self._bounds = bounds
+        self._states = NodeStates(bounds.parts)
+        self._holds: dict[int, frozenset[int]] = {}
+
+    # Start
+
+    def initial(self) -> World:
+        """Return the world in which the first instance has opened the flow."""
+        bounds = self._bounds
+        incarnations = tuple(range(1, len(bounds.names) + 1))
+        first, opened = self._states.opening(Identity(bounds.names[0], 1))
+        others = [
+            self._states.fresh(Identity(name, incarnation))
+            for name, incarnation in zip(bounds.names, incarnations, strict=True)
+            if incarnation > 1
+        ]
+        token = CODEC.unseal(opened.token, NOW_S)
+        caller = Caller(
+            opened.token, token.binding, 1, Outcome.WAITING, False, bounds.new_numbers
+        )
+        return World(
+            nodes=(first, *others),
+            incarnations=incarnations,
+            packets=frozenset([request(opened.token, 1, bounds)]),
+            told=frozenset(),
+            peer=frozenset(),
+            attempts=frozenset(),
+            ran=frozenset(),
+            runs=0,
+            caller=caller,
+            heirs=frozenset(),
+            cut=False,
+            left=Left(
+                bounds.crashes, bounds.restarts, bounds.reissues, bounds.attempts
+            ),
+        )
+
+    def _me(self, world: World, index: int) -> Identity:
+        return Identity(self._bounds.names[index], world.incarnations[index])
+
+    # Steps
+
+    def steps(self, world: World) -> Iterator[Step]:
+        """Yield every step out of a world, with its label."""
+        for index, key in enumerate(world.nodes):
+            if key is None:
+                yield from self._restart(world, index)
+                continue
+            yield from self._packets(world, index, key)
+            yield from self._peer_messages(world, index, key)
+            yield from self._turns(world, index, key)
+            yield from self._stopping(world, index, key)
+            yield from self._crash(world, index)
+            if self._bounds.forgets:
+                yield from self._event(world, index, Forget(), "forgets unused flows")
+        yield from self._targets(world)
+        for label, caller, packets in _caller.steps(world, self._bounds):
+            sent = world.packets | packets
+            yield f"caller {label}", world._replace(caller=caller, packets=sent)
+
+    def _event(
+        self, world: World, index: int, event: Event, label: str
+    ) -> Iterator[Step]:
+        key = world.nodes[index]
+        assert key is not None
+        reaction = self._states.after(key, event)
+        changed = self._apply(world, index, reaction.key, reaction.effects, event)
+        if changed is not None and changed != world:
+            yield f"{self._bounds.names[index]} {label}", changed
+
+    def _placed(
+        self, world: World, index: int, event: Packet | Ended | Peer, label: str
+    ) -> Iterator[Step]:
+        """Take a step with every placement, if the dispatcher is asked."""
+        key = world.nodes[index]
+        assert key is not None
+        if not self._states.after(key, event).used_placement:
+            yield from self._event(world, index, event, label)
+            return
+        if world.left.attempts:
+            yield from self._event(world, index, event, f"{label}, starts it")
+        for placement in _MORE_PLACEMENTS:
+            other = replace(event, placement=placement)
+            more = f"{label}, {placement.value}s it"
+            yield from self._event(world, index, other, more)
+
+    def _packets(self, world: World, index: int, key: int) -> Iterator[Step]:
+        for datagram in world.packets:
+            label = f"gets {_describe(datagram)}"
+            reaction = self._states.after(key, Packet(datagram))
+            views = [View()]
+            if reaction.used_view:
+                views = list(self._views(world, index, datagram))
+            for view in views:
+                more = f"{label}{_describe_view(view)}"
+                yield from self._placed(world, index, Packet(datagram, view), more)
+
+    def _views(self, world: World, index: int, datagram: bytes) -> Iterator[View]:
+        yield View()
+        yield View(silent=True)
+        token = _token_of(datagram)
+        owner = Identity(token.owner, token.owner_incarnation)
+        successors = [None, *self._successors(world, owner)]
+        waits = world.caller.outcome is Outcome.WAITING
+        lost = world.left.reissues and waits and token.binding == world.caller.binding
+        for successor in successors:
+            if successor is not None:
+                yield View(successor=successor)
+            if lost:
+                yield View(dead=True, successor=successor)
+                opener = self._me(world, (index + 1) % len(world.nodes))
+                yield View(dead=True, successor=successor, opener=opener)
+
+    def _successors(self, world: World, owner: Identity) -> list[Identity]:
+        """Return all that chains of hand-overs lead to from an incarnation."""
+        found = [owner]
+        for giver in found:
+            found += [
+                heir
+                for one, heir in sorted(world.heirs, key=repr)
+                if one == giver and heir not in found
+            ]
+        return found[1:]
+
+    def _peer_messages(self, world: World, index: int, key: int) -> Iterator[Step]:
+        name = self._bounds.names[index]
+        for sender, sent in world.peer:
+            if sent.name != name:
+                continue
+            event = Peer(sender, sent.kind, sent.data)
+            label = f"gets {sent.kind.__name__} of {sender.name}"
+            yield from self._placed(world, index, event, label)
+
+    def _turns(self, world: World, index: int, key: int) -> Iterator[Step]:
+        for request_id in self._states.node(key).dispatcher.queued:
+            if world.left.attempts:
+                event = Turn(request_id, Placement.START)
+                yield from self._event(world, index, event, "starts what waited")
+            event = Turn(request_id, Placement.REFUSE)
+            yield from self._event(world, index, event, "refuses what waited")
+
+    def _stopping(self, world: World, index: int, key: int) -> Iterator[Step]:
+        node = self._states.node(key)
+        if not node.owner.leaving:
+            if self._bounds.names[index] in self._bounds.stops:
+                yield from self._event(world, index, Stop(), "begins its planned stop")
+            return
+        for other, _ in enumerate(world.nodes):
+            if other == index:
+                continue
+            successor = self._me(world, other)
+            for dead in (False, True):
+                label = f"hands over to {successor.name}"
+                if dead:
+                    label += ", believing the last successor dead"
+                yield from self._event(world, index, Give(successor, dead), label)
+        # With no successor, or after the time limit, it leaves with flows.
+        if not any(flow.in_progress for flow in node.table):
+            yield from self._exit(world, index)
+
+    def _exit(self, world: World, index: int) -> Iterator[Step]:
+        me = self._me(world, index)
+        running = any(one.open and one.sender == me for one in world.attempts)
+        cut = running and not self._bounds.stream
+        gone = self._take_down(world, index)
+        yield f"{me.name} leaves", gone._replace(cut=world.cut or cut)
+
+    def _crash(self, world: World, index: int) -> Iterator[Step]:
+        if not world.left.crashes:
+            return
+        left = world.left._replace(crashes=world.left.crashes - 1)
+        gone = self._take_down(world, index)
+        yield f"{self._bounds.names[index]} crashes", gone._replace(left=left)
+
+    def _take_down(self, world: World, index: int) -> World:
+        me = self._me(world, index)
+        attempts = frozenset(
+            one._replace(open=False) if one.sender == me else one
+            for one in world.attempts
+        )
+        nodes = _replaced(world.nodes, index, None)
+        return world._replace(nodes=nodes, attempts=_pending(attempts))
+
+    def _restart(self, world: World, index: int) -> Iterator[Step]:
+        if not world.left.restarts:
+            return
+        # No two processes ever have the same incarnation.
+        incarnation = max(world.incarnations) + 1
+        me = Identity(self._bounds.names[index], incarnation)
+        key = self._states.fresh(me)
+        yield (
+            f"{me.name} starts again",
+            world._replace(
+                nodes=_replaced(world.nodes, index, key),
+                incarnations=_replaced(world.incarnations, index, incarnation),
+                left=world.left._replace(restarts=world.left.restarts - 1),
+            ),
+        )
+
+    # Targets
+
+    def _targets(self, world: World) -> Iterator[Step]:
+        for attempt in world.attempts:
+            others = world.attempts - {attempt}
+            if not attempt.ran:
+                ran = attempt._replace(ran=True)
+                yield (
+                    f"target runs attempt {attempt.number} of {attempt.sender.name}",
+                    world._replace(
+                        attempts=_pending(others | {ran}),
+                        ran=world.ran | {attempt.request_id[:2]},
+                        runs=min(world.runs + 1, 2),
+                    ),
+                )
+            if attempt.open:
+                yield from self._ends(world, attempt, others)
+
+    def _ends(
+        self, world: World, attempt: Attempt, others: frozenset[Attempt]
+    ) -> Iterator[Step]:
+        index = self._bounds.names.index(attempt.sender.name)
+        closed = _pending(others | {attempt._replace(open=False)})
+        kinds = [(FinishKind.BROKEN, closed)]
+        kinds.append((FinishKind.OK if attempt.ran else FinishKind.SHED, others))
+        for kind, attempts in kinds:
+            yield from self._placed(
+                world._replace(attempts=attempts),
+                index,
+                Ended(attempt.request_id, attempt.number, kind),
+                f"sees attempt {attempt.number} end: {kind.value}",
+            )
+
+    # Effects
+
+    def _apply(
+        self,
+        world: World,
+        index: int,
+        key: int,
+        effects: tuple[Effect, ...],
+        event: Event,
+    ) -> World | None:
+        """Carry effects out; None if they leave the bounds."""
+        world = world._replace(nodes=_replaced(world.nodes, index, key))
+        me = self._me(world, index)
+        for effect in effects:
+            match effect:
+                case ToCaller(packet=packet):
+                    told = self._tell(world, packet)
+                    if told is None:
+                        return None
+                    world = told
+                case ToPeer():
+                    world = world._replace(peer=world.peer | {(me, effect)})
+                case Sent(request_id=request_id, attempt=number):
+                    if not world.left.attempts:
+                        return None
+                    attempt = Attempt(me, request_id, number, False, True)
+                    world = world._replace(
+                        attempts=world.attempts | {attempt},
+                        left=world.left._replace(attempts=world.left.attempts - 1),
+                    )
+                case Cancelled():
+                    world = self._cancel(world, me, effect, event)
+        return self._announce(world, index, key)
+
+    def _tell(self, world: World, packet: InstancePacket) -> World | None:
+        if packet in world.told:
+            return world
+        left = world.left
+        if isinstance(packet, Reissued) and not packet.continues:
+            if not left.reissues:
+                return None
+            left = left._replace(reissues=left.reissues - 1)
+        return world._replace(told=world.told | {packet}, left=left)
+
+    def _cancel(
+        self, world: World, me: Identity, effect: Cancelled, event: Event
+    ) -> World:
+        found = [
+            one
+            for one in world.attempts
+            if one.sender == me
+            and (one.request_id, one.number) == (effect.request_id, effect.attempt)
+        ]
+        attempts = world.attempts.difference(found)
+        attempts |= {one._replace(open=False) for one in found}
+        cut = isinstance(event, Give) and not self._bounds.stream
+        return world._replace(attempts=_pending(attempts), cut=world.cut or cut)
+
+    def _announce(self, world: World, index: int, key: int) -> World:
+        node = self._states.node(key)
+        if not node.owner.leaving:
+            return world
+        heirs = {(node.me, heir) for heir in node.giver.finished_services().values()}
+        if heirs <= world.heirs:
+            return world
+        return world._replace(heirs=world.heirs | heirs)
+
+    # Invariants
+
+    def at_most_once(self, world: World) -> bool:
+        """Tell whether a non-idempotent request ran at most once."""
+        return self._bounds.idempotent or world.runs <= 1
+
+    def not_run_is_true(self, world: World) -> bool:
+        """Tell whether nothing ran that was called "not run"."""
+        if world.caller.outcome is Outcome.NOT_RUN and world.runs:
+            return False
+        return not any(
+            isinstance(packet, Refused) and (packet.binding, packet.seq) in world.ran
+            for packet in world.told
+        )
+
+    def one_holder(self, world: World) -> bool:
+        """Tell whether no two instances would run requests of one binding."""
+        seen: set[int] = set()
+        for key in world.nodes:
+            if key is None:
+                continue
+            held = self._held(key)
+            if seen & held:
+                return False
+            seen |= held
+        return True
+
+    def _held(self, key: int) -> frozenset[int]:
+        held = self._holds.get(key)
+        if held is None:
+            table = self._states.node(key).table
+            held = frozenset(flow.binding for flow in table if not flow.frozen)
+            self._holds[key] = held
+        return held
+
+    def stop_cuts_nothing(self, world: World) -> bool:
+        """Tell whether no planned stop has cut a request in progress."""
+        return not world.cut
+
+
+def _replaced(items: tuple[_T, ...], index: int, item: _T) -> tuple[_T, ...]:
+    return (*items[:index], item, *items[index + 1 :])
+
+
+def _pending(attempts: frozenset[Attempt]) -> frozenset[Attempt]:
+    """Drop attempts that ran and whose sender waits no more."""
+    return frozenset(one for one in attempts if one.open or not one.ran)
+
+
+@cache
+def _token_of(datagram: bytes) -> FlowToken:
+    packet = decode_caller_packet(datagram)
+    assert not isinstance(packet, Open)
+    return CODEC.unseal(packet.token, NOW_S)
+
+
+@cache
+def _describe(datagram: bytes) -> str:
+    packet = decode_caller_packet(datagram)
+    token = _token_of(datagram)
+    seq = getattr(packet, "seq", "")
+    name = type(packet).__name__
+    return f"{name} {seq} under binding {token.binding} of {token.owner}"
+
+
+@cache
+def _describe_view(view: View) -> str:
+    parts = []
+    if view.silent:
+        parts.append("holder silent")
+    if view.dead:
+        parts.append("holder given up")
+    if view.successor:
+        parts.append(f"successor {view.successor.name}#{view.successor.incarnation}")
+    if view.opener:
+        parts.append(f"opener {view.opener.name}")
+    return f", believing {' and '.join(parts)}" if parts else ""
