Let resumed streams wait for the successor's first probe

The successor's dispatcher was seconds old and had probed no target, so it refused the resumed stream as 'no target', which the owner passed on as not run although the stream had run before. Ruled out: the caller's pace of acknowledgements and the hand-over itself (accepted in 10 ms). Change: streams wait for unprobed targets, a stream that has begun is never refused but put off until its caller's next word, the dispatcher learns whether an earlier attempt may have run, and the record's time-out no longer bounds streams. Two tests failed before and pass now.

--- a/endivepick/core/dispatch/dispatcher.py
+++ b/endivepick/core/dispatch/dispatcher.py
@@ -135,7 +135,8 @@
         self._scheduler.take_random(random_number)
         self._scheduler.budget.count_request()
         self._targets.advance(now_s)
-        return self._scheduler.place(PendingRequest(intent, order), now_s)
+        request = PendingRequest(intent, order, may_have_run=intent.may_have_run)
+        return self._scheduler.place(request, now_s)
 
     def finished(
         self,
--- a/endivepick/core/dispatch/messages.py
+++ b/endivepick/core/dispatch/messages.py
@@ -115,6 +115,9 @@
     movable : bool
         Its flow has no other request in progress and so may change its target.
         A flow whose target leaves is moved in any case.
+    may_have_run : bool
+        An attempt before this submission may have run: it is never refused as
+        not run.
     """
 
     request_id: Hashable
@@ -125,6 +128,7 @@
     established: bool = True
     cost_class: CostClass = CostClass.SHORT
     movable: bool = True
+    may_have_run: bool = False
 
 
 @dataclass(frozen=True)
--- a/endivepick/core/dispatch/scheduler.py
+++ b/endivepick/core/dispatch/scheduler.py
@@ -101,7 +101,7 @@
         if not candidates:
             return [self.refuse(request, RefusalReason.NO_TARGET, _NO_TARGET_WAIT_S)]
         if request.intent.stream:
-            return self._place_stream(request, candidates, now_s)
+            return self._place_stream(request, pinned, candidates, now_s, queued)
         target = self._free_target(request, candidates, now_s)
         if target is not None:
             return self._start(request, target, now_s)
@@ -185,10 +185,18 @@
         return target
 
     def _place_stream(
-        self, request: PendingRequest, candidates: Sequence[TargetState], now_s: float
+        self,
+        request: PendingRequest,
+        pinned: TargetState | None,
+        candidates: Sequence[TargetState],
+        now_s: float,
+        queued: bool,
     ) -> list[Decision]:
         serving = [target for target in candidates if target.serving]
         if not serving:
+            if any(target.keeps_flows for target in candidates):
+                # A new owner waits for the first probes.
+                return self._enqueue(request, pinned, candidates, now_s, queued)
             return [self.refuse(request, RefusalReason.NO_TARGET, _NO_TARGET_WAIT_S)]
         able = [target for target in serving if target.free_connections() > 0]
         if not able:
--- a/endivepick/core/executor.py
+++ b/endivepick/core/executor.py
@@ -109,6 +109,7 @@
             established=request.seq > 1,
             cost_class=_cost_class(request),
             movable=not others,
+            may_have_run=request.attempt > 0,
         )
 
     def carry_out(self, decisions: list[Decision], now_s: float) -> list[Action]:
@@ -125,6 +126,8 @@
         match decision:
             case Start():
                 return self._start(held, decision)
+            case Refuse() | Fail() if held.request.can_resume:
+                return self._put_off(held, decision.reason.value)
             case Refuse(reason=reason, retry_after_ms=retry_after_ms):
                 return self._refuse(held, reason.value, retry_after_ms)
             case Fail(reason=reason, retry_after_ms=retry_after_ms):
@@ -174,6 +177,12 @@
             ),
         ]
 
+    def _put_off(self, held: _Held, reason: str) -> list[Action]:
+        """Keep a stream that no target takes now; its caller's next word resumes it."""
+        held.request.step("freeze")
+        ids = _ids(held, reason=reason)
+        return [Log("owner", "stream_put_off", "no target for the stream yet", ids)]
+
     def _refuse(self, held: _Held, reason: str, retry_after_ms: int) -> list[Action]:
         flow, request = held.flow, held.request
         request.step("refuse")
--- a/endivepick/core/flow.py
+++ b/endivepick/core/flow.py
@@ -84,6 +84,11 @@
         """Whether the dispatcher knows it."""
         return self.state in _TARGET_BOUND
 
+    @property
+    def can_resume(self) -> bool:
+        """Whether it is a stream that has begun and can go on at another target."""
+        return self.is_stream and self.attempt > 0
+
     @property
     def is_stream(self) -> bool:
         """Whether the answer is an event stream."""
--- a/endivepick/core/owner.py
+++ b/endivepick/core/owner.py
@@ -176,7 +176,7 @@
         request = OwnedRequest(
             seq=packet.seq,
             idempotent=packet.idempotent,
-            deadline_at_s=now_s + self._time_left_s(flow, packet.deadline_ms),
+            deadline_at_s=now_s + max(packet.deadline_ms, 0) / 1000,
             heard_at_s=now_s,
             part_count=packet.count,
         )
@@ -187,12 +187,15 @@
             return self._refuse_unclaimed(flow, request, "request_too_large")
         return self._receive(flow, request, packet, now_s)
 
-    def _time_left_s(self, flow: OwnedFlow, deadline_ms: int) -> float:
-        asked_s = max(deadline_ms, 0) / 1000
+    def _limit_deadline(
+        self, flow: OwnedFlow, request: OwnedRequest, now_s: float
+    ) -> None:
+        """Hold a request to the time that the record allows; streams live longer."""
         dispatcher = self._executor.dispatchers.get(flow.service)
-        if dispatcher is None:
-            return asked_s
-        return min(asked_s, dispatcher.record.request_timeout_s)
+        if dispatcher is None or request.is_stream:
+            return
+        latest_s = now_s + dispatcher.record.request_timeout_s
+        request.deadline_at_s = min(request.deadline_at_s, latest_s)
 
     def _receive(
         self,
@@ -219,6 +222,7 @@
             request.head = decode_struct(data, RequestHead)
         except PacketInvalidError:
             return self._refuse_unclaimed(flow, request, "malformed_request")
+        self._limit_deadline(flow, request, now_s)
         flow.window.claim(request.seq)
         request.step("complete")
         actions: list[Action] = [
@@ -275,8 +279,12 @@
         if request.state == "receiving":
             return [_progress(flow, request)]
         if request.answer is None:
-            return self._repeat_state(flow, request)
-        return self._continue_answer(flow, request, packet, now_s)
+            actions = self._repeat_state(flow, request)
+        else:
+            actions = self._continue_answer(flow, request, packet)
+        if request.state == "suspended":
+            actions += self._resume_if_drained(flow, request, now_s)
+        return actions
 
     def _acknowledge_unknown(
         self, flow: OwnedFlow, packet: Acknowledge
@@ -293,7 +301,6 @@
         flow: OwnedFlow,
         request: OwnedRequest,
         packet: Acknowledge,
-        now_s: float,
     ) -> list[Action]:
         answer = request.answer
         assert answer is not None
@@ -310,15 +317,13 @@
             # The caller learns that its stream or request is still known.
             accepted = Accepted(flow.flow_id, flow.binding, request.seq)
             actions.append(SendToCaller(flow.caller, accepted))
-        if request.state == "suspended":
-            actions += self._resume_if_drained(flow, request, now_s)
         return actions
 
     def _resume_if_drained(
         self, flow: OwnedFlow, request: OwnedRequest, now_s: float
     ) -> list[Action]:
-        assert request.answer is not None
-        if request.answer.size_bytes > self._settings.stream_buffer_bytes // 2:
+        buffered_bytes = request.answer.size_bytes if request.answer else 0
+        if buffered_bytes > self._settings.stream_buffer_bytes // 2:
             return []
         return self._executor.resume(flow, request, now_s)
 
--- a/endivepick/core/tests/_fixture.py
+++ b/endivepick/core/tests/_fixture.py
@@ -54,11 +54,22 @@
         self.owner = FlowOwner(
             self.settings, self.table, self.codec, self.executor, lambda: 0.5
         )
+        self.forget_probes()
+        self.probe_targets()
+
+    def forget_probes(self) -> None:
         dispatcher = ServiceDispatcher(DispatchSettings(), record(), "z1", NOW_S)
         self.executor.dispatchers[SERVICE] = dispatcher
+
+    def probe_targets(
+        self, state: TargetHealth = TargetHealth.READY, incarnation: int = 77
+    ) -> list[Action]:
+        dispatcher = self.executor.dispatchers[SERVICE]
+        probe = ProbeResult(state, SERVICE, incarnation, slots=2)
+        decisions = []
         for name in ("t0", "t1"):
-            probe = ProbeResult(TargetHealth.READY, SERVICE, 77, slots=2)
-            dispatcher.on_probe(name, NOW_S, probe)
+            decisions += dispatcher.on_probe(name, NOW_S, probe)
+        return self.executor.carry_out(decisions, NOW_S)
 
     def open(self) -> tuple[FlowToken, bytes]:
         actions = self.owner.open_flow(SERVICE, 1, CALLER, NOW_S)
--- a/endivepick/core/tests/test_handover.py
+++ b/endivepick/core/tests/test_handover.py
@@ -1,10 +1,11 @@
 import unittest
 
 from endivepick.core.actions import SendToPeer
+from endivepick.core.dispatch import TargetHealth
 from endivepick.core.events import StreamData, StreamOpened
 from endivepick.core.flow_table import Identity
 from endivepick.core.handover import HandOverGiver, HandOverTaker
-from endivepick.core.messages import Acknowledge, AnswerPart, Unreachable
+from endivepick.core.messages import Acknowledge, AnswerPart, Refused, Unreachable
 from endivepick.core.peer_messages import HandOver, HandOverAccepted, HandOverRefused
 from endivepick.core.tests._fixture import (
     NOW_S,
@@ -95,6 +96,30 @@
         [resumed] = starts(actions)
         self.assertEqual(resumed.last_event_id, "9")
 
+    def test_stream_waits_for_the_first_probe_of_a_new_owner(self):
+        [start] = starts(self.giver.request(self.token, 1, stream=True))
+        executor = self.giver.executor
+        executor.stream_opened(StreamOpened(start.request_id, 1, 200, []))
+        executor.stream_data(StreamData(start.request_id, 1, b"id: 9\n\n", "9"), NOW_S)
+        self.taker.forget_probes()
+        _, actions = self.hand_over()
+        self.assertEqual(starts(actions) + packets(actions, Refused), [])
+        [resumed] = starts(self.taker.probe_targets())
+        self.assertEqual(resumed.last_event_id, "9")
+
+    def test_stream_that_no_target_takes_is_tried_again(self):
+        [start] = starts(self.giver.request(self.token, 1, stream=True))
+        executor = self.giver.executor
+        executor.stream_opened(StreamOpened(start.request_id, 1, 200, []))
+        executor.stream_data(StreamData(start.request_id, 1, b"id: 9\n\n", "9"), NOW_S)
+        self.taker.probe_targets(TargetHealth.DRAINING)
+        _, actions = self.hand_over()
+        self.assertEqual(starts(actions) + packets(actions, Refused), [])
+        self.taker.probe_targets(TargetHealth.READY, incarnation=78)
+        asked = self.taker.send(self.token, Acknowledge(b"", 1, 0, [], 64, False))
+        [resumed] = starts(asked)
+        self.assertEqual(resumed.last_event_id, "9")
+
     def test_repeated_hand_over_is_accepted_and_changes_nothing(self):
         message, _ = self.hand_over()
         self.taker.request(self.token, 1)
