Tick 20 times a second

The two highest own services and probe ten targets twice a second, which the tick does not explain. 20 is kept since deadlines of queued requests are checked by the tick.

--- a/endivepick/daemon/run.py
+++ b/endivepick/daemon/run.py
@@ -31,7 +31,7 @@
 
 INBOX_EVENTS = 512
 """Events that wait for the core; a full inbox holds the socket tasks up."""
-TICK_S = 0.02
+TICK_S = 0.05
 GAUGES_EVERY_S = 1.0
 _log = PartLog("daemon")
 
