Open the spreading of records to the settings file

The core takes its settings for watchers and digests; without a group in the file operators could not turn them. The group holds the keys that change what a fleet does; the rest keep their defaults.

--- a/endivepick/daemon/run.py
+++ b/endivepick/daemon/run.py
@@ -173,6 +173,7 @@
         roles=RoleSettings(probe_every_s=settings.targets.probe_every_s),
         dispatch=settings.dispatch,
         membership=settings.membership,
+        records=settings.records,
     )
 
 
--- a/endivepick/settings/__init__.py
+++ b/endivepick/settings/__init__.py
@@ -5,6 +5,7 @@
 from endivepick.settings.model import (
     DaemonSettings,
     DispatchSettings,
+    DisseminationSettings,
     FabricSettings,
     FlowSettings,
     InstanceSettings,
@@ -21,6 +22,7 @@
 __all__ = [
     "DaemonSettings",
     "DispatchSettings",
+    "DisseminationSettings",
     "FabricSettings",
     "FlowSettings",
     "InstanceSettings",
--- a/endivepick/settings/model.py
+++ b/endivepick/settings/model.py
@@ -12,10 +12,12 @@
 from endivepick.core.settings import FlowSettings
 from endivepick.membership.settings import MembershipSettings
 from endivepick.platform.settings import PlatformSettings
+from endivepick.records.settings import DisseminationSettings
 
 __all__ = [
     "DaemonSettings",
     "DispatchSettings",
+    "DisseminationSettings",
     "FabricSettings",
     "FlowSettings",
     "InstanceSettings",
@@ -125,6 +127,7 @@
     fabric: FabricSettings = FabricSettings()
     log: LogSettings = LogSettings()
     membership: MembershipSettings = MembershipSettings()
+    records: DisseminationSettings = DisseminationSettings()
     flow: FlowSettings = FlowSettings()
     targets: TargetSettings = TargetSettings()
     dispatch: DispatchSettings = field(
--- a/endivepick/settings/schema.py
+++ b/endivepick/settings/schema.py
@@ -224,6 +224,47 @@
     )
 
 
+class RecordsModel(_Group):
+    """Spreading of records from the platform to all instances."""
+
+    watchers: int = Field(
+        default=model.DisseminationSettings.watchers,
+        ge=1,
+        le=16,
+        description="Instances of each zone that watch the platform.",
+    )
+    fan_out: int = Field(
+        default=model.DisseminationSettings.fan_out,
+        ge=1,
+        le=64,
+        description="Instances that one instance feeds on average.",
+    )
+    digest_interval_s: float = Field(
+        default=model.DisseminationSettings.digest_interval_s,
+        ge=0.05,
+        le=60,
+        description="Period of comparing records with the same peer.",
+    )
+    report_delay_s: float = Field(
+        default=model.DisseminationSettings.report_delay_s,
+        ge=0.01,
+        le=10,
+        description="Longest time from a change to the report that it is in force.",
+    )
+    silence_intervals: float = Field(
+        default=model.DisseminationSettings.silence_intervals,
+        ge=1,
+        le=100,
+        description="Digest periods without a word after which a peer is passed over.",
+    )
+    ask_patience_s: float = Field(
+        default=model.DisseminationSettings.ask_patience_s,
+        ge=0.1,
+        le=60,
+        description="How long a starting instance waits for its peers' records.",
+    )
+
+
 class FlowModel(_Group):
     """Flows, their tokens and requests, and the planned stop."""
 
@@ -348,6 +389,7 @@
     fabric: FabricModel = FabricModel()
     log: LogModel = LogModel()
     membership: MembershipModel = MembershipModel()
+    records: RecordsModel = RecordsModel()
     flow: FlowModel = FlowModel()
     targets: TargetModel = TargetModel()
     dispatch: DispatchModel = Field(
