Patch the sockets before settings are read

The run command read the settings first, which imports the HTTP library with the system's sockets; gevent warned and calls to the platform would have blocked the whole instance. The test that runs an instance by the command line failed first on the warning.

--- a/endivepick/cli/main.py
+++ b/endivepick/cli/main.py
@@ -47,16 +47,14 @@
         settings : str
             Settings file; see endivepick settings --explain.
         """
-        from endivepick.settings import load_settings
-
-        loaded = load_settings(settings)
         # The libraries for HTTP have to find gevent's sockets when imported.
         from gevent import monkey
 
         monkey.patch_all()
         from endivepick.daemon.run import run
+        from endivepick.settings import load_settings
 
-        raise SystemExit(run(loaded))
+        raise SystemExit(run(load_settings(settings)))
 
     def check_settings(self, file: str) -> None:
         """Check a settings file; line, key and remedy of each fault if refused.
