Test the stand-ins with real processes and split them into small modules

Their settings, rules, store and pumps are now modules of their own. Fabric and fault proxy end by themselves after max_life_s, as do the others. The log is one system call a line.

--- /dev/null
+++ b/standins/_proxyconnection.py
@@ -0,0 +1,227 @@
+"""One proxied connection and the faults that apply to it."""
+
+import collections
+import errno
+import socket
+import struct
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import gevent
+from gevent.event import Event
+from gevent.queue import Queue
+from gevent.socket import socket as GeventSocket
+
+from standins._proxyrules import (
+    Action,
+    Blackhole,
+    CloseAfterBytes,
+    Cut,
+    Delay,
+    Direction,
+    DropAnswers,
+    Route,
+    Rule,
+    Source,
+)
+from standins.control import parse_address
+
+__all__ = ["Connection"]
+
+_CHUNK_BYTES = 64 * 1024
+_QUEUE_CHUNKS = 64
+_CONNECT_TIMEOUT_S = 10.0
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_IP_BIND_ADDRESS_NO_PORT = 24
+
+
+@dataclass(frozen=True)
+class Chunk:
+    """Bytes on their way; an empty chunk is the end of the stream."""
+
+    due_s: float
+    data: bytes
+
+
+class Connection:
+    """One proxied connection: two pumps and the rules that apply to them.
+
+    Parameters
+    ----------
+    client : gevent socket
+        Accepted connection of the source.
+    source : Source
+        Who connected.
+    route : Route
+        Where it connected to.
+    """
+
+    def __init__(self, client: GeventSocket, source: Source, route: Route) -> None:
+        self.source = source
+        self.route = route
+        self.closed_by = ""
+        self.read_bytes: collections.Counter[Direction] = collections.Counter()
+        self.passed_bytes: collections.Counter[Direction] = collections.Counter()
+        self._client = client
+        self._target: GeventSocket | None = None
+        self._actions: list[Action] = []
+        self._changed = Event()
+        self._counted_bytes: collections.Counter[str] = collections.Counter()
+        self._tasks: list[gevent.Greenlet] = []
+
+    def apply(self, rules: list[Rule]) -> None:
+        """Apply these rules from now on."""
+        self._actions = [
+            rule.action for rule in rules if rule.matches(self.source, self.route)
+        ]
+        self._forget_lifted_limits()
+        if any(isinstance(action, Cut) for action in self._actions):
+            self.close("cut", reset=True)
+        waiting, self._changed = self._changed, Event()
+        waiting.set()
+
+    def run(self) -> None:
+        """Connect to the target and pump until one side is gone."""
+        self._wait_while_held("to_target")
+        if self.closed_by:
+            return
+        try:
+            target = self._connect()
+        except OSError as error:
+            self.close(f"target: {error}", reset=True)
+            return
+        pairs: list[tuple[Direction, GeventSocket, GeventSocket]] = [
+            ("to_target", self._client, target),
+            ("to_source", target, self._client),
+        ]
+        for direction, giver, taker in pairs:
+            queue: Queue[Chunk] = Queue(maxsize=_QUEUE_CHUNKS)
+            self._tasks.append(gevent.spawn(self._read, direction, giver, queue))
+            self._tasks.append(gevent.spawn(self._write, direction, taker, queue))
+        gevent.joinall(self._tasks)
+        self.close("ended")
+
+    def close(self, cause: str, reset: bool = False) -> None:
+        """Close both sides, with a reset if asked; later calls do nothing."""
+        if self.closed_by:
+            return
+        self.closed_by = cause
+        for sock in (self._client, self._target):
+            if sock is not None:
+                _close_socket(sock, reset)
+        others = [task for task in self._tasks if task is not gevent.getcurrent()]
+        gevent.killall(others, block=False)
+
+    def _connect(self) -> GeventSocket:
+        sock = GeventSocket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_IP, _IP_BIND_ADDRESS_NO_PORT, 1)
+        sock.bind((self._client.getpeername()[0], 0))
+        for each in (sock, self._client):
+            each.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        # Known at once, so that a cut closes it also while it connects.
+        self._target = sock
+        sock.settimeout(_CONNECT_TIMEOUT_S)
+        sock.connect(parse_address(self.route.forward))
+        sock.settimeout(None)
+        return sock
+
+    def _read(
+        self, direction: Direction, giver: GeventSocket, queue: "Queue[Chunk]"
+    ) -> None:
+        while True:
+            try:
+                data = giver.recv(_CHUNK_BYTES)
+            except OSError:
+                data = b""
+            self.read_bytes[direction] += len(data)
+            queue.put(Chunk(time.monotonic() + self._delay_s(), data))
+            if not data:
+                return
+
+    def _delay_s(self) -> float:
+        delays = [a.delay_ms for a in self._actions if isinstance(a, Delay)]
+        return sum(delays) / 1000
+
+    def _write(
+        self, direction: Direction, taker: GeventSocket, queue: "Queue[Chunk]"
+    ) -> None:
+        for chunk in iter(queue.get, None):
+            wait_s = chunk.due_s - time.monotonic()
+            if wait_s > 0:
+                gevent.sleep(wait_s)
+            self._wait_while_held(direction)
+            try:
+                if not self._deliver(direction, taker, chunk.data):
+                    return
+            except OSError as error:
+                self.close(f"{direction}: {error}", reset=True)
+                return
+
+    def _wait_while_held(self, direction: Direction) -> None:
+        while not self.closed_by and self._held(direction):
+            self._changed.wait()
+
+    def _held(self, direction: Direction) -> bool:
+        return any(
+            isinstance(action, Blackhole) and action.holds(direction)
+            for action in self._actions
+        )
+
+    def _deliver(self, direction: Direction, taker: GeventSocket, data: bytes) -> bool:
+        """Hand on one chunk; returns False at the end of the stream."""
+        if not data:
+            taker.shutdown(socket.SHUT_WR)
+            return False
+        if direction == "to_source" and self._drops_answers():
+            self.close("answer dropped")
+            return False
+        allowed = self._allowed_bytes(direction, len(data))
+        taker.sendall(data[:allowed])
+        self.passed_bytes[direction] += allowed
+        if self._limit_reached():
+            self.close("byte limit")
+            return False
+        return True
+
+    def _drops_answers(self) -> bool:
+        return any(isinstance(action, DropAnswers) for action in self._actions)
+
+    def _limits(self) -> Iterator[CloseAfterBytes]:
+        return (a for a in self._actions if isinstance(a, CloseAfterBytes))
+
+    def _forget_lifted_limits(self) -> None:
+        """Let a limit that is lifted and set again count from zero."""
+        in_force = {limit.key() for limit in self._limits()}
+        for key in set(self._counted_bytes) - in_force:
+            del self._counted_bytes[key]
+
+    def _allowed_bytes(self, direction: Direction, size_bytes: int) -> int:
+        """Count the bytes against the limits; returns how many may pass."""
+        counting = [limit for limit in self._limits() if limit.counts(direction)]
+        rooms = [
+            limit.limit_bytes - self._counted_bytes[limit.key()] for limit in counting
+        ]
+        allowed = min([size_bytes, *rooms])
+        for limit in counting:
+            self._counted_bytes[limit.key()] += allowed
+        return allowed
+
+    def _limit_reached(self) -> bool:
+        return any(
+            self._counted_bytes[limit.key()] >= limit.limit_bytes
+            for limit in self._limits()
+        )
+
+
+def _close_socket(sock: GeventSocket, reset: bool) -> None:
+    """Close at once; a reset also throws away what was not delivered yet."""
+    try:
+        if reset:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        else:
+            sock.shutdown(socket.SHUT_RDWR)
+    except OSError as error:
+        if error.errno not in (errno.ENOTCONN, errno.EBADF):
+            raise
+    sock.close()
--- a/standins/control.py
+++ b/standins/control.py
@@ -1,20 +1,19 @@
-"""What the stand-in programs share: settings, control endpoint, log, life cycle.
+"""What the stand-in programs share: settings, control endpoint, JSON server.
 
-Every stand-in is a process of its own.  It listens, prints one line of JSON
-(``{"ready": true, "addresses": {...}}``) and runs until SIGTERM.  Its control
-endpoint answers ``GET /control``, ``PUT /control`` (JSON merge patch, RFC 7396;
-``null`` sets a field back to its default) and ``GET /stats``.
+Every stand-in is a process of its own, which prints one line of JSON
+(``{"ready": true, "addresses": {...}}``) when it listens.  Its control endpoint
+answers ``GET /control``, ``PUT /control`` (JSON merge patch, RFC 7396; ``null``
+sets a field back to its default) and ``GET /stats``.
 """
 
-import contextlib
+import ipaddress
 import json
-import signal
-import sys
+import os
+import socket
 import time
-from collections.abc import Callable, Iterator
-from typing import Any, Generic, TypeVar
+from collections.abc import Callable
+from typing import Annotated, Any, Generic, TypeVar
 
-import gevent
 import json5
 import pydantic
 from gevent.event import Event
@@ -22,22 +21,22 @@
 
 __all__ = [
     "Address",
+    "AddressText",
     "Answer",
     "BorderModel",
     "Control",
     "EventLog",
+    "ProgramSettings",
     "format_address",
     "json_server",
     "load_settings",
     "merge_patch",
     "parse_address",
     "read_json",
-    "run_until_terminated",
 ]
 
-Address = tuple[str, int]
-"""IPv4 address and port."""
-
+_BACKLOG = 1024
+_MAX_PORT = 65535
 _REASONS = {
     200: "OK",
     400: "Bad Request",
@@ -50,6 +49,44 @@
     503: "Service Unavailable",
 }
 
+Address = tuple[str, int]
+"""IPv4 address and port."""
+
+
+def parse_address(text: str) -> Address:
+    """Split ``"host:port"``.
+
+    Examples
+    --------
+    >>> parse_address("127.0.0.1:80")
+    ('127.0.0.1', 80)
+    """
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+def format_address(address: Address) -> str:
+    """Join host and port to ``"host:port"``.
+
+    Examples
+    --------
+    >>> format_address(("127.0.0.1", 80))
+    '127.0.0.1:80'
+    """
+    return f"{address[0]}:{address[1]}"
+
+
+def _check_address(text: str) -> str:
+    host, port = parse_address(text)
+    ipaddress.IPv4Address(host)
+    if not 0 <= port <= _MAX_PORT:
+        raise ValueError(f"{text}: a port is at most {_MAX_PORT}")
+    return text
+
+
+AddressText = Annotated[str, pydantic.AfterValidator(_check_address)]
+"""Address as ``"host:port"`` with the host as IPv4 number."""
+
 
 class BorderModel(pydantic.BaseModel):
     """Base of settings and control documents; unknown fields are refused."""
@@ -57,6 +94,24 @@
     model_config = pydantic.ConfigDict(extra="forbid")
 
 
+class ProgramSettings(BorderModel):
+    """Settings that every stand-in has.
+
+    Attributes
+    ----------
+    control_listen : str
+        Address of the control endpoint.
+    log_path : str or None
+        Log of JSON lines for the checker.
+    max_life_s : float
+        The program ends after that long even if its harness is gone.
+    """
+
+    control_listen: AddressText = "127.0.0.1:0"
+    log_path: str | None = None
+    max_life_s: float = 1800.0
+
+
 class Answer:
     """One HTTP answer with a JSON body.
 
@@ -78,29 +133,6 @@
         self.headers = headers or []
 
 
-def parse_address(text: str) -> Address:
-    """Split ``"host:port"``.
-
-    Examples
-    --------
-    >>> parse_address("127.0.0.1:80")
-    ('127.0.0.1', 80)
-    """
-    host, _, port = text.rpartition(":")
-    return host, int(port)
-
-
-def format_address(address: Address) -> str:
-    """Join host and port to ``"host:port"``.
-
-    Examples
-    --------
-    >>> format_address(("127.0.0.1", 80))
-    '127.0.0.1:80'
-    """
-    return f"{address[0]}:{address[1]}"
-
-
 def merge_patch(document: Any, patch: Any) -> Any:
     """Apply a JSON merge patch (RFC 7396) and return the new document.
 
@@ -138,22 +170,22 @@
 class EventLog:
     """JSON lines for the checker of the tests; each line has ``at_s``.
 
+    Each line is one system call, so that a killed process leaves whole lines.
+
     Parameters
     ----------
     path : str or None
-        File to append to; None drops the lines.
+        File to append to; None or an empty path drops the lines.
     """
 
     def __init__(self, path: str | None) -> None:
-        self._file = open(path, "a", encoding="utf-8") if path else None  # noqa: SIM115
+        flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
+        self._file = os.open(path or os.devnull, flags, 0o644)
 
     def append(self, event: str, **fields: Any) -> None:
-        """Write one line; it is flushed so that no line is lost at the end."""
-        if self._file is None:
-            return
+        """Write one line with the wall-clock time ``at_s``."""
         line = {"at_s": time.time(), "event": event, **fields}
-        self._file.write(json.dumps(line) + "\n")
-        self._file.flush()
+        os.write(self._file, json.dumps(line).encode() + b"\n")
 
 
 class Control(Generic[ControlT]):
@@ -243,30 +275,16 @@
         start_response(status, headers + result.headers)
         return [body]
 
-    server = WSGIServer(parse_address(listen), application, log=None, error_log=None)
+    server = WSGIServer(
+        parse_address(listen),
+        application,
+        backlog=_BACKLOG,
+        log=None,
+        error_log=None,
+    )
     server.stop_timeout = 0
     server.start()
+    # Accepted sockets inherit it.  The server sends head and body apart; without
+    # it the body waits for the client's delayed acknowledgement, about 40 ms.
+    server.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return server
-
-
-@contextlib.contextmanager
-def _termination() -> Iterator[Event]:
-    """Yield an event that SIGTERM or SIGINT sets."""
-    stop = Event()
-    handlers = [gevent.signal_handler(s, stop.set) for s in _STOP_SIGNALS]
-    try:
-        yield stop
-    finally:
-        for handler in handlers:
-            handler.cancel()
-
-
-_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
-
-
-def run_until_terminated(addresses: dict[str, Any]) -> None:
-    """Print the ready line and return once SIGTERM or SIGINT arrives."""
-    with _termination() as stop:
-        print(json.dumps({"ready": True, "addresses": addresses}), flush=True)
-        stop.wait()
-    sys.stdout.flush()
--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -9,8 +9,6 @@
 """
 
 import collections
-import heapq
-import itertools
 import random
 import socket
 import struct
@@ -23,29 +21,22 @@
 import msgspec
 import urllib3
 from gevent import monkey
-from gevent.event import Event
 from gevent.socket import wait_read
 
+from standins._delayqueue import DelayQueue
+from standins._fabricsettings import DirectionFaults, FabricInstance, FabricSettings
 from standins.control import (
     Address,
-    BorderModel,
     Control,
     EventLog,
     format_address,
     json_server,
     load_settings,
     parse_address,
-    run_until_terminated,
 )
+from standins.process import run_until_stopped
 
-__all__ = [
-    "DirectionFaults",
-    "Fabric",
-    "FabricControl",
-    "FabricInstance",
-    "FabricSettings",
-    "main",
-]
+__all__ = ["Fabric", "main"]
 
 PREFIX_BYTES = 6
 """Size of the caller prefix between fabric and instance."""
@@ -56,69 +47,6 @@
 _POLL_TIMEOUT_S = 2.0
 
 
-class DirectionFaults(BorderModel):
-    """Faults of one direction; shares are between 0 and 1."""
-
-    loss: float = 0.0
-    duplicate: float = 0.0
-    delay_ms_min: float = 0.0
-    delay_ms_max: float = 0.0
-
-    def none(self) -> bool:
-        """Tell whether datagrams pass untouched."""
-        return not (self.loss or self.duplicate or self.delay_ms_max)
-
-
-class FabricInstance(BorderModel):
-    """One instance that datagrams go to; further fields are ignored."""
-
-    model_config = {"extra": "ignore"}
-
-    name: str
-    zone: str
-    data_address: str
-    state: str = "live"
-
-
-class FabricControl(BorderModel):
-    """Switches of the fabric stand-in.
-
-    Attributes
-    ----------
-    to_instances, to_callers : DirectionFaults
-        Faults of each direction.
-    cut_zones, cut_instances : list of str
-        Instances that get and give nothing; datagrams sprayed to them are lost.
-    avoid_cut : bool
-        Spray only over instances that are not cut.
-    only_instances : list of str or None
-        Spray only over these; answers of all instances pass.
-    instances : list or None
-        Fixed list in place of the platform's.
-    """
-
-    to_instances: DirectionFaults = DirectionFaults()
-    to_callers: DirectionFaults = DirectionFaults()
-    cut_zones: list[str] = []
-    cut_instances: list[str] = []
-    avoid_cut: bool = False
-    only_instances: list[str] | None = None
-    instances: list[FabricInstance] | None = None
-
-
-class FabricSettings(BorderModel):
-    """Settings of the program; addresses are ``"host:port"``."""
-
-    callers: list[str] = ["127.0.0.1:0"]
-    instances: str = "127.0.0.1:0"
-    control_listen: str = "127.0.0.1:0"
-    platform: str | None = None
-    poll_interval_s: float = 0.3
-    seed: int = 1
-    log_path: str | None = None
-    control: FabricControl = FabricControl()
-
-
 def _udp_socket(listen: str) -> socket.socket:
     # The plain class costs less per datagram than the patched one.
     plain_socket = monkey.get_original("socket", "socket")
@@ -130,38 +58,6 @@
     return sock
 
 
-class DelayQueue:
-    """Sends datagrams at their due times; one task serves all of them."""
-
-    def __init__(self, send: Callable[[socket.socket, bytes, Address], None]) -> None:
-        self._send = send
-        self._heap: list[tuple[float, int, socket.socket, bytes, Address]] = []
-        self._order = itertools.count()
-        self._sooner = Event()
-
-    def add(
-        self, due_s: float, sock: socket.socket, datagram: bytes, address: Address
-    ) -> None:
-        """Send the datagram at `due_s` (monotonic clock)."""
-        entry = (due_s, next(self._order), sock, datagram, address)
-        heapq.heappush(self._heap, entry)
-        if self._heap[0] is entry:
-            self._sooner.set()
-
-    def run(self) -> None:
-        """Serve the queue; never returns."""
-        while True:
-            self._send_due()
-            wait_s = self._heap[0][0] - time.monotonic() if self._heap else None
-            self._sooner.wait(wait_s)
-            self._sooner.clear()
-
-    def _send_due(self) -> None:
-        while self._heap and self._heap[0][0] <= time.monotonic():
-            _, _, sock, datagram, address = heapq.heappop(self._heap)
-            self._send(sock, datagram, address)
-
-
 class Fabric:
     """Sprays datagrams of callers over instances and hands back the answers.
 
@@ -361,13 +257,12 @@
     fabric = Fabric(loaded)
     fabric.start()
     control = json_server(loaded.control_listen, fabric.control.answer)
-    run_until_terminated(
-        {
-            "callers": [format_address(s.getsockname()) for s in fabric.caller_sockets],
-            "instances": format_address(fabric.instance_socket.getsockname()),
-            "control": format_address(control.address),
-        }
-    )
+    addresses = {
+        "callers": [format_address(s.getsockname()) for s in fabric.caller_sockets],
+        "instances": format_address(fabric.instance_socket.getsockname()),
+        "control": format_address(control.address),
+    }
+    run_until_stopped({"ready": True, "addresses": addresses}, loaded.max_life_s)
 
 
 if __name__ == "__main__":
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -10,249 +10,37 @@
 import errno
 import time
 import urllib.parse
-from dataclasses import dataclass
-from typing import Any, Literal
+from typing import Any
 
 import fire
 import gevent
-from gevent.event import Event
 
+from standins._callrates import CallCounter, RateLimit
+from standins._objectstore import (
+    Key,
+    ObjectStore,
+    StoredObject,
+    StoreEvent,
+    VersionConflictError,
+)
+from standins._platformsettings import InstanceEntry, PlatformSettings, PutRequest
 from standins.control import (
     Answer,
-    BorderModel,
     Control,
     EventLog,
     format_address,
     json_server,
     load_settings,
     read_json,
-    run_until_terminated,
 )
+from standins.process import run_until_stopped
 
-__all__ = ["ObjectStore", "Platform", "PlatformControl", "PlatformSettings", "main"]
+__all__ = ["Platform", "main"]
 
 _MAX_BODY_BYTES = 1024 * 1024
-_RATE_WINDOW_S = 10
 _RETRY_AFTER_S = 1
 
 
-class PlatformControl(BorderModel):
-    """Switches of the platform stand-in.
-
-    Attributes
-    ----------
-    outage : str or None
-        ``"refuse"`` closes each connection without an answer and without an
-        effect, ``"unavailable"`` answers 503, ``"hang"`` holds every call until
-        the switch changes and handles it then.
-    slow_ms : float
-        Added before each call is handled.
-    lose_answers : int
-        That many of the next writes take effect but get no answer; the number
-        counts down.
-    lose_answers_kind : str or None
-        Restrict `lose_answers` to one kind of object.
-    stale_reads : int
-        Gets and lists answer from the store as it was that many revisions ago.
-    writes_per_s, reads_per_s : float
-        Rates above which calls get 429; a waiting watch is one read.
-    instances_lag_s : float
-        Age of the instance list that callers see.
-    history_limit : int
-        Revisions kept for watches; watches from before get 410.
-    """
-
-    outage: Literal["refuse", "unavailable", "hang"] | None = None
-    slow_ms: float = 0.0
-    lose_answers: int = 0
-    lose_answers_kind: str | None = None
-    stale_reads: int = 0
-    writes_per_s: float = 300.0
-    reads_per_s: float = 2000.0
-    instances_lag_s: float = 0.0
-    history_limit: int = 10_000
-
-
-class InstanceEntry(BorderModel):
-    """One instance as the owner of the machines knows it."""
-
-    name: str
-    zone: str
-    peer_address: str
-    data_address: str
-    state: Literal["live", "leaving"] = "live"
-
-
-class PlatformSettings(BorderModel):
-    """Settings of the program; addresses are ``"host:port"``."""
-
-    listen: str = "127.0.0.1:0"
-    control_listen: str = "127.0.0.1:0"
-    log_path: str | None = None
-    control: PlatformControl = PlatformControl()
-    instances: list[InstanceEntry] = []
-
-
-@dataclass(frozen=True)
-class StoredObject:
-    """One version of an object."""
-
-    kind: str
-    name: str
-    version: int
-    body: Any
-
-    def to_json(self) -> dict[str, Any]:
-        """Return the object as the API shows it."""
-        return dict(self.__dict__)
-
-
-@dataclass(frozen=True)
-class StoreEvent:
-    """One change of the store and the object that it replaced."""
-
-    type: Literal["put", "delete"]
-    object: StoredObject
-    previous: StoredObject | None
-
-
-class VersionConflictError(Exception):
-    """The condition of a write does not hold; `current` is what stands."""
-
-    def __init__(self, current: StoredObject | None) -> None:
-        super().__init__("The object has another version; read it again.")
-        self.current = current
-
-
-Key = tuple[str, str]
-"""Kind and name of an object."""
-
-
-class ObjectStore:
-    """Objects with store-wide revisions and a history of changes."""
-
-    def __init__(self) -> None:
-        self.revision = 0
-        self.changed = Event()
-        self._objects: dict[Key, StoredObject] = {}
-        self._history: collections.deque[StoreEvent] = collections.deque()
-
-    def put(self, key: Key, body: Any, if_version: int | None) -> StoredObject:
-        """Write an object; VersionConflictError if `if_version` does not hold."""
-        previous = self._checked(key, if_version)
-        self.revision += 1
-        stored = StoredObject(*key, self.revision, body)
-        self._objects[key] = stored
-        self._record(StoreEvent("put", stored, previous))
-        return stored
-
-    def delete(self, key: Key, if_version: int | None) -> StoredObject | None:
-        """Delete an object; returns its tombstone, or None if it is absent."""
-        previous = self._checked(key, if_version)
-        if previous is None:
-            return None
-        self.revision += 1
-        tombstone = StoredObject(*key, self.revision, previous.body)
-        del self._objects[key]
-        self._record(StoreEvent("delete", tombstone, previous))
-        return tombstone
-
-    def snapshot(self, back: int) -> tuple[int, dict[Key, StoredObject]]:
-        """Return the revision and the objects as they were `back` revisions ago."""
-        if back <= 0:
-            return self.revision, self._objects
-        objects = dict(self._objects)
-        revision = self.revision
-        for event in list(self._history)[: -back - 1 : -1]:
-            key = (event.object.kind, event.object.name)
-            if event.previous is None:
-                objects.pop(key, None)
-            else:
-                objects[key] = event.previous
-            revision = event.object.version - 1
-        return revision, objects
-
-    def events_after(self, revision: int, kinds: set[str]) -> list[StoreEvent] | None:
-        """Return later events of these kinds; None if the history is too short."""
-        if revision < self.revision - len(self._history):
-            return None
-        count = max(0, self.revision - revision)
-        recent = list(self._history)[len(self._history) - count :]
-        return [event for event in recent if event.object.kind in kinds]
-
-    def trim(self, limit: int) -> None:
-        """Forget all but the last `limit` events."""
-        while len(self._history) > limit:
-            self._history.popleft()
-
-    def wake(self) -> None:
-        """Let all waiting watches look again."""
-        waiting, self.changed = self.changed, Event()
-        waiting.set()
-
-    def _checked(self, key: Key, if_version: int | None) -> StoredObject | None:
-        current = self._objects.get(key)
-        version = current.version if current else 0
-        if if_version is not None and if_version != version:
-            raise VersionConflictError(current)
-        return current
-
-    def _record(self, event: StoreEvent) -> None:
-        self._history.append(event)
-        self.wake()
-
-
-class RateLimit:
-    """Token bucket that holds at most one second's worth of calls."""
-
-    def __init__(self) -> None:
-        self._tokens: float | None = None
-        self._refilled_at_s = 0.0
-
-    def take(self, rate_per_s: float, now_s: float) -> bool:
-        """Take one token if there is one."""
-        if self._tokens is None:
-            self._tokens = rate_per_s
-        else:
-            self._tokens += (now_s - self._refilled_at_s) * rate_per_s
-        self._tokens = min(self._tokens, max(1.0, rate_per_s))
-        self._refilled_at_s = now_s
-        if self._tokens < 1.0:
-            return False
-        self._tokens -= 1.0
-        return True
-
-
-class CallCounter:
-    """Calls of one source: totals and calls in each whole second."""
-
-    def __init__(self) -> None:
-        self.totals: collections.Counter[str] = collections.Counter()
-        self.peak_per_s = 0
-        self._seconds: collections.deque[list[int]] = collections.deque(
-            maxlen=_RATE_WINDOW_S + 1
-        )
-
-    def add(self, what: str, now_s: float) -> None:
-        """Count one call of class `what`."""
-        self.totals[what] += 1
-        second = int(now_s)
-        if not self._seconds or self._seconds[-1][0] != second:
-            self._seconds.append([second, 0])
-        self._seconds[-1][1] += 1
-        self.peak_per_s = max(self.peak_per_s, self._seconds[-1][1])
-
-    def to_json(self, now_s: float) -> dict[str, Any]:
-        """Return totals, the highest second and the mean of the last ten."""
-        since = int(now_s) - _RATE_WINDOW_S
-        recent = sum(n for s, n in self._seconds if since <= s < int(now_s))
-        return {
-            **self.totals,
-            "peak_calls_per_s": self.peak_per_s,
-            "calls_per_s": recent / _RATE_WINDOW_S,
-        }
-
-
 class InstanceDirectory:
     """The instance list, shown as it was some time ago."""
 
@@ -290,8 +78,11 @@
         self._directory = InstanceDirectory()
         self._write_limit = RateLimit()
         self._read_limit = RateLimit()
-        self._calls: dict[str, CallCounter] = {}
+        self._all_calls = CallCounter()
+        self._calls: collections.defaultdict[str, CallCounter]
+        self._calls = collections.defaultdict(CallCounter)
         self._waiting_watches = 0
+        self._held_calls = 0
         if settings.instances:
             self._set_instances([e.model_dump() for e in settings.instances])
 
@@ -311,13 +102,15 @@
         except VersionConflictError as conflict:
             current = conflict.current
             return Answer(409, {"current": current.to_json() if current else None})
-        except (ValueError, KeyError, TypeError) as error:
+        except (ValueError, KeyError) as error:
             return Answer(400, {"error": f"Malformed call: {error!r}."})
 
     def _unavailable(self) -> bool:
         """Apply an outage: wait, drop the connection, or say True for a 503."""
         while self.control.current.outage == "hang":
+            self._held_calls += 1
             self.control.changed.wait()
+            self._held_calls -= 1
         if self.control.current.outage == "refuse":
             raise ConnectionResetError(errno.ECONNRESET, "outage")
         return self.control.current.outage == "unavailable"
@@ -331,8 +124,8 @@
         else:
             what = "writes"
             admitted = self._write_limit.take(control.writes_per_s, now_s)
-        counter = self._calls.setdefault(source, CallCounter())
-        counter.add(what if admitted else "limited", now_s)
+        for counter in (self._all_calls, self._calls[source]):
+            counter.add(what if admitted else "limited", now_s)
         return admitted
 
     def _route(self, method: str, environ: dict[str, Any], source: str) -> Answer:
@@ -371,8 +164,8 @@
     def _put(self, key: Key, environ: dict[str, Any], source: str) -> Answer:
         if int(environ.get("CONTENT_LENGTH") or 0) > _MAX_BODY_BYTES:
             return Answer(413, {"error": "Bodies have at most a megabyte."})
-        request = read_json(environ)
-        stored = self._store.put(key, request["body"], request.get("if_version"))
+        request = PutRequest.model_validate(read_json(environ))
+        stored = self._store.put(key, request.body, request.if_version)
         self._written("put", stored, source)
         return Answer(200, stored.to_json())
 
@@ -458,6 +251,8 @@
         return {
             "revision": self._store.revision,
             "waiting_watches": self._waiting_watches,
+            "held_calls": self._held_calls,
+            "total": self._all_calls.to_json(now_s),
             "sources": {ip: calls.to_json(now_s) for ip, calls in self._calls.items()},
         }
 
@@ -476,12 +271,11 @@
     platform = Platform(loaded)
     api = json_server(loaded.listen, platform.answer)
     control = json_server(loaded.control_listen, platform.control.answer)
-    run_until_terminated(
-        {
-            "api": format_address(api.address),
-            "control": format_address(control.address),
-        }
-    )
+    addresses = {
+        "api": format_address(api.address),
+        "control": format_address(control.address),
+    }
+    run_until_stopped({"ready": True, "addresses": addresses}, loaded.max_life_s)
 
 
 if __name__ == "__main__":
