--- /dev/null
+++ b/endivepick/platform/watcher.py
@@ -0,0 +1,106 @@
+"""Task that lists and watches the platform."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from returns.result import Failure, Success
+
+from endivepick.errors import EndivepickError, WatchExpiredError
+from endivepick.platform.answers import ObjectList, WatchResult
+from endivepick.platform.backoff import Backoff
+from endivepick.platform.client import PlatformClient
+from endivepick.platform.settings import PlatformSettings
+from endivepick.records.cache import CACHED_KINDS
+
+__all__ = ["WatchFailed", "Watcher", "WatcherEvent"]
+
+
+@dataclass(frozen=True)
+class WatchFailed:
+    """A list or a watch failed; the watcher goes on after a wait.
+
+    Attributes
+    ----------
+    error : EndivepickError
+        The cause.
+    """
+
+    error: EndivepickError
+
+
+WatcherEvent = ObjectList | WatchResult | WatchFailed
+
+
+class Watcher:
+    """Delivers what the platform lists and what it changes.
+
+    Run it in a gevent task of its own and kill the task to stop it.
+
+    Parameters
+    ----------
+    settings : PlatformSettings
+        Back-off.
+    client : PlatformClient
+        Calls the platform.
+    deliver : callable
+        Takes each ``ObjectList``, ``WatchResult`` and ``WatchFailed``.
+    pause : callable
+        Waits a number of seconds, for example ``gevent.sleep``.
+    random_share : callable
+        Returns random numbers from 0 to 1.
+    """
+
+    def __init__(
+        self,
+        settings: PlatformSettings,
+        client: PlatformClient,
+        deliver: Callable[[WatcherEvent], Any],
+        pause: Callable[[float], object],
+        random_share: Callable[[], float],
+    ) -> None:
+        self._client = client
+        self._deliver = deliver
+        self._pause = pause
+        self._random_share = random_share
+        self._backoff = Backoff(settings.backoff)
+
+    def run(self, after: int) -> None:
+        """Watch after a revision until the task is killed; list first if it is 0."""
+        revision: int | None = after or None
+        while True:
+            revision = self._list() if revision is None else self._watch(revision)
+
+    def _list(self) -> int | None:
+        """List all kinds; the watch starts after the oldest of the lists."""
+        revisions = []
+        for kind in CACHED_KINDS:
+            match self._client.list(kind):
+                case Success(listed):
+                    revisions.append(listed.revision)
+                    self._deliver(listed)
+                case Failure(error):
+                    self._failed(error)
+                    return None
+        return min(revisions)
+
+    def _watch(self, after: int) -> int | None:
+        match self._client.watch(CACHED_KINDS, after):
+            case Success(result):
+                self._backoff = self._backoff.succeeded()
+                self._deliver(result)
+                # A lagging answer must not move the watch back.
+                return max(after, result.revision)
+            case Failure(WatchExpiredError() as error):
+                # A list that lags behind the history would expire again at once.
+                self._failed(error)
+                return None
+            case Failure(error):
+                self._failed(error)
+        return after
+
+    def _failed(self, error: EndivepickError) -> None:
+        self._deliver(WatchFailed(error))
+        retry_after_s = getattr(error, "retry_after_s", None) or 0.0
+        self._backoff = self._backoff.failed(self._random_share(), retry_after_s)
+        self._pause(self._backoff.wait_s)
