--- a/endivepick/client/command.py
+++ b/endivepick/client/command.py
@@ -6,6 +6,7 @@
 
 from returns.result import Failure, Success
 
+from endivepick.cli.exit_codes import ExitCode
 from endivepick.client.caller import Flow, open_caller
 from endivepick.client.errors import (
     NotRun,
@@ -17,27 +18,11 @@
 from endivepick.client.model import Answer, StreamEvent
 from endivepick.client.settings import CallerSettings
 
-__all__ = ["ExitCode", "call", "stream"]
+__all__ = ["call", "stream"]
 
 FIRST_ERROR_STATUS = 400
 
 
-class ExitCode:
-    """Exit codes of the command, by kind of end."""
-
-    ANSWERED = 0
-    USAGE = 2
-    """The arguments make no request."""
-    ERROR_STATUS = 10
-    """The target answered with a status of 400 or more."""
-    NOT_RUN = 11
-    """The request did not run."""
-    OUTCOME_UNKNOWN = 12
-    """The request may have run."""
-    NOT_OPENED = 13
-    """No flow was opened."""
-
-
 def call(
     service: str,
     path: str = "/",
@@ -48,7 +33,7 @@
     deadline_s: float = 10.0,
     fabric: str = "127.0.0.1:7000",
     as_json: bool = False,
-) -> int:
+) -> ExitCode:
     """Send one request and print its answer.
 
     Parameters
@@ -70,8 +55,8 @@
 
     Returns
     -------
-    int
-        One of `ExitCode`.
+    ExitCode
+        What a script can tell from the end.
     """
     try:
         headers = _parse_headers(header)
@@ -96,7 +81,7 @@
     events: int = 0,
     deadline_s: float = 12 * 3600.0,
     fabric: str = "127.0.0.1:7000",
-) -> int:
+) -> ExitCode:
     """Print the events of a stream, one JSON object a line.
 
     Parameters
@@ -108,8 +93,8 @@
 
     Returns
     -------
-    int
-        One of `ExitCode`.
+    ExitCode
+        What a script can tell from the end.
     """
     try:
         settings = CallerSettings(fabric_address=fabric)
@@ -132,16 +117,16 @@
     return [(name.strip(), value.strip()) for name, _, value in pairs]
 
 
-def _report(result: object, as_json: bool) -> int:
+def _report(result: object, as_json: bool) -> ExitCode:
     match result:
         case Success(Answer() as answer):
             _print_answer(answer, as_json)
             failed = answer.status >= FIRST_ERROR_STATUS
-            return ExitCode.ERROR_STATUS if failed else ExitCode.ANSWERED
+            return ExitCode.ERROR_STATUS if failed else ExitCode.OK
         case Failure(NotRun() as error):
             return _fail(error, ExitCode.NOT_RUN)
         case Failure(RequestError() as error):
-            return _fail(error, ExitCode.OUTCOME_UNKNOWN)
+            return _fail(error, ExitCode.REQUEST_OUTCOME_UNKNOWN)
     raise TypeError(f"Not a result of a request: {result!r}.")
 
 
@@ -155,7 +140,7 @@
     )
 
 
-def _print_events(events: Iterable[StreamEvent], limit: int) -> int:
+def _print_events(events: Iterable[StreamEvent], limit: int) -> ExitCode:
     try:
         for count, event in enumerate(events, start=1):
             line = {"id": event.event_id, "event": event.event, "data": event.data}
@@ -165,12 +150,12 @@
     except StreamAnswerError as error:
         return _fail(error, ExitCode.ERROR_STATUS)
     except OutcomeUnknown as error:
-        return _fail(error, ExitCode.OUTCOME_UNKNOWN)
+        return _fail(error, ExitCode.REQUEST_OUTCOME_UNKNOWN)
     except NotRun as error:
         return _fail(error, ExitCode.NOT_RUN)
-    return ExitCode.ANSWERED
+    return ExitCode.OK
 
 
-def _fail(error: OpenError | RequestError | Exception, code: int) -> int:
+def _fail(error: OpenError | RequestError | Exception, code: ExitCode) -> ExitCode:
     print(error, file=sys.stderr)
     return code
--- a/endivepick/client/tests/test_caller.py
+++ b/endivepick/client/tests/test_caller.py
@@ -1,11 +1,14 @@
 """The caller library over a real socket, against the fake owner."""
 
+import io
 import unittest
+from contextlib import redirect_stderr, redirect_stdout
 
 import gevent
 from gevent import socket
 from returns.pipeline import is_successful
 
+from endivepick.cli.exit_codes import ExitCode
 from endivepick.client import (
     CallerSettings,
     NotRun,
@@ -13,6 +16,7 @@
     OutcomeUnknown,
     open_caller,
 )
+from endivepick.client.command import call, stream
 from endivepick.client.tests.fake_owner import FakeOwner
 from endivepick.core.codec import decode_caller_packet, encode_packet
 from endivepick.core.messages import Cancel, FlowClosed
@@ -95,5 +99,42 @@
         self.assertIsInstance(flow.request().failure(), NotRun)
 
 
+class TestCommand(unittest.TestCase):
+    def setUp(self):
+        self.owner = FakeOwner()
+        server = OwnerServer(self.owner)
+        self.addCleanup(server.close)
+        self.fabric = server.address
+
+    def _call(self, **arguments):
+        out, err = io.StringIO(), io.StringIO()
+        with redirect_stdout(out), redirect_stderr(err):
+            code = call("notes", fabric=self.fabric, **arguments)
+        return code, out.getvalue(), err.getvalue()
+
+    def test_answer_is_printed(self):
+        code, out, _ = self._call(method="POST", body="abc", deadline_s=WAIT_S)
+        self.assertEqual((code, out), (ExitCode.OK, "cba\n"))
+
+    def test_failure_to_open_has_its_code_and_remedy(self):
+        self.owner.silent = True
+        code, _, err = self._call(deadline_s=0.1)
+        self.assertEqual(code, ExitCode.NOT_OPENED)
+        self.assertIn("Check the fabric's address", err)
+
+    def test_header_without_colon_is_a_usage_error(self):
+        code, _, err = self._call(header="Accept")
+        self.assertEqual(code, ExitCode.USAGE)
+        self.assertIn("Name: value", err)
+
+    def test_events_are_printed_up_to_the_limit(self):
+        self.owner.body = b"id: 1\ndata: one\n\nid: 2\ndata: two\n\n"
+        out = io.StringIO()
+        with redirect_stdout(out):
+            code = stream("alerts", "/events", events=1, fabric=self.fabric)
+        self.assertEqual(code, ExitCode.OK)
+        self.assertEqual(out.getvalue().count("\n"), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
