Bind a hand-over to one incarnation of its successor

Cause, found by the model's exhaustive check: a transfer named only the successor's name. A copy that outlives the successor could be taken by the next process of that name with windows that lack what the dead one ran. The transfer now names the incarnation, and another one ignores it. On the same way: a frozen flow is never forgotten before it is taken, a stream that must not run twice is refused (to resume is to run again), and a request of which an attempt may have run ends as unknown and not as not run, also after a hand-over.

--- a/endivepick/core/executor.py
+++ b/endivepick/core/executor.py
@@ -43,6 +43,7 @@
 UNKNOWN_SERVICE_RETRY_MS = 1000
 NO_RETRY_MS = 0
 COST_CLASS_HEADER = "endivepick-cost"
+_MAY_HAVE_RUN = frozenset({FinishKind.BROKEN, FinishKind.LATE})
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,7 +110,7 @@
             established=request.seq > 1,
             cost_class=_cost_class(request),
             movable=not others,
-            may_have_run=request.attempt > 0,
+            may_have_run=request.may_have_run,
         )
 
     def carry_out(self, decisions: list[Decision], now_s: float) -> list[Action]:
@@ -185,6 +186,8 @@
 
     def _refuse(self, held: _Held, reason: str, retry_after_ms: int) -> list[Action]:
         flow, request = held.flow, held.request
+        if request.may_have_run:
+            return self._fail(held, reason, retry_after_ms)
         request.step("refuse")
         request.verdict = Refused(
             flow.flow_id, flow.binding, request.seq, reason, retry_after_ms
@@ -257,6 +260,8 @@
         held = self._running(event.request_id, event.attempt)
         if held is None:
             return self._free_slot(event.request_id, now_s)
+        if event.kind in _MAY_HAVE_RUN:
+            held.request.may_have_run = True
         held.request.step("requeue")
         actions: list[Action] = [
             Log(
@@ -336,6 +341,7 @@
     def suspend(self, flow: OwnedFlow, request: OwnedRequest) -> list[Action]:
         """Close a stream at its target; it can be resumed after its last event."""
         actions = self._leave_target(flow, request)
+        request.may_have_run = True
         request.step("freeze")
         return actions
 
--- a/endivepick/core/flow.py
+++ b/endivepick/core/flow.py
@@ -41,6 +41,8 @@
         How often the dispatcher got it.
     attempt : int
         Number of the present attempt, 0 before the first.
+    may_have_run : bool
+        An attempt broke off after its start, so that "not run" would be untrue.
     last_event_id : str
         Last event of a stream that is in the answer.
     heard_at_s : float
@@ -59,6 +61,7 @@
     verdict: Refused | Outcome | None = None
     submissions: int = 0
     attempt: int = 0
+    may_have_run: bool = False
     last_event_id: str = ""
 
     def step(self, event: str) -> None:
--- a/endivepick/core/flow_table.py
+++ b/endivepick/core/flow_table.py
@@ -44,7 +44,7 @@
         self, settings: FlowSettings, me: Identity, new_id: Callable[[], int]
     ) -> None:
         self._settings = settings
-        self._me = me
+        self.me = me
         self._new_id = new_id
         self._flows: dict[int, OwnedFlow] = {}
         self._counts: Counter[str] = Counter()
@@ -130,8 +130,8 @@
             service=flow.service,
             flow_id=flow.flow_id,
             binding=flow.binding,
-            owner=self._me.name,
-            owner_incarnation=self._me.incarnation,
+            owner=self.me.name,
+            owner_incarnation=self.me.incarnation,
             target=flow.target,
             issued_at_s=int(now_s),
         )
@@ -150,6 +150,9 @@
         return len(dropped)
 
     def _expired(self, flow: OwnedFlow, now_s: float) -> bool:
+        if flow.frozen:
+            # Its successor may hold it already: an empty window would be a second.
+            return False
         silent_s = now_s - flow.heard_at_s
         if flow.is_unused:
             return silent_s > self._settings.unacknowledged_s
--- a/endivepick/core/handover.py
+++ b/endivepick/core/handover.py
@@ -160,7 +160,7 @@
     def _send(
         self, batch: list[FlowSnapshot], successor: Identity, now_s: float
     ) -> list[Action]:
-        message = HandOver(self.new_id(), list(batch))
+        message = HandOver(self.new_id(), successor.incarnation, list(batch))
         self._transfers[message.transfer_id] = _Transfer(successor, message, now_s)
         ids = {"peer": successor.name, "incarnation": successor.incarnation}
         return [
@@ -265,6 +265,10 @@
         list of OwnedFlow, list of Action
             Flows that were new here, and what to do.
         """
+        if message.successor_incarnation != self.table.me.incarnation:
+            # Meant for a process that had this name before and may have run
+            # some of it: nobody else ever may.
+            return [], []
         if message.transfer_id in self._accepted:
             accepted = HandOverAccepted(message.transfer_id)
             return [], [SendToPeer(sender.name, accepted)]
--- a/endivepick/core/owner.py
+++ b/endivepick/core/owner.py
@@ -222,6 +222,9 @@
             request.head = decode_struct(data, RequestHead)
         except PacketInvalidError:
             return self._refuse_unclaimed(flow, request, "malformed_request")
+        if request.head.stream and not request.idempotent:
+            # To resume a stream is to run its request again.
+            return self._refuse_unclaimed(flow, request, "stream_not_idempotent")
         self._limit_deadline(flow, request, now_s)
         flow.window.claim(request.seq)
         request.step("complete")
--- a/endivepick/core/peer_messages.py
+++ b/endivepick/core/peer_messages.py
@@ -60,6 +60,7 @@
     time_left_ms: int
     state: str
     attempt: int
+    may_have_run: bool
     last_event_id: str
     head: RequestHead | None
     answer: AnswerSnapshot | None
@@ -80,9 +81,20 @@
 
 
 class HandOver(msgspec.Struct, frozen=True, array_like=True, tag=81):
-    """Flows that the sender has frozen for good; sent again until answered."""
+    """Flows that the sender has frozen for good; sent again until answered.
+
+    Attributes
+    ----------
+    transfer_id : int
+        Number of the transfer.
+    successor_incarnation : int
+        The one incarnation that may take the flows.
+    flows : list of FlowSnapshot
+        The flows.
+    """
 
     transfer_id: int
+    successor_incarnation: int
     flows: list[FlowSnapshot]
 
 
--- a/endivepick/core/snapshot.py
+++ b/endivepick/core/snapshot.py
@@ -41,6 +41,7 @@
         time_left_ms=int(time_left_s * 1000),
         state=request.state,
         attempt=request.attempt,
+        may_have_run=request.may_have_run,
         last_event_id=request.last_event_id,
         head=request.head,
         answer=_snapshot_answer(request.answer),
@@ -82,6 +83,7 @@
         answer=_restore_answer(snapshot.answer),
         verdict=snapshot.verdict,
         attempt=snapshot.attempt,
+        may_have_run=snapshot.may_have_run,
         last_event_id=snapshot.last_event_id,
     )
 
--- a/endivepick/core/tests/test_handover.py
+++ b/endivepick/core/tests/test_handover.py
@@ -164,6 +164,18 @@
         self.assertEqual(actions, [])
         self.assertEqual(self.give.open_transfers, 1)
 
+    def test_transfer_meant_for_an_earlier_incarnation_is_ignored(self):
+        self.successor = Identity(self.taker.me.name, 4711)
+        [message] = sent(self.give.tick(NOW_S), HandOver)
+        flows, actions = self.take.take(self.giver.me, message, False, NOW_S)
+        self.assertEqual((flows, actions), ([], []))
+        self.assertEqual(len(self.taker.table), 0)
+
+    def test_frozen_flow_is_not_forgotten_before_it_is_taken(self):
+        self.give.tick(NOW_S)
+        self.giver.table.expire(NOW_S + 10 * self.giver.settings.token_lifetime_s)
+        self.assertEqual(len(self.giver.table), 1)
+
     def test_request_parts_without_the_rest_do_not_hold_a_flow_up(self):
         part = request_part(1)
         incomplete = type(part)(b"", 1, 0, 2, False, 10_000, part.data)
--- a/endivepick/core/tests/test_owner.py
+++ b/endivepick/core/tests/test_owner.py
@@ -131,6 +131,24 @@
         [second] = starts(self.fail(start, FinishKind.BROKEN))
         self.assertEqual(second.last_event_id, "4")
 
+    def test_stream_that_must_not_run_twice_is_refused(self):
+        part = request_part(1, stream=True)
+        once = RequestPart(b"", 1, 0, 1, False, 10_000, part.data)
+        actions = self.fixture.send(self.token, once)
+        self.assertEqual(starts(actions), [])
+        self.assertEqual(packets(actions, Refused)[0].reason, "stream_not_idempotent")
+
+    def test_request_that_may_have_run_is_never_refused_as_not_run(self):
+        [start] = starts(self.fixture.send(self.token, self.idempotent(1)))
+        [second] = starts(self.fail(start, FinishKind.BROKEN))
+        [third] = starts(self.fail(second, FinishKind.SHED, retry_after_s=5.0))
+        ended = self.fail(third, FinishKind.SHED, retry_after_s=5.0)
+        self.assertEqual(packets(ended, Refused), [])
+        self.assertEqual(len(packets(ended, Outcome)), 1)
+
+    def idempotent(self, seq):
+        return RequestPart(b"", seq, 0, 1, True, 10_000, request_part(seq).data)
+
     def test_leaving_owner_promises_nothing_about_new_requests(self):
         self.fixture.owner.leaving = True
         actions = self.fixture.request(self.token, 1)
