Show the span of request numbers and how loss is measured

The owner may give up old numbers only if callers promise a span; a test now holds the library to it. The figures for lossy paths got a command of their own.

--- a/endivepick/client/tests/fake_owner.py
+++ b/endivepick/client/tests/fake_owner.py
@@ -1,6 +1,7 @@
 """A fake owner behind a lossy path, driven by a simulated clock."""
 
 import heapq
+import json
 import random
 from dataclasses import dataclass, field
 
@@ -203,3 +204,22 @@
 
 
 __all__ = ["SETTINGS", "Cancel", "FakeOwner", "Path", "Renew", "Simulation"]
+
+
+def measure_loss() -> None:
+    """Print how an 8 MB answer fares on a simulated path, one line per loss."""
+    for loss in (0.0, 0.05, 0.1, 0.2):
+        body = random.Random(1).randbytes(8 << 20)
+        owner = FakeOwner(body=body)
+        simulation = Simulation(Path(loss=loss, jitter_s=0.001), owner)
+        simulation.open()
+        began_s = simulation.now_s
+        simulation.request(1)
+        simulation.run_until(lambda results=simulation.results: results)
+        line = {"loss": loss, "whole": simulation.results[1].body == body}
+        line["time_s"] = round(simulation.now_s - began_s, 2)
+        print(json.dumps(line | simulation.core.counts))
+
+
+if __name__ == "__main__":
+    measure_loss()
--- a/endivepick/client/tests/test_core.py
+++ b/endivepick/client/tests/test_core.py
@@ -7,6 +7,7 @@
 from endivepick.client.model import Answer
 from endivepick.client.tests.fake_owner import FakeOwner, Path, Simulation
 from endivepick.core.messages import (
+    Accepted,
     Acknowledge,
     AnswerPart,
     Cancel,
@@ -165,6 +166,20 @@
         self.assertIsInstance(self.simulation.results[64], GaveUp)
         self.assertIsInstance(self.simulation.results[65], NotRun)
 
+    def test_no_number_runs_far_ahead_of_one_the_owner_may_not_know(self):
+        for request_id in range(1, 70):
+            self.simulation.request(request_id)
+        for seq in range(2, 65):
+            self.simulation.deliver(Refused(FLOW, 1, seq, "busy", 0))
+        self.simulation.run_for(0.1)
+        self.assertEqual(self._highest_seq(), 64)
+        self.simulation.deliver(Accepted(FLOW, 1, 1))
+        self.simulation.run_for(0.1)
+        self.assertEqual(self._highest_seq(), 69)
+
+    def _highest_seq(self):
+        return max(part.seq for part in self.simulation.owner.sent(RequestPart))
+
     def test_cancel_is_sent_and_leaves_the_outcome_unknown(self):
         self.simulation.request(1)
         self.simulation.cancel(1)
