Choose a service's owner near its targets

Cause: the owner was the rendezvous winner over all live instances, which at 6 regions may stand a region away from every target of its service. Candidates are now the instances in the zones of the service's targets, and all instances only if none of these lives.

--- a/endivepick/core/catalog.py
+++ b/endivepick/core/catalog.py
@@ -65,6 +65,13 @@
         """Return the record in force of a service, or None."""
         return self.book.get(name)
 
+    def zones(self, name: str) -> frozenset[str]:
+        """Return the zones of a service's targets, empty if it is unknown."""
+        record = self.book.get(name)
+        if record is None:
+            return frozenset()
+        return frozenset(target.zone for target in record.targets)
+
     def versions(self) -> Iterator[tuple[str, int]]:
         """Yield name and version in force of each service."""
         for record in self.book.records():
--- a/endivepick/core/instance.py
+++ b/endivepick/core/instance.py
@@ -171,7 +171,12 @@
             settings.flow, self.table, self._codec, self.executor, self._random_number
         )
         self._relay = Relay(
-            self.me, self._peers, self._codec, new_id, self.owner.renew_after_s
+            self.me,
+            self._peers,
+            self._codec,
+            new_id,
+            self.owner.renew_after_s,
+            self.catalog.zones,
         )
         self.roles = ServiceRoles(
             settings.roles,
@@ -321,6 +326,7 @@
     ) -> list[Action]:
         changed, actions = self.catalog.apply(changes)
         for service in changed:
+            self._relay.record_changed(service)
             actions += self.roles.record_changed(service, now_s)
         if changed:
             actions += self.roles.review(now_s)
--- a/endivepick/core/peers.py
+++ b/endivepick/core/peers.py
@@ -22,6 +22,11 @@
         """Return the names that may take a role."""
         return self._membership.live_names()
 
+    def zone_of(self, name: str) -> str:
+        """Return the availability zone of an instance, empty if unknown."""
+        view = self._membership.view().get(name)
+        return view.zone if view else ""
+
     def is_silent(self, name: str) -> bool:
         """Tell whether an instance is suspected and not yet declared dead."""
         view = self._membership.view().get(name)
--- a/endivepick/core/relay.py
+++ b/endivepick/core/relay.py
@@ -12,7 +12,7 @@
     Reissued,
     Unreachable,
 )
-from endivepick.core.owners import ServiceOwners
+from endivepick.core.owners import LiveInstances, ServiceOwners
 from endivepick.core.peer_messages import RelayedPacket
 from endivepick.core.token import FlowToken, TokenCodec
 
@@ -24,15 +24,9 @@
 """When to come back while the owner is suspected, in milliseconds."""
 
 
-class Peers(Protocol):
+class Peers(LiveInstances, Protocol):
     """What the relay asks of the membership."""
 
-    def ready_names(self) -> tuple[str, ...]:
-        """Return the names that may take a role, this instance included.
-
-        The same tuple as long as no name comes or goes.
-        """
-
     def is_silent(self, name: str) -> bool:
         """Tell whether an instance is suspected and not yet declared dead."""
 
@@ -85,6 +79,8 @@
         Returns a random 64-bit number.
     renew_after_s : float
         When a caller should ask for a new token, in seconds.
+    zones_of : callable
+        Returns the zones of a service's targets, empty for an unknown service.
     """
 
     def __init__(
@@ -94,13 +90,14 @@
         codec: TokenCodec,
         new_id: Callable[[], int],
         renew_after_s: float,
+        zones_of: Callable[[str], frozenset[str]],
     ) -> None:
         self._me = me
         self._peers = peers
         self._codec = codec
         self._new_id = new_id
         self._renew_after_s = renew_after_s
-        self._owners = ServiceOwners(peers.ready_names)
+        self._owners = ServiceOwners(peers, zones_of)
 
     def locate(self, token: FlowToken) -> Whereabouts:
         """Find the holder of a token's binding."""
@@ -184,6 +181,10 @@
         """Return the instance that opens this service's flows at present."""
         return self._owners.owner(service) or self._me.name
 
+    def record_changed(self, service: str) -> None:
+        """Choose a service's owner anew: its targets may stand in other zones."""
+        self._owners.forget(service)
+
     def reachable_owner_name(self, service: str) -> str:
         """Return the first instance in rank order that is not silent."""
         name = self._owners.first_that(
--- a/endivepick/core/tests/test_owners.py
+++ b/endivepick/core/tests/test_owners.py
@@ -7,26 +7,68 @@
 SERVICES = [f"service-{number}" for number in range(50)]
 
 
+class Live:
+    def __init__(self):
+        self.names = ()
+
+    def ready_names(self):
+        return self.names
+
+    def zone_of(self, name):
+        return f"zone-{int(name.rpartition('-')[2]) % 3}"
+
+
 class TestServiceOwners(unittest.TestCase):
     def setUp(self):
-        self.names = ()
-        self.owners = ServiceOwners(lambda: self.names)
+        self.live = Live()
+        self.zones = {
+            service: frozenset({f"zone-{number % 4}", "zone-0"})
+            for number, service in enumerate(SERVICES)
+        }
+        self.owners = ServiceOwners(self.live, lambda service: self.zones[service])
+
+    def expected(self, service):
+        near = [
+            name
+            for name in self.live.names
+            if self.live.zone_of(name) in self.zones[service]
+        ]
+        return owner(service, near or self.live.names)
+
+    def assert_all_right(self):
+        for service in SERVICES:
+            self.assertEqual(self.owners.owner(service), self.expected(service))
 
     def test_follows_every_change(self):
         chance = random.Random(1)
         present = set()
-        for _ in range(200):
-            present ^= {f"entry-{chance.randrange(12)}"}
-            self.names = tuple(sorted(present))
-            for service in SERVICES:
-                self.assertEqual(self.owners.owner(service), owner(service, self.names))
+        for _ in range(300):
+            present ^= {f"entry-{chance.randrange(9)}"}
+            self.live.names = tuple(sorted(present))
+            self.assert_all_right()
+
+    def test_follows_a_record_that_moves_to_other_zones(self):
+        self.live.names = tuple(f"entry-{number}" for number in range(6))
+        self.assert_all_right()
+        self.zones["service-0"] = frozenset({"zone-2"})
+        self.owners.forget("service-0")
+        self.assert_all_right()
+
+    def test_unknown_service_may_be_owned_anywhere(self):
+        self.live.names = ("entry-1", "entry-2")
+        self.zones["unknown"] = frozenset()
+        self.assertEqual(
+            self.owners.owner("unknown"), owner("unknown", self.live.names)
+        )
 
     def test_silent_owner_is_passed_over(self):
-        self.names = ("a", "b", "c")
-        winner = self.owners.owner("notes")
-        other = self.owners.first_that("notes", lambda name: name != winner)
+        self.live.names = ("entry-0", "entry-3", "entry-6")
+        winner = self.owners.owner("service-0")
+        other = self.owners.first_that("service-0", lambda name: name != winner)
         self.assertNotEqual(other, winner)
-        self.assertEqual(self.owners.first_that("notes", lambda name: False), winner)
+        self.assertEqual(
+            self.owners.first_that("service-0", lambda name: False), winner
+        )
 
 
 if __name__ == "__main__":
