--- a/endivepick/records/cost.py
+++ b/endivepick/records/cost.py
@@ -11,13 +11,22 @@
 from dataclasses import dataclass
 from math import ceil, log
 
+import msgspec
+
 from endivepick.core.codec import encode_struct
 from endivepick.membership.view import InstanceView, PeerState
+from endivepick.records._status_body import StatusView, merge_status
 from endivepick.records._transfer import build_push
 from endivepick.records.cache import RecordCache
+from endivepick.records.model import Affinity, ServiceRecord
 from endivepick.records.objects import StoredObject
-from endivepick.records.peer_messages import ConfigDigest, SubtreeReport
-from endivepick.records.roles import zone_roles
+from endivepick.records.peer_messages import (
+    ConfigDigest,
+    InstanceStatus,
+    SubtreeReport,
+    TargetStatus,
+)
+from endivepick.records.roles import hash_names, zone_roles
 from endivepick.records.settings import DisseminationSettings
 
 __all__ = ["Fleet", "SpreadCost", "main", "spread_costs"]
@@ -171,6 +180,31 @@
     ]
 
 
+def status_bytes(fleet: Fleet) -> int:
+    """Return the size of the status object of one zone, as JSON."""
+    names = [f"entry-{n}" for n in range(ceil(fleet.instances / fleet.zones))]
+    records = [
+        ServiceRecord(f"service-{n}", BIG_REVISION, 2, "", Affinity.FLOW, ())
+        for n in range(fleet.records)
+    ]
+    report = SubtreeReport(BIG_REVISION, len(names), hash_names(names))
+    view = StatusView(records, report, names, {})
+    owned = ceil(fleet.records / fleet.instances)
+    parts = {
+        name: InstanceStatus("ready", 1.7e9, (1, 2), _owned(name, owned, fleet.targets))
+        for name in names
+    }
+    return len(msgspec.json.encode(merge_status("kagoshima", {}, view, parts)))
+
+
+def _owned(name: str, services: int, targets: int) -> tuple[TargetStatus, ...]:
+    return tuple(
+        TargetStatus(f"service-{name}-{service}", f"target-{n}", "ready", 1, 0, 2)
+        for service in range(services)
+        for n in range(targets)
+    )
+
+
 def _tiers(zone: int, watchers: int, fan_out: int) -> int:
     """Return the tiers below the first one that the watchers feed."""
     tiers, size, reached = 0, watchers, watchers
@@ -243,6 +277,7 @@
     print(f"digest {digest_bytes()} B, push of 7 targets {push_bytes(7)} B")
     for fleet in (*TODAY, LARGE, PEAK):
         print(f"{fleet.name}: {fleet.changes_per_s:.5f} changes/s")
+        print(f"  status object of a zone: {status_bytes(fleet)} B")
         for cost in spread_costs(fleet, settings):
             print(
                 f"  {cost.way:30} {cost.platform_calls_per_s:9.2f} calls/s"
