--- /dev/null
+++ b/endivepick/bench/policies.py
@@ -0,0 +1,25 @@
+"""The compared placement policies by name."""
+
+from endivepick.bench.alone import (
+    BoundedHashPolicy,
+    LeastLoadedPolicy,
+    RandomPolicy,
+    RoundRobinPolicy,
+    TwoChoicesPolicy,
+)
+from endivepick.bench.owners import OwnerPerZonePolicy, OwnerPolicy
+from endivepick.bench.perfect import PerfectPolicy
+from endivepick.bench.policy import Policy
+
+__all__ = ["POLICIES"]
+
+POLICIES: dict[str, type[Policy]] = {
+    "perfect": PerfectPolicy,
+    "owner": OwnerPolicy,
+    "owner_per_zone": OwnerPerZonePolicy,
+    "random": RandomPolicy,
+    "round_robin": RoundRobinPolicy,
+    "bounded_hash": BoundedHashPolicy,
+    "two_choices": TwoChoicesPolicy,
+    "least_loaded": LeastLoadedPolicy,
+}
--- a/endivepick/core/dispatch/dispatcher.py
+++ b/endivepick/core/dispatch/dispatcher.py
@@ -134,7 +134,7 @@
         order = order_key(self._settings, intent, now_s, next(self._numbers))
         self._scheduler.take_random(random_number)
         self._scheduler.budget.count_request()
-        self._targets.advance(now_s)
+        self._targets.advance_if_due(now_s)
         request = PendingRequest(intent, order, may_have_run=intent.may_have_run)
         return self._scheduler.place(request, now_s)
 
@@ -170,7 +170,7 @@
         if kind in (FinishKind.OK, FinishKind.LATE) and not request.intent.stream:
             self._scheduler.estimate.add(request.intent.cost_class, duration_s)
         decisions = self._scheduler.after_attempt(request, kind, now_s)
-        return decisions + self._scheduler.settle(now_s)
+        return decisions + self._scheduler.settle_target(target, now_s)
 
     def cancel(self, request_id: Hashable, now_s: float) -> list[Decision]:
         """Give up a request: drop it from the queue or cancel it at its target."""
--- a/endivepick/core/dispatch/placement.py
+++ b/endivepick/core/dispatch/placement.py
@@ -7,6 +7,7 @@
 __all__ = ["SpillCounter", "choose_flow_target", "choose_target"]
 
 _SPILL_MEMORY = 0.99
+_FLOW_WEIGHT = 4.0
 
 
 class SpillCounter:
@@ -81,10 +82,11 @@
 def choose_flow_target(
     targets: Sequence[TargetState], tie: float, now_s: float
 ) -> TargetState:
-    """Choose the target of a new flow: the one with the least work.
+    """Choose the target of a new flow: the one with the least expected work.
 
-    Work is what runs and waits there for each slot; equals are told apart by
-    the flows that are pinned to them.
+    The requests that run and wait there say how much work a target has now; the
+    flows that are pinned to it say how much will come.  A flow counts as a share
+    of the usual work of a flow, so that the rule fits busy and quiet flows.
 
     Parameters
     ----------
@@ -95,11 +97,14 @@
     now_s : float
         Present time, in seconds.
     """
+    work = {t.name: t.in_use(now_s) + len(t.queue) for t in targets}
+    flows = sum(target.flows for target in targets)
+    work_per_flow = _FLOW_WEIGHT * (sum(work.values()) + 1) / (flows + 1)
 
-    def rank(target: TargetState) -> tuple[bool, float, float]:
-        work = target.in_use(now_s) + len(target.queue)
+    def rank(target: TargetState) -> tuple[bool, float]:
+        expected = work[target.name] + work_per_flow * target.flows
         slots = target.record.slots
-        return (not target.healthy, work / slots, target.flows / slots)
+        return (not target.healthy, expected / slots)
 
     return _lowest([(rank(target), target) for target in targets], tie)
 
--- a/endivepick/core/dispatch/scheduler.py
+++ b/endivepick/core/dispatch/scheduler.py
@@ -73,13 +73,18 @@
             for request in self.backlog.take_expired(now_s)
         ]
         for target in self.targets:
-            if not self._keeps_queue(target):
-                for request in self.backlog.take_pinned(target):
-                    decisions += self.place(request, now_s, queued=True)
-            decisions += self._fill(target, now_s)
+            decisions += self._settle_queue(target, now_s)
         self.targets.forget_gone()
         return decisions
 
+    def settle_target(self, target: TargetState, now_s: float) -> list[Decision]:
+        """Use what has changed at one target, an attempt there having ended."""
+        self.targets.check(target, now_s)
+        decisions = self._settle_queue(target, now_s)
+        if target.state == "gone":
+            self.targets.forget_gone()
+        return decisions
+
     def place(
         self, request: PendingRequest, now_s: float, queued: bool = False
     ) -> list[Decision]:
@@ -171,7 +176,7 @@
     def _free_target(
         self, request: PendingRequest, candidates: Sequence[TargetState], now_s: float
     ) -> TargetState | None:
-        ignore_health = self.targets.ignore_health()
+        ignore_health = self.targets.ignore_health
         free = [
             target
             for target in candidates
@@ -232,16 +237,28 @@
             decisions.append(Queued(request.intent.request_id))
         return decisions
 
+    def _settle_queue(self, target: TargetState, now_s: float) -> list[Decision]:
+        decisions: list[Decision] = []
+        if len(target.queue) and not self._keeps_queue(target):
+            for request in self.backlog.take_pinned(target):
+                decisions += self.place(request, now_s, queued=True)
+        return decisions + self._fill(target, now_s)
+
     def _fill(self, target: TargetState, now_s: float) -> list[Decision]:
         """Start waiting requests on a target while it has free slots."""
         decisions: list[Decision] = []
-        ignore_health = self.targets.ignore_health()
+        ignore_health = self.targets.ignore_health
         while len(self.backlog) and target.can_start(ignore_health, now_s):
             request = self.backlog.take_next(
                 target, lambda waiting: _suits(waiting, target, now_s)
             )
             if request is None:
                 break
+            if now_s >= request.intent.deadline_at_s:
+                decisions.append(
+                    self.refuse(request, RefusalReason.DEADLINE_PASSED, 0.0)
+                )
+                continue
             decisions += self._start(request, target, now_s)
         return decisions
 
--- a/endivepick/core/dispatch/target_set.py
+++ b/endivepick/core/dispatch/target_set.py
@@ -9,6 +9,8 @@
 
 __all__ = ["TargetSet"]
 
+_ADVANCE_PERIOD_S = 0.02
+
 
 class TargetSet:
     """The targets that a service's record names, and those still in use.
@@ -23,6 +25,11 @@
         Usual service times, from which a stall is told.
     now_s : float
         Present time, in seconds.
+
+    Attributes
+    ----------
+    ignore_health : bool
+        So many health endpoints fail that none is believed.
     """
 
     def __init__(
@@ -35,6 +42,8 @@
         self._settings = settings
         self._estimate = estimate
         self._targets: dict[str, TargetState] = {}
+        self._advanced_s = now_s
+        self.ignore_health = False
         self._take(record, new=False, now_s=now_s)
 
     def __iter__(self) -> Iterator[TargetState]:
@@ -57,16 +66,29 @@
 
     def advance(self, now_s: float) -> None:
         """Follow the passing of time and eject targets that fail."""
+        self._advanced_s = now_s
         for target in self._targets.values():
             target.advance(now_s)
-            if target.serving and target.failing(self._stall_after_s(target), now_s):
-                self._eject_if_allowed(target, now_s)
-
-    def ignore_health(self) -> bool:
-        """Tell whether so many health endpoints fail that none is believed."""
+            self.check(target, now_s)
         serving = [target for target in self._targets.values() if target.serving]
         failing = sum(not target.healthy for target in serving)
-        return failing > self._settings.ejected_share_limit * len(serving)
+        limit = self._settings.ejected_share_limit * len(serving)
+        self.ignore_health = failing > limit
+
+    def advance_if_due(self, now_s: float) -> None:
+        """Follow the passing of time, at most once in each short period."""
+        if now_s >= self._advanced_s + _ADVANCE_PERIOD_S:
+            self.advance(now_s)
+
+    def check(self, target: TargetState, now_s: float) -> None:
+        """Eject a target if it fails and the floor allows it."""
+        if not target.serving or not target.failing(self._stall_after_s(target), now_s):
+            return
+        staying = self.staying()
+        others = [other for other in staying if other is not target]
+        out = sum(other.state in ("ejected", "trial") for other in others)
+        if out + 1 <= self._settings.ejected_share_limit * len(staying):
+            target.eject(now_s)
 
     def blocked_s(self, now_s: float) -> float:
         """Return the time until a target ends its back-off, in seconds."""
@@ -90,14 +112,9 @@
         for name in self._targets.keys() - named.keys():
             self._targets[name].remove(now_s)
 
-    def _eject_if_allowed(self, target: TargetState, now_s: float) -> None:
-        staying = self.staying()
-        others = [other for other in staying if other is not target]
-        out = sum(other.state in ("ejected", "trial") for other in others)
-        if out + 1 <= self._settings.ejected_share_limit * len(staying):
-            target.eject(now_s)
-
     def _stall_after_s(self, target: TargetState) -> float:
+        if not target.running:
+            return self._settings.stall_min_s
         classes = {request.intent.cost_class for request in target.running.values()}
-        usual_s = max((self._estimate.mean_s(c) for c in classes), default=0.0)
+        usual_s = max(self._estimate.mean_s(c) for c in classes)
         return max(self._settings.stall_min_s, self._settings.stall_factor * usual_s)
