--- a/endivepick/bench/owners.py
+++ b/endivepick/bench/owners.py
@@ -1,5 +1,6 @@
 """The project's policy: owners with the dispatcher of the product."""
 
+import dataclasses
 from collections.abc import Callable, Hashable
 from dataclasses import dataclass, field
 
@@ -20,7 +21,7 @@
 )
 from endivepick.records.model import Affinity, ServiceRecord
 
-__all__ = ["OwnerPolicy", "OwnerPerZonePolicy"]
+__all__ = ["OwnerOwnZonePolicy", "OwnerPerZonePolicy", "OwnerPolicy"]
 
 _PROBE_PERIOD_S = 0.5
 _PROBE_BYTES = 600
@@ -49,6 +50,7 @@
     """One instance owns the service's flows over all connected zones."""
 
     per_zone = False
+    spill_share = 1.0
 
     def __init__(self, world: World) -> None:
         super().__init__(world)
@@ -91,15 +93,16 @@
             world.loop.call_later(_RESEND_S, lambda: self.submit(request))
             return
         self.hops += owner.instance != request.instance
+        self.zone_crossings += owner.zone != reached
         delay_s = world.delay_s(reached, owner.zone)
         world.loop.call_later(delay_s, lambda: self._submit_at(owner, request))
 
     def update_record(self, record: ServiceRecord) -> None:
         """Let each owner learn of a newer record at its own time."""
-        self._record = record
+        self._record = dataclasses.replace(record, spill_share=self.spill_share)
         for owner in self._living():
             lag_s = self.world.random.uniform(0.0, _RECORD_LAG_S)
-            self.world.loop.call_later(lag_s, self._take_record(owner, record))
+            self.world.loop.call_later(lag_s, self._take_record(owner, self._record))
 
     def waiting(self) -> dict[str, float]:
         """Return requests that wait at the owners, by target."""
@@ -161,7 +164,8 @@
         instance = fits[number % len(fits)]
         zone = shape.zone_of_instance(instance)
         now_s = self.world.loop.now_s
-        dispatcher = ServiceDispatcher(self.settings, self._record, zone, now_s)
+        record = dataclasses.replace(self._record, spill_share=self.spill_share)
+        dispatcher = ServiceDispatcher(self.settings, record, zone, now_s)
         owner = _Owner(number, instance, zone, scope, dispatcher)
         self._owners.append(owner)
         self._current[scope] = owner
@@ -222,8 +226,7 @@
         target = world.targets[start.target]
         if world.affinity is Affinity.FLOW:
             request.flow.target = start.target
-        reached = world.shape.zone_of_instance(request.instance)
-        self.zone_crossings += target.zone != reached
+        self.zone_crossings += target.zone != owner.zone
         request.attempts += 1
         delay_s = world.delay_s(owner.zone, target.zone)
         sent_s = world.loop.now_s
@@ -315,3 +318,9 @@
     """Each zone's owner places the flows that were opened there."""
 
     per_zone = True
+
+
+class OwnerOwnZonePolicy(OwnerPerZonePolicy):
+    """Each zone's owner spills to other zones only without a free slot of its own."""
+
+    spill_share = 0.0
--- a/endivepick/bench/perfect.py
+++ b/endivepick/bench/perfect.py
@@ -12,6 +12,7 @@
 
 
 _WORK_PER_PACE_S = 4.0
+_TICK_PERIOD_S = 0.05
 
 
 class PerfectPolicy(Policy):
@@ -30,6 +31,7 @@
         self._pinned: dict[str, deque[Request]] = {n: deque() for n in world.targets}
         self._pace_per_s = dict.fromkeys(world.targets, 0.0)
         self._named = set(world.targets)
+        world.loop.call_every(_TICK_PERIOD_S, self._fill)
 
     def open_flow(self, flow: Flow) -> None:
         """Place a new flow on the target with the least work."""
@@ -106,7 +108,9 @@
             ]
             if not free:
                 return
-            least = min(free, key=lambda target: (target.held, target.attempts))
+            least = min(
+                free, key=lambda target: (target.held, self.world.random.random())
+            )
             queue = self._pinned[least.name] or self._queue
             self._start(queue.popleft(), least)
 
--- a/endivepick/bench/policies.py
+++ b/endivepick/bench/policies.py
@@ -7,7 +7,11 @@
     RoundRobinPolicy,
     TwoChoicesPolicy,
 )
-from endivepick.bench.owners import OwnerPerZonePolicy, OwnerPolicy
+from endivepick.bench.owners import (
+    OwnerOwnZonePolicy,
+    OwnerPerZonePolicy,
+    OwnerPolicy,
+)
 from endivepick.bench.perfect import PerfectPolicy
 from endivepick.bench.policy import Policy
 
@@ -17,6 +21,7 @@
     "perfect": PerfectPolicy,
     "owner": OwnerPolicy,
     "owner_per_zone": OwnerPerZonePolicy,
+    "owner_own_zone": OwnerOwnZonePolicy,
     "random": RandomPolicy,
     "round_robin": RoundRobinPolicy,
     "bounded_hash": BoundedHashPolicy,
--- a/endivepick/core/dispatch/admission.py
+++ b/endivepick/core/dispatch/admission.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Sequence
 
+from endivepick.core.dispatch.messages import CostClass
 from endivepick.core.dispatch.service_time import ServiceTimeEstimate
 from endivepick.core.dispatch.target import TargetState
 from endivepick.core.dispatch.waiting import PendingRequest, WaitingQueue
@@ -17,7 +18,7 @@
 def predict_wait_s(
     request: PendingRequest,
     targets: Sequence[TargetState],
-    queues: Iterable[WaitingQueue],
+    queues: Sequence[WaitingQueue],
     estimate: ServiceTimeEstimate,
     now_s: float,
 ) -> float:
@@ -32,7 +33,7 @@
         The request with its place in the queue.
     targets : sequence of TargetState
         Targets that could take it; at least one.
-    queues : iterable of WaitingQueue
+    queues : sequence of WaitingQueue
         Queues that these targets serve.
     estimate : ServiceTimeEstimate
         Usual service times.
@@ -44,17 +45,15 @@
     float
         Waiting time, in seconds.
     """
-    slots = sum(target.usable_slots(True, now_s) for target in targets)
+    slots = sum(target.usable_slots(now_s) for target in targets)
     blocked_s = 0.0
     if slots == 0:
         blocked_s = min(target.blocked_until_s() for target in targets) - now_s
         slots = sum(target.record.slots for target in targets)
     work_s = _usual_s(targets, estimate)
-    for queue in queues:
-        work_s += sum(
-            estimate.mean_s(waiting.intent.cost_class)
-            for waiting in queue.ahead_of(request.order)
-        )
+    for cost_class in CostClass:
+        ahead = sum(queue.count_ahead(request.order, cost_class) for queue in queues)
+        work_s += ahead * estimate.mean_s(cost_class)
     return max(0.0, blocked_s) + work_s / slots
 
 
--- a/endivepick/core/dispatch/backlog.py
+++ b/endivepick/core/dispatch/backlog.py
@@ -21,6 +21,7 @@
     def __init__(self, targets: TargetSet) -> None:
         self._targets = targets
         self._waiting: dict[Hashable, PendingRequest] = {}
+        self._streams = 0
         self.unpinned = WaitingQueue()
 
     def __len__(self) -> int:
@@ -39,13 +40,15 @@
         request.target = "" if pinned is None else pinned.name
         self.queue_of(pinned).push(request)
         self._waiting[request.intent.request_id] = request
+        self._streams += request.intent.stream
 
     def remove(self, request: PendingRequest) -> None:
         """End the wait of a request."""
-        request_id = request.intent.request_id
-        self._waiting.pop(request_id, None)
+        if self._waiting.pop(request.intent.request_id, None) is None:
+            return
         pinned = self._targets[request.target] if request.target else None
-        self.queue_of(pinned).remove(request_id)
+        self.queue_of(pinned).remove(request)
+        self._streams -= request.intent.stream
 
     def take_expired(self, now_s: float) -> list[PendingRequest]:
         """Remove and return the requests whose deadline has passed."""
@@ -54,24 +57,46 @@
             for request in self._waiting.values()
             if now_s >= request.intent.deadline_at_s
         ]
-        for request in expired:
-            self.remove(request)
-        return expired
+        return self._take(expired)
 
     def take_pinned(self, target: TargetState) -> list[PendingRequest]:
         """Remove and return the requests that wait for one target, in order."""
-        requests = sorted(target.queue, key=lambda request: request.order)
-        for request in requests:
-            self.remove(request)
-        return requests
+        return self._take(list(target.queue))
+
+    def take_streams(self, target: TargetState) -> list[PendingRequest]:
+        """Remove and return the streams that a target may hold, in order."""
+        if self._streams == 0:
+            return []
+        waiting = [*target.queue, *self.unpinned]
+        return self._take([request for request in waiting if request.intent.stream])
 
     def take_next(
-        self, target: TargetState, suits: Callable[[PendingRequest], bool]
+        self,
+        target: TargetState,
+        shared: bool,
+        suits: Callable[[PendingRequest], bool],
     ) -> PendingRequest | None:
-        """Remove and return the first request that a target may run."""
-        heads = (target.queue.first_where(suits), self.unpinned.first_where(suits))
+        """Remove and return the first request that a target may run.
+
+        Parameters
+        ----------
+        target : TargetState
+            The target.
+        shared : bool
+            Requests that wait for any target may run there too.
+        suits : callable
+            Tells whether the target may run a request.
+        """
+        heads = [target.queue.first_where(suits)]
+        if shared:
+            heads.append(self.unpinned.first_where(suits))
         waiting = [head for head in heads if head is not None]
         first = min(waiting, key=lambda request: request.order, default=None)
         if first is not None:
             self.remove(first)
         return first
+
+    def _take(self, requests: list[PendingRequest]) -> list[PendingRequest]:
+        for request in requests:
+            self.remove(request)
+        return requests
--- a/endivepick/core/dispatch/failures.py
+++ b/endivepick/core/dispatch/failures.py
@@ -31,6 +31,8 @@
         self._failures = 0
         self._ejections = 0
         self._succeeded_at_s = float("-inf")
+        self._unreachable = False
+        self._probe_failed = False
         self.backoff_until_s = 0.0
         self.ejected_until_s = 0.0
 
@@ -38,6 +40,7 @@
         """Note a whole answer; forget earlier ejections if told to."""
         self._succeeded_at_s = now_s
         self._failures = 0
+        self._unreachable = False
         if forgive:
             self._ejections = 0
 
@@ -50,8 +53,20 @@
         """Note a failed connection; the back-off doubles with each."""
         doubled = self._settings.connect_backoff_s * _doubled(self._failures)
         self._failures += 1
+        self._unreachable = True
         self._back_off(min(doubled, self._settings.connect_backoff_limit_s), now_s)
 
+    def on_probe(self, answered: bool, now_s: float) -> None:
+        """Note a probe; one that succeeds again ends the times of a lost link.
+
+        Only a change from failing to answering counts, since a health endpoint
+        that always answers says nothing about requests.
+        """
+        if answered and self._probe_failed and self._unreachable:
+            self.backoff_until_s = min(self.backoff_until_s, now_s)
+            self.ejected_until_s = min(self.ejected_until_s, now_s)
+        self._probe_failed = not answered
+
     def on_no_answer(self) -> None:
         """Note a broken or late answer."""
         self._failures += 1
--- a/endivepick/core/dispatch/scheduler.py
+++ b/endivepick/core/dispatch/scheduler.py
@@ -13,9 +13,9 @@
     Repin,
     Start,
 )
-from endivepick.core.dispatch.placement import SpillCounter, choose_target
 from endivepick.core.dispatch.refusal import fail_request, refuse_request
 from endivepick.core.dispatch.retry_budget import RetryBudget
+from endivepick.core.dispatch.selection import TargetSelector, suits
 from endivepick.core.dispatch.service_time import ServiceTimeEstimate
 from endivepick.core.dispatch.settings import DispatchSettings
 from endivepick.core.dispatch.target import TargetState
@@ -52,13 +52,13 @@
         now_s: float,
     ) -> None:
         self._settings = settings
-        self._spill = SpillCounter(own_zone)
         self._tie = 0.5
         self.record = record
         self.budget = RetryBudget(settings, now_s)
         self.estimate = ServiceTimeEstimate(settings)
         self.targets = TargetSet(settings, record, self.estimate, now_s)
         self.backlog = Backlog(self.targets)
+        self._selector = TargetSelector(settings, self.targets, own_zone)
         self.running: dict[Hashable, PendingRequest] = {}
 
     def take_random(self, random_number: float) -> None:
@@ -101,13 +101,15 @@
         """
         if now_s >= request.intent.deadline_at_s:
             return [self.refuse(request, RefusalReason.DEADLINE_PASSED, 0.0)]
-        pinned = self._pinned_target(request, now_s)
+        pinned = self._selector.pinned(request, self.record, now_s)
         candidates = self.targets.staying() if pinned is None else [pinned]
         if not candidates:
             return [self.refuse(request, RefusalReason.NO_TARGET, _NO_TARGET_WAIT_S)]
         if request.intent.stream:
             return self._place_stream(request, pinned, candidates, now_s, queued)
-        target = self._free_target(request, candidates, now_s)
+        target = self._selector.free(
+            request, candidates, self.record, self._next_tie(), now_s
+        )
         if target is not None:
             return self._start(request, target, now_s)
         return self._enqueue(request, pinned, candidates, now_s, queued)
@@ -160,35 +162,6 @@
     def _keeps_queue(self, target: TargetState) -> bool:
         return target.keeps_flows and self.record.affinity is Affinity.FLOW
 
-    def _pinned_target(
-        self, request: PendingRequest, now_s: float
-    ) -> TargetState | None:
-        if self.record.affinity is Affinity.REQUEST or request.unpinned:
-            return None
-        target = self.targets.get(request.intent.pinned_target)
-        if target is None or not target.keeps_flows:
-            return None
-        backoff_s = target.backoff_until_s - now_s
-        if request.intent.movable and backoff_s > self._settings.pin_patience_s:
-            return None
-        return target
-
-    def _free_target(
-        self, request: PendingRequest, candidates: Sequence[TargetState], now_s: float
-    ) -> TargetState | None:
-        ignore_health = self.targets.ignore_health
-        free = [
-            target
-            for target in candidates
-            if target.can_start(ignore_health, now_s) and _suits(request, target, now_s)
-        ]
-        if not free:
-            return None
-        allowed = self._spill.allowed(free, self.record.spill_share)
-        target = choose_target(allowed, request.tried, self._next_tie(), now_s)
-        self._spill.count(free, target)
-        return target
-
     def _place_stream(
         self,
         request: PendingRequest,
@@ -242,26 +215,35 @@
         if len(target.queue) and not self._keeps_queue(target):
             for request in self.backlog.take_pinned(target):
                 decisions += self.place(request, now_s, queued=True)
+        if target.serving:
+            for request in self.backlog.take_streams(target):
+                decisions += self.place(request, now_s, queued=True)
         return decisions + self._fill(target, now_s)
 
     def _fill(self, target: TargetState, now_s: float) -> list[Decision]:
         """Start waiting requests on a target while it has free slots."""
         decisions: list[Decision] = []
-        ignore_health = self.targets.ignore_health
-        while len(self.backlog) and target.can_start(ignore_health, now_s):
+        reduced = self._selector.is_reduced(target)
+        while len(self.backlog) and target.can_start(now_s):
+            shared = not reduced or target.can_start(now_s, reduced)
             request = self.backlog.take_next(
-                target, lambda waiting: _suits(waiting, target, now_s)
+                target, shared, lambda waiting: suits(waiting, target, now_s)
             )
             if request is None:
                 break
-            if now_s >= request.intent.deadline_at_s:
+            if self._too_late(request, now_s):
                 decisions.append(
                     self.refuse(request, RefusalReason.DEADLINE_PASSED, 0.0)
                 )
-                continue
-            decisions += self._start(request, target, now_s)
+            else:
+                decisions += self._start(request, target, now_s)
         return decisions
 
+    def _too_late(self, request: PendingRequest, now_s: float) -> bool:
+        """Tell whether a request that waited would usually be answered too late."""
+        service_s = self.estimate.mean_s(request.intent.cost_class)
+        return now_s + service_s > request.intent.deadline_at_s
+
     def _start(
         self, request: PendingRequest, target: TargetState, now_s: float
     ) -> list[Decision]:
@@ -295,7 +277,3 @@
     def _next_tie(self) -> float:
         self._tie = (self._tie + _GOLDEN_RATIO) % 1.0
         return self._tie
-
-
-def _suits(request: PendingRequest, target: TargetState, now_s: float) -> bool:
-    return request.intent.idempotent or target.takes_any(now_s)
--- a/endivepick/core/dispatch/target.py
+++ b/endivepick/core/dispatch/target.py
@@ -106,6 +106,7 @@
     def on_probe(self, outcome: ProbeResult | ProbeFailed, now_s: float) -> None:
         """Take in the outcome of a health and load probe."""
         self.probed = True
+        self._failures.on_probe(isinstance(outcome, ProbeResult), now_s)
         match outcome:
             case ProbeFailed():
                 self.healthy = False
@@ -169,30 +170,19 @@
         ):
             self._step("warmed", now_s)
 
-    def usable_slots(self, ignore_health: bool, now_s: float) -> int:
-        """Return how many requests it may run at once.
-
-        Parameters
-        ----------
-        ignore_health : bool
-            So many health endpoints fail that they are not believed.
-        now_s : float
-            Present time, in seconds.
-        """
+    def usable_slots(self, now_s: float) -> int:
+        """Return how many requests it may run at once."""
         if now_s < self.backoff_until_s:
             return 0
         match self.state:
             case "ready":
-                slots = self.record.slots
+                return self.record.slots
             case "cold":
-                slots = self._ramped_slots(now_s)
+                return self._ramped_slots(now_s)
             case "trial":
                 return 1
             case _:
                 return 0
-        if not self.healthy and not ignore_health:
-            slots = max(1, int(slots * self._settings.unhealthy_slot_share))
-        return slots
 
     def blocked_until_s(self) -> float:
         """Return when it may take requests again at the earliest, in seconds."""
@@ -200,23 +190,32 @@
             return max(self.backoff_until_s, self._failures.ejected_until_s)
         return self.backoff_until_s
 
-    def free_slots(self, ignore_health: bool, now_s: float) -> int:
-        """Return how many requests could start now, never below zero."""
-        usable = self.usable_slots(ignore_health, now_s)
+    def free_slots(self, now_s: float, reduced: bool = False) -> int:
+        """Return how many requests could start now, never below zero.
+
+        Parameters
+        ----------
+        now_s : float
+            Present time, in seconds.
+        reduced : bool
+            Count only the share of slots that a target keeps for requests that
+            could run elsewhere, while its health endpoint fails.
+        """
+        usable = self.usable_slots(now_s)
         if usable == 0:
             return 0
-        own = len(self.running)
-        return max(0, usable - own - self.load.others(usable, now_s))
+        if reduced:
+            usable = max(1, int(usable * self._settings.unhealthy_slot_share))
+        return max(0, usable - len(self.running) - self.load.others(usable, now_s))
+
+    def can_start(self, now_s: float, reduced: bool = False) -> bool:
+        """Tell whether a request could start now; see `free_slots`."""
+        return self.free_slots(now_s, reduced) > 0 and self.free_connections() > 0
 
     def in_use(self, now_s: float) -> int:
         """Return the slots that its own and known other requests hold."""
         return len(self.running) + self.load.peers(now_s)
 
-    def can_start(self, ignore_health: bool, now_s: float) -> bool:
-        """Tell whether a request could start now."""
-        free = self.free_slots(ignore_health, now_s) > 0
-        return free and self.free_connections() > 0
-
     def add(self, request: PendingRequest) -> None:
         """Count a request in that starts now."""
         request_id = request.intent.request_id
--- a/endivepick/core/dispatch/tests/test_dispatcher.py
+++ b/endivepick/core/dispatch/tests/test_dispatcher.py
@@ -85,6 +85,14 @@
         self.assertEqual(dispatcher.in_flight("t0"), 0)
         self.assertEqual(starts(submit(dispatcher, "a", pinned="t0")), {"a": "t0"})
 
+    def test_waiting_stream_needs_no_slot(self):
+        dispatcher = make_dispatcher(make_record(FLOW, targets=1), probe=False)
+        submit(dispatcher, "a", pinned="t0")
+        submit(dispatcher, "s", pinned="t0", stream=True)
+        self.assertEqual(
+            starts(dispatcher.on_probe("t0", 0.1, ready())), {"a": "t0", "s": "t0"}
+        )
+
     def test_peer_in_flight_holds_slots_until_it_ages(self):
         dispatcher = make_dispatcher(make_record(targets=1))
         dispatcher.on_peer_in_flight("other", {"t0": 1}, 0.0)
@@ -171,6 +179,13 @@
         self.assertIsInstance(refusal, Refuse)
         self.assertEqual(refusal.reason, RefusalReason.DEADLINE_PASSED)
 
+    def test_waiting_request_that_would_be_late_is_not_started(self):
+        dispatcher = make_dispatcher(make_record(targets=1), initial_service_time_s=1)
+        submit(dispatcher, "a")
+        submit(dispatcher, "b", deadline_at_s=3.0, idempotent=False)
+        (refusal,) = dispatcher.finished("a", 2.5, FinishKind.OK, 1.0)
+        self.assertEqual(refusal.reason, RefusalReason.DEADLINE_PASSED)
+
     def test_short_goes_first_but_long_does_not_starve(self):
         dispatcher = make_dispatcher(make_record(targets=1), long_request_delay_s=2)
         submit(dispatcher, "a")
@@ -294,6 +309,25 @@
             submit(dispatcher, i, now_s=0.2)
         self.assertEqual(dispatcher.in_flight("t0"), 1)
 
+    def test_failing_health_leaves_all_slots_to_pinned_flows(self):
+        dispatcher = make_dispatcher(make_record(FLOW, targets=3, slots=2))
+        dispatcher.on_probe("t0", 0.1, ProbeFailed())
+        for i in range(2):
+            decisions = submit(dispatcher, i, now_s=0.2, pinned="t0")
+            self.assertEqual(starts(decisions), {i: "t0"})
+
+    def test_probe_that_succeeds_again_ends_a_lost_connection(self):
+        dispatcher = make_dispatcher(make_record(targets=2), attempts=1)
+        dispatcher.on_peer_in_flight("peer", {"t1": 1}, 0.0)
+        for i in range(3):
+            submit(dispatcher, i, now_s=3.0 * i)
+            dispatcher.finished(i, 3.0 * i, FinishKind.CONNECT_FAILED, 0.0)
+            dispatcher.on_peer_in_flight("peer", {"t1": 1}, 3.0 * i)
+        self.assertEqual(self.states(dispatcher)[0], "ejected")
+        dispatcher.on_probe("t0", 6.1, ProbeFailed())
+        dispatcher.on_probe("t0", 6.6, ready(0))
+        self.assertEqual(self.states(dispatcher)[0], "trial")
+
     def test_all_health_endpoints_failing_changes_nothing(self):
         dispatcher = make_dispatcher(make_record(targets=3, slots=2))
         for i in range(3):
--- a/endivepick/core/dispatch/waiting.py
+++ b/endivepick/core/dispatch/waiting.py
@@ -1,13 +1,16 @@
 """Ordered queue of requests that wait for a slot."""
 
-import heapq
-from collections.abc import Callable, Hashable, Iterator
+from bisect import bisect_left, insort
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from endivepick.core.dispatch.messages import CostClass, RequestIntent
 from endivepick.core.dispatch.settings import DispatchSettings
 
-__all__ = ["PendingRequest", "WaitingQueue", "order_key"]
+__all__ = ["Order", "PendingRequest", "WaitingQueue", "order_key"]
+
+Order = tuple[float, int]
+"""Place in a queue, lower first: a time in seconds, and a unique number."""
 
 
 @dataclass
@@ -18,8 +21,8 @@
     ----------
     intent : RequestIntent
         What was asked for.
-    order : tuple of float and int
-        Place in the queue: lower starts earlier.
+    order : Order
+        Place in the queue.
     attempt : int
         Attempts started so far.
     may_have_run : bool
@@ -35,7 +38,7 @@
     """
 
     intent: RequestIntent
-    order: tuple[float, int]
+    order: Order
     attempt: int = 0
     may_have_run: bool = False
     unpinned: bool = False
@@ -46,7 +49,7 @@
 
 def order_key(
     settings: DispatchSettings, intent: RequestIntent, now_s: float, number: int
-) -> tuple[float, int]:
+) -> Order:
     """Return a request's place: its arrival, put off by its class.
 
     Requests of one class keep their order of arrival.  A class that is put off
@@ -61,43 +64,35 @@
     return (now_s + delay_s, number)
 
 
-@dataclass(frozen=True, order=True)
-class _Entry:
-    order: tuple[float, int]
-    request_id: Hashable = field(compare=False)
-
-
 class WaitingQueue:
-    """Requests in order of their ``order`` field, with cheap removal."""
+    """Waiting requests, sorted by their ``order`` within each cost class."""
 
     def __init__(self) -> None:
-        self._heap: list[_Entry] = []
-        self._waiting: dict[Hashable, PendingRequest] = {}
+        self._requests: dict[Order, PendingRequest] = {}
+        self._orders: dict[CostClass, list[Order]] = {c: [] for c in CostClass}
 
     def __len__(self) -> int:
-        return len(self._waiting)
+        return len(self._requests)
 
     def __iter__(self) -> Iterator[PendingRequest]:
-        return iter(list(self._waiting.values()))
+        return (self._requests[order] for order in sorted(self._requests))
 
     def push(self, request: PendingRequest) -> None:
         """Add a request."""
-        heapq.heappush(self._heap, _Entry(request.order, request.intent.request_id))
-        self._waiting[request.intent.request_id] = request
+        self._requests[request.order] = request
+        insort(self._orders[request.intent.cost_class], request.order)
 
-    def remove(self, request_id: Hashable) -> PendingRequest | None:
-        """Take a request out; ``None`` if it does not wait here."""
-        return self._waiting.pop(request_id, None)
+    def remove(self, request: PendingRequest) -> None:
+        """Take a request out; nothing happens if it does not wait here."""
+        if self._requests.pop(request.order, None) is None:
+            return
+        orders = self._orders[request.intent.cost_class]
+        del orders[bisect_left(orders, request.order)]
 
     def first(self) -> PendingRequest | None:
         """Return the request that is next, without taking it out."""
-        while self._heap:
-            entry = self._heap[0]
-            request = self._waiting.get(entry.request_id)
-            if request is not None and request.order == entry.order:
-                return request
-            heapq.heappop(self._heap)
-        return None
+        firsts = [orders[0] for orders in self._orders.values() if orders]
+        return self._requests[min(firsts)] if firsts else None
 
     def first_where(
         self, accepts: Callable[[PendingRequest], bool]
@@ -106,19 +101,13 @@
         first = self.first()
         if first is None or accepts(first):
             return first
-        matching = [request for request in self._waiting.values() if accepts(request)]
-        return min(matching, key=_order, default=None)
+        return next(filter(accepts, self), None)
 
-    def ahead_of(self, order: tuple[float, int]) -> Iterator[PendingRequest]:
-        """Return the requests that are served before a place in the queue."""
-        return (request for request in self._waiting.values() if request.order < order)
+    def count_ahead(self, order: Order, cost_class: CostClass) -> int:
+        """Return how many requests of a class are served before a place."""
+        return bisect_left(self._orders[cost_class], order)
 
     def last(self) -> PendingRequest | None:
         """Return the request that is last in order."""
-        if not self._waiting:
-            return None
-        return max(self._waiting.values(), key=_order)
-
-
-def _order(request: PendingRequest) -> tuple[float, int]:
-    return request.order
+        lasts = [orders[-1] for orders in self._orders.values() if orders]
+        return self._requests[max(lasts)] if lasts else None
