Test the harness with real instances

Planned stop and replacement, a frozen and a killed instance as their peers see them. All instances have to know each other before a test disturbs them: a test that cut a zone earlier passed or failed by which news came first.

--- a/standins/tests/test_cluster.py
+++ b/standins/tests/test_cluster.py
@@ -3,6 +3,7 @@
 
 from standins.cluster import ClusterSettings, cluster
 from standins.endpoint import EndpointError, call, call_ok
+from standins.process import wait_until
 from standins.shapes import HARADA, LEAVE_DESK, SMALL
 
 WITHOUT_INSTANCES = replace(SMALL, instances=())
@@ -57,6 +58,41 @@
         self.assertEqual(call(target.address, "GET", "/health").status, 200)
 
 
+class TestClusterWithInstances(unittest.TestCase):
+    def setUp(self):
+        self.cluster = self.enterContext(cluster(ClusterSettings(SMALL, faults=True)))
+        for observer in self.cluster.instances:
+            for name in self.cluster.instances:
+                self.wait_state(observer, name, "alive")
+
+    def states(self, observer):
+        peers = self.cluster.instances[observer].status()["peers"]
+        return {peer["name"]: peer["state"] for peer in peers}
+
+    def wait_state(self, observer, name, *states):
+        def has_state():
+            return self.states(observer).get(name, "absent") in states
+
+        wait_until(has_state, f"{observer} to see {name} as {states}")
+
+    def test_planned_stop_and_replacement(self):
+        before = self.cluster.instances["north-2"].process.ready["incarnation"]
+        self.assertEqual(self.cluster.stop_instance("north-2"), 0)
+        self.assertNotIn("north-2", self.cluster.instances)
+        after = self.cluster.start_instance("north-2")
+        self.assertNotEqual(after.process.ready["incarnation"], before)
+
+    def test_frozen_instance_is_given_up_and_returns(self):
+        self.cluster.freeze_instance("south-1")
+        self.wait_state("north-1", "south-1", "dead", "absent")
+        self.cluster.thaw_instance("south-1")
+        self.wait_state("north-1", "south-1", "alive")
+
+    def test_killed_instance_is_given_up(self):
+        self.cluster.kill_instance("south-1")
+        self.wait_state("north-1", "south-1", "dead", "absent")
+
+
 class TestClusterEnds(unittest.TestCase):
     def test_nothing_runs_after_the_block(self):
         settings = ClusterSettings(WITHOUT_INSTANCES)
