Let an instance advertise another peer address than it binds

Preferring the address of the platform's list was weighed; the list lags, and a restarted instance has a new address at once. A setting names the address to give to others; the harness makes the proxy's route before it starts the instance.

--- a/endivepick/daemon/run.py
+++ b/endivepick/daemon/run.py
@@ -127,7 +127,7 @@
         core = InstanceCore(
             _core_settings(settings),
             incarnation,
-            peers.address,
+            settings.listen.advertised_peer_address or peers.address,
             lambda: random_source.getrandbits(64),
             clock.now_s(),
         )
--- a/endivepick/settings/model.py
+++ b/endivepick/settings/model.py
@@ -44,11 +44,15 @@
 
 @dataclass(frozen=True)
 class ListenSettings:
-    """Addresses that this instance binds, as ``host:port``; port 0 lets it pick."""
+    """Addresses that this instance binds, as ``host:port``; port 0 lets it pick.
+
+    ``advertised_peer_address`` is not bound: other instances connect to it.
+    """
 
     data_address: str
     peer_address: str
     http_address: str = "127.0.0.1:0"
+    advertised_peer_address: str = ""
 
 
 @dataclass(frozen=True)
--- a/endivepick/settings/schema.py
+++ b/endivepick/settings/schema.py
@@ -74,6 +74,11 @@
         default=model.ListenSettings.http_address,
         description="TCP address of /metrics, /healthz, /readyz and /status.",
     )
+    advertised_peer_address: _OptionalAddress = Field(
+        default=model.ListenSettings.advertised_peer_address,
+        description="TCP address that other instances connect to, if an address "
+        "translation stands before peer_address; empty: peer_address itself.",
+    )
 
 
 class PlatformModel(_Group):
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -35,6 +35,8 @@
 __all__ = ["Cluster", "ClusterSettings", "cluster"]
 
 _STOP_TIMEOUT_S = 90.0
+_NO_ADDRESS = "127.0.0.1:1"
+"""Where a route leads until its instance listens; nothing does there."""
 
 
 class Cluster:
@@ -213,19 +215,26 @@
 
     def _spawn_instance(self, plan: InstancePlan) -> tuple[ChildProcess, Path]:
         log = self.launcher.log_path("instances", plan.name)
-        settings = daemon_settings(self.settings, plan, self._endpoints, log)
+        # Its peers have to be told the proxy's address from the first message on.
+        advertised = self._peer_route(plan, _NO_ADDRESS) if self.faults else ""
+        settings = daemon_settings(
+            self.settings, plan, self._endpoints, log, advertised
+        )
         path = self.launcher.write_settings(plan.name, settings)
         process = self.launcher.spawn(
             plan.name, "endivepick.daemon", [f"--settings={path}"]
         )
         return process, log
 
+    def _peer_route(self, plan: InstancePlan, address: str) -> str:
+        return self._route(f"peer:{plan.name}", plan.zone, address)
+
     def _listed(self, plan: InstancePlan, process: ChildProcess) -> ListedInstance:
         peer_address = process.ready["peer_address"]
         return ListedInstance(
             plan.name,
             plan.zone,
-            self._route(f"peer:{plan.name}", plan.zone, peer_address),
+            self._peer_route(plan, peer_address),
             process.ready["data_address"],
         )
 
--- a/standins/clustersettings.py
+++ b/standins/clustersettings.py
@@ -62,15 +62,23 @@
 
 
 def daemon_settings(
-    settings: ClusterSettings, plan: InstancePlan, endpoints: Endpoints, log: Path
+    settings: ClusterSettings,
+    plan: InstancePlan,
+    endpoints: Endpoints,
+    log: Path,
+    advertised_peer_address: str,
 ) -> dict[str, dict[str, Any]]:
-    """Return the settings file of an instance."""
+    """Return the settings file of an instance.
+
+    ``advertised_peer_address`` is empty unless peers go through the fault proxy.
+    """
     groups: dict[str, dict[str, Any]] = {
         "instance": {"name": plan.name, "zone": plan.zone},
         "listen": {
             "data_address": f"{plan.host}:0",
             "peer_address": f"{plan.host}:0",
             "http_address": f"{plan.host}:0",
+            "advertised_peer_address": advertised_peer_address,
         },
         "platform": {"address": endpoints.platform},
         "fabric": {"return_address": endpoints.fabric_return},
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -35,9 +35,11 @@
         call_ok(self._address, "PUT", "/control", {"sources": sources})
 
     def add_route(self, name: str, zone: str, forward: str) -> str:
-        """Lead a link through the proxy; returns the address to use for it."""
-        host, _, _ = forward.rpartition(":")
-        route = {"name": name, "zone": zone, "forward": forward, "listen": f"{host}:0"}
+        """Lead a link through the proxy; returns the address to use for it.
+
+        A name that exists keeps its address and leads to ``forward`` from now on.
+        """
+        route = {"name": name, "zone": zone, "forward": forward}
         routes = call_ok(self._address, "PUT", "/control/routes", [route])
         return str(routes[name])
 
--- a/standins/tests/test_cluster.py
+++ b/standins/tests/test_cluster.py
@@ -82,6 +82,15 @@
         after = self.cluster.start_instance("north-2")
         self.assertNotEqual(after.process.ready["incarnation"], before)
 
+    def test_cut_zone_and_heal(self):
+        self.cluster.cut_zone("south")
+        self.wait_state("north-1", "south-1", "dead", "absent")
+        self.wait_state("south-1", "north-1", "dead", "absent")
+        self.assertEqual(self.states("north-1")["north-2"], "alive")
+        self.cluster.heal()
+        self.wait_state("north-1", "south-1", "alive")
+        self.wait_state("south-1", "north-1", "alive")
+
     def test_frozen_instance_is_given_up_and_returns(self):
         self.cluster.freeze_instance("south-1")
         self.wait_state("north-1", "south-1", "dead", "absent")
