Split the instance's core into parts with one job each

instance.py had grown to 411 lines: it routed events, translated the membership's actions and carried out what the spreading of records decides. Weighed mixins, which would still share all state, and parts that own theirs. Taken: Configuration (records and keys coming into force) and MemberActions (the membership's actions as those of the core); CoreSettings has a module of its own.

--- a/endivepick/core/instance.py
+++ b/endivepick/core/instance.py
@@ -1,19 +1,12 @@
 """Decision core of one instance: events in, actions out."""
 
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from collections.abc import Callable
 
-from endivepick.core.actions import (
-    Action,
-    Count,
-    Log,
-    SendToPeer,
-    StopPlatformWatch,
-    WatchPlatform,
-)
+from endivepick.core.actions import Action, Count
 from endivepick.core.catalog import Catalog
 from endivepick.core.codec import decode_caller_packet
-from endivepick.core.dispatch import DispatchSettings
+from endivepick.core.configuration import Configuration
+from endivepick.core.core_settings import CoreSettings
 from endivepick.core.events import (
     AttemptAnswered,
     AttemptFailed,
@@ -35,7 +28,8 @@
 from endivepick.core.executor import RequestExecutor
 from endivepick.core.flow_table import FlowTable, Identity
 from endivepick.core.handover import HandOverGiver, HandOverTaker
-from endivepick.core.lifecycle import Lifecycle
+from endivepick.core.lifecycle import Lifecycle, LifecycleAction
+from endivepick.core.member_actions import MemberActions
 from endivepick.core.owner import FlowOwner
 from endivepick.core.peer_messages import (
     HandOver,
@@ -47,40 +41,13 @@
 )
 from endivepick.core.peers import MembershipPeers
 from endivepick.core.relay import Relay
-from endivepick.core.roles import RoleSettings, ServiceRoles
+from endivepick.core.roles import ServiceRoles
 from endivepick.core.router import PacketRouter
-from endivepick.core.settings import FlowSettings
 from endivepick.core.token import TokenCodec
 from endivepick.errors import PacketInvalidError, TokenInvalidError
-from endivepick.membership import Action as MembershipAction
-from endivepick.membership import (
-    InstanceView,
-    LeaveRequested,
-    Membership,
-    MembershipSettings,
-    PeerChanged,
-    PeerState,
-    Send,
-    Superseded,
-)
-from endivepick.membership import Log as MembershipLog
-from endivepick.records.cache import Change, RecordCache
-from endivepick.records.dissemination import Dissemination
-from endivepick.records.events import (
-    ConfigurationReady,
-    DisseminationEvent,
-    ListReceived,
-    MembersChanged,
-    PlatformFailed,
-    RecordsChanged,
-    RefusedChanged,
-    StartWatch,
-    StopWatch,
-    WatchReceived,
-)
-from endivepick.records.events import Tick as RecordsTick
-from endivepick.records.peer_messages import RecordsMessage, RefusedRecord
-from endivepick.records.settings import DisseminationSettings
+from endivepick.membership import InstanceView, Membership, PeerState
+from endivepick.records.events import ListReceived, PlatformFailed, WatchReceived
+from endivepick.records.peer_messages import RecordsMessage
 
 __all__ = ["CoreSettings", "InstanceCore"]
 
@@ -88,35 +55,6 @@
 RANDOM_RANGE = float(2**64)
 
 
-@dataclass(frozen=True)
-class CoreSettings:
-    """Settings of the decision core.
-
-    Attributes
-    ----------
-    name, zone : str
-        Name and availability zone of this instance.
-    flow : FlowSettings
-        How flows are kept.
-    roles : RoleSettings
-        How services are looked after.
-    dispatch : DispatchSettings
-        How requests are placed.
-    membership : MembershipSettings
-        How peers are watched.
-    records : DisseminationSettings
-        How records spread.
-    """
-
-    name: str
-    zone: str
-    flow: FlowSettings = field(default_factory=FlowSettings)
-    roles: RoleSettings = field(default_factory=RoleSettings)
-    dispatch: DispatchSettings = field(default_factory=DispatchSettings)
-    membership: MembershipSettings = field(default_factory=MembershipSettings)
-    records: DisseminationSettings = field(default_factory=DisseminationSettings)
-
-
 class InstanceCore:
     """Everything that an instance decides.
 
@@ -147,10 +85,6 @@
         self.me = Identity(settings.name, incarnation)
         self._new_id = new_id
         self.catalog = Catalog()
-        self.cache = RecordCache()
-        self.dissemination = Dissemination(
-            settings.records, settings.name, settings.zone, self.cache
-        )
         self.membership = Membership(
             settings.membership,
             InstanceView(
@@ -203,9 +137,17 @@
         self.lifecycle = Lifecycle(
             settings.flow, self.membership, self.owner, self._giver
         )
+        self.configuration = Configuration(
+            settings.records,
+            settings.name,
+            settings.zone,
+            self.membership,
+            self.catalog,
+            self._relay,
+            self.roles,
+        )
+        self._members = MemberActions(self._member_changed, self._leave)
         self._next_expiry_s = now_s + EXPIRY_EVERY_S
-        self._members_dirty = True
-        self._refused: tuple[RefusedRecord, ...] = ()
 
     def _random_number(self) -> float:
         return self._new_id() / RANDOM_RANGE
@@ -241,18 +183,20 @@
             case Probed(service=service, target=target, outcome=outcome):
                 return self.roles.on_probed(service, target, outcome, now_s)
             case PeerSendFailed(name=name):
-                return self._plain(self.membership.direct_failure(now_s, name), now_s)
+                return self._members.translate(
+                    self.membership.direct_failure(now_s, name), now_s
+                )
             case InstancesListed(entries=entries, age_s=age_s):
                 news = self.membership.on_list(now_s, entries, age_s)
-                return self._plain(news, now_s)
+                return self._members.translate(news, now_s)
             case ObjectsListed(listed=listed):
-                return self._disseminate(ListReceived(listed), now_s)
+                return self.configuration.handle(ListReceived(listed), now_s)
             case ObjectsChanged(result=result):
-                return self._disseminate(WatchReceived(result), now_s)
+                return self.configuration.handle(WatchReceived(result), now_s)
             case PlatformCallFailed():
-                return self._disseminate(PlatformFailed(), now_s)
+                return self.configuration.handle(PlatformFailed(), now_s)
             case StopRequested():
-                return self._begin_stop(now_s)
+                return self._members.translate(self._leave(now_s), now_s)
             case Tick():
                 return self._tick(now_s)
 
@@ -283,12 +227,12 @@
             case TargetDraining():
                 return self.roles.on_draining_note(event.message, now_s)
             case message if isinstance(message, RecordsMessage):
-                return self._disseminate(event, now_s)
+                return self.configuration.handle(event, now_s)
             case _:
                 news = self.membership.on_message(
                     now_s, event.sender, event.incarnation, event.message
                 )
-                return self._plain(news, now_s)
+                return self._members.translate(news, now_s)
 
     def _take_over(
         self, sender: Identity, message: HandOver, now_s: float
@@ -302,116 +246,30 @@
         actions += [self.owner.reissue(flow, now_s) for flow in flows]
         return actions
 
-    def _disseminate(self, event: DisseminationEvent, now_s: float) -> list[Action]:
-        """Let the configuration's part take an event, and act on its decisions."""
-        actions: list[Action] = []
-        for decision in self.dissemination.handle(event, now_s):
-            match decision:
-                case SendToPeer():
-                    actions.append(decision)
-                case StartWatch(after=after):
-                    actions.append(WatchPlatform(after))
-                case StopWatch():
-                    actions.append(StopPlatformWatch())
-                case RecordsChanged(changes=changes):
-                    actions += self._records_changed(changes, now_s)
-                case ConfigurationReady(revision=revision):
-                    text = "configuration is as new as any reachable source's"
-                    ids = {"revision": revision}
-                    actions.append(Log("records", "configuration_ready", text, ids))
-        return actions
+    def _leave(self, now_s: float) -> list[LifecycleAction]:
+        self.configuration.members_dirty = True
+        return self.lifecycle.begin_stop(now_s)
 
-    def _records_changed(
-        self, changes: tuple[Change, ...], now_s: float
-    ) -> list[Action]:
-        changed, actions = self.catalog.apply(changes)
-        for service in changed:
-            self._relay.record_changed(service)
-            actions += self.roles.record_changed(service, now_s)
-        if changed:
-            actions += self.roles.review(now_s)
-        refused = self.catalog.book.refused
-        if refused != self._refused:
-            self._refused = refused
-            actions += self._disseminate(RefusedChanged(refused), now_s)
-        return actions
-
-    def _begin_stop(self, now_s: float) -> list[Action]:
-        self._members_dirty = True
-        return self._plain(self.lifecycle.begin_stop(now_s), now_s)
+    def _member_changed(self, now_s: float) -> list[Action]:
+        self.configuration.members_dirty = True
+        return self.roles.review(now_s)
 
     def _tick(self, now_s: float) -> list[Action]:
-        actions = self._plain(self.membership.tick(now_s, self._new_id()), now_s)
-        actions += self._members_changed(now_s)
-        actions += self._disseminate(RecordsTick(self._random_number()), now_s)
+        translate = self._members.translate
+        actions = translate(self.membership.tick(now_s, self._new_id()), now_s)
+        actions += self.configuration.tick(self._random_number(), now_s)
         readiness = self.lifecycle.check_ready(self._missing(), now_s)
-        actions += self._plain(readiness, now_s)
+        actions += translate(readiness, now_s)
         actions += self.roles.tick(now_s)
         actions += self.owner.tick(now_s)
-        actions += self._plain(self.lifecycle.tick(now_s), now_s)
+        actions += translate(self.lifecycle.tick(now_s), now_s)
         if now_s >= self._next_expiry_s:
             self._next_expiry_s = now_s + EXPIRY_EVERY_S
             self.table.expire(now_s)
         return actions
 
-    def _members_changed(self, now_s: float) -> list[Action]:
-        """Tell the configuration's part whom it can spread to."""
-        if not self._members_dirty:
-            return []
-        self._members_dirty = False
-        view = self.membership.view()
-        peers = tuple(view[name] for name in sorted(view) if name != self.me.name)
-        own_state = view[self.me.name].state
-        return self._disseminate(MembersChanged(peers, own_state), now_s)
-
     def _missing(self) -> str:
         """Return what keeps this instance from being ready."""
-        if not self.dissemination.ready:
-            return "no configuration as new as the peers' yet"
-        if self.catalog.keys.keyring is None:
-            return "no keyring yet"
-        if not self.membership.joined:
-            return "no peer has answered yet"
-        return ""
-
-    def _plain(
-        self, actions: Iterable[Action | MembershipAction], now_s: float
-    ) -> list[Action]:
-        """Convert the membership's actions among others."""
-        plain: list[Action] = []
-        for action in actions:
-            plain += self._convert(action, now_s)
-        return plain
-
-    def _follow(
-        self, actions: Iterable[MembershipAction], now_s: float
-    ) -> list[Action]:
-        return self._plain(actions, now_s)
-
-    def _convert(self, action: Action | MembershipAction, now_s: float) -> list[Action]:
-        match action:
-            case Send(to_name=to_name, message=message):
-                return [SendToPeer(to_name, message)]
-            case PeerChanged(old=old, new=new):
-                return self._peer_changed(old, new, now_s)
-            case LeaveRequested() | Superseded():
-                return self._begin_stop(now_s)
-            case MembershipLog(text=text, peer=peer):
-                return [Log("membership", "membership", text, {"peer": peer})]
-            case _:
-                return [action]
-
-    def _peer_changed(
-        self, old: InstanceView | None, new: InstanceView | None, now_s: float
-    ) -> list[Action]:
-        self._members_dirty = True
-        view = new or old
-        assert view is not None
-        state = new.state.value if new else "forgotten"
-        log = Log(
-            "membership",
-            "peer_changed",
-            f"peer is {state}",
-            {"peer": view.name, "incarnation": view.incarnation, "state": state},
-        )
-        return [log, *self.roles.review(now_s)]
+        if self.configuration.missing:
+            return self.configuration.missing
+        return "" if self.membership.joined else "no peer has answered yet"
--- a/endivepick/core/lifecycle.py
+++ b/endivepick/core/lifecycle.py
@@ -10,7 +10,7 @@
 from endivepick.membership import Action as MembershipAction
 from endivepick.membership import Membership
 
-__all__ = ["Lifecycle"]
+__all__ = ["Lifecycle", "LifecycleAction"]
 
 LifecycleAction = Action | MembershipAction
 _CHART = load_chart("instance")
--- /dev/null
+++ b/endivepick/core/member_actions.py
@@ -0,0 +1,73 @@
+"""Translation of the membership's actions into those of the core."""
+
+from collections.abc import Callable, Iterable
+
+from endivepick.core.actions import Action, Log, SendToPeer
+from endivepick.membership import Action as MembershipAction
+from endivepick.membership import (
+    InstanceView,
+    LeaveRequested,
+    PeerChanged,
+    Send,
+    Superseded,
+)
+from endivepick.membership import Log as MembershipLog
+
+__all__ = ["MemberActions"]
+
+
+class MemberActions:
+    """Turns what the membership wants into actions of the core.
+
+    Parameters
+    ----------
+    on_changed : callable
+        Called with the time when the belief about a peer changed; returns actions.
+    on_leave : callable
+        Called with the time when this instance has to stop; returns actions, those
+        of the membership among them.
+    """
+
+    def __init__(
+        self,
+        on_changed: Callable[[float], list[Action]],
+        on_leave: Callable[[float], Iterable[Action | MembershipAction]],
+    ) -> None:
+        self._on_changed = on_changed
+        self._on_leave = on_leave
+
+    def translate(
+        self, actions: Iterable[Action | MembershipAction], now_s: float
+    ) -> list[Action]:
+        """Translate the membership's actions; those of the core pass through."""
+        translated: list[Action] = []
+        for action in actions:
+            translated += self._translate_one(action, now_s)
+        return translated
+
+    def _translate_one(
+        self, action: Action | MembershipAction, now_s: float
+    ) -> list[Action]:
+        match action:
+            case Send(to_name=to_name, message=message):
+                return [SendToPeer(to_name, message)]
+            case PeerChanged(old=old, new=new):
+                return [_describe(old, new), *self._on_changed(now_s)]
+            case LeaveRequested() | Superseded():
+                return self.translate(self._on_leave(now_s), now_s)
+            case MembershipLog(text=text, peer=peer):
+                return [Log("membership", "membership", text, {"peer": peer})]
+            case _:
+                return [action]
+
+
+def _describe(old: InstanceView | None, new: InstanceView | None) -> Action:
+    view = new or old
+    assert view is not None
+    state = new.state.value if new else "forgotten"
+    return Log(
+        "membership",
+        "peer_changed",
+        f"peer is {state}",
+        {"peer": view.name, "incarnation": view.incarnation, "state": state},
+    )
