Write the status of each zone

No instance wrote the status objects, so endivepick status showed every zone as not reached. Weighed: each instance writes its own object (calls grow with the fleet), or one writer per zone with the parts of the others. Taken: each instance tells its part to the zone's writer when a state changes, else three times before it would expire, with the load of that moment; the writer calls the platform through a new pair of core action and event (CallPlatform, PlatformAnswered) with back-off. An instance without a whole configuration never writes, or the status would lose records. Where two zones report one target, the newest status counts.

--- a/endivepick/cli/status_view.py
+++ b/endivepick/cli/status_view.py
@@ -125,8 +125,13 @@
 
 
 def view_system(sources: StatusSources) -> SystemView:
-    """Join the sources."""
-    zones = {stored.name: _zone_status(stored) for stored in sources.statuses}
+    """Join the sources.
+
+    Where two zones report the same target, the newest status counts: a zone that is
+    cut off or gone leaves its last one behind.
+    """
+    oldest_first = sorted(sources.statuses, key=lambda stored: stored.version)
+    zones = {stored.name: _zone_status(stored) for stored in oldest_first}
     listed_zones = {instance.zone for instance in sources.instances}
     expected = sorted(listed_zones or zones)
     return SystemView(
--- a/endivepick/cli/tests/test_status.py
+++ b/endivepick/cli/tests/test_status.py
@@ -53,6 +53,12 @@
         self.assertEqual((first["owner"], first["waiting"]), ("entry-1", 3))
         self.assertEqual(second["state"], "not reported")
 
+    def test_newest_report_of_a_target_counts(self):
+        old = {"targets": {"notes/notes-1": {"owner": "entry-7", "state": "cold"}}}
+        self.platform.put("status", "sendai", old)
+        self.platform.put("status", "kumamoto", KUMAMOTO)
+        self.assertEqual(self.view()["targets"][0]["owner"], "entry-1")
+
     def test_instances(self):
         rows = {row["instance"]: row for row in self.view()["instances"]}
         self.assertAlmostEqual(rows["entry-1"]["age_s"], 7200, delta=600)
--- /dev/null
+++ b/endivepick/cli/tests/test_status_cluster.py
@@ -0,0 +1,70 @@
+import json
+import unittest
+
+from endivepick.cli.tests.support import run_command
+from standins.cluster import ClusterSettings, cluster
+from standins.process import wait_until
+from standins.shapes import SMALL
+
+
+class StatusOfAClusterTest(unittest.TestCase):
+    """What operators see of real instances, by what these write themselves."""
+
+    @classmethod
+    def setUpClass(cls):
+        settings = ClusterSettings(SMALL, faults=True)
+        cls.cluster = cls.enterClassContext(cluster(settings))
+
+    def view(self):
+        outcome = run_command(
+            "status", "--json", f"--platform={self.cluster.platform.api}"
+        )
+        return json.loads(outcome.out)
+
+    def record(self, name):
+        return next(row for row in self.view()["records"] if row["record"] == name)
+
+    def test_all_zones_report_what_is_in_force(self):
+        wait_until(
+            lambda: not any(row["not_reached"] for row in self.view()["records"]),
+            "both zones to report all records",
+        )
+        version = self.cluster.drain_target("sessions", "sessions-2")["version"]
+        both = {"north": version, "south": version}
+        wait_until(
+            lambda: self.record("sessions")["in_force"] == both,
+            "both zones to report the new version",
+        )
+        self.assertEqual(self.record("sessions")["accepted"], version)
+
+    def test_targets_and_instances_are_reported(self):
+        def known_targets():
+            rows = self.view()["targets"]
+            return rows if all(row["owner"] for row in rows) else []
+
+        rows = wait_until(known_targets, "all targets to have an owner")
+        self.assertEqual(len(rows), 4)
+        self.assertLessEqual(
+            {row["owner"] for row in rows}, set(self.cluster.instances)
+        )
+        self.assertEqual({row["slots"] for row in rows}, {2})
+        instances = self.view()["instances"]
+        self.assertEqual({row["state"] for row in instances}, {"ready"})
+        self.assertTrue(all(row["age_s"] is not None for row in instances))
+
+    def test_a_zone_that_cannot_report_counts_as_not_reached(self):
+        self.cluster.cut_zone("south")
+        self.addCleanup(self.cluster.heal)
+        record = self.cluster.platform.change_record(
+            "exports", lambda body: body.update(waiting_per_slot=5)
+        )
+        wait_until(
+            lambda: self.record("exports")["in_force"]["north"] == record["version"],
+            "the other zone to report the new version",
+        )
+        self.assertEqual(self.record("exports")["not_reached"], ["south"])
+        self.cluster.heal()
+        wait_until(
+            lambda: not self.record("exports")["not_reached"],
+            "the healed zone to report the new version",
+        )
--- a/endivepick/core/actions.py
+++ b/endivepick/core/actions.py
@@ -4,9 +4,11 @@
 from typing import Any
 
 from endivepick.core.messages import CallerAddress, InstancePacket, RequestHead
+from endivepick.core.platform_calls import CallPurpose, PlatformCall
 
 __all__ = [
     "Action",
+    "CallPlatform",
     "CancelAttempt",
     "Count",
     "Log",
@@ -139,6 +141,22 @@
     """Stop watching the platform: peers bring the configuration."""
 
 
+@dataclass(frozen=True, slots=True)
+class CallPlatform:
+    """Call the platform; what comes of it is told as ``PlatformAnswered``.
+
+    Attributes
+    ----------
+    purpose : CallPurpose
+        Part of the core that waits for the answer.
+    call : PlatformCall
+        The call.
+    """
+
+    purpose: CallPurpose
+    call: PlatformCall
+
+
 @dataclass(frozen=True, slots=True)
 class StopFinished:
     """The planned stop is complete; the process may end."""
@@ -150,6 +168,7 @@
     SendToCaller
     | SendToPeer
     | StartAttempt
+    | CallPlatform
     | CancelAttempt
     | Count
     | Probe
--- a/endivepick/core/core_settings.py
+++ b/endivepick/core/core_settings.py
@@ -6,7 +6,7 @@
 from endivepick.core.roles import RoleSettings
 from endivepick.core.settings import FlowSettings
 from endivepick.membership import MembershipSettings
-from endivepick.records.settings import DisseminationSettings
+from endivepick.records.settings import DisseminationSettings, StatusSettings
 
 __all__ = ["CoreSettings"]
 
@@ -29,6 +29,8 @@
         How peers are watched.
     records : DisseminationSettings
         How records spread.
+    status : StatusSettings
+        How often the status of the zone is told and written.
     """
 
     name: str
@@ -38,3 +40,4 @@
     dispatch: DispatchSettings = field(default_factory=DispatchSettings)
     membership: MembershipSettings = field(default_factory=MembershipSettings)
     records: DisseminationSettings = field(default_factory=DisseminationSettings)
+    status: StatusSettings = field(default_factory=StatusSettings)
--- a/endivepick/core/events.py
+++ b/endivepick/core/events.py
@@ -6,6 +6,7 @@
 from endivepick.core.actions import RequestId
 from endivepick.core.dispatch import FinishKind, ProbeOutcome
 from endivepick.core.messages import CallerAddress
+from endivepick.core.platform_calls import CallPurpose, PlatformAnswer
 from endivepick.membership import ListedInstance
 from endivepick.platform.answers import ObjectList, WatchResult
 
@@ -19,6 +20,7 @@
     "ObjectsListed",
     "PeerMessage",
     "PeerSendFailed",
+    "PlatformAnswered",
     "PlatformCallFailed",
     "Probed",
     "StreamData",
@@ -140,6 +142,14 @@
     """A list or watch of the platform failed."""
 
 
+@dataclass(frozen=True, slots=True)
+class PlatformAnswered:
+    """A call that the core asked for has ended."""
+
+    purpose: CallPurpose
+    answer: PlatformAnswer
+
+
 @dataclass(frozen=True, slots=True)
 class StopRequested:
     """A planned stop begins."""
@@ -157,6 +167,7 @@
     | ObjectsListed
     | PeerMessage
     | PeerSendFailed
+    | PlatformAnswered
     | PlatformCallFailed
     | Probed
     | AttemptAnswered
--- a/endivepick/core/instance.py
+++ b/endivepick/core/instance.py
@@ -17,6 +17,7 @@
     ObjectsListed,
     PeerMessage,
     PeerSendFailed,
+    PlatformAnswered,
     PlatformCallFailed,
     Probed,
     StopRequested,
@@ -43,11 +44,13 @@
 from endivepick.core.relay import Relay
 from endivepick.core.roles import ServiceRoles
 from endivepick.core.router import PacketRouter
+from endivepick.core.status_sources import InstanceSources
 from endivepick.core.token import TokenCodec
+from endivepick.core.zone_status import ZoneStatus
 from endivepick.errors import PacketInvalidError, TokenInvalidError
 from endivepick.membership import InstanceView, Membership, PeerState
 from endivepick.records.events import ListReceived, PlatformFailed, WatchReceived
-from endivepick.records.peer_messages import RecordsMessage
+from endivepick.records.peer_messages import InstanceStatus, RecordsMessage
 
 __all__ = ["CoreSettings", "InstanceCore"]
 
@@ -146,6 +149,18 @@
             self._relay,
             self.roles,
         )
+        sources = InstanceSources(
+            now_s,
+            self.membership,
+            self.configuration.dissemination,
+            self.catalog,
+            self.roles,
+            self.executor,
+            self.lifecycle,
+        )
+        self.zone_status = ZoneStatus(
+            settings.status, settings.name, settings.zone, sources
+        )
         self._members = MemberActions(self._member_changed, self._leave)
         self._next_expiry_s = now_s + EXPIRY_EVERY_S
 
@@ -193,6 +208,8 @@
                 return self.configuration.handle(ListReceived(listed), now_s)
             case ObjectsChanged(result=result):
                 return self.configuration.handle(WatchReceived(result), now_s)
+            case PlatformAnswered(answer=answer):
+                return self.zone_status.answered(answer, self._random_number(), now_s)
             case PlatformCallFailed():
                 return self.configuration.handle(PlatformFailed(), now_s)
             case StopRequested():
@@ -226,6 +243,9 @@
                 return self.roles.on_report(sender.name, event.message, now_s)
             case TargetDraining():
                 return self.roles.on_draining_note(event.message, now_s)
+            case InstanceStatus():
+                self.zone_status.note(sender.name, event.message, now_s)
+                return []
             case message if isinstance(message, RecordsMessage):
                 return self.configuration.handle(event, now_s)
             case _:
@@ -258,6 +278,7 @@
         translate = self._members.translate
         actions = translate(self.membership.tick(now_s, self._new_id()), now_s)
         actions += self.configuration.tick(self._random_number(), now_s)
+        actions += self.zone_status.tick(self._random_number(), now_s)
         readiness = self.lifecycle.check_ready(self._missing(), now_s)
         actions += translate(readiness, now_s)
         actions += self.roles.tick(now_s)
--- a/endivepick/core/roles.py
+++ b/endivepick/core/roles.py
@@ -101,6 +101,12 @@
         """Names of the services with a dispatcher here."""
         return self._active.keys()
 
+    @property
+    def owned(self) -> list[str]:
+        """Names of the services whose owner this instance is."""
+        mine = self._my_name
+        return [name for name in self._active if self._owner_name(name) == mine]
+
     def activate(self, service: str, now_s: float) -> bool:
         """Make sure that a service has a dispatcher; False if it has no record."""
         if service in self._active:
--- /dev/null
+++ b/endivepick/core/status_sources.py
@@ -0,0 +1,99 @@
+"""What an instance tells about itself, its targets and its zone."""
+
+from endivepick.core.catalog import Catalog
+from endivepick.core.executor import RequestExecutor
+from endivepick.core.lifecycle import Lifecycle
+from endivepick.core.roles import ServiceRoles
+from endivepick.membership import Membership
+from endivepick.records.dissemination import Dissemination
+from endivepick.records.peer_messages import InstanceStatus, TargetStatus
+from endivepick.records.schema import SCHEMA_VERSIONS
+from endivepick.records.status import StatusView
+
+__all__ = ["InstanceSources"]
+
+
+class InstanceSources:
+    """Collects the status from the parts of the core.
+
+    Parameters
+    ----------
+    started_at_s : float
+        Start of this instance, in seconds since the epoch.
+    membership : Membership
+        States of the instances.
+    dissemination : Dissemination
+        Role of this instance, and what the zone reports.
+    catalog : Catalog
+        Records in force.
+    roles : ServiceRoles
+        Services whose owner this instance is.
+    executor : RequestExecutor
+        Their dispatchers.
+    lifecycle : Lifecycle
+        State of this instance.
+    """
+
+    def __init__(
+        self,
+        started_at_s: float,
+        membership: Membership,
+        dissemination: Dissemination,
+        catalog: Catalog,
+        roles: ServiceRoles,
+        executor: RequestExecutor,
+        lifecycle: Lifecycle,
+    ) -> None:
+        self._started_at_s = started_at_s
+        self._membership = membership
+        self._dissemination = dissemination
+        self._catalog = catalog
+        self._roles = roles
+        self._executor = executor
+        self._lifecycle = lifecycle
+
+    @property
+    def status_writer(self) -> str | None:
+        """Instance that writes the status of the zone.
+
+        None until this instance holds a whole configuration: written by one that
+        does not, the status would lose records.
+        """
+        if not self._dissemination.ready:
+            return None
+        return self._dissemination.roles.status_writer
+
+    def own_part(self) -> InstanceStatus:
+        """Return the state of this instance and of the targets that it owns."""
+        targets = [t for name in self._roles.owned for t in self._targets(name)]
+        return InstanceStatus(
+            state=self._lifecycle.state,
+            started_at_s=self._started_at_s,
+            schema_versions=SCHEMA_VERSIONS,
+            targets=tuple(targets),
+        )
+
+    def _targets(self, service: str) -> list[TargetStatus]:
+        snapshot = self._executor.dispatchers[service].snapshot()
+        return [
+            TargetStatus(
+                service=service,
+                target=target.name,
+                state=target.state,
+                in_progress=target.in_flight,
+                waiting=target.waiting,
+                slots=target.slots,
+            )
+            for target in snapshot.targets
+        ]
+
+    def view(self) -> StatusView:
+        """Return what is in force and who is there, in the own zone."""
+        known = self._membership.view()
+        members = [n for n in self._dissemination.zone_members() if n in known]
+        return StatusView(
+            records=self._catalog.book.records(),
+            report=self._dissemination.zone_report,
+            members=members,
+            states={name: known[name].state.value for name in members},
+        )
--- a/endivepick/daemon/performer.py
+++ b/endivepick/daemon/performer.py
@@ -5,6 +5,7 @@
 
 from endivepick.core.actions import (
     Action,
+    CallPlatform,
     CancelAttempt,
     Count,
     Log,
@@ -99,6 +100,8 @@
                 self._tasks.http.inbox.put(ReadinessChanged(ready, reason))
             case WatchPlatform(after=after):
                 self._tasks.platform.watch(after)
+            case CallPlatform(purpose=purpose, call=call):
+                self._tasks.platform.call(purpose, call)
             case StopPlatformWatch():
                 self._tasks.platform.stop_watching()
             case StopFinished():
--- a/endivepick/daemon/platform.py
+++ b/endivepick/daemon/platform.py
@@ -1,22 +1,37 @@
 """Task that calls the platform: lists, watches and the list of instances."""
 
 import random
+import uuid
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import replace
 
 import gevent
-from returns.result import Failure, Success
+from gevent.pool import Group
+from returns.result import Failure, Result, Success
 
 from endivepick.core.events import (
     Event,
     InstancesListed,
     ObjectsChanged,
     ObjectsListed,
+    PlatformAnswered,
     PlatformCallFailed,
 )
+from endivepick.core.platform_calls import (
+    CallFailed,
+    CallPurpose,
+    ListObjects,
+    ObjectRead,
+    ObjectsRead,
+    ObjectWritten,
+    PlatformAnswer,
+    PlatformCall,
+    ReadObject,
+    WriteObject,
+)
 from endivepick.daemon.logs import PartLog
-from endivepick.errors import WatchExpiredError
+from endivepick.errors import EndivepickError, WatchExpiredError
 from endivepick.membership import ListedInstance
 from endivepick.platform.backoff import Backoff
 from endivepick.platform.client import PlatformClient
@@ -53,12 +68,38 @@
         self._deliver = deliver
         self._random = random.Random()
         self._watch: gevent.Greenlet | None = None
+        self._calls = Group()
         self._client = PlatformClient(self._settings, gevent.sleep, self._random.random)
 
     def close(self) -> None:
-        """Close all connections."""
+        """End all calls and close all connections."""
+        self._calls.kill()
         self._client.close()
 
+    def call(self, purpose: CallPurpose, call: PlatformCall) -> None:
+        """Make one call; its end is delivered as ``PlatformAnswered``."""
+        self._calls.spawn(self._run_call, purpose, call)
+
+    def _run_call(self, purpose: CallPurpose, call: PlatformCall) -> None:
+        answer: PlatformAnswer
+        match self._make_call(call):
+            case Success(answer):
+                pass
+            case Failure(error):
+                answer = CallFailed(str(error))
+        self._deliver(PlatformAnswered(purpose, answer))
+
+    def _make_call(self, call: PlatformCall) -> Result[PlatformAnswer, EndivepickError]:
+        match call:
+            case ReadObject(kind=kind, name=name):
+                return self._client.get(kind, name).map(ObjectRead)
+            case ListObjects(kind=kind):
+                return self._client.list(kind).map(lambda o: ObjectsRead(o.objects))
+            case WriteObject(kind=kind, name=name, if_version=if_version):
+                body = {**call.body, "write_id": uuid.uuid4().hex}
+                written = self._client.put(kind, name, body, if_version)
+                return written.map(ObjectWritten)
+
     def watch(self, after: int) -> None:
         """Begin to watch after a revision; list all objects first if it is 0."""
         self.stop_watching()
--- a/endivepick/daemon/run.py
+++ b/endivepick/daemon/run.py
@@ -174,6 +174,7 @@
         dispatch=settings.dispatch,
         membership=settings.membership,
         records=settings.records,
+        status=settings.status,
     )
 
 
--- a/endivepick/records/status.py
+++ b/endivepick/records/status.py
@@ -74,6 +74,10 @@
         """Take an instance's part of the status."""
         self._parts[sender] = (now_s, part)
 
+    def due(self, now_s: float) -> bool:
+        """Tell whether ``step`` may have something to do."""
+        return not self._busy and now_s >= self._due_s
+
     def step(
         self, view: StatusView, now_s: float, random_share: float
     ) -> StatusAction | None:
@@ -88,7 +92,7 @@
         random_share : float
             Random number from 0 to 1 that spreads the writes.
         """
-        if self._busy or now_s < self._due_s:
+        if not self.due(now_s):
             return None
         oldest_s = now_s - self._settings.part_expiry_s
         parts = self._parts.items()
--- a/endivepick/settings/_combinations.py
+++ b/endivepick/settings/_combinations.py
@@ -25,6 +25,7 @@
         ("membership", membership, "probe_timeout_s", "probe_deadline_s"),
         ("membership", membership, "suspect_min_s", "suspect_max_s"),
         ("membership", membership, "suspect_max_s", "mass_dead_after_s"),
+        ("status", settings.status, "write_interval_s", "part_expiry_s"),
         ("dispatch", dispatch, "shed_backoff_s", "shed_backoff_limit_s"),
         ("dispatch", dispatch, "connect_backoff_s", "connect_backoff_limit_s"),
         ("dispatch", dispatch, "ejection_s", "ejection_limit_s"),
--- a/endivepick/settings/model.py
+++ b/endivepick/settings/model.py
@@ -12,7 +12,7 @@
 from endivepick.core.settings import FlowSettings
 from endivepick.membership.settings import MembershipSettings
 from endivepick.platform.settings import PlatformSettings
-from endivepick.records.settings import DisseminationSettings
+from endivepick.records.settings import DisseminationSettings, StatusSettings
 
 __all__ = [
     "DaemonSettings",
@@ -27,6 +27,7 @@
     "MembershipSettings",
     "PlatformAccessSettings",
     "SecretsSettings",
+    "StatusSettings",
     "TargetSettings",
 ]
 
@@ -132,6 +133,7 @@
     log: LogSettings = LogSettings()
     membership: MembershipSettings = MembershipSettings()
     records: DisseminationSettings = DisseminationSettings()
+    status: StatusSettings = StatusSettings()
     flow: FlowSettings = FlowSettings()
     targets: TargetSettings = TargetSettings()
     dispatch: DispatchSettings = field(
--- a/endivepick/settings/schema.py
+++ b/endivepick/settings/schema.py
@@ -270,6 +270,24 @@
     )
 
 
+class StatusModel(_Group):
+    """Status of the zones, as `endivepick status` shows it."""
+
+    write_interval_s: float = Field(
+        default=model.StatusSettings.write_interval_s,
+        ge=0.1,
+        le=300,
+        description="Shortest time between two writes of a zone's status.",
+    )
+    part_expiry_s: float = Field(
+        default=model.StatusSettings.part_expiry_s,
+        ge=0.5,
+        le=600,
+        description="Age at which what an instance told about itself is dropped; "
+        "it tells three times as often.",
+    )
+
+
 class FlowModel(_Group):
     """Flows, their tokens and requests, and the planned stop."""
 
@@ -395,6 +413,7 @@
     log: LogModel = LogModel()
     membership: MembershipModel = MembershipModel()
     records: RecordsModel = RecordsModel()
+    status: StatusModel = StatusModel()
     flow: FlowModel = FlowModel()
     targets: TargetModel = TargetModel()
     dispatch: DispatchModel = Field(
