Close a stream's connection without cancelling its key

Cause: an owner that suspends a stream, at a planned stop or because its buffer is full, closed the connection and also sent DELETE with the request's idempotency key. All attempts carry that key. When the DELETE reached the target after the successor had resumed the stream, the target ended the resumed stream, in good order, and the caller saw its stream end.

Weighed: a key for each attempt (a target could no longer tell copies of a request); waiting for the DELETE's answer before the hand-over (a slow target would hold the stop up); no DELETE where the request goes on. Taken: the last. The closed connection tells the target enough.

--- a/endivepick/core/actions.py
+++ b/endivepick/core/actions.py
@@ -86,10 +86,22 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelAttempt:
-    """Cancel a request at its target and close the connection."""
+    """Close the connection of an attempt, by which the target gives it up.
+
+    Attributes
+    ----------
+    request_id : tuple
+        The request.
+    attempt : int
+        Number of the attempt.
+    by_key : bool
+        Also cancel the request at the target by its idempotency key.  All attempts
+        share that key, so only a request that never runs again is cancelled by it.
+    """
 
     request_id: RequestId
     attempt: int
+    by_key: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/endivepick/core/executor.py
+++ b/endivepick/core/executor.py
@@ -340,7 +340,8 @@
 
     def suspend(self, flow: OwnedFlow, request: OwnedRequest) -> list[Action]:
         """Close a stream at its target; it can be resumed after its last event."""
-        actions = self._leave_target(flow, request)
+        # Its next attempt may reach the target before a cancellation of this one.
+        actions = self._leave_target(flow, request, by_key=False)
         request.may_have_run = True
         request.step("freeze")
         return actions
@@ -381,10 +382,12 @@
         )
         return actions
 
-    def _leave_target(self, flow: OwnedFlow, request: OwnedRequest) -> list[Action]:
+    def _leave_target(
+        self, flow: OwnedFlow, request: OwnedRequest, by_key: bool = True
+    ) -> list[Action]:
         # The slot stays taken until the attempt has reported its end.
         request_id = _Held(flow, request).request_id
-        return [CancelAttempt(request_id, request.attempt)]
+        return [CancelAttempt(request_id, request.attempt, by_key)]
 
     def _leave_dispatcher(
         self, flow: OwnedFlow, request: OwnedRequest, now_s: float
--- a/endivepick/core/tests/test_handover.py
+++ b/endivepick/core/tests/test_handover.py
@@ -1,6 +1,6 @@
 import unittest
 
-from endivepick.core.actions import SendToPeer
+from endivepick.core.actions import CancelAttempt, SendToPeer
 from endivepick.core.dispatch import TargetHealth
 from endivepick.core.events import StreamData, StreamOpened
 from endivepick.core.flow_table import Identity
@@ -96,6 +96,13 @@
         [resumed] = starts(actions)
         self.assertEqual(resumed.last_event_id, "9")
 
+    def test_stream_that_goes_on_elsewhere_is_not_cancelled_by_its_key(self):
+        [start] = starts(self.giver.request(self.token, 1, stream=True))
+        self.assertIn(
+            CancelAttempt(start.request_id, start.attempt, by_key=False),
+            self.give.tick(NOW_S),
+        )
+
     def test_stream_waits_for_the_first_probe_of_a_new_owner(self):
         [start] = starts(self.giver.request(self.token, 1, stream=True))
         executor = self.giver.executor
--- a/endivepick/daemon/targets.py
+++ b/endivepick/daemon/targets.py
@@ -106,13 +106,14 @@
         greenlet.link(lambda _: self._attempts.pop(key, None))
 
     def cancel(self, action: CancelAttempt) -> None:
-        """Close the connection of an attempt and tell the target."""
+        """Close the connection of an attempt, and tell the target if asked to."""
         known = self._attempts.get((action.request_id, action.attempt))
         if known is None:
             return
         greenlet, address_and_path = known
         greenlet.kill(block=False)
-        self._group.spawn(self._send_cancellation, address_and_path)
+        if action.by_key:
+            self._group.spawn(self._send_cancellation, address_and_path)
 
     def probe(self, action: Probe) -> None:
         """Ask a target for its health and load."""
