Split the flow model into events, instances and invariants

One module held events, state numbers and predicates; the state numbers serve the other models too and are now generic.

--- a/endivepick/model/_node.py
+++ b/endivepick/model/_node.py
@@ -10,13 +10,9 @@
 
 from endivepick.core.actions import (
     Action,
-    CancelAttempt,
-    RequestId,
     SendToCaller,
-    SendToPeer,
-    StartAttempt,
 )
-from endivepick.core.codec import decode_caller_packet, decode_struct, encode_struct
+from endivepick.core.codec import decode_caller_packet, decode_struct
 from endivepick.core.dispatch import FinishKind
 from endivepick.core.events import AttemptAnswered, AttemptFailed
 from endivepick.core.executor import RequestExecutor
@@ -24,12 +20,7 @@
 from endivepick.core.handover import HandOverGiver, HandOverTaker
 from endivepick.core.keyring import first_keyring
 from endivepick.core.messages import (
-    AnswerPart,
-    InstancePacket,
     Opened,
-    Outcome,
-    Refused,
-    Reissued,
 )
 from endivepick.core.owner import FlowOwner
 from endivepick.core.peer_messages import HandOver, HandOverAccepted, HandOverRefused
@@ -37,36 +28,20 @@
 from endivepick.core.router import PacketRouter
 from endivepick.core.settings import FlowSettings
 from endivepick.core.token import TokenCodec
-from endivepick.model._choices import (
-    AllServices,
-    ChoiceDispatcher,
-    ChoicePeers,
-    Placement,
-    View,
+from endivepick.model._choices import AllServices, ChoiceDispatcher, ChoicePeers
+from endivepick.model._events import (
+    Ended,
+    Event,
+    Forget,
+    Give,
+    Packet,
+    Peer,
+    Stop,
+    Turn,
 )
 from endivepick.model._freeze import freeze
 
-__all__ = [
-    "CALLER",
-    "CODEC",
-    "Cancelled",
-    "Effect",
-    "Ended",
-    "Event",
-    "Forget",
-    "Give",
-    "Node",
-    "Packet",
-    "Parts",
-    "Peer",
-    "SERVICE",
-    "Sent",
-    "Stop",
-    "ToCaller",
-    "ToPeer",
-    "Turn",
-    "effects_of",
-]
+__all__ = ["CODEC", "NOW_S", "Node", "Parts"]
 
 SERVICE = "notes"
 CALLER = ("127.0.0.1", 1)
@@ -75,8 +50,6 @@
 """Time at which unused flows are forgotten and tokens are still valid."""
 SETTINGS = FlowSettings(hand_over_retry_s=0.0)
 CODEC = TokenCodec(first_keyring(bytes(32), NOW_S), SETTINGS.token_lifetime_s)
-_TOLD = (AnswerPart, Outcome, Refused, Reissued)
-"""Packets that a caller acts on; the others promise nothing."""
 
 
 @dataclass(frozen=True)
@@ -92,99 +65,6 @@
     taker: Callable[..., HandOverTaker] = HandOverTaker
 
 
-@dataclass(frozen=True)
-class Packet:
-    """A caller's packet arrives, from the fabric or from a relay."""
-
-    datagram: bytes
-    view: View = View()
-    placement: Placement = Placement.START
-
-
-@dataclass(frozen=True)
-class Ended:
-    """An attempt at a target ends."""
-
-    request_id: RequestId
-    attempt: int
-    kind: FinishKind
-    placement: Placement = Placement.START
-
-
-@dataclass(frozen=True)
-class Turn:
-    """The turn of a waiting request comes."""
-
-    request_id: Hashable
-    placement: Placement
-
-
-@dataclass(frozen=True)
-class Stop:
-    """A planned stop begins."""
-
-
-@dataclass(frozen=True)
-class Give:
-    """The leaving instance works on its hand-over."""
-
-    successor: Identity
-    dead: bool
-
-
-@dataclass(frozen=True)
-class Peer:
-    """A message about a hand-over arrives."""
-
-    sender: Identity
-    kind: type
-    data: bytes
-    placement: Placement = Placement.START
-
-
-@dataclass(frozen=True)
-class Forget:
-    """Time passes and flows that were never used are forgotten."""
-
-
-Event = Packet | Ended | Turn | Stop | Give | Peer | Forget
-
-
-@dataclass(frozen=True)
-class ToCaller:
-    """A packet that the caller acts on."""
-
-    packet: InstancePacket
-
-
-@dataclass(frozen=True)
-class ToPeer:
-    """A message about a hand-over."""
-
-    name: str
-    kind: type
-    data: bytes
-
-
-@dataclass(frozen=True)
-class Sent:
-    """A request went to a target."""
-
-    request_id: RequestId
-    attempt: int
-
-
-@dataclass(frozen=True)
-class Cancelled:
-    """An attempt was cut off."""
-
-    request_id: RequestId
-    attempt: int
-
-
-Effect = ToCaller | ToPeer | Sent | Cancelled
-
-
 @dataclass
 class _Ids:
     """Numbers that differ between instances and incarnations."""
@@ -250,16 +130,17 @@
 
     def frozen(self) -> Hashable:
         """Return a picture of everything that later behaviour depends on."""
-        state = (
+        seen_once = (FlowSettings, ChoiceDispatcher, FlowTable, RequestExecutor)
+        return (
             self.me,
-            self._executor,
-            self.dispatcher.pending,
-            self.giver,
-            self._taker,
+            freeze(self.table),
+            freeze(vars(self._executor), skip=seen_once),
+            freeze(self.dispatcher.pending),
+            freeze(self.giver, skip=seen_once),
+            freeze(self._taker, skip=seen_once),
             self.owner.leaving,
             self._ids.next_id,
         )
-        return freeze(state, skip=(FlowSettings, ChoiceDispatcher))
 
     def open_flow(self) -> Opened:
         """Open the flow that the model follows."""
@@ -325,19 +206,3 @@
 
 def _no_chance() -> float:
     return 0.5
-
-
-def effects_of(actions: list[Action]) -> tuple[Effect, ...]:
-    """Keep what another part of the model can see."""
-    effects: list[Effect] = []
-    for action in actions:
-        match action:
-            case SendToCaller(packet=packet) if isinstance(packet, _TOLD):
-                effects.append(ToCaller(packet))
-            case SendToPeer(name=name, message=message):
-                effects.append(ToPeer(name, type(message), encode_struct(message)))
-            case StartAttempt(request_id=request_id, attempt=attempt):
-                effects.append(Sent(request_id, attempt))
-            case CancelAttempt(request_id=request_id, attempt=attempt):
-                effects.append(Cancelled(request_id, attempt))
-    return tuple(effects)
--- a/endivepick/model/_world.py
+++ b/endivepick/model/_world.py
@@ -8,7 +8,8 @@
 from endivepick.core.codec import encode_packet, encode_struct
 from endivepick.core.flow_table import Identity
 from endivepick.core.messages import InstancePacket, RequestHead, RequestPart
-from endivepick.model._node import Parts, ToPeer
+from endivepick.model._events import ToPeer
+from endivepick.model._node import Parts
 
 __all__ = ["Attempt", "Bounds", "Caller", "CallerRules", "Outcome", "World", "request"]
 
--- a/endivepick/model/flows.py
+++ b/endivepick/model/flows.py
@@ -6,19 +6,15 @@
 
 from collections.abc import Iterator
 from dataclasses import replace
-from functools import cache
 from typing import TypeVar
 
-from endivepick.core.codec import decode_caller_packet
 from endivepick.core.dispatch import FinishKind
 from endivepick.core.flow_table import Identity
-from endivepick.core.messages import InstancePacket, Open, Refused, Reissued
-from endivepick.core.token import FlowToken
+from endivepick.core.messages import InstancePacket, Reissued
 from endivepick.model import _caller
 from endivepick.model._choices import Placement, View
-from endivepick.model._node import (
-    CODEC,
-    NOW_S,
+from endivepick.model._description import describe, describe_view, token_of
+from endivepick.model._events import (
     Cancelled,
     Effect,
     Ended,
@@ -33,7 +29,9 @@
     ToPeer,
     Turn,
 )
-from endivepick.model._node_states import NodeStates
+from endivepick.model._flow_invariants import FlowInvariants
+from endivepick.model._instances import Instances
+from endivepick.model._node import CODEC, NOW_S
 from endivepick.model._world import (
     Attempt,
     Bounds,
@@ -66,12 +64,7 @@
         name=name,
         initial=model.initial(),
         steps=model.steps,
-        invariants={
-            "a non-idempotent request runs at most once": model.at_most_once,
-            "'not run' is true": model.not_run_is_true,
-            "a window has one holder": model.one_holder,
-            "a planned stop cuts nothing": model.stop_cuts_nothing,
-        },
+        invariants=FlowInvariants(bounds, model.instances).by_name(),
     )
 
 
@@ -80,8 +73,7 @@
 
     def __init__(self, bounds: Bounds) -> None:
         self._bounds = bounds
-        self._states = NodeStates(bounds.parts)
-        self._holds: dict[int, frozenset[int]] = {}
+        self.instances = Instances(bounds.parts)
 
     # Start
 
@@ -89,9 +81,9 @@
         """Return the world in which the first instance has opened the flow."""
         bounds = self._bounds
         incarnations = tuple(range(1, len(bounds.names) + 1))
-        first, opened = self._states.opening(Identity(bounds.names[0], 1))
+        first, opened = self.instances.opening(Identity(bounds.names[0], 1))
         others = [
-            self._states.fresh(Identity(name, incarnation))
+            self.instances.fresh(Identity(name, incarnation))
             for name, incarnation in zip(bounds.names, incarnations, strict=True)
             if incarnation > 1
         ]
@@ -123,14 +115,14 @@
 
     def steps(self, world: World) -> Iterator[Step]:
         """Yield every step out of a world, with its label."""
-        for index, key in enumerate(world.nodes):
-            if key is None:
+        for index, state in enumerate(world.nodes):
+            if state is None:
                 yield from self._restart(world, index)
                 continue
-            yield from self._packets(world, index, key)
-            yield from self._peer_messages(world, index, key)
-            yield from self._turns(world, index, key)
-            yield from self._stopping(world, index, key)
+            yield from self._packets(world, index, state)
+            yield from self._peer_messages(world, index, state)
+            yield from self._turns(world, index, state)
+            yield from self._stopping(world, index, state)
             yield from self._crash(world, index)
             if self._bounds.forgets:
                 yield from self._event(world, index, Forget(), "forgets unused flows")
@@ -142,10 +134,10 @@
     def _event(
         self, world: World, index: int, event: Event, label: str
     ) -> Iterator[Step]:
-        key = world.nodes[index]
-        assert key is not None
-        reaction = self._states.after(key, event)
-        changed = self._apply(world, index, reaction.key, reaction.effects, event)
+        state = world.nodes[index]
+        assert state is not None
+        reaction = self.instances.after(state, event)
+        changed = self._apply(world, index, reaction.state, reaction.effects, event)
         if changed is not None and changed != world:
             yield f"{self._bounds.names[index]} {label}", changed
 
@@ -153,9 +145,9 @@
         self, world: World, index: int, event: Packet | Ended | Peer, label: str
     ) -> Iterator[Step]:
         """Take a step with every placement, if the dispatcher is asked."""
-        key = world.nodes[index]
-        assert key is not None
-        if not self._states.after(key, event).used_placement:
+        state = world.nodes[index]
+        assert state is not None
+        if not self.instances.after(state, event).used_placement:
             yield from self._event(world, index, event, label)
             return
         if world.left.attempts:
@@ -165,21 +157,21 @@
             more = f"{label}, {placement.value}s it"
             yield from self._event(world, index, other, more)
 
-    def _packets(self, world: World, index: int, key: int) -> Iterator[Step]:
+    def _packets(self, world: World, index: int, state: int) -> Iterator[Step]:
         for datagram in world.packets:
-            label = f"gets {_describe(datagram)}"
-            reaction = self._states.after(key, Packet(datagram))
+            label = f"gets {describe(datagram)}"
+            reaction = self.instances.after(state, Packet(datagram))
             views = [View()]
             if reaction.used_view:
                 views = list(self._views(world, index, datagram))
             for view in views:
-                more = f"{label}{_describe_view(view)}"
+                more = f"{label}{describe_view(view)}"
                 yield from self._placed(world, index, Packet(datagram, view), more)
 
     def _views(self, world: World, index: int, datagram: bytes) -> Iterator[View]:
         yield View()
         yield View(silent=True)
-        token = _token_of(datagram)
+        token = token_of(datagram)
         owner = Identity(token.owner, token.owner_incarnation)
         successors = [None, *self._successors(world, owner)]
         waits = world.caller.outcome is Outcome.WAITING
@@ -203,7 +195,7 @@
             ]
         return found[1:]
 
-    def _peer_messages(self, world: World, index: int, key: int) -> Iterator[Step]:
+    def _peer_messages(self, world: World, index: int, state: int) -> Iterator[Step]:
         name = self._bounds.names[index]
         for sender, sent in world.peer:
             if sent.name != name:
@@ -212,16 +204,16 @@
             label = f"gets {sent.kind.__name__} of {sender.name}"
             yield from self._placed(world, index, event, label)
 
-    def _turns(self, world: World, index: int, key: int) -> Iterator[Step]:
-        for request_id in self._states.node(key).dispatcher.queued:
+    def _turns(self, world: World, index: int, state: int) -> Iterator[Step]:
+        for request_id in self.instances[state].dispatcher.queued:
             if world.left.attempts:
                 event = Turn(request_id, Placement.START)
                 yield from self._event(world, index, event, "starts what waited")
             event = Turn(request_id, Placement.REFUSE)
             yield from self._event(world, index, event, "refuses what waited")
 
-    def _stopping(self, world: World, index: int, key: int) -> Iterator[Step]:
-        node = self._states.node(key)
+    def _stopping(self, world: World, index: int, state: int) -> Iterator[Step]:
+        node = self.instances[state]
         if not node.owner.leaving:
             if self._bounds.names[index] in self._bounds.stops:
                 yield from self._event(world, index, Stop(), "begins its planned stop")
@@ -268,11 +260,11 @@
         # No two processes ever have the same incarnation.
         incarnation = max(world.incarnations) + 1
         me = Identity(self._bounds.names[index], incarnation)
-        key = self._states.fresh(me)
+        state = self.instances.fresh(me)
         yield (
             f"{me.name} starts again",
             world._replace(
-                nodes=_replaced(world.nodes, index, key),
+                nodes=_replaced(world.nodes, index, state),
                 incarnations=_replaced(world.incarnations, index, incarnation),
                 left=world.left._replace(restarts=world.left.restarts - 1),
             ),
@@ -317,12 +309,12 @@
         self,
         world: World,
         index: int,
-        key: int,
+        state: int,
         effects: tuple[Effect, ...],
         event: Event,
     ) -> World | None:
         """Carry effects out; None if they leave the bounds."""
-        world = world._replace(nodes=_replaced(world.nodes, index, key))
+        world = world._replace(nodes=_replaced(world.nodes, index, state))
         me = self._me(world, index)
         for effect in effects:
             match effect:
@@ -343,7 +335,7 @@
                     )
                 case Cancelled():
                     world = self._cancel(world, me, effect, event)
-        return self._announce(world, index, key)
+        return self._announce(world, index, state)
 
     def _tell(self, world: World, packet: InstancePacket) -> World | None:
         if packet in world.told:
@@ -369,8 +361,8 @@
         cut = isinstance(event, Give) and not self._bounds.stream
         return world._replace(attempts=_pending(attempts), cut=world.cut or cut)
 
-    def _announce(self, world: World, index: int, key: int) -> World:
-        node = self._states.node(key)
+    def _announce(self, world: World, index: int, state: int) -> World:
+        node = self.instances[state]
         if not node.owner.leaving:
             return world
         heirs = {(node.me, heir) for heir in node.giver.finished_services().values()}
@@ -378,45 +370,6 @@
             return world
         return world._replace(heirs=world.heirs | heirs)
 
-    # Invariants
-
-    def at_most_once(self, world: World) -> bool:
-        """Tell whether a non-idempotent request ran at most once."""
-        return self._bounds.idempotent or world.runs <= 1
-
-    def not_run_is_true(self, world: World) -> bool:
-        """Tell whether nothing ran that was called "not run"."""
-        if world.caller.outcome is Outcome.NOT_RUN and world.runs:
-            return False
-        return not any(
-            isinstance(packet, Refused) and (packet.binding, packet.seq) in world.ran
-            for packet in world.told
-        )
-
-    def one_holder(self, world: World) -> bool:
-        """Tell whether no two instances would run requests of one binding."""
-        seen: set[int] = set()
-        for key in world.nodes:
-            if key is None:
-                continue
-            held = self._held(key)
-            if seen & held:
-                return False
-            seen |= held
-        return True
-
-    def _held(self, key: int) -> frozenset[int]:
-        held = self._holds.get(key)
-        if held is None:
-            table = self._states.node(key).table
-            held = frozenset(flow.binding for flow in table if not flow.frozen)
-            self._holds[key] = held
-        return held
-
-    def stop_cuts_nothing(self, world: World) -> bool:
-        """Tell whether no planned stop has cut a request in progress."""
-        return not world.cut
-
 
 def _replaced(items: tuple[_T, ...], index: int, item: _T) -> tuple[_T, ...]:
     return (*items[:index], item, *items[index + 1 :])
@@ -425,33 +378,3 @@
 def _pending(attempts: frozenset[Attempt]) -> frozenset[Attempt]:
     """Drop attempts that ran and whose sender waits no more."""
     return frozenset(one for one in attempts if one.open or not one.ran)
-
-
-@cache
-def _token_of(datagram: bytes) -> FlowToken:
-    packet = decode_caller_packet(datagram)
-    assert not isinstance(packet, Open)
-    return CODEC.unseal(packet.token, NOW_S)
-
-
-@cache
-def _describe(datagram: bytes) -> str:
-    packet = decode_caller_packet(datagram)
-    token = _token_of(datagram)
-    seq = getattr(packet, "seq", "")
-    name = type(packet).__name__
-    return f"{name} {seq} under binding {token.binding} of {token.owner}"
-
-
-@cache
-def _describe_view(view: View) -> str:
-    parts = []
-    if view.silent:
-        parts.append("holder silent")
-    if view.dead:
-        parts.append("holder given up")
-    if view.successor:
-        parts.append(f"successor {view.successor.name}#{view.successor.incarnation}")
-    if view.opener:
-        parts.append(f"opener {view.opener.name}")
-    return f", believing {' and '.join(parts)}" if parts else ""
