--- a/standins/demo.py
+++ b/standins/demo.py
@@ -11,7 +11,6 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass, field
 from typing import Any
 
 import fire
@@ -19,9 +18,9 @@
 from standins.checker import Disturbance, Promise, Report, Violation, check
 from standins.cluster import Cluster, ClusterSettings, cluster
 from standins.evidence import Evidence, read_evidence
-from standins.imbalance import Imbalance, measure_imbalance
 from standins.process import ChildProcess, wait_until
 from standins.shapes import SHAPES, ServicePlan, Shape
+from standins.summary import Story, print_summary
 from standins.versions import VersionWatch, wait_in_force, watch_versions
 
 __all__ = ["main", "run_demo"]
@@ -41,24 +40,6 @@
 _SHOWN_VIOLATIONS = 10
 
 
-@dataclass
-class _Story:
-    """What was done, for the summary."""
-
-    started_s: float
-    steps: list[str] = field(default_factory=list)
-    disturbances: list[Disturbance] = field(default_factory=list)
-    violations: list[Violation] = field(default_factory=list)
-    in_force_s: list[float] = field(default_factory=list)
-    drained: str = ""
-
-    def note(self, step: str) -> None:
-        """Remember and print a step."""
-        line = f"{time.monotonic() - self.started_s:5.1f} s  {step}"
-        self.steps.append(line)
-        print(line, flush=True)
-
-
 def _flows_for(service: ServicePlan) -> int:
     """Return how many flows keep the service at about the wanted load."""
     slots = sum(target.slots for target in service.targets)
@@ -106,7 +87,7 @@
     return max(flows, key=lambda name: flows[name])
 
 
-def _replace_instance(running: Cluster, story: _Story) -> None:
+def _replace_instance(running: Cluster, story: Story) -> None:
     name = _busiest_instance(running)
     flows = running.instances[name].status()["flows"]
     status = running.stop_instance(name)
@@ -119,7 +100,7 @@
 
 
 def _put_in_force(
-    running: Cluster, story: _Story, what: str, write: Callable[[], dict[str, Any]]
+    running: Cluster, story: Story, what: str, write: Callable[[], dict[str, Any]]
 ) -> None:
     """Write a record and measure how long until it is in force everywhere."""
     written_s = time.monotonic()
@@ -133,7 +114,7 @@
         story.violations.append(Violation(Promise.IN_FORCE, detail))
 
 
-def _drain_target(running: Cluster, story: _Story) -> None:
+def _drain_target(running: Cluster, story: Story) -> None:
     target = running.shape.services[0].targets[0]
     story.drained = target.name
     _put_in_force(
@@ -144,7 +125,7 @@
     )
 
 
-def _change_record(running: Cluster, story: _Story) -> None:
+def _change_record(running: Cluster, story: Story) -> None:
     service = running.shape.services[1].name
 
     def change(body: dict[str, Any]) -> None:
@@ -158,7 +139,7 @@
     )
 
 
-def _kill_instance(running: Cluster, story: _Story) -> None:
+def _kill_instance(running: Cluster, story: Story) -> None:
     name = _busiest_instance(running)
     flows = running.instances[name].status()["flows"]
     killed_s = time.time()
@@ -167,7 +148,7 @@
     story.note(f"killed instance {name}; it held {flows} flows")
 
 
-def _play(running: Cluster, story: _Story) -> None:
+def _play(running: Cluster, story: Story) -> None:
     """Change the installation while callers use it."""
     callers = _start_callers(running)
     for process in callers:
@@ -187,50 +168,8 @@
     story.note("callers have ended")
 
 
-def _imbalance(evidence: Evidence, service: ServicePlan, drained: str) -> Imbalance:
-    slots = {t.name: t.slots for t in service.targets if t.name != drained}
-    return measure_imbalance(evidence, slots)
-
-
-def _summarise(
-    running: Cluster, story: _Story, evidence: Evidence, report: Report
-) -> None:
-    counts = report.counts
-    broken = {promise: len(report.broken(promise)) for promise in Promise}
-    rows = [
-        ("requests sent", counts["requests"]),
-        ("whole answers", counts["answer_whole"]),
-        ("refused as not run", counts["not_run"]),
-        ("outcome unknown", counts["unknown"] + counts["gave_up"]),
-        ("non-idempotent requests run twice", broken[Promise.ONCE]),
-        ("packets that reached a wrong service", broken[Promise.SERVICE]),
-        ("flows opened", counts["flows"]),
-        ("streams held, events received", _streams(counts)),
-        ("flows broken by planned changes", broken[Promise.FLOWS]),
-        ("requests cut by planned changes", broken[Promise.GRACEFUL]),
-    ]
-    rows += [
-        (f"imbalance of {service.name}", _imbalance_text(evidence, service, story))
-        for service in running.shape.services
-    ]
-    in_force = ", ".join(f"{seconds:.2f}" for seconds in story.in_force_s)
-    rows.append(("seconds until changes were in force everywhere", in_force))
-    print()
-    for name, value in rows:
-        print(f"{name:<50} {value}")
-
-
-def _streams(counts: dict[str, int]) -> str:
-    return f"{counts['streams']}, {counts['stream_events']}"
-
-
-def _imbalance_text(evidence: Evidence, service: ServicePlan, story: _Story) -> str:
-    imbalance = _imbalance(evidence, service, story.drained)
-    return f"{imbalance.median:.2f} (median of {imbalance.windows} seconds)"
-
-
 def _judge(
-    running: Cluster, story: _Story, watch: VersionWatch
+    running: Cluster, story: Story, watch: VersionWatch
 ) -> tuple[Evidence, Report]:
     logs = running.launcher.logs
     evidence = read_evidence(logs("callers"), logs("targets"), logs("platform"))
@@ -259,7 +198,7 @@
     Report
         Counts and broken promises.
     """
-    story = _Story(time.monotonic())
+    story = Story(time.monotonic())
     settings = ClusterSettings(shape, folder=folder, seed=seed)
     with cluster(settings) as running, watch_versions(running) as watch:
         targets = sum(len(service.targets) for service in shape.services)
@@ -267,7 +206,7 @@
         story.note(f"{shape.name}: {instances} instances, {targets} targets serve")
         _play(running, story)
         evidence, report = _judge(running, story, watch)
-        _summarise(running, story, evidence, report)
+        print_summary(running.shape, story, evidence, report)
     return report
 
 
--- a/standins/load.py
+++ b/standins/load.py
@@ -34,7 +34,8 @@
     open_caller,
 )
 from standins.control import BorderModel, EventLog, load_settings
-from standins.payload import verify_answer, verify_event
+from standins.payload import verify_answer
+from standins.streamprogress import StreamProgress
 
 __all__ = ["LoadSettings", "Workload", "main"]
 
@@ -193,7 +194,7 @@
         sent_s = time.time()
         stream = flow.stream(path)
         closer = gevent.spawn(_close_after, stream, ended)
-        progress = _StreamProgress(echo, sent_s)
+        progress = StreamProgress(echo, sent_s)
         error = ""
         try:
             for event in stream:
@@ -234,32 +235,6 @@
         return min(_RETRY_MAX_S, max(_RETRY_MIN_S, wanted_s))
 
 
-class _StreamProgress:
-    """Checks that events come whole, in order, each once, and without stalls."""
-
-    def __init__(self, echo: str, now_s: float) -> None:
-        self.events = 0
-        self.wrong = 0
-        self.longest_gap_s = (now_s, now_s)
-        self._echo = echo
-        self._last_s = now_s
-
-    def take(self, event_id: str, data: str, now_s: float) -> None:
-        """Take the next event."""
-        self.events += 1
-        in_order = event_id == str(self.events)
-        if not in_order or not verify_event(data, self._echo, self.events):
-            self.wrong += 1
-        self.note_gap(now_s)
-
-    def note_gap(self, now_s: float) -> None:
-        """Remember the time since the last event if no other was longer."""
-        from_s, until_s = self.longest_gap_s
-        if now_s - self._last_s > until_s - from_s:
-            self.longest_gap_s = (self._last_s, now_s)
-        self._last_s = now_s
-
-
 def _close_after(stream: EventStream, ended: Event) -> None:
     ended.wait()
     stream.close()
--- /dev/null
+++ b/standins/summary.py
@@ -0,0 +1,83 @@
+"""What the demonstration did and found, on one screen."""
+
+import time
+from dataclasses import dataclass, field
+
+from standins.checker import Disturbance, Promise, Report, Violation
+from standins.evidence import Evidence
+from standins.imbalance import Imbalance, measure_imbalance
+from standins.shapes import ServicePlan, Shape
+
+__all__ = ["Story", "print_summary"]
+
+
+@dataclass
+class Story:
+    """What was done.
+
+    Attributes
+    ----------
+    started_s : float
+        Monotonic time of the begin.
+    disturbances : list of Disturbance
+        Unplanned failures.
+    violations : list of Violation
+        Broken promises that no log shows.
+    in_force_s : list of float
+        How long each change took until it was in force everywhere.
+    drained : str
+        Target that was drained.
+    """
+
+    started_s: float
+    disturbances: list[Disturbance] = field(default_factory=list)
+    violations: list[Violation] = field(default_factory=list)
+    in_force_s: list[float] = field(default_factory=list)
+    drained: str = ""
+
+    def note(self, step: str) -> None:
+        """Print a step with the time since the begin."""
+        print(f"{time.monotonic() - self.started_s:5.1f} s  {step}", flush=True)
+
+
+def _imbalance(evidence: Evidence, service: ServicePlan, drained: str) -> Imbalance:
+    slots = {t.name: t.slots for t in service.targets if t.name != drained}
+    return measure_imbalance(evidence, slots)
+
+
+def print_summary(
+    shape: Shape, story: Story, evidence: Evidence, report: Report
+) -> None:
+    """Print the counts of a demonstration on one screen."""
+    counts = report.counts
+    broken = {promise: len(report.broken(promise)) for promise in Promise}
+    rows = [
+        ("requests sent", counts["requests"]),
+        ("whole answers", counts["answer_whole"]),
+        ("refused as not run", counts["not_run"]),
+        ("outcome unknown", counts["unknown"] + counts["gave_up"]),
+        ("non-idempotent requests run twice", broken[Promise.ONCE]),
+        ("packets that reached a wrong service", broken[Promise.SERVICE]),
+        ("flows opened", counts["flows"]),
+        ("streams held, events received", _streams(counts)),
+        ("flows broken by planned changes", broken[Promise.FLOWS]),
+        ("requests cut by planned changes", broken[Promise.GRACEFUL]),
+    ]
+    rows += [
+        (f"imbalance of {service.name}", _imbalance_text(evidence, service, story))
+        for service in shape.services
+    ]
+    in_force = ", ".join(f"{seconds:.2f}" for seconds in story.in_force_s)
+    rows.append(("seconds until changes were in force everywhere", in_force))
+    print()
+    for name, value in rows:
+        print(f"{name:<50} {value}")
+
+
+def _streams(counts: dict[str, int]) -> str:
+    return f"{counts['streams']}, {counts['stream_events']}"
+
+
+def _imbalance_text(evidence: Evidence, service: ServicePlan, story: Story) -> str:
+    imbalance = _imbalance(evidence, service, story.drained)
+    return f"{imbalance.median:.2f} (median of {imbalance.windows} seconds)"
--- a/standins/target.py
+++ b/standins/target.py
@@ -9,7 +9,7 @@
 import random
 import socket
 import time
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Iterator
 from contextlib import contextmanager
 from typing import Any
 from urllib.parse import parse_qs
@@ -23,30 +23,22 @@
 from standins.payload import make_answer, make_event
 from standins.process import run_until_stopped
 from standins.target_state import Run, TargetSettings, TargetState, WorkRequest
+from standins.wsgi import (
+    STATUS_LINES,
+    Body,
+    Environ,
+    StartResponse,
+    read_body,
+    reply,
+)
 
 __all__ = ["TargetServer", "main"]
 
 _SOCKET_KEY = "standins.socket"
 _NOT_RUN = ("Endivepick-Not-Run", "true")
 _RETRY_AFTER = ("Retry-After", "1")
-_MAX_BODY_BYTES = 2**20
 _MAX_EVENTS = 1_000_000
 _PIECE_BYTES = 2**16
-_STATUS = {
-    200: "200 OK",
-    400: "400 Bad Request",
-    404: "404 Not Found",
-    413: "413 Content Too Large",
-    421: "421 Misdirected Request",
-    499: "499 Cancelled",
-    500: "500 Internal Server Error",
-    503: "503 Service Unavailable",
-    504: "504 Gateway Timeout",
-}
-
-Environ = dict[str, Any]
-StartResponse = Callable[[str, list[tuple[str, str]]], Any]
-Body = Iterable[bytes]
 
 
 class _Handler(WSGIHandler):
@@ -115,25 +107,25 @@
                 return self._health(start_response)
             case "GET", ["load"]:
                 connections = len(self.server.pool)
-                return _reply(start_response, 200, self.state.load(connections))
+                return reply(start_response, 200, self.state.load(connections))
             case "DELETE", ["requests", key]:
                 status = 200 if self.state.cancel(key) else 404
-                return _reply(start_response, status, {"key": key})
+                return reply(start_response, status, {"key": key})
             case "PUT", ["control"]:
                 return self._control(environ, start_response)
-        return _reply(start_response, 404, {"error": f"no {method} {path}"})
+        return reply(start_response, 404, {"error": f"no {method} {path}"})
 
     def _health(self, start_response: StartResponse) -> Body:
         health = self.state.health()
         status = 500 if health["state"] == "error" else 200
-        return _reply(start_response, status, health)
+        return reply(start_response, status, health)
 
     def _control(self, environ: Environ, start_response: StartResponse) -> Body:
         try:
-            control = self.state.update_control(json.loads(_read_body(environ)))
+            control = self.state.update_control(json.loads(read_body(environ)))
         except (ValueError, TypeError, msgspec.ValidationError) as error:
-            return _reply(start_response, 400, {"error": str(error)})
-        return _reply(start_response, 200, msgspec.structs.asdict(control))
+            return reply(start_response, 400, {"error": str(error)})
+        return reply(start_response, 200, msgspec.structs.asdict(control))
 
     def _is_own(self, environ: Environ) -> bool:
         incarnation = environ.get("HTTP_ENDIVEPICK_TARGET_INCARNATION", "")
@@ -144,17 +136,17 @@
 
     def _misdirected(self, run: Run, start_response: StartResponse) -> Body:
         self.state.log("misdirected", **run.log_fields())
-        return _reply(start_response, 421, self.state.health())
+        return reply(start_response, 421, self.state.health())
 
     def _work(self, environ: Environ, start_response: StartResponse) -> Body:
         received_s = time.monotonic()
         run = _run_of(environ)
         try:
-            body = _read_body(environ)
+            body = read_body(environ)
             request = msgspec.json.decode(body or b"{}", type=WorkRequest)
             deadline_s = received_s + _deadline_ms(environ) / 1000
         except (ValueError, msgspec.DecodeError) as error:
-            return _reply(start_response, 400, {"error": str(error)})
+            return reply(start_response, 400, {"error": str(error)})
         run.echo = request.echo
         if not self._is_own(environ):
             return self._misdirected(run, start_response)
@@ -166,12 +158,12 @@
                 return self._answer(request, connection, start_response)
             case "shed":
                 headers = [_NOT_RUN, _RETRY_AFTER]
-                return _reply(start_response, 503, {"error": "shed"}, headers)
+                return reply(start_response, 503, {"error": "shed"}, headers)
             case "late":
-                return _reply(start_response, 504, {"error": "late"}, [_NOT_RUN])
+                return reply(start_response, 504, {"error": "late"}, [_NOT_RUN])
             case "dropped":
-                return _reply(start_response, 499, {"error": "cancelled"}, [_NOT_RUN])
-        return _reply(start_response, 499, {"error": "cancelled"})
+                return reply(start_response, 499, {"error": "cancelled"}, [_NOT_RUN])
+        return reply(start_response, 499, {"error": "cancelled"})
 
     def _answer(
         self,
@@ -196,7 +188,7 @@
             ("Content-Type", "application/octet-stream"),
             ("Content-Length", str(len(body))),
         ]
-        start_response(_STATUS[200], headers)
+        start_response(STATUS_LINES[200], headers)
         return (
             body[start : start + _PIECE_BYTES]
             for start in range(0, len(body), _PIECE_BYTES)
@@ -210,16 +202,16 @@
             interval_ms = float(query.get("interval_ms", ["100"])[0])
             last_id = int(environ.get("HTTP_LAST_EVENT_ID") or 0)
         except ValueError as error:
-            return _reply(start_response, 400, {"error": str(error)})
+            return reply(start_response, 400, {"error": str(error)})
         run.echo = query.get("echo", [""])[0]
         if not self._is_own(environ):
             return self._misdirected(run, start_response)
         if self.state.control.shed:
             self.state.log("shed", **run.log_fields())
             headers = [_NOT_RUN, _RETRY_AFTER]
-            return _reply(start_response, 503, {"error": "shed"}, headers)
+            return reply(start_response, 503, {"error": "shed"}, headers)
         headers = [("Content-Type", "text/event-stream"), ("Cache-Control", "no-store")]
-        start_response(_STATUS[200], headers)
+        start_response(STATUS_LINES[200], headers)
         numbers = range(last_id + 1, count + 1)
         return self._stream(run, numbers, interval_ms / 1000, environ[_SOCKET_KEY])
 
@@ -259,25 +251,6 @@
     return float(environ.get("HTTP_ENDIVEPICK_DEADLINE_MS") or "inf")
 
 
-def _read_body(environ: Environ) -> bytes:
-    if int(environ.get("CONTENT_LENGTH") or 0) > _MAX_BODY_BYTES:
-        raise ValueError(f"send at most {_MAX_BODY_BYTES} bytes")
-    body: bytes = environ["wsgi.input"].read(_MAX_BODY_BYTES)
-    return body
-
-
-def _reply(
-    start_response: StartResponse,
-    status: int,
-    value: dict[str, Any],
-    headers: Iterable[tuple[str, str]] = (),
-) -> Body:
-    body = json.dumps(value).encode()
-    common = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
-    start_response(_STATUS[status], common + list(headers))
-    return [body]
-
-
 def main(**settings: Any) -> None:
     """Run a target until a signal or the end of its life.
 
