Let the daemon watch the platform by the library's watcher

The daemon had a loop of its own for lists and watches. It did not wait between lists after a watch had expired, so a platform whose lists lag behind its history got calls as fast as it answers, and it passed over Retry-After. Both were right in endivepick.platform.watcher already. Weighed mending the twin; taken: the daemon runs the watcher, the twin is gone.

Against the former loop the new test failed: no wait was recorded in 6 rounds of an expired watch and a lagging list. With the watcher each round waits. endivepick.daemon.tests.test_platform and endivepick.records.tests.test_processes pass.

--- a/endivepick/daemon/platform.py
+++ b/endivepick/daemon/platform.py
@@ -31,17 +31,16 @@
     WriteObject,
 )
 from endivepick.daemon.logs import PartLog
-from endivepick.errors import EndivepickError, WatchExpiredError
+from endivepick.errors import EndivepickError
 from endivepick.membership import ListedInstance
-from endivepick.platform.backoff import Backoff
+from endivepick.platform.answers import ObjectList, WatchResult
 from endivepick.platform.client import PlatformClient
-from endivepick.records.objects import KEYRING_KIND, SERVICE_KIND
+from endivepick.platform.watcher import Watcher, WatcherEvent, WatchFailed
 from endivepick.settings.address import parse_address
 from endivepick.settings.model import DaemonSettings
 
 __all__ = ["PlatformTask", "platform_task"]
 
-WATCHED_KINDS = (SERVICE_KIND, KEYRING_KIND)
 LIST_LESS_OFTEN_FACTOR = 5
 """How much less often an instance lists that does not watch."""
 _log = PartLog("platform")
@@ -70,6 +69,13 @@
         self._watch: gevent.Greenlet | None = None
         self._calls = Group()
         self._client = PlatformClient(self._settings, gevent.sleep, self._random.random)
+        self._watcher = Watcher(
+            self._settings,
+            self._client,
+            self._take,
+            gevent.sleep,
+            self._random.random,
+        )
 
     def close(self) -> None:
         """End all calls and close all connections."""
@@ -103,7 +109,7 @@
     def watch(self, after: int) -> None:
         """Begin to watch after a revision; list all objects first if it is 0."""
         self.stop_watching()
-        self._watch = gevent.spawn(self._run_watch, after)
+        self._watch = gevent.spawn(self._watcher.run, after)
 
     def stop_watching(self) -> None:
         """End the watch: peers bring the configuration."""
@@ -111,47 +117,15 @@
             self._watch.kill()
             self._watch = None
 
-    def _run_watch(self, revision: int) -> None:
-        """Watch, and list again when the watch has lost its place."""
-        backoff = Backoff(self._settings.backoff)
-        place: int | None = revision or None
-        while True:
-            if place is None:
-                place = self._list_all()
-            if place is not None:
-                place, failed = self._watch_once(place)
-                if not failed:
-                    backoff = backoff.succeeded()
-                    continue
-            self._deliver(PlatformCallFailed())
-            backoff = backoff.failed(self._random.random())
-            gevent.sleep(backoff.wait_s)
-
-    def _list_all(self) -> int | None:
-        revisions: list[int] = []
-        for kind in WATCHED_KINDS:
-            match self._client.list(kind):
-                case Success(listed):
-                    self._deliver(ObjectsListed(listed))
-                    revisions.append(listed.revision)
-                case Failure(error):
-                    _log.warning("list_failed", "objects not listed", reason=str(error))
-                    return None
-        return min(revisions)
-
-    def _watch_once(self, revision: int) -> tuple[int | None, bool]:
-        """Return where to go on (None: list again), and whether the call failed."""
-        match self._client.watch(WATCHED_KINDS, revision):
-            case Success(result):
-                self._deliver(ObjectsChanged(result))
-                return result.revision, False
-            case Failure(WatchExpiredError() as error):
-                _log.warning("watch_expired", "watch lost its place", reason=str(error))
-                return None, False
-            case Failure(error):
+    def _take(self, event: WatcherEvent) -> None:
+        match event:
+            case ObjectList():
+                self._deliver(ObjectsListed(event))
+            case WatchResult():
+                self._deliver(ObjectsChanged(event))
+            case WatchFailed(error=error):
                 _log.warning("watch_failed", "watch ended", reason=str(error))
-                return revision, True
-        raise AssertionError("watch returns a Result")
+                self._deliver(PlatformCallFailed())
 
     def run_instances(self) -> None:
         """List the instances again and again."""
--- /dev/null
+++ b/endivepick/daemon/tests/test_platform.py
@@ -0,0 +1,57 @@
+import unittest
+from unittest import mock
+
+import gevent
+from returns.result import Failure, Success
+
+from endivepick.core.events import ObjectsListed, PlatformCallFailed
+from endivepick.daemon import platform
+from endivepick.errors import WatchExpiredError
+from endivepick.platform.answers import ObjectList
+from endivepick.settings import parse_settings
+
+SETTINGS = """{
+    instance: {name: "entry-1", zone: "fukuoka"},
+    listen: {data_address: "127.0.0.1:0", peer_address: "127.0.0.1:0"},
+    platform: {address: "127.0.0.1:1"},
+    secrets: {peer_secret_hex: "000102030405060708090a0b0c0d0e0f"},
+}"""
+ROUNDS = 6
+
+
+class _LaggingPlatform:
+    """Lists from before the history that its watches still have."""
+
+    def __init__(self, *_):
+        self.lists = 0
+
+    def list(self, kind):
+        self.lists += 1
+        if self.lists > 2 * ROUNDS:
+            raise gevent.GreenletExit
+        return Success(ObjectList(kind, 3, ()))
+
+    def watch(self, kinds, after):
+        return Failure(WatchExpiredError("gone"))
+
+
+class PlatformTaskTest(unittest.TestCase):
+    def test_waits_between_lists_that_lag_behind_the_history(self):
+        settings = parse_settings(SETTINGS).unwrap()
+        events, waits_s = [], []
+        with (
+            mock.patch.object(platform, "PlatformClient", _LaggingPlatform),
+            mock.patch.object(platform.gevent, "sleep", waits_s.append),
+        ):
+            task = platform.PlatformTask(settings, events.append)
+            task.watch(0)
+            task._watch.join()
+        kinds = [type(event) for event in events]
+        self.assertEqual(kinds.count(ObjectsListed), 2 * ROUNDS)
+        self.assertEqual(kinds.count(PlatformCallFailed), ROUNDS)
+        self.assertEqual(len(waits_s), ROUNDS)
+        self.assertGreater(min(waits_s), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
