Let an instance find its peers without the platform's list

The list of instances is part of what an outage takes away. An instance that was replaced during one was stopped for its peers, so nobody probed its address, and it knew of nobody itself: it stayed not ready although its peers held the newest configuration. Weighed: letting peers probe stopped instances too (the old process is gone for good, and a new name or address would still not be found), and asking seeds only while no peer is known (instances that restart together would find just each other).

--- a/endivepick/core/actions.py
+++ b/endivepick/core/actions.py
@@ -15,6 +15,7 @@
     "Probe",
     "ReadinessChange",
     "RequestId",
+    "SendToAddress",
     "SendToCaller",
     "SendToPeer",
     "StartAttempt",
@@ -43,6 +44,14 @@
     message: Any
 
 
+@dataclass(frozen=True, slots=True)
+class SendToAddress:
+    """Send one message to the instance at an address, whose name is not known."""
+
+    peer_address: str
+    message: Any
+
+
 @dataclass(frozen=True, slots=True)
 class StartAttempt:
     """Send a request to a target.
@@ -179,6 +188,7 @@
 Action = (
     SendToCaller
     | SendToPeer
+    | SendToAddress
     | StartAttempt
     | CallPlatform
     | CancelAttempt
--- a/endivepick/core/member_actions.py
+++ b/endivepick/core/member_actions.py
@@ -2,13 +2,14 @@
 
 from collections.abc import Callable, Iterable
 
-from endivepick.core.actions import Action, Log, SendToPeer
+from endivepick.core.actions import Action, Log, SendToAddress, SendToPeer
 from endivepick.membership import Action as MembershipAction
 from endivepick.membership import (
     InstanceView,
     LeaveRequested,
     PeerChanged,
     Send,
+    SendToSeed,
     Superseded,
 )
 from endivepick.membership import Log as MembershipLog
@@ -51,6 +52,8 @@
         match action:
             case Send(to_name=to_name, message=message):
                 return [SendToPeer(to_name, message)]
+            case SendToSeed(peer_address=peer_address, message=message):
+                return [SendToAddress(peer_address, message)]
             case PeerChanged(old=old, new=new):
                 return [_describe(old, new), *self._on_changed(now_s)]
             case LeaveRequested() | Superseded():
--- a/endivepick/daemon/peers.py
+++ b/endivepick/daemon/peers.py
@@ -156,12 +156,18 @@
             return False
         return True
 
+    def send_to_address(self, address: str, message: AnyPeerMessage) -> bool:
+        """Send to the instance at an address, whatever its name is."""
+        return self.send(address, address, message)
+
     def _dealer(self, name: str, address: str) -> Any:
         known = self._dealers.get(name)
         if known is not None and known[0] == address:
             return known[1]
         self.forget(name)
-        dealer = self._connect(address)
+        # Once its name is known, an instance keeps the connection made without.
+        unnamed = self._dealers.pop(address, None)
+        dealer = unnamed[1] if unnamed else self._connect(address)
         self._dealers[name] = (address, dealer)
         return dealer
 
--- a/endivepick/daemon/performer.py
+++ b/endivepick/daemon/performer.py
@@ -11,6 +11,7 @@
     Log,
     Probe,
     ReadinessChange,
+    SendToAddress,
     SendToCaller,
     SendToPeer,
     StartAttempt,
@@ -86,6 +87,8 @@
                 self._tasks.fabric.send(caller, packet)
             case SendToPeer():
                 self._send_to_peer(action)
+            case SendToAddress(peer_address=peer_address, message=message):
+                self._tasks.peers.send_to_address(peer_address, message)
             case StartAttempt():
                 self._tasks.targets.start(action)
             case CancelAttempt():
--- a/endivepick/membership/__init__.py
+++ b/endivepick/membership/__init__.py
@@ -6,6 +6,7 @@
     Log,
     PeerChanged,
     Send,
+    SendToSeed,
     Superseded,
 )
 from endivepick.membership.core import Membership
@@ -25,5 +26,6 @@
     "PeerChanged",
     "PeerState",
     "Send",
+    "SendToSeed",
     "Superseded",
 ]
--- a/endivepick/membership/_loop.py
+++ b/endivepick/membership/_loop.py
@@ -5,7 +5,7 @@
 from itertools import count
 from random import Random
 
-from endivepick.membership.actions import Action, Send
+from endivepick.membership.actions import Action, Send, SendToSeed
 from endivepick.membership.core import Membership
 from endivepick.membership.peer_messages import MembershipMessage
 from endivepick.membership.settings import MembershipSettings
@@ -43,7 +43,8 @@
     ) -> Membership:
         """Start a node, in place of a former one of its name."""
         incarnation = self.random.getrandbits(64) | 1
-        address = f"127.0.0.1:{len(self.me)}"
+        former = self.me.get(name)
+        address = former.peer_address if former else f"127.0.0.1:{len(self.me)}"
         me = InstanceView(name, zone, incarnation, address, PeerState.ALIVE, ready)
         node = Membership(settings or MembershipSettings(), me, generation)
         self.me[name] = me
@@ -71,8 +72,15 @@
         """Record a node's actions and send its messages."""
         for action in actions:
             self.actions.append((self.now_s, name, action))
-            if isinstance(action, Send):
-                self._send(name, action.to_name, action.message)
+            match action:
+                case Send(to_name=to_name, message=message):
+                    self._send(name, to_name, message)
+                case SendToSeed(peer_address=address, message=message):
+                    for receiver in self._standing_at(address):
+                        self._send(name, receiver, message)
+
+    def _standing_at(self, peer_address: str) -> list[str]:
+        return [n for n, me in self.me.items() if me.peer_address == peer_address]
 
     def _send(self, sender: str, receiver: str, message: MembershipMessage) -> None:
         if self.random.random() < self.loss or self.is_cut(sender, receiver):
--- a/endivepick/membership/_outbox.py
+++ b/endivepick/membership/_outbox.py
@@ -1,6 +1,6 @@
 """Collects actions until the caller takes them."""
 
-from endivepick.membership.actions import Action, Log, Send
+from endivepick.membership.actions import Action, Log, Send, SendToSeed
 from endivepick.membership.peer_messages import MembershipMessage
 
 
@@ -18,6 +18,10 @@
         """Keep a message to a peer."""
         self._actions.append(Send(to_name, message))
 
+    def send_to_seed(self, peer_address: str, message: MembershipMessage) -> None:
+        """Keep a message to an address from the settings."""
+        self._actions.append(SendToSeed(peer_address, message))
+
     def log(self, text: str, peer: str = "") -> None:
         """Keep a log line; the prefix of the part is added here."""
         self._actions.append(Log(f"membership: {text}", peer))
--- a/endivepick/membership/actions.py
+++ b/endivepick/membership/actions.py
@@ -5,7 +5,15 @@
 from endivepick.membership.peer_messages import MembershipMessage
 from endivepick.membership.view import InstanceView
 
-__all__ = ["Action", "LeaveRequested", "Log", "PeerChanged", "Send", "Superseded"]
+__all__ = [
+    "Action",
+    "LeaveRequested",
+    "Log",
+    "PeerChanged",
+    "Send",
+    "SendToSeed",
+    "Superseded",
+]
 
 
 @dataclass(frozen=True)
@@ -24,6 +32,22 @@
     message: MembershipMessage
 
 
+@dataclass(frozen=True)
+class SendToSeed:
+    """Send a message to whatever instance stands at an address; it may be lost.
+
+    Attributes
+    ----------
+    peer_address : str
+        ``host:port`` from the settings.
+    message : MembershipMessage
+        What to send.
+    """
+
+    peer_address: str
+    message: MembershipMessage
+
+
 @dataclass(frozen=True)
 class PeerChanged:
     """The belief about a peer changed.
@@ -74,4 +98,4 @@
     peer: str = ""
 
 
-Action = Send | PeerChanged | Superseded | LeaveRequested | Log
+Action = Send | SendToSeed | PeerChanged | Superseded | LeaveRequested | Log
--- a/endivepick/membership/core.py
+++ b/endivepick/membership/core.py
@@ -7,6 +7,7 @@
 from endivepick.membership._own import OwnStatus
 from endivepick.membership._prober import Prober
 from endivepick.membership._questions import DeathQuestions
+from endivepick.membership._seeds import Seeds
 from endivepick.membership._sync import Synchroniser
 from endivepick.membership._table import MemberTable
 from endivepick.membership.actions import Action, LeaveRequested
@@ -73,6 +74,7 @@
         parts = (settings, self._table, self._departed, self._outbox)
         self._prober = Prober(*parts)
         self._sync = Synchroniser(*parts)
+        self._seeds = Seeds(settings, self._table, self._outbox)
         self._now_s: float | None = None
         self._started_s = 0.0
         self._next_prune_s = float("-inf")
@@ -136,6 +138,7 @@
         """
         self._enter(now_s)
         self._sync.tick(now_s, random_number)
+        self._seeds.tick(now_s, random_number)
         if self._prober.tick(now_s, random_number):
             self._table.losses.tick(now_s)
             for name in self._table.timers.expired(now_s, self._table.members):
@@ -150,6 +153,7 @@
     ) -> list[Action]:
         """Take the platform's list of instances, which lags by ``age_s``."""
         self._enter(now_s)
+        self._seeds.needed = False
         listed = {entry.name: entry for entry in entries}
         me = listed.pop(self._own.name, None)
         if me is not None and me.leaving:
--- a/endivepick/membership/settings.py
+++ b/endivepick/membership/settings.py
@@ -64,6 +64,8 @@
         Entries at which a page ends; it exceeds them by one bucket at most.
     unknown_dead_after_s : float
         Time after which an incarnation that nobody knows counts as dead, in seconds.
+    seed_addresses : tuple of str
+        ``host:port`` of peers to ask while the platform's list cannot be had.
     """
 
     probe_period_s: float = 0.25
@@ -92,3 +94,4 @@
     sync_period_s: float = 10.0
     sync_page_entries: int = 32
     unknown_dead_after_s: float = 6.0
+    seed_addresses: tuple[str, ...] = ()
--- a/endivepick/settings/explain.py
+++ b/endivepick/settings/explain.py
@@ -20,6 +20,7 @@
     "_share_limit": "share",
     "_hex": "hexadecimal digits",
     "_address": "host:port",
+    "_addresses": "list of host:port",
 }
 _TITLE = """# Settings
 
@@ -62,7 +63,13 @@
 
 
 def _literal(value: Any) -> str:
-    return f'"{value}"' if isinstance(value, str) else f"{value:.10g}"
+    match value:
+        case str():
+            return f'"{value}"'
+        case tuple():
+            return f"[{', '.join(map(_literal, value))}]"
+        case _:
+            return f"{value:.10g}"
 
 
 def _sections() -> Iterator[tuple[str, Any]]:
--- a/endivepick/settings/reader.py
+++ b/endivepick/settings/reader.py
@@ -163,6 +163,9 @@
         case "model_type":
             found = type(details["input"]).__name__
             return f"wrong type ({found})", "Write an object: {key: value, ...}."
+        case "tuple_type":
+            found = type(details["input"]).__name__
+            return f"wrong type ({found})", "Write a list: [value, ...]."
         case "finite_number":
             return "the value is not finite", "Use a finite number."
     wanted = details["msg"].removeprefix("Input should be ")
--- a/endivepick/settings/schema.py
+++ b/endivepick/settings/schema.py
@@ -2,7 +2,7 @@
 
 from typing import Annotated
 
-from pydantic import AfterValidator, BaseModel, ConfigDict, Field
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, Strict
 
 from endivepick.settings import model
 from endivepick.settings.address import parse_address
@@ -39,6 +39,8 @@
 
 _ListenAddress = Annotated[str, AfterValidator(_check_listen_address)]
 _RemoteAddress = Annotated[str, AfterValidator(_check_remote_address)]
+_RemoteAddresses = Annotated[tuple[_RemoteAddress, ...], Strict(False)]
+"""Tuple made from the list of a file."""
 _OptionalHost = Annotated[str, AfterValidator(_check_optional_host)]
 _OptionalAddress = Annotated[str, AfterValidator(_check_optional_address)]
 
@@ -227,6 +229,12 @@
         le=600,
         description="Period of comparing the view with a random peer.",
     )
+    seed_addresses: _RemoteAddresses = Field(
+        default=model.MembershipSettings.seed_addresses,
+        max_length=64,
+        description="Peer addresses of other instances; asked by an instance that "
+        "starts while the platform's list of instances cannot be had.",
+    )
 
 
 class RecordsModel(_Group):
--- a/endivepick/settings/tests/test_reader.py
+++ b/endivepick/settings/tests/test_reader.py
@@ -29,6 +29,8 @@
     ("fabric: {return_address: '1.2.3.4:0'}", 6, "fabric.return_address", "port"),
     ("flow: {}, flow: {}", 6, "flow", "Keep one of them"),
     ("flow: {window_size: 64}", 6, "flow.outstanding_requests_max", "at most"),
+    ('membership: {seed_addresses: "a:1"}', 6, "membership.seed_addresses", "list"),
+    ('membership: {seed_addresses: ["a:1"]}', 6, "membership.seed_addresses.0", "IPv4"),
     ("dispatch: {ejection_s: 0}", 6, "dispatch.ejection_s", "more than 0."),
     ("dispatch: {ejection_s: 61}", 6, "dispatch.ejection_limit_s", "at least 61"),
     (
