Tell instances of each other's addresses, and restart them at the same ones

Tests of a restart during an outage need what operators have: the peer addresses in the settings, and instances that come back at the address that others know. Addresses chosen before the start were weighed for the installation without fault proxy; somebody else may take a free port meanwhile, so there the addresses of instances that ran already are given. Routes of the fault proxy are made before the first instance starts.

--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -19,6 +19,7 @@
 from standins.clustersettings import (
     ClusterSettings,
     Endpoints,
+    InstanceAddresses,
     daemon_settings,
     keyring_body,
     record_body,
@@ -64,6 +65,8 @@
         self.targets: dict[str, Target] = {}
         self.faults: FaultsHandle | None = None
         self._leaving: set[str] = set()
+        self._peer_addresses: dict[str, str] = {}
+        self._last_ready: dict[str, dict[str, Any]] = {}
 
     def start(self) -> None:
         """Start everything and wait until all instances are ready."""
@@ -87,6 +90,8 @@
             proxy = self.launcher.spawn_standin("faultproxy", {})
             proxy.wait_ready()
             self.faults = FaultsHandle(proxy, self.shape)
+            for plan in self.shape.instances:
+                self._peer_route(plan, _NO_ADDRESS)
         self.fabric.wait_ready()
         self._endpoints = Endpoints(
             platform=self._route("platform", PLATFORM_ZONE, self.platform.api),
@@ -145,13 +150,22 @@
         """Address that callers send to."""
         return str(self.fabric.ready["addresses"]["callers"][0])
 
-    def start_instances(self, names: Iterable[str]) -> None:
-        """Start instances of the shape at once and wait until all are ready."""
+    def start_instances(self, names: Iterable[str], same_ports: bool = False) -> None:
+        """Start instances of the shape at once and wait until all are ready.
+
+        Parameters
+        ----------
+        names : iterable of str
+            Names of the instances.
+        same_ports : bool
+            Bind the addresses of their last run, so that whoever knew them finds
+            them without the platform's list.
+        """
         wanted = set(names)
         plans = [plan for plan in self.shape.instances if plan.name in wanted]
-        spawned = [(plan, *self._spawn_instance(plan)) for plan in plans]
+        spawned = [(plan, *self._spawn_instance(plan, same_ports)) for plan in plans]
         for plan, process, log in spawned:
-            process.wait_ready()
+            self._last_ready[plan.name] = process.wait_ready()
             listed = self._listed(plan, process)
             self.instances[plan.name] = Instance(plan, process, listed, log)
             self._leaving.discard(plan.name)
@@ -213,21 +227,34 @@
             listed.append(replace(instance.listed, state=state))
         self.platform.list_instances(listed)
 
-    def _spawn_instance(self, plan: InstancePlan) -> tuple[ChildProcess, Path]:
+    def _spawn_instance(
+        self, plan: InstancePlan, same_ports: bool
+    ) -> tuple[ChildProcess, Path]:
         log = self.launcher.log_path("instances", plan.name)
-        # Its peers have to be told the proxy's address from the first message on.
-        advertised = self._peer_route(plan, _NO_ADDRESS) if self.faults else ""
-        settings = daemon_settings(
-            self.settings, plan, self._endpoints, log, advertised
-        )
+        addresses = self._addresses_of(plan, same_ports)
+        settings = daemon_settings(self.settings, plan, self._endpoints, log, addresses)
         path = self.launcher.write_settings(plan.name, settings)
         process = self.launcher.spawn(
             plan.name, "endivepick.daemon", [f"--settings={path}"]
         )
         return process, log
 
+    def _addresses_of(self, plan: InstancePlan, same_ports: bool) -> InstanceAddresses:
+        last = self._last_ready.get(plan.name, {}) if same_ports else {}
+        seeds = [a for n, a in self._peer_addresses.items() if n != plan.name]
+        return InstanceAddresses(
+            data=last.get("data_address", ""),
+            peer=last.get("peer_address", ""),
+            # Its peers have to be told the proxy's address from the first message on.
+            advertised=self._peer_addresses[plan.name] if self.faults else "",
+            seeds=tuple(seeds),
+        )
+
     def _peer_route(self, plan: InstancePlan, address: str) -> str:
-        return self._route(f"peer:{plan.name}", plan.zone, address)
+        """Return where peers connect to so that they reach ``address``."""
+        route = self._route(f"peer:{plan.name}", plan.zone, address)
+        self._peer_addresses[plan.name] = route
+        return route
 
     def _listed(self, plan: InstancePlan, process: ChildProcess) -> ListedInstance:
         peer_address = process.ready["peer_address"]
--- a/standins/clustersettings.py
+++ b/standins/clustersettings.py
@@ -11,6 +11,7 @@
 __all__ = [
     "ClusterSettings",
     "Endpoints",
+    "InstanceAddresses",
     "daemon_settings",
     "keyring_body",
     "record_body",
@@ -61,25 +62,43 @@
     fabric_return: str
 
 
+@dataclass(frozen=True)
+class InstanceAddresses:
+    """Addresses of one instance; empty ones are left to the system.
+
+    Attributes
+    ----------
+    data, peer : str
+        Addresses to bind, those of its last run.
+    advertised : str
+        Where peers connect to, if they go through the fault proxy.
+    seeds : tuple of str
+        Peer addresses of the other instances, as far as they are known.
+    """
+
+    data: str = ""
+    peer: str = ""
+    advertised: str = ""
+    seeds: tuple[str, ...] = ()
+
+
 def daemon_settings(
     settings: ClusterSettings,
     plan: InstancePlan,
     endpoints: Endpoints,
     log: Path,
-    advertised_peer_address: str,
+    addresses: "InstanceAddresses",
 ) -> dict[str, dict[str, Any]]:
-    """Return the settings file of an instance.
-
-    ``advertised_peer_address`` is empty unless peers go through the fault proxy.
-    """
+    """Return the settings file of an instance."""
     groups: dict[str, dict[str, Any]] = {
         "instance": {"name": plan.name, "zone": plan.zone},
         "listen": {
-            "data_address": f"{plan.host}:0",
-            "peer_address": f"{plan.host}:0",
+            "data_address": addresses.data or f"{plan.host}:0",
+            "peer_address": addresses.peer or f"{plan.host}:0",
             "http_address": f"{plan.host}:0",
-            "advertised_peer_address": advertised_peer_address,
+            "advertised_peer_address": addresses.advertised,
         },
+        "membership": {"seed_addresses": list(addresses.seeds)},
         "platform": {"address": endpoints.platform},
         "fabric": {"return_address": endpoints.fabric_return},
         "log": {"path": str(log)},
