Follow a chain of successors past one that has left

Cause, first: an instance that still drains passes packets of the flows it has handed over on to their taker. Once the taker had itself handed them on and stopped, the first giver took it for lost and gave the flow a new binding, although the taker had announced its successor. Second: a chain of announcements was cut where a step did not have a larger order than the one before. Two givers that announce without having heard of each other use the same order, so that the first one's tokens led to a stopped instance.

Weighed for the second: carrying an order in each hand-over (one more field and one more way to be late); following the chain whatever the orders. An incarnation that leaves takes no flow, so a chain cannot come back; the order now only ends one that does. A packet whose holder would be an instance that gave the flow away never finds an empty window there.

--- a/endivepick/core/relay.py
+++ b/endivepick/core/relay.py
@@ -16,7 +16,14 @@
 from endivepick.core.peer_messages import RelayedPacket
 from endivepick.core.token import FlowToken, TokenCodec
 
-__all__ = ["Holder", "HolderLost", "HolderSilent", "Peers", "Relay"]
+__all__ = [
+    "Holder",
+    "HolderLost",
+    "HolderSilent",
+    "Peers",
+    "Relay",
+    "Whereabouts",
+]
 
 HOPS_MAX = 4
 """Instances that a datagram may pass before it is given up."""
@@ -102,8 +109,12 @@
     def locate(self, token: FlowToken) -> Whereabouts:
         """Find the holder of a token's binding."""
         named = Identity(token.owner, token.owner_incarnation)
-        successor = self._peers.successor_of(token.owner_incarnation, token.service)
-        holder = successor or named
+        return self.follow(named, token.service)
+
+    def follow(self, holder: Identity, service: str) -> Whereabouts:
+        """Find who holds the flows of a service that an instance has held."""
+        successor = self._peers.successor_of(holder.incarnation, service)
+        holder = successor or holder
         if holder == self._me:
             return Holder(holder)
         if self.is_lost(holder):
--- a/endivepick/core/router.py
+++ b/endivepick/core/router.py
@@ -4,7 +4,13 @@
 from endivepick.core.flow_table import FlowTable, Identity
 from endivepick.core.messages import CallerAddress, CallerPacket, Open
 from endivepick.core.owner import FlowOwner, TokenPacket
-from endivepick.core.relay import Holder, HolderLost, HolderSilent, Relay
+from endivepick.core.relay import (
+    Holder,
+    HolderLost,
+    HolderSilent,
+    Relay,
+    Whereabouts,
+)
 from endivepick.core.roles import ServiceRoles
 from endivepick.core.token import UNKNOWN_KEY, FlowToken, TokenCodec
 from endivepick.errors import TokenInvalidError
@@ -106,12 +112,9 @@
                 raise
             # The keyring is on its way here; the caller sends again by itself.
             return [Count("packets_dropped", UNKNOWN_KEY)]
-        successor = self._table.successor(token.binding)
-        if successor is not None:
-            return self._pass_on(successor, token, caller, hops, datagram, now_s)
         if self._table.get(token.binding) is not None:
             return self._handle_here(token, packet, caller, now_s)
-        match self._relay.locate(token):
+        match self._locate(token):
             case Holder(identity=identity) if identity == self._me:
                 return self._handle_as_holder(token, packet, caller, now_s)
             case Holder(identity=identity):
@@ -122,19 +125,11 @@
             case HolderLost():
                 return self._relay.reissue_after_loss(token, caller, now_s)
 
-    def _pass_on(
-        self,
-        successor: Identity,
-        token: FlowToken,
-        caller: CallerAddress,
-        hops: int,
-        datagram: bytes,
-        now_s: float,
-    ) -> list[Action]:
-        """Forward a packet of a flow that was handed over from here."""
-        if self._relay.is_lost(successor):
-            return self._relay.reissue_after_loss(token, caller, now_s)
-        return self._relay.forward(successor, caller, hops, datagram)
+    def _locate(self, token: FlowToken) -> Whereabouts:
+        taker = self._table.successor(token.binding)
+        if taker is None:
+            return self._relay.locate(token)
+        return self._relay.follow(taker, token.service)
 
     def _handle_as_holder(
         self,
@@ -143,8 +138,10 @@
         caller: CallerAddress,
         now_s: float,
     ) -> list[Action]:
-        if token.owner_incarnation != self._me.incarnation:
-            # A predecessor handed its flows over, but this one did not arrive.
+        issued_here = token.owner_incarnation == self._me.incarnation
+        if not issued_here or self._table.successor(token.binding) is not None:
+            # A predecessor handed its flows over, but this one did not arrive; or
+            # it was handed on from here, so that an empty window would be a second.
             return self._relay.reissue_after_loss(token, caller, now_s)
         return self._handle_here(token, packet, caller, now_s)
 
--- a/endivepick/membership/_departed.py
+++ b/endivepick/membership/_departed.py
@@ -88,17 +88,20 @@
     def successor_of(self, incarnation: int, service: str) -> tuple[str, int] | None:
         """Return the last holder in the chain of hand-overs, or None.
 
-        Each step needs a larger order than the one before, so that a chain which
-        comes back to an earlier holder ends there.
+        Two givers may have announced without knowing of each other, so the order
+        does not cut a chain; it only ends one that comes back to an earlier holder.
         """
-        successor = None
-        order = 0
-        entry = self._entries.get((incarnation, service))
-        while entry is not None and entry.order > order:
-            order = entry.order
-            successor = (entry.to_name, entry.to_incarnation)
-            entry = self._entries.get((entry.to_incarnation, service))
-        return successor
+        path: dict[_Key, _Entry] = {}
+        key = (incarnation, service)
+        while key in self._entries and key not in path:
+            path[key] = self._entries[key]
+            key = (path[key].to_incarnation, service)
+        if not path:
+            return None
+        last = next(reversed(path.values()))
+        if key in path:
+            last = max(path.values(), key=lambda entry: entry.order)
+        return last.to_name, last.to_incarnation
 
     def take_news(self, now_s: float, count: int) -> list[HandedOver]:
         """Return the piggy-backed hand-overs of one message."""
--- a/endivepick/membership/tests/test_membership.py
+++ b/endivepick/membership/tests/test_membership.py
@@ -374,6 +374,17 @@
             )
             self.assertIsNone(node.successor_of(first.incarnation, "packs"))
 
+    def test_chain_of_givers_that_did_not_know_of_each_other(self):
+        loop = started(3)
+        me = {name: identity.incarnation for name, identity in loop.me.items()}
+        for giver, taker in (("entry-0", "entry-1"), ("entry-1", "entry-2")):
+            node = loop.nodes[giver]
+            loop.carry_out(giver, node.announce_hand_over("notes", taker, me[taker]))
+        loop.run(5)
+        for node in loop.nodes.values():
+            successor = node.successor_of(me["entry-0"], "notes")
+            self.assertEqual(successor, ("entry-2", me["entry-2"]))
+
     def test_chain_that_comes_back_ends_at_its_last_holder(self):
         loop = started(3)
         self.hand_over(loop, "entry-0", "entry-1")
