--- a/endivepick/core/keyring.py
+++ b/endivepick/core/keyring.py
@@ -1,7 +1,8 @@
-"""Keys for flow tokens and the rules of their rotation.
+"""Keys for flow tokens.
 
 A key passes through three stages: *pending* (held, verifies, does not sign),
-*current* (signs), *earlier* (verifies until no token of it can be valid).
+*current* (signs), *earlier* (verifies until no token of it can be valid);
+see `endivepick.core.key_rotation`.
 
 Examples
 --------
@@ -19,39 +20,23 @@
 from typing import Any
 
 import pydantic
-from returns.result import Failure, Result, Success
 
-from endivepick.errors import (
-    EndivepickError,
-    RecordInvalidError,
-    TokenInvalidError,
-)
-from endivepick.membership.view import InstanceView, PeerState
+from endivepick.errors import RecordInvalidError
 
 __all__ = [
     "KEY_SIZE_BYTES",
-    "KeyActivationRefusedError",
     "Keyring",
     "MAC_SIZE_BYTES",
     "TokenKey",
-    "UNKNOWN_KEY_REASON",
-    "activate_pending",
     "add_pending",
     "first_keyring",
     "keyring_from_body",
     "keyring_to_body",
-    "may_activate",
-    "retire_old",
 ]
 
 KEY_SIZE_BYTES = 32
 MAC_SIZE_BYTES = 16
 SCHEMA_VERSION = 1
-UNKNOWN_KEY_REASON = "unknown_key"
-
-
-class KeyActivationRefusedError(EndivepickError):
-    """The pending key can't become the current one yet; names who lacks it."""
 
 
 @dataclass(frozen=True)
@@ -101,17 +86,12 @@
     def verify(self, key_id: int, data: bytes, mac: bytes) -> bool:
         """Tell whether a MAC is genuine, in constant time.
 
-        Raises
-        ------
-        TokenInvalidError
-            With reason ``unknown_key`` if the key is not here: fetch the keyring
-            and let the caller come back.  The flow is not lost by it.
+        An unknown ``key_id`` gives False; ask ``holds`` first to tell it from a
+        forged token.
         """
         key = self.keys.get(key_id)
         if key is None:
-            raise TokenInvalidError(
-                UNKNOWN_KEY_REASON, "Come back when this instance has the new keyring."
-            )
+            return False
         return hmac.compare_digest(_mac(key.secret, data), mac)
 
     def holds(self, key_id: int) -> bool:
@@ -161,101 +141,10 @@
     return replace(keyring, keys={**keyring.keys, key.key_id: key})
 
 
-def may_activate(
-    keyring: Keyring,
-    version: int,
-    versions_in_force: Mapping[tuple[str, int], int],
-    view: Mapping[str, InstanceView],
-) -> Result[TokenKey, KeyActivationRefusedError]:
-    """Decide whether the pending key may become the current one.
-
-    Parameters
-    ----------
-    keyring : Keyring
-        Keyring with a pending key.
-    version : int
-        Version of the platform's object that holds this keyring.
-    versions_in_force : mapping of (str, int) to int
-        By instance name and incarnation, the version of the keyring object that
-        the instance reported to hold.
-    view : mapping of str to InstanceView
-        All known instances.
-
-    Returns
-    -------
-    Result
-        The pending key, or the error that names the instances without it.
-    """
-    pending = keyring.pending
-    if pending is None:
-        return Failure(KeyActivationRefusedError("Add a pending key first."))
-    reachable = [one for one in view.values() if one.state is not PeerState.DEAD]
-    if not reachable:
-        return Failure(
-            KeyActivationRefusedError("Wait until an instance is seen, then retry.")
-        )
-    lacking = [
-        one.name
-        for one in reachable
-        if versions_in_force.get((one.name, one.incarnation), 0) < version
-    ]
-    if lacking:
-        return Failure(
-            KeyActivationRefusedError(
-                f"Wait until key {pending.key_id} reached {', '.join(sorted(lacking))}"
-                " or stop these instances."
-            )
-        )
-    return Success(pending)
-
-
-def activate_pending(keyring: Keyring, now_s: float) -> Keyring:
-    """Return the keyring in which the pending key signs.
-
-    Call it only after ``may_activate`` succeeded, and write the result with a
-    conditional update on the version that was decided on.
-    """
-    pending = keyring.pending
-    if pending is None:
-        return keyring
-    replaced = replace(keyring.keys[keyring.current], replaced_at_s=now_s)
-    keys = {**keyring.keys, replaced.key_id: replaced}
-    return Keyring(current=pending.key_id, keys=keys)
-
-
-def retire_old(
-    keyring: Keyring,
-    token_lifetime_s: float,
-    cut_off_allowance_s: float,
-    now_s: float,
-) -> Keyring:
-    """Return the keyring without keys of which no token can be valid.
-
-    Parameters
-    ----------
-    keyring : Keyring
-        Present keyring.
-    token_lifetime_s : float
-        Longest validity of a token, clock error included, in seconds.
-    cut_off_allowance_s : float
-        How long an instance that missed the rotation may have gone on signing
-        with the earlier key, in seconds.
-    now_s : float
-        Present time, in seconds since the epoch.
-    """
-    oldest_s = now_s - token_lifetime_s - cut_off_allowance_s
-    keys = {
-        key.key_id: key
-        for key in keyring.keys.values()
-        if key.replaced_at_s is None or key.replaced_at_s >= oldest_s
-    }
-    return replace(keyring, keys=keys)
-
-
 class _KeyBody(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra="forbid")
 
-    key_id: int = pydantic.Field(ge=1, lt=2**16)
+    key_id: int = pydantic.Field(ge=1, lt=2**32)
     secret_hex: str = pydantic.Field(pattern=rf"^[0-9a-f]{{{2 * KEY_SIZE_BYTES}}}$")
     created_at_s: float = pydantic.Field(ge=0, allow_inf_nan=False)
     replaced_at_s: float | None = pydantic.Field(None, ge=0, allow_inf_nan=False)
