Give the model's relay the zones of services

The relay asks for the zones of a service's targets since it chooses owners near them; the model passes none, so that all its instances are candidates. Its documentation example runs again.

--- a/endivepick/model/_node.py
+++ b/endivepick/model/_node.py
@@ -114,7 +114,7 @@
         self.owner = parts.owner(
             SETTINGS, self.table, CODEC, self._executor, _no_chance
         )
-        relay = parts.relay(self.me, self.peers, CODEC, ids, 1.0)
+        relay = parts.relay(self.me, self.peers, CODEC, ids, 1.0, _no_zones)
         self._router = parts.router(
             self.me, CODEC, self.table, self.owner, relay, AllServices()
         )
@@ -204,5 +204,9 @@
         return []
 
 
+def _no_zones(service: str) -> frozenset[str]:
+    return frozenset()
+
+
 def _no_chance() -> float:
     return 0.5
