--- a/endivepick/membership/core.py
+++ b/endivepick/membership/core.py
@@ -127,7 +127,7 @@
         Parameters
         ----------
         now_s : float
-            Present time of a clock that does not stop in a pause, in seconds.
+            Present time of a clock that neither goes back nor stops, in seconds.
         random_number : int
             Fresh random number of 64 bits.
 
