Run drawn failures under load, judged from the logs alone

Kills, freezes, planned stops, zone cuts, platform outages, a bad fabric, broken and restarted targets and racing writers, up to three at once, drawn from a seed that is printed. The checker reads only the logs of callers, targets and platform.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint format model bench capacity clean
+.PHONY: demo test lint format model bench capacity combined clean
 
 $(STAMP): pyproject.toml constraints.txt
 	python3 -m venv $(VENV)
@@ -24,6 +24,10 @@
 	$(VENV)/bin/ruff format .
 	$(VENV)/bin/ruff check --fix .
 
+# Drawn failures under load; SEED repeats a run, RUN_S says how long.
+combined: $(STAMP)
+	$(PY) -m standins.combined --shape=$(or $(SHAPE),small) --seed=$(or $(SEED),0) --run_s=$(or $(RUN_S),30)
+
 model: $(STAMP)
 	$(PY) -m endivepick.model
 
--- a/endivepick/core/token.py
+++ b/endivepick/core/token.py
@@ -65,7 +65,7 @@
     """Signs and verifies flow tokens.
 
     A token on the wire is the key id in four bytes, the MessagePack array and a
-    16-byte message authentication code over both.
+    16-byte message authentication code over the array.
 
     Parameters
     ----------
--- /dev/null
+++ b/standins/combined.py
@@ -0,0 +1,333 @@
+"""Randomized run: failures one by one, twice and together, under load.
+
+``python -m standins.combined --shape=small --seed=7 --run_s=30`` draws failures
+from a seed, which it prints first, so that a run can be repeated.  The checker
+then reads only the logs of callers, targets and platform.  Promises that hold
+under any failure are judged; broken flows are not, since nothing here is planned.
+"""
+
+import random
+import sys
+import threading
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+import fire
+
+from standins.checker import Disturbance, Promise, Report, Violation, check
+from standins.cluster import Cluster, ClusterSettings, cluster
+from standins.demo import start_callers, stop_callers
+from standins.evidence import read_evidence
+from standins.shapes import SHAPES, Shape
+from standins.versions import VersionWatch, wait_in_force, watch_versions
+
+__all__ = ["main", "run_combined"]
+
+JUDGED = (
+    Promise.SERVICE,
+    Promise.WHOLE,
+    Promise.NOT_RUN,
+    Promise.ONCE,
+    Promise.LEAVING,
+    Promise.IN_FORCE,
+)
+PAUSE_S = (0.2, 1.0)
+"""Shortest and longest time between two failures, in seconds."""
+DURATION_S = (0.5, 4.0)
+"""Shortest and longest duration of a failure, in seconds."""
+FAILURES_AT_ONCE = 3
+LIVE_INSTANCES_MIN = 2
+RACING_WRITERS = 4
+
+
+@dataclass
+class _Failure:
+    """A failure under way, and how it ends."""
+
+    kind: str
+    subject: str
+    until_s: float
+    end: Callable[[], None]
+
+
+@dataclass
+class _Run:
+    """State of one randomized run."""
+
+    running: Cluster
+    chance: random.Random
+    started_s: float
+    active: list[_Failure] = field(default_factory=list)
+    counts: dict[str, int] = field(default_factory=dict)
+    written: list[dict[str, int]] = field(default_factory=list)
+
+    def note(self, text: str) -> None:
+        print(f"{time.monotonic() - self.started_s:5.1f} s  {text}", flush=True)
+
+    def is_active(self, *kinds: str) -> bool:
+        return any(failure.kind in kinds for failure in self.active)
+
+    def untouched_instances(self) -> list[str]:
+        touched = {failure.subject for failure in self.active}
+        return sorted(set(self.running.instances) - touched)
+
+    def untouched_targets(self) -> list[str]:
+        touched = {failure.subject for failure in self.active}
+        return sorted(set(self.running.targets) - touched)
+
+
+def _nothing() -> None:
+    return None
+
+
+def _freeze(run: _Run) -> tuple[str, Callable[[], None]] | None:
+    names = run.untouched_instances()
+    if len(names) <= LIVE_INSTANCES_MIN - 1:
+        return None
+    name = run.chance.choice(names)
+    run.running.freeze_instance(name)
+    return name, lambda: run.running.thaw_instance(name)
+
+
+def _kill(run: _Run) -> tuple[str, Callable[[], None]] | None:
+    names = run.untouched_instances()
+    if len(names) < LIVE_INSTANCES_MIN:
+        return None
+    name = run.chance.choice(names)
+    listed = run.running.instances[name]
+    run.running.kill_instance(name)
+    return listed.plan.name, lambda: run.running.start_instances([name])
+
+
+def _replace(run: _Run) -> tuple[str, Callable[[], None]] | None:
+    names = run.untouched_instances()
+    if len(names) < LIVE_INSTANCES_MIN:
+        return None
+    name = run.chance.choice(names)
+    run.running.begin_stop(name)
+
+    def end() -> None:
+        run.running.finish_stop(name)
+        run.running.start_instances([name])
+
+    return name, end
+
+
+def _cut_zone(run: _Run) -> tuple[str, Callable[[], None]] | None:
+    if run.is_active("cut_zone"):
+        return None
+    zone = run.chance.choice(run.running.shape.zones)
+    action = run.chance.choice(("cut", "blackhole"))
+    run.running.cut_zone(zone, platform=run.chance.random() < 0.5, action=action)
+    return zone, run.running.heal
+
+
+def _outage(run: _Run) -> tuple[str, Callable[[], None]] | None:
+    if run.is_active("outage"):
+        return None
+    platform = run.running.platform
+    kind = run.chance.choice(("refuse", "hang", "unavailable"))
+    platform.control(outage=kind)
+    return kind, lambda: platform.control(outage=None) and None
+
+
+def _bad_fabric(run: _Run) -> tuple[str, Callable[[], None]] | None:
+    if run.is_active("bad_fabric"):
+        return None
+    faults = {"loss": 0.1, "duplicate": 0.3, "delay_ms_min": 0, "delay_ms_max": 30}
+    run.running.control_fabric(to_instances=faults, to_callers=faults)
+    calm = {"loss": 0.0, "duplicate": 0.0, "delay_ms_min": 0, "delay_ms_max": 0}
+
+    def end() -> None:
+        run.running.control_fabric(to_instances=calm, to_callers=calm)
+
+    return "fabric", end
+
+
+def _break_target(run: _Run) -> tuple[str, Callable[[], None]] | None:
+    names = run.untouched_targets()
+    name = run.chance.choice(names)
+    fault = run.chance.choice(("shed", "stuck", "close_after_run"))
+    target = run.running.targets[name]
+    target.control(**{fault: True})
+    return name, lambda: target.control(**{fault: False})
+
+
+def _restart_target(run: _Run) -> tuple[str, Callable[[], None]] | None:
+    name = run.chance.choice(run.untouched_targets())
+    plan = run.running.targets[name].plan
+    service = next(s for s in run.running.shape.services if s.name == plan.service)
+    run.running.kill_target(name)
+
+    def end() -> None:
+        run.running.start_target(plan)
+        run.running.write_record(service)
+
+    return name, end
+
+
+def _race(run: _Run) -> tuple[str, Callable[[], None]] | None:
+    """Let several writers change one record at once."""
+    if run.is_active("outage"):
+        return None
+    service = run.chance.choice(run.running.shape.services).name
+
+    def write(number: int) -> None:
+        def change(body: dict[str, object]) -> None:
+            body["waiting_per_slot"] = 8 + number
+
+        written = run.running.platform.change_record(service, change)
+        run.written.append({written["name"]: written["version"]})
+
+    writers = [
+        threading.Thread(target=write, args=(number,))
+        for number in range(RACING_WRITERS)
+    ]
+    for writer in writers:
+        writer.start()
+    for writer in writers:
+        writer.join()
+    return service, _nothing
+
+
+_FAILURES = {
+    "freeze": _freeze,
+    "kill": _kill,
+    "replace": _replace,
+    "cut_zone": _cut_zone,
+    "outage": _outage,
+    "bad_fabric": _bad_fabric,
+    "break_target": _break_target,
+    "restart_target": _restart_target,
+    "race": _race,
+}
+_NEED_CALM = frozenset({"kill", "replace", "restart_target"})
+"""Their end starts a process or writes a record, which waits for the platform."""
+
+
+def _begin_one(run: _Run) -> None:
+    kind = run.chance.choice(sorted(_FAILURES))
+    begun = _FAILURES[kind](run)
+    if begun is None:
+        return
+    subject, end = begun
+    until_s = time.monotonic() + run.chance.uniform(*DURATION_S)
+    run.active.append(_Failure(kind, subject, until_s, end))
+    run.counts[kind] = run.counts.get(kind, 0) + 1
+    run.note(f"{kind} {subject}")
+
+
+def _end_due(run: _Run, all_of_them: bool = False) -> None:
+    """End failures whose time is over; what needs the platform waits for it."""
+    due = [
+        failure
+        for failure in run.active
+        if all_of_them or time.monotonic() >= failure.until_s
+    ]
+    for failure in sorted(due, key=lambda failure: failure.kind in _NEED_CALM):
+        blocked = run.is_active("cut_zone", "outage", "freeze")
+        if failure.kind in _NEED_CALM and blocked and not all_of_them:
+            continue
+        run.active.remove(failure)
+        failure.end()
+        run.note(f"end of {failure.kind} {failure.subject}")
+
+
+def _play(run: _Run, run_s: float) -> None:
+    callers = start_callers(run.running)
+    for process in callers:
+        process.wait_ready()
+    end_s = time.monotonic() + run_s
+    while time.monotonic() < end_s:
+        _end_due(run)
+        if len(run.active) < FAILURES_AT_ONCE:
+            _begin_one(run)
+        # Part of the experiment: the time between two failures.
+        time.sleep(run.chance.uniform(*PAUSE_S))
+    _end_due(run, all_of_them=True)
+    for name in run.running.instances:
+        run.running.wait_instance_ready(name)
+    _check_in_force(run)
+    stop_callers(callers)
+
+
+def _check_in_force(run: _Run) -> None:
+    """Wait until each record's newest version is in force everywhere."""
+    for service in run.running.shape.services:
+        stored = run.running.platform.get("service", service.name)
+        assert stored is not None
+        wait_in_force(run.running, service.name, stored["version"])
+        accepted = [w[service.name] for w in run.written if service.name in w]
+        if accepted and max(accepted) > stored["version"]:
+            raise AssertionError(f"{service.name} went back in the platform")
+
+
+@contextmanager
+def _prepared(
+    shape: Shape, seed: int, folder: str
+) -> Iterator[tuple[_Run, VersionWatch]]:
+    settings = ClusterSettings(shape, faults=True, seed=seed, folder=folder)
+    with cluster(settings) as running, watch_versions(running) as watch:
+        yield _Run(running, random.Random(seed), time.monotonic()), watch
+
+
+def run_combined(
+    shape: Shape, seed: int, run_s: float, folder: str = ""
+) -> tuple[Report, dict[str, int]]:
+    """Run drawn failures under load and judge the logs.
+
+    Parameters
+    ----------
+    shape : Shape
+        Installation to run.
+    seed : int
+        Seed of failures, load and fabric.
+    run_s : float
+        How long failures begin, in seconds.
+    folder : str
+        Where logs go; empty: a temporary directory.
+
+    Returns
+    -------
+    Report, dict
+        Counts and broken promises, and how often each kind of failure began.
+    """
+    print(f"seed {seed}, shape {shape.name}, {run_s:g} s of failures", flush=True)
+    with _prepared(shape, seed, folder) as (run, watch):
+        _play(run, run_s)
+        logs = run.running.launcher.logs
+        evidence = read_evidence(logs("callers"), logs("targets"), logs("platform"))
+        report = check(evidence, [Disturbance(0.0, time.time())])
+        report.violations += [
+            Violation(Promise.IN_FORCE, detail) for detail in watch.reverted
+        ]
+        report.violations = [v for v in report.violations if v.promise in JUDGED]
+        return report, run.counts
+
+
+def main(shape: str = "small", seed: int = 0, run_s: float = 30.0) -> None:
+    """Run drawn failures; exit status 1 if a promise was broken.
+
+    Parameters
+    ----------
+    shape : str
+        ``harada``, ``leave-desk`` or ``small``.
+    seed : int
+        Seed; 0 draws one, which is printed.
+    run_s : float
+        How long failures begin, in seconds; at most 600.
+    """
+    drawn = seed or random.SystemRandom().randrange(1, 1_000_000)
+    report, counts = run_combined(SHAPES[shape], drawn, min(run_s, 600.0))
+    print("failures:", ", ".join(f"{kind} {n}" for kind, n in sorted(counts.items())))
+    for name in ("requests", "answer_whole", "not_run", "unknown", "gave_up"):
+        print(f"{name:20} {report.counts[name]}")
+    for violation in report.violations:
+        print(f"BROKEN {violation}")
+    sys.exit(1 if report.violations else 0)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -23,7 +23,7 @@
 from standins.summary import Story, print_summary
 from standins.versions import VersionWatch, wait_in_force, watch_versions
 
-__all__ = ["main", "run_demo"]
+__all__ = ["main", "run_demo", "start_callers", "stop_callers"]
 
 CALLER_PROCESSES = 3
 IN_FORCE_LIMIT_S = 5.0
@@ -47,7 +47,8 @@
     return max(1, round(_LOAD_SHARE * slots / busy_share / CALLER_PROCESSES))
 
 
-def _start_callers(running: Cluster) -> list[ChildProcess]:
+def start_callers(running: Cluster) -> list[ChildProcess]:
+    """Start caller processes that use every service of an installation."""
     callers = []
     for number in range(1, CALLER_PROCESSES + 1):
         name = f"caller-{number}"
@@ -74,7 +75,8 @@
     return callers
 
 
-def _stop_callers(callers: list[ChildProcess]) -> None:
+def stop_callers(callers: list[ChildProcess]) -> None:
+    """Let callers end what is under way, and wait for them."""
     for process in callers:
         process.signal(signal.SIGTERM)
     for process in callers:
@@ -150,7 +152,7 @@
 
 def _play(running: Cluster, story: Story) -> None:
     """Change the installation while callers use it."""
-    callers = _start_callers(running)
+    callers = start_callers(running)
     for process in callers:
         process.wait_ready()
     logs = running.launcher.logs("callers")
@@ -164,7 +166,7 @@
     time.sleep(_DRAINED_S)
     _kill_instance(running, story)
     time.sleep(_AFTER_KILL_S)
-    _stop_callers(callers)
+    stop_callers(callers)
     story.note("callers have ended")
 
 
