Send a request's parts again to a new owner

Cause: a request of several parts that was still being sent when its flow was handed over never became whole. The leaving owner drops parts of requests that are not complete, but the caller kept them as confirmed and sent only the rest, so that the request stood still until its deadline.

Weighed: carrying the received parts in the hand-over (more bytes, and the owner would still lose them in a crash re-issue); telling the caller to begin again. Taken: a new token makes a caller that is still sending begin with the first part, and a report that confirms less than an earlier one counts, so that a late report of the old owner cannot bring the same stand-still back.

--- a/endivepick/client/_core/attempt.py
+++ b/endivepick/client/_core/attempt.py
@@ -65,10 +65,15 @@
         self._clean_since_s = now_s if self._sender.fits_window else 0.0
         self._send(self._sender.take_new(now_s), now_s)
 
+    def forget_confirmed(self) -> None:
+        """Take all parts for missing again."""
+        self._sender.restart()
+
     def resend(self, now_s: float) -> None:
         """Send again what is not confirmed."""
         self.spoil_round_trip()
         self._send(self._sender.take_unconfirmed(now_s), now_s)
+        self._send(self._sender.take_new(now_s), now_s)
 
     def on_progress(self, packet: RequestProgress, now_s: float) -> bool:
         """Send what the owner misses; True if more parts are confirmed."""
--- a/endivepick/client/_core/request.py
+++ b/endivepick/client/_core/request.py
@@ -210,6 +210,9 @@
         """Go on under a new token of the same binding."""
         self._backoff.reset()
         self._attempt.spoil_round_trip()
+        if self.state == "sending":
+            # A new owner has none of the parts that the last one confirmed.
+            self._attempt.forget_confirmed()
         self._schedule(now_s + REISSUE_SPREAD_S * self._spread())
 
     def on_owner_lost(self, seq: int, now_s: float) -> None:
--- a/endivepick/client/_core/sender.py
+++ b/endivepick/client/_core/sender.py
@@ -97,10 +97,14 @@
 
     def _advance(self, next_index: int) -> None:
         target = min(next_index, self.sent_index)
+        if target < self.next_index:
+            # A new owner, or a late report, which the next one puts right.
+            self._held.clear()
+            self.next_index = target
         for index in range(self.next_index, target):
             self._held.discard(index)
             self._sent_at_s.pop(index, None)
-        self.next_index = max(self.next_index, target)
+        self.next_index = target
 
     def _retake(self, index: int, now_s: float, resend_s: float) -> bool:
         if now_s - self._sent_at_s.get(index, -resend_s) < resend_s:
--- a/endivepick/client/tests/test_core.py
+++ b/endivepick/client/tests/test_core.py
@@ -19,6 +19,7 @@
     Reissued,
     Renew,
     RequestPart,
+    RequestProgress,
     Unreachable,
 )
 from endivepick.core.messages import OpenRefused as OpenRefusedPacket
@@ -215,6 +216,17 @@
         part = self._last_part()
         self.assertEqual((part.token, part.seq), (b"new", 1))
 
+    def test_new_owner_gets_all_parts_of_a_request_still_being_sent(self):
+        self.simulation.request(1, bytes(10_000))
+        self.simulation.deliver(RequestProgress(FLOW, 1, 1, 8, []))
+        self.simulation.run_for(1.0)
+        before = len(self.simulation.owner.sent(RequestPart))
+        self.simulation.deliver(reissued(True, 1))
+        self.simulation.run_for(1.0)
+        again = self.simulation.owner.sent(RequestPart)[before:]
+        indexes = {part.index for part in again if part.token == b"new"}
+        self.assertEqual(indexes, set(range(10)))
+
     def test_lost_owner_ends_non_idempotent_and_repeats_idempotent_requests(self):
         self.simulation.request(1)
         self.simulation.request(2, idempotent=True)
--- a/endivepick/client/tests/test_parts.py
+++ b/endivepick/client/tests/test_parts.py
@@ -78,6 +78,13 @@
         list(sender.take_new(0.0))
         self.assertEqual(sender.report(0, [1], 0.01, 0.03), [])
 
+    def test_last_report_counts_also_if_less_is_confirmed_than_before(self):
+        sender = PartSender(bytes(30 * 1024))
+        list(sender.take_new(0.0))
+        sender.report(20, [], 1.0, 0.03)
+        self.assertEqual(sender.report(0, [1, 2], 2.0, 0.03), [1, 2])
+        self.assertEqual(list(sender.take_unconfirmed(3.0))[:2], [0, 1])
+
 
 class TestTiming(unittest.TestCase):
     def test_timers_give_items_when_due_and_drop_ended_ones(self):
