Take requests of a flow that cannot be handed over yet

Cause: a leaving owner put off every request that came after the stop began. A flow with a request that takes seconds stays until that one ends, so that a second request of the flow waited as long, or until its deadline.

Weighed: handing the window over while a request runs (two holders of one flow, and a late answer has to follow it); taking all requests while one runs (a flow whose requests overlap would never go). Taken: a flow that has a request in progress takes others in every second period of 1 s, and only those whose deadline lies inside the planned stop.

--- a/endivepick/core/lifecycle.py
+++ b/endivepick/core/lifecycle.py
@@ -103,7 +103,8 @@
         if self.state == "stopped":
             return [*actions, StopFinished(0)]
         self._stop_since_s = now_s
-        self.owner.leaving = True
+        expires_at_s = now_s + self.settings.drain_timeout_s
+        self.owner.begin_leaving(now_s, expires_at_s)
         actions += self.membership.leave(now_s)
         return actions
 
--- a/endivepick/core/owner.py
+++ b/endivepick/core/owner.py
@@ -33,6 +33,8 @@
 
 FROZEN_RETRY_MS = 100
 """When to come back to a flow that is being handed over, in milliseconds."""
+PUT_OFF_S = 1.0
+"""How long a leaving owner puts requests off, and then takes them, in seconds."""
 PARTS_PER_PROGRESS = 8
 """Request parts after which the owner reports what it has."""
 MISSING_PARTS_MAX = 64
@@ -73,6 +75,22 @@
         self._random_number = random_number
         self._next_sweep_s = 0.0
         self.leaving = False
+        self._leaving_since_s = 0.0
+        self._last_deadline_s = 0.0
+
+    def begin_leaving(self, now_s: float, last_deadline_s: float) -> None:
+        """Take no new flow, and requests only of flows that cannot go yet.
+
+        Parameters
+        ----------
+        now_s : float
+            Present time, in seconds.
+        last_deadline_s : float
+            Requests that may run longer are left to the successor, in seconds.
+        """
+        self.leaving = True
+        self._leaving_since_s = now_s
+        self._last_deadline_s = last_deadline_s
 
     @property
     def renew_after_s(self) -> float:
@@ -176,7 +194,7 @@
     def _admit(
         self, flow: OwnedFlow, packet: RequestPart, now_s: float
     ) -> list[Action]:
-        if self.leaving:
+        if self.leaving and not self._admits_while_leaving(flow, packet, now_s):
             return [_come_back(flow, packet, flow.caller)]
         if len(flow.requests) >= self._settings.outstanding_requests_max:
             return [Count("packets_dropped", "too_many_requests")]
@@ -194,6 +212,27 @@
             return self._refuse_unclaimed(flow, request, "request_too_large")
         return self._receive(flow, request, packet, now_s)
 
+    def _admits_while_leaving(
+        self, flow: OwnedFlow, packet: RequestPart, now_s: float
+    ) -> bool:
+        """Tell whether a flow takes a request although it is to be handed over.
+
+        In every other period it does not, so that a flow whose requests overlap can
+        end them; in between, a request does not have to wait for a long one.
+        """
+        deadline_at_s = now_s + self._time_left_s(flow, packet)
+        if not flow.in_progress or deadline_at_s > self._last_deadline_s:
+            return False
+        periods = int((now_s - self._leaving_since_s) / PUT_OFF_S)
+        return periods % 2 == 1
+
+    def _time_left_s(self, flow: OwnedFlow, packet: RequestPart) -> float:
+        left_s = max(packet.deadline_ms, 0) / 1000
+        dispatcher = self._executor.dispatchers.get(flow.service)
+        if dispatcher is None:
+            return left_s
+        return min(left_s, dispatcher.record.request_timeout_s)
+
     def _limit_deadline(
         self, flow: OwnedFlow, request: OwnedRequest, now_s: float
     ) -> None:
--- a/endivepick/core/tests/test_owner.py
+++ b/endivepick/core/tests/test_owner.py
@@ -78,6 +78,21 @@
         self.assertNotEqual(second.target, start.target)
         self.assertEqual(second.idempotency_key, start.idempotency_key)
 
+    def test_leaving_owner_takes_requests_of_a_flow_that_waits_for_a_long_one(self):
+        self.fixture.request(self.token, 1)
+        self.fixture.owner.begin_leaving(NOW_S, NOW_S + 20)
+        put_off = self.fixture.request(self.token, 2, now_s=NOW_S + 0.5)
+        self.assertEqual(len(packets(put_off, Unreachable)), 1)
+        taken = self.fixture.request(self.token, 2, now_s=NOW_S + 1.5)
+        self.assertEqual(len(starts(taken)), 1)
+        too_long = self.fixture.request(self.token, 3, now_s=NOW_S + 11.5)
+        self.assertEqual(len(packets(too_long, Unreachable)), 1)
+
+    def test_leaving_owner_takes_no_request_of_an_idle_flow(self):
+        self.fixture.owner.begin_leaving(NOW_S, NOW_S + 20)
+        actions = self.fixture.request(self.token, 1, now_s=NOW_S + 1.5)
+        self.assertEqual(len(packets(actions, Unreachable)), 1)
+
     def test_cancellation_that_overtakes_its_request_stops_it(self):
         self.fixture.send(self.token, Cancel(b"", 1))
         self.assertEqual(starts(self.fixture.request(self.token, 1)), [])
