Hand flows over in bounded steps, and around a cut link

Cause, first: all idle flows of a leaving owner were frozen at once, and a flow went in one message whatever its size. A flow with more than 64 MiB of answers that its caller had not fetched exceeded the largest message, so that its hand-over never arrived and the stop ended with the flow lost; each repetition, every 0.2 s, put the same megabytes into the queue again. Second: flows of one service could go to two successors, when an instance joined meanwhile, but only the last one is announced. Third: while the link to the successor was cut, frozen flows stood still until the stop expired, also when both sides reached a third instance. Fourth: the last instance ended although another one was about to join.

Weighed: raising the limit (one message of 100 MB holds up the probes behind it); sending answers apart from their flow (two messages that have to agree). Taken: at most 8 transfers without an answer, and flows that wait for their turn still serve; a transfer above twice hand_over_bytes is cut into pieces, 8 under way, each confirmed; repetitions become rarer, up to 1.6 s. A giver stays with its successor as long as that one takes flows. A transfer unanswered for 0.6 s goes over a third instance too, and its answer comes back the same way. A flow without a successor waits for an instance that joins.

The messages of a hand-over are now handled in a module of their own.

--- a/endivepick/core/executor.py
+++ b/endivepick/core/executor.py
@@ -42,6 +42,8 @@
 
 UNKNOWN_SERVICE_RETRY_MS = 1000
 NO_RETRY_MS = 0
+INSTANCE_STOPPED = "instance_stopped"
+"""Why a request was cut: its instance had no more time to wait for it."""
 COST_CLASS_HEADER = "endivepick-cost"
 _MAY_HAVE_RUN = frozenset({FinishKind.BROKEN, FinishKind.LATE})
 
@@ -346,6 +348,19 @@
         request.step("freeze")
         return actions
 
+    def cut(self, flow: OwnedFlow, request: OwnedRequest) -> list[Action]:
+        """Give up an attempt because this instance has to end.
+
+        An idempotent request waits for its next attempt, at the successor; the
+        outcome of any other is unknown.
+        """
+        actions = self._leave_target(flow, request, by_key=not request.idempotent)
+        if not request.idempotent:
+            return actions + self._fail(_Held(flow, request), INSTANCE_STOPPED)
+        request.may_have_run = True
+        request.step("requeue")
+        return actions
+
     def resume(
         self, flow: OwnedFlow, request: OwnedRequest, now_s: float
     ) -> list[Action]:
--- a/endivepick/core/flow.py
+++ b/endivepick/core/flow.py
@@ -76,11 +76,9 @@
     def in_progress(self) -> bool:
         """Whether a planned stop has to wait for it.
 
-        Streams and requests that have not been sent to a target are handed over.
+        Streams and requests that wait for a target are handed over.
         """
-        if self.is_stream:
-            return False
-        return self.at_dispatcher and self.attempt > 0
+        return self.state == "running" and not self.is_stream
 
     @property
     def at_dispatcher(self) -> bool:
--- a/endivepick/core/handover.py
+++ b/endivepick/core/handover.py
@@ -5,7 +5,7 @@
 successor could run what the first has already run.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
 from endivepick.core.actions import Action, Log, SendToPeer
@@ -13,25 +13,25 @@
 from endivepick.core.executor import RequestExecutor
 from endivepick.core.flow import OwnedFlow, OwnedRequest
 from endivepick.core.flow_table import FlowTable, Identity
+from endivepick.core.handover_taker import HandOverTaker
 from endivepick.core.peer_messages import (
     FlowSnapshot,
+    Forwarded,
     HandOver,
-    HandOverAccepted,
-    HandOverRefused,
+    HandOverMessage,
 )
+from endivepick.core.pieces import PieceSender, cut_into_pieces
 from endivepick.core.settings import FlowSettings
-from endivepick.core.snapshot import restore_flow, snapshot_flow
+from endivepick.core.snapshot import snapshot_flow
+from endivepick.core.transfer import Transfer
 
 __all__ = ["HandOverGiver", "HandOverTaker"]
 
 FLOWS_PER_MESSAGE_MAX = 256
-
-
-@dataclass(slots=True)
-class _Transfer:
-    successor: Identity
-    message: HandOver
-    sent_at_s: float
+AROUND_AFTER_S = 0.5
+"""Time between two sendings from which a third instance is tried, in seconds."""
+OPEN_TRANSFERS_MAX = 8
+"""Transfers without an answer; flows that wait for their turn still serve."""
 
 
 @dataclass(slots=True)
@@ -52,6 +52,12 @@
         Returns the instance that takes a service's flows, or None.
     is_dead : callable
         Tells whether an instance is known to be gone.
+    takes_flows : callable
+        Tells whether an instance, once chosen, still takes flows.
+    successor_may_come : callable
+        Tells whether an instance is about to join.
+    helpers : callable
+        Returns the names of instances over which a message can go.
     successors : dict
         Last successor of each service, by service name.
     """
@@ -62,9 +68,13 @@
     new_id: Callable[[], int]
     choose_successor: Callable[[str], Identity | None]
     is_dead: Callable[[Identity], bool]
+    takes_flows: Callable[[Identity], bool] = lambda identity: False
+    successor_may_come: Callable[[], bool] = lambda: False
+    helpers: Callable[[], Sequence[str]] = tuple
     successors: dict[str, Identity] = field(default_factory=dict)
-    _transfers: dict[int, _Transfer] = field(default_factory=dict)
-    _lost: int = 0
+    _transfers: dict[int, Transfer] = field(default_factory=dict)
+    _now_s: float = 0.0
+    _turn: int = 0
 
     @property
     def open_flows(self) -> int:
@@ -76,8 +86,9 @@
         """Whether nothing is left that a longer wait could save."""
         if self._transfers:
             return False
+        waits = self.successor_may_come()
         return not any(
-            flow.in_progress or self.choose_successor(flow.service)
+            waits or flow.in_progress or self.choose_successor(flow.service)
             for flow in self.table
         )
 
@@ -97,28 +108,62 @@
 
     def tick(self, now_s: float) -> list[Action]:
         """Freeze what is idle, send it, and send again what has no answer."""
+        self._now_s = now_s
         self._drop_lost_transfers()
-        actions = self._send_again(now_s)
+        return self._send_again(now_s) + self._give(now_s)
+
+    def cut(self) -> list[Action]:
+        """Give up the attempts that still run, so that their flows can be given."""
+        actions: list[Action] = []
+        for flow in self.table:
+            if not flow.in_progress or self._successor(flow.service) is None:
+                continue
+            for request in list(flow.requests.values()):
+                if request.in_progress:
+                    actions += self.executor.cut(flow, request)
+        return actions
+
+    def _give(self, now_s: float) -> list[Action]:
+        actions: list[Action] = []
         for service in sorted(self.table.services):
             actions += self._give_service(service, now_s)
         return actions
 
+    @property
+    def _full(self) -> bool:
+        return len(self._transfers) >= OPEN_TRANSFERS_MAX
+
     def _give_service(self, service: str, now_s: float) -> list[Action]:
-        successor = self.choose_successor(service)
+        """Freeze and send as many flows as may be under way; the others go on."""
+        successor = self._successor(service)
         if successor is None:
             return []
         actions: list[Action] = []
-        batch: list[OwnedFlow] = []
+        batch: list[FlowSnapshot] = []
+        size_bytes = 0
         for flow in self.table:
+            if self._full:
+                break
             if flow.service != service or flow.frozen or flow.in_progress:
                 continue
             actions += self._freeze(flow, now_s)
-            batch.append(flow)
+            batch.append(snapshot_flow(flow, now_s))
+            size_bytes += len(encode_struct(batch[-1]))
+            full = size_bytes >= self.settings.hand_over_bytes
+            if full or len(batch) >= FLOWS_PER_MESSAGE_MAX:
+                actions += self._send(batch, successor, now_s)
+                batch, size_bytes = [], 0
         if batch:
-            self.successors[service] = successor
-            actions += self._send_batches(batch, successor, now_s)
+            actions += self._send(batch, successor, now_s)
         return actions
 
+    def _successor(self, service: str) -> Identity | None:
+        """Stay with one successor of a service: only one can be announced."""
+        known = self.successors.get(service)
+        if known is not None and self.takes_flows(known):
+            return known
+        return self.choose_successor(service)
+
     def _freeze(self, flow: OwnedFlow, now_s: float) -> list[Action]:
         flow.frozen = True
         actions: list[Action] = []
@@ -139,48 +184,60 @@
             return self.executor.withdraw(flow, request, now_s)
         return []
 
-    def _send_batches(
-        self, flows: list[OwnedFlow], successor: Identity, now_s: float
-    ) -> list[Action]:
-        actions: list[Action] = []
-        batch: list[FlowSnapshot] = []
-        size_bytes = 0
-        for flow in flows:
-            snapshot = snapshot_flow(flow, now_s)
-            batch.append(snapshot)
-            size_bytes += len(encode_struct(snapshot))
-            full = size_bytes >= self.settings.hand_over_bytes
-            if full or len(batch) >= FLOWS_PER_MESSAGE_MAX:
-                actions += self._send(batch, successor, now_s)
-                batch, size_bytes = [], 0
-        if batch:
-            actions += self._send(batch, successor, now_s)
-        return actions
-
     def _send(
         self, batch: list[FlowSnapshot], successor: Identity, now_s: float
     ) -> list[Action]:
         message = HandOver(self.new_id(), successor.incarnation, list(batch))
-        self._transfers[message.transfer_id] = _Transfer(successor, message, now_s)
-        ids = {"peer": successor.name, "incarnation": successor.incarnation}
-        return [
-            SendToPeer(successor.name, message),
-            Log(
-                "handover",
-                "transfer_sent",
-                "flows sent to successor",
-                {**ids, "flows": len(batch), "transfer": message.transfer_id},
-            ),
-        ]
+        size_bytes = len(encode_struct(message))
+        interval_s = self.settings.hand_over_retry_s
+        transfer = Transfer(successor, message, now_s + interval_s, interval_s)
+        self._transfers[message.transfer_id] = transfer
+        self.successors[batch[0].service] = successor
+        ids = {
+            "peer": successor.name,
+            "incarnation": successor.incarnation,
+            "flows": len(batch),
+            "size_bytes": size_bytes,
+            "transfer": message.transfer_id,
+        }
+        log = Log("handover", "transfer_sent", "flows sent to successor", ids)
+        return [*self._first_sending(transfer, size_bytes), log]
+
+    def _first_sending(self, transfer: Transfer, size_bytes: int) -> list[Action]:
+        limit_bytes = self.settings.hand_over_bytes
+        if size_bytes <= 2 * limit_bytes:
+            return [SendToPeer(transfer.successor.name, transfer.message)]
+        pieces = cut_into_pieces(transfer.message, limit_bytes)
+        transfer.pieces = PieceSender(pieces)
+        return transfer.send(transfer.pieces.take_new())
 
     def _send_again(self, now_s: float) -> list[Action]:
         actions: list[Action] = []
         for transfer in self._transfers.values():
-            if now_s - transfer.sent_at_s >= self.settings.hand_over_retry_s:
-                transfer.sent_at_s = now_s
-                actions.append(SendToPeer(transfer.successor.name, transfer.message))
+            if now_s >= transfer.due_at_s:
+                transfer.postpone(now_s)
+                messages = transfer.unanswered()
+                actions += transfer.send(messages)
+                actions += self._send_around(transfer, messages)
         return actions
 
+    def _send_around(
+        self, transfer: Transfer, messages: Iterable[HandOverMessage]
+    ) -> list[Action]:
+        """Send messages over a third instance if the direct way seems to be cut."""
+        successor, me = transfer.successor, self.table.me
+        helpers = [name for name in self.helpers() if name != successor.name]
+        if not helpers or transfer.interval_s < AROUND_AFTER_S:
+            return []
+        self._turn = (self._turn + 1) % len(helpers)
+        return [
+            SendToPeer(
+                helpers[self._turn],
+                Forwarded(me.name, me.incarnation, successor.name, message),
+            )
+            for message in messages
+        ]
+
     def _drop_lost_transfers(self) -> None:
         """Give up flows whose successor died before it answered.
 
@@ -191,7 +248,7 @@
             if self.is_dead(transfer.successor):
                 self._settle(transfer_id, transfer)
 
-    def _settle(self, transfer_id: int, transfer: _Transfer) -> None:
+    def _settle(self, transfer_id: int, transfer: Transfer) -> None:
         del self._transfers[transfer_id]
         for snapshot in transfer.message.flows:
             self.table.release(snapshot.binding, transfer.successor)
@@ -208,9 +265,23 @@
                 "transfer_accepted",
                 "successor holds the flows",
                 {"peer": sender.name, "transfer": transfer_id},
-            )
+            ),
+            *self._give(self._now_s),
         ]
 
+    def piece_taken(
+        self, sender: Identity, transfer_id: int, index: int
+    ) -> list[Action]:
+        """Send the next pieces of a large transfer."""
+        transfer = self._transfers.get(transfer_id)
+        if transfer is None or transfer.successor != sender or not transfer.pieces:
+            return []
+        if not transfer.pieces.taken(index):
+            return []
+        transfer.interval_s = self.settings.hand_over_retry_s
+        transfer.due_at_s = self._now_s + transfer.interval_s
+        return transfer.send(transfer.pieces.take_new())
+
     def refused(self, sender: Identity, transfer_id: int, now_s: float) -> list[Action]:
         """Choose another successor: the first holds nothing and never will."""
         transfer = self._transfers.get(transfer_id)
@@ -221,103 +292,4 @@
         if successor is None or successor == sender:
             return []
         del self._transfers[transfer_id]
-        self.successors[service] = successor
         return self._send(transfer.message.flows, successor, now_s)
-
-
-@dataclass(slots=True)
-class HandOverTaker:
-    """Taking side: restores flows once, whatever arrives how often.
-
-    Attributes
-    ----------
-    settings : FlowSettings
-        Limits and times.
-    table : FlowTable
-        Flows of this instance.
-    executor : RequestExecutor
-        Runs what the flows bring along.
-    """
-
-    settings: FlowSettings
-    table: FlowTable
-    executor: RequestExecutor
-    _accepted: set[int] = field(default_factory=set)
-
-    def take(
-        self, sender: Identity, message: HandOver, leaving: bool, now_s: float
-    ) -> tuple[list[OwnedFlow], list[Action]]:
-        """Take flows in, or refuse them for good.
-
-        Parameters
-        ----------
-        sender : Identity
-            The giver.
-        message : HandOver
-            The flows.
-        leaving : bool
-            This instance is in a planned stop and takes nothing new.
-        now_s : float
-            Present time, in seconds.
-
-        Returns
-        -------
-        list of OwnedFlow, list of Action
-            Flows that were new here, and what to do.
-        """
-        if message.successor_incarnation != self.table.me.incarnation:
-            # Meant for a process that had this name before and may have run
-            # some of it: nobody else ever may.
-            return [], []
-        if message.transfer_id in self._accepted:
-            accepted = HandOverAccepted(message.transfer_id)
-            return [], [SendToPeer(sender.name, accepted)]
-        if leaving or not self._knows_services(message):
-            # A refusal must never be followed by an acceptance of the same
-            # transfer: leaving is final, but an unknown service is not.
-            return [], self._refuse(sender, message, leaving)
-        self._accepted.add(message.transfer_id)
-        flows = self._restore(message, now_s)
-        actions: list[Action] = [
-            SendToPeer(sender.name, HandOverAccepted(message.transfer_id)),
-            Log(
-                "handover",
-                "transfer_taken",
-                "flows taken over",
-                {
-                    "peer": sender.name,
-                    "flows": len(flows),
-                    "transfer": message.transfer_id,
-                },
-            ),
-        ]
-        for flow in flows:
-            actions += self._go_on(flow, now_s)
-        return flows, actions
-
-    def _knows_services(self, message: HandOver) -> bool:
-        return all(flow.service in self.executor.dispatchers for flow in message.flows)
-
-    def _refuse(
-        self, sender: Identity, message: HandOver, leaving: bool
-    ) -> list[Action]:
-        if not leaving:
-            return []
-        return [SendToPeer(sender.name, HandOverRefused(message.transfer_id))]
-
-    def _restore(self, message: HandOver, now_s: float) -> list[OwnedFlow]:
-        flows = []
-        for snapshot in message.flows:
-            flow = restore_flow(snapshot, self.settings.window_size, now_s)
-            if self.table.restore(flow):
-                flows.append(flow)
-        return flows
-
-    def _go_on(self, flow: OwnedFlow, now_s: float) -> list[Action]:
-        actions: list[Action] = []
-        for request in list(flow.requests.values()):
-            if request.state == "waiting":
-                actions += self.executor.submit(flow, request, now_s)
-            elif request.state == "suspended":
-                actions += self.executor.resume(flow, request, now_s)
-        return actions
--- a/endivepick/core/instance.py
+++ b/endivepick/core/instance.py
@@ -35,12 +35,12 @@
 from endivepick.core.executor import RequestExecutor
 from endivepick.core.flow_table import FlowTable, Identity
 from endivepick.core.handover import HandOverGiver, HandOverTaker
+from endivepick.core.handover_exchange import HandOverExchange
 from endivepick.core.lifecycle import Lifecycle
 from endivepick.core.owner import FlowOwner
 from endivepick.core.peer_messages import (
-    HandOver,
-    HandOverAccepted,
-    HandOverRefused,
+    Forwarded,
+    HandOverMessage,
     InFlightReport,
     RelayedPacket,
     TargetDraining,
@@ -198,11 +198,21 @@
             new_id,
             self._choose_successor,
             self._relay.is_lost,
+            self._relay.takes_flows,
+            self._somebody_joins,
+            self._peers.ready_names,
         )
-        self._taker = HandOverTaker(settings.flow, self.table, self.executor)
         self.lifecycle = Lifecycle(
             settings.flow, self.membership, self.owner, self._giver
         )
+        self._exchange = HandOverExchange(
+            self.me,
+            self._giver,
+            HandOverTaker(settings.flow, self.table, self.executor),
+            self.owner,
+            self.roles,
+            lambda: self.lifecycle.stopping,
+        )
         self._next_expiry_s = now_s + EXPIRY_EVERY_S
         self._members_dirty = True
         self._refused: tuple[RefusedRecord, ...] = ()
@@ -217,6 +227,10 @@
             return None
         return Identity(name, incarnation)
 
+    def _somebody_joins(self) -> bool:
+        views = self.membership.view().values()
+        return any(view.joining for view in views if view.name != self.me.name)
+
     def start(self) -> list[Action]:
         """Note that all sockets are bound."""
         return self.lifecycle.listen()
@@ -272,16 +286,12 @@
         match event.message:
             case RelayedPacket(caller=caller, hops=hops, datagram=datagram):
                 return self._datagram(caller, datagram, hops, now_s)
-            case HandOver():
-                return self._take_over(sender, event.message, now_s)
-            case HandOverAccepted(transfer_id=transfer_id):
-                return self._giver.accepted(sender, transfer_id)
-            case HandOverRefused(transfer_id=transfer_id):
-                return self._giver.refused(sender, transfer_id, now_s)
             case InFlightReport():
                 return self.roles.on_report(sender.name, event.message, now_s)
             case TargetDraining():
                 return self.roles.on_draining_note(event.message, now_s)
+            case message if isinstance(message, HandOverMessage | Forwarded):
+                return self._exchange.on_message(sender, message, now_s)
             case message if isinstance(message, RecordsMessage):
                 return self._disseminate(event, now_s)
             case _:
@@ -290,18 +300,6 @@
                 )
                 return self._plain(news, now_s)
 
-    def _take_over(
-        self, sender: Identity, message: HandOver, now_s: float
-    ) -> list[Action]:
-        for service in {flow.service for flow in message.flows}:
-            self.roles.activate(service, now_s)
-        flows, actions = self._taker.take(
-            sender, message, self.lifecycle.stopping, now_s
-        )
-        # Callers learn their new owner before they miss the old one.
-        actions += [self.owner.reissue(flow, now_s) for flow in flows]
-        return actions
-
     def _disseminate(self, event: DisseminationEvent, now_s: float) -> list[Action]:
         """Let the configuration's part take an event, and act on its decisions."""
         actions: list[Action] = []
--- a/endivepick/core/peer_messages.py
+++ b/endivepick/core/peer_messages.py
@@ -13,8 +13,12 @@
 __all__ = [
     "AnswerSnapshot",
     "FlowSnapshot",
+    "Forwarded",
     "HandOver",
     "HandOverAccepted",
+    "HandOverMessage",
+    "HandOverPiece",
+    "HandOverPieceTaken",
     "HandOverRefused",
     "InFlightReport",
     "RelayedPacket",
@@ -123,3 +127,62 @@
     service: str
     target: str
     target_incarnation: int
+
+
+class HandOverPiece(msgspec.Struct, frozen=True, array_like=True, tag=86):
+    """Piece of a `HandOver` that is too large for one message.
+
+    Attributes
+    ----------
+    transfer_id : int
+        Number of the transfer.
+    successor_incarnation : int
+        The one incarnation that may take the flows.
+    index : int
+        Number of this piece, from 0.
+    count : int
+        Number of pieces.
+    data : bytes
+        Part of the encoded message.
+    """
+
+    transfer_id: int
+    successor_incarnation: int
+    index: int
+    count: int
+    data: bytes
+
+
+class HandOverPieceTaken(msgspec.Struct, frozen=True, array_like=True, tag=87):
+    """The receiver holds a piece; says nothing about the transfer."""
+
+    transfer_id: int
+    index: int
+
+
+HandOverMessage = (
+    HandOver | HandOverAccepted | HandOverRefused | HandOverPiece | HandOverPieceTaken
+)
+
+
+class Forwarded(msgspec.Struct, frozen=True, array_like=True, tag=88):
+    """A message about a hand-over whose direct way seems to be cut.
+
+    The instance that gets it sends it on to ``to_name``, which answers the same way.
+
+    Attributes
+    ----------
+    sender : str
+        Name of the instance that it comes from.
+    incarnation : int
+        Its incarnation.
+    to_name : str
+        Instance that it is for.
+    message : HandOverMessage
+        The message.
+    """
+
+    sender: str
+    incarnation: int
+    to_name: str
+    message: HandOverMessage
--- a/endivepick/core/relay.py
+++ b/endivepick/core/relay.py
@@ -127,6 +127,13 @@
         """Tell whether an incarnation is known to be gone."""
         return self._peers.is_incarnation_dead(identity.name, identity.incarnation)
 
+    def takes_flows(self, identity: Identity) -> bool:
+        """Tell whether an instance that was chosen as successor still is one."""
+        if self._peers.incarnation_of(identity.name) != identity.incarnation:
+            return False
+        known = identity.name in self._peers.ready_names()
+        return known and not self._peers.is_silent(identity.name)
+
     def forward(
         self, identity: Identity, caller: CallerAddress, hops: int, datagram: bytes
     ) -> list[Action]:
--- a/endivepick/core/tests/test_handover.py
+++ b/endivepick/core/tests/test_handover.py
@@ -4,9 +4,27 @@
 from endivepick.core.dispatch import TargetHealth
 from endivepick.core.events import StreamData, StreamOpened
 from endivepick.core.flow_table import Identity
-from endivepick.core.handover import HandOverGiver, HandOverTaker
-from endivepick.core.messages import Acknowledge, AnswerPart, Refused, Unreachable
-from endivepick.core.peer_messages import HandOver, HandOverAccepted, HandOverRefused
+from endivepick.core.handover import (
+    FLOWS_PER_MESSAGE_MAX,
+    OPEN_TRANSFERS_MAX,
+    HandOverGiver,
+    HandOverTaker,
+)
+from endivepick.core.messages import (
+    Acknowledge,
+    AnswerPart,
+    Outcome,
+    Refused,
+    Unreachable,
+)
+from endivepick.core.peer_messages import (
+    Forwarded,
+    HandOver,
+    HandOverAccepted,
+    HandOverPiece,
+    HandOverPieceTaken,
+    HandOverRefused,
+)
 from endivepick.core.tests._fixture import (
     NOW_S,
     OwnerFixture,
@@ -183,6 +201,84 @@
         self.giver.table.expire(NOW_S + 10 * self.giver.settings.token_lifetime_s)
         self.assertEqual(len(self.giver.table), 1)
 
+    def test_flows_beyond_the_open_transfers_still_serve(self):
+        count = FLOWS_PER_MESSAGE_MAX * OPEN_TRANSFERS_MAX
+        tokens = [self.token, *(self.open_flow() for _ in range(count))]
+        messages = sent(self.give.tick(NOW_S), HandOver)
+        self.assertEqual(sum(len(message.flows) for message in messages), count)
+        self.assertEqual(len(starts(self.giver.request(tokens[-1], 1))), 1)
+        self.give.accepted(self.successor, messages[0].transfer_id)
+        self.giver.table.get(tokens[-1].binding).requests.clear()
+        self.assertEqual(len(sent(self.give.tick(NOW_S), HandOver)), 1)
+
+    def test_one_successor_for_all_flows_of_a_service(self):
+        self.give.takes_flows = lambda identity: identity == self.taker.me
+        self.hand_over()
+        self.successor = Identity("c", 3)
+        self.open_flow()
+        self.hand_over()
+
+    def test_large_flow_goes_in_pieces_of_which_some_are_lost(self):
+        [start] = starts(self.giver.request(self.token, 1))
+        self.giver.answer(start, bytes(10_000_000))
+        lost = iter([True, False, False] * 1000)
+        arrived = self.give.tick(NOW_S)
+        self.assertEqual(sent(arrived, HandOver), [])
+        now_s = NOW_S
+        while self.give.open_transfers and now_s < NOW_S + 60:
+            answers = []
+            for piece in sent(arrived, HandOverPiece):
+                if not next(lost):
+                    answers += self.take_piece(piece, now_s)
+            arrived = []
+            for answer in sent(answers, HandOverPieceTaken):
+                arrived += self.give.piece_taken(
+                    self.taker.me, answer.transfer_id, answer.index
+                )
+            for answer in sent(answers, HandOverAccepted):
+                self.give.accepted(self.taker.me, answer.transfer_id)
+            now_s += 0.1
+            arrived += self.give.tick(now_s)
+        answer = self.taker.flow(self.token).requests[1].answer
+        self.assertEqual(answer.size_bytes, sum(map(len, answer.parts)))
+        self.assertGreater(answer.size_bytes, 10_000_000)
+
+    def take_piece(self, piece, now_s):
+        message, actions = self.take.take_piece(self.giver.me, piece, False, now_s)
+        if message is not None:
+            actions += self.take.take(self.giver.me, message, False, now_s)[1]
+        return actions
+
+    def test_hand_over_without_an_answer_goes_over_a_third_instance(self):
+        self.give.helpers = lambda: ("b", "c")
+        [message] = sent(self.give.tick(NOW_S), HandOver)
+        actions = self.give.tick(NOW_S + 1) + self.give.tick(NOW_S + 2)
+        [around] = sent(actions, Forwarded)
+        self.assertEqual((around.to_name, around.message), ("b", message))
+
+    def test_cut_requests_wait_for_the_successor_or_have_an_unknown_outcome(self):
+        other = self.open_flow()
+        self.giver.request(self.token, 1)
+        part = request_part(1)
+        self.giver.send(other, type(part)(b"", 1, 0, 1, True, 10_000, part.data))
+        outcomes = packets(self.give.cut(), Outcome)
+        self.assertEqual([one.binding for one in outcomes], [self.token.binding])
+        [message] = sent(self.give.tick(NOW_S), HandOver)
+        _, actions = self.take.take(self.giver.me, message, False, NOW_S)
+        [start] = starts(actions)
+        self.assertEqual(start.request_id[0], other.binding)
+
+    def test_nothing_is_cut_without_a_successor(self):
+        self.giver.request(self.token, 1)
+        self.successor = None
+        self.assertEqual(self.give.cut(), [])
+
+    def test_flows_without_a_successor_wait_for_one_that_joins(self):
+        self.successor = None
+        self.assertTrue(self.give.idle)
+        self.give.successor_may_come = lambda: True
+        self.assertFalse(self.give.idle)
+
     def test_request_parts_without_the_rest_do_not_hold_a_flow_up(self):
         part = request_part(1)
         incomplete = type(part)(b"", 1, 0, 2, False, 10_000, part.data)
--- a/endivepick/core/wire.py
+++ b/endivepick/core/wire.py
@@ -3,9 +3,8 @@
 import msgspec
 
 from endivepick.core.peer_messages import (
-    HandOver,
-    HandOverAccepted,
-    HandOverRefused,
+    Forwarded,
+    HandOverMessage,
     InFlightReport,
     RelayedPacket,
     TargetDraining,
@@ -23,12 +22,7 @@
 ]
 
 FlowMessage = (
-    RelayedPacket
-    | HandOver
-    | HandOverAccepted
-    | HandOverRefused
-    | InFlightReport
-    | TargetDraining
+    RelayedPacket | HandOverMessage | Forwarded | InFlightReport | TargetDraining
 )
 
 AnyPeerMessage = FlowMessage | MembershipMessage | RecordsMessage
--- a/endivepick/membership/view.py
+++ b/endivepick/membership/view.py
@@ -17,6 +17,9 @@
     DEAD = "dead"
 
 
+_PRESENT = frozenset({PeerState.ALIVE, PeerState.SUSPECT})
+
+
 @dataclass(frozen=True)
 class InstanceView:
     """One instance, seen from another.
@@ -44,6 +47,11 @@
     state: PeerState
     ready: bool = True
 
+    @property
+    def joining(self) -> bool:
+        """Whether it was heard and will take roles once it is ready."""
+        return bool(self.incarnation) and not self.ready and self.state in _PRESENT
+
 
 @dataclass(frozen=True)
 class ListedInstance:
