End a planned stop inside its bound without losing flows

Cause: when a target did not answer, the stop waited until drain_timeout_s and then ended with the request's flow not handed over. Worse, since a service is announced only when none of its flows is left, the others did not learn where its remaining flows had gone: callers that had missed the successor's first word got a new binding, and unanswered requests an unknown outcome.

Weighed: announcing each flow (control traffic that grows with flows); announcing a service at its first transfer (others would lead packets of flows that are still here to the successor). Taken: 3 s before its end (or at half of a shorter bound) the stop cuts the attempts that still run, so that their flows can go: idempotent requests are tried again at the successor, others end as unknown ("instance_stopped"), and the flows live on. Whatever happens, the last act is to announce the successors, also in the farewell to peers, whose sockets now get 0.3 s to send what waits. The stop also begins its hand-over at once and not at the next tick.

--- a/endivepick/core/lifecycle.py
+++ b/endivepick/core/lifecycle.py
@@ -4,6 +4,7 @@
 
 from endivepick.core.actions import Action, Log, ReadinessChange, StopFinished
 from endivepick.core.chart import load_chart
+from endivepick.core.flow_table import Identity
 from endivepick.core.handover import HandOverGiver
 from endivepick.core.owner import FlowOwner
 from endivepick.core.settings import FlowSettings
@@ -15,6 +16,8 @@
 LifecycleAction = Action | MembershipAction
 _CHART = load_chart("instance")
 _STOPPING = frozenset({"leaving", "handing_over"})
+LAST_HAND_OVER_S = 3.0
+"""Time at the end of a planned stop for flows whose requests had to be cut."""
 LINGER_S = 1.0
 """How long an instance goes on as a relay after its last flow, in seconds."""
 
@@ -42,7 +45,8 @@
     owner: FlowOwner
     giver: HandOverGiver
     state: str = _CHART.initial
-    _stop_since_s: float = 0.0
+    _cut_at_s: float = 0.0
+    _expires_at_s: float = 0.0
     _empty_since_s: float | None = None
     _announced: set[str] = field(default_factory=set)
     _reason: str = ""
@@ -102,26 +106,34 @@
         ]
         if self.state == "stopped":
             return [*actions, StopFinished(0)]
-        self._stop_since_s = now_s
-        expires_at_s = now_s + self.settings.drain_timeout_s
-        self.owner.begin_leaving(now_s, expires_at_s)
+        self._expires_at_s = now_s + self.settings.drain_timeout_s
+        reserve_s = min(LAST_HAND_OVER_S, self.settings.drain_timeout_s / 2)
+        self._cut_at_s = self._expires_at_s - reserve_s
+        self.owner.begin_leaving(now_s, self._cut_at_s)
         actions += self.membership.leave(now_s)
-        return actions
+        # Callers wait from now on, so the hand-over does not wait for a tick.
+        return actions + self.tick(now_s)
 
     def tick(self, now_s: float) -> list[LifecycleAction]:
         """Go on with the planned stop."""
         if not self.stopping:
             return []
-        actions: list[LifecycleAction] = [*self.giver.tick(now_s)]
+        actions: list[LifecycleAction] = []
+        if now_s >= self._cut_at_s:
+            actions += self.giver.cut()
+        actions += self.giver.tick(now_s)
         if self.state == "leaving" and self.giver.open_transfers:
             actions.append(self._step("hand_over"))
-        actions += self._announce(now_s)
+        actions += self._announce()
         return actions + self._check_end(now_s)
 
-    def _announce(self, now_s: float) -> list[LifecycleAction]:
-        """Tell the others which successor holds a service's flows."""
+    def _announce(self) -> list[LifecycleAction]:
+        """Tell the others which successor holds all of a service's flows."""
+        return self._announce_all(self.giver.finished_services())
+
+    def _announce_all(self, successors: dict[str, Identity]) -> list[LifecycleAction]:
         actions: list[LifecycleAction] = []
-        for service, successor in self.giver.finished_services().items():
+        for service, successor in successors.items():
             if service in self._announced:
                 continue
             self._announced.add(service)
@@ -139,7 +151,7 @@
         return actions
 
     def _check_end(self, now_s: float) -> list[LifecycleAction]:
-        if now_s - self._stop_since_s >= self.settings.drain_timeout_s:
+        if now_s >= self._expires_at_s:
             return self._end("expire", now_s)
         if not self.giver.idle:
             self._empty_since_s = None
@@ -152,5 +164,7 @@
 
     def _end(self, event: str, now_s: float) -> list[LifecycleAction]:
         actions: list[LifecycleAction] = [self._step(event)]
+        # The others find the flows that were taken, whatever became of the rest.
+        actions += self._announce_all(self.giver.successors)
         actions += self.membership.stop(now_s)
         return [*actions, StopFinished(self.giver.open_flows)]
--- a/endivepick/daemon/peers.py
+++ b/endivepick/daemon/peers.py
@@ -37,6 +37,8 @@
 RECONNECT_MAX_MS = 500
 HEARTBEAT_MS = 1000
 HEARTBEAT_TIMEOUT_MS = 3000
+LAST_MESSAGES_MS = 300
+"""How long the messages of an instance that ends may take, in milliseconds."""
 MESSAGE_BYTES_MAX = 64 << 20
 _log = PartLog("peers")
 
@@ -187,9 +189,9 @@
             known[1].close()
 
     def close(self) -> None:
-        """Close all sockets."""
-        for name in list(self._dealers):
-            self.forget(name)
+        """Close all sockets; the last messages still go out."""
+        for _, dealer in self._dealers.values():
+            dealer.close(linger=LAST_MESSAGES_MS)
         self._router.close()
         self._zap.close()
         self._context.term()
--- a/endivepick/membership/_departed.py
+++ b/endivepick/membership/_departed.py
@@ -111,6 +111,12 @@
         """Return all hand-overs of one bucket."""
         return [self._to_message(key, now_s) for key in self._buckets[bucket]]
 
+    def entries_of(self, incarnation: int, now_s: float) -> list[HandedOver]:
+        """Return all hand-overs of one incarnation."""
+        bucket = bucket_of(str(incarnation))
+        keys = [key for key in self._buckets[bucket] if key[0] == incarnation]
+        return [self._to_message(key, now_s) for key in keys]
+
     def _to_message(self, key: _Key, now_s: float) -> HandedOver:
         entry = self._entries[key]
         remaining_s = max(0, int(entry.expires_s - now_s))
--- a/endivepick/membership/_sync.py
+++ b/endivepick/membership/_sync.py
@@ -108,8 +108,11 @@
         """Merge a page, and go on with the next one while joining."""
         for update in page.members:
             self._table.merge(now_s, update, passed_on=update.name == sender)
+        # What the sender says of itself may be new to all, as when it stops.
+        senders = {u.incarnation for u in page.members if u.name == sender}
         for news in page.handed_over:
-            self._departed.merge(now_s, news, passed_on=False)
+            passed_on = news.incarnation in senders
+            self._departed.merge(now_s, news, passed_on)
         if page.wanted:
             self._send_buckets(now_s, sender, page.wanted, wanted=[])
         elif not self._table.own.joined:
--- a/endivepick/membership/core.py
+++ b/endivepick/membership/core.py
@@ -209,7 +209,8 @@
         self._enter(now_s)
         if self._own.set_phase(Phase.STOPPED):
             self._table.own_changed()
-        farewell = SyncPage(0, [], [self._own.to_update()], [])
+        handed_over = self._departed.entries_of(self._own.incarnation, now_s)
+        farewell = SyncPage(0, [], [self._own.to_update()], handed_over)
         for name in self._table.live_names[: self._settings.piggyback_count]:
             self._outbox.send(name, farewell)
         return self._outbox.drain()
--- a/endivepick/membership/tests/test_membership.py
+++ b/endivepick/membership/tests/test_membership.py
@@ -385,6 +385,18 @@
             successor = node.successor_of(me["entry-0"], "notes")
             self.assertEqual(successor, ("entry-2", me["entry-2"]))
 
+    def test_farewell_tells_of_the_last_hand_over(self):
+        loop = started()
+        taker = loop.me["entry-1"]
+        leaver = loop.nodes["entry-0"]
+        leaver.announce_hand_over("notes", "entry-1", taker.incarnation)
+        loop.carry_out("entry-0", leaver.stop(loop.now_s))
+        loop.kill("entry-0")
+        loop.run(3)
+        for node in loop.nodes.values():
+            successor = node.successor_of(loop.me["entry-0"].incarnation, "notes")
+            self.assertEqual(successor, ("entry-1", taker.incarnation))
+
     def test_chain_that_comes_back_ends_at_its_last_holder(self):
         loop = started(3)
         self.hand_over(loop, "entry-0", "entry-1")
