--- a/endivepick/core/handover_exchange.py
+++ b/endivepick/core/handover_exchange.py
@@ -85,12 +85,13 @@
                 return self._forwarded(sender, message, now_s)
 
     def _take(self, sender: Identity, message: HandOver, now_s: float) -> list[Action]:
-        for service in {flow.service for flow in message.flows}:
-            self._roles.activate(service, now_s)
+        probes: list[Action] = []
+        for service in sorted({flow.service for flow in message.flows}):
+            probes += self._roles.take_up(service, now_s)
         flows, actions = self._taker.take(sender, message, self._is_leaving(), now_s)
         # Callers learn their new owner before they miss the old one.
         actions += [self._owner.reissue(flow, now_s) for flow in flows]
-        return actions
+        return probes + actions
 
     def _take_piece(
         self, sender: Identity, piece: HandOverPiece, now_s: float
--- a/endivepick/core/roles.py
+++ b/endivepick/core/roles.py
@@ -114,6 +114,16 @@
         self._active[service] = _ActiveService(now_s, now_s)
         return True
 
+    def take_up(self, service: str, now_s: float) -> list[Action]:
+        """Make a dispatcher for flows that are taken over; probe its targets at once.
+
+        Their requests wait for the first probe.
+        """
+        if service in self._active or not self.activate(service, now_s):
+            return []
+        self._active[service].next_probe_s = now_s + self._settings.probe_every_s
+        return self._probes(service)
+
     def record_changed(self, service: str, now_s: float) -> list[Action]:
         """Bring a new version of a record into force at its dispatcher."""
         dispatcher = self._executor.dispatchers.get(service)
