Begin the planned stop when an operator asks for it

drain instance wrote an object of kind instance that no instance read. The kind is cached and spread like records now, so the wish also arrives through peers. The object outlives the process that it was written for. Weighed: the instance deletes the object (a write on each stop, impossible in an outage), the command names the incarnation (it cannot know it while the zone is cut off), or a version newer than the one that stood at the first whole configuration. Tests that listed the cached kinds one by one take them from the cache, so that they still list all of them.

--- a/endivepick/cli/drain.py
+++ b/endivepick/cli/drain.py
@@ -9,12 +9,10 @@
 from endivepick.cli.failures import CommandError, value_of
 from endivepick.cli.output import print_line
 from endivepick.cli.writing import ObjectName, update_object
-from endivepick.records import SERVICE_KIND, StoredObject
+from endivepick.records import INSTANCE_KIND, SERVICE_KIND, StoredObject
 
-__all__ = ["INSTANCE_KIND", "DrainCommands"]
+__all__ = ["DrainCommands"]
 
-INSTANCE_KIND = "instance"
-"""Kind of the objects that ask an instance to stop as planned."""
 _INSTANCE_SCHEMA_VERSION = 1
 
 
--- a/endivepick/core/configuration.py
+++ b/endivepick/core/configuration.py
@@ -1,5 +1,7 @@
 """Configuration at one instance: how it arrives and what it changes here."""
 
+from collections.abc import Callable
+
 from endivepick.core.actions import (
     Action,
     Log,
@@ -10,6 +12,7 @@
 from endivepick.core.catalog import Catalog
 from endivepick.core.relay import Relay
 from endivepick.core.roles import ServiceRoles
+from endivepick.core.stop_wish import StopWish
 from endivepick.membership import Membership
 from endivepick.records.cache import Change, RecordCache
 from endivepick.records.dissemination import Dissemination
@@ -23,6 +26,7 @@
     StopWatch,
     Tick,
 )
+from endivepick.records.objects import INSTANCE_KIND
 from endivepick.records.peer_messages import RefusedRecord
 from endivepick.records.settings import DisseminationSettings
 
@@ -46,6 +50,8 @@
         Chooses owners by the zones of a record's targets.
     roles : ServiceRoles
         Services that a change may concern.
+    stop : callable
+        Called with the time to begin the planned stop; returns actions.
 
     Attributes
     ----------
@@ -66,12 +72,15 @@
         catalog: Catalog,
         relay: Relay,
         roles: ServiceRoles,
+        stop: Callable[[float], list[Action]],
     ) -> None:
         self._name = name
         self._membership = membership
         self._catalog = catalog
         self._relay = relay
         self._roles = roles
+        self._stop = stop
+        self._wish = StopWish(name)
         self.cache = RecordCache()
         self.dissemination = Dissemination(settings, name, zone, self.cache)
         self.members_dirty = True
@@ -100,6 +109,7 @@
                 case RecordsChanged(changes=changes):
                     actions += self._bring_into_force(changes, now_s)
                 case ConfigurationReady(revision=revision):
+                    self._wish.set_known(self.cache.get(INSTANCE_KIND, self._name))
                     text = "configuration is as new as any reachable source's"
                     ids = {"revision": revision}
                     actions.append(Log("records", "configuration_ready", text, ids))
@@ -118,6 +128,10 @@
         if refused != self._refused:
             self._refused = refused
             actions += self.handle(RefusedChanged(refused), now_s)
+        if any(self._wish.is_new(change) for change in changes):
+            text = "an operator asks for the planned stop"
+            actions.append(Log("instance", "stop_asked", text))
+            actions += self._stop(now_s)
         return actions
 
     def tick(self, random_share: float, now_s: float) -> list[Action]:
--- a/endivepick/core/instance.py
+++ b/endivepick/core/instance.py
@@ -148,6 +148,7 @@
             self.catalog,
             self._relay,
             self.roles,
+            self._begin_stop,
         )
         sources = InstanceSources(
             now_s,
@@ -213,7 +214,7 @@
             case PlatformCallFailed():
                 return self.configuration.handle(PlatformFailed(), now_s)
             case StopRequested():
-                return self._members.translate(self._leave(now_s), now_s)
+                return self._begin_stop(now_s)
             case Tick():
                 return self._tick(now_s)
 
@@ -270,6 +271,9 @@
         self.configuration.members_dirty = True
         return self.lifecycle.begin_stop(now_s)
 
+    def _begin_stop(self, now_s: float) -> list[Action]:
+        return self._members.translate(self._leave(now_s), now_s)
+
     def _member_changed(self, now_s: float) -> list[Action]:
         self.configuration.members_dirty = True
         return self.roles.review(now_s)
--- a/endivepick/daemon/tests/test_platform.py
+++ b/endivepick/daemon/tests/test_platform.py
@@ -8,6 +8,7 @@
 from endivepick.daemon import platform
 from endivepick.errors import WatchExpiredError
 from endivepick.platform.answers import ObjectList
+from endivepick.records.cache import CACHED_KINDS
 from endivepick.settings import parse_settings
 
 SETTINGS = """{
@@ -17,6 +18,7 @@
     secrets: {peer_secret_hex: "000102030405060708090a0b0c0d0e0f"},
 }"""
 ROUNDS = 6
+LISTS = ROUNDS * len(CACHED_KINDS)
 
 
 class _LaggingPlatform:
@@ -27,7 +29,7 @@
 
     def list(self, kind):
         self.lists += 1
-        if self.lists > 2 * ROUNDS:
+        if self.lists > LISTS:
             raise gevent.GreenletExit
         return Success(ObjectList(kind, 3, ()))
 
@@ -47,7 +49,7 @@
             task.watch(0)
             task._watch.join()
         kinds = [type(event) for event in events]
-        self.assertEqual(kinds.count(ObjectsListed), 2 * ROUNDS)
+        self.assertEqual(kinds.count(ObjectsListed), LISTS)
         self.assertEqual(kinds.count(PlatformCallFailed), ROUNDS)
         self.assertEqual(len(waits_s), ROUNDS)
         self.assertGreater(min(waits_s), 0)
--- a/endivepick/records/__init__.py
+++ b/endivepick/records/__init__.py
@@ -4,6 +4,7 @@
 from endivepick.records.difference import FieldDifference, body_differences
 from endivepick.records.model import Affinity, ServiceRecord, TargetRecord
 from endivepick.records.objects import (
+    INSTANCE_KIND,
     KEYRING_KIND,
     SERVICE_KIND,
     STATUS_KIND,
@@ -20,6 +21,7 @@
 
 __all__ = [
     "CACHED_KINDS",
+    "INSTANCE_KIND",
     "KEYRING_KIND",
     "NEWEST_SCHEMA_VERSION",
     "SCHEMA_VERSIONS",
--- a/endivepick/records/cache.py
+++ b/endivepick/records/cache.py
@@ -6,6 +6,7 @@
 from endivepick.records._digest import BucketDigest, bucket_of
 from endivepick.records._version_index import VersionIndex
 from endivepick.records.objects import (
+    INSTANCE_KIND,
     KEYRING_KIND,
     SERVICE_KIND,
     ObjectKey,
@@ -14,7 +15,7 @@
 
 __all__ = ["CACHED_KINDS", "CacheDigest", "Change", "RecordCache"]
 
-CACHED_KINDS = (SERVICE_KIND, KEYRING_KIND)
+CACHED_KINDS = (SERVICE_KIND, KEYRING_KIND, INSTANCE_KIND)
 """Kinds that every instance holds."""
 MAX_TOMBSTONES = 10_000
 """Deletions remembered one by one; older ones are known by ``history_floor``."""
--- a/endivepick/records/cost.py
+++ b/endivepick/records/cost.py
@@ -221,7 +221,8 @@
     cache = RecordCache()
     marks = [time.perf_counter()]
     cache.offer_list("service", records, listed)
-    cache.offer_list("keyring", records, [])
+    for kind in cache.kinds[1:]:
+        cache.offer_list(kind, records, [])
     marks.append(time.perf_counter())
     cache.offer(sample_record("service-0", records + 1, 7))
     marks.append(time.perf_counter())
--- a/endivepick/records/objects.py
+++ b/endivepick/records/objects.py
@@ -4,11 +4,20 @@
 from dataclasses import dataclass
 from typing import Any
 
-__all__ = ["KEYRING_KIND", "SERVICE_KIND", "STATUS_KIND", "ObjectKey", "StoredObject"]
+__all__ = [
+    "INSTANCE_KIND",
+    "KEYRING_KIND",
+    "SERVICE_KIND",
+    "STATUS_KIND",
+    "ObjectKey",
+    "StoredObject",
+]
 
 SERVICE_KIND = "service"
 STATUS_KIND = "status"
 KEYRING_KIND = "keyring"
+INSTANCE_KIND = "instance"
+"""Kind of the objects that ask an instance to stop as planned."""
 
 
 @dataclass(frozen=True, order=True)
--- a/endivepick/records/tests/test_transfer.py
+++ b/endivepick/records/tests/test_transfer.py
@@ -5,7 +5,7 @@
 from endivepick.membership.view import InstanceView, PeerState
 from endivepick.platform.answers import ObjectList
 from endivepick.records._transfer import Transfers, build_delta, build_push
-from endivepick.records.cache import RecordCache
+from endivepick.records.cache import CACHED_KINDS, RecordCache
 from endivepick.records.dissemination import Dissemination
 from endivepick.records.events import ListReceived, MembersChanged, Tick
 from endivepick.records.objects import StoredObject
@@ -89,7 +89,7 @@
         core.handle(MembersChanged((peer,)), 0.0)
         core.handle(Tick(0.5), 0.0)
         core.handle(PeerMessage("b", 1, ConfigDigest(7, 9, True)), 0.1)
-        for kind in ("service", "keyring"):
+        for kind in CACHED_KINDS:
             core.handle(ListReceived(ObjectList(kind, 5, ())), 0.2)
         core.handle(Tick(0.5), 60.0)
         self.assertFalse(core.ready)
