Activate and retire the keys of flow tokens

A key added by keys rotate stayed pending for ever. The writers of the zones' statuses take turns now: one reads all statuses, which say what keyring each incarnation holds, and writes the keyring conditionally once every instance that may be alive holds the pending key; keys of which no token can be valid are dropped. Weighed: the command waits (it ends with its terminal), every instance decides (n times the calls). Counting as alive only whom the membership believes alive was tried and fails: a cut instance still serves callers, so the platform's list counts too. Keyrings of another name than tokens are refused.

--- a/endivepick/cli/keys.py
+++ b/endivepick/cli/keys.py
@@ -16,11 +16,11 @@
     keyring_from_body,
     keyring_to_body,
 )
-from endivepick.records import KEYRING_KIND, StoredObject
+from endivepick.records import KEYRING_KIND, KEYRING_NAME, StoredObject
 
 __all__ = ["KeyCommands"]
 
-_KEYRING = ObjectName(KEYRING_KIND, "tokens")
+_KEYRING = ObjectName(KEYRING_KIND, KEYRING_NAME)
 
 
 class KeyCommands:
--- a/endivepick/core/catalog.py
+++ b/endivepick/core/catalog.py
@@ -15,7 +15,7 @@
 )
 from endivepick.records.cache import Change
 from endivepick.records.model import ServiceRecord
-from endivepick.records.objects import KEYRING_KIND, StoredObject
+from endivepick.records.objects import KEYRING_KIND, KEYRING_NAME, StoredObject
 
 __all__ = ["Catalog", "HeldKeys"]
 
@@ -28,9 +28,17 @@
     ----------
     keyring : Keyring or None
         None until the first keyring is here.
+    version : int
+        Version of the stored object that it came from; 0 before the first.
     """
 
     keyring: Keyring | None = None
+    version: int = 0
+
+    def hold(self, keyring: Keyring, version: int) -> None:
+        """Replace the keys."""
+        self.keyring = keyring
+        self.version = version
 
     def sign(self, data: bytes) -> tuple[int, bytes]:
         """Return the present key's id and the code of ``data``."""
@@ -99,11 +107,14 @@
 
     def _apply_keyring(self, stored: StoredObject) -> list[Action]:
         ids = {"record": stored.name, "version": stored.version}
+        if stored.name != KEYRING_NAME:
+            reason = {**ids, "reason": f"Name the keyring {KEYRING_NAME}."}
+            return [Log("keys", "keyring_refused", "keyring refused", reason)]
         if stored.body is None:
             # Flows live on: the keys held stay valid until a new keyring comes.
             return [Log("keys", "keyring_deleted", "keyring deleted, kept here", ids)]
         try:
-            self.keys.keyring = keyring_from_body(stored.body)
+            self.keys.hold(keyring_from_body(stored.body), stored.version)
         except RecordInvalidError as error:
             reason = {**ids, "reason": str(error)}
             return [Log("keys", "keyring_refused", "keyring refused", reason)]
--- a/endivepick/core/core_settings.py
+++ b/endivepick/core/core_settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from endivepick.core.dispatch import DispatchSettings
+from endivepick.core.key_rotator import KeySettings
 from endivepick.core.roles import RoleSettings
 from endivepick.core.settings import FlowSettings
 from endivepick.membership import MembershipSettings
@@ -31,6 +32,8 @@
         How records spread.
     status : StatusSettings
         How often the status of the zone is told and written.
+    keys : KeySettings
+        How keys for flow tokens rotate.
     """
 
     name: str
@@ -41,3 +44,4 @@
     membership: MembershipSettings = field(default_factory=MembershipSettings)
     records: DisseminationSettings = field(default_factory=DisseminationSettings)
     status: StatusSettings = field(default_factory=StatusSettings)
+    keys: KeySettings = field(default_factory=KeySettings)
--- a/endivepick/core/instance.py
+++ b/endivepick/core/instance.py
@@ -29,6 +29,7 @@
 from endivepick.core.executor import RequestExecutor
 from endivepick.core.flow_table import FlowTable, Identity
 from endivepick.core.handover import HandOverGiver, HandOverTaker
+from endivepick.core.key_rotator import KeyRotator
 from endivepick.core.lifecycle import Lifecycle, LifecycleAction
 from endivepick.core.member_actions import MemberActions
 from endivepick.core.owner import FlowOwner
@@ -41,10 +42,11 @@
     TargetDraining,
 )
 from endivepick.core.peers import MembershipPeers
+from endivepick.core.platform_calls import CallPurpose, PlatformAnswer
 from endivepick.core.relay import Relay
 from endivepick.core.roles import ServiceRoles
 from endivepick.core.router import PacketRouter
-from endivepick.core.status_sources import InstanceSources
+from endivepick.core.status_sources import InstanceSources, RotationView
 from endivepick.core.token import TokenCodec
 from endivepick.core.zone_status import ZoneStatus
 from endivepick.errors import PacketInvalidError, TokenInvalidError
@@ -151,6 +153,7 @@
             self._begin_stop,
         )
         sources = InstanceSources(
+            incarnation,
             now_s,
             self.membership,
             self.configuration.dissemination,
@@ -162,6 +165,14 @@
         self.zone_status = ZoneStatus(
             settings.status, settings.name, settings.zone, sources
         )
+        self._rotation_view = RotationView(settings.name, self.membership, sources)
+        self.key_rotator = KeyRotator(
+            settings.keys,
+            settings.flow.token_lifetime_s,
+            settings.zone,
+            self.catalog.keys,
+            self._rotation_view,
+        )
         self._members = MemberActions(self._member_changed, self._leave)
         self._next_expiry_s = now_s + EXPIRY_EVERY_S
 
@@ -203,14 +214,15 @@
                     self.membership.direct_failure(now_s, name), now_s
                 )
             case InstancesListed(entries=entries, age_s=age_s):
+                self._rotation_view.listed = {entry.name for entry in entries}
                 news = self.membership.on_list(now_s, entries, age_s)
                 return self._members.translate(news, now_s)
             case ObjectsListed(listed=listed):
                 return self.configuration.handle(ListReceived(listed), now_s)
             case ObjectsChanged(result=result):
                 return self.configuration.handle(WatchReceived(result), now_s)
-            case PlatformAnswered(answer=answer):
-                return self.zone_status.answered(answer, self._random_number(), now_s)
+            case PlatformAnswered(purpose=purpose, answer=answer):
+                return self._platform_answered(purpose, answer, now_s)
             case PlatformCallFailed():
                 return self.configuration.handle(PlatformFailed(), now_s)
             case StopRequested():
@@ -255,6 +267,16 @@
                 )
                 return self._members.translate(news, now_s)
 
+    def _platform_answered(
+        self, purpose: CallPurpose, answer: PlatformAnswer, now_s: float
+    ) -> list[Action]:
+        random_share = self._random_number()
+        match purpose:
+            case CallPurpose.STATUS:
+                return self.zone_status.answered(answer, random_share, now_s)
+            case CallPurpose.KEYS:
+                return self.key_rotator.answered(answer, random_share, now_s)
+
     def _take_over(
         self, sender: Identity, message: HandOver, now_s: float
     ) -> list[Action]:
@@ -283,6 +305,7 @@
         actions = translate(self.membership.tick(now_s, self._new_id()), now_s)
         actions += self.configuration.tick(self._random_number(), now_s)
         actions += self.zone_status.tick(self._random_number(), now_s)
+        actions += self.key_rotator.tick(now_s)
         readiness = self.lifecycle.check_ready(self._missing(), now_s)
         actions += translate(readiness, now_s)
         actions += self.roles.tick(now_s)
--- a/endivepick/core/platform_calls.py
+++ b/endivepick/core/platform_calls.py
@@ -26,6 +26,8 @@
 
     STATUS = "status"
     """Status of the zone."""
+    KEYS = "keys"
+    """Rotation of the keys for flow tokens."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/endivepick/core/status_sources.py
+++ b/endivepick/core/status_sources.py
@@ -1,16 +1,18 @@
 """What an instance tells about itself, its targets and its zone."""
 
+from collections.abc import Mapping, Set
+
 from endivepick.core.catalog import Catalog
 from endivepick.core.executor import RequestExecutor
 from endivepick.core.lifecycle import Lifecycle
 from endivepick.core.roles import ServiceRoles
-from endivepick.membership import Membership
+from endivepick.membership import InstanceView, Membership
 from endivepick.records.dissemination import Dissemination
 from endivepick.records.peer_messages import InstanceStatus, TargetStatus
 from endivepick.records.schema import SCHEMA_VERSIONS
 from endivepick.records.status import StatusView
 
-__all__ = ["InstanceSources"]
+__all__ = ["InstanceSources", "RotationView"]
 
 
 class InstanceSources:
@@ -18,8 +20,10 @@
 
     Parameters
     ----------
+    incarnation : int
+        Incarnation of this instance.
     started_at_s : float
-        Start of this instance, in seconds since the epoch.
+        Its start, in seconds since the epoch.
     membership : Membership
         States of the instances.
     dissemination : Dissemination
@@ -36,6 +40,7 @@
 
     def __init__(
         self,
+        incarnation: int,
         started_at_s: float,
         membership: Membership,
         dissemination: Dissemination,
@@ -44,6 +49,7 @@
         executor: RequestExecutor,
         lifecycle: Lifecycle,
     ) -> None:
+        self._incarnation = incarnation
         self._started_at_s = started_at_s
         self._membership = membership
         self._dissemination = dissemination
@@ -71,6 +77,8 @@
             started_at_s=self._started_at_s,
             schema_versions=SCHEMA_VERSIONS,
             targets=tuple(targets),
+            incarnation=self._incarnation,
+            keyring_version=self._catalog.keys.version,
         )
 
     def _targets(self, service: str) -> list[TargetStatus]:
@@ -97,3 +105,40 @@
             members=members,
             states={name: known[name].state.value for name in members},
         )
+
+
+class RotationView:
+    """What the rotation of keys is decided on.
+
+    Parameters
+    ----------
+    name : str
+        Name of this instance.
+    membership : Membership
+        States of the instances.
+    sources : InstanceSources
+        Role of this instance.
+
+    Attributes
+    ----------
+    listed : set of str or None
+        Names on the platform's list; None if it was not read yet.
+    """
+
+    def __init__(
+        self, name: str, membership: Membership, sources: InstanceSources
+    ) -> None:
+        self._name = name
+        self._membership = membership
+        self._sources = sources
+        self.listed: Set[str] | None = None
+
+    @property
+    def is_status_writer(self) -> bool:
+        """Whether this instance writes the status of its zone."""
+        return self._sources.status_writer == self._name
+
+    @property
+    def view(self) -> Mapping[str, InstanceView]:
+        """All known instances by name."""
+        return self._membership.view()
--- a/endivepick/daemon/metrics.py
+++ b/endivepick/daemon/metrics.py
@@ -29,6 +29,7 @@
     "flows_reissued": ("reason", "Flows with a new owner after the loss of one."),
     "flows_handed_over": ("reason", "Flows moved to a successor as planned."),
     "attempts_retried": ("reason", "Requests sent to a second target, by reason."),
+    "key_checks": ("result", "Looks whether a pending key may sign, by result."),
     "platform_calls": ("result", "Calls of the platform's object API, by result."),
 }
 """Label and meaning of each counter, by the name of the core's ``Count`` action."""
--- a/endivepick/daemon/run.py
+++ b/endivepick/daemon/run.py
@@ -175,6 +175,7 @@
         membership=settings.membership,
         records=settings.records,
         status=settings.status,
+        keys=settings.keys,
     )
 
 
--- a/endivepick/daemon/status.py
+++ b/endivepick/daemon/status.py
@@ -2,13 +2,33 @@
 
 from dataclasses import dataclass
 
+from endivepick.core.catalog import HeldKeys
 from endivepick.core.dispatch import DispatchSnapshot
 from endivepick.core.instance import InstanceCore
 from endivepick.daemon.metrics import RoleGauges
 from endivepick.membership import InstanceView, PeerState
 from endivepick.records.peer_messages import RefusedRecord
 
-__all__ = ["InstanceStatus", "instance_status", "role_gauges"]
+__all__ = ["InstanceStatus", "KeyringStatus", "instance_status", "role_gauges"]
+
+
+@dataclass(frozen=True)
+class KeyringStatus:
+    """Keys of an instance, without secrets.
+
+    Attributes
+    ----------
+    version : int
+        Version of the keyring; 0 if the instance holds none.
+    current : int
+        Number of the key that signs.
+    keys : list of int
+        Numbers of all keys; those above ``current`` are pending.
+    """
+
+    version: int
+    current: int
+    keys: list[int]
 
 
 @dataclass(frozen=True)
@@ -29,6 +49,8 @@
         Flows held.
     records : dict
         Version in force of each record.
+    keyring : KeyringStatus
+        Keys for flow tokens.
     refused : tuple of RefusedRecord
         Newest versions that are not in force, with the reason.
     peers : list of InstanceView
@@ -43,6 +65,7 @@
     at_s: float
     flows: int
     records: dict[str, int]
+    keyring: KeyringStatus
     refused: tuple[RefusedRecord, ...]
     peers: list[InstanceView]
     services: list[DispatchSnapshot]
@@ -58,12 +81,19 @@
         at_s=now_s,
         flows=len(core.table),
         records=dict(core.catalog.versions()),
+        keyring=_keyring_status(core.catalog.keys),
         refused=core.catalog.book.refused,
         peers=list(core.membership.view().values()),
         services=[dispatcher.snapshot() for dispatcher in dispatchers.values()],
     )
 
 
+def _keyring_status(keys: HeldKeys) -> KeyringStatus:
+    if keys.keyring is None:
+        return KeyringStatus(0, 0, [])
+    return KeyringStatus(keys.version, keys.keyring.current, sorted(keys.keyring.keys))
+
+
 def role_gauges(core: InstanceCore) -> RoleGauges:
     """Count what the instance holds."""
     snapshots = [one.snapshot() for one in core.executor.dispatchers.values()]
--- a/endivepick/records/__init__.py
+++ b/endivepick/records/__init__.py
@@ -6,6 +6,7 @@
 from endivepick.records.objects import (
     INSTANCE_KIND,
     KEYRING_KIND,
+    KEYRING_NAME,
     SERVICE_KIND,
     STATUS_KIND,
     ObjectKey,
@@ -23,6 +24,7 @@
     "CACHED_KINDS",
     "INSTANCE_KIND",
     "KEYRING_KIND",
+    "KEYRING_NAME",
     "NEWEST_SCHEMA_VERSION",
     "SCHEMA_VERSIONS",
     "SERVICE_KIND",
--- a/endivepick/records/_status_body.py
+++ b/endivepick/records/_status_body.py
@@ -138,6 +138,8 @@
             entry["state"] = part.state
             entry["started_at_s"] = part.started_at_s
             entry["schema_versions"] = list(part.schema_versions)
+            entry["incarnation"] = f"{part.incarnation:016x}"
+            entry["keyring_version"] = part.keyring_version
         instances[name] = entry
     return instances
 
--- a/endivepick/records/objects.py
+++ b/endivepick/records/objects.py
@@ -7,6 +7,7 @@
 __all__ = [
     "INSTANCE_KIND",
     "KEYRING_KIND",
+    "KEYRING_NAME",
     "SERVICE_KIND",
     "STATUS_KIND",
     "ObjectKey",
@@ -16,6 +17,8 @@
 SERVICE_KIND = "service"
 STATUS_KIND = "status"
 KEYRING_KIND = "keyring"
+KEYRING_NAME = "tokens"
+"""Name of the one keyring."""
 INSTANCE_KIND = "instance"
 """Kind of the objects that ask an instance to stop as planned."""
 
--- a/endivepick/records/peer_messages.py
+++ b/endivepick/records/peer_messages.py
@@ -200,12 +200,18 @@
         Schema versions of records that it reads.
     targets : tuple of TargetStatus
         Targets that it owns.
+    incarnation : int
+        Incarnation of the instance.
+    keyring_version : int
+        Version of the keyring that it holds; 0 for none.
     """
 
     state: str
     started_at_s: float
     schema_versions: tuple[int, ...]
     targets: tuple[TargetStatus, ...]
+    incarnation: int = 0
+    keyring_version: int = 0
 
 
 RecordsMessage = (
--- a/endivepick/settings/model.py
+++ b/endivepick/settings/model.py
@@ -9,6 +9,7 @@
 from typing import Literal
 
 from endivepick.core.dispatch.settings import DispatchSettings
+from endivepick.core.key_rotator import KeySettings
 from endivepick.core.settings import FlowSettings
 from endivepick.membership.settings import MembershipSettings
 from endivepick.platform.settings import PlatformSettings
@@ -21,6 +22,7 @@
     "FabricSettings",
     "FlowSettings",
     "InstanceSettings",
+    "KeySettings",
     "ListenSettings",
     "LogLevel",
     "LogSettings",
@@ -134,6 +136,7 @@
     membership: MembershipSettings = MembershipSettings()
     records: DisseminationSettings = DisseminationSettings()
     status: StatusSettings = StatusSettings()
+    keys: KeySettings = KeySettings()
     flow: FlowSettings = FlowSettings()
     targets: TargetSettings = TargetSettings()
     dispatch: DispatchSettings = field(
--- a/endivepick/settings/schema.py
+++ b/endivepick/settings/schema.py
@@ -296,6 +296,31 @@
     )
 
 
+class KeyModel(_Group):
+    """Rotation of the keys for flow tokens."""
+
+    check_every_s: float = Field(
+        default=model.KeySettings.check_every_s,
+        ge=0.1,
+        le=300,
+        description="Period of looking which instances hold a pending key.",
+    )
+    pending_min_s: float = Field(
+        default=model.KeySettings.pending_min_s,
+        ge=0,
+        le=_DAY_S,
+        description="Shortest age of a pending key that becomes the current one; as "
+        "long as the platform's list of instances may lag.",
+    )
+    cut_off_allowance_s: float = Field(
+        default=model.KeySettings.cut_off_allowance_s,
+        ge=0,
+        le=365 * _DAY_S,
+        description="How long an instance that missed a rotation may go on signing "
+        "with the earlier key; keys are kept that much longer than their tokens live.",
+    )
+
+
 class FlowModel(_Group):
     """Flows, their tokens and requests, and the planned stop."""
 
@@ -422,6 +447,7 @@
     membership: MembershipModel = MembershipModel()
     records: RecordsModel = RecordsModel()
     status: StatusModel = StatusModel()
+    keys: KeyModel = KeyModel()
     flow: FlowModel = FlowModel()
     targets: TargetModel = TargetModel()
     dispatch: DispatchModel = Field(
