Measure the time to answer and count what had no metric

Nobody filled time_to_answer; refused opens were counted as refused requests, and hand-overs, retries, relayed flows and platform calls were not counted. Requests remember when they were complete at their owner and how their last attempt ended; Count has an amount and Observe is a new action of the core. Flows relayed are estimated in constant memory (linear counting), since a set of them would grow with the flows of the whole fleet. After a hand-over the time counts from there: the giver's clock is another one.

--- a/endivepick/core/actions.py
+++ b/endivepick/core/actions.py
@@ -12,6 +12,7 @@
     "CancelAttempt",
     "Count",
     "Log",
+    "Observe",
     "Probe",
     "ReadinessChange",
     "RequestId",
@@ -130,6 +131,16 @@
 
     name: str
     label: str = ""
+    amount: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Observe:
+    """Add one value to a distribution, by name and label."""
+
+    name: str
+    label: str
+    value: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -196,6 +207,7 @@
     | Probe
     | ReadinessChange
     | Log
+    | Observe
     | StopFinished
     | StopPlatformWatch
     | WatchPlatform
--- a/endivepick/core/executor.py
+++ b/endivepick/core/executor.py
@@ -8,6 +8,7 @@
     CancelAttempt,
     Count,
     Log,
+    Observe,
     RequestId,
     SendToCaller,
     StartAttempt,
@@ -156,7 +157,11 @@
         request.step("start")
         request.attempt += 1
         self._at_target[held.request_id] = flow.service
+        retries: list[Action] = []
+        if request.last_failure:
+            retries.append(Count("attempts_retried", request.last_failure))
         return [
+            *retries,
             StartAttempt(
                 request_id=held.request_id,
                 attempt=request.attempt,
@@ -244,6 +249,8 @@
         request.answer.extend(event.body)
         request.answer.finish()
         actions = send_unsent_parts(held.flow, request)
+        waited_s = now_s - request.accepted_at_s
+        actions.append(Observe("time_to_answer_s", held.flow.service, waited_s))
         actions.append(
             Log(
                 "owner",
@@ -262,6 +269,7 @@
             return self._free_slot(event.request_id, now_s)
         if event.kind in _MAY_HAVE_RUN:
             held.request.may_have_run = True
+        held.request.last_failure = event.kind.value
         held.request.step("requeue")
         actions: list[Action] = [
             Log(
--- a/endivepick/core/flow.py
+++ b/endivepick/core/flow.py
@@ -47,6 +47,10 @@
         Last event of a stream that is in the answer.
     heard_at_s : float
         When the caller last spoke of it.
+    accepted_at_s : float
+        When it was complete at this owner, 0 before.
+    last_failure : str
+        How its last attempt ended without an answer, empty if none did.
     """
 
     seq: int
@@ -63,6 +67,8 @@
     attempt: int = 0
     may_have_run: bool = False
     last_event_id: str = ""
+    accepted_at_s: float = 0.0
+    last_failure: str = ""
 
     def step(self, event: str) -> None:
         """Follow the chart."""
--- a/endivepick/core/handover.py
+++ b/endivepick/core/handover.py
@@ -5,10 +5,11 @@
 successor could run what the first has already run.
 """
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from endivepick.core.actions import Action, Log, SendToPeer
+from endivepick.core.actions import Action, Count, Log, SendToPeer
 from endivepick.core.codec import encode_struct
 from endivepick.core.executor import RequestExecutor
 from endivepick.core.flow import OwnedFlow, OwnedRequest
@@ -202,13 +203,16 @@
         if transfer is None or transfer.successor != sender:
             return []
         self._settle(transfer_id, transfer)
+        services = Counter(flow.service for flow in transfer.message.flows)
+        counts = [Count("flows_handed_over", *item) for item in services.items()]
         return [
+            *counts,
             Log(
                 "handover",
                 "transfer_accepted",
                 "successor holds the flows",
                 {"peer": sender.name, "transfer": transfer_id},
-            )
+            ),
         ]
 
     def refused(self, sender: Identity, transfer_id: int, now_s: float) -> list[Action]:
--- a/endivepick/core/instance.py
+++ b/endivepick/core/instance.py
@@ -109,7 +109,7 @@
         self.owner = FlowOwner(
             settings.flow, self.table, self._codec, self.executor, self._random_number
         )
-        self._relay = Relay(
+        self.relay = Relay(
             self.me,
             self._peers,
             self._codec,
@@ -124,11 +124,11 @@
             self.catalog,
             self.table,
             self.executor,
-            self._relay.owner_name,
+            self.relay.owner_name,
             self.me.name,
         )
         self._router = PacketRouter(
-            self.me, self._codec, self.table, self.owner, self._relay, self.roles
+            self.me, self._codec, self.table, self.owner, self.relay, self.roles
         )
         self._giver = HandOverGiver(
             settings.flow,
@@ -136,7 +136,7 @@
             self.executor,
             new_id,
             self._choose_successor,
-            self._relay.is_lost,
+            self.relay.is_lost,
         )
         self._taker = HandOverTaker(settings.flow, self.table, self.executor)
         self.lifecycle = Lifecycle(
@@ -148,7 +148,7 @@
             settings.zone,
             self.membership,
             self.catalog,
-            self._relay,
+            self.relay,
             self.roles,
             self._begin_stop,
         )
@@ -180,7 +180,7 @@
         return self._new_id() / RANDOM_RANGE
 
     def _choose_successor(self, service: str) -> Identity | None:
-        name = self._relay.reachable_owner_name(service)
+        name = self.relay.reachable_owner_name(service)
         incarnation = self._peers.incarnation_of(name)
         if name == self.me.name or not incarnation:
             return None
--- a/endivepick/core/owner.py
+++ b/endivepick/core/owner.py
@@ -238,6 +238,7 @@
             del flow.requests[request.seq]
             return [_forgotten(flow, request.seq)]
         request.step("complete")
+        request.accepted_at_s = now_s
         actions: list[Action] = [
             SendToCaller(
                 flow.caller, Accepted(flow.flow_id, flow.binding, request.seq)
--- a/endivepick/core/relay.py
+++ b/endivepick/core/relay.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from endivepick.core.actions import Action, Count, Log, SendToCaller, SendToPeer
+from endivepick.core.distinct import DistinctCounter
 from endivepick.core.flow_table import Identity
 from endivepick.core.messages import (
     CallerAddress,
@@ -88,6 +89,11 @@
         When a caller should ask for a new token, in seconds.
     zones_of : callable
         Returns the zones of a service's targets, empty for an unknown service.
+
+    Attributes
+    ----------
+    flows_relayed : DistinctCounter
+        Flows of which a packet was relayed.
     """
 
     def __init__(
@@ -104,6 +110,7 @@
         self._codec = codec
         self._new_id = new_id
         self._renew_after_s = renew_after_s
+        self.flows_relayed = DistinctCounter()
         self._owners = ServiceOwners(peers, zones_of)
 
     def locate(self, token: FlowToken) -> Whereabouts:
@@ -136,6 +143,10 @@
         message = RelayedPacket(caller, hops + 1, datagram)
         return [SendToPeer(identity.name, message), Count("packets_relayed")]
 
+    def note_flow(self, token: FlowToken) -> None:
+        """Count a flow of which a packet is relayed."""
+        self.flows_relayed.add(token.flow_id)
+
     def say_unreachable(
         self, token: FlowToken, seq: int, caller: CallerAddress
     ) -> list[Action]:
@@ -208,4 +219,4 @@
     ) -> list[Action]:
         """Answer that no flow was opened, and when to come back."""
         packet = OpenRefused(open_id, reason, retry_after_ms)
-        return [SendToCaller(caller, packet), Count("refused", reason)]
+        return [SendToCaller(caller, packet), Count("opens_refused", reason)]
--- a/endivepick/core/router.py
+++ b/endivepick/core/router.py
@@ -118,6 +118,7 @@
             case Holder(identity=identity) if identity == self._me:
                 return self._handle_as_holder(token, packet, caller, now_s)
             case Holder(identity=identity):
+                self._relay.note_flow(token)
                 return self._relay.forward(identity, caller, hops, datagram)
             case HolderSilent():
                 seq = getattr(packet, "seq", 0)
--- a/endivepick/core/snapshot.py
+++ b/endivepick/core/snapshot.py
@@ -85,6 +85,8 @@
         attempt=snapshot.attempt,
         may_have_run=snapshot.may_have_run,
         last_event_id=snapshot.last_event_id,
+        # The time to answer counts from here: the giver's clock is another one.
+        accepted_at_s=now_s,
     )
 
 
--- a/endivepick/core/tests/test_handover.py
+++ b/endivepick/core/tests/test_handover.py
@@ -1,6 +1,6 @@
 import unittest
 
-from endivepick.core.actions import CancelAttempt, SendToPeer
+from endivepick.core.actions import CancelAttempt, Count, SendToPeer
 from endivepick.core.dispatch import TargetHealth
 from endivepick.core.events import StreamData, StreamOpened
 from endivepick.core.flow_table import Identity
@@ -53,6 +53,17 @@
         self.give.accepted(self.taker.me, accepted.transfer_id)
         return message, actions
 
+    def test_flows_taken_are_counted_once(self):
+        self.open_flow()
+        [message] = sent(self.give.tick(NOW_S), HandOver)
+        [counted] = [
+            action
+            for _ in range(2)
+            for action in self.give.accepted(self.taker.me, message.transfer_id)
+            if isinstance(action, Count)
+        ]
+        self.assertEqual(counted, Count("flows_handed_over", "notes", 2))
+
     def test_flow_waits_for_its_request_in_progress(self):
         [start] = starts(self.giver.request(self.token, 1))
         self.assertEqual(sent(self.give.tick(NOW_S), HandOver), [])
--- a/endivepick/core/tests/test_owner.py
+++ b/endivepick/core/tests/test_owner.py
@@ -1,6 +1,6 @@
 import unittest
 
-from endivepick.core.actions import CancelAttempt
+from endivepick.core.actions import CancelAttempt, Count, Observe
 from endivepick.core.dispatch import FinishKind
 from endivepick.core.events import AttemptFailed, StreamData, StreamOpened
 from endivepick.core.messages import (
@@ -77,6 +77,13 @@
         [second] = starts(actions)
         self.assertNotEqual(second.target, start.target)
         self.assertEqual(second.idempotency_key, start.idempotency_key)
+        counts = [action for action in actions if isinstance(action, Count)]
+        self.assertEqual(counts, [Count("attempts_retried", "shed")])
+
+    def test_time_to_answer_counts_from_the_whole_request(self):
+        [start] = starts(self.fixture.request(self.token, 1, now_s=NOW_S - 2.5))
+        observed = [a for a in self.fixture.answer(start) if isinstance(a, Observe)]
+        self.assertEqual(observed, [Observe("time_to_answer_s", "notes", 2.5)])
 
     def test_cancellation_that_overtakes_its_request_stops_it(self):
         self.fixture.send(self.token, Cancel(b"", 1))
--- a/endivepick/daemon/metrics.py
+++ b/endivepick/daemon/metrics.py
@@ -7,7 +7,7 @@
 
 from endivepick.membership.view import PeerState
 
-__all__ = ["DaemonMetrics", "RoleGauges"]
+__all__ = ["COUNTERS", "DaemonMetrics", "RoleGauges"]
 
 _ANSWER_BUCKETS_S = (
     *(0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5),
@@ -15,7 +15,7 @@
 )
 _NO_LABELS: dict[str, str] = {}
 _PLAIN = ("reason", "")
-_COUNTERS = {
+COUNTERS = {
     "refused": ("reason", "Requests answered as not run, by reason."),
     "outcome_unknown": (
         "reason",
@@ -27,8 +27,11 @@
     "flows_opened": ("service", "Flows opened, by service."),
     "opens_refused": ("reason", "Flows not opened, by reason."),
     "flows_reissued": ("reason", "Flows with a new owner after the loss of one."),
-    "flows_handed_over": ("reason", "Flows moved to a successor as planned."),
-    "attempts_retried": ("reason", "Requests sent to a second target, by reason."),
+    "flows_handed_over": ("service", "Flows moved to a successor, by service."),
+    "attempts_retried": (
+        "reason",
+        "Requests sent to a target again, by how the last attempt ended.",
+    ),
     "key_checks": ("result", "Looks whether a pending key may sign, by result."),
     "platform_calls": ("result", "Calls of the platform's object API, by result."),
 }
@@ -46,7 +49,7 @@
     flows_held : int
         Flows whose replay window this instance holds.
     flows_relayed : int
-        Flows that it relayed packets of lately.
+        Flows that it relayed packets of since the gauges were last set.
     requests_in_progress : int
         Requests sent to targets and not answered.
     requests_waiting : int
@@ -81,20 +84,21 @@
     def __init__(self) -> None:
         self._registry = Registry()
         self._counters = {
-            name: self._counter(name, text) for name, (_, text) in _COUNTERS.items()
+            name: self._counter(name, text) for name, (_, text) in COUNTERS.items()
         }
-        self._time_to_answer = Histogram(
+        time_to_answer = Histogram(
             "endivepick_time_to_answer_seconds",
             "Time from the whole request at the owner to its answer, by service.",
             registry=self._registry,
             buckets=_ANSWER_BUCKETS_S,
         )
+        self._distributions = {"time_to_answer_s": time_to_answer}
         self._held = {
             name: self._gauge(name, text)
             for name, text in (
                 ("services_owned", "Services whose owner this instance is."),
                 ("flows_held", "Flows whose replay window this instance holds."),
-                ("flows_relayed", "Flows relayed lately."),
+                ("flows_relayed", "Flows relayed since the gauges were last set."),
                 ("requests_in_progress", "Requests at targets."),
                 ("requests_waiting", "Requests in queues."),
             )
@@ -110,12 +114,22 @@
     def _gauge(self, name: str, text: str) -> Gauge:
         return Gauge(f"endivepick_{name}", text, registry=self._registry)
 
-    def request_answered(self, service: str, duration_s: float) -> None:
-        """Count an answer and the time that it took, in seconds."""
-        self._time_to_answer.observe({"service": service}, float(duration_s))
+    def observe(self, name: str, label: str, value: float) -> None:
+        """Add a value to a distribution.
+
+        Parameters
+        ----------
+        name : str
+            What was measured, as in the decision core's ``Observe`` action.
+        label : str
+            Service.
+        value : float
+            In the unit that the name ends in.
+        """
+        self._distributions[name].observe({"service": label}, value)
 
-    def count(self, name: str, label: str = "") -> None:
-        """Count one event.
+    def count(self, name: str, label: str = "", amount: int = 1) -> None:
+        """Count events.
 
         Parameters
         ----------
@@ -123,11 +137,13 @@
             What happened, as in the decision core's ``Count`` action.
         label : str
             Reason or service; empty if the counter has none.
+        amount : int
+            How many.
         """
         if name not in self._counters:
             self._counters[name] = self._counter(name, name.replace("_", " "))
-        key = _COUNTERS.get(name, _PLAIN)[0]
-        self._counters[name].inc({key: label} if label else _NO_LABELS)
+        key = COUNTERS.get(name, _PLAIN)[0]
+        self._counters[name].add({key: label} if label else _NO_LABELS, amount)
 
     def set_roles(self, gauges: RoleGauges) -> None:
         """Replace all gauges."""
--- a/endivepick/daemon/performer.py
+++ b/endivepick/daemon/performer.py
@@ -9,6 +9,7 @@
     CancelAttempt,
     Count,
     Log,
+    Observe,
     Probe,
     ReadinessChange,
     SendToAddress,
@@ -95,8 +96,10 @@
                 self._tasks.targets.cancel(action)
             case Probe():
                 self._tasks.targets.probe(action)
-            case Count(name=name, label=label):
-                self._metrics.count(name, label)
+            case Count(name=name, label=label, amount=amount):
+                self._metrics.count(name, label, amount)
+            case Observe(name=name, label=label, value=value):
+                self._metrics.observe(name, label, value)
             case Log():
                 self._log(action)
             case ReadinessChange(ready=ready, reason=reason):
--- a/endivepick/daemon/platform.py
+++ b/endivepick/daemon/platform.py
@@ -31,7 +31,13 @@
     WriteObject,
 )
 from endivepick.daemon.logs import PartLog
-from endivepick.errors import EndivepickError
+from endivepick.errors import (
+    EndivepickError,
+    PlatformAnswerError,
+    RecordConflictError,
+    WatchExpiredError,
+    WriteOutcomeUnknownError,
+)
 from endivepick.membership import ListedInstance
 from endivepick.platform.answers import ObjectList, WatchResult
 from endivepick.platform.client import PlatformClient
@@ -43,6 +49,7 @@
 
 LIST_LESS_OFTEN_FACTOR = 5
 """How much less often an instance lists that does not watch."""
+_OK = "ok"
 _log = PartLog("platform")
 
 
@@ -55,16 +62,22 @@
         Address and periods.
     deliver : callable
         Takes each event.
+    count : callable
+        Takes the result of each call.
     """
 
     def __init__(
-        self, settings: DaemonSettings, deliver: Callable[[Event], None]
+        self,
+        settings: DaemonSettings,
+        deliver: Callable[[Event], None],
+        count: Callable[[str], None],
     ) -> None:
         source_host = settings.platform.source_host
         if not source_host:
             source_host, _ = parse_address(settings.listen.peer_address)
         self._settings = replace(settings.platform, source_host=source_host)
         self._deliver = deliver
+        self._count = count
         self._random = random.Random()
         self._watch: gevent.Greenlet | None = None
         self._calls = Group()
@@ -90,8 +103,9 @@
         answer: PlatformAnswer
         match self._make_call(call):
             case Success(answer):
-                pass
+                self._count(_OK)
             case Failure(error):
+                self._count(_result_of(error))
                 answer = CallFailed(str(error))
         self._deliver(PlatformAnswered(purpose, answer))
 
@@ -120,10 +134,13 @@
     def _take(self, event: WatcherEvent) -> None:
         match event:
             case ObjectList():
+                self._count(_OK)
                 self._deliver(ObjectsListed(event))
             case WatchResult():
+                self._count(_OK)
                 self._deliver(ObjectsChanged(event))
             case WatchFailed(error=error):
+                self._count(_result_of(error))
                 _log.warning("watch_failed", "watch ended", reason=str(error))
                 self._deliver(PlatformCallFailed())
 
@@ -132,6 +149,7 @@
         while True:
             match self._client.instances():
                 case Success(listed):
+                    self._count(_OK)
                     entries = tuple(
                         ListedInstance(
                             entry.name,
@@ -143,6 +161,7 @@
                     )
                     self._deliver(InstancesListed(entries, listed.age_ms / 1000))
                 case Failure(error):
+                    self._count(_result_of(error))
                     _log.warning(
                         "instances_failed", "instances not listed", reason=str(error)
                     )
@@ -155,12 +174,28 @@
         return self._settings.list_every_s * spread * factor
 
 
+def _result_of(error: EndivepickError) -> str:
+    """Name what came of a call that failed."""
+    match error:
+        case RecordConflictError():
+            return "conflict"
+        case WatchExpiredError():
+            return "expired"
+        case PlatformAnswerError():
+            return "refused"
+        case WriteOutcomeUnknownError():
+            return "unknown"
+    return "unavailable"
+
+
 @contextmanager
 def platform_task(
-    settings: DaemonSettings, deliver: Callable[[Event], None]
+    settings: DaemonSettings,
+    deliver: Callable[[Event], None],
+    count: Callable[[str], None],
 ) -> Iterator[PlatformTask]:
     """Run the task while the context is open."""
-    task = PlatformTask(settings, deliver)
+    task = PlatformTask(settings, deliver, count)
     loop = gevent.spawn(task.run_instances)
     try:
         yield task
--- a/endivepick/daemon/run.py
+++ b/endivepick/daemon/run.py
@@ -140,7 +140,13 @@
                 settings.listen, metrics, lambda: instance_status(core, clock.now_s())
             )
         )
-        platform = stack.enter_context(platform_task(settings, deliver))
+        platform = stack.enter_context(
+            platform_task(
+                settings,
+                deliver,
+                lambda result: metrics.count("platform_calls", result),
+            )
+        )
         tasks = PerformerTasks(fabric, peers, targets, http, platform)
         performer = Performer(core, tasks, metrics, loop.deliver_now)
         performer.perform(core.start())
--- a/endivepick/daemon/status.py
+++ b/endivepick/daemon/status.py
@@ -95,15 +95,16 @@
 
 
 def role_gauges(core: InstanceCore) -> RoleGauges:
-    """Count what the instance holds."""
+    """Count what the instance holds, and what it relayed since the last call."""
     snapshots = [one.snapshot() for one in core.executor.dispatchers.values()]
     peers: dict[PeerState, int] = {}
     for view in core.membership.view().values():
         if view.name != core.me.name:
             peers[view.state] = peers.get(view.state, 0) + 1
     return RoleGauges(
-        services_owned=len(snapshots),
+        services_owned=len(core.roles.owned),
         flows_held=len(core.table),
+        flows_relayed=round(core.relay.flows_relayed.take()),
         requests_in_progress=sum(
             target.in_flight for one in snapshots for target in one.targets
         ),
--- a/endivepick/daemon/tests/test_http.py
+++ b/endivepick/daemon/tests/test_http.py
@@ -40,7 +40,7 @@
         self.assertEqual(self.call("/healthz").status, 200)
 
     def test_metrics(self):
-        self.metrics.request_answered("notes", 0.03)
+        self.metrics.observe("time_to_answer_s", "notes", 0.03)
         self.metrics.count("packets_dropped", "too_long")
         self.metrics.count("packets_relayed")
         self.metrics.count("unforeseen", "x")
--- a/endivepick/daemon/tests/test_platform.py
+++ b/endivepick/daemon/tests/test_platform.py
@@ -40,12 +40,12 @@
 class PlatformTaskTest(unittest.TestCase):
     def test_waits_between_lists_that_lag_behind_the_history(self):
         settings = parse_settings(SETTINGS).unwrap()
-        events, waits_s = [], []
+        events, waits_s, results = [], [], []
         with (
             mock.patch.object(platform, "PlatformClient", _LaggingPlatform),
             mock.patch.object(platform.gevent, "sleep", waits_s.append),
         ):
-            task = platform.PlatformTask(settings, events.append)
+            task = platform.PlatformTask(settings, events.append, results.append)
             task.watch(0)
             task._watch.join()
         kinds = [type(event) for event in events]
@@ -53,6 +53,8 @@
         self.assertEqual(kinds.count(PlatformCallFailed), ROUNDS)
         self.assertEqual(len(waits_s), ROUNDS)
         self.assertGreater(min(waits_s), 0)
+        self.assertEqual(results.count("ok"), LISTS)
+        self.assertEqual(results.count("expired"), ROUNDS)
 
 
 if __name__ == "__main__":
