--- a/endivepick/core/instance.py
+++ b/endivepick/core/instance.py
@@ -30,6 +30,7 @@
 from endivepick.core.flow_table import FlowTable, Identity
 from endivepick.core.handover import HandOverGiver, HandOverTaker
 from endivepick.core.handover_exchange import HandOverExchange
+from endivepick.core.key_rotator import KeyRotator
 from endivepick.core.lifecycle import Lifecycle, LifecycleAction
 from endivepick.core.member_actions import MemberActions
 from endivepick.core.owner import FlowOwner
@@ -41,10 +42,11 @@
     TargetDraining,
 )
 from endivepick.core.peers import MembershipPeers
+from endivepick.core.platform_calls import CallPurpose, PlatformAnswer
 from endivepick.core.relay import Relay
 from endivepick.core.roles import ServiceRoles
 from endivepick.core.router import PacketRouter
-from endivepick.core.status_sources import InstanceSources
+from endivepick.core.status_sources import InstanceSources, RotationView
 from endivepick.core.token import TokenCodec
 from endivepick.core.zone_status import ZoneStatus
 from endivepick.errors import PacketInvalidError, TokenInvalidError
@@ -107,7 +109,7 @@
         self.owner = FlowOwner(
             settings.flow, self.table, self._codec, self.executor, self._random_number
         )
-        self._relay = Relay(
+        self.relay = Relay(
             self.me,
             self._peers,
             self._codec,
@@ -122,11 +124,11 @@
             self.catalog,
             self.table,
             self.executor,
-            self._relay.owner_name,
+            self.relay.owner_name,
             self.me.name,
         )
         self._router = PacketRouter(
-            self.me, self._codec, self.table, self.owner, self._relay, self.roles
+            self.me, self._codec, self.table, self.owner, self.relay, self.roles
         )
         self._giver = HandOverGiver(
             settings.flow,
@@ -134,8 +136,8 @@
             self.executor,
             new_id,
             self._choose_successor,
-            self._relay.is_lost,
-            self._relay.takes_flows,
+            self.relay.is_lost,
+            self.relay.takes_flows,
             self._somebody_joins,
             self._peers.ready_names,
         )
@@ -148,10 +150,12 @@
             settings.zone,
             self.membership,
             self.catalog,
-            self._relay,
+            self.relay,
             self.roles,
+            self._begin_stop,
         )
         sources = InstanceSources(
+            incarnation,
             now_s,
             self.membership,
             self.configuration.dissemination,
@@ -163,6 +167,14 @@
         self.zone_status = ZoneStatus(
             settings.status, settings.name, settings.zone, sources
         )
+        self._rotation_view = RotationView(settings.name, self.membership, sources)
+        self.key_rotator = KeyRotator(
+            settings.keys,
+            settings.flow.token_lifetime_s,
+            settings.zone,
+            self.catalog.keys,
+            self._rotation_view,
+        )
         self._members = MemberActions(self._member_changed, self._leave)
         self._exchange = HandOverExchange(
             self.me,
@@ -178,7 +190,7 @@
         return self._new_id() / RANDOM_RANGE
 
     def _choose_successor(self, service: str) -> Identity | None:
-        name = self._relay.reachable_owner_name(service)
+        name = self.relay.reachable_owner_name(service)
         incarnation = self._peers.incarnation_of(name)
         if name == self.me.name or not incarnation:
             return None
@@ -216,18 +228,19 @@
                     self.membership.direct_failure(now_s, name), now_s
                 )
             case InstancesListed(entries=entries, age_s=age_s):
+                self._rotation_view.listed = {entry.name for entry in entries}
                 news = self.membership.on_list(now_s, entries, age_s)
                 return self._members.translate(news, now_s)
             case ObjectsListed(listed=listed):
                 return self.configuration.handle(ListReceived(listed), now_s)
             case ObjectsChanged(result=result):
                 return self.configuration.handle(WatchReceived(result), now_s)
-            case PlatformAnswered(answer=answer):
-                return self.zone_status.answered(answer, self._random_number(), now_s)
+            case PlatformAnswered(purpose=purpose, answer=answer):
+                return self._platform_answered(purpose, answer, now_s)
             case PlatformCallFailed():
                 return self.configuration.handle(PlatformFailed(), now_s)
             case StopRequested():
-                return self._members.translate(self._leave(now_s), now_s)
+                return self._begin_stop(now_s)
             case Tick():
                 return self._tick(now_s)
 
@@ -264,10 +277,23 @@
                 )
                 return self._members.translate(news, now_s)
 
+    def _platform_answered(
+        self, purpose: CallPurpose, answer: PlatformAnswer, now_s: float
+    ) -> list[Action]:
+        random_share = self._random_number()
+        match purpose:
+            case CallPurpose.STATUS:
+                return self.zone_status.answered(answer, random_share, now_s)
+            case CallPurpose.KEYS:
+                return self.key_rotator.answered(answer, random_share, now_s)
+
     def _leave(self, now_s: float) -> list[LifecycleAction]:
         self.configuration.members_dirty = True
         return self.lifecycle.begin_stop(now_s)
 
+    def _begin_stop(self, now_s: float) -> list[Action]:
+        return self._members.translate(self._leave(now_s), now_s)
+
     def _member_changed(self, now_s: float) -> list[Action]:
         self.configuration.members_dirty = True
         return self.roles.review(now_s)
@@ -277,6 +303,7 @@
         actions = translate(self.membership.tick(now_s, self._new_id()), now_s)
         actions += self.configuration.tick(self._random_number(), now_s)
         actions += self.zone_status.tick(self._random_number(), now_s)
+        actions += self.key_rotator.tick(now_s)
         readiness = self.lifecycle.check_ready(self._missing(), now_s)
         actions += translate(readiness, now_s)
         actions += self.roles.tick(now_s)
--- a/endivepick/core/tests/test_owner.py
+++ b/endivepick/core/tests/test_owner.py
@@ -1,6 +1,6 @@
 import unittest
 
-from endivepick.core.actions import CancelAttempt
+from endivepick.core.actions import CancelAttempt, Count, Observe
 from endivepick.core.dispatch import FinishKind
 from endivepick.core.events import AttemptFailed, StreamData, StreamOpened
 from endivepick.core.messages import (
@@ -77,6 +77,13 @@
         [second] = starts(actions)
         self.assertNotEqual(second.target, start.target)
         self.assertEqual(second.idempotency_key, start.idempotency_key)
+        counts = [action for action in actions if isinstance(action, Count)]
+        self.assertEqual(counts, [Count("attempts_retried", "shed")])
+
+    def test_time_to_answer_counts_from_the_whole_request(self):
+        [start] = starts(self.fixture.request(self.token, 1, now_s=NOW_S - 2.5))
+        observed = [a for a in self.fixture.answer(start) if isinstance(a, Observe)]
+        self.assertEqual(observed, [Observe("time_to_answer_s", "notes", 2.5)])
 
     def test_leaving_owner_takes_requests_of_a_flow_that_waits_for_a_long_one(self):
         self.fixture.request(self.token, 1)
--- a/endivepick/records/__init__.py
+++ b/endivepick/records/__init__.py
@@ -4,7 +4,9 @@
 from endivepick.records.difference import FieldDifference, body_differences
 from endivepick.records.model import Affinity, ServiceRecord, TargetRecord
 from endivepick.records.objects import (
+    INSTANCE_KIND,
     KEYRING_KIND,
+    KEYRING_NAME,
     SERVICE_KIND,
     STATUS_KIND,
     ObjectKey,
@@ -20,7 +22,9 @@
 
 __all__ = [
     "CACHED_KINDS",
+    "INSTANCE_KIND",
     "KEYRING_KIND",
+    "KEYRING_NAME",
     "NEWEST_SCHEMA_VERSION",
     "SCHEMA_VERSIONS",
     "SERVICE_KIND",
