Report the end of each cancelled attempt

A cancelled request keeps its target's slot until its attempt reports its end. An attempt that was cancelled before its task began, or while its report waited for a full inbox, never reported: the slot stayed taken until the instance ended. It showed as a service that stood still after a flow with more requests than slots was closed: each freed slot starts a waiting request whose cancellation is the next datagram. Weighed: a report from the task itself (it may never run) and a link on the task (it runs in the hub, which must not wait for the inbox). Now the task that tells the target also reports the end if the attempt did not.

--- a/endivepick/daemon/targets.py
+++ b/endivepick/daemon/targets.py
@@ -112,7 +112,7 @@
             return
         greenlet, address_and_path = known
         greenlet.kill(block=False)
-        self._group.spawn(self._send_cancellation, address_and_path)
+        self._group.spawn(self._after_cancel, action, greenlet, address_and_path)
 
     def probe(self, action: Probe) -> None:
         """Ask a target for its health and load."""
@@ -134,12 +134,20 @@
             connection.close()
 
     def _attempt(self, action: StartAttempt) -> None:
-        started_s = time.monotonic()
-        try:
-            event = self._run_attempt(action, started_s)
-        except gevent.GreenletExit:
-            event = _failure(action, FinishKind.CANCELLED, started_s)
-        self._deliver(event)
+        self._deliver(self._run_attempt(action, time.monotonic()))
+
+    def _after_cancel(
+        self, action: CancelAttempt, greenlet: gevent.Greenlet, address_and_path: str
+    ) -> None:
+        greenlet.join()
+        if isinstance(greenlet.value, gevent.GreenletExit):
+            # It reported nothing, and maybe never began.
+            self._deliver(
+                AttemptFailed(
+                    action.request_id, action.attempt, FinishKind.CANCELLED, 0.0, 0.0
+                )
+            )
+        self._send_cancellation(address_and_path)
 
     def _run_attempt(self, action: StartAttempt, started_s: float) -> Event:
         connect_timeout_s = self._settings.targets.connect_timeout_s
