--- a/endivepick/model/_caller.py
+++ b/endivepick/model/_caller.py
@@ -34,6 +34,10 @@
         done = encode_packet(Acknowledge(caller.token, caller.seq, 1, [], 1, True))
         if done not in world.packets:
             yield "acknowledges the end", caller, frozenset([done])
+    if bounds.next_request and not caller.next_seq:
+        seq = caller.seq + 1
+        sent = frozenset([request(caller.token, seq, bounds)])
+        yield "sends its next request", caller._replace(next_seq=seq), sent
     if caller.outcome is Outcome.NOT_RUN and caller.new_numbers:
         yield _try_again(caller, bounds)
 
@@ -71,6 +75,7 @@
         return
     if not (bounds.idempotent or bounds.caller.resends_non_idempotent):
         ended = _ended(caller, Outcome.UNKNOWN)
+        ended = ended._replace(token=packet.token, binding=packet.binding)
         yield "learns that the owner was lost", ended, _NOTHING
         return
     seq = caller.seq + 1
--- a/endivepick/model/_events.py
+++ b/endivepick/model/_events.py
@@ -86,11 +86,15 @@
 
 @dataclass(frozen=True)
 class Peer:
-    """A message about a hand-over arrives."""
+    """A message about a hand-over arrives.
+
+    ``successor`` is the next candidate, if the message is a refusal.
+    """
 
     sender: Identity
     kind: type
     data: bytes
+    successor: Identity | None = None
     placement: Placement = Placement.START
 
 
--- a/endivepick/model/_node.py
+++ b/endivepick/model/_node.py
@@ -78,13 +78,14 @@
 
 @dataclass
 class _HandOverChoice:
-    event: Give | None = None
+    successor: Identity | None = None
+    dead: bool = False
 
     def choose_successor(self, service: str) -> Identity | None:
-        return self.event.successor if self.event else None
+        return self.successor
 
     def is_dead(self, identity: Identity) -> bool:
-        return bool(self.event and self.event.dead)
+        return self.dead
 
 
 @dataclass
@@ -167,10 +168,12 @@
             case Stop():
                 self.owner.leaving = True
                 return []
-            case Give():
-                self._hand_over.event = event
+            case Give(successor=successor, dead=dead):
+                self._hand_over.successor = successor
+                self._hand_over.dead = dead
                 return self.giver.tick(NOW_S)
-            case Peer(placement=placement):
+            case Peer(successor=successor, placement=placement):
+                self._hand_over.successor = successor
                 self.dispatcher.choose(placement)
                 return self._peer(event)
             case Forget():
--- a/endivepick/model/_world.py
+++ b/endivepick/model/_world.py
@@ -8,6 +8,7 @@
 from endivepick.core.codec import encode_packet, encode_struct
 from endivepick.core.flow_table import Identity
 from endivepick.core.messages import InstancePacket, RequestHead, RequestPart
+from endivepick.model._choices import Placement
 from endivepick.model._events import ToPeer
 from endivepick.model._node import Parts
 
@@ -63,10 +64,23 @@
         Further numbers that the program may use after "not run".
     stops : tuple of str
         Instances that are stopped as planned, at any moment.
+    in_turn : bool
+        The successor is always the next instance, to keep a chain of planned
+        stops within bounds.
+    placements : tuple of Placement
+        What a dispatcher may do, beside starting a request.
+    breaks : bool
+        Attempts may be shed or break, and not only be answered.
+    gives_up : bool
+        A giver may believe that its successor died, rightly or not.
     forgets : bool
         Flows that were never used may be forgotten.
+    next_request : bool
+        After the loss of the owner the program sends another request.
     acknowledges : bool
         The caller acknowledges the end, after which the owner forgets it.
+    renews : bool
+        The caller hears of new tokens of the same binding.
     cancels : bool
         The caller may give up.
     """
@@ -80,8 +94,14 @@
     attempts: int = 1
     new_numbers: int = 0
     stops: tuple[str, ...] = ()
+    in_turn: bool = False
+    placements: tuple[Placement, ...] = (Placement.QUEUE, Placement.REFUSE)
+    breaks: bool = True
+    gives_up: bool = True
     forgets: bool = False
+    next_request: bool = False
     acknowledges: bool = False
+    renews: bool = True
     cancels: bool = False
     parts: Parts = Parts()
     caller: CallerRules = CallerRules()
@@ -112,7 +132,11 @@
 
 
 class Caller(NamedTuple):
-    """The caller library's view of its one request."""
+    """The caller library's view of its one request.
+
+    ``next_seq`` is the number of another request, sent after the first one ended,
+    or 0.
+    """
 
     token: bytes
     binding: int
@@ -120,6 +144,7 @@
     outcome: Outcome
     may_have_run: bool
     new_numbers: int
+    next_seq: int = 0
 
 
 class Left(NamedTuple):
@@ -154,7 +179,8 @@
     ran : frozenset
         Requests, by binding and number, that a target ran at least once.
     runs : int
-        How often targets ran the one request, under whatever number.
+        How often targets ran the one request, under whatever number; 2 also if
+        another request ran twice.
     caller : Caller
         The caller.
     heirs : frozenset
