Admit by class and share one limit among services

At three times capacity requests of new and of established flows were refused alike, since the order of waiting reaches only a tenth of a second. Now new flows and long requests may fill half of a queue each, which leaves room for the others without reordering at usual loads. A queue is bounded by the slots in service, as the record says, and an allowance keeps one service of an instance from taking all places.

--- a/endivepick/bench/experiment.py
+++ b/endivepick/bench/experiment.py
@@ -81,6 +81,10 @@
         Peak over mean of the targets' loads, over windows of one second.
     waiting_p50_s, waiting_p99_s : float
         From arrival to start at the target, in seconds.
+    waiting_p99_short_s, waiting_p99_long_s : float
+        The same percentile for each cost class, in seconds.
+    refused_share_established, refused_share_new : float
+        Share refused of the requests of established and of new flows.
     attempts_per_request : float
         Requests sent to targets for each that arrived.
     hops_per_request, zone_crossings_per_request : float
@@ -106,6 +110,10 @@
     imbalance_peak: float
     waiting_p50_s: float
     waiting_p99_s: float
+    waiting_p99_short_s: float
+    waiting_p99_long_s: float
+    refused_share_established: float
+    refused_share_new: float
     attempts_per_request: float
     hops_per_request: float
     zone_crossings_per_request: float
@@ -123,6 +131,7 @@
         self._loop = VirtualLoop()
         self._requests: list[Request] = []
         self._waiting = LatencyHistogram()
+        self._waiting_by_class = {True: LatencyHistogram(), False: LatencyHistogram()}
         record = make_record(self._shape, Affinity(experiment.affinity))
         targets = {
             t.name: VirtualTarget(self._loop, t.name, t.zone, t.slots)
@@ -162,6 +171,8 @@
             case Closed(flow):
                 self._policy.close_flow(flow)
             case Requested(request):
+                request.established = request.flow.requests > 0
+                request.flow.requests += 1
                 if request.arrival_s >= WARM_UP_S:
                     self._requests.append(request)
                 self._policy.submit(request)
@@ -171,7 +182,9 @@
         late = self._loop.now_s > request.deadline_at_s
         request.outcome = "unknown" if outcome == "ok" and late else outcome
         if request.outcome == "ok" and request.arrival_s >= WARM_UP_S:
-            self._waiting.add(request.started_s - request.arrival_s)
+            waiting_s = request.started_s - request.arrival_s
+            self._waiting.add(waiting_s)
+            self._waiting_by_class[request.long].add(waiting_s)
 
     def _sample(self) -> None:
         waiting = self._policy.waiting()
@@ -208,6 +221,10 @@
             imbalance_peak=peak,
             waiting_p50_s=self._waiting.percentile_s(50.0),
             waiting_p99_s=self._waiting.percentile_s(99.0),
+            waiting_p99_short_s=self._waiting_by_class[False].percentile_s(99.0),
+            waiting_p99_long_s=self._waiting_by_class[True].percentile_s(99.0),
+            refused_share_established=_refused_share(requests, established=True),
+            refused_share_new=_refused_share(requests, established=False),
             attempts_per_request=attempts / count,
             hops_per_request=policy.hops / count,
             zone_crossings_per_request=policy.zone_crossings / count,
@@ -225,6 +242,11 @@
         return done / (end_s - start_s) / self._shape.capacity_per_s
 
 
+def _refused_share(requests: list[Request], established: bool) -> float:
+    outcomes = [r.outcome for r in requests if r.established is established]
+    return outcomes.count("refused") / max(1, len(outcomes))
+
+
 def run_experiment(experiment: Experiment) -> RunResult:
     """Run one experiment in virtual time.
 
--- a/endivepick/bench/owners.py
+++ b/endivepick/bench/owners.py
@@ -9,6 +9,7 @@
 from endivepick.bench.workload import Flow, Request
 from endivepick.core.codec import encode_struct
 from endivepick.core.dispatch import (
+    CostClass,
     Decision,
     DispatchSettings,
     Fail,
@@ -197,13 +198,13 @@
         if not owner.alive:
             self.submit(request)
             return
-        request.flow.requests += 1
         intent = RequestIntent(
             request_id=request.number,
             pinned_target=request.flow.target,
             deadline_at_s=request.deadline_at_s,
             idempotent=request.idempotent,
-            established=request.flow.requests > 1,
+            established=request.established,
+            cost_class=CostClass.LONG if request.long else CostClass.SHORT,
         )
         owner.requests[request.number] = request
         now_s = self.world.loop.now_s
--- a/endivepick/bench/workload.py
+++ b/endivepick/bench/workload.py
@@ -1,5 +1,6 @@
 """The two users' shapes and their open-loop arrivals."""
 
+import dataclasses
 from collections.abc import Iterator
 from dataclasses import dataclass
 from itertools import count
@@ -41,8 +42,12 @@
         Entry instances, spread evenly over the zones.
     zone_delay_s : float
         One way between two zones, in seconds.
-    service_time_s : float
-        Mean time for which a request holds its slot, in seconds.
+    short_service_s : float
+        Mean time for which a short request holds its slot, in seconds.
+    long_service_s : float
+        The same for a long request, in seconds.
+    long_share : float
+        Share of requests that are long.
     flow_lifetime_s : float
         Mean lifetime of a flow, in seconds.
     think_time_s : float
@@ -59,12 +64,20 @@
     slots: int
     instances: int
     zone_delay_s: float
-    service_time_s: float
+    short_service_s: float
+    long_service_s: float
+    long_share: float
     flow_lifetime_s: float
     think_time_s: float
     timeout_s: float
     idempotent_share: float
 
+    @property
+    def service_time_s(self) -> float:
+        """Mean time for which a request holds its slot, in seconds."""
+        short_s = (1.0 - self.long_share) * self.short_service_s
+        return short_s + self.long_share * self.long_service_s
+
     @property
     def capacity_per_s(self) -> float:
         """Requests that all slots together can run in a second."""
@@ -79,33 +92,58 @@
         return self.zones[self.target_zones[target]]
 
 
+_HARADA = Shape(
+    name="harada",
+    zones=("fukuoka", "kumamoto", "kagoshima"),
+    target_zones=(0, 0, 0, 1, 1, 2, 2),
+    slots=2,
+    instances=8,
+    zone_delay_s=0.0005,
+    short_service_s=0.2,
+    long_service_s=0.2,
+    long_share=0.0,
+    flow_lifetime_s=60.0,
+    think_time_s=4.0,
+    timeout_s=10.0,
+    idempotent_share=0.5,
+)
+_LEAVE_DESK = Shape(
+    name="leave-desk",
+    zones=("thamel", "baneshwor", "lalitpur", "bhaktapur"),
+    target_zones=(0, 0, 1, 1, 2, 2, 3),
+    slots=3,
+    instances=9,
+    zone_delay_s=0.0015,
+    short_service_s=0.15,
+    long_service_s=0.15,
+    long_share=0.0,
+    flow_lifetime_s=20.0,
+    think_time_s=2.0,
+    timeout_s=10.0,
+    idempotent_share=0.3,
+)
 SHAPES = {
-    "harada": Shape(
-        name="harada",
-        zones=("fukuoka", "kumamoto", "kagoshima"),
-        target_zones=(0, 0, 0, 1, 1, 2, 2),
-        slots=2,
-        instances=8,
-        zone_delay_s=0.0005,
-        service_time_s=0.2,
-        flow_lifetime_s=60.0,
-        think_time_s=4.0,
-        timeout_s=10.0,
-        idempotent_share=0.5,
-    ),
-    "leave-desk": Shape(
-        name="leave-desk",
-        zones=("thamel", "baneshwor", "lalitpur", "bhaktapur"),
-        target_zones=(0, 0, 1, 1, 2, 2, 3),
-        slots=3,
-        instances=9,
-        zone_delay_s=0.0015,
-        service_time_s=0.15,
-        flow_lifetime_s=20.0,
-        think_time_s=2.0,
-        timeout_s=10.0,
-        idempotent_share=0.3,
-    ),
+    shape.name: shape
+    for shape in (
+        _HARADA,
+        _LEAVE_DESK,
+        dataclasses.replace(
+            _HARADA,
+            name="harada-packs",
+            target_zones=(0, 1, 2),
+            long_service_s=2.0,
+            long_share=0.3,
+            timeout_s=30.0,
+        ),
+        dataclasses.replace(
+            _LEAVE_DESK,
+            name="leave-desk-exports",
+            target_zones=(0, 1, 2, 3),
+            long_service_s=1.5,
+            long_share=0.2,
+            timeout_s=30.0,
+        ),
+    )
 }
 
 
@@ -157,6 +195,10 @@
         Whether it may run more than once.
     instance : int
         Instance that the fabric hands it to.
+    long : bool
+        It is known to be of the long class.
+    established : bool
+        Its flow has had a request before.
     attempts : int
         Attempts at targets so far.
     started_s : float
@@ -172,6 +214,8 @@
     deadline_at_s: float
     idempotent: bool
     instance: int
+    long: bool
+    established: bool = True
     attempts: int = 0
     started_s: float = 0.0
     outcome: str = ""
@@ -295,11 +339,14 @@
 def _draw_request(
     shape: Shape, flow: Flow, at_s: float, number: int, random: Random
 ) -> Request:
+    long = random.random() < shape.long_share
+    mean_s = shape.long_service_s if long else shape.short_service_s
     return Request(
         number=number,
         flow=flow,
         arrival_s=at_s,
-        service_s=random.expovariate(1.0 / shape.service_time_s),
+        service_s=random.expovariate(1.0 / mean_s),
+        long=long,
         deadline_at_s=at_s + shape.timeout_s,
         idempotent=random.random() < shape.idempotent_share,
         instance=random.randrange(shape.instances),
--- a/endivepick/core/dispatch/__init__.py
+++ b/endivepick/core/dispatch/__init__.py
@@ -1,6 +1,7 @@
 """Placement, admission, retries and target states at a service's owner."""
 
 from endivepick.core.dispatch.dispatcher import ServiceDispatcher
+from endivepick.core.dispatch.fairness import WaitingAllowance
 from endivepick.core.dispatch.messages import (
     CancelRunning,
     CostClass,
@@ -45,4 +46,5 @@
     "Start",
     "TargetHealth",
     "TargetSnapshot",
+    "WaitingAllowance",
 ]
--- a/endivepick/core/dispatch/backlog.py
+++ b/endivepick/core/dispatch/backlog.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Hashable
 
+from endivepick.core.dispatch.fairness import WaitingAllowance
 from endivepick.core.dispatch.target import TargetState
 from endivepick.core.dispatch.target_set import TargetSet
 from endivepick.core.dispatch.waiting import PendingRequest, WaitingQueue
@@ -14,12 +15,20 @@
 
     Parameters
     ----------
+    service : str
+        Name of the service.
     targets : TargetSet
         Targets with their queues.
+    allowance : WaitingAllowance
+        Places for waiting requests, shared with other services.
     """
 
-    def __init__(self, targets: TargetSet) -> None:
+    def __init__(
+        self, service: str, targets: TargetSet, allowance: WaitingAllowance
+    ) -> None:
+        self._service = service
         self._targets = targets
+        self._allowance = allowance
         self._waiting: dict[Hashable, PendingRequest] = {}
         self._streams = 0
         self.unpinned = WaitingQueue()
@@ -35,12 +44,15 @@
         """Return the queue of a target, or the one that all serve."""
         return self.unpinned if pinned is None else pinned.queue
 
-    def push(self, request: PendingRequest, pinned: TargetState | None) -> None:
-        """Let a request wait for one target, or for any."""
+    def push(self, request: PendingRequest, pinned: TargetState | None) -> bool:
+        """Let a request wait for one target, or for any; false without a place."""
+        if not self._allowance.take(self._service):
+            return False
         request.target = "" if pinned is None else pinned.name
         self.queue_of(pinned).push(request)
         self._waiting[request.intent.request_id] = request
         self._streams += request.intent.stream
+        return True
 
     def remove(self, request: PendingRequest) -> None:
         """End the wait of a request."""
@@ -49,6 +61,7 @@
         pinned = self._targets[request.target] if request.target else None
         self.queue_of(pinned).remove(request)
         self._streams -= request.intent.stream
+        self._allowance.release(self._service)
 
     def take_expired(self, now_s: float) -> list[PendingRequest]:
         """Remove and return the requests whose deadline has passed."""
--- a/endivepick/core/dispatch/dispatcher.py
+++ b/endivepick/core/dispatch/dispatcher.py
@@ -3,6 +3,7 @@
 from collections.abc import Hashable, Mapping
 from itertools import count
 
+from endivepick.core.dispatch.fairness import WaitingAllowance
 from endivepick.core.dispatch.messages import (
     CancelRunning,
     CostClass,
@@ -12,7 +13,6 @@
     RefusalReason,
     RequestIntent,
 )
-from endivepick.core.dispatch.placement import choose_flow_target
 from endivepick.core.dispatch.scheduler import Scheduler
 from endivepick.core.dispatch.settings import DispatchSettings
 from endivepick.core.dispatch.snapshot import DispatchSnapshot, snapshot_target
@@ -38,6 +38,9 @@
         Availability zone of the owner.
     now_s : float
         Present time, in seconds.
+    allowance : WaitingAllowance, optional
+        Places for waiting requests, shared with the other services of this
+        instance; by default a service has all places for itself.
 
     Examples
     --------
@@ -60,9 +63,13 @@
         record: ServiceRecord,
         own_zone: str,
         now_s: float,
+        allowance: WaitingAllowance | None = None,
     ) -> None:
         self._settings = settings
-        self._scheduler = Scheduler(settings, record, own_zone, now_s)
+        if allowance is None:
+            allowance = WaitingAllowance(settings.waiting_per_instance)
+        allowance.join(record.name)
+        self._scheduler = Scheduler(settings, record, own_zone, allowance, now_s)
         self._targets = self._scheduler.targets
         self._numbers = count()
 
@@ -97,11 +104,9 @@
         """
         if self.record.affinity is Affinity.REQUEST:
             return ""
-        serving = [target for target in self._targets if target.serving]
-        if not serving:
+        target = self._scheduler.flow_target(random_number, now_s)
+        if target is None:
             return ""
-        rested = [target for target in serving if now_s >= target.backoff_until_s]
-        target = choose_flow_target(rested or serving, random_number, now_s)
         target.flows += 1
         return target.name
 
--- a/endivepick/core/dispatch/messages.py
+++ b/endivepick/core/dispatch/messages.py
@@ -61,6 +61,8 @@
     """It would have waited beyond its deadline."""
     QUEUE_FULL = "queue_full"
     """As many requests wait as the record allows."""
+    INSTANCE_FULL = "instance_full"
+    """As many requests wait as the instance allows for all its services."""
     NO_TARGET = "no_target"
     """The record names no target that can take it."""
     TARGETS_SHED = "targets_shed"
--- a/endivepick/core/dispatch/scheduler.py
+++ b/endivepick/core/dispatch/scheduler.py
@@ -2,8 +2,17 @@
 
 from collections.abc import Hashable, Sequence
 
-from endivepick.core.dispatch.admission import predict_wait_s, queue_limit
+from endivepick.core.dispatch.admission import (
+    AdmissionResult,
+    Admit,
+    Reject,
+    Replace,
+    admit,
+    predict_wait_s,
+    queue_limit,
+)
 from endivepick.core.dispatch.backlog import Backlog
+from endivepick.core.dispatch.fairness import WaitingAllowance
 from endivepick.core.dispatch.messages import (
     Decision,
     FailReason,
@@ -14,6 +23,13 @@
     Start,
 )
 from endivepick.core.dispatch.refusal import fail_request, refuse_request
+from endivepick.core.dispatch.retries import (
+    Done,
+    Refused,
+    Retry,
+    Unknown,
+    judge_attempt,
+)
 from endivepick.core.dispatch.retry_budget import RetryBudget
 from endivepick.core.dispatch.selection import TargetSelector, suits
 from endivepick.core.dispatch.service_time import ServiceTimeEstimate
@@ -27,6 +43,7 @@
 
 _GOLDEN_RATIO = 0.6180339887498949
 _NO_TARGET_WAIT_S = 1.0
+_FULL_WAIT_S = 1.0
 
 
 class Scheduler:
@@ -40,6 +57,8 @@
         Record in force; replaced by assignment.
     own_zone : str
         Availability zone of the owner.
+    allowance : WaitingAllowance
+        Places for waiting requests, shared with other services.
     now_s : float
         Present time, in seconds.
     """
@@ -49,6 +68,7 @@
         settings: DispatchSettings,
         record: ServiceRecord,
         own_zone: str,
+        allowance: WaitingAllowance,
         now_s: float,
     ) -> None:
         self._settings = settings
@@ -57,7 +77,7 @@
         self.budget = RetryBudget(settings, now_s)
         self.estimate = ServiceTimeEstimate(settings)
         self.targets = TargetSet(settings, record, self.estimate, now_s)
-        self.backlog = Backlog(self.targets)
+        self.backlog = Backlog(record.name, self.targets, allowance)
         self._selector = TargetSelector(settings, self.targets, own_zone)
         self.running: dict[Hashable, PendingRequest] = {}
 
@@ -65,6 +85,10 @@
         """Use a fresh random number, from 0 to 1, to decide between equals."""
         self._tie = random_number
 
+    def flow_target(self, tie: float, now_s: float) -> TargetState | None:
+        """Return the best target for a new flow; ``None`` if none serves."""
+        return self._selector.for_flow(self.record, tie, now_s)
+
     def settle(self, now_s: float) -> list[Decision]:
         """Bring targets and queues in line with what has changed."""
         self.targets.advance(now_s)
@@ -118,22 +142,15 @@
         self, request: PendingRequest, kind: FinishKind, now_s: float
     ) -> list[Decision]:
         """Retry a request or give its final answer, if it still needs one."""
-        match kind:
-            case FinishKind.OK | FinishKind.CANCELLED:
+        match judge_attempt(request, kind):
+            case Done():
                 return []
-            case FinishKind.SHED:
-                return self._retry(request, RefusalReason.TARGETS_SHED, now_s)
-            case FinishKind.MISDIRECTED:
-                return self._retry(request, RefusalReason.NO_TARGET, now_s)
-            case FinishKind.CONNECT_FAILED:
-                request.unpinned = request.intent.movable
-                return self._retry(request, RefusalReason.TARGETS_UNREACHABLE, now_s)
-            case FinishKind.EXPIRED:
-                return [self.refuse(request, RefusalReason.DEADLINE_PASSED, 0.0)]
-            case FinishKind.LATE:
-                return [self._fail(request, FailReason.LATE)]
-            case FinishKind.BROKEN:
-                return self._after_broken(request, now_s)
+            case Retry(reason=reason):
+                return self._retry(request, reason, now_s)
+            case Refused(reason=reason):
+                return [self.refuse(request, reason, 0.0)]
+            case Unknown(reason=fail_reason):
+                return [self._fail(request, fail_reason)]
 
     def refuse(
         self, request: PendingRequest, reason: RefusalReason, wait_s: float
@@ -142,13 +159,6 @@
         spread = self._next_tie()
         return refuse_request(self._settings, request, reason, wait_s, spread)
 
-    def _after_broken(self, request: PendingRequest, now_s: float) -> list[Decision]:
-        request.may_have_run = True
-        if not request.intent.idempotent:
-            return [self._fail(request, FailReason.BROKEN)]
-        request.unpinned = request.intent.movable
-        return self._retry(request, RefusalReason.TARGETS_UNREACHABLE, now_s)
-
     def _retry(
         self, request: PendingRequest, reason: RefusalReason, now_s: float
     ) -> list[Decision]:
@@ -194,18 +204,37 @@
         usable = [target for target in candidates if target.keeps_flows] or candidates
         queues = [self.backlog.unpinned, *(target.queue for target in usable)]
         wait_s = predict_wait_s(request, usable, queues, self.estimate, now_s)
-        service_s = self.estimate.mean_s(request.intent.cost_class)
-        if now_s + wait_s + service_s > request.intent.deadline_at_s:
-            return [self.refuse(request, RefusalReason.WAIT_TOO_LONG, wait_s)]
+        result = admit(
+            self._settings,
+            request,
+            self.backlog.queue_of(pinned),
+            queue_limit(usable, self.record.waiting_per_slot, now_s),
+            wait_s,
+            self.estimate.mean_s(request.intent.cost_class),
+            now_s,
+        )
+        return self._after_admission(request, pinned, result, queued)
+
+    def _after_admission(
+        self,
+        request: PendingRequest,
+        pinned: TargetState | None,
+        result: AdmissionResult,
+        queued: bool,
+    ) -> list[Decision]:
         decisions: list[Decision] = []
-        queue = self.backlog.queue_of(pinned)
-        if len(queue) >= queue_limit(usable, self.record.waiting_per_slot):
-            last = queue.last()
-            if last is None or last.order < request.order:
-                return [self.refuse(request, RefusalReason.QUEUE_FULL, wait_s)]
-            self.backlog.remove(last)
-            decisions.append(self.refuse(last, RefusalReason.QUEUE_FULL, wait_s))
-        self.backlog.push(request, pinned)
+        match result:
+            case Reject(reason=reason, wait_s=wait_s):
+                return [self.refuse(request, reason, wait_s)]
+            case Replace(other=other, wait_s=wait_s):
+                self.backlog.remove(other)
+                reason = RefusalReason.QUEUE_FULL
+                decisions.append(self.refuse(other, reason, wait_s))
+            case Admit():
+                pass
+        if not self.backlog.push(request, pinned):
+            reason = RefusalReason.INSTANCE_FULL
+            return [*decisions, self.refuse(request, reason, _FULL_WAIT_S)]
         if not queued:
             decisions.append(Queued(request.intent.request_id))
         return decisions
--- a/endivepick/core/dispatch/selection.py
+++ b/endivepick/core/dispatch/selection.py
@@ -2,7 +2,11 @@
 
 from collections.abc import Sequence
 
-from endivepick.core.dispatch.placement import SpillCounter, choose_target
+from endivepick.core.dispatch.placement import (
+    SpillCounter,
+    choose_flow_target,
+    choose_target,
+)
 from endivepick.core.dispatch.settings import DispatchSettings
 from endivepick.core.dispatch.target import TargetState
 from endivepick.core.dispatch.target_set import TargetSet
@@ -84,6 +88,26 @@
         self._spill.count(free, target)
         return target
 
+    def for_flow(
+        self, record: ServiceRecord, tie: float, now_s: float
+    ) -> TargetState | None:
+        """Return the best target for a new flow; ``None`` if none serves.
+
+        While targets of the own zone have a free slot, the cap on requests that
+        leave their zone holds for flows too.
+        """
+        serving = [target for target in self._targets if target.serving]
+        rested = [target for target in serving if now_s >= target.backoff_until_s]
+        free = [target for target in rested if target.can_start(now_s)]
+        allowed = self._spill.allowed(free, record.spill_share)
+        if len(allowed) == len(free):
+            allowed = rested or serving
+        if not allowed:
+            return None
+        target = choose_flow_target(allowed, tie, now_s)
+        self._spill.count(free, target)
+        return target
+
     def is_reduced(self, target: TargetState) -> bool:
         """Tell whether requests that could run elsewhere mostly should."""
         return not target.healthy and not self._targets.ignore_health
--- a/endivepick/core/dispatch/settings.py
+++ b/endivepick/core/dispatch/settings.py
@@ -20,6 +20,24 @@
         description="Head start of requests of established flows over those of new "
         "flows, in seconds of waiting.",
     )
+    new_flow_queue_share: float = Field(
+        default=0.5,
+        gt=0,
+        le=1,
+        description="Share of a queue that requests of new flows may fill.",
+    )
+    long_request_queue_share: float = Field(
+        default=0.5,
+        gt=0,
+        le=1,
+        description="Share of a queue that long requests may fill.",
+    )
+    waiting_per_instance: int = Field(
+        default=10000,
+        ge=1,
+        le=1000000,
+        description="Requests that may wait in all services of an instance together.",
+    )
     long_request_delay_s: float = Field(
         default=2.0,
         ge=0,
--- a/endivepick/core/dispatch/tests/test_dispatcher.py
+++ b/endivepick/core/dispatch/tests/test_dispatcher.py
@@ -4,6 +4,7 @@
 from endivepick.core.dispatch import (
     CancelRunning,
     CostClass,
+    DispatchSettings,
     Fail,
     FailReason,
     FinishKind,
@@ -12,7 +13,9 @@
     RefusalReason,
     Refuse,
     Repin,
+    ServiceDispatcher,
     TargetHealth,
+    WaitingAllowance,
 )
 from endivepick.core.dispatch.tests.support import (
     make_dispatcher,
@@ -171,6 +174,38 @@
         (refusal,) = submit(dispatcher, "late", now_s=0.1)
         self.assertEqual(refusal.request_id, "late")
 
+    def test_new_flows_leave_room_in_a_queue_to_established_ones(self):
+        dispatcher = make_dispatcher(make_record(targets=1, waiting_per_slot=4))
+        submit(dispatcher, "running")
+        for name in "ab":
+            submit(dispatcher, name, established=False)
+        (refusal,) = submit(dispatcher, "c", established=False)
+        self.assertEqual(refusal.reason, RefusalReason.QUEUE_FULL)
+        self.assertEqual(submit(dispatcher, "d"), [Queued("d")])
+
+    def test_queue_is_bounded_by_the_slots_in_service(self):
+        dispatcher = make_dispatcher(
+            make_record(targets=2, waiting_per_slot=1), attempts=1
+        )
+        submit(dispatcher, "a")
+        submit(dispatcher, "b")
+        dispatcher.finished("a", 0.1, FinishKind.SHED, 0.1, 9.0)
+        self.assertEqual(submit(dispatcher, "c", now_s=0.2), [Queued("c")])
+        (refusal,) = submit(dispatcher, "d", now_s=0.2)
+        self.assertEqual(refusal.reason, RefusalReason.QUEUE_FULL)
+
+    def test_one_service_cannot_take_the_places_of_another(self):
+        allowance = WaitingAllowance(places=2)
+        allowance.join("other")
+        dispatcher = ServiceDispatcher(
+            DispatchSettings(), make_record(targets=1), "zone0", 0.0, allowance
+        )
+        submit(dispatcher, "a")
+        submit(dispatcher, "b")
+        (refusal,) = submit(dispatcher, "c")
+        self.assertEqual(refusal.reason, RefusalReason.INSTANCE_FULL)
+        self.assertTrue(allowance.take("other"))
+
     def test_expired_request_is_refused_as_not_run(self):
         dispatcher = make_dispatcher(make_record(targets=1))
         submit(dispatcher, "a")
