Place flows by the rate of their target's requests

A stall now needs all slots held, and a late answer counts only if it took long: one slow request, or callers with short deadlines, ejected targets before and so moved their flows. What was given up no longer spoils the estimate.

--- a/endivepick/bench/owners.py
+++ b/endivepick/bench/owners.py
@@ -79,7 +79,9 @@
     def close_flow(self, flow: Flow) -> None:
         """Let the flow's owner learn that its caller closed it."""
         if flow.owner >= 0:
-            self._owners[flow.owner].dispatcher.close_flow(flow.target)
+            self._owners[flow.owner].dispatcher.close_flow(
+                flow.target, self.world.loop.now_s
+            )
 
     def submit(self, request: Request) -> None:
         """Relay a request to the owner of its flow."""
@@ -191,7 +193,7 @@
             return None
         if request.flow.owner != successor.number:
             request.flow.owner = successor.number
-            successor.dispatcher.adopt_flow(request.flow.target)
+            successor.dispatcher.adopt_flow(request.flow.target, self.world.loop.now_s)
         return successor
 
     def _submit_at(self, owner: _Owner, request: Request) -> None:
--- /dev/null
+++ b/endivepick/bench/table.py
@@ -0,0 +1,136 @@
+"""The table of all policies on the same seeds."""
+
+import dataclasses
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass
+from itertools import product
+
+from endivepick.bench.experiment import Experiment, RunResult
+from endivepick.bench.faults import FAULTS
+from endivepick.bench.policies import POLICIES
+from endivepick.bench.results import Spread, spread_of
+
+__all__ = ["SEEDS", "format_table", "table_experiments"]
+
+SEEDS = (1, 2, 3)
+SESSION_SHAPES = ("harada", "leave-desk")
+EXPORT_SHAPES = ("harada-packs", "leave-desk-exports")
+AFFINITIES = ("flow", "request")
+STEADY_LOAD = 0.9
+STEADY_DURATION_S = 320.0
+FAULT_LOAD = 0.7
+STEADY_POLICIES = tuple(name for name in POLICIES if name != "owner_per_zone")
+OVERLOAD_POLICIES = ("perfect", "owner", "two_choices", "least_loaded")
+ZONE_POLICIES = ("perfect", "owner", "owner_per_zone", "owner_own_zone", "two_choices")
+_PERFECT = "perfect"
+_SHORTEST_LIMIT_S = 0.01
+
+
+@dataclass(frozen=True)
+class Column:
+    """A measure and its heading."""
+
+    heading: str
+    measure: Callable[[RunResult], float]
+
+
+COLUMNS = (
+    Column("imbalance", lambda r: r.imbalance_median),
+    Column("peak", lambda r: r.imbalance_peak),
+    Column("wait p99 s", lambda r: r.waiting_p99_s),
+    Column("goodput", lambda r: r.goodput),
+    Column("in fault", lambda r: r.goodput_in_fault),
+    Column("refused", lambda r: r.refused),
+    Column("unknown", lambda r: r.unknown),
+    Column("broken", lambda r: r.broken_flows),
+    Column("attempts", lambda r: r.attempts_per_request),
+    Column("hops", lambda r: r.hops_per_request),
+    Column("zones", lambda r: r.zone_crossings_per_request),
+    Column("control B/s", lambda r: r.control_bytes_per_s),
+)
+
+
+def table_experiments(seeds: Sequence[int] = SEEDS) -> list[Experiment]:
+    """Return all experiments of the table, in its order."""
+    return [
+        dataclasses.replace(first, policy=policy, seed=seed)
+        for first, policies in _scenarios()
+        for policy in policies
+        for seed in seeds
+    ]
+
+
+def _scenarios() -> Iterator[tuple[Experiment, Sequence[str]]]:
+    """Yield each scenario, with any policy, and the policies to run it with."""
+    for shape, affinity in product(SESSION_SHAPES, AFFINITIES):
+        steady = Experiment(shape, affinity, STEADY_LOAD, _PERFECT)
+        yield dataclasses.replace(steady, load=0.5), STEADY_POLICIES
+        long = dataclasses.replace(steady, duration_s=STEADY_DURATION_S)
+        yield long, STEADY_POLICIES
+        for load in (1.2, 3.0):
+            yield dataclasses.replace(steady, load=load), OVERLOAD_POLICIES
+    for shape, load in product(EXPORT_SHAPES, (STEADY_LOAD, 1.2)):
+        yield Experiment(shape, "request", load, _PERFECT), OVERLOAD_POLICIES
+    for shape, affinity, fault in product(SESSION_SHAPES, AFFINITIES, FAULTS):
+        faulty = Experiment(shape, affinity, FAULT_LOAD, _PERFECT, fault)
+        policies = ZONE_POLICIES if fault == "zone_cut" else OVERLOAD_POLICIES
+        if fault != "none":
+            yield faulty, policies
+
+
+def format_table(results: Sequence[RunResult]) -> str:
+    """Return the table as text: median, and lowest and highest over the seeds.
+
+    Imbalance and waiting are given as multiples of the perfect scheduler's on
+    the same seed as well, where it was run.
+    """
+    lines: list[str] = []
+    for scenario, runs in _grouped(results, _scenario_of).items():
+        by_policy = _grouped(runs, lambda result: result.experiment.policy)
+        rows = [["policy", *_headings()]]
+        for policy, same in by_policy.items():
+            cells = [str(spread_of(same, column.measure)) for column in COLUMNS]
+            ratios = _ratios(same, by_policy.get(_PERFECT, []))
+            rows.append([policy, *cells, *ratios])
+        lines += ["", scenario, *_aligned(rows)]
+    return "\n".join(lines[1:])
+
+
+def _scenario_of(result: RunResult) -> str:
+    e = result.experiment
+    return f"{e.shape}, affinity {e.affinity}, load {e.load}, fault {e.fault}"
+
+
+def _headings() -> list[str]:
+    return [*(column.heading for column in COLUMNS), "imb/perfect", "p99/perfect"]
+
+
+def _ratios(runs: Sequence[RunResult], perfect: Sequence[RunResult]) -> list[str]:
+    by_seed = {result.experiment.seed: result for result in perfect}
+    pairs = [(r, by_seed[r.experiment.seed]) for r in runs if perfect]
+    return [
+        _ratio([(r.imbalance_median, p.imbalance_median) for r, p in pairs]),
+        _ratio([(r.waiting_p99_s, p.waiting_p99_s) for r, p in pairs]),
+    ]
+
+
+def _ratio(pairs: Sequence[tuple[float, float]]) -> str:
+    values = [value / limit for value, limit in pairs if limit >= _SHORTEST_LIMIT_S]
+    return str(Spread.of(values)) if values else "-"
+
+
+def _aligned(rows: Sequence[Sequence[str]]) -> list[str]:
+    widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
+    return [
+        "  ".join(cell.rjust(width) for cell, width in zip(row, widths, strict=True))
+        for row in rows
+    ]
+
+
+def _grouped(
+    results: Sequence[RunResult], key: Callable[[RunResult], str]
+) -> dict[str, list[RunResult]]:
+    groups: dict[str, list[RunResult]] = {}
+    for result in results:
+        groups.setdefault(key(result), []).append(result)
+    return groups
--- a/endivepick/core/dispatch/dispatcher.py
+++ b/endivepick/core/dispatch/dispatcher.py
@@ -107,20 +107,20 @@
         target = self._scheduler.flow_target(random_number, now_s)
         if target is None:
             return ""
-        target.flows += 1
+        self._targets.add_flow(target, now_s)
         return target.name
 
-    def adopt_flow(self, target: str) -> None:
-        """Count a flow that another owner handed over with its target."""
+    def adopt_flow(self, target: str, now_s: float) -> None:
+        """Count a flow in that another owner handed over with its target."""
         state = self._targets.get(target)
         if state is not None:
-            state.flows += 1
+            self._targets.add_flow(state, now_s)
 
-    def close_flow(self, target: str) -> None:
+    def close_flow(self, target: str, now_s: float) -> None:
         """Count a flow out that was closed or handed over."""
         state = self._targets.get(target)
         if state is not None:
-            state.flows = max(0, state.flows - 1)
+            self._targets.remove_flow(state, now_s)
 
     def submit(
         self, intent: RequestIntent, now_s: float, random_number: float
@@ -140,6 +140,9 @@
         self._scheduler.take_random(random_number)
         self._scheduler.budget.count_request()
         self._targets.advance_if_due(now_s)
+        pinned = self._targets.get(intent.pinned_target)
+        if pinned is not None:
+            pinned.arrivals.on_request(now_s)
         request = PendingRequest(intent, order, may_have_run=intent.may_have_run)
         return self._scheduler.place(request, now_s)
 
@@ -171,12 +174,26 @@
             return []
         target = self._targets[request.target]
         target.remove_request(request_id)
-        target.on_finished(kind, retry_after_s, now_s)
-        if kind in (FinishKind.OK, FinishKind.LATE) and not request.intent.stream:
-            self._scheduler.estimate.add(request.intent.cost_class, duration_s)
+        slow = self._learn_duration(request.intent, kind, duration_s)
+        target.on_finished(kind, slow, retry_after_s, now_s)
         decisions = self._scheduler.after_attempt(request, kind, now_s)
         return decisions + self._scheduler.settle_target(target, now_s)
 
+    def _learn_duration(
+        self, intent: RequestIntent, kind: FinishKind, duration_s: float
+    ) -> bool:
+        """Take in how long a request took, and tell whether it was slow."""
+        if intent.stream:
+            return False
+        estimate = self._scheduler.estimate
+        slow = estimate.is_slow(intent.cost_class, duration_s)
+        match kind:
+            case FinishKind.OK:
+                estimate.add(intent.cost_class, duration_s)
+            case FinishKind.LATE:
+                estimate.add_unfinished(intent.cost_class, duration_s)
+        return slow
+
     def cancel(self, request_id: Hashable, now_s: float) -> list[Decision]:
         """Give up a request: drop it from the queue or cancel it at its target."""
         running = self._scheduler.running.get(request_id)
--- a/endivepick/core/dispatch/failures.py
+++ b/endivepick/core/dispatch/failures.py
@@ -1,6 +1,6 @@
 """Failures of one target: back-off, and how long an ejection lasts."""
 
-from collections.abc import Iterable
+from collections.abc import Collection
 
 from endivepick.core.dispatch.settings import DispatchSettings
 from endivepick.core.dispatch.waiting import PendingRequest
@@ -76,11 +76,21 @@
         return self._failures >= limit
 
     def stalled(
-        self, running: Iterable[PendingRequest], stall_after_s: float, now_s: float
+        self, running: Collection[PendingRequest], stall_after_s: float, now_s: float
     ) -> bool:
-        """Tell whether nothing was completed for too long although requests run."""
-        oldest_s = min((request.started_at_s for request in running), default=now_s)
-        return now_s - max(oldest_s, self._succeeded_at_s) > stall_after_s
+        """Tell whether nothing was completed for too long.
+
+        Parameters
+        ----------
+        running : collection of PendingRequest
+            Requests that hold all slots; even the newest has to be old.
+        stall_after_s : float
+            Time without a completion that is too long, in seconds.
+        now_s : float
+            Present time, in seconds.
+        """
+        newest_s = max((request.started_at_s for request in running), default=now_s)
+        return now_s - max(newest_s, self._succeeded_at_s) > stall_after_s
 
     def start_ejection(self, now_s: float) -> None:
         """Begin an ejection; its time doubles with each."""
--- a/endivepick/core/dispatch/placement.py
+++ b/endivepick/core/dispatch/placement.py
@@ -7,7 +7,7 @@
 __all__ = ["SpillCounter", "choose_flow_target", "choose_target"]
 
 _SPILL_MEMORY = 0.99
-_FLOW_WEIGHT = 4.0
+_RATE_WEIGHT = 4.0
 
 
 class SpillCounter:
@@ -85,8 +85,8 @@
     """Choose the target of a new flow: the one with the least expected work.
 
     The requests that run and wait there say how much work a target has now; the
-    flows that are pinned to it say how much will come.  A flow counts as a share
-    of the usual work of a flow, so that the rule fits busy and quiet flows.
+    rate at which its flows send says how much will come.  Both are weighed as
+    shares of all targets' work, so that the rule fits busy and quiet services.
 
     Parameters
     ----------
@@ -98,13 +98,15 @@
         Present time, in seconds.
     """
     work = {t.name: t.in_use(now_s) + len(t.queue) for t in targets}
-    flows = sum(target.flows for target in targets)
-    work_per_flow = _FLOW_WEIGHT * (sum(work.values()) + 1) / (flows + 1)
+    rates_per_s = {t.name: t.arrivals.per_s(now_s) for t in targets}
+    work_all = sum(work.values()) + 1
+    rate_all_per_s = sum(rates_per_s.values()) or 1.0
 
-    def rank(target: TargetState) -> tuple[bool, float]:
-        expected = work[target.name] + work_per_flow * target.flows
+    def rank(target: TargetState) -> tuple[bool, float, float]:
+        rate_share = rates_per_s[target.name] / rate_all_per_s
+        expected = work[target.name] + _RATE_WEIGHT * work_all * rate_share
         slots = target.record.slots
-        return (not target.healthy, expected / slots)
+        return (not target.healthy, expected / slots, target.flows / slots)
 
     return _lowest([(rank(target), target) for target in targets], tie)
 
--- a/endivepick/core/dispatch/refusal.py
+++ b/endivepick/core/dispatch/refusal.py
@@ -48,5 +48,5 @@
 
 
 def _retry_after_ms(settings: DispatchSettings, wait_s: float, spread: float) -> int:
-    factor = 0.75 + 0.5 * spread
+    factor = 1.0 + 0.5 * spread
     return int(factor * max(settings.refused_wait_min_ms, 1000 * wait_s))
--- a/endivepick/core/dispatch/scheduler.py
+++ b/endivepick/core/dispatch/scheduler.py
@@ -11,6 +11,7 @@
     predict_wait_s,
     queue_limit,
 )
+from endivepick.core.dispatch.attempt import begin_attempt
 from endivepick.core.dispatch.backlog import Backlog
 from endivepick.core.dispatch.fairness import WaitingAllowance
 from endivepick.core.dispatch.messages import (
@@ -20,7 +21,6 @@
     Queued,
     RefusalReason,
     Repin,
-    Start,
 )
 from endivepick.core.dispatch.refusal import fail_request, refuse_request
 from endivepick.core.dispatch.retries import (
@@ -156,8 +156,7 @@
         self, request: PendingRequest, reason: RefusalReason, wait_s: float
     ) -> Decision:
         """Say that a request did not run, unless one of its attempts may have."""
-        spread = self._next_tie()
-        return refuse_request(self._settings, request, reason, wait_s, spread)
+        return refuse_request(self._settings, request, reason, wait_s, self._next_tie())
 
     def _retry(
         self, request: PendingRequest, reason: RefusalReason, now_s: float
@@ -186,12 +185,11 @@
                 # A new owner waits for the first probes.
                 return self._enqueue(request, pinned, candidates, now_s, queued)
             return [self.refuse(request, RefusalReason.NO_TARGET, _NO_TARGET_WAIT_S)]
-        able = [target for target in serving if target.free_connections() > 0]
-        if not able:
+        target = self._selector.for_stream(serving)
+        if target is None:
             reason = RefusalReason.CONNECTIONS_FULL
             return [self.refuse(request, reason, _NO_TARGET_WAIT_S)]
-        fewest = min(able, key=lambda target: len(target.streams) / target.record.slots)
-        return self._start(request, fewest, now_s)
+        return self._start(request, target, now_s)
 
     def _enqueue(
         self,
@@ -276,31 +274,17 @@
     def _start(
         self, request: PendingRequest, target: TargetState, now_s: float
     ) -> list[Decision]:
-        intent = request.intent
-        request.target = target.name
-        request.attempt += 1
-        request.started_at_s = now_s
-        request.tried.add(target.name)
-        self.running[intent.request_id] = request
-        target.add(request)
-        start = Start(
-            intent.request_id,
-            target.name,
-            target.incarnation,
-            target.record.address,
-            intent.deadline_at_s - now_s,
-            request.attempt,
-        )
-        return [*self._repin(request, target), start]
+        start = begin_attempt(request, target, now_s)
+        self.running[start.request_id] = request
+        return [*self._repin(request, target, now_s), start]
 
-    def _repin(self, request: PendingRequest, target: TargetState) -> list[Decision]:
+    def _repin(
+        self, request: PendingRequest, target: TargetState, now_s: float
+    ) -> list[Decision]:
         old_name = request.intent.pinned_target
         if self.record.affinity is Affinity.REQUEST or old_name == target.name:
             return []
-        old = self.targets.get(old_name)
-        if old is not None:
-            old.flows = max(0, old.flows - 1)
-        target.flows += 1
+        self.targets.move_flow(old_name, target, now_s)
         return [Repin(request.intent.request_id, old_name, target.name)]
 
     def _next_tie(self) -> float:
--- a/endivepick/core/dispatch/selection.py
+++ b/endivepick/core/dispatch/selection.py
@@ -108,6 +108,15 @@
         self._spill.count(free, target)
         return target
 
+    def for_stream(self, serving: Sequence[TargetState]) -> TargetState | None:
+        """Return the target with the fewest streams that can hold one more."""
+        able = [target for target in serving if target.free_connections() > 0]
+        return min(
+            able,
+            key=lambda target: len(target.streams) / target.record.slots,
+            default=None,
+        )
+
     def is_reduced(self, target: TargetState) -> bool:
         """Tell whether requests that could run elsewhere mostly should."""
         return not target.healthy and not self._targets.ignore_health
--- a/endivepick/core/dispatch/settings.py
+++ b/endivepick/core/dispatch/settings.py
@@ -49,7 +49,15 @@
         default=0.1,
         gt=0,
         le=600,
-        description="Service time assumed before a request has been answered.",
+        description="Service time of a short request, assumed before one has been "
+        "answered.",
+    )
+    initial_long_service_time_s: float = Field(
+        default=5.0,
+        gt=0,
+        le=3600,
+        description="Service time of a long request, assumed before one has been "
+        "answered.",
     )
     service_time_weight: float = Field(
         default=0.1,
@@ -58,6 +66,13 @@
         description="Weight of the newest request in the moving average of service "
         "times.",
     )
+    arrival_memory_s: float = Field(
+        default=60.0,
+        gt=0,
+        le=3600,
+        description="Time over which the rate of a target's requests is estimated, "
+        "from which new flows are placed.",
+    )
     retry_share: float = Field(
         default=0.1,
         ge=0,
@@ -120,8 +135,8 @@
         default=8.0,
         ge=2,
         le=1000,
-        description="A target without a completion for this many usual service "
-        "times is ejected.",
+        description="A target whose slots are all held without a completion for "
+        "this many usual service times is ejected.",
     )
     stall_min_s: float = Field(
         default=2.0,
--- a/endivepick/core/dispatch/target_set.py
+++ b/endivepick/core/dispatch/target_set.py
@@ -60,6 +60,27 @@
         """Take in a newer record; its new targets start slowly."""
         self._take(record, new=True, now_s=now_s)
 
+    def add_flow(self, target: TargetState, now_s: float) -> None:
+        """Count a flow in that is pinned to a target from now on."""
+        flows = sum(other.flows for other in self._targets.values())
+        rate_per_s = sum(t.arrivals.per_s(now_s) for t in self._targets.values())
+        target.arrivals.add(rate_per_s / max(1, flows), now_s)
+        target.flows += 1
+
+    def remove_flow(self, target: TargetState, now_s: float) -> None:
+        """Count a flow out that a target had."""
+        if target.flows == 0:
+            return
+        target.arrivals.add(-target.arrivals.per_s(now_s) / target.flows, now_s)
+        target.flows -= 1
+
+    def move_flow(self, old_name: str, target: TargetState, now_s: float) -> None:
+        """Count a flow over from one target, which may be unknown, to another."""
+        old = self._targets.get(old_name)
+        if old is not None:
+            self.remove_flow(old, now_s)
+        self.add_flow(target, now_s)
+
     def staying(self) -> list[TargetState]:
         """Return the targets that are not leaving."""
         return [target for target in self._targets.values() if not target.leaving]
