--- a/endivepick/core/dispatch/target.py
+++ b/endivepick/core/dispatch/target.py
@@ -1,21 +1,17 @@
 """What the owner knows about one target."""
 
-from collections.abc import Hashable
-
 from endivepick.core.chart import load_chart
-from endivepick.core.dispatch.arrival_rate import ArrivalRate
 from endivepick.core.dispatch.drain_note import DrainNote
 from endivepick.core.dispatch.failures import FailureRecord
-from endivepick.core.dispatch.load import LoadView
 from endivepick.core.dispatch.messages import (
     FinishKind,
     ProbeFailed,
     ProbeResult,
     TargetHealth,
 )
+from endivepick.core.dispatch.occupancy import TargetOccupancy
 from endivepick.core.dispatch.settings import DispatchSettings
 from endivepick.core.dispatch.slow_start import ramped_slots
-from endivepick.core.dispatch.waiting import PendingRequest, WaitingQueue
 from endivepick.records.model import TargetRecord
 
 __all__ = ["TargetState"]
@@ -23,8 +19,8 @@
 _SERVING = frozenset({"cold", "ready", "trial"})
 
 
-class TargetState:
-    """Life cycle, load and queue of one target.
+class TargetState(TargetOccupancy):
+    """Life cycle of one target, and the slots that it offers.
 
     Parameters
     ----------
@@ -41,6 +37,7 @@
     def __init__(
         self, settings: DispatchSettings, record: TargetRecord, service: str, new: bool
     ) -> None:
+        super().__init__(settings, record)
         self._chart = load_chart("target")
         self._settings = settings
         self._service = service
@@ -48,17 +45,10 @@
         self._since_s = 0.0
         self._failures = FailureRecord(settings)
         self._drain_note = DrainNote(settings)
-        self.record = record
         self.state = self._chart.initial
         self.incarnation = 0
         self.probed = False
         self.healthy = True
-        self.flows = 0
-        self.arrivals = ArrivalRate(settings.arrival_memory_s)
-        self.running: dict[Hashable, PendingRequest] = {}
-        self.streams: dict[Hashable, PendingRequest] = {}
-        self.queue = WaitingQueue()
-        self.load = LoadView(settings)
 
     @property
     def name(self) -> str:
@@ -237,28 +227,6 @@
         """Tell whether a request could start now; see `free_slots`."""
         return self.free_slots(now_s, reduced) > 0 and self.free_connections() > 0
 
-    def in_use(self, now_s: float) -> int:
-        """Return the slots that its own and known other requests hold."""
-        return len(self.running) + self.load.peers(now_s)
-
-    def add(self, request: PendingRequest) -> None:
-        """Count a request in that starts now."""
-        request_id = request.intent.request_id
-        if request.intent.stream:
-            self.streams[request_id] = request
-            return
-        self.running[request_id] = request
-        self.load.on_own_count(len(self.running))
-
-    def remove_request(self, request_id: Hashable) -> None:
-        """Count a request out whose attempt ended."""
-        self.running.pop(request_id, None)
-        self.streams.pop(request_id, None)
-
-    def free_connections(self) -> int:
-        """Return how many connections it can still hold."""
-        return self.record.connections - len(self.running) - len(self.streams)
-
     def takes_any(self, now_s: float) -> bool:
         """Tell whether a non-idempotent request may start on it."""
         if self.state != "trial":
