Count hops over all requests that arrived

Hops of the warm-up were divided by the requests after it, so that short runs showed more than one relay for each request. Relays and zone crossings are now divided by all arrivals. Seen in the table: 1.17 hops where at most one is possible.

--- a/endivepick/bench/experiment.py
+++ b/endivepick/bench/experiment.py
@@ -132,6 +132,7 @@
         self._shape = SHAPES[experiment.shape]
         self._loop = VirtualLoop()
         self._requests: list[Request] = []
+        self._arrived = 0
         self._waiting = LatencyHistogram()
         self._waiting_by_class = {True: LatencyHistogram(), False: LatencyHistogram()}
         record = make_record(self._shape, Affinity(experiment.affinity))
@@ -175,6 +176,7 @@
             case Requested(request):
                 request.established = request.flow.requests > 0
                 request.flow.requests += 1
+                self._arrived += 1
                 if request.arrival_s >= WARM_UP_S:
                     self._requests.append(request)
                 self._policy.submit(request)
@@ -206,7 +208,7 @@
         }
         end_s = self._experiment.duration_s
         median, peak = self._meter.median_and_peak(WARM_UP_S, end_s)
-        count = max(1, len(requests))
+        arrived = max(1, self._arrived)
         policy = self._policy
         length_s = self._loop.now_s
         attempts = sum(request.attempts for request in requests)
@@ -228,9 +230,9 @@
             waiting_p99_long_s=self._waiting_by_class[True].percentile_s(99.0),
             refused_share_established=_refused_share(requests, established=True),
             refused_share_new=_refused_share(requests, established=False),
-            attempts_per_request=attempts / count,
-            hops_per_request=policy.hops / count,
-            zone_crossings_per_request=policy.zone_crossings / count,
+            attempts_per_request=attempts / max(1, len(requests)),
+            hops_per_request=policy.hops / arrived,
+            zone_crossings_per_request=policy.zone_crossings / arrived,
             control_bytes_per_s=policy.control_bytes / length_s / self._shape.instances,
             processor_s=processor_s,
             imbalance_windows=tuple(sorted(self._meter.windows().items())),
