--- a/endivepick/bench/experiment.py
+++ b/endivepick/bench/experiment.py
@@ -26,7 +26,6 @@
 __all__ = ["Experiment", "RunResult", "run_experiment"]
 
 WARM_UP_S = 20.0
-DURATION_S = 80.0
 _DRAIN_S = 30.0
 _SAMPLE_PERIOD_S = 0.05
 
@@ -49,6 +48,8 @@
         Name of a fault script.
     seed : int
         Seed of all random numbers.
+    duration_s : float
+        Virtual time in which requests arrive, warm-up included, in seconds.
     """
 
     shape: str
@@ -57,6 +58,7 @@
     policy: str
     fault: str = "none"
     seed: int = 1
+    duration_s: float = 80.0
 
 
 @dataclass(frozen=True)
@@ -81,6 +83,10 @@
         Peak over mean of the targets' loads, over windows of one second.
     waiting_p50_s, waiting_p99_s : float
         From arrival to start at the target, in seconds.
+    waiting_p99_short_s, waiting_p99_long_s : float
+        The same percentile for each cost class, in seconds.
+    refused_share_established, refused_share_new : float
+        Share refused of the requests of established and of new flows.
     attempts_per_request : float
         Requests sent to targets for each that arrived.
     hops_per_request, zone_crossings_per_request : float
@@ -106,6 +112,10 @@
     imbalance_peak: float
     waiting_p50_s: float
     waiting_p99_s: float
+    waiting_p99_short_s: float
+    waiting_p99_long_s: float
+    refused_share_established: float
+    refused_share_new: float
     attempts_per_request: float
     hops_per_request: float
     zone_crossings_per_request: float
@@ -122,7 +132,9 @@
         self._shape = SHAPES[experiment.shape]
         self._loop = VirtualLoop()
         self._requests: list[Request] = []
+        self._arrived = 0
         self._waiting = LatencyHistogram()
+        self._waiting_by_class = {True: LatencyHistogram(), False: LatencyHistogram()}
         record = make_record(self._shape, Affinity(experiment.affinity))
         targets = {
             t.name: VirtualTarget(self._loop, t.name, t.zone, t.slots)
@@ -147,12 +159,12 @@
         self._loop.call_every(_SAMPLE_PERIOD_S, self._sample)
         experiment = self._experiment
         arrivals = generate_events(
-            self._shape, experiment.load, DURATION_S, experiment.seed
+            self._shape, experiment.load, experiment.duration_s, experiment.seed
         )
         for at_s, event in arrivals:
             self._loop.run_until(at_s)
             self._take(event)
-        self._loop.run_until(DURATION_S + _DRAIN_S)
+        self._loop.run_until(experiment.duration_s + _DRAIN_S)
         return self._result(time.process_time() - started_s)
 
     def _take(self, event: Event) -> None:
@@ -162,6 +174,9 @@
             case Closed(flow):
                 self._policy.close_flow(flow)
             case Requested(request):
+                request.established = request.flow.requests > 0
+                request.flow.requests += 1
+                self._arrived += 1
                 if request.arrival_s >= WARM_UP_S:
                     self._requests.append(request)
                 self._policy.submit(request)
@@ -171,7 +186,9 @@
         late = self._loop.now_s > request.deadline_at_s
         request.outcome = "unknown" if outcome == "ok" and late else outcome
         if request.outcome == "ok" and request.arrival_s >= WARM_UP_S:
-            self._waiting.add(request.started_s - request.arrival_s)
+            waiting_s = request.started_s - request.arrival_s
+            self._waiting.add(waiting_s)
+            self._waiting_by_class[request.long].add(waiting_s)
 
     def _sample(self) -> None:
         waiting = self._policy.waiting()
@@ -189,8 +206,9 @@
             for request in requests
             if request.outcome == "unknown" and not request.idempotent
         }
-        median, peak = self._meter.median_and_peak(WARM_UP_S, DURATION_S)
-        count = max(1, len(requests))
+        end_s = self._experiment.duration_s
+        median, peak = self._meter.median_and_peak(WARM_UP_S, end_s)
+        arrived = max(1, self._arrived)
         policy = self._policy
         length_s = self._loop.now_s
         attempts = sum(request.attempts for request in requests)
@@ -202,15 +220,19 @@
             unknown=outcomes["unknown"],
             unfinished=outcomes[""],
             broken_flows=len(broken),
-            goodput=self._goodput(WARM_UP_S, DURATION_S),
+            goodput=self._goodput(WARM_UP_S, end_s),
             goodput_in_fault=self._goodput(FAULT_START_S, FAULT_END_S),
             imbalance_median=median,
             imbalance_peak=peak,
             waiting_p50_s=self._waiting.percentile_s(50.0),
             waiting_p99_s=self._waiting.percentile_s(99.0),
-            attempts_per_request=attempts / count,
-            hops_per_request=policy.hops / count,
-            zone_crossings_per_request=policy.zone_crossings / count,
+            waiting_p99_short_s=self._waiting_by_class[False].percentile_s(99.0),
+            waiting_p99_long_s=self._waiting_by_class[True].percentile_s(99.0),
+            refused_share_established=_refused_share(requests, established=True),
+            refused_share_new=_refused_share(requests, established=False),
+            attempts_per_request=attempts / max(1, len(requests)),
+            hops_per_request=policy.hops / arrived,
+            zone_crossings_per_request=policy.zone_crossings / arrived,
             control_bytes_per_s=policy.control_bytes / length_s / self._shape.instances,
             processor_s=processor_s,
             imbalance_windows=tuple(sorted(self._meter.windows().items())),
@@ -225,6 +247,11 @@
         return done / (end_s - start_s) / self._shape.capacity_per_s
 
 
+def _refused_share(requests: list[Request], established: bool) -> float:
+    outcomes = [r.outcome for r in requests if r.established is established]
+    return outcomes.count("refused") / max(1, len(outcomes))
+
+
 def run_experiment(experiment: Experiment) -> RunResult:
     """Run one experiment in virtual time.
 
--- a/endivepick/bench/owners.py
+++ b/endivepick/bench/owners.py
@@ -9,6 +9,7 @@
 from endivepick.bench.workload import Flow, Request
 from endivepick.core.codec import encode_struct
 from endivepick.core.dispatch import (
+    CostClass,
     Decision,
     DispatchSettings,
     Fail,
@@ -78,7 +79,9 @@
     def close_flow(self, flow: Flow) -> None:
         """Let the flow's owner learn that its caller closed it."""
         if flow.owner >= 0:
-            self._owners[flow.owner].dispatcher.close_flow(flow.target)
+            self._owners[flow.owner].dispatcher.close_flow(
+                flow.target, self.world.loop.now_s
+            )
 
     def submit(self, request: Request) -> None:
         """Relay a request to the owner of its flow."""
@@ -190,20 +193,20 @@
             return None
         if request.flow.owner != successor.number:
             request.flow.owner = successor.number
-            successor.dispatcher.adopt_flow(request.flow.target)
+            successor.dispatcher.adopt_flow(request.flow.target, self.world.loop.now_s)
         return successor
 
     def _submit_at(self, owner: _Owner, request: Request) -> None:
         if not owner.alive:
             self.submit(request)
             return
-        request.flow.requests += 1
         intent = RequestIntent(
             request_id=request.number,
             pinned_target=request.flow.target,
             deadline_at_s=request.deadline_at_s,
             idempotent=request.idempotent,
-            established=request.flow.requests > 1,
+            established=request.established,
+            cost_class=CostClass.LONG if request.long else CostClass.SHORT,
         )
         owner.requests[request.number] = request
         now_s = self.world.loop.now_s
--- a/endivepick/core/dispatch/dispatcher.py
+++ b/endivepick/core/dispatch/dispatcher.py
@@ -3,6 +3,7 @@
 from collections.abc import Hashable, Mapping
 from itertools import count
 
+from endivepick.core.dispatch.fairness import WaitingAllowance
 from endivepick.core.dispatch.messages import (
     CancelRunning,
     CostClass,
@@ -12,7 +13,6 @@
     RefusalReason,
     RequestIntent,
 )
-from endivepick.core.dispatch.placement import choose_flow_target
 from endivepick.core.dispatch.scheduler import Scheduler
 from endivepick.core.dispatch.settings import DispatchSettings
 from endivepick.core.dispatch.snapshot import DispatchSnapshot, snapshot_target
@@ -38,6 +38,9 @@
         Availability zone of the owner.
     now_s : float
         Present time, in seconds.
+    allowance : WaitingAllowance, optional
+        Places for waiting requests, shared with the other services of this
+        instance; by default a service has all places for itself.
 
     Examples
     --------
@@ -60,9 +63,13 @@
         record: ServiceRecord,
         own_zone: str,
         now_s: float,
+        allowance: WaitingAllowance | None = None,
     ) -> None:
         self._settings = settings
-        self._scheduler = Scheduler(settings, record, own_zone, now_s)
+        if allowance is None:
+            allowance = WaitingAllowance(settings.waiting_per_instance)
+        allowance.join(record.name)
+        self._scheduler = Scheduler(settings, record, own_zone, allowance, now_s)
         self._targets = self._scheduler.targets
         self._numbers = count()
 
@@ -97,25 +104,23 @@
         """
         if self.record.affinity is Affinity.REQUEST:
             return ""
-        serving = [target for target in self._targets if target.serving]
-        if not serving:
+        target = self._scheduler.flow_target(random_number, now_s)
+        if target is None:
             return ""
-        rested = [target for target in serving if now_s >= target.backoff_until_s]
-        target = choose_flow_target(rested or serving, random_number, now_s)
-        target.flows += 1
+        self._targets.add_flow(target, now_s)
         return target.name
 
-    def adopt_flow(self, target: str) -> None:
-        """Count a flow that another owner handed over with its target."""
+    def adopt_flow(self, target: str, now_s: float) -> None:
+        """Count a flow in that another owner handed over with its target."""
         state = self._targets.get(target)
         if state is not None:
-            state.flows += 1
+            self._targets.add_flow(state, now_s)
 
-    def close_flow(self, target: str) -> None:
+    def close_flow(self, target: str, now_s: float) -> None:
         """Count a flow out that was closed or handed over."""
         state = self._targets.get(target)
         if state is not None:
-            state.flows = max(0, state.flows - 1)
+            self._targets.remove_flow(state, now_s)
 
     def submit(
         self, intent: RequestIntent, now_s: float, random_number: float
@@ -135,6 +140,9 @@
         self._scheduler.take_random(random_number)
         self._scheduler.budget.count_request()
         self._targets.advance_if_due(now_s)
+        pinned = self._targets.get(intent.pinned_target)
+        if pinned is not None:
+            pinned.arrivals.on_request(now_s)
         request = PendingRequest(intent, order, may_have_run=intent.may_have_run)
         return self._scheduler.place(request, now_s)
 
@@ -166,12 +174,26 @@
             return []
         target = self._targets[request.target]
         target.remove_request(request_id)
-        target.on_finished(kind, retry_after_s, now_s)
-        if kind in (FinishKind.OK, FinishKind.LATE) and not request.intent.stream:
-            self._scheduler.estimate.add(request.intent.cost_class, duration_s)
+        slow = self._learn_duration(request.intent, kind, duration_s)
+        target.on_finished(kind, slow, retry_after_s, now_s)
         decisions = self._scheduler.after_attempt(request, kind, now_s)
         return decisions + self._scheduler.settle_target(target, now_s)
 
+    def _learn_duration(
+        self, intent: RequestIntent, kind: FinishKind, duration_s: float
+    ) -> bool:
+        """Take in how long a request took, and tell whether it was slow."""
+        if intent.stream:
+            return False
+        estimate = self._scheduler.estimate
+        slow = estimate.is_slow(intent.cost_class, duration_s)
+        match kind:
+            case FinishKind.OK:
+                estimate.add(intent.cost_class, duration_s)
+            case FinishKind.LATE:
+                estimate.add_unfinished(intent.cost_class, duration_s)
+        return slow
+
     def cancel(self, request_id: Hashable, now_s: float) -> list[Decision]:
         """Give up a request: drop it from the queue or cancel it at its target."""
         running = self._scheduler.running.get(request_id)
--- a/endivepick/core/dispatch/tests/test_dispatcher.py
+++ b/endivepick/core/dispatch/tests/test_dispatcher.py
@@ -4,6 +4,7 @@
 from endivepick.core.dispatch import (
     CancelRunning,
     CostClass,
+    DispatchSettings,
     Fail,
     FailReason,
     FinishKind,
@@ -12,7 +13,9 @@
     RefusalReason,
     Refuse,
     Repin,
+    ServiceDispatcher,
     TargetHealth,
+    WaitingAllowance,
 )
 from endivepick.core.dispatch.tests.support import (
     make_dispatcher,
@@ -158,7 +161,7 @@
         submit(dispatcher, "b")
         (refusal,) = submit(dispatcher, "c", deadline_at_s=2.0)
         self.assertEqual(refusal.reason, RefusalReason.WAIT_TOO_LONG)
-        self.assertGreater(refusal.retry_after_ms, 1000)
+        self.assertGreaterEqual(refusal.retry_after_ms, 2000)
 
     def test_full_queue_refuses_the_last_in_order(self):
         dispatcher = make_dispatcher(make_record(targets=1, waiting_per_slot=1))
@@ -171,6 +174,38 @@
         (refusal,) = submit(dispatcher, "late", now_s=0.1)
         self.assertEqual(refusal.request_id, "late")
 
+    def test_new_flows_leave_room_in_a_queue_to_established_ones(self):
+        dispatcher = make_dispatcher(make_record(targets=1, waiting_per_slot=4))
+        submit(dispatcher, "running")
+        for name in "ab":
+            submit(dispatcher, name, established=False)
+        (refusal,) = submit(dispatcher, "c", established=False)
+        self.assertEqual(refusal.reason, RefusalReason.QUEUE_FULL)
+        self.assertEqual(submit(dispatcher, "d"), [Queued("d")])
+
+    def test_queue_is_bounded_by_the_slots_in_service(self):
+        dispatcher = make_dispatcher(
+            make_record(targets=2, waiting_per_slot=1), attempts=1
+        )
+        submit(dispatcher, "a")
+        submit(dispatcher, "b")
+        dispatcher.finished("a", 0.1, FinishKind.SHED, 0.1, 9.0)
+        self.assertEqual(submit(dispatcher, "c", now_s=0.2), [Queued("c")])
+        (refusal,) = submit(dispatcher, "d", now_s=0.2)
+        self.assertEqual(refusal.reason, RefusalReason.QUEUE_FULL)
+
+    def test_one_service_cannot_take_the_places_of_another(self):
+        allowance = WaitingAllowance(places=2)
+        allowance.join("other")
+        dispatcher = ServiceDispatcher(
+            DispatchSettings(), make_record(targets=1), "zone0", 0.0, allowance
+        )
+        submit(dispatcher, "a")
+        submit(dispatcher, "b")
+        (refusal,) = submit(dispatcher, "c")
+        self.assertEqual(refusal.reason, RefusalReason.INSTANCE_FULL)
+        self.assertTrue(allowance.take("other"))
+
     def test_expired_request_is_refused_as_not_run(self):
         dispatcher = make_dispatcher(make_record(targets=1))
         submit(dispatcher, "a")
@@ -274,6 +309,24 @@
             dispatcher.on_probe(stuck, now_s, ready(int(stuck[1:])))
         self.assertEqual(sorted(self.states(dispatcher)), ["ejected", "ready"])
 
+    def test_one_slow_request_ejects_nothing(self):
+        dispatcher = make_dispatcher(make_record(targets=2, slots=2), stall_min_s=2.0)
+        target = starts(submit(dispatcher, "slow"))["slow"]
+        dispatcher.tick(10.0)
+        for i in range(3):
+            submit(dispatcher, i, now_s=10.0)
+        self.assertEqual(dispatcher.in_flight(target), 2)
+        dispatcher.tick(11.0)
+        self.assertEqual(self.states(dispatcher), ["ready", "ready"])
+
+    def test_short_deadlines_of_callers_eject_nothing(self):
+        dispatcher = make_dispatcher(make_record(targets=2), initial_service_time_s=1)
+        for i in range(20):
+            submit(dispatcher, i, now_s=float(i), deadline_at_s=i + 0.05)
+            dispatcher.finished(i, i + 0.05, FinishKind.LATE, 0.05)
+        self.assertEqual(self.states(dispatcher), ["ready", "ready"])
+        self.assertEqual(dispatcher.snapshot().short_service_time_s, 1.0)
+
     def eject(self, dispatcher):
         dispatcher.on_peer_in_flight("peer", {"t1": 1}, 0.0)
         for i in range(3):
