Correct the example of cutting a transfer into pieces

An empty transfer is encoded in five bytes, so pieces of two bytes are three; the example said two and failed. It cuts at three bytes now.

--- a/endivepick/core/pieces.py
+++ b/endivepick/core/pieces.py
@@ -36,7 +36,7 @@
 
     Examples
     --------
-    >>> pieces = cut_into_pieces(HandOver(1, 2, []), size_bytes=2)
+    >>> pieces = cut_into_pieces(HandOver(1, 2, []), size_bytes=3)
     >>> [(piece.index, piece.count) for piece in pieces]
     [(0, 2), (1, 2)]
     """
