Log before sending and show callers in the time line

Owner, relay and hand-over put their log lines after what they sent, so that a target's start could stand in its log before the attempt that caused it. The core now logs first; a test holds it for each kind of message. Callers of the load stand-in open a process log where one is asked for, which the demo does when its folder is kept, with instances at level debug. Refusals before the claim were not logged at all. The model and one test took the first action for the message; they look for the message instead.

--- a/endivepick/core/executor.py
+++ b/endivepick/core/executor.py
@@ -164,6 +164,12 @@
             retries.append(Count("attempts_retried", request.last_failure))
         return [
             *retries,
+            Log(
+                "owner",
+                "attempt_started",
+                "request sent to target",
+                _ids(held, target=start.target, attempt=request.attempt),
+            ),
             StartAttempt(
                 request_id=held.request_id,
                 attempt=request.attempt,
@@ -177,12 +183,6 @@
                 timeout_s=start.timeout_s,
                 last_event_id=request.last_event_id,
             ),
-            Log(
-                "owner",
-                "attempt_started",
-                "request sent to target",
-                _ids(held, target=start.target, attempt=request.attempt),
-            ),
         ]
 
     def _put_off(self, held: _Held, reason: str) -> list[Action]:
@@ -200,14 +200,14 @@
             flow.flow_id, flow.binding, request.seq, reason, retry_after_ms
         )
         return [
-            SendToCaller(flow.caller, request.verdict),
-            Count("refused", reason),
             Log(
                 "owner",
                 "request_refused",
                 "request refused before any run",
                 _ids(held, reason=reason),
             ),
+            SendToCaller(flow.caller, request.verdict),
+            Count("refused", reason),
         ]
 
     def _fail(
@@ -220,14 +220,14 @@
             flow.flow_id, flow.binding, request.seq, reason, retry_after_ms
         )
         return [
-            SendToCaller(flow.caller, request.verdict),
-            Count("outcome_unknown", reason),
             Log(
                 "owner",
                 "outcome_unknown",
                 "request may have run",
                 _ids(held, reason=reason),
             ),
+            SendToCaller(flow.caller, request.verdict),
+            Count("outcome_unknown", reason),
         ]
 
     def _running(self, request_id: RequestId, attempt: int) -> _Held | None:
@@ -250,17 +250,17 @@
         request.answer.begin(AnswerHead(event.status, event.headers))
         request.answer.extend(event.body)
         request.answer.finish()
-        actions = send_unsent_parts(held.flow, request)
         waited_s = now_s - request.accepted_at_s
-        actions.append(Observe("time_to_answer_s", held.flow.service, waited_s))
-        actions.append(
+        actions: list[Action] = [
             Log(
                 "owner",
                 "request_answered",
                 "answer is complete",
                 _ids(held, status=event.status),
-            )
-        )
+            ),
+            Observe("time_to_answer_s", held.flow.service, waited_s),
+        ]
+        actions += send_unsent_parts(held.flow, request)
         actions += self._finished(held, FinishKind.OK, event.duration_s, now_s)
         return actions
 
--- a/endivepick/core/handover.py
+++ b/endivepick/core/handover.py
@@ -202,7 +202,7 @@
             "transfer": message.transfer_id,
         }
         log = Log("handover", "transfer_sent", "flows sent to successor", ids)
-        return [*self._first_sending(transfer, size_bytes), log]
+        return [log, *self._first_sending(transfer, size_bytes)]
 
     def _first_sending(self, transfer: Transfer, size_bytes: int) -> list[Action]:
         limit_bytes = self.settings.hand_over_bytes
--- a/endivepick/core/handover_taker.py
+++ b/endivepick/core/handover_taker.py
@@ -110,7 +110,6 @@
         self._pieces.drop(sender, message.transfer_id)
         flows = self._restore(message, now_s)
         actions: list[Action] = [
-            SendToPeer(sender.name, HandOverAccepted(message.transfer_id)),
             Log(
                 "handover",
                 "transfer_taken",
@@ -121,6 +120,7 @@
                     "transfer": message.transfer_id,
                 },
             ),
+            SendToPeer(sender.name, HandOverAccepted(message.transfer_id)),
         ]
         for flow in flows:
             actions += self._go_on(flow, now_s)
--- a/endivepick/core/owner.py
+++ b/endivepick/core/owner.py
@@ -106,10 +106,6 @@
         flow = self._table.open(service, target, caller, now_s)
         sealed = self._codec.seal(self._table.token(flow, now_s))
         return [
-            SendToCaller(
-                caller,
-                Opened(open_id, flow.flow_id, sealed, self.renew_after_s, flow.binding),
-            ),
             Count("flows_opened", service),
             Log(
                 "owner",
@@ -122,6 +118,10 @@
                     "target": target,
                 },
             ),
+            SendToCaller(
+                caller,
+                Opened(open_id, flow.flow_id, sealed, self.renew_after_s, flow.binding),
+            ),
         ]
 
     def find_flow(
@@ -279,9 +279,6 @@
         request.step("complete")
         request.accepted_at_s = now_s
         actions: list[Action] = [
-            SendToCaller(
-                flow.caller, Accepted(flow.flow_id, flow.binding, request.seq)
-            ),
             Log(
                 "owner",
                 "request_accepted",
@@ -293,6 +290,9 @@
                     "service": flow.service,
                 },
             ),
+            SendToCaller(
+                flow.caller, Accepted(flow.flow_id, flow.binding, request.seq)
+            ),
         ]
         return actions + self._executor.submit(flow, request, now_s)
 
@@ -303,7 +303,13 @@
         flow.window.claim(request.seq)
         request.step("refuse")
         request.verdict = Refused(flow.flow_id, flow.binding, request.seq, reason, 0)
-        return [SendToCaller(flow.caller, request.verdict), Count("refused", reason)]
+        ids = {"flow": flow.flow_id, "binding": flow.binding, "seq": request.seq}
+        text = "request refused before any run"
+        return [
+            Log("owner", "request_refused", text, {**ids, "reason": reason}),
+            Count("refused", reason),
+            SendToCaller(flow.caller, request.verdict),
+        ]
 
     def _repeat_state(self, flow: OwnedFlow, request: OwnedRequest) -> list[Action]:
         """Answer a copy of a request, or a question about it."""
--- a/endivepick/core/relay.py
+++ b/endivepick/core/relay.py
@@ -184,8 +184,6 @@
             renew_after_s=self._renew_after_s,
         )
         return [
-            SendToCaller(caller, packet),
-            Count("flows_reissued"),
             Log(
                 "relay",
                 "flow_reissued",
@@ -197,6 +195,8 @@
                     "peer": owner.name,
                 },
             ),
+            SendToCaller(caller, packet),
+            Count("flows_reissued"),
         ]
 
     def _present_owner(self, service: str) -> Identity:
--- a/endivepick/core/tests/test_handover.py
+++ b/endivepick/core/tests/test_handover.py
@@ -186,7 +186,8 @@
         self.assertEqual(len(sent(actions, HandOverRefused)), 1)
         self.successor = Identity("c", 3)
         again = self.give.refused(self.taker.me, message.transfer_id, NOW_S)
-        self.assertEqual(again[0].name, "c")
+        [given] = [action for action in again if isinstance(action, SendToPeer)]
+        self.assertEqual(given.name, "c")
 
     def test_leaving_successor_that_took_it_before_still_accepts(self):
         message, _ = self.hand_over()
--- a/endivepick/core/tests/test_owner.py
+++ b/endivepick/core/tests/test_owner.py
@@ -1,6 +1,12 @@
 import unittest
 
-from endivepick.core.actions import CancelAttempt, Count, Observe
+from endivepick.core.actions import (
+    CancelAttempt,
+    Count,
+    Log,
+    Observe,
+    StartAttempt,
+)
 from endivepick.core.dispatch import FinishKind
 from endivepick.core.events import AttemptFailed, StreamData, StreamOpened
 from endivepick.core.messages import (
@@ -8,6 +14,7 @@
     Acknowledge,
     AnswerPart,
     Cancel,
+    Opened,
     Outcome,
     Refused,
     RequestPart,
@@ -15,6 +22,7 @@
     Unreachable,
 )
 from endivepick.core.tests._fixture import (
+    CALLER,
     NOW_S,
     OwnerFixture,
     packets,
@@ -28,7 +36,7 @@
         self.fixture = OwnerFixture()
         self.token, _ = self.fixture.open()
 
-    def fail(self, start, kind, **more):
+    def fail_attempt(self, start, kind, **more):
         event = AttemptFailed(start.request_id, start.attempt, kind, 0.01, **more)
         return self.fixture.executor.failed(event, NOW_S)
 
@@ -67,19 +75,42 @@
 
     def test_broken_connection_leaves_the_outcome_unknown(self):
         [start] = starts(self.fixture.request(self.token, 1))
-        actions = self.fail(start, FinishKind.BROKEN)
+        actions = self.fail_attempt(start, FinishKind.BROKEN)
         self.assertEqual(len(packets(actions, Outcome)), 1)
         self.assertEqual(packets(actions, Refused), [])
 
     def test_shed_request_goes_to_another_target(self):
         [start] = starts(self.fixture.request(self.token, 1))
-        actions = self.fail(start, FinishKind.SHED, retry_after_s=5.0)
+        actions = self.fail_attempt(start, FinishKind.SHED, retry_after_s=5.0)
         [second] = starts(actions)
         self.assertNotEqual(second.target, start.target)
         self.assertEqual(second.idempotency_key, start.idempotency_key)
         counts = [action for action in actions if isinstance(action, Count)]
         self.assertEqual(counts, [Count("attempts_retried", "shed")])
 
+    def test_everything_is_logged_before_it_is_sent(self):
+        fixture = self.fixture
+        opened = fixture.owner.open_flow("notes", 1, CALLER, NOW_S)
+        accepted = fixture.request(self.token, 1)
+        [start] = starts(accepted)
+        broken = self.fail_attempt(start, FinishKind.BROKEN)
+        [start] = starts(fixture.request(self.token, 2))
+        answered = fixture.answer(start)
+        fixture.executor.dispatchers.clear()
+        refused = fixture.request(self.token, 3)
+        for actions, logged, sent in (
+            (opened, "flow_opened", Opened),
+            (accepted, "request_accepted", Accepted),
+            (accepted, "attempt_started", StartAttempt),
+            (broken, "outcome_unknown", Outcome),
+            (answered, "request_answered", AnswerPart),
+            (refused, "request_refused", Refused),
+        ):
+            with self.subTest(logged):
+                names = [a.name if isinstance(a, Log) else "" for a in actions]
+                kinds = [type(getattr(a, "packet", a)) for a in actions]
+                self.assertLess(names.index(logged), kinds.index(sent))
+
     def test_time_to_answer_counts_from_the_whole_request(self):
         [start] = starts(self.fixture.request(self.token, 1, now_s=NOW_S - 2.5))
         observed = [a for a in self.fixture.answer(start) if isinstance(a, Observe)]
@@ -110,7 +141,7 @@
         self.assertIn(CancelAttempt(start.request_id, start.attempt), actions)
         dispatcher = self.fixture.executor.dispatchers["notes"]
         self.assertEqual(dispatcher.in_flight(start.target), 1)
-        self.fail(start, FinishKind.CANCELLED)
+        self.fail_attempt(start, FinishKind.CANCELLED)
         self.assertEqual(dispatcher.in_flight(start.target), 0)
 
     def test_caller_that_falls_silent_has_its_request_cancelled(self):
@@ -121,7 +152,7 @@
 
     def test_late_answer_of_an_old_attempt_is_dropped(self):
         [start] = starts(self.fixture.request(self.token, 1))
-        [second] = starts(self.fail(start, FinishKind.SHED, retry_after_s=5.0))
+        [second] = starts(self.fail_attempt(start, FinishKind.SHED, retry_after_s=5.0))
         self.assertEqual(packets(self.fixture.answer(start, b"old"), AnswerPart), [])
         [part0, part1] = packets(self.fixture.answer(second, b"new"), AnswerPart)
         self.assertEqual(part1.data, b"new")
@@ -150,7 +181,7 @@
         executor.stream_opened(StreamOpened(start.request_id, 1, 200, []))
         event = StreamData(start.request_id, 1, b"id: 4\n\n", "4")
         executor.stream_data(event, NOW_S)
-        [second] = starts(self.fail(start, FinishKind.BROKEN))
+        [second] = starts(self.fail_attempt(start, FinishKind.BROKEN))
         self.assertEqual(second.last_event_id, "4")
 
     def test_stream_that_must_not_run_twice_is_refused(self):
@@ -162,9 +193,9 @@
 
     def test_request_that_may_have_run_is_never_refused_as_not_run(self):
         [start] = starts(self.fixture.send(self.token, self.idempotent(1)))
-        [second] = starts(self.fail(start, FinishKind.BROKEN))
-        [third] = starts(self.fail(second, FinishKind.SHED, retry_after_s=5.0))
-        ended = self.fail(third, FinishKind.SHED, retry_after_s=5.0)
+        [second] = starts(self.fail_attempt(start, FinishKind.BROKEN))
+        [third] = starts(self.fail_attempt(second, FinishKind.SHED, retry_after_s=5.0))
+        ended = self.fail_attempt(third, FinishKind.SHED, retry_after_s=5.0)
         self.assertEqual(packets(ended, Refused), [])
         self.assertEqual(len(packets(ended, Outcome)), 1)
 
--- a/endivepick/model/_node.py
+++ b/endivepick/model/_node.py
@@ -146,10 +146,9 @@
     def open_flow(self) -> Opened:
         """Open the flow that the model follows."""
         actions = self.owner.open_flow(SERVICE, 1, CALLER, NOW_S)
-        first = actions[0]
-        assert isinstance(first, SendToCaller)
-        assert isinstance(first.packet, Opened)
-        return first.packet
+        [sent] = [action for action in actions if isinstance(action, SendToCaller)]
+        assert isinstance(sent.packet, Opened)
+        return sent.packet
 
     def handle(self, event: Event) -> list[Action]:
         """Take one event."""
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -56,6 +56,7 @@
             "name": name,
             "fabric_address": running.fabric_address,
             "log_path": str(running.launcher.log_path("callers", name)),
+            "trace_path": _trace_path(running, name),
             "workloads": [
                 {
                     "service": service.name,
@@ -75,6 +76,13 @@
     return callers
 
 
+def _trace_path(running: Cluster, name: str) -> str | None:
+    """Return the file for a caller's part of the time line, if logs are kept."""
+    if not running.settings.folder:
+        return None
+    return str(running.launcher.log_path("traces", name))
+
+
 def stop_callers(callers: list[ChildProcess]) -> None:
     """Let callers end what is under way, and wait for them."""
     for process in callers:
@@ -201,7 +209,11 @@
         Counts and broken promises.
     """
     story = Story(time.monotonic())
-    settings = ClusterSettings(shape, folder=folder, seed=seed)
+    # Whoever keeps the logs wants the time line, which needs the requests.
+    logged = {"log": {"level": "debug"}} if folder else {}
+    settings = ClusterSettings(
+        shape, folder=folder, seed=seed, instance_settings=logged
+    )
     with cluster(settings) as running, watch_versions(running) as watch:
         targets = sum(len(service.targets) for service in shape.services)
         instances = len(shape.instances)
@@ -236,7 +248,8 @@
     seed : int
         Seed of load and fabric.
     folder : str
-        Where logs go; empty: a temporary directory.
+        Where logs go, with all that the time line needs; empty: a temporary
+        directory.
     """
     if shape not in SHAPES:
         sys.exit(f"There is no shape {shape!r}. Use one of: {', '.join(SHAPES)}.")
--- a/standins/load.py
+++ b/standins/load.py
@@ -5,6 +5,7 @@
 
 Events of its log are ``open``, ``sent``, ``ended``, ``stream_sent`` and
 ``stream_ended``.  ``echo`` names a request; the target's log carries it as well.
+With ``trace_path``, the caller library writes its own log for the time line there.
 """
 
 import json
@@ -33,6 +34,8 @@
     RequestError,
     open_caller,
 )
+from endivepick.daemon.logs import process_log
+from endivepick.settings import LogSettings
 from standins.control import BorderModel, EventLog, load_settings
 from standins.payload import verify_answer
 from standins.streamprogress import StreamProgress
@@ -85,11 +88,30 @@
 
 
 class LoadSettings(BorderModel):
-    """Settings of the program."""
+    """Settings of the program.
+
+    Attributes
+    ----------
+    name : str
+        Name of the caller.
+    fabric_address : str
+        Address that it sends to.
+    log_path : str or None
+        File for its events.
+    trace_path : str or None
+        File for the events of the caller library; None for none.
+    workloads : list of Workload
+        What it sends.
+    seed : int
+        Seed of the load.
+    run_s : float
+        When it ends by itself, in seconds.
+    """
 
     name: str
     fabric_address: str
     log_path: str | None = None
+    trace_path: str | None = None
     workloads: list[Workload]
     seed: int = 1
     run_s: float = 600.0
@@ -258,6 +280,16 @@
     raise AssertionError(result)
 
 
+@contextmanager
+def _trace(settings: LoadSettings) -> Iterator[None]:
+    """Let the caller library write its log, if the settings name a file for it."""
+    if settings.trace_path is None:
+        yield
+        return
+    with process_log(LogSettings(settings.trace_path, "debug"), settings.name):
+        yield
+
+
 @contextmanager
 def _stop_event(run_s: float) -> Iterator[Event]:
     """Yield an event that SIGTERM, SIGINT or the end of ``run_s`` sets."""
@@ -286,7 +318,11 @@
     loaded = load_settings(LoadSettings, settings, {})
     log = EventLog(loaded.log_path)
     caller_settings = CallerSettings(fabric_address=loaded.fabric_address)
-    with _stop_event(loaded.run_s) as stopped, open_caller(caller_settings) as caller:
+    with (
+        _trace(loaded),
+        _stop_event(loaded.run_s) as stopped,
+        open_caller(caller_settings) as caller,
+    ):
         print(json.dumps({"ready": True, "name": loaded.name}), flush=True)
         flows = Group()
         for kind, workload in enumerate(loaded.workloads):
