Walk over peers for readiness only until ready

Cause: after each event, ticks and digests included, the spreading of records listed all reachable peers in order to ask whether the instance has become ready, also long after it had. Weighed: a cached list of reachable peers; it would be rebuilt on each change of a view and serve nothing once the instance is ready. Change: the question is asked only while the instance is not ready. The new test failed before.

--- a/endivepick/records/dissemination.py
+++ b/endivepick/records/dissemination.py
@@ -132,9 +132,14 @@
         if changes or self._cache.revision > revision_before:
             report_s = now_s + self._settings.report_delay_s
             self._digest_due_s = min(self._digest_due_s, report_s)
+        if not self._readiness.ready:
+            self._update_readiness(now_s)
+        return self._out
+
+    def _update_readiness(self, now_s: float) -> None:
+        # Walks over all peers: never done once the instance is ready.
         if self._readiness.update(self._cache.revision, self._reachable(), now_s):
             self._out.append(ConfigurationReady(self._cache.revision))
-        return self._out
 
     def _take(self, event: DisseminationEvent, now_s: float) -> tuple[Change, ...]:
         match event:
@@ -224,6 +229,8 @@
         self._watching = watches
 
     def _ask(self, now_s: float) -> list[str]:
+        if self._readiness.ready:
+            return []
         reachable = self._reachable()
         zone_peers = [n for n in reachable if self._peers[n].zone == self._zone]
         others = [n for n in reachable if self._peers[n].zone != self._zone]
--- a/endivepick/records/tests/test_dissemination.py
+++ b/endivepick/records/tests/test_dissemination.py
@@ -1,7 +1,9 @@
 import unittest
+from unittest.mock import patch
 
 from endivepick.core.events import PeerMessage
 from endivepick.records._transfer import encode_object
+from endivepick.records.dissemination import Dissemination
 from endivepick.records.objects import StoredObject
 from endivepick.records.peer_messages import ConfigDelta
 from endivepick.records.roles import hash_names
@@ -26,6 +28,13 @@
 
 
 class TestSpreading(unittest.TestCase):
+    def test_ready_instance_does_not_walk_over_its_peers_at_each_event(self):
+        network = started()
+        with patch.object(Dissemination, "_reachable", return_value=[]) as walked:
+            version = network.store.put("sessions")
+            network.run(lambda: network.in_force("sessions", version))
+        walked.assert_not_called()
+
     def test_change_reaches_every_instance(self):
         network = started()
         version = network.store.put("sessions")
