Set gauges when they are read

Cause: each second an instance set one gauge for each record and counted all peers, whether or not anybody read them, and each reading rendered a line for each record. Weighed: setting them less often, which shows old values and keeps the cost; one gauge for the whole configuration only, which hides what an owner serves. Change: gauges are set when the metrics are read. The version in force is shown for records that have a dispatcher here; for the rest of them endivepick_records_revision says how new the configuration is.

--- a/endivepick/daemon/metrics.py
+++ b/endivepick/daemon/metrics.py
@@ -1,6 +1,6 @@
 """Metrics of one instance in aioprometheus's registry."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
@@ -52,8 +52,10 @@
         Requests in the queues of the services that it owns.
     peers : mapping of PeerState to int
         Number of peers in each state.
+    records_revision : int
+        Revision of the store up to which this instance lacks no change.
     record_versions : mapping of str to int
-        Version in force for each record.
+        Version in force for each record with a dispatcher here.
     """
 
     services_owned: int = 0
@@ -62,6 +64,7 @@
     requests_in_progress: int = 0
     requests_waiting: int = 0
     peers: Mapping[PeerState, int] = field(default_factory=dict)
+    records_revision: int = 0
     record_versions: Mapping[str, int] = field(default_factory=dict)
 
 
@@ -96,12 +99,14 @@
                 ("flows_relayed", "Flows relayed lately."),
                 ("requests_in_progress", "Requests at targets."),
                 ("requests_waiting", "Requests in queues."),
+                ("records_revision", "Revision of the configuration held."),
             )
         }
         self._peers = self._gauge("peers", "Peers, by state.")
         self._record_version = self._gauge(
-            "record_version", "Version in force, by record."
+            "record_version", "Version in force of records with a dispatcher here."
         )
+        self._collect: Callable[[], None] = lambda: None
 
     def _counter(self, name: str, text: str) -> Counter:
         return Counter(f"endivepick_{name}_total", text, registry=self._registry)
@@ -109,6 +114,10 @@
     def _gauge(self, name: str, text: str) -> Gauge:
         return Gauge(f"endivepick_{name}", text, registry=self._registry)
 
+    def collect_with(self, collect: Callable[[], None]) -> None:
+        """Have gauges set by a callable when they are read, not before."""
+        self._collect = collect
+
     def request_answered(self, service: str, duration_s: float) -> None:
         """Count an answer and the time that it took, in seconds."""
         self._time_to_answer.observe({"service": service}, float(duration_s))
@@ -151,4 +160,5 @@
         tuple of (bytes, dict)
             Body and headers of the HTTP answer.
         """
+        self._collect()
         return render(self._registry, accepts)
--- a/endivepick/daemon/run.py
+++ b/endivepick/daemon/run.py
@@ -32,7 +32,6 @@
 INBOX_EVENTS = 512
 """Events that wait for the core; a full inbox holds the socket tasks up."""
 TICK_S = 0.05
-GAUGES_EVERY_S = 1.0
 _log = PartLog("daemon")
 
 
@@ -146,7 +145,7 @@
         performer.perform(core.start())
         _announce(settings, core, tasks)
         stack.enter_context(_spawned(loop.tick))
-        stack.enter_context(_spawned(_refresh_gauges, metrics, core))
+        metrics.collect_with(lambda: metrics.set_roles(role_gauges(core)))
         yield loop, performer
 
 
@@ -159,12 +158,6 @@
         greenlet.kill()
 
 
-def _refresh_gauges(metrics: DaemonMetrics, core: InstanceCore) -> None:
-    while True:
-        metrics.set_roles(role_gauges(core))
-        gevent.sleep(GAUGES_EVERY_S)
-
-
 def _core_settings(settings: DaemonSettings) -> CoreSettings:
     return CoreSettings(
         name=settings.instance.name,
--- a/endivepick/daemon/status.py
+++ b/endivepick/daemon/status.py
@@ -79,5 +79,6 @@
         ),
         requests_waiting=sum(one.waiting for one in snapshots),
         peers=peers,
-        record_versions=dict(core.catalog.versions()),
+        records_revision=core.configuration.cache.revision,
+        record_versions={one.service: one.record_version for one in snapshots},
     )
--- a/endivepick/daemon/tests/test_http.py
+++ b/endivepick/daemon/tests/test_http.py
@@ -58,6 +58,15 @@
         ):
             self.assertIn(line, text)
 
+    def test_gauges_are_collected_when_they_are_read(self):
+        held = iter((3, 5))
+        self.metrics.collect_with(
+            lambda: self.metrics.set_roles(RoleGauges(flows_held=next(held)))
+        )
+        for count in (3, 5):
+            text = self.call("/metrics").data.decode()
+            self.assertIn(f"endivepick_flows_held {count}\n", text)
+
     def test_status_is_json(self):
         answer = self.call("/status")
         self.assertEqual(answer.json(), {"peers": {"alive": 2}})
