--- a/endivepick/core/instance.py
+++ b/endivepick/core/instance.py
@@ -124,7 +124,7 @@
             self.catalog,
             self.table,
             self.executor,
-            self.relay.owner_name,
+            self.relay,
             self.me.name,
         )
         self._router = PacketRouter(
@@ -295,8 +295,10 @@
         return self._members.translate(self._leave(now_s), now_s)
 
     def _member_changed(self, now_s: float) -> list[Action]:
+        # A lost zone brings hundreds of these: the next tick acts on all at once.
         self.configuration.members_dirty = True
-        return self.roles.review(now_s)
+        self.roles.review_soon()
+        return []
 
     def _tick(self, now_s: float) -> list[Action]:
         translate = self._members.translate
