Count flows at their targets and wire the experiments

The dispatcher's count of flows at each target followed openings only; flows that were adopted, handed over, closed or dropped are counted now, and services of one instance share its waiting places. The command line gets 'endivepick bench run|table|report'.

--- a/endivepick/cli/main.py
+++ b/endivepick/cli/main.py
@@ -185,6 +185,13 @@
 
         return KeyCommands()
 
+    @property
+    def bench(self) -> Any:
+        """Compare placement policies and measure what the parts cost."""
+        from endivepick.cli.bench import BenchCommands
+
+        return BenchCommands()
+
     def timeline(
         self,
         *logs: str,
--- a/endivepick/core/executor.py
+++ b/endivepick/core/executor.py
@@ -84,6 +84,18 @@
         self.dispatchers: dict[str, ServiceDispatcher] = {}
         self._at_target: dict[RequestId, str] = {}
 
+    def flow_added(self, flow: OwnedFlow, now_s: float) -> None:
+        """Count a flow that came with its target from another owner."""
+        dispatcher = self.dispatchers.get(flow.service)
+        if dispatcher is not None:
+            dispatcher.adopt_flow(flow.target, now_s)
+
+    def flow_removed(self, flow: OwnedFlow, now_s: float) -> None:
+        """Count a flow out of its target that was closed, dropped or given away."""
+        dispatcher = self.dispatchers.get(flow.service)
+        if dispatcher is not None and not flow.closed:
+            dispatcher.close_flow(flow.target, now_s)
+
     def submit(
         self, flow: OwnedFlow, request: OwnedRequest, now_s: float
     ) -> list[Action]:
--- a/endivepick/core/flow_table.py
+++ b/endivepick/core/flow_table.py
@@ -136,18 +136,18 @@
             issued_at_s=int(now_s),
         )
 
-    def expire(self, now_s: float) -> int:
+    def expire(self, now_s: float) -> list[OwnedFlow]:
         """Drop flows whose tokens have expired and flows never used.
 
         Returns
         -------
-        int
-            How many flows were dropped.
+        list of OwnedFlow
+            What was dropped.
         """
         dropped = [flow for flow in self._flows.values() if self._expired(flow, now_s)]
         for flow in dropped:
             self._remove(flow.binding)
-        return len(dropped)
+        return dropped
 
     def _expired(self, flow: OwnedFlow, now_s: float) -> bool:
         if flow.frozen:
--- a/endivepick/core/handover.py
+++ b/endivepick/core/handover.py
@@ -252,6 +252,9 @@
     def _settle(self, transfer_id: int, transfer: Transfer) -> None:
         del self._transfers[transfer_id]
         for snapshot in transfer.message.flows:
+            flow = self.table.get(snapshot.binding)
+            if flow is not None:
+                self.executor.flow_removed(flow, self._now_s)
             self.table.release(snapshot.binding, transfer.successor)
 
     def accepted(self, sender: Identity, transfer_id: int) -> list[Action]:
--- a/endivepick/core/handover_taker.py
+++ b/endivepick/core/handover_taker.py
@@ -141,6 +141,7 @@
         for snapshot in message.flows:
             flow = restore_flow(snapshot, self.settings.window_size, now_s)
             if self.table.restore(flow):
+                self.executor.flow_added(flow, now_s)
                 flows.append(flow)
         return flows
 
--- a/endivepick/core/instance.py
+++ b/endivepick/core/instance.py
@@ -313,7 +313,8 @@
         actions += translate(self.lifecycle.tick(now_s), now_s)
         if now_s >= self._next_expiry_s:
             self._next_expiry_s = now_s + EXPIRY_EVERY_S
-            self.table.expire(now_s)
+            for flow in self.table.expire(now_s):
+                self.executor.flow_removed(flow, now_s)
         return actions
 
     def _missing(self) -> str:
--- a/endivepick/core/owner.py
+++ b/endivepick/core/owner.py
@@ -129,7 +129,10 @@
     ) -> OwnedFlow:
         """Return the flow of a token that names this incarnation as its owner."""
         flow = self._table.get(token.binding)
-        return flow or self._table.adopt(token, caller, now_s)
+        if flow is None:
+            flow = self._table.adopt(token, caller, now_s)
+            self._executor.flow_added(flow, now_s)
+        return flow
 
     def handle(
         self,
@@ -406,6 +409,7 @@
         return self._executor.cancel(flow, request, now_s)
 
     def _close(self, flow: OwnedFlow, now_s: float) -> list[Action]:
+        self._executor.flow_removed(flow, now_s)
         flow.closed = True
         actions: list[Action] = []
         for request in list(flow.requests.values()):
--- a/endivepick/core/roles.py
+++ b/endivepick/core/roles.py
@@ -12,6 +12,7 @@
     ProbeResult,
     ServiceDispatcher,
     TargetHealth,
+    WaitingAllowance,
 )
 from endivepick.core.executor import RequestExecutor
 from endivepick.core.flow_table import FlowTable
@@ -110,6 +111,7 @@
         self._my_name = my_name
         self._reviewed: tuple[str, ...] | None = None
         self._active: dict[str, _ActiveService] = {}
+        self._allowance = WaitingAllowance(dispatch.waiting_per_instance)
         self._next_review_s = 0.0
 
     @property
@@ -130,7 +132,7 @@
         if record is None:
             return False
         self._executor.dispatchers[service] = ServiceDispatcher(
-            self._dispatch, record, self._zone, now_s
+            self._dispatch, record, self._zone, now_s, self._allowance
         )
         self._active[service] = _ActiveService(now_s, now_s)
         return True
@@ -160,6 +162,7 @@
     def _drop(self, service: str) -> list[Action]:
         del self._active[service]
         del self._executor.dispatchers[service]
+        self._allowance.leave(service)
         return [
             Log("owner", "service_released", "service released", {"service": service})
         ]
--- a/endivepick/core/tests/test_owner.py
+++ b/endivepick/core/tests/test_owner.py
@@ -14,6 +14,7 @@
     Acknowledge,
     AnswerPart,
     Cancel,
+    FlowClosed,
     Opened,
     Outcome,
     Refused,
@@ -175,6 +176,19 @@
         ):
             self.assertEqual(starts(self.fixture.send(self.token, packet)), [])
 
+    def test_flows_are_counted_at_their_target_until_they_end(self):
+        def flows(fixture):
+            snapshot = fixture.executor.dispatchers["notes"].snapshot()
+            return sum(target.flows for target in snapshot.targets)
+
+        self.assertEqual(flows(self.fixture), 1)
+        other = OwnerFixture(first_id=900)
+        other.owner.find_flow(self.token, CALLER, NOW_S)
+        self.assertEqual(flows(other), 1)
+        for _ in range(2):
+            self.fixture.send(self.token, FlowClosed(b""))
+        self.assertEqual(flows(self.fixture), 0)
+
     def test_stream_resumes_after_its_last_event(self):
         [start] = starts(self.fixture.request(self.token, 1, stream=True))
         executor = self.fixture.executor
