Check the configuration with the real cache and exchange

Lists and watch answers may be stale, peer messages late or repeated and an instance may start again with nothing. A digest meant for an earlier process of the same name would count as a peer's answer; the model assumes that it is lost.

--- /dev/null
+++ b/endivepick/model/_config_node.py
@@ -0,0 +1,121 @@
+"""One instance of the configuration model: the real cache and exchange."""
+
+from collections.abc import Callable, Hashable
+from dataclasses import dataclass
+from typing import Any
+
+from endivepick.model._freeze import freeze
+from endivepick.records._exchange import Exchange
+from endivepick.records._feeder import Feeder
+from endivepick.records._readiness import Readiness
+from endivepick.records._reports import Subscribers
+from endivepick.records.cache import RecordCache
+from endivepick.records.objects import SERVICE_KIND, StoredObject
+from endivepick.records.peer_messages import RecordsMessage
+from endivepick.records.settings import DisseminationSettings
+
+__all__ = ["ConfigNode", "ConfigParts", "Digest", "Listed", "Received", "Watched"]
+
+NAME = "notes"
+NOW_S = 0.0
+SETTINGS = DisseminationSettings(ask_patience_s=1.0)
+_NO_STATE = (DisseminationSettings, Subscribers, Feeder)
+
+
+@dataclass(frozen=True)
+class ConfigParts:
+    """Classes that an instance is built of; a mutation replaces one."""
+
+    cache: Callable[..., RecordCache] = RecordCache
+    readiness: Callable[..., Readiness] = Readiness
+
+
+@dataclass(frozen=True)
+class Listed:
+    """The platform lists what stood at a revision, perhaps long ago."""
+
+    revision: int
+    objects: tuple[tuple[int, bool], ...]
+
+
+@dataclass(frozen=True)
+class Watched:
+    """The platform answers a watch: all changes after a revision up to another."""
+
+    after: int
+    revision: int
+    events: tuple[tuple[int, bool], ...]
+
+
+@dataclass(frozen=True)
+class Digest:
+    """The instance tells a peer what it holds."""
+
+
+@dataclass(frozen=True)
+class Received:
+    """A message of a peer arrives."""
+
+    sender: str
+    message: RecordsMessage
+
+
+Event = Listed | Watched | Digest | Received
+
+
+def stored(version: int, exists: bool) -> StoredObject:
+    """Build a version of the one record, or its deletion."""
+    body = {"version": version} if exists else None
+    return StoredObject(SERVICE_KIND, NAME, version, body)
+
+
+class ConfigNode:
+    """Cache, exchange and readiness of one instance.
+
+    Parameters
+    ----------
+    name : str
+        Name of the instance.
+    parts : ConfigParts
+        Classes that it is built of.
+    """
+
+    def __init__(self, name: str, parts: ConfigParts) -> None:
+        self.cache = parts.cache(kinds=(SERVICE_KIND,), max_tombstones=0)
+        self.readiness = parts.readiness(SETTINGS, name)
+        subscribers = Subscribers(SETTINGS)
+        self._exchange = Exchange(SETTINGS, self.cache, self.readiness, subscribers)
+
+    def frozen(self) -> Hashable:
+        """Return a picture of everything that later behaviour depends on."""
+        return freeze([self.cache, self.readiness, self._exchange], skip=_NO_STATE)
+
+    @property
+    def version(self) -> int:
+        """Version of the record in force, 0 if there is none."""
+        held = self.cache.get(SERVICE_KIND, NAME)
+        return held.version if held and not held.deleted else 0
+
+    def handle(self, event: Event, peers: tuple[str, ...]) -> tuple[Any, ...]:
+        """Take one event; return what it sends to its peer."""
+        self.readiness.ask(peers, (), NOW_S)
+        messages = self._take(event)
+        self.readiness.update(self.cache.revision, peers, NOW_S)
+        return messages
+
+    def _take(self, event: Event) -> tuple[Any, ...]:
+        match event:
+            case Listed(revision=revision, objects=objects):
+                found = [stored(*one) for one in objects]
+                self.cache.offer_list(SERVICE_KIND, revision, found)
+                self.readiness.listed()
+                return ()
+            case Watched(after=after, revision=revision, events=events):
+                for one in events:
+                    self.cache.offer(stored(*one))
+                self.cache.advance(after, revision)
+                return ()
+            case Digest():
+                return (self._exchange.digest(reply=True),)
+            case Received(sender=sender, message=message):
+                return self._exchange.take(sender, message, NOW_S).messages
--- a/endivepick/model/_freeze.py
+++ b/endivepick/model/_freeze.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Hashable, Mapping
 from enum import Enum
+from itertools import count
 from typing import Any
 
 import msgspec
@@ -42,12 +43,16 @@
         return frozenset(freeze(one, skip) for one in value)
     if isinstance(value, (list, tuple)):
         return (type(value), *(freeze(one, skip) for one in value))
+    if isinstance(value, count):
+        return repr(value)
     return (type(value), *(freeze(one, skip) for one in _fields(value)))
 
 
 def _fields(value: Any) -> list[Any]:
     if isinstance(value, msgspec.Struct):
         return [getattr(value, name) for name in value.__struct_fields__]
+    if not hasattr(value, "__dict__") and not _slots(type(value)):
+        raise TypeError(f"Teach `freeze` to picture a {type(value).__name__}.")
     names = [*getattr(value, "__dict__", ()), *_slots(type(value))]
     return [getattr(value, name) for name in names]
 
