--- a/endivepick/model/_choices.py
+++ b/endivepick/model/_choices.py
@@ -4,7 +4,7 @@
 placement that the real parts could come to.
 """
 
-from collections.abc import Hashable, Iterable
+from collections.abc import Hashable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
@@ -20,9 +20,17 @@
 )
 from endivepick.core.flow_table import Identity
 
-__all__ = ["AllServices", "ChoiceDispatcher", "ChoicePeers", "Placement", "View"]
+__all__ = [
+    "AllServices",
+    "ChoiceDispatcher",
+    "ChoicePeers",
+    "Placement",
+    "View",
+    "ZONE",
+]
 
 REQUEST_TIMEOUT_S = 30.0
+ZONE = "zone"
 
 
 class Placement(Enum):
@@ -76,9 +84,13 @@
         self.view = view
         self.asked = False
 
-    def ready_names(self) -> Iterable[str]:
+    def ready_names(self) -> tuple[str, ...]:
         """Return the name of the instance that opens flows."""
-        return [(self.view.opener or self.me).name]
+        return ((self.view.opener or self.me).name,)
+
+    def zone_of(self, name: str) -> str:
+        """Return the one zone of the model."""
+        return ZONE
 
     def is_silent(self, name: str) -> bool:
         """Tell whether the holder is suspected."""
--- a/endivepick/model/_events.py
+++ b/endivepick/model/_events.py
@@ -34,6 +34,7 @@
     "Peer",
     "Sent",
     "Stop",
+    "TimeUp",
     "ToCaller",
     "ToPeer",
     "Turn",
@@ -98,12 +99,19 @@
     placement: Placement = Placement.START
 
 
+@dataclass(frozen=True)
+class TimeUp:
+    """The time limit of the planned stop comes near: what runs is given up."""
+
+    successor: Identity
+
+
 @dataclass(frozen=True)
 class Forget:
     """Time passes and flows that were never used are forgotten."""
 
 
-Event = Packet | Ended | Turn | Stop | Give | Peer | Forget
+Event = Packet | Ended | Turn | Stop | Give | Peer | TimeUp | Forget
 
 
 @dataclass(frozen=True)
--- a/endivepick/model/_flow_mutants.py
+++ b/endivepick/model/_flow_mutants.py
@@ -8,7 +8,8 @@
 from endivepick.core.executor import RequestExecutor
 from endivepick.core.flow import OwnedFlow
 from endivepick.core.flow_table import FlowTable, Identity
-from endivepick.core.handover import HandOverGiver, HandOverTaker
+from endivepick.core.handover import HandOverGiver
+from endivepick.core.handover_taker import HandOverTaker
 from endivepick.core.messages import CallerAddress, Refused
 from endivepick.core.peer_messages import HandOver
 from endivepick.core.relay import Holder, Relay, Whereabouts
--- a/endivepick/model/_flow_scenarios.py
+++ b/endivepick/model/_flow_scenarios.py
@@ -27,6 +27,10 @@
     "planned stop, two candidates": _STOP_OF_THREE,
     "planned stop and crash": _STOP_AND_CRASH,
     "planned stop, unused flows forgotten": replace(_STOP_OF_THREE, forgets=True),
+    "planned stop, time is up": replace(_STOP, time_up=True),
+    "planned stop, idempotent, time is up": replace(
+        _STOP, time_up=True, idempotent=True
+    ),
     "planned stop, stream": replace(_STOP, stream=True, idempotent=True),
     "chain of planned stops": _CHAIN,
     "chain of planned stops, crash": replace(_CHAIN, crashes=1, gives_up=False),
--- a/endivepick/model/_node.py
+++ b/endivepick/model/_node.py
@@ -17,7 +17,8 @@
 from endivepick.core.events import AttemptAnswered, AttemptFailed
 from endivepick.core.executor import RequestExecutor
 from endivepick.core.flow_table import FlowTable, Identity
-from endivepick.core.handover import HandOverGiver, HandOverTaker
+from endivepick.core.handover import HandOverGiver
+from endivepick.core.handover_taker import HandOverTaker
 from endivepick.core.keyring import first_keyring
 from endivepick.core.messages import (
     Opened,
@@ -28,7 +29,7 @@
 from endivepick.core.router import PacketRouter
 from endivepick.core.settings import FlowSettings
 from endivepick.core.token import TokenCodec
-from endivepick.model._choices import AllServices, ChoiceDispatcher, ChoicePeers
+from endivepick.model._choices import ZONE, AllServices, ChoiceDispatcher, ChoicePeers
 from endivepick.model._events import (
     Ended,
     Event,
@@ -37,6 +38,7 @@
     Packet,
     Peer,
     Stop,
+    TimeUp,
     Turn,
 )
 from endivepick.model._freeze import freeze
@@ -175,6 +177,9 @@
                 self._hand_over.successor = successor
                 self.dispatcher.choose(placement)
                 return self._peer(event)
+            case TimeUp(successor=successor):
+                self._hand_over.successor = successor
+                return self.giver.cut()
             case Forget():
                 self.table.expire(LATER_S)
                 return []
@@ -212,3 +217,7 @@
 
 def _no_chance() -> float:
     return 0.5
+
+
+def _zones_of(service: str) -> frozenset[str]:
+    return frozenset([ZONE])
--- a/endivepick/model/_world.py
+++ b/endivepick/model/_world.py
@@ -73,6 +73,8 @@
         Attempts may be shed or break, and not only be answered.
     gives_up : bool
         A giver may believe that its successor died, rightly or not.
+    time_up : bool
+        A planned stop may come to its time limit while a request runs.
     forgets : bool
         Flows that were never used may be forgotten.
     next_request : bool
@@ -98,6 +100,7 @@
     placements: tuple[Placement, ...] = (Placement.QUEUE, Placement.REFUSE)
     breaks: bool = True
     gives_up: bool = True
+    time_up: bool = False
     forgets: bool = False
     next_request: bool = False
     acknowledges: bool = False
--- a/endivepick/model/flows.py
+++ b/endivepick/model/flows.py
@@ -6,30 +6,30 @@
 
 from collections.abc import Iterator
 from dataclasses import replace
-from typing import TypeVar
 
 from endivepick.core.dispatch import FinishKind
 from endivepick.core.flow_table import Identity
-from endivepick.core.messages import InstancePacket, Reissued
 from endivepick.core.peer_messages import HandOverRefused
 from endivepick.model import _caller
 from endivepick.model._choices import Placement, View
 from endivepick.model._description import describe, describe_view, token_of
 from endivepick.model._events import (
-    Cancelled,
-    Effect,
     Ended,
     Event,
     Forget,
     Give,
     Packet,
     Peer,
-    Sent,
     Stop,
-    ToCaller,
-    ToPeer,
+    TimeUp,
     Turn,
 )
+from endivepick.model._flow_effects import (
+    FlowEffects,
+    pending,
+    replaced,
+    runs_after,
+)
 from endivepick.model._flow_invariants import FlowInvariants
 from endivepick.model._instances import Instances
 from endivepick.model._node import CODEC, NOW_S
@@ -46,7 +46,6 @@
 
 __all__ = ["flow_specification"]
 
-_T = TypeVar("_T")
 Step = tuple[str, World]
 
 
@@ -74,6 +73,7 @@
     def __init__(self, bounds: Bounds) -> None:
         self._bounds = bounds
         self.instances = Instances(bounds.parts)
+        self._effects = FlowEffects(bounds, self.instances)
 
     # Start
 
@@ -108,9 +108,6 @@
             ),
         )
 
-    def _me(self, world: World, index: int) -> Identity:
-        return Identity(self._bounds.names[index], world.incarnations[index])
-
     # Steps
 
     def steps(self, world: World) -> Iterator[Step]:
@@ -137,7 +134,9 @@
         state = world.nodes[index]
         assert state is not None
         reaction = self.instances.after(state, event)
-        changed = self._apply(world, index, reaction.state, reaction.effects, event)
+        changed = self._effects.apply(
+            world, index, reaction.state, reaction.effects, event
+        )
         if changed is not None and changed != world:
             yield f"{self._bounds.names[index]} {label}", changed
 
@@ -181,7 +180,7 @@
                 yield View(successor=successor)
             if lost:
                 yield View(dead=True, successor=successor)
-                opener = self._me(world, (index + 1) % len(world.nodes))
+                opener = self._effects.me(world, (index + 1) % len(world.nodes))
                 yield View(dead=True, successor=successor, opener=opener)
 
     def _successors(self, world: World, owner: Identity) -> list[Identity]:
@@ -204,7 +203,7 @@
             successors: list[Identity | None] = [None]
             if sent.kind is HandOverRefused:
                 candidates = self._candidates(index)
-                successors += [self._me(world, other) for other in candidates]
+                successors += [self._effects.me(world, other) for other in candidates]
             for successor in successors:
                 event = Peer(sender, sent.kind, sent.data, successor)
                 yield from self._placed(world, index, event, label)
@@ -224,12 +223,15 @@
                 yield from self._event(world, index, Stop(), "begins its planned stop")
             return
         for other in self._candidates(index):
-            successor = self._me(world, other)
+            successor = self._effects.me(world, other)
             for dead in (False, True) if self._bounds.gives_up else (False,):
                 label = f"hands over to {successor.name}"
                 if dead:
                     label += ", believing the last successor dead"
                 yield from self._event(world, index, Give(successor, dead), label)
+            if self._bounds.time_up:
+                label = "gives up what runs, its time is up"
+                yield from self._event(world, index, TimeUp(successor), label)
         # With no successor, or after the time limit, it leaves with flows.
         if not any(flow.in_progress for flow in node.table):
             yield from self._exit(world, index)
@@ -240,7 +242,7 @@
         return others[:1] if self._bounds.in_turn else others
 
     def _exit(self, world: World, index: int) -> Iterator[Step]:
-        me = self._me(world, index)
+        me = self._effects.me(world, index)
         running = any(one.open and one.sender == me for one in world.attempts)
         cut = running and not self._bounds.stream
         gone = self._take_down(world, index)
@@ -254,13 +256,13 @@
         yield f"{self._bounds.names[index]} crashes", gone._replace(left=left)
 
     def _take_down(self, world: World, index: int) -> World:
-        me = self._me(world, index)
+        me = self._effects.me(world, index)
         attempts = frozenset(
             one._replace(open=False) if one.sender == me else one
             for one in world.attempts
         )
-        nodes = _replaced(world.nodes, index, None)
-        return world._replace(nodes=nodes, attempts=_pending(attempts))
+        nodes = replaced(world.nodes, index, None)
+        return world._replace(nodes=nodes, attempts=pending(attempts))
 
     def _restart(self, world: World, index: int) -> Iterator[Step]:
         if not world.left.restarts:
@@ -272,8 +274,8 @@
         yield (
             f"{me.name} starts again",
             world._replace(
-                nodes=_replaced(world.nodes, index, state),
-                incarnations=_replaced(world.incarnations, index, incarnation),
+                nodes=replaced(world.nodes, index, state),
+                incarnations=replaced(world.incarnations, index, incarnation),
                 left=world.left._replace(restarts=world.left.restarts - 1),
             ),
         )
@@ -288,9 +290,9 @@
                 yield (
                     f"target runs attempt {attempt.number} of {attempt.sender.name}",
                     world._replace(
-                        attempts=_pending(others | {ran}),
+                        attempts=pending(others | {ran}),
                         ran=world.ran | {attempt.request_id[:2]},
-                        runs=_runs_after(world, attempt),
+                        runs=runs_after(world, attempt),
                     ),
                 )
             if attempt.open:
@@ -300,7 +302,7 @@
         self, world: World, attempt: Attempt, others: frozenset[Attempt]
     ) -> Iterator[Step]:
         index = self._bounds.names.index(attempt.sender.name)
-        closed = _pending(others | {attempt._replace(open=False)})
+        closed = pending(others | {attempt._replace(open=False)})
         kinds = []
         if attempt.ran:
             kinds.append((FinishKind.OK, others))
@@ -315,91 +317,3 @@
                 Ended(attempt.request_id, attempt.number, kind),
                 f"sees attempt {attempt.number} end: {kind.value}",
             )
-
-    # Effects
-
-    def _apply(
-        self,
-        world: World,
-        index: int,
-        state: int,
-        effects: tuple[Effect, ...],
-        event: Event,
-    ) -> World | None:
-        """Carry effects out; None if they leave the bounds."""
-        world = world._replace(nodes=_replaced(world.nodes, index, state))
-        me = self._me(world, index)
-        for effect in effects:
-            match effect:
-                case ToCaller(packet=packet):
-                    told = self._tell(world, packet)
-                    if told is None:
-                        return None
-                    world = told
-                case ToPeer():
-                    world = world._replace(peer=world.peer | {(me, effect)})
-                case Sent(request_id=request_id, attempt=number):
-                    if not world.left.attempts:
-                        return None
-                    attempt = Attempt(me, request_id, number, False, True)
-                    world = world._replace(
-                        attempts=world.attempts | {attempt},
-                        left=world.left._replace(attempts=world.left.attempts - 1),
-                    )
-                case Cancelled():
-                    world = self._cancel(world, me, effect, event)
-        return self._announce(world, index, state)
-
-    def _tell(self, world: World, packet: InstancePacket) -> World | None:
-        if packet in world.told:
-            return world
-        left = world.left
-        if isinstance(packet, Reissued) and packet.continues:
-            if not self._bounds.renews:
-                return world
-        elif isinstance(packet, Reissued):
-            if not left.reissues:
-                return None
-            left = left._replace(reissues=left.reissues - 1)
-        return world._replace(told=world.told | {packet}, left=left)
-
-    def _cancel(
-        self, world: World, me: Identity, effect: Cancelled, event: Event
-    ) -> World:
-        found = [
-            one
-            for one in world.attempts
-            if one.sender == me
-            and (one.request_id, one.number) == (effect.request_id, effect.attempt)
-        ]
-        attempts = world.attempts.difference(found)
-        attempts |= {one._replace(open=False) for one in found}
-        cut = isinstance(event, Give) and not self._bounds.stream
-        return world._replace(attempts=_pending(attempts), cut=world.cut or cut)
-
-    def _announce(self, world: World, index: int, state: int) -> World:
-        node = self.instances[state]
-        if not node.owner.leaving:
-            return world
-        heirs = {(node.me, heir) for heir in node.giver.finished_services().values()}
-        if heirs <= world.heirs:
-            return world
-        return world._replace(heirs=world.heirs | heirs)
-
-
-def _replaced(items: tuple[_T, ...], index: int, item: _T) -> tuple[_T, ...]:
-    return (*items[:index], item, *items[index + 1 :])
-
-
-def _runs_after(world: World, attempt: Attempt) -> int:
-    _, seq, _ = attempt.request_id
-    if attempt.request_id[:2] in world.ran:
-        return 2
-    if seq == world.caller.next_seq:
-        return world.runs
-    return min(world.runs + 1, 2)
-
-
-def _pending(attempts: frozenset[Attempt]) -> frozenset[Attempt]:
-    """Drop attempts that ran and whose sender waits no more."""
-    return frozenset(one for one in attempts if one.open or not one.ran)
