Hold an idle flow in half the memory

Cause: each flow held an empty set and a dictionary of attributes for its replay window, a dictionary of requests grown by requests long done, and its own copy of the service's name. Weighed: packed records outside Python objects, which pays only with millions of flows and makes the window hard to read. Change: windows without a gap share one empty set and have slots; the dictionary of requests is renewed when it is empty; the name is the record's.

--- a/endivepick/core/owner.py
+++ b/endivepick/core/owner.py
@@ -103,7 +103,8 @@
         """Open a flow to a service whose dispatcher is here."""
         dispatcher = self._executor.dispatchers[service]
         target = dispatcher.place_flow(now_s, self._random_number())
-        flow = self._table.open(service, target, caller, now_s)
+        # All flows share the record's text, not each the one of its packet.
+        flow = self._table.open(dispatcher.record.name, target, caller, now_s)
         sealed = self._codec.seal(self._table.token(flow, now_s))
         return [
             Count("flows_opened", service),
@@ -398,6 +399,9 @@
         if not request.allows("acknowledge"):
             actions = self._executor.cancel(flow, request, now_s)
         flow.requests.pop(request.seq, None)
+        if not flow.requests:
+            # A dictionary keeps its room; most flows are idle most of the time.
+            flow.requests = {}
         return actions
 
     def _cancel(self, flow: OwnedFlow, seq: int, now_s: float) -> list[Action]:
--- a/endivepick/core/window.py
+++ b/endivepick/core/window.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 
 import msgspec
@@ -40,7 +40,11 @@
     claimed: list[int]
 
 
-@dataclass
+_NONE: frozenset[int] = frozenset()
+"""Shared by all windows without a claimed number above the floor."""
+
+
+@dataclass(slots=True)
 class ReplayWindow:
     """Window over the request numbers of one binding.
 
@@ -60,7 +64,7 @@
 
     size: int
     floor: int = 1
-    _claimed: set[int] = field(default_factory=set)
+    _claimed: set[int] | frozenset[int] = _NONE
 
     def state(self, seq: int) -> SeqState:
         """Look a request number up."""
@@ -80,14 +84,24 @@
         """
         if self.state(seq) is not SeqState.FRESH:
             return False
-        self._claimed.add(seq)
-        self._raise_floor()
+        if seq == self.floor:
+            self.floor += 1
+            self._raise_floor()
+        elif isinstance(self._claimed, set):
+            self._claimed.add(seq)
+        else:
+            self._claimed = {seq}
         return True
 
     def _raise_floor(self) -> None:
-        while self.floor in self._claimed:
-            self._claimed.remove(self.floor)
+        claimed = self._claimed
+        if not isinstance(claimed, set):
+            return
+        while self.floor in claimed:
+            claimed.remove(self.floor)
             self.floor += 1
+        if not claimed:
+            self._claimed = _NONE
 
     @property
     def is_untouched(self) -> bool:
@@ -99,7 +113,9 @@
         if seq <= self.floor:
             return
         self.floor = seq
-        self._claimed = {claimed for claimed in self._claimed if claimed >= seq}
+        self._claimed = {
+            claimed for claimed in self._claimed if claimed >= seq
+        } or _NONE
         self._raise_floor()
 
     def snapshot(self) -> WindowSnapshot:
@@ -115,4 +131,4 @@
     def _from_parts(
         cls, size: int, floor: int, claimed: Iterable[int]
     ) -> "ReplayWindow":
-        return cls(size=size, floor=floor, _claimed=set(claimed))
+        return cls(size=size, floor=floor, _claimed=set(claimed) or _NONE)
