--- a/endivepick/core/flow_table.py
+++ b/endivepick/core/flow_table.py
@@ -49,6 +49,7 @@
         self._flows: dict[int, OwnedFlow] = {}
         self._counts: Counter[str] = Counter()
         self._successors: dict[int, Identity] = {}
+        self._with_requests: dict[int, OwnedFlow] = {}
 
     def __len__(self) -> int:
         return len(self._flows)
@@ -59,6 +60,8 @@
     def _add(self, flow: OwnedFlow) -> None:
         self._flows[flow.binding] = flow
         self._counts[flow.service] += 1
+        if flow.requests:
+            self.note_request(flow)
 
     def _remove(self, binding: int) -> None:
         flow = self._flows.pop(binding, None)
@@ -70,6 +73,19 @@
         """Services of which a flow is held."""
         return {service for service, count in self._counts.items() if count}
 
+    def note_request(self, flow: OwnedFlow) -> None:
+        """Take note that a flow holds a request."""
+        self._with_requests[flow.binding] = flow
+
+    def with_requests(self) -> list[OwnedFlow]:
+        """Return the flows that hold a request; few of those that are held."""
+        self._with_requests = {
+            binding: flow
+            for binding, flow in self._with_requests.items()
+            if flow.requests and binding in self._flows
+        }
+        return list(self._with_requests.values())
+
     def get(self, binding: int) -> OwnedFlow | None:
         """Return the flow that holds a binding, if this instance does."""
         return self._flows.get(binding)
--- a/endivepick/core/owner.py
+++ b/endivepick/core/owner.py
@@ -210,6 +210,7 @@
             part_count=packet.count,
         )
         flow.requests[packet.seq] = request
+        self._table.note_request(flow)
         if flow.closed:
             return self._refuse_unclaimed(flow, request, "flow_closed")
         if packet.count * PART_SIZE_BYTES > self._settings.request_bytes_max:
@@ -428,8 +429,8 @@
             return []
         self._next_sweep_s = now_s + self._settings.sweep_every_s
         actions: list[Action] = []
-        for flow in self._table:
-            if flow.requests and not flow.frozen:
+        for flow in self._table.with_requests():
+            if not flow.frozen:
                 actions += self._sweep(flow, now_s)
         return actions
 
--- a/endivepick/core/tests/test_owner.py
+++ b/endivepick/core/tests/test_owner.py
@@ -1,4 +1,5 @@
 import unittest
+from unittest.mock import patch
 
 from endivepick.core.actions import (
     CancelAttempt,
@@ -9,6 +10,7 @@
 )
 from endivepick.core.dispatch import FinishKind
 from endivepick.core.events import AttemptFailed, StreamData, StreamOpened
+from endivepick.core.flow_table import FlowTable
 from endivepick.core.messages import (
     Accepted,
     Acknowledge,
@@ -89,6 +91,16 @@
         counts = [action for action in actions if isinstance(action, Count)]
         self.assertEqual(counts, [Count("attempts_retried", "shed")])
 
+    def test_sweep_looks_only_at_flows_with_requests(self):
+        fixture = self.fixture
+        for _ in range(100):
+            fixture.open()
+        fixture.request(self.token, 1)
+        with patch.object(FlowTable, "__iter__", side_effect=AssertionError):
+            fixture.owner.tick(NOW_S + 1)
+            cancelled = fixture.owner.tick(NOW_S + 60)
+        self.assertTrue(any(isinstance(a, CancelAttempt) for a in cancelled))
+
     def test_everything_is_logged_before_it_is_sent(self):
         fixture = self.fixture
         opened = fixture.owner.open_flow("notes", 1, CALLER, NOW_S)
