Act on a change of a peer without looking at all services

Cause: each change of one peer looked at all services for those that had become this instance's, sorted all live names anew and grouped them by zone. Callers also chose what was kept: the owner of each unknown service that they named was worked out over the whole fleet and remembered for good. Weighed: acting on changes once a second, which delays the taking of a lost instance's services. Change: the owners name the services whose winner or rival has gone, and only these and those served here are reviewed; live names are kept as they change.

--- a/endivepick/core/relay.py
+++ b/endivepick/core/relay.py
@@ -206,10 +206,9 @@
             return self._me
         return Identity(name, incarnation)
 
-    @property
-    def candidates(self) -> tuple[str, ...]:
-        """Instances that may own a service; the same tuple until that changes."""
-        return self._peers.ready_names()
+    def take_unsettled(self) -> set[str]:
+        """Return services asked for before that this instance may now own."""
+        return self._owners.take_unsettled()
 
     def owner_name(self, service: str) -> str:
         """Return the instance that opens this service's flows at present."""
--- a/endivepick/core/roles.py
+++ b/endivepick/core/roles.py
@@ -46,9 +46,8 @@
 class OwnerChoice(Protocol):
     """What the roles ask about owners."""
 
-    @property
-    def candidates(self) -> tuple[str, ...]:
-        """Instances that may take a role; the same tuple until one comes or goes."""
+    def take_unsettled(self) -> set[str]:
+        """Return services asked for before that this instance may now own."""
 
     def owner_name(self, service: str) -> str:
         """Return the instance that opens a service's flows at present."""
@@ -109,7 +108,6 @@
         self._executor = executor
         self._owners = owners
         self._my_name = my_name
-        self._reviewed: tuple[str, ...] | None = None
         self._active: dict[str, _ActiveService] = {}
         self._allowance = WaitingAllowance(dispatch.waiting_per_instance)
         self._next_review_s = 0.0
@@ -185,16 +183,8 @@
         return actions
 
     def review(self, now_s: float) -> list[Action]:
-        """Take up services that fall to this instance, and let others go.
-
-        All services are looked at only when an instance has come or gone;
-        otherwise only those that are here and may be let go.
-        """
-        candidates = self._owners.candidates
-        if candidates is self._reviewed:
-            return self._review(list(self._active), now_s)
-        self._reviewed = candidates
-        return self._review((name for name, _ in self._catalog.versions()), now_s)
+        """Take up services that fall to this instance, and let others go."""
+        return self._review(self._owners.take_unsettled() | set(self._active), now_s)
 
     def review_soon(self) -> None:
         """Review at the next tick: an instance has come or gone."""
--- a/endivepick/membership/_member.py
+++ b/endivepick/membership/_member.py
@@ -138,9 +138,3 @@
     def _step(self, event: str) -> None:
         if _CHART.allows(self.state, event):
             self.state = _CHART.step(self.state, event)
-
-    @property
-    def takes_roles(self) -> bool:
-        """It said that it is ready, and neither leaves nor is dead."""
-        serving = self.state in (PeerState.ALIVE.value, PeerState.SUSPECT.value)
-        return serving and self.phase is Phase.READY
--- a/endivepick/membership/_table.py
+++ b/endivepick/membership/_table.py
@@ -37,8 +37,10 @@
         self.losses = LossWatch(settings)
         self.timers = SuspicionTimers(settings, self.losses)
         self.spread: SpreadQueue[str] = SpreadQueue(settings.spread_factor)
-        self._views: dict[str, InstanceView] = {own.name: own.to_view()}
+        self._views: dict[str, InstanceView] = {}
+        self._takes_roles: set[str] = set()
         self._live: tuple[str, ...] | None = None
+        self._show(own.name, own.to_view())
         self._passes_on = True
 
     # What others read
@@ -52,10 +54,7 @@
     def live_names(self) -> tuple[str, ...]:
         """Return the names that take roles, sorted."""
         if self._live is None:
-            names = [m.name for m in self.members.values() if m.takes_roles]
-            if self.own.takes_roles:
-                names.append(self.own.name)
-            self._live = tuple(sorted(names))
+            self._live = tuple(sorted(self._takes_roles))
         return self._live
 
     def update_of(self, name: str) -> MemberUpdate | None:
@@ -127,7 +126,7 @@
 
     def forget(self, name: str) -> None:
         """Drop the entry of a peer."""
-        member = self.members.pop(name)
+        del self.members[name]
         del self.buckets[bucket_of(name)][name]
         self.dead.pop(name, None)
         self.timers.stop(name)
@@ -136,14 +135,12 @@
         old = self._views.pop(name, None)
         if old is not None:
             self._outbox.add(PeerChanged(old, None))
-        if member.takes_roles:
-            self._live = None
+        self._set_takes_roles(name, False)
 
     def own_changed(self) -> None:
         """Spread and show a change of this instance's own status."""
         self.spread.put(self.own.name, len(self.members))
-        self._views[self.own.name] = self.own.to_view()
-        self._live = None
+        self._show(self.own.name, self.own.to_view())
 
     def publish(self, member: Member) -> None:
         """Show a change of a peer, if there is one to show."""
@@ -151,11 +148,22 @@
         new = member.to_view()
         if old == new:
             return
-        self._views[member.name] = new
-        if old is None or _may_take_roles(old) != _may_take_roles(new):
-            self._live = None
+        self._show(member.name, new)
         self._outbox.add(PeerChanged(old, new))
 
+    def _show(self, name: str, view: InstanceView) -> None:
+        self._views[name] = view
+        self._set_takes_roles(name, _may_take_roles(view))
+
+    def _set_takes_roles(self, name: str, takes_roles: bool) -> None:
+        if takes_roles == (name in self._takes_roles):
+            return
+        self._live = None
+        if takes_roles:
+            self._takes_roles.add(name)
+        else:
+            self._takes_roles.discard(name)
+
     def set_listed(self, member: Member, leaving: bool) -> None:
         """Take over whether the platform's list says that a peer leaves."""
         if member.set_listed_leaving(leaving):
