--- a/endivepick/core/owner.py
+++ b/endivepick/core/owner.py
@@ -103,7 +103,8 @@
         """Open a flow to a service whose dispatcher is here."""
         dispatcher = self._executor.dispatchers[service]
         target = dispatcher.place_flow(now_s, self._random_number())
-        flow = self._table.open(service, target, caller, now_s)
+        # All flows share the record's text, not each the one of its packet.
+        flow = self._table.open(dispatcher.record.name, target, caller, now_s)
         sealed = self._codec.seal(self._table.token(flow, now_s))
         return [
             Count("flows_opened", service),
@@ -209,6 +210,7 @@
             part_count=packet.count,
         )
         flow.requests[packet.seq] = request
+        self._table.note_request(flow)
         if flow.closed:
             return self._refuse_unclaimed(flow, request, "flow_closed")
         if packet.count * PART_SIZE_BYTES > self._settings.request_bytes_max:
@@ -398,6 +400,9 @@
         if not request.allows("acknowledge"):
             actions = self._executor.cancel(flow, request, now_s)
         flow.requests.pop(request.seq, None)
+        if not flow.requests:
+            # A dictionary keeps its room; most flows are idle most of the time.
+            flow.requests = {}
         return actions
 
     def _cancel(self, flow: OwnedFlow, seq: int, now_s: float) -> list[Action]:
@@ -424,8 +429,8 @@
             return []
         self._next_sweep_s = now_s + self._settings.sweep_every_s
         actions: list[Action] = []
-        for flow in self._table:
-            if flow.requests and not flow.frozen:
+        for flow in self._table.with_requests():
+            if not flow.frozen:
                 actions += self._sweep(flow, now_s)
         return actions
 
