Keep one connection per target for probes

An owner opened a new HTTP connection per target and probe, twice a second, and the client library took most of it. Taken: the last, one connection per target that is never used for requests, one probe of a target at a time, sent again once if the target had closed the kept connection.

--- a/endivepick/daemon/performer.py
+++ b/endivepick/daemon/performer.py
@@ -28,6 +28,7 @@
 from endivepick.daemon.metrics import DaemonMetrics
 from endivepick.daemon.peers import PeerTask
 from endivepick.daemon.platform import PlatformTask
+from endivepick.daemon.probes import ProbeTasks
 from endivepick.daemon.targets import TargetTasks
 
 __all__ = ["Performer", "PerformerTasks"]
@@ -44,6 +45,7 @@
     fabric: FabricTask
     peers: PeerTask
     targets: TargetTasks
+    probes: ProbeTasks
     http: HttpTask
     platform: PlatformTask
 
@@ -95,7 +97,7 @@
             case CancelAttempt():
                 self._tasks.targets.cancel(action)
             case Probe():
-                self._tasks.targets.probe(action)
+                self._tasks.probes.probe(action)
             case Count(name=name, label=label, amount=amount):
                 self._metrics.count(name, label, amount)
             case Observe(name=name, label=label, value=value):
--- a/endivepick/daemon/run.py
+++ b/endivepick/daemon/run.py
@@ -22,6 +22,7 @@
 from endivepick.daemon.peers import peer_task
 from endivepick.daemon.performer import Performer, PerformerTasks
 from endivepick.daemon.platform import platform_task
+from endivepick.daemon.probes import probe_tasks
 from endivepick.daemon.status import instance_status, role_gauges
 from endivepick.daemon.targets import target_tasks
 from endivepick.settings.model import DaemonSettings
@@ -135,6 +136,7 @@
         holder.append(loop)
         fabric = stack.enter_context(fabric_task(settings, deliver))
         targets = stack.enter_context(target_tasks(settings, deliver))
+        probes = stack.enter_context(probe_tasks(settings, deliver))
         http = stack.enter_context(
             http_task(
                 settings.listen, metrics, lambda: instance_status(core, clock.now_s())
@@ -147,7 +149,7 @@
                 lambda result: metrics.count("platform_calls", result),
             )
         )
-        tasks = PerformerTasks(fabric, peers, targets, http, platform)
+        tasks = PerformerTasks(fabric, peers, targets, probes, http, platform)
         performer = Performer(core, tasks, metrics, loop.deliver_now)
         performer.perform(core.start())
         _announce(settings, core, tasks)
--- a/endivepick/daemon/targets.py
+++ b/endivepick/daemon/targets.py
@@ -1,29 +1,23 @@
-"""Tasks that speak HTTP to targets: one for each attempt and each probe."""
+"""Tasks that speak HTTP to targets, one for each attempt."""
 
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 import gevent
-import msgspec
 from gevent.pool import Group
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 from urllib3.response import HTTPResponse
 
-from endivepick.core.actions import CancelAttempt, Probe, RequestId, StartAttempt
+from endivepick.core.actions import CancelAttempt, RequestId, StartAttempt
 from endivepick.core.dispatch import (
     FinishKind,
-    ProbeFailed,
-    ProbeOutcome,
-    ProbeResult,
-    TargetHealth,
 )
 from endivepick.core.events import (
     AttemptAnswered,
     AttemptFailed,
     Event,
-    Probed,
     StreamData,
     StreamEnded,
     StreamOpened,
@@ -56,21 +50,6 @@
 _log = PartLog("targets")
 
 
-class _HealthBody(msgspec.Struct):
-    service: str
-    target: str
-    incarnation: int
-    state: str
-
-
-class _LoadBody(msgspec.Struct):
-    in_progress: int = 0
-    waiting: int = 0
-    slots: int = 0
-    connections: int = 0
-    age_ms: int = 0
-
-
 class _AnswerTooLargeError(Exception):
     """The target's answer exceeds the limit."""
 
@@ -114,10 +93,6 @@
         greenlet.kill(block=False)
         self._group.spawn(self._after_cancel, action, greenlet, address_and_path)
 
-    def probe(self, action: Probe) -> None:
-        """Ask a target for its health and load."""
-        self._group.spawn(self._probe, action)
-
     def close(self) -> None:
         """End all tasks."""
         self._group.kill()
@@ -220,31 +195,6 @@
             self._deliver(StreamData(request_id, attempt, event.data, event.event_id))
         return StreamEnded(request_id, attempt)
 
-    def _probe(self, action: Probe) -> None:
-        try:
-            outcome: ProbeOutcome = self._ask(action)
-        except (HTTPError, OSError, msgspec.DecodeError, ValueError, gevent.Timeout):
-            outcome = ProbeFailed()
-        self._deliver(Probed(action.service, action.target, outcome))
-
-    def _ask(self, action: Probe) -> ProbeResult:
-        timeout_s = self._settings.targets.probe_timeout_s
-        with (
-            gevent.Timeout(timeout_s),
-            self._connection(action.address, timeout_s) as connection,
-        ):
-            health = msgspec.json.decode(_get(connection, "/health"), type=_HealthBody)
-            load = msgspec.json.decode(_get(connection, "/load"), type=_LoadBody)
-        return ProbeResult(
-            state=TargetHealth(health.state),
-            service=health.service,
-            incarnation=health.incarnation,
-            in_progress=load.in_progress,
-            waiting=load.waiting,
-            slots=load.slots,
-            age_ms=load.age_ms,
-        )
-
     def _send_cancellation(self, address_and_path: str) -> None:
         address, path = address_and_path.split("/", 1)
         try:
@@ -267,11 +217,6 @@
         yield data
 
 
-def _get(connection: HTTPConnection, path: str) -> bytes:
-    connection.request("GET", path)
-    return connection.getresponse().data
-
-
 def _failure(
     action: StartAttempt,
     kind: FinishKind,
@@ -337,7 +282,7 @@
 def target_tasks(
     settings: DaemonSettings, deliver: Callable[[Event], None]
 ) -> Iterator[TargetTasks]:
-    """Run attempts and probes while the context is open."""
+    """Run attempts while the context is open."""
     tasks = TargetTasks(settings, deliver)
     try:
         yield tasks
