Tell a draining target's news after each probe, and pass them on

An owner told the others that a target drains once for each incarnation. A target that came back and drained again was not news any more, a lost message was never made up for, and an owner of flows that came later heard nothing. An instance that reaches the target too slowly for its probes then went on sending work there; two such instances did not hear of each other's words at all. Weighed: adding the draining targets to the reports of requests in progress, which go out four times a second whether anything drains or not. Taken: the note is sent after each probe that says so, and the service's owner passes a first-hand note on to the other owners of flows. What was passed on is not passed on again, so that two instances that both believe to be the owner cannot keep a note alive.

--- a/endivepick/core/instance.py
+++ b/endivepick/core/instance.py
@@ -263,7 +263,7 @@
             case InFlightReport():
                 return self.roles.on_report(sender.name, event.message, now_s)
             case TargetDraining():
-                return self.roles.on_draining_note(event.message, now_s)
+                return self.roles.on_draining_note(sender.name, event.message, now_s)
             case InstanceStatus():
                 self.zone_status.note(sender.name, event.message, now_s)
                 return []
--- a/endivepick/core/peer_messages.py
+++ b/endivepick/core/peer_messages.py
@@ -122,11 +122,22 @@
 
 
 class TargetDraining(msgspec.Struct, frozen=True, array_like=True, tag=85):
-    """A target said by itself that it is leaving."""
+    """A target said by itself that it is leaving.
+
+    Attributes
+    ----------
+    service, target : str
+        The target.
+    target_incarnation : int
+        Its incarnation.
+    passed_on : bool
+        The sender has it from a peer; it is not passed on again.
+    """
 
     service: str
     target: str
     target_incarnation: int
+    passed_on: bool = False
 
 
 class HandOverPiece(msgspec.Struct, frozen=True, array_like=True, tag=86):
--- a/endivepick/core/roles.py
+++ b/endivepick/core/roles.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from msgspec import structs
+
 from endivepick.core.actions import Action, Log, Probe, SendToPeer
 from endivepick.core.catalog import Catalog
 from endivepick.core.dispatch import (
@@ -64,7 +66,7 @@
     next_probe_s: float
     next_report_s: float
     reporters: dict[str, float] = field(default_factory=dict)
-    draining: set[tuple[str, int]] = field(default_factory=set)
+    draining: set[str] = field(default_factory=set)
 
 
 class ServiceRoles:
@@ -277,29 +279,29 @@
         )
         match outcome:
             case ProbeResult(state=TargetHealth.DRAINING, incarnation=incarnation):
-                actions += self._note_draining(service, target, incarnation)
+                note = TargetDraining(service, target, incarnation)
+                actions += self._tell_draining(note)
+            case ProbeResult():
+                self._active[service].draining.discard(target)
         return actions
 
-    def _note_draining(
-        self, service: str, target: str, incarnation: int
-    ) -> list[Action]:
-        active = self._active[service]
-        if (target, incarnation) in active.draining:
-            return []
-        active.draining.add((target, incarnation))
-        note = TargetDraining(service, target, incarnation)
-        receivers = {self._owners.owner_name(service), *active.reporters} - {
-            self._my_name
-        }
-        log = Log(
-            "owner",
-            "target_draining",
-            "target says that it drains",
-            {"service": service, "target": target},
-        )
-        return [log, *(SendToPeer(name, note) for name in sorted(receivers))]
+    def _tell_draining(self, note: TargetDraining) -> list[Action]:
+        """Tell the other owners of flows, after each probe: a note may be lost."""
+        active = self._active[note.service]
+        receivers = {self._owners.owner_name(note.service), *active.reporters}
+        actions: list[Action] = [
+            SendToPeer(name, note) for name in sorted(receivers - {self._my_name})
+        ]
+        if note.target not in active.draining:
+            active.draining.add(note.target)
+            ids = {"service": note.service, "target": note.target}
+            text = "target says that it drains"
+            actions.append(Log("owner", "target_draining", text, ids))
+        return actions
 
-    def on_draining_note(self, note: TargetDraining, now_s: float) -> list[Action]:
+    def on_draining_note(
+        self, sender: str, note: TargetDraining, now_s: float
+    ) -> list[Action]:
         """Take another owner's word that a target drains."""
         dispatcher = self._executor.dispatchers.get(note.service)
         if dispatcher is None:
@@ -307,4 +309,13 @@
         decisions = dispatcher.on_draining_note(
             note.target, note.target_incarnation, now_s
         )
-        return self._executor.carry_out(decisions, now_s)
+        passed_on = self._pass_on(sender, note)
+        return self._executor.carry_out(decisions, now_s) + passed_on
+
+    def _pass_on(self, sender: str, note: TargetDraining) -> list[Action]:
+        """As the service's owner, tell those who don't know of the sender."""
+        if note.passed_on or not self._owners.is_mine(note.service):
+            return []
+        passed_on = structs.replace(note, passed_on=True)
+        receivers = self._active[note.service].reporters.keys() - {sender}
+        return [SendToPeer(name, passed_on) for name in sorted(receivers)]
