Fit the model to the owner that counts flows

The owner reads the service's name from the record and counts flows at their targets; the model's stand-in for the dispatcher had neither.

--- a/endivepick/model/_choices.py
+++ b/endivepick/model/_choices.py
@@ -122,6 +122,7 @@
 
 @dataclass(frozen=True)
 class _Record:
+    name: str = "notes"
     request_timeout_s: float = REQUEST_TIMEOUT_S
 
 
@@ -168,6 +169,12 @@
         """Pin a new flow to no target."""
         return ""
 
+    def adopt_flow(self, target: str, now_s: float) -> None:
+        """Count nothing: placement is set from outside."""
+
+    def close_flow(self, target: str, now_s: float) -> None:
+        """Count nothing: placement is set from outside."""
+
     def submit(
         self, intent: RequestIntent, now_s: float, random_number: float
     ) -> list[Decision]:
