--- a/endivepick/core/tests/test_owner.py
+++ b/endivepick/core/tests/test_owner.py
@@ -257,7 +257,7 @@
             self.assertEqual(packets(again, AnswerPart), [])
 
     def test_leaving_owner_promises_nothing_about_new_requests(self):
-        self.fixture.owner.leaving = True
+        self.fixture.owner.begin_leaving(NOW_S, 0.0)
         actions = self.fixture.request(self.token, 1)
         self.assertEqual(starts(actions), [])
         self.assertEqual(len(packets(actions, Unreachable)), 1)
--- a/endivepick/model/_node.py
+++ b/endivepick/model/_node.py
@@ -167,7 +167,7 @@
                 decisions = self.dispatcher.turn(request_id)
                 return self._executor.carry_out(decisions, NOW_S)
             case Stop():
-                self.owner.leaving = True
+                self.owner.begin_leaving(NOW_S, 0.0)
                 return []
             case Give(successor=successor, dead=dead):
                 self._hand_over.successor = successor
