Bound the connections to peers and count their traffic

Cause: an instance kept a connection to each peer that it had ever written to. The library gives a process 1,023 sockets: with the 1,022nd peer the core's task ended with "Too many open files", and the instance with it. Weighed: a higher limit, which at 31 kB, a heartbeat a second and 27 us of processor time a second for each connection only moves the end; datagrams between instances, the way to go for larger fleets (docs/CAPACITY.md). Change: above 900 connections the one unused for longest is closed first. What is sent to and received from peers is counted and shown as metrics. The new tests failed before.

--- a/endivepick/daemon/metrics.py
+++ b/endivepick/daemon/metrics.py
@@ -5,6 +5,7 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
+from endivepick.daemon.peers import PeerTraffic
 from endivepick.membership.view import PeerState
 
 __all__ = ["COUNTERS", "DaemonMetrics", "RoleGauges"]
@@ -107,6 +108,15 @@
                 ("records_revision", "Revision of the configuration held."),
             )
         }
+        self._traffic = {
+            name: self._gauge(f"peer_{name}", text)
+            for name, text in (
+                ("messages_sent", "Messages sent to peers since the start."),
+                ("messages_received", "Messages of peers since the start."),
+                ("bytes_sent", "Their encoded bytes, without encryption."),
+                ("bytes_received", "Their encoded bytes, without encryption."),
+            )
+        }
         self._peers = self._gauge("peers", "Peers, by state.")
         self._record_version = self._gauge(
             "record_version", "Version in force of records with a dispatcher here."
@@ -164,6 +174,11 @@
         for record, version in gauges.record_versions.items():
             self._record_version.set({"record": record}, version)
 
+    def set_traffic(self, traffic: PeerTraffic) -> None:
+        """Show what went to and came from peers."""
+        for name, gauge in self._traffic.items():
+            gauge.set(_NO_LABELS, getattr(traffic, name))
+
     def render(self, accepts: Sequence[str]) -> tuple[bytes, dict[str, str]]:
         """Render all metrics.
 
--- a/endivepick/daemon/peers.py
+++ b/endivepick/daemon/peers.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from dataclasses import dataclass
 from hashlib import blake2b
 from typing import Any
 
@@ -29,7 +30,7 @@
 from endivepick.settings.model import DaemonSettings
 from endivepick.timeline.clock import HybridClock
 
-__all__ = ["PeerTask", "curve_keys", "peer_task"]
+__all__ = ["PeerTask", "PeerTraffic", "curve_keys", "peer_task"]
 
 ZAP_ENDPOINT = "inproc://zeromq.zap.01"
 SEND_QUEUE_MESSAGES = 4096
@@ -40,9 +41,29 @@
 LAST_MESSAGES_MS = 300
 """How long the messages of an instance that ends may take, in milliseconds."""
 MESSAGE_BYTES_MAX = 64 << 20
+CONNECTIONS_MAX = 900
+"""Connections kept to peers; the library has 1,023 sockets for a process."""
 _log = PartLog("peers")
 
 
+@dataclass
+class PeerTraffic:
+    """Messages to and from peers since the start.
+
+    Attributes
+    ----------
+    messages_sent, messages_received : int
+        Messages.
+    bytes_sent, bytes_received : int
+        Their encoded sizes, without encryption and the layers below.
+    """
+
+    messages_sent: int = 0
+    messages_received: int = 0
+    bytes_sent: int = 0
+    bytes_received: int = 0
+
+
 def curve_keys(secret: bytes) -> tuple[bytes, bytes]:
     """Derive the public and secret CURVE keys of the installation.
 
@@ -74,6 +95,11 @@
         Its stamps travel with each message.
     deliver : callable
         Takes each ``PeerMessage``.
+
+    Attributes
+    ----------
+    traffic : PeerTraffic
+        What was sent and received.
     """
 
     def __init__(
@@ -92,7 +118,9 @@
         self._context = zmq.Context()
         self._zap = self._open_zap()
         self._router = self._open_router(port)
+        # The one used last stands last.
         self._dealers: dict[str, tuple[str, Any]] = {}
+        self.traffic = PeerTraffic()
 
     def _open_zap(self) -> Any:
         zap = self._context.socket(zmq.REP)
@@ -121,6 +149,8 @@
         """Receive until the task is killed."""
         while True:
             frames = self._router.recv_multipart()
+            self.traffic.messages_received += 1
+            self.traffic.bytes_received += len(frames[-1])
             try:
                 envelope = decode_envelope(frames[-1])
             except PacketInvalidError as error:
@@ -151,11 +181,13 @@
         envelope = Envelope(
             self._name, self._incarnation, self._clock.tick(time.time()), message
         )
-        dealer = self._dealer(name, address)
+        data = encode_envelope(envelope)
         try:
-            dealer.send(encode_envelope(envelope), zmq.NOBLOCK)
+            self._dealer(name, address).send(data, zmq.NOBLOCK)
         except zmq.Again:
             return False
+        self.traffic.messages_sent += 1
+        self.traffic.bytes_sent += len(data)
         return True
 
     def send_to_address(self, address: str, message: AnyPeerMessage) -> bool:
@@ -163,12 +195,16 @@
         return self.send(address, address, message)
 
     def _dealer(self, name: str, address: str) -> Any:
-        known = self._dealers.get(name)
+        known = self._dealers.pop(name, None)
         if known is not None and known[0] == address:
+            self._dealers[name] = known
             return known[1]
-        self.forget(name)
+        if known is not None:
+            known[1].close()
         # Once its name is known, an instance keeps the connection made without.
         unnamed = self._dealers.pop(address, None)
+        if unnamed is None and len(self._dealers) >= CONNECTIONS_MAX:
+            self.forget(next(iter(self._dealers)))
         dealer = unnamed[1] if unnamed else self._connect(address)
         self._dealers[name] = (address, dealer)
         return dealer
--- a/endivepick/daemon/run.py
+++ b/endivepick/daemon/run.py
@@ -19,7 +19,7 @@
 from endivepick.daemon.http import http_task
 from endivepick.daemon.logs import PartLog, process_log
 from endivepick.daemon.metrics import DaemonMetrics
-from endivepick.daemon.peers import peer_task
+from endivepick.daemon.peers import PeerTask, peer_task
 from endivepick.daemon.performer import Performer, PerformerTasks
 from endivepick.daemon.platform import platform_task
 from endivepick.daemon.status import instance_status, role_gauges
@@ -151,10 +151,15 @@
         performer.perform(core.start())
         _announce(settings, core, tasks)
         stack.enter_context(_spawned(loop.tick))
-        metrics.collect_with(lambda: metrics.set_roles(role_gauges(core)))
+        metrics.collect_with(lambda: _collect(metrics, core, peers))
         yield loop, performer
 
 
+def _collect(metrics: DaemonMetrics, core: InstanceCore, peers: PeerTask) -> None:
+    metrics.set_roles(role_gauges(core))
+    metrics.set_traffic(peers.traffic)
+
+
 @contextmanager
 def _spawned(function, *arguments) -> Iterator[None]:  # type: ignore[no-untyped-def]
     greenlet = gevent.spawn(function, *arguments)
--- /dev/null
+++ b/endivepick/daemon/tests/test_peers.py
@@ -0,0 +1,73 @@
+import unittest
+from contextlib import ExitStack
+from unittest.mock import patch
+
+import gevent
+
+from endivepick.core.peer_messages import HandOverAccepted
+from endivepick.daemon import peers
+from endivepick.daemon.metrics import DaemonMetrics
+from endivepick.daemon.peers import peer_task
+from endivepick.settings import parse_settings
+from endivepick.timeline.clock import HybridClock
+
+SETTINGS = """{
+    instance: {name: "%s", zone: "z"},
+    listen: {data_address: "127.0.0.1:0", peer_address: "127.0.0.1:0"},
+    platform: {address: "127.0.0.1:1"},
+    secrets: {peer_secret_hex: "000102030405060708090a0b0c0d0e0f"},
+}"""
+
+
+class TestPeers(unittest.TestCase):
+    def setUp(self):
+        stack = ExitStack()
+        self.addCleanup(stack.close)
+        self.received = []
+        self.tasks = [
+            stack.enter_context(
+                peer_task(
+                    parse_settings(SETTINGS % name).unwrap(),
+                    number,
+                    HybridClock(),
+                    self.received.append,
+                )
+            )
+            for number, name in enumerate("abcd")
+        ]
+
+    def send_until_received(self, receiver):
+        """Send as the core does: what cannot go out now is sent again later."""
+        sender = self.tasks[0]
+        count = len(self.received)
+        with gevent.Timeout(30):
+            while len(self.received) == count:
+                name, address = receiver._name, receiver.address
+                if not sender.send(name, address, HandOverAccepted(7)):
+                    gevent.sleep(0.01)
+                gevent.sleep(0)
+
+    def test_the_connection_unused_for_longest_makes_room(self):
+        sender, b, c, d = self.tasks
+        with patch.object(peers, "CONNECTIONS_MAX", 2):
+            for receiver in (b, c, b, d):
+                self.send_until_received(receiver)
+                self.assertLessEqual(len(sender._dealers), 2)
+            self.assertEqual(list(sender._dealers), ["b", "d"])
+            self.send_until_received(c)
+
+    def test_traffic_is_counted_and_shown(self):
+        sender, receiver = self.tasks[:2]
+        self.send_until_received(receiver)
+        sent, received = sender.traffic, receiver.traffic
+        self.assertEqual(sent.messages_sent, received.messages_received)
+        self.assertEqual(sent.bytes_sent, received.bytes_received)
+        self.assertGreater(sent.bytes_sent, 0)
+        metrics = DaemonMetrics()
+        metrics.set_traffic(sent)
+        line = f"endivepick_peer_bytes_sent {sent.bytes_sent}\n"
+        self.assertIn(line, metrics.render([])[0].decode())
+
+
+if __name__ == "__main__":
+    unittest.main()
