Stop reading a growing log at its torn last line

A reader that met the end of the file inside a line went on, and took the rest of that line, written meanwhile, for a line of its own. Weighed passing over lines that are not JSON, which would hide broken logs; taken: the reader ends at the first line without its end.

--- a/standins/jsonlines.py
+++ b/standins/jsonlines.py
@@ -14,5 +14,7 @@
         return
     with open(path, encoding="utf-8") as lines:
         for line in lines:
-            if line.endswith("\n"):
-                yield json.loads(line)
+            if not line.endswith("\n"):
+                # What is written meanwhile would come as a line of its own.
+                return
+            yield json.loads(line)
