Join the parts that write into the platform

Both are now behind PlatformWriters, which hands them time, answers, parts of the status and the platform's list.

--- a/endivepick/core/instance.py
+++ b/endivepick/core/instance.py
@@ -30,7 +30,6 @@
 from endivepick.core.flow_table import FlowTable, Identity
 from endivepick.core.handover import HandOverGiver, HandOverTaker
 from endivepick.core.handover_exchange import HandOverExchange
-from endivepick.core.key_rotator import KeyRotator
 from endivepick.core.lifecycle import Lifecycle, LifecycleAction
 from endivepick.core.member_actions import MemberActions
 from endivepick.core.owner import FlowOwner
@@ -42,13 +41,12 @@
     TargetDraining,
 )
 from endivepick.core.peers import MembershipPeers
-from endivepick.core.platform_calls import CallPurpose, PlatformAnswer
+from endivepick.core.platform_writers import PlatformWriters
 from endivepick.core.relay import Relay
 from endivepick.core.roles import ServiceRoles
 from endivepick.core.router import PacketRouter
-from endivepick.core.status_sources import InstanceSources, RotationView
+from endivepick.core.status_sources import InstanceSources
 from endivepick.core.token import TokenCodec
-from endivepick.core.zone_status import ZoneStatus
 from endivepick.errors import PacketInvalidError, TokenInvalidError
 from endivepick.membership import InstanceView, Membership, PeerState
 from endivepick.records.events import ListReceived, PlatformFailed, WatchReceived
@@ -164,16 +162,8 @@
             self.executor,
             self.lifecycle,
         )
-        self.zone_status = ZoneStatus(
-            settings.status, settings.name, settings.zone, sources
-        )
-        self._rotation_view = RotationView(settings.name, self.membership, sources)
-        self.key_rotator = KeyRotator(
-            settings.keys,
-            settings.flow.token_lifetime_s,
-            settings.zone,
-            self.catalog.keys,
-            self._rotation_view,
+        self._writers = PlatformWriters(
+            settings, self.membership, self.catalog, sources, self._random_number
         )
         self._members = MemberActions(self._member_changed, self._leave)
         self._exchange = HandOverExchange(
@@ -228,7 +218,7 @@
                     self.membership.direct_failure(now_s, name), now_s
                 )
             case InstancesListed(entries=entries, age_s=age_s):
-                self._rotation_view.listed = {entry.name for entry in entries}
+                self._writers.note_listed(frozenset(entry.name for entry in entries))
                 news = self.membership.on_list(now_s, entries, age_s)
                 return self._members.translate(news, now_s)
             case ObjectsListed(listed=listed):
@@ -236,7 +226,7 @@
             case ObjectsChanged(result=result):
                 return self.configuration.handle(WatchReceived(result), now_s)
             case PlatformAnswered(purpose=purpose, answer=answer):
-                return self._platform_answered(purpose, answer, now_s)
+                return self._writers.answered(purpose, answer, now_s)
             case PlatformCallFailed():
                 return self.configuration.handle(PlatformFailed(), now_s)
             case StopRequested():
@@ -265,7 +255,7 @@
             case TargetDraining():
                 return self.roles.on_draining_note(sender.name, event.message, now_s)
             case InstanceStatus():
-                self.zone_status.note(sender.name, event.message, now_s)
+                self._writers.note_part(sender.name, event.message, now_s)
                 return []
             case message if isinstance(message, HandOverMessage | Forwarded):
                 return self._exchange.on_message(sender, message, now_s)
@@ -277,16 +267,6 @@
                 )
                 return self._members.translate(news, now_s)
 
-    def _platform_answered(
-        self, purpose: CallPurpose, answer: PlatformAnswer, now_s: float
-    ) -> list[Action]:
-        random_share = self._random_number()
-        match purpose:
-            case CallPurpose.STATUS:
-                return self.zone_status.answered(answer, random_share, now_s)
-            case CallPurpose.KEYS:
-                return self.key_rotator.answered(answer, random_share, now_s)
-
     def _leave(self, now_s: float) -> list[LifecycleAction]:
         self.configuration.members_dirty = True
         return self.lifecycle.begin_stop(now_s)
@@ -304,8 +284,7 @@
         translate = self._members.translate
         actions = translate(self.membership.tick(now_s, self._new_id()), now_s)
         actions += self.configuration.tick(self._random_number(), now_s)
-        actions += self.zone_status.tick(self._random_number(), now_s)
-        actions += self.key_rotator.tick(now_s)
+        actions += self._writers.tick(now_s)
         readiness = self.lifecycle.check_ready(self._missing(), now_s)
         actions += translate(readiness, now_s)
         actions += self.roles.tick(now_s)
