Send to peers without the waiting of the cooperative socket

Cause: a profile of a flooded relay showed a third of its time in sending to the owner, most of that in bookkeeping by which the cooperative socket class wakes tasks that wait for it. Nothing ever waits for these sockets: a send that cannot go out at once is given up. Weighed: sending several packets as one message, which delays the first. Change: connections to peers use the plain socket class.

--- a/endivepick/daemon/peers.py
+++ b/endivepick/daemon/peers.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 import gevent
+import zmq as zmq_plain
 import zmq.green as zmq
 from zmq.utils import z85
 
@@ -210,7 +211,8 @@
         return dealer
 
     def _connect(self, address: str) -> Any:
-        dealer = self._context.socket(zmq.DEALER)
+        # Never waits, so that the waiting of the cooperative class is not needed.
+        dealer = self._context.socket(zmq.DEALER, socket_class=zmq_plain.Socket)
         dealer.curve_publickey, dealer.curve_secretkey = self._keys
         dealer.curve_serverkey = self._keys[0]
         dealer.linger = 0
