--- a/endivepick/bench/_core_slopes.py
+++ b/endivepick/bench/_core_slopes.py
@@ -1,7 +1,7 @@
 """Slopes of the decision core, driven directly: flows, packets and targets."""
 
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from itertools import count
 
 import msgspec
@@ -180,16 +180,15 @@
     """Stop the instance and take its flows over at a made-up peer."""
     node = owner.node
     node.reset()
-    actions = node.handle(StopRequested())
+    waiting = node.handle(StopRequested())
     moved = 0
     while moved < flows:
-        for action in actions:
-            if isinstance(action, SendToPeer) and isinstance(action.message, HandOver):
-                moved += len(action.message.flows)
-                accepted = HandOverAccepted(action.message.transfer_id)
-                node.answer(action.name, accepted)
+        for action in _handed_over(waiting):
+            moved += len(action.message.flows)
+            accepted = HandOverAccepted(action.message.transfer_id)
+            waiting += node.answer(action.name, accepted)
         node.now_s += TICK_S
-        actions = node.handle(Tick())
+        waiting = node.handle(Tick())
     return {
         "hand_over_us": node.busy_s * _US,
         "hand_over_stall_us": node.longest_s * _US,
@@ -197,6 +196,13 @@
     }
 
 
+def _handed_over(actions: list[Action]) -> Iterator[SendToPeer]:
+    """Yield the hand-overs, those too that are added while iterating."""
+    for action in actions:
+        if isinstance(action, SendToPeer) and isinstance(action.message, HandOver):
+            yield action
+
+
 def measure_flows(sizes: Sequence[int] = FLOW_SIZES) -> dict[str, Measured]:
     """Measure sweeps, expiry and hand-over against the flows held."""
     units = {
--- a/endivepick/bench/_node.py
+++ b/endivepick/bench/_node.py
@@ -29,6 +29,7 @@
     SyncPage,
 )
 from endivepick.platform.answers import ObjectList
+from endivepick.records.cache import CACHED_KINDS
 from endivepick.records.objects import KEYRING_KIND, SERVICE_KIND, StoredObject
 from endivepick.records.peer_messages import ConfigDigest
 
@@ -142,8 +143,10 @@
         keyring = keyring_to_body(first_keyring(bytes(32), 0.0))
         keys = StoredObject(KEYRING_KIND, "tokens", _REVISION, keyring)
         records = [record_object(self.fleet, n) for n in range(self.fleet.records)]
-        for kind, listed in ((SERVICE_KIND, records), (KEYRING_KIND, [keys])):
-            self.handle(ObjectsListed(ObjectList(kind, _REVISION, tuple(listed))))
+        objects = {SERVICE_KIND: records, KEYRING_KIND: [keys]}
+        for kind in CACHED_KINDS:
+            listed = ObjectList(kind, _REVISION, tuple(objects.get(kind, ())))
+            self.handle(ObjectsListed(listed))
 
     def reset(self) -> None:
         """Count anew."""
@@ -192,10 +195,10 @@
             case ConfigDigest(reply=True):
                 self.answer(action.name, self._digest())
 
-    def answer(self, name: str, message: Any) -> None:
+    def answer(self, name: str, message: Any) -> list[Action]:
         """Give the core a message of the peer of this name."""
         peer = self.update_of(int(name.rpartition("-")[2]))
-        self.handle(PeerMessage(peer.name, peer.incarnation, message))
+        return self.handle(PeerMessage(peer.name, peer.incarnation, message))
 
     def _digest(self) -> ConfigDigest:
         held = self.core.configuration.cache.digest
--- /dev/null
+++ b/endivepick/bench/packets.py
@@ -0,0 +1,166 @@
+"""Packets and opens a second of a real owner and a real relay, and their memory.
+
+Run ``python -m endivepick.bench.packets`` from the root of a checkout: it starts
+two instances with the stand-ins.  One sender floods first the owner of a service
+and then the other instance, which relays to the owner.
+"""
+
+import json
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import closing, contextmanager
+from dataclasses import dataclass
+from typing import Any
+
+import fire
+
+from endivepick.bench._instances import flat_shape, owner_first, running_cluster
+from endivepick.bench._processes import cpu_s, rss_bytes
+from endivepick.bench._sender import Sender
+from endivepick.bench._slopes import Measured, format_slopes, measure
+from endivepick.core.messages import CallerAddress
+from endivepick.settings.address import parse_address
+
+__all__ = ["measure_packets", "measure_real_flows", "run"]
+
+FLOW_SIZES = (1_000, 4_000, 16_000, 64_000)
+FLOOD_S = 1.0
+FLOODED_FLOWS = 500
+SERVICE = "service-0"
+_US = 1e6
+
+
+@dataclass(frozen=True)
+class _Pair:
+    """The owner of a service, another instance, and the caller of both."""
+
+    owner: Any
+    relay: Any
+    sender: Sender
+
+    def open(self, count: int) -> list[bytes]:
+        """Open flows at the owner."""
+        return self.sender.open(_data_address(self.owner), SERVICE, count)
+
+
+def _data_address(instance: Any) -> CallerAddress:
+    return parse_address(instance.process.ready["data_address"])
+
+
+@contextmanager
+def _pair() -> Iterator[_Pair]:
+    with closing(Sender()) as sender:
+        settings = {"fabric": {"return_address": sender.address}}
+        with running_cluster(flat_shape(2, 1), settings) as cluster:
+            owner, relay = owner_first(cluster)
+            yield _Pair(owner, relay, sender)
+
+
+def _flood(pair: _Pair, to: Any, tokens: list[bytes]) -> dict[str, float]:
+    """Flood one instance; returns rate and processor time for each answer."""
+    before_s = {name: cpu_s(one.process.pid) for name, one in _both(pair)}
+    answers = pair.sender.flood(_data_address(to), tokens, FLOOD_S)
+    used_s = {n: cpu_s(one.process.pid) - before_s[n] for n, one in _both(pair)}
+    return {
+        "per_s": answers / FLOOD_S,
+        **{f"{name}_us": used_s[name] / max(1, answers) * _US for name in used_s},
+    }
+
+
+def _both(pair: _Pair) -> list[tuple[str, Any]]:
+    return [("owner", pair.owner), ("relay", pair.relay)]
+
+
+def _once(pair: _Pair) -> Callable[[int], dict[str, float]]:
+    opened: list[bytes] = []
+
+    def once(flows: int) -> dict[str, float]:
+        pid = pair.owner.process.pid
+        busy_s, missing = cpu_s(pid), flows - len(opened)
+        if missing > 0:
+            opened.extend(pair.open(missing))
+        open_us = (cpu_s(pid) - busy_s) / missing * _US if missing > 0 else 0.0
+        rss = rss_bytes(pid)
+        own = _flood(pair, pair.owner, opened[:FLOODED_FLOWS])
+        relayed = _flood(pair, pair.relay, opened[:FLOODED_FLOWS])
+        return {
+            "real_memory_bytes": float(rss),
+            "real_open_us": open_us,
+            "real_owner_per_s": own["per_s"],
+            "real_owner_us": own["owner_us"],
+            "real_relayed_per_s": relayed["per_s"],
+            "real_relay_us": relayed["relay_us"],
+            "real_owner_of_relayed_us": relayed["owner_us"],
+        }
+
+    return once
+
+
+UNITS = {
+    "real_memory_bytes": "B",
+    "real_open_us": "us",
+    "real_owner_per_s": "1/s",
+    "real_owner_us": "us",
+    "real_relayed_per_s": "1/s",
+    "real_relay_us": "us",
+    "real_owner_of_relayed_us": "us",
+}
+
+
+def measure_real_flows(
+    sizes: Sequence[int] = FLOW_SIZES, repeats: int = 2
+) -> dict[str, Measured]:
+    """Measure a real owner and a real relay against the flows that are held.
+
+    Each repetition starts new instances.  ``real_memory_bytes`` is the owner's
+    resident set, ``real_open_us`` its processor time for each flow opened since
+    the size before.
+    """
+    found: list[dict[str, Measured]] = []
+    for _ in range(repeats):
+        with _pair() as pair:
+            found.append(measure("flow", sizes, UNITS, _once(pair), repeats=1))
+    return {
+        name: Measured(
+            name, unit, "flow", tuple(sizes), tuple(one[name].runs[0] for one in found)
+        )
+        for name, unit in UNITS.items()
+    }
+
+
+def measure_packets(rounds: int = 5) -> Iterator[dict[str, float]]:
+    """Flood owner and relay with few flows, again and again."""
+    with _pair() as pair:
+        tokens = pair.open(FLOODED_FLOWS)
+        for _ in range(rounds):
+            own = _flood(pair, pair.owner, tokens)
+            relayed = _flood(pair, pair.relay, tokens)
+            yield {
+                "owner_per_s": own["per_s"],
+                "owner_us": own["owner_us"],
+                "relayed_per_s": relayed["per_s"],
+                "relay_us": relayed["relay_us"],
+                "owner_of_relayed_us": relayed["owner_us"],
+                "lost": float(pair.sender.lost),
+            }
+
+
+def run(rounds: int = 5, flows: bool = False) -> None:
+    """Print one JSON line for each round, or with ``--flows`` the slopes.
+
+    Parameters
+    ----------
+    rounds : int
+        Floods of each instance.
+    flows : bool
+        Measure against the flows that are held.
+    """
+    if flows:
+        print(format_slopes(list(measure_real_flows().values())))
+        return
+    for figures in measure_packets(rounds):
+        rounded = {name: round(value, 1) for name, value in figures.items()}
+        print(json.dumps(rounded), flush=True)
+
+
+if __name__ == "__main__":
+    fire.Fire(run)
