Count for the metrics without the library until they are read

Cause: the profile of a flooded relay showed 5.5 % of its time in the library's counter, which copies and sorts labels for each packet. Weighed: counters without labels on the packet path, which loses reasons. Change: counts are summed by name and label, and handed to the library when the metrics are read. Measured (trial, lowest of 9 times 20,000 counts, processor time): 2.91 us a count before, 0.80 us after.

--- a/endivepick/daemon/metrics.py
+++ b/endivepick/daemon/metrics.py
@@ -1,5 +1,6 @@
 """Metrics of one instance in aioprometheus's registry."""
 
+from collections import Counter as Counts
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 
@@ -121,6 +122,8 @@
         self._record_version = self._gauge(
             "record_version", "Version in force of records with a dispatcher here."
         )
+        # Counting happens for each packet, reading now and then.
+        self._counted: Counts[tuple[str, str]] = Counts()
         self._collect: Callable[[], None] = lambda: None
 
     def _counter(self, name: str, text: str) -> Counter:
@@ -159,10 +162,16 @@
         amount : int
             How many.
         """
-        if name not in self._counters:
-            self._counters[name] = self._counter(name, name.replace("_", " "))
-        key = COUNTERS.get(name, _PLAIN)[0]
-        self._counters[name].add({key: label} if label else _NO_LABELS, amount)
+        self._counted[name, label] += amount
+
+    def _flush_counts(self) -> None:
+        """Hand what was counted since the last reading to the registry."""
+        for (name, label), amount in self._counted.items():
+            if name not in self._counters:
+                self._counters[name] = self._counter(name, name.replace("_", " "))
+            key = COUNTERS.get(name, _PLAIN)[0]
+            self._counters[name].add({key: label} if label else _NO_LABELS, amount)
+        self._counted.clear()
 
     def set_roles(self, gauges: RoleGauges) -> None:
         """Replace all gauges."""
@@ -192,5 +201,6 @@
         tuple of (bytes, dict)
             Body and headers of the HTTP answer.
         """
+        self._flush_counts()
         self._collect()
         return render(self._registry, accepts)
