--- /dev/null
+++ b/endivepick/tests/promises/test_point4_not_run_is_true.py
@@ -0,0 +1,111 @@
+"""Point 4: a request that was refused as "not run" did not run and never does."""
+
+import unittest
+from dataclasses import replace
+
+from endivepick.client import NotRun, OutcomeUnknown
+from endivepick.core.messages import Refused
+from endivepick.tests.promises._disturbed import EXPORTS, DisturbedTestCase
+
+COPIES = 5
+
+
+class TestCopies(DisturbedTestCase):
+    settings = replace(
+        DisturbedTestCase.settings, record_settings={"waiting_per_slot": 2}
+    )
+
+    def test_at_several_instances_at_once(self):
+        caller = self.new_raw_caller()
+        flow = caller.open(EXPORTS)
+        requests = [caller.request(flow, work_ms=20) for _ in range(12)]
+        caller.send(requests, copies=3 * COPIES)
+        self.wait_words(caller, requests)
+        self.assert_promises()
+        for request in requests:
+            # Everyone who asked got the same word.
+            kinds = {type(word) for word in caller.words(request)}
+            self.assertEqual(len(kinds), 1, kinds)
+
+    def test_late_copies_of_refused_requests(self):
+        caller = self.new_raw_caller()
+        flow = caller.open(EXPORTS)
+        blocking = [caller.request(flow, work_ms=1500) for _ in range(4)]
+        caller.send(blocking)
+        self.wait_running(request.echo for request in blocking)
+        soon = [caller.request(flow, work_ms=5, deadline_ms=300) for _ in range(6)]
+        crowd = [caller.request(flow, work_ms=5) for _ in range(30)]
+        caller.send([*soon, *crowd])
+        self.wait_words(caller, caller.requests)
+        reasons = {
+            word.reason
+            for request in caller.requests
+            for word in caller.words(request)
+            if isinstance(word, Refused)
+        }
+        self.assertIn("queue_full", reasons)
+        self.assertTrue(reasons & {"deadline_passed", "wait_too_long"}, reasons)
+        self.assert_promises()
+        # Also when the owner has been told to forget its answers.
+        for request in caller.requests:
+            caller.forget(request)
+        self.assert_promises()
+
+    def test_copies_that_a_paused_relay_held_back(self):
+        owner = self.owner_of(EXPORTS)
+        relay = self.others(owner)[0]
+        caller = self.new_raw_caller()
+        flow = caller.open(EXPORTS)
+        self.control_targets(EXPORTS, shed=True)
+        requests = [caller.request(flow) for _ in range(6)]
+        self.spray([relay])
+        with self.frozen(relay):
+            caller.send(requests, copies=COPIES)
+            self.spray([owner])
+            self.wait_words(caller, requests)
+        self.assertTrue(all(caller.was_refused(request) for request in requests))
+        self.control_targets(EXPORTS, shed=False)
+        self.assert_promises()
+
+    def test_refusals_of_targets_that_shed(self):
+        self.control_targets(EXPORTS, shed=True)
+        flow = self.open(self.new_caller(), EXPORTS)
+        works = [self.send(flow, idempotent=n % 2 == 0) for n in range(8)]
+        for work in works:
+            self.assertIsInstance(work.result().failure(), NotRun)
+        self.control_targets(EXPORTS, shed=False)
+        self.assert_promises()
+
+
+class TestAnswersLost(DisturbedTestCase):
+    def test_between_target_and_owner(self):
+        flow = self.open(self.new_caller(), EXPORTS)
+        self.assert_whole(self.send(flow))
+        self.add_rule("drop_answers", route="target:exports-*")
+        works = [self.send(flow, idempotent=n % 2 == 0) for n in range(12)]
+        runs_and_ends = [work.result() for work in works]
+        self.heal()
+        self.assert_promises()
+        # Those that ran and whose answer was lost may not be called "not run".
+        ran = self.runs()
+        lost = [w for w in works if ran[w.echo]]
+        self.assertTrue(lost)
+        for work in lost:
+            self.assertIsInstance(work.result().failure(), OutcomeUnknown)
+        self.assertEqual(len(runs_and_ends), 12)
+
+    def test_between_owner_and_caller(self):
+        caller = self.new_raw_caller()
+        flow = caller.open(EXPORTS)
+        requests = [caller.request(flow, work_ms=5) for _ in range(8)]
+        self.disturb_callers(loss=1.0)
+        caller.send(requests, copies=COPIES)
+        self.wait_running(request.echo for request in requests)
+        self.wait_idle()
+        self.disturb_callers(loss=0.0)
+        self.wait_words(caller, requests)
+        self.assert_promises()
+
+
+if __name__ == "__main__":
+    unittest.main()
