Run the tests in folders below a folder of tests

Cause: the runner took only modules whose own folder is named tests, so that those in endivepick/tests/promises were never run by make test. Change: any folder above may be named tests, for tests and for examples alike. A test that the modules of promises are found failed before and passes now.

--- a/standins/run_tests.py
+++ b/standins/run_tests.py
@@ -62,6 +62,10 @@
     return ".".join(path.relative_to(ROOT).with_suffix("").parts)
 
 
+def _holds_tests(folder: Path) -> bool:
+    return "tests" in folder.relative_to(ROOT).parts
+
+
 def find_units(words: Iterable[str] = ()) -> list[str]:
     """Return the names of all units whose name holds one of the words."""
     units = []
@@ -70,12 +74,12 @@
         units += [
             _module_name(p)
             for p in sources
-            if p.name.startswith("test_") and p.parent.name == "tests"
+            if p.name.startswith("test_") and _holds_tests(p.parent)
         ]
         units += [
             EXAMPLES_PREFIX + _module_name(path)
             for path in sources
-            if path.parent.name != "tests"
+            if not _holds_tests(path.parent)
             and path.name != "__main__.py"
             and _EXAMPLE_MARK in path.read_text()
         ]
--- a/standins/tests/test_run_tests.py
+++ b/standins/tests/test_run_tests.py
@@ -29,6 +29,11 @@
     def test_finds_this_module(self):
         self.assertIn(__name__, find_units(["run_tests"]))
 
+    def test_finds_modules_in_folders_of_tests(self):
+        units = find_units(["promises.test_"])
+        self.assertTrue(units)
+        self.assertFalse([unit for unit in units if "._" in unit])
+
 
 class TestRun(unittest.TestCase):
     def test_skipped_tests_and_subtests_count_as_failed(self):
