--- a/endivepick/tests/promises/_uneven.py
+++ b/endivepick/tests/promises/_uneven.py
@@ -1,12 +1,16 @@
 """Scaffolding for tests in which instances hold uneven configurations."""
 
+import itertools
+import json
 import unittest
 from collections.abc import Iterable, Iterator
+from pathlib import Path
 from typing import Any
 
+from endivepick.cli.connection import platform_client
+from endivepick.records import SERVICE_KIND
 from standins.cluster import Cluster, ClusterSettings, cluster
 from standins.faults import PLATFORM_ZONE
-from standins.jsonlines import read_lines
 from standins.process import wait_until
 from standins.shapes import SMALL
 
@@ -14,7 +18,6 @@
 
 SESSIONS, EXPORTS = "sessions", "exports"
 NORTH, SOUTH = SMALL.zones
-_USABLE = ("ready", "cold")
 _NO_FAULTS: dict[str, Any] = {
     "outage": None,
     "slow_ms": 0,
@@ -24,16 +27,39 @@
 }
 
 
+class LogTail:
+    """Reads growing logs, each line once."""
+
+    def __init__(self) -> None:
+        self._lines: dict[Path, list[dict[str, Any]]] = {}
+        self._offsets: dict[Path, int] = {}
+
+    def read(self, path: Path) -> list[dict[str, Any]]:
+        """Return all lines of a log that are complete."""
+        known = self._lines.setdefault(path, [])
+        if not path.exists():
+            return known
+        with open(path, "rb") as log:
+            log.seek(self._offsets.get(path, 0))
+            whole, _, _ = log.read().rpartition(b"\n")
+        if whole:
+            known += map(json.loads, whole.splitlines())
+            self._offsets[path] = self._offsets.get(path, 0) + len(whole) + 1
+        return known
+
+
 class UnevenTestCase(unittest.TestCase):
     """One installation for all tests of a class; each test leaves it healthy."""
 
     settings = ClusterSettings(SMALL, faults=True)
     cluster: Cluster
+    _tail: LogTail
 
     @classmethod
     def setUpClass(cls) -> None:
         super().setUpClass()
         cls.cluster = cls.enterClassContext(cluster(cls.settings))
+        cls._tail = LogTail()
 
     def setUp(self) -> None:
         self.addCleanup(self.mend)
@@ -121,6 +147,13 @@
         """Make a new version with the same content."""
         return self.change(service)
 
+    def delete(self, service: str) -> None:
+        """Delete a record."""
+        stored = self.platform.get(SERVICE_KIND, service)
+        assert stored is not None
+        with platform_client(self.platform.api) as client:
+            client.delete(SERVICE_KIND, service, stored["version"]).unwrap()
+
     def held(self, service: str, name: str) -> int:
         """Return the version that an instance has in force, 0 for none."""
         records = self.cluster.instances[name].status()["records"]
@@ -137,11 +170,33 @@
 
         wait_until(in_force, f"{service} version {version} at {wanted}")
 
+    def in_force_when_ready(self, service: str, name: str) -> int:
+        """Return what an instance had in force when it became ready, 0 for none."""
+        version = 0
+        for line in self._tail.read(self.cluster.instances[name].log):
+            match line.get("event"):
+                case "record_in_force" if line["record"] == service:
+                    version = line["version"]
+                case "record_deleted" if line["record"] == service:
+                    version = 0
+                case "state_changed" if line["new"] == "ready":
+                    return version
+        raise AssertionError(f"{name} has not become ready")
+
+    def wait_logged(self, name: str, event: str, text: str) -> None:
+        """Wait until an instance logged an event with a text."""
+
+        def logged() -> bool:
+            lines = self._tail.read(self.cluster.instances[name].log)
+            return any(e.get("event") == event and text in str(e) for e in lines)
+
+        wait_until(logged, f"{event} at {name}")
+
     def assert_never_reverted(self) -> None:
         """Check in the logs that no process went back to an earlier version."""
         for path in self.cluster.launcher.logs("instances"):
             highest: dict[str, int] = {}
-            for line in read_lines(path):
+            for line in self._tail.read(path):
                 if line.get("event") in ("record_in_force", "keyring_in_force"):
                     record, version = line["record"], line["version"]
                     self.assertGreater(version, highest.get(record, 0), path.name)
@@ -149,31 +204,17 @@
 
     # Targets.
 
-    def wait_targets(self, service: str, state: str, names: Iterable[str]) -> None:
-        """Wait until every dispatcher of a service sees targets in a state."""
-        wanted = set(names)
-
-        def all_see() -> bool:
-            views = list(self.dispatchers(service))
-            return bool(views) and all(
-                {t["name"] for t in view["targets"] if t["state"] == state} >= wanted
-                for view in views
-            )
-
-        wait_until(all_see, f"{wanted} to be {state}")
-
-    def dispatchers(self, service: str) -> Iterator[dict[str, Any]]:
-        """Yield what each instance that places requests for a service shows of it."""
-        for instance in list(self.cluster.instances.values()):
-            for shown in instance.status()["services"]:
+    def dispatchers(
+        self, service: str, names: Iterable[str] = ()
+    ) -> Iterator[dict[str, Any]]:
+        """Yield what instances that place requests for a service show of it."""
+        for name in list(names) or list(self.cluster.instances):
+            for shown in self.cluster.instances[name].status()["services"]:
                 if shown["service"] == service:
                     yield shown
 
     def target_events(self, *events: str) -> list[dict[str, Any]]:
         """Return events of all targets' logs."""
-        return [
-            line
-            for path in self.cluster.launcher.logs("targets")
-            for line in read_lines(path)
-            if line["event"] in events
-        ]
+        logs = self.cluster.launcher.logs("targets")
+        lines = itertools.chain.from_iterable(map(self._tail.read, logs))
+        return [line for line in lines if line["event"] in events]
--- a/endivepick/tests/promises/test_point8_configuration.py
+++ b/endivepick/tests/promises/test_point8_configuration.py
@@ -6,7 +6,7 @@
 from endivepick.cli.connection import platform_client
 from endivepick.cli.writing import ObjectName, update_object
 from endivepick.errors import RecordConflictError
-from endivepick.records import SERVICE_KIND
+from endivepick.records import SERVICE_KIND, STATUS_KIND
 from endivepick.records.schema import parse_service, write_service
 from endivepick.tests.promises._uneven import (
     EXPORTS,
@@ -15,12 +15,22 @@
     SOUTH,
     UnevenTestCase,
 )
+from standins.clustersettings import ClusterSettings
 from standins.process import wait_until
+from standins.shapes import SMALL
 
 WRITES = 8
+CHANGES = 40
+STALE_REVISIONS = 30
+"""How far lists lag, and how far back the history goes, in revisions."""
 
 
 class TestConfiguration(UnevenTestCase):
+    # The platform counts the watch of a lost connection until its wait is over.
+    settings = ClusterSettings(
+        SMALL, faults=True, instance_settings={"platform": {"watch_wait_s": 2}}
+    )
+
     def setUp(self):
         super().setUp()
         self.addCleanup(self.assert_never_reverted)
@@ -71,27 +81,40 @@
         self.wait_in_force(stored["version"])
 
     def test_stale_lists_after_a_gap_in_the_history(self):
+        body = self.platform.get(SERVICE_KIND, EXPORTS)["body"]
+        self.addCleanup(self.platform.put, SERVICE_KIND, EXPORTS, body)
         self.cut_platform(NORTH)
-        for _ in range(WRITES):
+        for number in range(CHANGES):
             newest = self.touch()
+            if number == CHANGES - STALE_REVISIONS // 2:
+                self.delete(EXPORTS)
         self.wait_in_force(newest)
-        self.platform.control(stale_reads=WRITES - 2, history_limit=1)
+        self.wait_in_force(0, EXPORTS)
+        self.platform.control(
+            stale_reads=STALE_REVISIONS, history_limit=STALE_REVISIONS
+        )
         self.cluster.heal()
-        # Restarted and reconnected watchers can only list, and the lists are old.
+        # The watches of the zone cannot go on; what it lists instead is old.
+        for name in self.names(NORTH):
+            self.wait_logged(name, "watch_failed", "are gone")
+        self.wait_all_watch()
+        self.assert_newest(newest)
         self.restart(self.names(NORTH))
-        self.assertEqual({self.held(SESSIONS, n) for n in self.names()}, {newest})
-        self.platform.control(stale_reads=0)
-        self.wait_in_force(self.touch())
+        for name in self.names(NORTH):
+            self.assertEqual(self.in_force_when_ready(SESSIONS, name), newest)
+            self.assertEqual(self.in_force_when_ready(EXPORTS, name), 0)
+        self.wait_all_watch()
+        self.assert_newest(newest)
+
+    def wait_all_watch(self):
+        watchers = len(self.names())
+        wait_until(
+            lambda: self.platform.stats()["waiting_watches"] == watchers,
+            "all watches to wait",
+        )
 
-    def test_deleted_record_does_not_come_back_from_stale_lists(self):
-        body = self.platform.get(SERVICE_KIND, EXPORTS)["body"]
-        self.addCleanup(self.platform.put, SERVICE_KIND, EXPORTS, body)
-        with platform_client(self.platform.api) as client:
-            version = self.platform.get(SERVICE_KIND, EXPORTS)["version"]
-            client.delete(SERVICE_KIND, EXPORTS, version).unwrap()
-        self.wait_in_force(0, EXPORTS)
-        self.platform.control(stale_reads=1, history_limit=1)
-        self.restart(self.names(SOUTH))
+    def assert_newest(self, newest):
+        self.assertEqual({self.held(SESSIONS, n) for n in self.names()}, {newest})
         self.assertEqual({self.held(EXPORTS, n) for n in self.names()}, {0})
 
     def test_zone_restarted_during_an_outage(self):
@@ -175,6 +198,24 @@
         stored = self.platform.put(SERVICE_KIND, SESSIONS, body)
         self.wait_in_force(stored["version"])
 
+    def test_status_keeps_what_a_newer_instance_wrote(self):
+        wait_until(lambda: self.platform.get(STATUS_KIND, NORTH), "a status")
+        body = self.platform.get(STATUS_KIND, NORTH)["body"]
+        body["schema_version"] = 99
+        body["field_of_the_future"] = {"kept": True}
+        body["records"][SESSIONS]["field_of_the_future"] = 1
+        self.platform.put(STATUS_KIND, NORTH, body)
+        version = self.touch()
+
+        def shown():
+            status = self.platform.get(STATUS_KIND, NORTH)["body"]
+            return status["records"][SESSIONS]["in_force"] >= version and status
+
+        status = wait_until(shown, "the new version in the status")
+        self.assertEqual(status["schema_version"], 99)
+        self.assertEqual(status["field_of_the_future"], {"kept": True})
+        self.assertEqual(status["records"][SESSIONS]["field_of_the_future"], 1)
+
 
 if __name__ == "__main__":
     unittest.main()
