List instances within a rate that does not grow with the fleet

Cause: each instance that does not watch the platform reads the list of instances every 5 s. That is 1,600 reads a second for 8,000 instances, of the 2,000 that the platform takes, and each of these lists has 966 kB there. Weighed: no list but at the start, which would not end the wait for an instance that the list no longer names; lists by watchers only, told to the rest. Change: the wait grows with the number listed, so that those that do not watch ask for 50 lists a second together. Below 250 instances nothing changes. Measured: the new test failed before; with 8,000 entries waits are 80 s and more where they were 2.5 s and more.

--- a/endivepick/daemon/platform.py
+++ b/endivepick/daemon/platform.py
@@ -49,6 +49,8 @@
 
 LIST_LESS_OFTEN_FACTOR = 5
 """How much less often an instance lists that does not watch."""
+LISTS_PER_S = 50.0
+"""Lists that all instances that do not watch ask for together, at most."""
 _OK = "ok"
 _log = PartLog("platform")
 
@@ -79,6 +81,7 @@
         self._deliver = deliver
         self._count = count
         self._random = random.Random()
+        self._listed = 0
         self._watch: gevent.Greenlet | None = None
         self._calls = Group()
         self._client = PlatformClient(self._settings, gevent.sleep, self._random.random)
@@ -150,6 +153,7 @@
             match self._client.instances():
                 case Success(listed):
                     self._count(_OK)
+                    self._listed = len(listed.instances)
                     entries = tuple(
                         ListedInstance(
                             entry.name,
@@ -170,8 +174,12 @@
     def _list_wait_s(self) -> float:
         """Return a spread wait; who does not watch hears of peers from peers."""
         spread = 0.5 + self._random.random()
-        factor = 1 if self._watch is not None else LIST_LESS_OFTEN_FACTOR
-        return self._settings.list_every_s * spread * factor
+        every_s = self._settings.list_every_s
+        if self._watch is not None:
+            return every_s * spread
+        # The platform's rates do not grow with the fleet.
+        share_s = self._listed / LISTS_PER_S
+        return max(every_s * LIST_LESS_OFTEN_FACTOR, share_s) * spread
 
 
 def _result_of(error: EndivepickError) -> str:
--- a/endivepick/daemon/tests/test_platform.py
+++ b/endivepick/daemon/tests/test_platform.py
@@ -7,7 +7,7 @@
 from endivepick.core.events import ObjectsListed, PlatformCallFailed
 from endivepick.daemon import platform
 from endivepick.errors import WatchExpiredError
-from endivepick.platform.answers import ObjectList
+from endivepick.platform.answers import InstanceList, ListedInstance, ObjectList
 from endivepick.records.cache import CACHED_KINDS
 from endivepick.settings import parse_settings
 
@@ -56,6 +56,27 @@
         self.assertEqual(results.count("ok"), LISTS)
         self.assertEqual(results.count("expired"), ROUNDS)
 
+    def test_lists_of_a_large_fleet_stay_within_the_rate_of_the_platform(self):
+        settings = parse_settings(SETTINGS).unwrap()
+        for listed, least_s in ((9, 2.5), (8_000, 80.0)):
+            with self.subTest(listed):
+                waits_s = self.waits_between_lists(settings, listed)
+                self.assertGreaterEqual(min(waits_s), least_s)
+                self.assertLess(max(waits_s), 3 * least_s)
+
+    def waits_between_lists(self, settings, listed):
+        entry = ListedInstance("entry-2", "z", "127.0.0.1:1", "127.0.0.1:2", "live")
+        lists = iter([Success(InstanceList(0, (entry,) * listed))] * ROUNDS)
+        waits_s = []
+        client = mock.Mock(instances=lambda: next(lists))
+        with (
+            mock.patch.object(platform, "PlatformClient", return_value=client),
+            mock.patch.object(platform.gevent, "sleep", waits_s.append),
+            self.assertRaises(StopIteration),
+        ):
+            platform.PlatformTask(settings, mock.Mock(), mock.Mock()).run_instances()
+        return waits_s
+
 
 if __name__ == "__main__":
     unittest.main()
