--- a/endivepick/bench/_control_slopes.py
+++ b/endivepick/bench/_control_slopes.py
@@ -84,7 +84,9 @@
     return float(sum(n for kind, n in counted.items() if kind.startswith(prefixes)))
 
 
-def measure_fleet(sizes: Sequence[int] = FLEET_SIZES) -> dict[str, Measured]:
+def measure_fleet(
+    sizes: Sequence[int] = FLEET_SIZES, repeats: int = 2
+) -> dict[str, Measured]:
     """Measure the whole core of a node that is no watcher, nothing changing."""
     units = {
         "core_memory_bytes": "B",
@@ -98,7 +100,7 @@
         "metrics_read_ms": "ms",
         "status_page_bytes": "B",
     }
-    return measure("instance", sizes, units, _fleet_once)
+    return measure("instance", sizes, units, _fleet_once, repeats)
 
 
 def _changes_once(instances: int) -> dict[str, float]:
@@ -172,7 +174,7 @@
         TargetStatus(f"service-{number:05d}", f"target-{n}", "ready", 1, 0, 2)
         for n in range(records * fleet.targets_per_record)
     )
-    return InstanceStatus("ready", 1.7e9, (1, 2), targets)
+    return InstanceStatus("ready", 1.7e9, (1, 2), targets, 2**63 + number, 10_000_000)
 
 
 def _status_once(instances: int) -> dict[str, float]:
