Let a stream go on when its caller was out of reach

Cause: after caller_silence_s an owner cancelled whatever the caller waited for and then answered its questions with nothing. A stream whose caller was out of reach for 15 s (a kitchen table without network) stood still until the owner forgot it after a minute and then broke; a request hung until its deadline. Weighed: a longer silence (the targets would work for callers that are gone), and a new request by the caller library (it cannot know that the owner gave up). Change: a stream rests, closed at its target, and the caller's next word resumes it after the last event; it is forgotten after unacknowledged_s. Any other request ends with "caller_silent": not run if it still waited, else outcome unknown, told at the caller's next word.

--- a/endivepick/core/executor.py
+++ b/endivepick/core/executor.py
@@ -368,6 +368,16 @@
         request.step("freeze")
         return actions
 
+    def pause(
+        self, flow: OwnedFlow, request: OwnedRequest, now_s: float
+    ) -> list[Action]:
+        """Let a stream rest, whether it runs or waits, until it is resumed."""
+        if request.state == "running":
+            return self.suspend(flow, request)
+        actions = self.withdraw(flow, request, now_s)
+        request.step("freeze")
+        return actions
+
     def cut(self, flow: OwnedFlow, request: OwnedRequest) -> list[Action]:
         """Give up an attempt because this instance has to end.
 
--- a/endivepick/core/owner.py
+++ b/endivepick/core/owner.py
@@ -20,6 +20,7 @@
 )
 from endivepick.core.replies import come_back
 from endivepick.core.settings import FlowSettings
+from endivepick.core.silence import SilenceWatch
 from endivepick.core.token import FlowToken, TokenCodec
 
 __all__ = ["FlowOwner", "TokenPacket"]
@@ -57,9 +58,9 @@
         self._codec = codec
         self._executor = executor
         self._random_number = random_number
-        self._next_sweep_s = 0.0
         self._intake = RequestIntake(settings, table, executor)
         self._delivery = AnswerDelivery(settings, executor)
+        self._silence = SilenceWatch(settings, table, executor)
 
     @property
     def leaving(self) -> bool:
@@ -172,26 +173,5 @@
         return actions
 
     def tick(self, now_s: float) -> list[Action]:
-        """Forget answers that nobody fetched and cancel requests nobody awaits."""
-        if now_s < self._next_sweep_s:
-            return []
-        self._next_sweep_s = now_s + self._settings.sweep_every_s
-        actions: list[Action] = []
-        for flow in self._table.with_requests():
-            if not flow.frozen:
-                actions += self._sweep(flow, now_s)
-        return actions
-
-    def _sweep(self, flow: OwnedFlow, now_s: float) -> list[Action]:
-        actions: list[Action] = []
-        for request in list(flow.requests.values()):
-            silent_s = now_s - request.heard_at_s
-            if request.state == "receiving":
-                if now_s >= request.deadline_at_s:
-                    del flow.requests[request.seq]
-            elif request.at_dispatcher or request.state == "suspended":
-                if silent_s > self._settings.caller_silence_s:
-                    actions += self._executor.cancel(flow, request, now_s)
-            elif silent_s > self._settings.unacknowledged_s:
-                del flow.requests[request.seq]
-        return actions
+        """Stop work that nobody awaits and forget answers that nobody fetches."""
+        return self._silence.tick(now_s)
--- a/endivepick/tests/promises/test_point3_whole_answers.py
+++ b/endivepick/tests/promises/test_point3_whole_answers.py
@@ -4,6 +4,7 @@
 import unittest
 from dataclasses import replace
 
+import gevent
 from returns.result import Failure
 
 from endivepick.client import GaveUp, OutcomeUnknown
@@ -17,6 +18,7 @@
 from standins.payload import verify_event
 
 LARGE_ANSWER_BYTES = 8 << 20
+WAIT_S = 60
 
 
 class TestWholeAnswers(DisturbedTestCase):
@@ -73,25 +75,21 @@
             self.assertTrue(verify_event(event.data, "ordered", number), event)
 
 
-class StuckTargetsTestCase(DisturbedTestCase):
-    """Requests run until they are cancelled, for far longer than a test waits."""
+class SilentCallerTestCase(DisturbedTestCase):
+    """Owners cancel requests after a silence; nothing else ends them in time."""
 
-    silence_s = 600.0
+    silence_s = 3.0
     settings = replace(
         DisturbedTestCase.settings, record_settings={"request_timeout_s": 600}
     )
 
     @classmethod
     def setUpClass(cls):
-        instance_settings = cls.settings.instance_settings
-        flow = {"flow": {"caller_silence_s": cls.silence_s}}
-        cls.settings = replace(cls.settings, instance_settings=instance_settings | flow)
+        flow = {"caller_silence_s": cls.silence_s, "unacknowledged_s": 600}
+        groups = cls.settings.instance_settings | {"flow": flow}
+        cls.settings = replace(cls.settings, instance_settings=groups)
         super().setUpClass()
 
-    def setUp(self):
-        super().setUp()
-        self.control_targets(EXPORTS, stuck=True)
-
     def wait_cancelled(self, echoes):
         wanted = set(echoes)
         wait(
@@ -104,10 +102,9 @@
         return running if len(running) == count else None
 
 
-class TestCallerGoneAway(StuckTargetsTestCase):
-    silence_s = 3.0
-
+class TestCallerGoneAway(SilentCallerTestCase):
     def test_killed_process(self):
+        self.control_targets(EXPORTS, stuck=True)
         workload = {"service": EXPORTS, "flows": 3, "work_ms": 0, "deadline_s": 600}
         launcher = self.cluster.launcher
         path = launcher.write_settings(
@@ -127,7 +124,40 @@
         self.wait_idle()
 
 
-class TestCallerGivesUp(StuckTargetsTestCase):
+class TestCallerOutOfReach(SilentCallerTestCase):
+    """All its packets are lost for longer than an owner waits for word of it."""
+
+    def test_stream_goes_on(self):
+        flow = self.open(self.new_caller(), SESSIONS)
+        stream = flow.stream("/events?count=100000&interval_ms=20&echo=far")
+        numbers = [int(next(stream).event_id) for _ in range(10)]
+        self.disturb_fabric(loss=1.0)
+        wait(lambda: self.target_events().count("echo", "stream_end")["far"], "its end")
+        self.disturb_fabric()
+        with gevent.Timeout(WAIT_S):
+            while len(numbers) < 300:
+                numbers.append(int(next(stream).event_id))
+        self.assertEqual(numbers, list(range(1, 301)))
+        stream.close()
+
+    def test_request_ends_at_once(self):
+        self.control_targets(EXPORTS, stuck=True)
+        work = self.send(self.open(self.new_caller(), EXPORTS), deadline_s=600.0)
+        self.wait_running([work.echo])
+        self.disturb_fabric(loss=1.0)
+        self.wait_cancelled([work.echo])
+        self.disturb_fabric()
+        with gevent.Timeout(WAIT_S):
+            self.assertIsInstance(work.result().failure(), OutcomeUnknown)
+
+
+class TestCallerGivesUp(SilentCallerTestCase):
+    silence_s = 600.0
+
+    def setUp(self):
+        super().setUp()
+        self.control_targets(EXPORTS, stuck=True)
+
     def send_stuck(self, flow):
         return self.send(flow, deadline_s=600.0)
 
