Give a held request a module of its own

The executor's file had 484 lines; what a request is called, logged as and asked for stood in loose functions beside it. They are methods of HeldRequest now.

--- a/endivepick/core/delivery.py
+++ b/endivepick/core/delivery.py
@@ -1,8 +1,9 @@
 """Delivery of answers: the caller reports what it has and gets what is missing."""
 
 from endivepick.core.actions import Action, SendToCaller
-from endivepick.core.executor import RequestExecutor, send_unsent_parts
+from endivepick.core.executor import RequestExecutor
 from endivepick.core.flow import OwnedFlow, OwnedRequest
+from endivepick.core.held import send_unsent_parts
 from endivepick.core.messages import Acknowledge, RequestProgress
 from endivepick.core.replies import accepted, forgotten, progress, repeat_state
 from endivepick.core.settings import FlowSettings
--- a/endivepick/core/executor.py
+++ b/endivepick/core/executor.py
@@ -1,7 +1,6 @@
 """Runs requests at targets: from a complete request to its final word."""
 
 from collections.abc import Callable, Hashable
-from dataclasses import dataclass
 
 from endivepick.core.actions import (
     Action,
@@ -16,14 +15,12 @@
 from endivepick.core.answer import AnswerBuffer
 from endivepick.core.dispatch import (
     CancelRunning,
-    CostClass,
     Decision,
     Fail,
     FinishKind,
     Queued,
     Refuse,
     Repin,
-    RequestIntent,
     ServiceDispatcher,
     Start,
 )
@@ -36,6 +33,7 @@
 )
 from endivepick.core.flow import OwnedFlow, OwnedRequest
 from endivepick.core.flow_table import FlowTable
+from endivepick.core.held import HeldRequest, send_unsent_parts
 from endivepick.core.messages import AnswerHead, Outcome, Refused
 from endivepick.core.settings import FlowSettings
 
@@ -45,20 +43,9 @@
 NO_RETRY_MS = 0
 INSTANCE_STOPPED = "instance_stopped"
 """Why a request was cut: its instance had no more time to wait for it."""
-COST_CLASS_HEADER = "endivepick-cost"
 _MAY_HAVE_RUN = frozenset({FinishKind.BROKEN, FinishKind.LATE})
 
 
-@dataclass(frozen=True, slots=True)
-class _Held:
-    flow: OwnedFlow
-    request: OwnedRequest
-
-    @property
-    def request_id(self) -> RequestId:
-        return (self.flow.binding, self.request.seq, self.request.submissions)
-
-
 class RequestExecutor:
     """Carries complete requests through the dispatcher of their service.
 
@@ -101,33 +88,14 @@
     ) -> list[Action]:
         """Hand a complete request to the dispatcher."""
         request.submissions += 1
-        held = _Held(flow, request)
+        held = HeldRequest(flow, request)
         dispatcher = self.dispatchers.get(flow.service)
         if dispatcher is None:
             return self._refuse(held, "unknown_service", UNKNOWN_SERVICE_RETRY_MS)
-        intent = self._intent(held)
+        intent = held.intent()
         decisions = dispatcher.submit(intent, now_s, self._random_number())
         return self.carry_out(decisions, now_s)
 
-    def _intent(self, held: _Held) -> RequestIntent:
-        flow, request = held.flow, held.request
-        others = [
-            other
-            for other in flow.requests.values()
-            if other is not request and other.at_dispatcher
-        ]
-        return RequestIntent(
-            request_id=held.request_id,
-            pinned_target=flow.target,
-            deadline_at_s=request.deadline_at_s,
-            idempotent=request.idempotent,
-            stream=request.is_stream,
-            established=request.seq > 1,
-            cost_class=_cost_class(request),
-            movable=not others,
-            may_have_run=request.may_have_run,
-        )
-
     def carry_out(self, decisions: list[Decision], now_s: float) -> list[Action]:
         """Turn the dispatcher's decisions into actions."""
         actions: list[Action] = []
@@ -156,16 +124,16 @@
             case Queued():
                 return []
 
-    def _find(self, request_id: Hashable) -> _Held | None:
+    def _find(self, request_id: Hashable) -> HeldRequest | None:
         assert isinstance(request_id, tuple)
         binding, seq, submission = request_id
         flow = self._table.get(binding)
         request = flow.requests.get(seq) if flow else None
         if flow is None or request is None or request.submissions != submission:
             return None
-        return _Held(flow, request)
+        return HeldRequest(flow, request)
 
-    def _start(self, held: _Held, start: Start) -> list[Action]:
+    def _start(self, held: HeldRequest, start: Start) -> list[Action]:
         flow, request = held.flow, held.request
         assert request.head is not None
         request.step("start")
@@ -180,7 +148,7 @@
                 "owner",
                 "attempt_started",
                 "request sent to target",
-                _ids(held, target=start.target, attempt=request.attempt),
+                held.ids(target=start.target, attempt=request.attempt),
             ),
             StartAttempt(
                 request_id=held.request_id,
@@ -190,20 +158,22 @@
                 target_incarnation=start.target_incarnation,
                 address=start.address,
                 head=request.head,
-                idempotency_key=idempotency_key(flow, request),
+                idempotency_key=held.idempotency_key,
                 idempotent=request.idempotent,
                 timeout_s=start.timeout_s,
                 last_event_id=request.last_event_id,
             ),
         ]
 
-    def _put_off(self, held: _Held, reason: str) -> list[Action]:
+    def _put_off(self, held: HeldRequest, reason: str) -> list[Action]:
         """Keep a stream that no target takes now; its caller's next word resumes it."""
         held.request.step("freeze")
-        ids = _ids(held, reason=reason)
+        ids = held.ids(reason=reason)
         return [Log("owner", "stream_put_off", "no target for the stream yet", ids)]
 
-    def _refuse(self, held: _Held, reason: str, retry_after_ms: int) -> list[Action]:
+    def _refuse(
+        self, held: HeldRequest, reason: str, retry_after_ms: int
+    ) -> list[Action]:
         flow, request = held.flow, held.request
         if request.may_have_run:
             return self._fail(held, reason, retry_after_ms)
@@ -216,14 +186,14 @@
                 "owner",
                 "request_refused",
                 "request refused before any run",
-                _ids(held, reason=reason),
+                held.ids(reason=reason),
             ),
             SendToCaller(flow.caller, request.verdict),
             Count("refused", reason),
         ]
 
     def _fail(
-        self, held: _Held, reason: str, retry_after_ms: int = NO_RETRY_MS
+        self, held: HeldRequest, reason: str, retry_after_ms: int = NO_RETRY_MS
     ) -> list[Action]:
         flow, request = held.flow, held.request
         request.step("fail")
@@ -236,13 +206,13 @@
                 "owner",
                 "outcome_unknown",
                 "request may have run",
-                _ids(held, reason=reason),
+                held.ids(reason=reason),
             ),
             SendToCaller(flow.caller, request.verdict),
             Count("outcome_unknown", reason),
         ]
 
-    def _running(self, request_id: RequestId, attempt: int) -> _Held | None:
+    def _running(self, request_id: RequestId, attempt: int) -> HeldRequest | None:
         """Find the request of an attempt; None if the attempt is an old one."""
         held = self._find(request_id)
         if held is None or held.request.attempt != attempt:
@@ -268,7 +238,7 @@
                 "owner",
                 "request_answered",
                 "answer is complete",
-                _ids(held, status=event.status),
+                held.ids(status=event.status),
             ),
             Observe("time_to_answer_s", held.flow.service, waited_s),
         ]
@@ -290,7 +260,7 @@
                 "owner",
                 "attempt_failed",
                 "attempt ended without an answer",
-                _ids(held, reason=event.kind.value),
+                held.ids(reason=event.kind.value),
             )
         ]
         actions += self._finished(
@@ -309,7 +279,7 @@
 
     def _finished(
         self,
-        held: _Held,
+        held: HeldRequest,
         kind: FinishKind,
         duration_s: float,
         now_s: float,
@@ -386,7 +356,7 @@
         """
         actions = self._leave_target(flow, request, by_key=not request.idempotent)
         if not request.idempotent:
-            return actions + self._fail(_Held(flow, request), INSTANCE_STOPPED)
+            return actions + self._fail(HeldRequest(flow, request), INSTANCE_STOPPED)
         request.may_have_run = True
         request.step("requeue")
         return actions
@@ -422,7 +392,7 @@
                 "owner",
                 "request_cancelled",
                 "request cancelled",
-                _ids(_Held(flow, request)),
+                HeldRequest(flow, request).ids(),
             )
         )
         return actions
@@ -431,7 +401,7 @@
         self, flow: OwnedFlow, request: OwnedRequest, by_key: bool = True
     ) -> list[Action]:
         # The slot stays taken until the attempt has reported its end.
-        request_id = _Held(flow, request).request_id
+        request_id = HeldRequest(flow, request).request_id
         return [CancelAttempt(request_id, request.attempt, by_key)]
 
     def _leave_dispatcher(
@@ -440,45 +410,9 @@
         dispatcher = self.dispatchers.get(flow.service)
         if dispatcher is None:
             return []
-        request_id = _Held(flow, request).request_id
+        request_id = HeldRequest(flow, request).request_id
         decisions = dispatcher.cancel(request_id, now_s)
         others = [
             decision for decision in decisions if decision.request_id != request_id
         ]
         return self.carry_out(others, now_s)
-
-
-def send_unsent_parts(flow: OwnedFlow, request: OwnedRequest) -> list[Action]:
-    """Send the parts of an answer that the caller's window allows."""
-    answer = request.answer
-    assert answer is not None
-    return [
-        SendToCaller(
-            flow.caller, answer.packet(flow.flow_id, flow.binding, request.seq, index)
-        )
-        for index in answer.unsent()
-    ]
-
-
-def idempotency_key(flow: OwnedFlow, request: OwnedRequest) -> str:
-    """Return the key that all attempts of a request carry."""
-    return f"{flow.flow_id:016x}-{flow.binding:016x}-{request.seq}"
-
-
-def _cost_class(request: OwnedRequest) -> CostClass:
-    assert request.head is not None
-    for name, value in request.head.headers:
-        if name.lower() == COST_CLASS_HEADER and value == CostClass.LONG.value:
-            return CostClass.LONG
-    return CostClass.SHORT
-
-
-def _ids(held: _Held, **more: object) -> dict[str, object]:
-    return {
-        "flow": held.flow.flow_id,
-        "binding": held.flow.binding,
-        "seq": held.request.seq,
-        "key": idempotency_key(held.flow, held.request),
-        "service": held.flow.service,
-        **more,
-    }
