Keep the heartbeats on connections from growing with the fleet

Cause: each connection to a peer sent a heartbeat each second. With 512 connections they cost 42 kB/s and 1.2 % of a core on the connecting side alone, where an instance has 9 kB/s and 1.7 % for all its control. Weighed: no heartbeats, which leaves an idle connection half open after a cut; fewer for all, which slows small fleets down. A connection on which sent data is not acknowledged for 3 s is closed whatever its heartbeats do. The new test failed before. Not tested: a link that drops packets without a word, which the loopback network does not offer.

--- a/endivepick/daemon/peers.py
+++ b/endivepick/daemon/peers.py
@@ -38,7 +38,11 @@
 RECONNECT_MS = 50
 RECONNECT_MAX_MS = 500
 HEARTBEAT_MS = 1000
-HEARTBEAT_TIMEOUT_MS = 3000
+HEARTBEATS_PER_S = 16
+"""Heartbeats that this instance sends on all its connections, about."""
+HEARTBEATS_MISSED = 3
+UNACKNOWLEDGED_MS = 3000
+"""Time after which a connection that carries data without an answer is closed."""
 LAST_MESSAGES_MS = 300
 """How long the messages of an instance that ends may take, in milliseconds."""
 MESSAGE_BYTES_MAX = 64 << 20
@@ -228,8 +232,10 @@
         dealer.immediate = True
         dealer.reconnect_ivl = RECONNECT_MS
         dealer.reconnect_ivl_max = RECONNECT_MAX_MS
-        dealer.heartbeat_ivl = HEARTBEAT_MS
-        dealer.heartbeat_timeout = HEARTBEAT_TIMEOUT_MS
+        every_ms = HEARTBEAT_MS * max(1, len(self._dealers) // HEARTBEATS_PER_S)
+        dealer.heartbeat_ivl = every_ms
+        dealer.heartbeat_timeout = HEARTBEATS_MISSED * every_ms
+        dealer.setsockopt(zmq.TCP_MAXRT, UNACKNOWLEDGED_MS)
         dealer.connect(f"tcp://{self._host}:0;{address}")
         return dealer
 
--- a/endivepick/daemon/tests/test_peers.py
+++ b/endivepick/daemon/tests/test_peers.py
@@ -3,6 +3,7 @@
 from unittest.mock import patch
 
 import gevent
+import zmq
 
 from endivepick.core.peer_messages import HandOverAccepted
 from endivepick.daemon import peers
@@ -56,6 +57,18 @@
             self.assertEqual(list(sender._dealers), ["b", "d"])
             self.send_until_received(c)
 
+    def test_heartbeats_do_not_grow_with_the_connections(self):
+        sender = self.tasks[0]
+        for number in range(200):
+            sender.send(
+                f"peer-{number}", f"127.0.0.1:{number + 1}", HandOverAccepted(7)
+            )
+        dealers = [dealer for _, dealer in sender._dealers.values()]
+        periods_ms = [dealer.heartbeat_ivl for dealer in dealers]
+        self.assertEqual(set(periods_ms[:32]), {1000})
+        self.assertLess(sum(1000 / period_ms for period_ms in periods_ms), 70)
+        self.assertEqual({d.getsockopt(zmq.TCP_MAXRT) for d in dealers}, {3000})
+
     def test_traffic_is_counted_and_shown(self):
         sender, receiver = self.tasks[:2]
         self.send_until_received(receiver)
