--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 	$(VENV)/bin/endivepick bench table
 
 capacity: $(STAMP)
-	$(VENV)/bin/endivepick bench capacity
+	$(PY) -m endivepick.bench.capacity
 
 clean:
 	rm -rf $(VENV) build var
