--- a/endivepick/bench/_peer_slopes.py
+++ b/endivepick/bench/_peer_slopes.py
@@ -24,6 +24,7 @@
 
 __all__ = ["bench_settings", "measure_connections"]
 
+MODULE = "endivepick.bench._peer_slopes"
 CONNECTION_SIZES = (16, 64, 256, 512)
 IDLE_S = 3.0
 CONNECT_LIMIT_S = 20.0
@@ -65,16 +66,12 @@
 @contextmanager
 def _peers(count: int) -> Iterator[list[str]]:
     """Run a process that stands for many peers; yields their addresses."""
-    command = [sys.executable, "-m", __name__, str(count)]
-    process = subprocess.Popen(
-        command, stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
-    )
-    assert process.stdout is not None and process.stdin is not None
-    try:
+    command = [sys.executable, "-m", MODULE, "serve", str(count)]
+    pipe = subprocess.PIPE
+    # At the end its input is closed, which ends it.
+    with subprocess.Popen(command, stdin=pipe, stdout=pipe, text=True) as process:
+        assert process.stdout is not None
         yield json.loads(process.stdout.readline())
-    finally:
-        process.stdin.close()
-        process.wait(10)
 
 
 def _tcp_bytes() -> int:
@@ -100,7 +97,8 @@
     return int(sent + received)
 
 
-def _connections_once(count: int) -> dict[str, float]:
+def connect_peers(count: int) -> None:
+    """Connect to many peers, and print what that cost as JSON."""
     with (
         _peers(count) as addresses,
         peer_task(bench_settings(), 1, HybridClock(), lambda message: None) as task,
@@ -119,13 +117,22 @@
         setup_bytes, busy_before = _tcp_bytes(), time.process_time()
         gevent.sleep(IDLE_S)
         idle_us = (time.process_time() - busy_before) * _US
-        return {
+        found = {
             "connection_memory_bytes": float(rss),
             "connection_setup_us": setup_us,
             "connection_setup_bytes": float(setup_bytes),
             "connection_idle_us_per_s": idle_us / IDLE_S,
             "connection_idle_bytes_per_s": (_tcp_bytes() - setup_bytes) / IDLE_S,
         }
+        print(json.dumps(found), flush=True)
+
+
+def _connections_once(count: int) -> dict[str, float]:
+    """Connect in a new process: memory freed earlier would hide what is used."""
+    command = [sys.executable, "-m", MODULE, "connect", str(count)]
+    done = subprocess.run(command, capture_output=True, check=True, text=True)
+    found: dict[str, float] = json.loads(done.stdout)
+    return found
 
 
 def measure_connections(
@@ -147,4 +154,4 @@
 
 
 if __name__ == "__main__":
-    fire.Fire(serve_peers)
+    fire.Fire({"serve": serve_peers, "connect": connect_peers})
--- a/endivepick/bench/_target_slopes.py
+++ b/endivepick/bench/_target_slopes.py
@@ -115,15 +115,11 @@
 @contextmanager
 def _serving() -> Iterator[_Serving]:
     command = [sys.executable, "-m", __name__]
-    process = subprocess.Popen(
-        command, stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
-    )
-    assert process.stdin is not None and process.stdout is not None
-    try:
+    pipe = subprocess.PIPE
+    # At the end its input is closed, which ends it.
+    with subprocess.Popen(command, stdin=pipe, stdout=pipe, text=True) as process:
+        assert process.stdout is not None
         yield _Serving(json.loads(process.stdout.readline()), process)
-    finally:
-        process.stdin.close()
-        process.wait(10)
 
 
 def _probes_once(serving: _Serving, targets: int) -> dict[str, float]:
--- a/endivepick/bench/packets.py
+++ b/endivepick/bench/packets.py
@@ -20,7 +20,14 @@
 from endivepick.core.messages import CallerAddress
 from endivepick.settings.address import parse_address
 
-__all__ = ["measure_packets", "measure_real_flows", "run"]
+__all__ = [
+    "Pair",
+    "data_address",
+    "measure_packets",
+    "measure_real_flows",
+    "run",
+    "running_pair",
+]
 
 FLOW_SIZES = (1_000, 4_000, 16_000, 64_000)
 FLOOD_S = 1.0
@@ -30,7 +37,7 @@
 
 
 @dataclass(frozen=True)
-class _Pair:
+class Pair:
     """The owner of a service, another instance, and the caller of both."""
 
     owner: Any
@@ -39,26 +46,28 @@
 
     def open(self, count: int) -> list[bytes]:
         """Open flows at the owner."""
-        return self.sender.open(_data_address(self.owner), SERVICE, count)
+        return self.sender.open(data_address(self.owner), SERVICE, count)
 
 
-def _data_address(instance: Any) -> CallerAddress:
+def data_address(instance: Any) -> CallerAddress:
+    """Return where an instance takes datagrams of the fabric."""
     return parse_address(instance.process.ready["data_address"])
 
 
 @contextmanager
-def _pair() -> Iterator[_Pair]:
+def running_pair() -> Iterator[Pair]:
+    """Run two instances and a service while the context is open."""
     with closing(Sender()) as sender:
         settings = {"fabric": {"return_address": sender.address}}
         with running_cluster(flat_shape(2, 1), settings) as cluster:
             owner, relay = owner_first(cluster)
-            yield _Pair(owner, relay, sender)
+            yield Pair(owner, relay, sender)
 
 
-def _flood(pair: _Pair, to: Any, tokens: list[bytes]) -> dict[str, float]:
+def _flood(pair: Pair, to: Any, tokens: list[bytes]) -> dict[str, float]:
     """Flood one instance; returns rate and processor time for each answer."""
     before_s = {name: cpu_s(one.process.pid) for name, one in _both(pair)}
-    answers = pair.sender.flood(_data_address(to), tokens, FLOOD_S)
+    answers = pair.sender.flood(data_address(to), tokens, FLOOD_S)
     used_s = {n: cpu_s(one.process.pid) - before_s[n] for n, one in _both(pair)}
     return {
         "per_s": answers / FLOOD_S,
@@ -66,11 +75,11 @@
     }
 
 
-def _both(pair: _Pair) -> list[tuple[str, Any]]:
+def _both(pair: Pair) -> list[tuple[str, Any]]:
     return [("owner", pair.owner), ("relay", pair.relay)]
 
 
-def _once(pair: _Pair) -> Callable[[int], dict[str, float]]:
+def _once(pair: Pair) -> Callable[[int], dict[str, float]]:
     opened: list[bytes] = []
 
     def once(flows: int) -> dict[str, float]:
@@ -117,7 +126,7 @@
     """
     found: list[dict[str, Measured]] = []
     for _ in range(repeats):
-        with _pair() as pair:
+        with running_pair() as pair:
             found.append(measure("flow", sizes, UNITS, _once(pair), repeats=1))
     return {
         name: Measured(
@@ -129,7 +138,7 @@
 
 def measure_packets(rounds: int = 5) -> Iterator[dict[str, float]]:
     """Flood owner and relay with few flows, again and again."""
-    with _pair() as pair:
+    with running_pair() as pair:
         tokens = pair.open(FLOODED_FLOWS)
         for _ in range(rounds):
             own = _flood(pair, pair.owner, tokens)
