Keep a probe's connection for ten seconds at most

What stands behind an address had changed while the kept connection stayed, so the probes went on to show another service. Ruled out: the fault proxy's rules (none left) and lost probes (50 kB had passed). Change: a connection ends after ten seconds, and at once when the answer is of another service.

--- a/endivepick/daemon/probes.py
+++ b/endivepick/daemon/probes.py
@@ -27,6 +27,8 @@
 
 __all__ = ["ProbeTasks", "probe_tasks"]
 
+KEPT_S = 10.0
+"""How long one connection is used: what stands behind an address can change."""
 UNUSED_S = 10.0
 """How long the connection to a target stays open that is not probed any more."""
 _FAILURES = (AnswerError, OSError, msgspec.DecodeError, ValueError)
@@ -58,10 +60,16 @@
         self._connection = connection
         self.busy = False
         self.used_at_s = 0.0
+        self._opened_at_s = 0.0
 
     def ask(self) -> ProbeResult:
         """Ask for health and load; on a new connection if the kept one is gone."""
+        now_s = time.monotonic()
+        if now_s - self._opened_at_s >= KEPT_S:
+            self.close()
         was_open = self._connection.is_open
+        if not was_open:
+            self._opened_at_s = now_s
         try:
             return self._ask()
         except OSError:
@@ -137,7 +145,7 @@
         except _FAILURES:
             pass
         finally:
-            if isinstance(outcome, ProbeFailed):
+            if not _is_answer_of(outcome, action.service):
                 connection.close()
             connection.busy = False
         self._deliver(Probed(action.service, action.target, outcome))
@@ -157,6 +165,10 @@
             connection.close()
 
 
+def _is_answer_of(outcome: ProbeOutcome, service: str) -> bool:
+    return isinstance(outcome, ProbeResult) and outcome.service == service
+
+
 @contextmanager
 def probe_tasks(
     settings: DaemonSettings, deliver: Callable[[Event], None]
--- a/endivepick/daemon/tests/test_probes.py
+++ b/endivepick/daemon/tests/test_probes.py
@@ -6,6 +6,7 @@
 import json
 import unittest
 from contextlib import contextmanager
+from unittest import mock
 
 import gevent
 from gevent.pool import Pool
@@ -25,6 +26,7 @@
     targets: {probe_timeout_s: 0.2},
 }"""
 WAIT_S = 10
+PROBES = "endivepick.daemon.probes"
 
 
 class FakeTarget:
@@ -32,6 +34,7 @@
 
     def __init__(self, incarnation, address="127.0.0.1:0"):
         self.incarnation = incarnation
+        self.service = "s"
         self.connections = set()
         self.paths = []
         self.silent = False
@@ -51,7 +54,7 @@
             gevent.sleep(0.01)
         self.connections.add(environ["REMOTE_PORT"])
         self.paths.append(environ["PATH_INFO"])
-        body = {"service": "s", "target": "t", "state": "ready"}
+        body = {"service": self.service, "target": "t", "state": "ready"}
         body |= {"incarnation": self.incarnation, "waiting": 3}
         data = json.dumps(body).encode()
         start_response("200 OK", [("Content-Length", str(len(data)))])
@@ -93,6 +96,20 @@
         with fake_target(8, address) as target:
             self.assertEqual(self.probe(target).incarnation, 8)
 
+    def test_other_service_at_the_end_of_a_connection_is_looked_for_anew(self):
+        # What stands behind an address can change while a connection stays.
+        with fake_target() as target:
+            target.service = "other"
+            for _ in range(2):
+                self.assertEqual(self.probe(target).service, "other")
+            self.assertEqual(len(target.connections), 2)
+
+    def test_connection_is_not_kept_for_long(self):
+        with fake_target() as target, mock.patch(f"{PROBES}.KEPT_S", 0.0):
+            for _ in range(2):
+                self.probe(target)
+            self.assertEqual(len(target.connections), 2)
+
     def test_target_that_is_gone_fails(self):
         with fake_target() as target:
             self.probe(target)
