Give each installation of the stand-ins addresses and secrets of its own

Cause: all installations that run side by side (test modules run four at a time) used the same loopback addresses and the same secrets, so that a port given up by a killed instance or target of one could be bound by another one while the first's peers and owners still spoke to it, and the two would have merged their views of the membership.

Change: an installation holds a block of addresses, which a bound socket locks, and draws its secrets. Shape.zone_number, used by nobody, is gone.

--- /dev/null
+++ b/standins/addressblock.py
@@ -0,0 +1,71 @@
+"""Blocks of loopback addresses, each used by one installation at a time.
+
+Installations run side by side on one machine.  At common addresses the system
+could give a port that a killed process of one installation had to a process of
+another one, while peers of the first still speak to it.
+"""
+
+import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+__all__ = ["BLOCKS", "AddressBlockError", "address_block", "host_in_block"]
+
+BLOCKS = 48
+"""Number of blocks; the second bytes of their addresses are 1 to 192."""
+_ZONES = 4
+_LOCK_PORT = 47_001
+
+
+class AddressBlockError(Exception):
+    """All blocks are in use; wait until other installations have ended."""
+
+
+def host_in_block(host: str, block: int) -> str:
+    """Return where a host of the first block stands in another one.
+
+    Parameters
+    ----------
+    host : str
+        Address ``127.k.x.y`` of zone ``k``, from 1 to 4.
+    block : int
+        Number of the block, from 0.
+
+    Examples
+    --------
+    >>> host_in_block("127.2.0.1", 3)
+    '127.14.0.1'
+    """
+    network, zone, *rest = host.split(".")
+    return ".".join([network, str(int(zone) + _ZONES * block), *rest])
+
+
+@contextmanager
+def address_block(count: int = BLOCKS) -> Iterator[int]:
+    """Hold a block that no other process holds; yields its number.
+
+    Parameters
+    ----------
+    count : int
+        Number of blocks to choose from.
+
+    Raises
+    ------
+    AddressBlockError
+        If all are held.
+    """
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as lock:
+        yield _take_block(lock, count)
+
+
+def _take_block(lock: socket.socket, count: int) -> int:
+    """Bind the lock in the first free block: the system lets only one do so."""
+    for block in range(count):
+        try:
+            lock.bind((host_in_block("127.1.255.254", block), _LOCK_PORT))
+        except OSError:
+            continue
+        return block
+    raise AddressBlockError(
+        f"all {count} blocks of addresses are in use; end other installations first"
+    )
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -16,6 +16,7 @@
 from pathlib import Path
 from typing import Any
 
+from standins.addressblock import address_block
 from standins.clustersettings import (
     ClusterSettings,
     Endpoints,
@@ -45,6 +46,8 @@
 
     Attributes
     ----------
+    shape : Shape
+        What runs, with the addresses that it uses.
     launcher : Launcher
         Starts further processes, such as callers, and names all logs.
     platform : PlatformHandle
@@ -57,9 +60,11 @@
         Fault proxy, if the settings ask for it.
     """
 
-    def __init__(self, settings: ClusterSettings, launcher: Launcher) -> None:
+    def __init__(
+        self, settings: ClusterSettings, launcher: Launcher, block: int
+    ) -> None:
         self.settings = settings
-        self.shape = settings.shape
+        self.shape = settings.shape.in_block(block)
         self.launcher = launcher
         self.instances: dict[str, Instance] = {}
         self.targets: dict[str, Target] = {}
@@ -78,7 +83,7 @@
         self.platform = PlatformHandle(platform)
         self._start_network()
         self._take_targets(targets)
-        self.platform.put("keyring", "tokens", keyring_body())
+        self.platform.put("keyring", "tokens", keyring_body(self.settings))
         for service in self.shape.services:
             self.write_record(service)
         self.start_instances(plan.name for plan in self.shape.instances)
@@ -324,7 +329,9 @@
         if not folder:
             folder = stack.enter_context(tempfile.TemporaryDirectory(prefix="cluster-"))
         launcher = Launcher(Path(folder))
+        block = stack.enter_context(address_block())
+        # Held until all processes have ended.
         stack.callback(launcher.end)
-        running = Cluster(settings, launcher)
+        running = Cluster(settings, launcher, block)
         running.start()
         yield running
--- a/standins/clustersettings.py
+++ b/standins/clustersettings.py
@@ -1,5 +1,6 @@
 """What a cluster starts, and the settings and records that follow from it."""
 
+import secrets
 import uuid
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -18,8 +19,11 @@
     "target_arguments",
 ]
 
-_PEER_SECRET_HEX = "5e" * 32
-_KEY_SECRET_HEX = "a7" * 32
+_SECRET_BYTES = 32
+
+
+def _new_secret_hex() -> str:
+    return secrets.token_hex(_SECRET_BYTES)
 
 
 @dataclass(frozen=True)
@@ -43,6 +47,9 @@
         Further command line flags of the targets.
     seed : int
         Seed of fabric and fault proxy.
+    peer_secret_hex, key_secret_hex : str
+        Secret of the instances and of the first key for tokens; drawn anew by
+        default, since installations that share one would talk to each other.
     """
 
     shape: Shape
@@ -52,6 +59,8 @@
     record_settings: dict[str, Any] = field(default_factory=dict)
     target_flags: dict[str, Any] = field(default_factory=dict)
     seed: int = 1
+    peer_secret_hex: str = field(default_factory=_new_secret_hex, repr=False)
+    key_secret_hex: str = field(default_factory=_new_secret_hex, repr=False)
 
 
 @dataclass(frozen=True)
@@ -102,7 +111,7 @@
         "platform": {"address": endpoints.platform},
         "fabric": {"return_address": endpoints.fabric_return},
         "log": {"path": str(log)},
-        "secrets": {"peer_secret_hex": _PEER_SECRET_HEX},
+        "secrets": {"peer_secret_hex": settings.peer_secret_hex},
     }
     for group, values in settings.instance_settings.items():
         groups[group] = {**groups.get(group, {}), **values}
@@ -141,7 +150,7 @@
     }
 
 
-def keyring_body() -> dict[str, Any]:
+def keyring_body(settings: ClusterSettings) -> dict[str, Any]:
     """Return a keyring with one key."""
-    key = {"key_id": 1, "secret_hex": _KEY_SECRET_HEX, "created_at_s": 0}
+    key = {"key_id": 1, "secret_hex": settings.key_secret_hex, "created_at_s": 0}
     return {"schema_version": 1, "current": 1, "keys": [key]}
--- a/standins/shapes.py
+++ b/standins/shapes.py
@@ -2,11 +2,15 @@
 
 Addresses follow one plan on the loopback network: instance ``i`` of zone ``k``
 is ``127.k.0.i``, target ``j`` of zone ``k`` is ``127.k.1.j``, all other
-stand-ins are ``127.0.0.1`` and callers ``127.200.0.x``.
+stand-ins are ``127.0.0.1``.  Installations that run side by side use further
+blocks of addresses, see `standins.addressblock`.
 """
 
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from typing import TypeVar
+
+from standins.addressblock import host_in_block
 
 __all__ = [
     "HARADA",
@@ -77,15 +81,29 @@
     zone_delay_ms: float
     caller_delay_ms: float
 
-    def zone_number(self, zone: str) -> int:
-        """Return the number of a zone in addresses."""
-        return self.zones.index(zone) + 1
+    def in_block(self, block: int) -> "Shape":
+        """Return the shape with its addresses in a block of addresses."""
+        return replace(
+            self,
+            instances=tuple(_moved(plan, block) for plan in self.instances),
+            services=tuple(
+                replace(s, targets=tuple(_moved(plan, block) for plan in s.targets))
+                for s in self.services
+            ),
+        )
 
     def service(self, name: str) -> ServicePlan:
         """Return the service of this name."""
         return next(plan for plan in self.services if plan.name == name)
 
 
+_Plan = TypeVar("_Plan", InstancePlan, TargetPlan)
+
+
+def _moved(plan: _Plan, block: int) -> _Plan:
+    return replace(plan, host=host_in_block(plan.host, block))
+
+
 @dataclass(frozen=True)
 class _ServiceSize:
     name: str
--- a/standins/tests/test_cluster.py
+++ b/standins/tests/test_cluster.py
@@ -23,6 +23,22 @@
             self.assertEqual(len({plan.host for plan in plans}), len(plans))
 
 
+class TestSideBySide(unittest.TestCase):
+    def test_installations_share_neither_addresses_nor_secrets(self):
+        first, second = (
+            self.enterContext(cluster(ClusterSettings(WITHOUT_INSTANCES)))
+            for _ in range(2)
+        )
+        one, other = (
+            {target.address.partition(":")[0] for target in c.targets.values()}
+            for c in (first, second)
+        )
+        self.assertEqual(one & other, set())
+        for name in ("peer_secret_hex", "key_secret_hex"):
+            values = {getattr(c.settings, name) for c in (first, second)}
+            self.assertEqual(len(values), 2, name)
+
+
 class TestClusterWithoutInstances(unittest.TestCase):
     def setUp(self):
         settings = ClusterSettings(WITHOUT_INSTANCES, faults=True)
