Let silent flows say nothing about what a target's next flow will send

Cause: test_target_replaced_at_its_address_by_another_service waited for work at a target that was in service and got none for 60 s, while another had it all. Its 31 pinned flows were leftovers of flows that relays had given to another owner while a zone was cut. The rate of a target's flows was corrected by the mean rate of a flow when one came or went; the silent flows pulled that mean down, so that each flow that closed at the other target took a third of that target's whole rate off, and the target with leftovers looked busier for as long as its rate took to fade.

Ruled out: probes (the target was ready and healthy at both owners), the record, lost opens (137 flows were opened in the 60 s, all at one target).

Change: each flow carries how fast it has sent of late (two numbers) and takes off what it added; the mean for a new flow counts flows with the weight of their last request.

--- a/endivepick/bench/workload.py
+++ b/endivepick/bench/workload.py
@@ -2,10 +2,11 @@
 
 import dataclasses
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from itertools import count
 from random import Random
 
+from endivepick.core.dispatch import FlowActivity
 from endivepick.records.model import Affinity, ServiceRecord, TargetRecord
 
 __all__ = [
@@ -165,6 +166,8 @@
         Number of its owner; for policies that have one.
     requests : int
         Requests submitted so far.
+    activity : FlowActivity
+        What its owner learns of its pace; for policies that have one.
     """
 
     number: int
@@ -173,6 +176,7 @@
     target: str = ""
     owner: int = -1
     requests: int = 0
+    activity: FlowActivity = field(default_factory=FlowActivity)
 
 
 @dataclass(eq=False)
--- a/endivepick/core/dispatch/__init__.py
+++ b/endivepick/core/dispatch/__init__.py
@@ -2,6 +2,7 @@
 
 from endivepick.core.dispatch.dispatcher import ServiceDispatcher
 from endivepick.core.dispatch.fairness import WaitingAllowance
+from endivepick.core.dispatch.flow_activity import FlowActivity
 from endivepick.core.dispatch.messages import (
     CancelRunning,
     CostClass,
@@ -33,6 +34,7 @@
     "Fail",
     "FailReason",
     "FinishKind",
+    "FlowActivity",
     "ProbeFailed",
     "ProbeOutcome",
     "ProbeResult",
--- a/endivepick/core/dispatch/dispatcher.py
+++ b/endivepick/core/dispatch/dispatcher.py
@@ -4,6 +4,7 @@
 from itertools import count
 
 from endivepick.core.dispatch.fairness import WaitingAllowance
+from endivepick.core.dispatch.flow_activity import FlowActivity
 from endivepick.core.dispatch.messages import (
     CancelRunning,
     CostClass,
@@ -89,7 +90,7 @@
         self._targets.update_record(record, now_s)
         return self._scheduler.settle(now_s)
 
-    def place_flow(self, now_s: float, random_number: float) -> str:
+    def place_flow(self, flow: FlowActivity, now_s: float, random_number: float) -> str:
         """Return the target of a new flow; empty if any target may serve it.
 
         It is also empty while no target is known to serve: the flow's first
@@ -97,6 +98,8 @@
 
         Parameters
         ----------
+        flow : FlowActivity
+            Activity of the flow, which its requests and its end name again.
         now_s : float
             Present time, in seconds.
         random_number : float
@@ -107,20 +110,20 @@
         target = self._scheduler.flow_target(random_number, now_s)
         if target is None:
             return ""
-        self._targets.add_flow(target, now_s)
+        self._targets.add_flow(target, flow, now_s)
         return target.name
 
-    def adopt_flow(self, target: str, now_s: float) -> None:
+    def adopt_flow(self, target: str, flow: FlowActivity, now_s: float) -> None:
         """Count a flow in that another owner handed over with its target."""
         state = self._targets.get(target)
         if state is not None:
-            self._targets.add_flow(state, now_s)
+            self._targets.add_flow(state, flow, now_s)
 
-    def close_flow(self, target: str, now_s: float) -> None:
+    def close_flow(self, target: str, flow: FlowActivity, now_s: float) -> None:
         """Count a flow out that was closed or handed over."""
         state = self._targets.get(target)
         if state is not None:
-            self._targets.remove_flow(state, now_s)
+            self._targets.remove_flow(state, flow, now_s)
 
     def submit(
         self, intent: RequestIntent, now_s: float, random_number: float
@@ -142,7 +145,7 @@
         self._targets.advance_if_due(now_s)
         pinned = self._targets.get(intent.pinned_target)
         if pinned is not None:
-            pinned.arrivals.on_request(now_s)
+            pinned.activity.on_request(intent.activity, now_s)
         request = PendingRequest(intent, order, may_have_run=intent.may_have_run)
         return self._scheduler.place(request, now_s)
 
--- a/endivepick/core/dispatch/messages.py
+++ b/endivepick/core/dispatch/messages.py
@@ -1,9 +1,11 @@
 """Events that a dispatcher takes and decisions that it returns."""
 
 from collections.abc import Hashable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
+from endivepick.core.dispatch.flow_activity import FlowActivity
+
 __all__ = [
     "CancelRunning",
     "CostClass",
@@ -120,6 +122,8 @@
     may_have_run : bool
         An attempt before this submission may have run: it is never refused as
         not run.
+    activity : FlowActivity
+        Activity of its flow, kept by the flow's holder.
     """
 
     request_id: Hashable
@@ -131,6 +135,7 @@
     cost_class: CostClass = CostClass.SHORT
     movable: bool = True
     may_have_run: bool = False
+    activity: FlowActivity = field(default_factory=FlowActivity, repr=False)
 
 
 @dataclass(frozen=True)
--- a/endivepick/core/dispatch/occupancy.py
+++ b/endivepick/core/dispatch/occupancy.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Hashable
 
-from endivepick.core.dispatch.arrival_rate import ArrivalRate
+from endivepick.core.dispatch.flow_activity import TargetActivity
 from endivepick.core.dispatch.load import LoadView
 from endivepick.core.dispatch.settings import DispatchSettings
 from endivepick.core.dispatch.waiting import PendingRequest, WaitingQueue
@@ -31,7 +31,7 @@
         Requests that wait for this very target.
     flows : int
         Flows that are pinned to it.
-    arrivals : ArrivalRate
+    activity : TargetActivity
         How fast these send requests.
     load : LoadView
         Work that others sent there.
@@ -43,7 +43,7 @@
         self.streams: dict[Hashable, PendingRequest] = {}
         self.queue = WaitingQueue()
         self.flows = 0
-        self.arrivals = ArrivalRate(settings.arrival_memory_s)
+        self.activity = TargetActivity(settings.arrival_memory_s)
         self.load = LoadView(settings)
 
     def add(self, request: PendingRequest) -> None:
--- a/endivepick/core/dispatch/placement.py
+++ b/endivepick/core/dispatch/placement.py
@@ -98,7 +98,7 @@
         Present time, in seconds.
     """
     work = {t.name: t.in_use(now_s) + len(t.queue) for t in targets}
-    rates_per_s = {t.name: t.arrivals.per_s(now_s) for t in targets}
+    rates_per_s = {t.name: t.activity.rate_per_s(now_s) for t in targets}
     work_all = sum(work.values()) + 1
     rate_all_per_s = sum(rates_per_s.values()) or 1.0
 
--- a/endivepick/core/dispatch/scheduler.py
+++ b/endivepick/core/dispatch/scheduler.py
@@ -284,7 +284,7 @@
         old_name = request.intent.pinned_target
         if self.record.affinity is Affinity.REQUEST or old_name == target.name:
             return []
-        self.targets.move_flow(old_name, target, now_s)
+        self.targets.move_flow(old_name, target, request.intent.activity, now_s)
         return [Repin(request.intent.request_id, old_name, target.name)]
 
     def _next_tie(self) -> float:
--- a/endivepick/core/dispatch/target_set.py
+++ b/endivepick/core/dispatch/target_set.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from endivepick.core.dispatch.flow_activity import FlowActivity
 from endivepick.core.dispatch.service_time import ServiceTimeEstimate
 from endivepick.core.dispatch.settings import DispatchSettings
 from endivepick.core.dispatch.target import TargetState
@@ -60,26 +61,35 @@
         """Take in a newer record; its new targets start slowly."""
         self._take(record, new=True, now_s=now_s)
 
-    def add_flow(self, target: TargetState, now_s: float) -> None:
+    def add_flow(self, target: TargetState, flow: FlowActivity, now_s: float) -> None:
         """Count a flow in that is pinned to a target from now on."""
-        flows = sum(other.flows for other in self._targets.values())
-        rate_per_s = sum(t.arrivals.per_s(now_s) for t in self._targets.values())
-        target.arrivals.add(rate_per_s / max(1, flows), now_s)
+        target.activity.join(flow, self._usual_rate_per_s(now_s), now_s)
         target.flows += 1
 
-    def remove_flow(self, target: TargetState, now_s: float) -> None:
+    def remove_flow(
+        self, target: TargetState, flow: FlowActivity, now_s: float
+    ) -> None:
         """Count a flow out that a target had."""
         if target.flows == 0:
             return
-        target.arrivals.add(-target.arrivals.per_s(now_s) / target.flows, now_s)
+        target.activity.leave(flow, now_s)
         target.flows -= 1
 
-    def move_flow(self, old_name: str, target: TargetState, now_s: float) -> None:
+    def move_flow(
+        self, old_name: str, target: TargetState, flow: FlowActivity, now_s: float
+    ) -> None:
         """Count a flow over from one target, which may be unknown, to another."""
         old = self._targets.get(old_name)
         if old is not None:
-            self.remove_flow(old, now_s)
-        self.add_flow(target, now_s)
+            self.remove_flow(old, flow, now_s)
+        self.add_flow(target, flow, now_s)
+
+    def _usual_rate_per_s(self, now_s: float) -> float:
+        """Return how fast a flow sends that is not silent, over all targets."""
+        parts = [target.activity for target in self._targets.values()]
+        flows = sum(part.active_flows(now_s) for part in parts)
+        rate_per_s = sum(part.rate_per_s(now_s) for part in parts)
+        return rate_per_s / max(1.0, flows)
 
     def staying(self) -> list[TargetState]:
         """Return the targets that are not leaving."""
--- a/endivepick/core/executor.py
+++ b/endivepick/core/executor.py
@@ -75,13 +75,13 @@
         """Count a flow that came with its target from another owner."""
         dispatcher = self.dispatchers.get(flow.service)
         if dispatcher is not None:
-            dispatcher.adopt_flow(flow.target, now_s)
+            dispatcher.adopt_flow(flow.target, flow.activity, now_s)
 
     def flow_removed(self, flow: OwnedFlow, now_s: float) -> None:
         """Count a flow out of its target that was closed, dropped or given away."""
         dispatcher = self.dispatchers.get(flow.service)
         if dispatcher is not None and not flow.closed:
-            dispatcher.close_flow(flow.target, now_s)
+            dispatcher.close_flow(flow.target, flow.activity, now_s)
 
     def submit(
         self, flow: OwnedFlow, request: OwnedRequest, now_s: float
--- a/endivepick/core/flow.py
+++ b/endivepick/core/flow.py
@@ -4,6 +4,7 @@
 
 from endivepick.core.answer import AnswerBuffer
 from endivepick.core.chart import load_chart
+from endivepick.core.dispatch import FlowActivity
 from endivepick.core.messages import CallerAddress, Outcome, Refused, RequestHead
 from endivepick.core.window import ReplayWindow
 
@@ -128,6 +129,8 @@
         Handed to a successor, or about to be: nothing runs here any more.
     closed : bool
         The caller has closed the flow.
+    activity : FlowActivity
+        How fast it has sent requests of late.
     """
 
     flow_id: int
@@ -140,6 +143,7 @@
     requests: dict[int, OwnedRequest] = field(default_factory=dict)
     frozen: bool = False
     closed: bool = False
+    activity: FlowActivity = field(default_factory=FlowActivity)
 
     @property
     def in_progress(self) -> bool:
--- a/endivepick/core/held.py
+++ b/endivepick/core/held.py
@@ -66,6 +66,7 @@
             cost_class=_cost_class(request),
             movable=not others,
             may_have_run=request.may_have_run,
+            activity=flow.activity,
         )
 
 
--- a/endivepick/core/owner.py
+++ b/endivepick/core/owner.py
@@ -4,6 +4,7 @@
 
 from endivepick.core.actions import Action, Count, Log, SendToCaller
 from endivepick.core.delivery import AnswerDelivery
+from endivepick.core.dispatch import FlowActivity
 from endivepick.core.executor import RequestExecutor
 from endivepick.core.flow import OwnedFlow
 from endivepick.core.flow_table import FlowTable
@@ -89,9 +90,11 @@
     ) -> list[Action]:
         """Open a flow to a service whose dispatcher is here."""
         dispatcher = self._executor.dispatchers[service]
-        target = dispatcher.place_flow(now_s, self._random_number())
+        activity = FlowActivity()
+        target = dispatcher.place_flow(activity, now_s, self._random_number())
         # All flows share the record's text, not each the one of its packet.
         flow = self._table.open(dispatcher.record.name, target, caller, now_s)
+        flow.activity = activity
         sealed = self._codec.seal(self._table.token(flow, now_s))
         return [
             Count("flows_opened", service),
--- a/endivepick/model/_choices.py
+++ b/endivepick/model/_choices.py
@@ -12,6 +12,7 @@
 from endivepick.core.dispatch import (
     Decision,
     FinishKind,
+    FlowActivity,
     Queued,
     RefusalReason,
     Refuse,
@@ -165,14 +166,14 @@
         self.placement = placement
         self.asked = False
 
-    def place_flow(self, now_s: float, random_number: float) -> str:
+    def place_flow(self, flow: FlowActivity, now_s: float, random_number: float) -> str:
         """Pin a new flow to no target."""
         return ""
 
-    def adopt_flow(self, target: str, now_s: float) -> None:
+    def adopt_flow(self, target: str, flow: FlowActivity, now_s: float) -> None:
         """Count nothing: placement is set from outside."""
 
-    def close_flow(self, target: str, now_s: float) -> None:
+    def close_flow(self, target: str, flow: FlowActivity, now_s: float) -> None:
         """Count nothing: placement is set from outside."""
 
     def submit(
