Make the socket to a peer anew when it had no connection for three seconds

Cause: once something that speaks another protocol has answered at an address, the message library gives the connection up for good and every later send fails, also when a peer listens there. Ports are reused, so a restarted instance could stay out of a peer's reach until its address changed.

Ruled out by trials: a connection closed before or within the handshake (the library comes back, 68 connections in 4 s, then the message arrived), a merge of two installations by a reused port (they came to their right views within 2 s).

Change: a socket whose sends have failed for RENEW_AFTER_S is closed; the next send opens another. test_peer_at_an_address_where_something_else_answered waited 30 s in vain before, and takes 0.5 s now.

After a failure the clean-up ends stops that were begun, so that later tests of the class find a healthy installation, and the error tells what each instance saw.

--- a/endivepick/daemon/peers.py
+++ b/endivepick/daemon/peers.py
@@ -48,6 +48,8 @@
 MESSAGE_BYTES_MAX = 64 << 20
 CONNECTIONS_MAX = 900
 """Connections kept to peers; the library has 1,023 sockets for a process."""
+RENEW_AFTER_S = 3.0
+"""Time without a connection after which the socket to a peer is made anew."""
 _log = PartLog("peers")
 
 
@@ -125,6 +127,7 @@
         self._router = self._open_router(port)
         # The one used last stands last.
         self._dealers: dict[str, tuple[str, Any]] = {}
+        self._failing_since_s: dict[str, float] = {}
         self.traffic = PeerTraffic()
 
     def _open_zap(self) -> Any:
@@ -197,7 +200,9 @@
         try:
             self._dealer(name, address).send(data, zmq.NOBLOCK)
         except zmq.Again:
+            self._note_failure(name)
             return False
+        self._failing_since_s.pop(name, None)
         self.traffic.messages_sent += 1
         self.traffic.bytes_sent += len(data)
         return True
@@ -206,6 +211,17 @@
         """Send to the instance at an address, whatever its name is."""
         return self.send(address, address, message)
 
+    def _note_failure(self, name: str) -> None:
+        """Give a socket up that has had no connection for a while.
+
+        The library tries no more once something that speaks another protocol has
+        answered at the address, even if a peer listens there later.
+        """
+        now_s = time.monotonic()
+        since_s = self._failing_since_s.setdefault(name, now_s)
+        if now_s - since_s >= RENEW_AFTER_S:
+            self.forget(name)
+
     def _dealer(self, name: str, address: str) -> Any:
         known = self._dealers.pop(name, None)
         if known is not None and known[0] == address:
@@ -241,6 +257,7 @@
 
     def forget(self, name: str) -> None:
         """Close the connection to a peer that is gone."""
+        self._failing_since_s.pop(name, None)
         known = self._dealers.pop(name, None)
         if known is not None:
             known[1].close()
--- a/endivepick/daemon/tests/test_peers.py
+++ b/endivepick/daemon/tests/test_peers.py
@@ -1,8 +1,9 @@
 import unittest
-from contextlib import ExitStack
+from contextlib import ExitStack, suppress
 from unittest.mock import patch
 
 import gevent
+import gevent.socket
 import zmq
 
 from endivepick.core.peer_messages import HandOverAccepted
@@ -69,6 +70,34 @@
         self.assertLess(sum(1000 / period_ms for period_ms in periods_ms), 70)
         self.assertEqual({d.getsockopt(zmq.TCP_MAXRT) for d in dealers}, {3000})
 
+    def test_peer_at_an_address_where_something_else_answered(self):
+        sender, receiver = self.tasks[:2]
+        other = gevent.socket.socket()
+        self.addCleanup(other.close)
+        other.bind(("127.0.0.1", 0))
+        other.listen()
+        host, port = other.getsockname()
+        address = f"{host}:{port}"
+        sender.send("b", address, HandOverAccepted(7))
+        with gevent.Timeout(30):
+            connection, _ = other.accept()
+            connection.sendall(b"HTTP/1.1 400 Bad Request\r\n\r\n" * 4)
+            with suppress(ConnectionResetError):
+                while connection.recv(1024):
+                    pass
+        other.close()
+        connection.close()
+        settings = parse_settings(
+            (SETTINGS % "e").replace(
+                'peer_address: "127.0.0.1:0"', f'peer_address: "{address}"'
+            )
+        ).unwrap()
+        late = peer_task(settings, 9, HybridClock(), self.received.append)
+        with late, patch.object(peers, "RENEW_AFTER_S", 0.5), gevent.Timeout(30):
+            while not self.received:
+                sender.send("b", address, HandOverAccepted(7))
+                gevent.sleep(0.01)
+
     def test_traffic_is_counted_and_shown(self):
         sender, receiver = self.tasks[:2]
         self.send_until_received(receiver)
--- a/endivepick/tests/promises/_disturbed.py
+++ b/endivepick/tests/promises/_disturbed.py
@@ -61,12 +61,19 @@
     return gevent.get_hub().threadpool.apply(function, arguments, named)
 
 
-def wait(condition: Callable[[], Any], what: str) -> Any:
-    """Wait for a condition while the callers' tasks go on; return its value."""
-    with gevent.Timeout(_WAIT_S, TimeoutError(f"waited {_WAIT_S} s for: {what}")):
+def wait(
+    condition: Callable[[], Any], what: str, state: Callable[[], Any] | None = None
+) -> Any:
+    """Wait for a condition while the callers' tasks go on; return its value.
+
+    If it does not hold in time, the error tells ``state`` as well.
+    """
+    with gevent.Timeout(_WAIT_S, False):
         while not (value := condition()):
             gevent.sleep(_POLL_S)
-    return value
+        return value
+    found = f"; found {state()}" if state else ""
+    raise TimeoutError(f"waited {_WAIT_S} s for: {what}{found}")
 
 
 @dataclass(frozen=True)
@@ -131,6 +138,8 @@
         self.spray(None)
         self.disturb_fabric()
         in_thread(self.cluster.heal)
+        for name in self.cluster.leaving:
+            self.finish_stop(name)
         names = {plan.name for plan in self.cluster.shape.instances}
         missing = sorted(names - set(self.cluster.instances))
         if missing:
@@ -139,12 +148,25 @@
     def _wait_healthy(self) -> None:
         """Wait until all see each other, and all targets have passed their trials."""
         names = set(self.cluster.instances)
-        wait(lambda: all(self._sees_all(name, names) for name in names), "instances")
+        wait(
+            lambda: all(self._sees_all(name, names) for name in names),
+            "instances",
+            self._views,
+        )
         caller = self.new_caller()
         for service in (SESSIONS, EXPORTS):
             flows = [self.open(caller, service) for _ in range(2)]
             wait(lambda flows=flows: self._serve_fully(flows), "targets to be ready")
 
+    def _views(self) -> dict[str, list[str]]:
+        """Return what each instance says of itself and of the others."""
+        views = {}
+        for name in self.cluster.instances:
+            status = self.status(name)
+            seen = [f"{p['name']} {p['state']} {p['ready']}" for p in status["peers"]]
+            views[name] = [status["state"], *seen]
+        return views
+
     def _sees_all(self, name: str, names: set[str]) -> bool:
         peers = self.status(name)["peers"]
         alive = {p["name"] for p in peers if p["state"] == "alive" and p["ready"]}
@@ -228,6 +250,14 @@
         """Begin the planned stop of an instance."""
         in_thread(self.cluster.begin_stop, name)
 
+    def begin_stop_unaccepted(self, name: str, successor: str) -> None:
+        """Begin a planned stop; what the successor answers does not come through."""
+        # Paused meanwhile, it cannot suspect the successor before it chooses it.
+        self.cluster.freeze_instance(name)
+        self.add_rule("blackhole", source=successor, route=f"peer:{name}")
+        self.begin_stop(name)
+        self.cluster.thaw_instance(name)
+
     def finish_stop(self, name: str) -> int:
         """Wait for its end; returns the exit status."""
         return int(in_thread(self.cluster.finish_stop, name))
--- a/endivepick/tests/promises/test_point4_frozen_hand_over.py
+++ b/endivepick/tests/promises/test_point4_frozen_hand_over.py
@@ -31,9 +31,7 @@
 
     def test_giver_after_it_sent_its_flows(self):
         queued = self.queue_requests()
-        # The successor's word that it holds the flows does not come through.
-        self.add_rule("blackhole", source=self.successor, route=f"peer:{self.giver}")
-        self.begin_stop(self.giver)
+        self.begin_stop_unaccepted(self.giver, self.successor)
         self.wait_logged(self.successor, "transfer_taken")
         with self.frozen(self.giver):
             self.raw.send(queued, copies=COPIES)
--- a/endivepick/tests/promises/test_point5_owner_lost.py
+++ b/endivepick/tests/promises/test_point5_owner_lost.py
@@ -101,13 +101,9 @@
         wait(lambda: all(map(self.raw.packets, requests)), "acceptance")
         return running, works, requests
 
-    def hold_acceptance_back(self):
-        self.add_rule("blackhole", source=self.successor, route=f"peer:{self.giver}")
-
     def test_giver_killed_after_it_sent_its_flows(self):
         running, works, requests = self.queue_requests()
-        self.hold_acceptance_back()
-        self.begin_stop(self.giver)
+        self.begin_stop_unaccepted(self.giver, self.successor)
         self.wait_logged(self.successor, "transfer_taken")
         self.raw.send(requests, copies=COPIES)
         in_thread(self.cluster.kill_instance, self.giver)
@@ -119,8 +115,7 @@
 
     def test_successor_killed_after_it_took_the_flows(self):
         running, works, requests = self.queue_requests()
-        self.hold_acceptance_back()
-        self.begin_stop(self.giver)
+        self.begin_stop_unaccepted(self.giver, self.successor)
         self.wait_logged(self.successor, "transfer_taken")
         self.raw.send(requests, copies=COPIES)
         in_thread(self.cluster.kill_instance, self.successor)
@@ -133,8 +128,7 @@
 
     def test_hand_over_that_is_sent_again_and_again(self):
         running, works, requests = self.queue_requests()
-        self.hold_acceptance_back()
-        self.begin_stop(self.giver)
+        self.begin_stop_unaccepted(self.giver, self.successor)
         self.wait_logged(self.successor, "transfer_taken")
         # The successor runs them while the giver still asks it to take them.
         for work in works:
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -150,6 +150,11 @@
 
     # Instances.
 
+    @property
+    def leaving(self) -> set[str]:
+        """Instances whose planned stop has begun and was not waited for."""
+        return set(self._leaving)
+
     @property
     def fabric_address(self) -> str:
         """Address that callers send to."""
