Deal the rows of a zone's status to groups of bounded size

Change: above 32 instances a zone's instances are dealt to groups by rendezvous hash, each with an object and a writer of its own. The zone's object keeps the records, and of more than 64 only those not in force or refused; in_force_up_to says up to which version all others are. A writer pays for its bytes by waiting. A new writer keeps the rows of instances that it has not heard from. The rotation of keys takes the highest report of an instance that stands in two objects.

Not yet shown: failures of writers in a zone with groups.

--- a/endivepick/bench/_capacity_lines.py
+++ b/endivepick/bench/_capacity_lines.py
@@ -14,7 +14,7 @@
 from endivepick.daemon.platform import LISTS_PER_S
 from endivepick.membership.settings import MembershipSettings
 from endivepick.records import cost
-from endivepick.records.settings import DisseminationSettings, StatusSettings
+from endivepick.records.settings import DisseminationSettings
 
 __all__ = ["Basis", "CapacityLine", "capacity_lines"]
 
@@ -27,8 +27,6 @@
 DIGEST_SPREAD = 1.2
 """Longest wait between two digests over the mean one."""
 WATCH_WAIT_S = 30.0
-STATUS_PERIOD_S = 1.5 * StatusSettings().write_interval_s
-PART_PERIOD_S = StatusSettings().part_expiry_s / 3
 NEWS_PER_MESSAGE = MembershipSettings().piggyback_count
 _S_PER_MS = 1e-3
 _S_PER_US = 1e-6
@@ -307,18 +305,23 @@
 
     def status_writer(self) -> Iterator[CapacityLine]:
         """Yield what the writer of a zone's status spends."""
-        role, fleet = "status writer", self._fleet
-        size = self._at_fleet("status_object_bytes")
-        yield CapacityLine(
-            role, "object of a zone", size, "B", self._limits.object_bytes
-        )
-        yield self._bytes_per_s(role, "writes", size / STATUS_PERIOD_S)
-        step_s = self._at_fleet("status_step_again_ms") * _S_PER_MS
-        yield self._share(role, "merges, without the call", step_s / STATUS_PERIOD_S)
-        call_s = self._slopes["platform_call_us"].at(size) * _S_PER_US
-        yield self._share(role, "calls", call_s / STATUS_PERIOD_S)
-        parts = self._at_fleet("part_bytes") * fleet.instances_per_zone
-        yield self._bytes_per_s(role, "parts received", parts / PART_PERIOD_S)
+        role, limit = "status writer", self._limits.object_bytes
+        for kind in ("zone", "group"):
+            size = self._at_fleet(f"status_{kind}_bytes")
+            yield CapacityLine(role, f"object of a {kind}", size, "B", limit)
+            written = self._at_fleet(f"status_{kind}_written_bytes_per_s")
+            yield self._bytes_per_s(role, f"writes of a {kind}", written)
+            step_s = self._at_fleet(f"status_{kind}_step_ms") * _S_PER_MS
+            call_s = self._slopes["platform_call_us"].at(size) * _S_PER_US
+            writes_per_s = self._status_writes_per_s(kind)
+            yield self._share(role, f"merges of a {kind}", step_s)
+            yield self._share(role, f"calls of a {kind}", call_s * writes_per_s)
+        parts = self._at_fleet("status_parts_bytes_per_s")
+        yield self._bytes_per_s(role, "parts received", parts)
+
+    def _status_writes_per_s(self, kind: str) -> float:
+        written = self._at_fleet(f"status_{kind}_written_bytes_per_s")
+        return written / self._at_fleet(f"status_{kind}_bytes")
 
     def platform_client(self) -> Iterator[CapacityLine]:
         """Yield the calls of the whole fleet."""
@@ -328,7 +331,10 @@
         lists = watchers + LISTS_PER_S
         reads = watches + lists
         yield CapacityLine(role, "reads", reads, "1/s", limits.reads_per_s)
-        writes = fleet.zones / STATUS_PERIOD_S + fleet.changes_per_s
+        groups = self._at_fleet("status_objects") - 1
+        of_zone = self._status_writes_per_s("zone")
+        of_zone += groups * self._status_writes_per_s("group")
+        writes = fleet.zones * of_zone + fleet.changes_per_s
         yield CapacityLine(role, "writes", writes, "1/s", limits.writes_per_s)
         listed = self._at_fleet("list_bytes")
         yield self._bytes_per_s("watcher", "list of instances each second", listed)
--- a/endivepick/bench/_control_slopes.py
+++ b/endivepick/bench/_control_slopes.py
@@ -6,6 +6,7 @@
 
 import time
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass, replace
 
 import msgspec
 
@@ -17,21 +18,33 @@
     record_object,
 )
 from endivepick.bench._slopes import Measured, measure, traced
-from endivepick.core.core_settings import CoreSettings
 from endivepick.core.events import InstancesListed, ObjectsChanged
 from endivepick.core.wire import Envelope, encode_envelope
+from endivepick.core.zone_status import PARTS_PER_EXPIRY
 from endivepick.daemon.metrics import DaemonMetrics
 from endivepick.daemon.status import instance_status, role_gauges
 from endivepick.membership import ListedInstance
 from endivepick.membership.peer_messages import MemberUpdate, Phase, Ping
+from endivepick.membership.view import InstanceView, PeerState
 from endivepick.platform.answers import WatchResult, read_instances
+from endivepick.records.model import Affinity, ServiceRecord
 from endivepick.records.objects import StoredObject
-from endivepick.records.peer_messages import InstanceStatus, TargetStatus
-from endivepick.records.status import StatusView, StatusWriter, WriteStatus
+from endivepick.records.peer_messages import (
+    InstanceStatus,
+    SubtreeReport,
+    TargetStatus,
+)
+from endivepick.records.roles import hash_names, zone_roles
+from endivepick.records.settings import DisseminationSettings, StatusSettings
+from endivepick.records.status import ShownRows, StatusView, StatusWriter, WriteStatus
+from endivepick.records.status_groups import status_group
 
 __all__ = ["measure_changes", "measure_fleet", "measure_lists", "measure_status"]
 
 FLEET_SIZES = (64, 512, 2_048, 8_000)
+STATUS_SIZES = (8, 64, 512, 2_048, 8_000)
+STATUS_S = 120.0
+"""How long the writers of a status write, by a clock that only counts."""
 IDLE_S = 30.0
 SETTLE_S = 12.0
 CHANGES = 20
@@ -169,45 +182,108 @@
     return measure("instance", sizes, units, _changes_once)
 
 
-def _part(fleet: Fleet, number: int, records: int) -> InstanceStatus:
+def _part(fleet: Fleet, number: int, records: int, load: int) -> InstanceStatus:
     targets = tuple(
-        TargetStatus(f"service-{number:05d}", f"target-{n}", "ready", 1, 0, 2)
+        TargetStatus(f"service-{number:05d}", f"target-{n}", "ready", load % 3, 0, 2)
         for n in range(records * fleet.targets_per_record)
     )
     return InstanceStatus("ready", 1.7e9, (1, 2), targets, 2**63 + number, 10_000_000)
 
 
+@dataclass
+class _Written:
+    """What the writer of one object wrote while a minute passed."""
+
+    size: int = 0
+    total: int = 0
+    busy_s: float = 0.0
+
+
+def _write_status(
+    writer: StatusWriter, view_at: Callable[[int], StatusView]
+) -> _Written:
+    """Let a writer write while records and load change."""
+    written = _Written()
+    writer.step(view_at(0), 0.0, 0.5)
+    writer.was_read(None)
+    for second in range(round(STATUS_S)):
+        view = view_at(second)
+        for name in view.rows(()):
+            number = int(name.rpartition("-")[2])
+            writer.note(name, _part(TWO_YEARS, number, 1, second), float(second))
+        started_s = time.process_time()
+        action = writer.step(view, float(second), 0.5)
+        written.busy_s += time.process_time() - started_s
+        if isinstance(action, WriteStatus):
+            written.size = len(msgspec.json.encode(action.body))
+            written.total += written.size
+            stored = StoredObject("status", action.name, second + 1, action.body)
+            writer.was_written(stored)
+    return written
+
+
+def _zone_views(
+    fleet: Fleet, names: Sequence[str], groups: int
+) -> Callable[[int], StatusView]:
+    """Return views of the zone's writer: each change is in force 2 s later."""
+    records = [
+        ServiceRecord(f"service-{n:05d}", n + 1, 2, "", Affinity.FLOW, ())
+        for n in range(fleet.records)
+    ]
+    names_hash = hash_names(names)
+
+    def view_at(second: int) -> StatusView:
+        start = round(second * fleet.changes_per_s)
+        for change in range(start, round((second + 1) * fleet.changes_per_s)):
+            at = change % fleet.records
+            version = fleet.records + change + 1
+            records[at] = replace(records[at], version=version)
+        reported = fleet.records + round((second - 2) * fleet.changes_per_s)
+        report = SubtreeReport(reported, len(names), names_hash)
+        shown = ShownRows((), names, groups) if groups else ShownRows()
+        return StatusView(list(records), report, names, {}, shown)
+
+    return view_at
+
+
 def _status_once(instances: int) -> dict[str, float]:
-    """Let the writer of a zone write, with the zone's share of the targets."""
+    """Let the writers of a zone write, with the zone's share of the targets."""
     fleet = TWO_YEARS.scaled(instances)
-    node = DrivenNode(fleet)
-    node.join()
+    settings = StatusSettings()
     members = [m for m in range(instances) if fleet.zone_of(m) == "zone-0"]
     names = [instance_name(number) for number in members]
-    owning = round(len(members) * min(1.0, fleet.records_per_instance))
-    writer = StatusWriter(CoreSettings("entry-00000", "zone-0").status, "zone-0")
-    for position, number in enumerate(members):
-        part = _part(fleet, number, int(position < owning))
-        writer.note(instance_name(number), part, node.now_s)
-    writer.was_read(None)
-    view = StatusView(
-        node.core.catalog.book.records(),
-        node.core.configuration.dissemination.zone_report,
-        names,
-        dict.fromkeys(names, "alive"),
+    peers = [InstanceView(name, "zone-0", 1, "", PeerState.ALIVE) for name in names]
+    roles = zone_roles("zone-0", peers, DisseminationSettings())
+    of_names = [
+        status_group(name, "zone-0", roles, settings.group_instances) for name in names
+    ]
+    found = [group for group in of_names if group is not None]
+    groups = max((group.groups for group in found), default=0)
+    zone = _write_status(
+        StatusWriter(settings, "zone-0"), _zone_views(fleet, names, groups)
     )
-    actions = []
-    first_ms = _busy_ms(lambda: actions.append(writer.step(view, node.now_s, 0.0)))
-    [action] = actions
-    assert isinstance(action, WriteStatus)
-    writer.was_written(StoredObject("status", "zone-0", 1, action.body))
-    again_ms = _busy_ms(lambda: writer.step(view, node.now_s + 5.0, 0.0))
-    body = msgspec.json.encode(action.body)
+    group, slowdown, told = zone, 1.0, len(names)
+    if found:
+        largest = max(found, key=lambda one: len(one.members))
+        report = SubtreeReport(1, len(names), 0)
+        listed = sorted(largest.members)
+        shown = ShownRows(listed, group=largest.number)
+        view = StatusView((), report, names, {}, shown)
+        slowdown, told = largest.slowdown, len(listed)
+        writer = StatusWriter(settings, "zone-0", largest.object_name, slowdown)
+        group = _write_status(writer, lambda _: view)
+    part = len(_enveloped(_part(fleet, 1, 1, 0)))
+    period_s = settings.part_expiry_s * slowdown / PARTS_PER_EXPIRY
     return {
-        "status_object_bytes": float(len(body)),
-        "status_step_ms": first_ms,
-        "status_step_again_ms": again_ms,
-        "part_bytes": float(len(_enveloped(_part(fleet, 1, 1)))),
+        "status_objects": 1.0 + groups,
+        "status_zone_bytes": float(zone.size),
+        "status_group_bytes": float(group.size),
+        "status_zone_written_bytes_per_s": zone.total / STATUS_S,
+        "status_group_written_bytes_per_s": group.total / STATUS_S,
+        "status_parts_bytes_per_s": part * (told - 1) / period_s,
+        "status_zone_step_ms": zone.busy_s * _MS / STATUS_S,
+        "status_group_step_ms": group.busy_s * _MS / STATUS_S,
+        "part_bytes": float(part),
     }
 
 
@@ -215,12 +291,21 @@
     return encode_envelope(Envelope(instance_name(1), 2**63, 2**60, message))
 
 
-def measure_status(sizes: Sequence[int] = FLEET_SIZES) -> dict[str, Measured]:
-    """Measure the status of one zone against the instances of the fleet."""
+def measure_status(sizes: Sequence[int] = STATUS_SIZES) -> dict[str, Measured]:
+    """Measure the status of one zone against the instances of the fleet.
+
+    The group is the zone's largest; in a zone without groups its figures are those
+    of the zone's object.
+    """
     units = {
-        "status_object_bytes": "B",
-        "status_step_ms": "ms",
-        "status_step_again_ms": "ms",
+        "status_objects": "objects",
+        "status_zone_bytes": "B",
+        "status_group_bytes": "B",
+        "status_zone_written_bytes_per_s": "B/s",
+        "status_group_written_bytes_per_s": "B/s",
+        "status_parts_bytes_per_s": "B/s",
+        "status_zone_step_ms": "ms",
+        "status_group_step_ms": "ms",
         "part_bytes": "B",
     }
     return measure("instance", sizes, units, _status_once)
--- a/endivepick/cli/main.py
+++ b/endivepick/cli/main.py
@@ -240,7 +240,7 @@
         )
         show_timeline(logs, options, out)
 
-    def status(self, json: bool = False, platform: str = "") -> None:
+    def status(self, json: bool = False, platform: str = "", rows: int = 100) -> None:
         """Show records by zone, targets with owner and load, and instances.
 
         A record is honoured everywhere once no zone is left under "not reached".
@@ -248,13 +248,15 @@
         Parameters
         ----------
         json : bool
-            Print JSON.
+            Print JSON, with all rows.
         platform : str
             host:port of the object API; ENDIVEPICK_PLATFORM by default.
+        rows : int
+            Rows of each table, first what needs a look; 0 for all.
         """
         from endivepick.cli.status import show_status
 
-        show_status(platform, json)
+        show_status(platform, json, rows)
 
     def version(self) -> None:
         """Print the version."""
--- a/endivepick/cli/status_view.py
+++ b/endivepick/cli/status_view.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
-from typing import Any
 
 import msgspec
 
@@ -45,9 +44,15 @@
 class _ZoneStatus(msgspec.Struct, frozen=True):
     """Body of a status object; fields that are not known here are left out."""
 
+    zone: str = ""
+    group: int = 0
+    groups: int = 0
+    in_force_up_to: int = 0
     records: dict[str, _RecordPart] = {}
     instances: dict[str, _InstancePart] = {}
     targets: dict[str, _TargetPart] = {}
+    more_instances: int = 0
+    more_targets: int = 0
 
 
 @dataclass(frozen=True)
@@ -131,16 +136,32 @@
     cut off or gone leaves its last one behind.
     """
     oldest_first = sorted(sources.statuses, key=lambda stored: stored.version)
-    zones = {stored.name: _zone_status(stored) for stored in oldest_first}
+    objects = [(stored.name, _zone_status(stored)) for stored in oldest_first]
+    zones = {name: status for name, status in objects if not status.group}
+    parts = list(_parts(objects, zones))
     listed_zones = {instance.zone for instance in sources.instances}
     expected = sorted(listed_zones or zones)
     return SystemView(
         [_record_row(stored, zones, expected) for stored in _by_name(sources.services)],
-        list(_target_rows(sources.services, zones)),
-        list(_instance_rows(sources, zones)),
+        list(_target_rows(sources.services, parts)),
+        list(_instance_rows(sources, parts)),
     )
 
 
+def _parts(
+    objects: Iterable[tuple[str, _ZoneStatus]], zones: Mapping[str, _ZoneStatus]
+) -> Iterable[tuple[str, _ZoneStatus]]:
+    """Yield the objects with rows that count, each with the name of its zone.
+
+    Those of groups that the zone no longer has are left behind in the platform.
+    """
+    for name, status in objects:
+        if not status.group:
+            yield name, status
+        elif status.group <= zones.get(status.zone, status).groups:
+            yield status.zone, status
+
+
 def _by_name(objects: Sequence[StoredObject]) -> list[StoredObject]:
     return sorted(objects, key=lambda stored: stored.name)
 
@@ -160,18 +181,25 @@
     for zone in expected:
         status = zones.get(zone, _ZoneStatus())
         part = status.records.get(stored.name, _RecordPart())
-        in_force[zone] = part.in_force
+        in_force[zone] = _in_force(stored.version, part, status.in_force_up_to)
         if part.refused is not None:
             refused[zone] = f"version {part.refused.version}: {part.refused.reason}"
     behind = [zone for zone, version in in_force.items() if version < stored.version]
     return RecordRow(stored.name, stored.version, in_force, behind, refused)
 
 
+def _in_force(accepted: int, part: _RecordPart, floor: int) -> int:
+    """Return the version in force; a long list has no row for what is in force."""
+    if part.refused is None and accepted <= floor:
+        return max(accepted, part.in_force)
+    return part.in_force
+
+
 def _target_rows(
-    services: Sequence[StoredObject], zones: Mapping[str, _ZoneStatus]
+    services: Sequence[StoredObject], parts: Sequence[tuple[str, _ZoneStatus]]
 ) -> Iterable[TargetRow]:
     reports = {
-        name: part for status in zones.values() for name, part in status.targets.items()
+        name: part for _, status in parts for name, part in status.targets.items()
     }
     for stored in _by_name(services):
         record = parse_service(stored.name, stored.version, stored.body or {})
@@ -190,14 +218,10 @@
 
 
 def _instance_rows(
-    sources: StatusSources, zones: Mapping[str, _ZoneStatus]
+    sources: StatusSources, parts: Sequence[tuple[str, _ZoneStatus]]
 ) -> Iterable[InstanceRow]:
     listed = {instance.name: instance for instance in sources.instances}
-    reported: dict[str, tuple[str, Any]] = {
-        name: (zone, part)
-        for zone, status in zones.items()
-        for name, part in status.instances.items()
-    }
+    reported = _reported_instances(parts)
     for name in sorted(listed.keys() | reported.keys()):
         zone, part = reported.get(name, ("", _InstancePart()))
         state = part.state
@@ -209,3 +233,21 @@
         started_s = part.started_at_s
         age_s = None if started_s is None else max(0.0, sources.now_s - started_s)
         yield InstanceRow(name, zone, state, age_s)
+
+
+def _reported_instances(
+    parts: Sequence[tuple[str, _ZoneStatus]],
+) -> dict[str, tuple[str, _InstancePart]]:
+    """Return zone and newest row of each instance.
+
+    While writers disagree about the groups, an instance stands in two objects; a row
+    that it told itself goes before one that only says that others believe in it.
+    """
+    reported: dict[str, tuple[str, _InstancePart]] = {}
+    for zone, status in parts:
+        for name, part in status.instances.items():
+            known = reported.get(name)
+            told = part.started_at_s is not None
+            if known is None or told or known[1].started_at_s is None:
+                reported[name] = (zone, part)
+    return reported
--- a/endivepick/core/instance.py
+++ b/endivepick/core/instance.py
@@ -153,6 +153,9 @@
             self._begin_stop,
         )
         sources = InstanceSources(
+            settings.status,
+            settings.name,
+            settings.zone,
             incarnation,
             now_s,
             self.membership,
--- a/endivepick/core/key_rotator.py
+++ b/endivepick/core/key_rotator.py
@@ -203,7 +203,7 @@
             return []
         if listed is None:
             return self._wait("Wait until the platform's list was read.")
-        held = dict(_versions_held(statuses))
+        held = _versions_held(statuses)
         view = _possibly_alive(self._sources.view, listed)
         allowed = may_activate(keyring, self._keys.version, held, view)
         match allowed:
@@ -243,10 +243,13 @@
     return possible
 
 
-def _versions_held(
-    statuses: Iterable[StoredObject],
-) -> Iterable[tuple[tuple[str, int], int]]:
-    """Yield name and incarnation of instances with the keyring version they hold."""
+def _versions_held(statuses: Iterable[StoredObject]) -> dict[tuple[str, int], int]:
+    """Return the keyring version that each instance holds, by name and incarnation.
+
+    An instance can stand in two objects when the groups of its zone have changed. What
+    it held once it holds still, so the highest report counts.
+    """
+    held: dict[tuple[str, int], int] = {}
     for stored in statuses:
         instances = (stored.body or {}).get("instances")
         if not isinstance(instances, Mapping):
@@ -254,7 +257,9 @@
         for name, entry in instances.items():
             part = _read_part(entry)
             if part is not None:
-                yield (name, int(part.incarnation, 16)), part.keyring_version
+                key = (name, int(part.incarnation, 16))
+                held[key] = max(held.get(key, 0), part.keyring_version)
+    return held
 
 
 def _read_part(entry: Any) -> _InstancePart | None:
--- a/endivepick/core/status_sources.py
+++ b/endivepick/core/status_sources.py
@@ -1,6 +1,6 @@
 """What an instance tells about itself, its targets and its zone."""
 
-from collections.abc import Mapping, Set
+from collections.abc import Iterable, Mapping, Set
 
 from endivepick.core.catalog import Catalog
 from endivepick.core.executor import RequestExecutor
@@ -9,17 +9,27 @@
 from endivepick.membership import InstanceView, Membership
 from endivepick.records.dissemination import Dissemination
 from endivepick.records.peer_messages import InstanceStatus, TargetStatus
+from endivepick.records.roles import ZoneRoles
 from endivepick.records.schema import SCHEMA_VERSIONS
-from endivepick.records.status import StatusView
+from endivepick.records.settings import StatusSettings
+from endivepick.records.status import READY_STATE, StatusView
+from endivepick.records.status_groups import StatusGroup, shown_rows, status_group
 
 __all__ = ["InstanceSources", "RotationView"]
 
+TARGETS_TOLD = 64
+"""Targets in one part, first those not ready; the others are counted."""
+
 
 class InstanceSources:
     """Collects the status from the parts of the core.
 
     Parameters
     ----------
+    settings : StatusSettings
+        Size of groups.
+    name, zone : str
+        Name and availability zone of this instance.
     incarnation : int
         Incarnation of this instance.
     started_at_s : float
@@ -40,6 +50,9 @@
 
     def __init__(
         self,
+        settings: StatusSettings,
+        name: str,
+        zone: str,
         incarnation: int,
         started_at_s: float,
         membership: Membership,
@@ -49,6 +62,9 @@
         executor: RequestExecutor,
         lifecycle: Lifecycle,
     ) -> None:
+        self._settings = settings
+        self._name = name
+        self._zone = zone
         self._incarnation = incarnation
         self._started_at_s = started_at_s
         self._membership = membership
@@ -57,6 +73,7 @@
         self._roles = roles
         self._executor = executor
         self._lifecycle = lifecycle
+        self._grouped: tuple[ZoneRoles | None, StatusGroup | None] = (None, None)
 
     @property
     def status_writer(self) -> str | None:
@@ -72,13 +89,16 @@
     def own_part(self) -> InstanceStatus:
         """Return the state of this instance and of the targets that it owns."""
         targets = [t for name in self._roles.owned for t in self._targets(name)]
+        if len(targets) > TARGETS_TOLD:
+            targets.sort(key=lambda target: target.state == READY_STATE)
         return InstanceStatus(
             state=self._lifecycle.state,
             started_at_s=self._started_at_s,
             schema_versions=SCHEMA_VERSIONS,
-            targets=tuple(targets),
+            targets=tuple(targets[:TARGETS_TOLD]),
             incarnation=self._incarnation,
             keyring_version=self._catalog.keys.version,
+            more_targets=max(0, len(targets) - TARGETS_TOLD),
         )
 
     def _targets(self, service: str) -> list[TargetStatus]:
@@ -95,17 +115,40 @@
             for target in snapshot.targets
         ]
 
+    @property
+    def group(self) -> StatusGroup | None:
+        """Group of this instance; None in a zone that needs no groups."""
+        roles = self._dissemination.roles
+        if self._grouped[0] is not roles:
+            size = self._settings.group_instances
+            group = status_group(self._name, self._zone, roles, size)
+            self._grouped = (roles, group)
+        return self._grouped[1]
+
     def view(self) -> StatusView:
         """Return what is in force and who is there, in the own zone."""
-        known = self._membership.view()
-        members = [n for n in self._dissemination.zone_members() if n in known]
+        return self._view(of_group=False)
+
+    def group_view(self) -> StatusView:
+        """Return who is there, for the rows of the own group."""
+        return self._view(of_group=True)
+
+    def _view(self, of_group: bool) -> StatusView:
+        states = self._states(self._dissemination.zone_members())
+        writes_zone = self.status_writer == self._name
         return StatusView(
-            records=self._catalog.book.records(),
+            records=() if of_group else self._catalog.book.records(),
             report=self._dissemination.zone_report,
-            members=members,
-            states={name: known[name].state.value for name in members},
+            members=states.keys(),
+            states=states,
+            shown=shown_rows(self._name, states, self.group, writes_zone, of_group),
+            all_refusals=self._dissemination.names_all_refusals,
         )
 
+    def _states(self, names: Iterable[str]) -> dict[str, str]:
+        known = self._membership.view()
+        return {name: known[name].state.value for name in names if name in known}
+
 
 class RotationView:
     """What the rotation of keys is decided on.
--- a/endivepick/core/tests/test_zone_status.py
+++ b/endivepick/core/tests/test_zone_status.py
@@ -28,6 +28,7 @@
 
     def __init__(self, writer):
         self.status_writer = writer
+        self.group = None
         self.part = InstanceStatus("ready", 1.0, (2,), ())
 
     def own_part(self):
--- a/endivepick/core/zone_status.py
+++ b/endivepick/core/zone_status.py
@@ -1,4 +1,8 @@
-"""Status of a zone: each instance's part, and the one instance that writes it."""
+"""Status of a zone: each instance's part, and the instances that write them.
+
+In a large zone each group of instances has a writer of its own, and the zone's writer
+keeps the records.  An instance can be both; it makes one call at a time.
+"""
 
 from typing import Protocol
 
@@ -25,6 +29,7 @@
     StatusWriter,
     WriteStatus,
 )
+from endivepick.records.status_groups import StatusGroup
 
 __all__ = ["StatusSources", "ZoneStatus"]
 
@@ -39,12 +44,19 @@
     def status_writer(self) -> str | None:
         """Instance that writes the status of the zone; None if none may yet."""
 
+    @property
+    def group(self) -> StatusGroup | None:
+        """Group of this instance; None in a zone that needs no groups."""
+
     def own_part(self) -> InstanceStatus:
         """Return what this instance tells about itself and its targets."""
 
     def view(self) -> StatusView:
         """Return what this instance knows about the zone."""
 
+    def group_view(self) -> StatusView:
+        """Return what this instance knows about its group."""
+
 
 class ZoneStatus:
     """Sends this instance's part to the writer, or writes for the zone.
@@ -64,8 +76,12 @@
     ) -> None:
         self._settings = settings
         self._name = name
+        self._zone = zone
         self._sources = sources
-        self._writer = StatusWriter(settings, zone)
+        self._zone_writer = StatusWriter(settings, zone)
+        self._group_writer: StatusWriter | None = None
+        self._calling = self._zone_writer
+        self._busy = False
         self._backoff = Backoff(BackoffSettings())
         self._writing = False
         self._sent: tuple[str, InstanceStatus] | None = None
@@ -74,7 +90,10 @@
 
     def note(self, sender: str, part: InstanceStatus, now_s: float) -> None:
         """Take the part of another instance."""
-        self._writer.note(sender, part, now_s)
+        # Roles may change before the part is sent again: both writers keep it.
+        self._zone_writer.note(sender, part, now_s)
+        if self._group_writer is not None:
+            self._group_writer.note(sender, part, now_s)
 
     def tick(self, random_share: float, now_s: float) -> list[Action]:
         """Do what is due.
@@ -88,26 +107,46 @@
         """
         writer = self._sources.status_writer
         if self._writing and writer != self._name:
-            self._writer.resign()
+            self._zone_writer.resign()
         self._writing = writer == self._name
         if writer is None:
             return []
+        group = self._sources.group
+        self._take_group(group)
         actions: list[Action] = []
         if now_s >= self._next_look_s:
             self._next_look_s = now_s + self._settings.write_interval_s
-            actions += self._tell(writer, now_s)
-        if self._writing:
-            actions += self._write(random_share, now_s)
-        return actions
-
-    def _tell(self, writer: str, now_s: float) -> list[Action]:
+            actions += self._tell(writer, group, now_s)
+        return actions + self._write(random_share, now_s)
+
+    def _take_group(self, group: StatusGroup | None) -> None:
+        """Begin or end to write for the group."""
+        if group is None or group.writer != self._name:
+            self._group_writer = None
+            return
+        writer = self._group_writer
+        known = writer and (writer.name, writer.slowdown)
+        if known != (group.object_name, group.slowdown):
+            self._group_writer = StatusWriter(
+                self._settings, self._zone, group.object_name, group.slowdown
+            )
+            # What was sent to this instance before it knew of its role.
+            self._zone_writer.hand_parts(self._group_writer)
+
+    def _tell(
+        self, zone_writer: str, group: StatusGroup | None, now_s: float
+    ) -> list[Action]:
         """Send the part if it changed, or before the last one expires."""
+        writer = group.writer if group else zone_writer
+        if writer is None:
+            return []
         part = self._sources.own_part()
         if writer == self._name:
-            self._writer.note(writer, part, now_s)
+            self.note(writer, part, now_s)
             return []
         news = (writer, _without_load(part))
-        repeat_s = self._settings.part_expiry_s / PARTS_PER_EXPIRY
+        slowdown = group.slowdown if group else 1.0
+        repeat_s = self._settings.part_expiry_s * slowdown / PARTS_PER_EXPIRY
         if news == self._sent and now_s - self._sent_at_s < repeat_s:
             return []
         self._sent = news
@@ -115,11 +154,20 @@
         return [SendToPeer(writer, part)]
 
     def _write(self, random_share: float, now_s: float) -> list[Action]:
-        if not self._writer.due(now_s):
+        if self._busy:
             return []
-        action = self._writer.step(self._sources.view(), now_s, random_share)
+        action = None
+        if self._writing and self._zone_writer.due(now_s):
+            self._calling = self._zone_writer
+            view = self._sources.view()
+            action = self._zone_writer.step(view, now_s, random_share)
+        writer = self._group_writer
+        if action is None and writer and writer.due(now_s):
+            self._calling = writer
+            action = writer.step(self._sources.group_view(), now_s, random_share)
         if action is None:
             return []
+        self._busy = True
         return [CallPlatform(CallPurpose.STATUS, _call(action))]
 
     def answered(
@@ -136,17 +184,18 @@
         now_s : float
             Present time, in seconds.
         """
+        self._busy = False
         match answer:
             case ObjectRead(stored=stored):
-                self._writer.was_read(stored)
+                self._calling.was_read(stored)
             case ObjectWritten(stored=stored):
                 self._backoff = self._backoff.succeeded()
-                self._writer.was_written(stored)
+                self._calling.was_written(stored)
                 ids = {"record": stored.name, "version": stored.version}
                 return [Log("status", "status_written", "status written", ids)]
             case CallFailed(reason=reason):
                 self._backoff = self._backoff.failed(random_share)
-                self._writer.failed(now_s, self._backoff.wait_s)
+                self._calling.failed(now_s, self._backoff.wait_s)
                 text = "status not written"
                 return [Log("status", "status_failed", text, {"reason": reason})]
         return []
--- a/endivepick/records/cost.py
+++ b/endivepick/records/cost.py
@@ -15,7 +15,12 @@
 
 from endivepick.core.codec import encode_struct
 from endivepick.membership.view import InstanceView, PeerState
-from endivepick.records._status_body import StatusView, merge_status
+from endivepick.records._status_body import (
+    ShownRows,
+    StatusNews,
+    StatusView,
+    merge_status,
+)
 from endivepick.records._transfer import build_push
 from endivepick.records.cache import RecordCache
 from endivepick.records.model import Affinity, ServiceRecord
@@ -27,7 +32,8 @@
     TargetStatus,
 )
 from endivepick.records.roles import hash_names, zone_roles
-from endivepick.records.settings import DisseminationSettings
+from endivepick.records.settings import DisseminationSettings, StatusSettings
+from endivepick.records.status_groups import group_count
 
 __all__ = ["Fleet", "SpreadCost", "main", "spread_costs"]
 
@@ -180,21 +186,37 @@
     ]
 
 
-def status_bytes(fleet: Fleet) -> int:
-    """Return the size of the status object of one zone, as JSON."""
+def status_bytes(fleet: Fleet) -> tuple[int, int, int]:
+    """Return objects of one zone's status, and the bytes of both kinds, as JSON.
+
+    The kinds are the zone's own object and that of a group; the second is 0 if there
+    are no groups.  All records are in force but for one in a hundred.
+    """
     names = [f"entry-{n}" for n in range(ceil(fleet.instances / fleet.zones))]
+    late = ceil(fleet.records / 100)
     records = [
-        ServiceRecord(f"service-{n}", BIG_REVISION, 2, "", Affinity.FLOW, ())
+        ServiceRecord(
+            f"service-{n}", BIG_REVISION + (n < late), 2, "", Affinity.FLOW, ()
+        )
         for n in range(fleet.records)
     ]
     report = SubtreeReport(BIG_REVISION, len(names), hash_names(names))
-    view = StatusView(records, report, names, {})
+    groups = group_count(len(names), StatusSettings().group_instances)
+    of_group = names[: ceil(len(names) / groups)] if groups else names
     owned = ceil(fleet.records / fleet.instances)
     parts = {
         name: InstanceStatus("ready", 1.7e9, (1, 2), _owned(name, owned, fleet.targets))
-        for name in names
+        for name in of_group
     }
-    return len(msgspec.json.encode(merge_status("kagoshima", {}, view, parts)))
+    shown = ShownRows((), names, groups) if groups else ShownRows()
+    zone = StatusView(records, report, names, {}, shown)
+    news = StatusNews({} if groups else parts)
+    zone_bytes = len(msgspec.json.encode(merge_status("kagoshima", {}, zone, news)))
+    if not groups:
+        return 1, zone_bytes, 0
+    group = StatusView((), report, names, {}, ShownRows(of_group, group=1))
+    body = merge_status("kagoshima", {}, group, StatusNews(parts))
+    return 1 + groups, zone_bytes, len(msgspec.json.encode(body))
 
 
 def _owned(name: str, services: int, targets: int) -> tuple[TargetStatus, ...]:
@@ -278,7 +300,8 @@
     print(f"digest {digest_bytes()} B, push of 7 targets {push_bytes(7)} B")
     for fleet in (*TODAY, LARGE, PEAK):
         print(f"{fleet.name}: {fleet.changes_per_s:.5f} changes/s")
-        print(f"  status object of a zone: {status_bytes(fleet)} B")
+        objects, zone, group = status_bytes(fleet)
+        print(f"  status of a zone: {objects} objects, {zone} B and {group} B a group")
         for cost in spread_costs(fleet, settings):
             print(
                 f"  {cost.way:30} {cost.platform_calls_per_s:9.2f} calls/s"
--- a/endivepick/records/dissemination.py
+++ b/endivepick/records/dissemination.py
@@ -103,6 +103,11 @@
         own = own_report(self._name, self._cache.revision, self._refused)
         return self._subscribers.joined(own)
 
+    @property
+    def names_all_refusals(self) -> bool:
+        """Whether no refused record was left out of the report for its length."""
+        return len(self.zone_report.refused) < self._settings.refused_records
+
     def zone_members(self) -> tuple[str, ...]:
         """Return all instances of the zone that are not believed dead."""
         return self._roles.ranked + self._roles.others
--- a/endivepick/records/peer_messages.py
+++ b/endivepick/records/peer_messages.py
@@ -204,6 +204,8 @@
         Incarnation of the instance.
     keyring_version : int
         Version of the keyring that it holds; 0 for none.
+    more_targets : int
+        Targets that it owns and that were left out for the length of the message.
     """
 
     state: str
@@ -212,6 +214,7 @@
     targets: tuple[TargetStatus, ...]
     incarnation: int = 0
     keyring_version: int = 0
+    more_targets: int = 0
 
 
 RecordsMessage = (
--- a/endivepick/records/settings.py
+++ b/endivepick/records/settings.py
@@ -58,7 +58,14 @@
         Shortest time between two writes, in seconds.
     part_expiry_s : float
         Age at which an instance's part is dropped, in seconds.
+    write_bytes_per_s : float
+        Bytes that one writer writes in a second, on average at most.
+    group_instances : int
+        Instances of a zone above which their rows are dealt to several objects,
+        and instances of one of those objects on average.
     """
 
     write_interval_s: float = 1.0
     part_expiry_s: float = 10.0
+    write_bytes_per_s: float = 1000.0
+    group_instances: int = 32
--- a/endivepick/records/status.py
+++ b/endivepick/records/status.py
@@ -1,14 +1,22 @@
 """Status of a zone: what is accepted, and what is in force everywhere.
 
-One instance of the zone writes it, at a bounded rate and only on change.  It
-reads the present object first and keeps the fields that it does not know.
+One instance writes each object, at a bounded rate and only on change.  It reads the
+present object first and keeps the fields that it does not know.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
+import msgspec
+
 from endivepick.records._status_body import (
+    READY_STATE,
+    RECORD_ROWS,
+    ShownRows,
+    StatusNews,
     StatusView,
+    floor_of,
     merge_status,
     same_status,
 )
@@ -16,12 +24,20 @@
 from endivepick.records.peer_messages import InstanceStatus
 from endivepick.records.settings import StatusSettings
 
-__all__ = ["ReadStatus", "StatusAction", "StatusView", "StatusWriter", "WriteStatus"]
+__all__ = [
+    "READY_STATE",
+    "ReadStatus",
+    "ShownRows",
+    "StatusAction",
+    "StatusView",
+    "StatusWriter",
+    "WriteStatus",
+]
 
 
 @dataclass(frozen=True)
 class ReadStatus:
-    """Read the status object of the zone, then call ``was_read``."""
+    """Read the status object, then call ``was_read``."""
 
     name: str
 
@@ -33,7 +49,7 @@
     Attributes
     ----------
     name : str
-        Name of the object, the zone's.
+        Name of the object.
     body : dict
         Content without a write id; the caller adds a unique one.
     if_version : int
@@ -49,7 +65,7 @@
 
 
 class StatusWriter:
-    """Decides when to read and write the status of a zone.
+    """Decides when to read and write one object of a zone's status.
 
     Parameters
     ----------
@@ -57,23 +73,46 @@
         Rate.
     zone : str
         The zone.
+    name : str
+        Name of the object; empty for the zone's own.
+    slowdown : float
+        Factor on all intervals.
     """
 
     kind = STATUS_KIND
 
-    def __init__(self, settings: StatusSettings, zone: str) -> None:
+    def __init__(
+        self,
+        settings: StatusSettings,
+        zone: str,
+        name: str = "",
+        slowdown: float = 1.0,
+    ) -> None:
         self._settings = settings
         self._zone = zone
+        self.name = name or zone
+        self.slowdown = slowdown
+        self._interval_s = settings.write_interval_s * slowdown
+        self._expiry_s = settings.part_expiry_s * slowdown
         self._parts: dict[str, tuple[float, InstanceStatus]] = {}
+        self._earlier: dict[str, int] = {}
         self._base: StoredObject | None = None
         self._known = False
         self._busy = False
         self._due_s = 0.0
+        self._read_s = 0.0
 
     def note(self, sender: str, part: InstanceStatus, now_s: float) -> None:
         """Take an instance's part of the status."""
+        if sender not in self._parts:
+            # Who does not write never comes to ``step``.
+            self._drop_expired(now_s)
         self._parts[sender] = (now_s, part)
 
+    def hand_parts(self, other: "StatusWriter") -> None:
+        """Give another writer the parts that are held here."""
+        other._parts.update(self._parts)
+
     def due(self, now_s: float) -> bool:
         """Tell whether ``step`` may have something to do."""
         return not self._busy and now_s >= self._due_s
@@ -94,20 +133,42 @@
         """
         if not self.due(now_s):
             return None
-        oldest_s = now_s - self._settings.part_expiry_s
-        parts = self._parts.items()
-        self._parts = {name: part for name, part in parts if part[0] > oldest_s}
-        self._due_s = now_s + self._settings.write_interval_s * (1 + random_share)
+        self._due_s = now_s + self._interval_s * (1 + random_share)
         if not self._known:
             self._busy = True
-            return ReadStatus(self._zone)
-        base = self._base.body if self._base else None
-        fresh = {name: part for name, (_, part) in self._parts.items()}
-        body = merge_status(self._zone, base or {}, view, fresh)
+            self._read_s = now_s
+            return ReadStatus(self.name)
+        base: Mapping[str, Any] = (self._base.body if self._base else None) or {}
+        body = merge_status(self._zone, base, view, self._news(now_s))
+        self._remember(view, floor_of(body))
         if same_status(base, body):
             return None
+        size = len(msgspec.json.encode(body))
+        paid_s = now_s + size / self._settings.write_bytes_per_s
+        self._due_s = max(self._due_s, paid_s)
         self._busy = True
-        return WriteStatus(self._zone, body, self._base.version if self._base else 0)
+        return WriteStatus(self.name, body, self._base.version if self._base else 0)
+
+    def _news(self, now_s: float) -> StatusNews:
+        self._drop_expired(now_s)
+        return StatusNews(
+            {name: part for name, (_, part) in self._parts.items()},
+            now_s - self._read_s < self._expiry_s,
+            self._earlier,
+        )
+
+    def _drop_expired(self, now_s: float) -> None:
+        oldest_s = now_s - self._expiry_s
+        parts = self._parts.items()
+        self._parts = {name: part for name, part in parts if part[0] > oldest_s}
+
+    def _remember(self, view: StatusView, floor: int) -> None:
+        """Note the versions in force of records that have no row."""
+        if len(view.records) <= RECORD_ROWS:
+            return
+        for record in view.records:
+            if record.version <= floor:
+                self._earlier[record.name] = record.version
 
     def resign(self) -> None:
         """Forget the object: another instance writes now."""
--- a/endivepick/settings/schema.py
+++ b/endivepick/settings/schema.py
@@ -294,6 +294,20 @@
         description="Age at which what an instance told about itself is dropped; "
         "it tells three times as often.",
     )
+    write_bytes_per_s: float = Field(
+        default=model.StatusSettings.write_bytes_per_s,
+        ge=100,
+        le=1_000_000,
+        description="Bytes a second that one instance writes into the status, on "
+        "average at most: a large object is written less often.",
+    )
+    group_instances: int = Field(
+        default=model.StatusSettings.group_instances,
+        ge=1,
+        le=500,
+        description="Instances of a zone above which their rows are dealt to "
+        "several objects of about this many; equal at all instances.",
+    )
 
 
 class KeyModel(_Group):
