Keep the rows of instances that take another one for the writer

Cause: found by a test of a zone of writers in made-up time: while half of a zone takes another instance for the writer, and that one does not write, the rows of its targets went after one expiry (test_two_halves_that_disagree_for_a_while_lose_nothing failed with 4 of 8 targets without an owner).

Ruled out: keeping a stale part as if it was fresh, which writes old load over what the other writer knows.

Change: the rows of a silent instance stay as they stand for three expiries.

--- a/endivepick/records/_status_body.py
+++ b/endivepick/records/_status_body.py
@@ -96,17 +96,25 @@
     ----------
     parts : mapping
         Fresh part of each instance that sent one, by name.
-    keep_others : bool
-        Whether rows of instances without a part stay as they are: a new writer has
-        not heard from all of them yet.
+    silent : collection of str
+        Instances whose last part is no longer fresh; they may take another instance
+        for the writer, so their rows stay as they are.
+    keep_all : bool
+        Whether the rows of all instances without a part stay as they are: a new writer
+        has not heard from all of them yet.
     earlier : mapping
         Version by which a record was last known to be in force.
     """
 
     parts: Mapping[str, InstanceStatus] = field(default_factory=dict)
-    keep_others: bool = False
+    silent: Collection[str] = ()
+    keep_all: bool = False
     earlier: Mapping[str, int] = field(default_factory=dict)
 
+    def keeps(self, name: str) -> bool:
+        """Tell whether the rows of an instance stay as they are."""
+        return name not in self.parts and (self.keep_all or name in self.silent)
+
 
 def merge_status(
     zone: str, base: Mapping[str, Any], view: StatusView, news: StatusNews
@@ -290,7 +298,7 @@
     for name in sorted(shown):
         entry = _entry(before, name)
         state = view.states.get(name, _ALIVE)
-        if not (news.keep_others and state == _ALIVE and "state" in entry):
+        if not (news.keeps(name) and state == _ALIVE and "state" in entry):
             entry["state"] = state
         if name in news.parts:
             part = news.parts[name]
@@ -307,12 +315,11 @@
     before: Mapping[str, Any], news: StatusNews, shown: set[str]
 ) -> dict[str, dict[str, Any]]:
     targets = {}
-    if news.keep_others:
-        unheard = shown - news.parts.keys()
-        for key in before:
-            entry = _entry(before, key)
-            if entry.get("owner") in unheard:
-                targets[key] = entry
+    kept = {name for name in shown if news.keeps(name)}
+    for key in before if kept else ():
+        entry = _entry(before, key)
+        if entry.get("owner") in kept:
+            targets[key] = entry
     for owner, part in news.parts.items():
         if owner not in shown:
             continue
--- a/endivepick/records/status.py
+++ b/endivepick/records/status.py
@@ -35,6 +35,10 @@
 ]
 
 
+EXPIRIES_KEPT = 3
+"""How often a part's expiry passes before the rows of a silent instance go."""
+
+
 @dataclass(frozen=True)
 class ReadStatus:
     """Read the status object, then call ``was_read``."""
@@ -151,14 +155,19 @@
 
     def _news(self, now_s: float) -> StatusNews:
         self._drop_expired(now_s)
+        oldest_s = now_s - self._expiry_s
+        fresh = {
+            name: part for name, (at_s, part) in self._parts.items() if at_s > oldest_s
+        }
         return StatusNews(
-            {name: part for name, (_, part) in self._parts.items()},
-            now_s - self._read_s < self._expiry_s,
-            self._earlier,
+            parts=fresh,
+            silent=self._parts.keys() - fresh.keys(),
+            keep_all=now_s - self._read_s < self._expiry_s,
+            earlier=self._earlier,
         )
 
     def _drop_expired(self, now_s: float) -> None:
-        oldest_s = now_s - self._expiry_s
+        oldest_s = now_s - EXPIRIES_KEPT * self._expiry_s
         parts = self._parts.items()
         self._parts = {name: part for name, part in parts if part[0] > oldest_s}
 
