Test the bounds of a zone's status and its groups

The test double of a zone's sources got the group and its view: its protocol has grown.

Ruled out: cutting the JSON output too; scripts join it by name.

--- a/endivepick/cli/main.py
+++ b/endivepick/cli/main.py
@@ -240,7 +240,7 @@
         )
         show_timeline(logs, options, out)
 
-    def status(self, json: bool = False, platform: str = "", rows: int = 100) -> None:
+    def status(self, json: bool = False, platform: str = "", rows: str = "100") -> None:
         """Show records by zone, targets with owner and load, and instances.
 
         A record is honoured everywhere once no zone is left under "not reached".
@@ -256,7 +256,11 @@
         """
         from endivepick.cli.status import show_status
 
-        show_status(platform, json, rows)
+        with option_values("--rows"):
+            limit = int(rows)
+            if limit < 0:
+                raise ValueError("write 0 for all rows, or how many")
+        show_status(platform, json, limit)
 
     def version(self) -> None:
         """Print the version."""
--- a/endivepick/core/tests/test_key_rotator.py
+++ b/endivepick/core/tests/test_key_rotator.py
@@ -128,6 +128,32 @@
         actions = self.answer(ObjectsRead((status,)))
         self.assertFalse([a for a in actions if isinstance(a, CallPlatform)])
 
+    def test_highest_report_counts_if_an_instance_stands_in_two_statuses(self):
+        self.add_key(2)
+        self.next_call()
+        statuses = tuple(
+            StoredObject(
+                "status",
+                name,
+                1,
+                {
+                    "instances": {
+                        "a": {
+                            "incarnation": f"{1:016x}",
+                            "keyring_version": self.version,
+                        },
+                        "b": {
+                            "incarnation": f"{self.sources.view['b'].incarnation:016x}",
+                            "keyring_version": version,
+                        },
+                    }
+                },
+            )
+            for name, version in (("any", self.version), ("any.3", self.version - 1))
+        )
+        actions = self.answer(ObjectsRead(statuses))
+        self.assertTrue([a for a in actions if isinstance(a, CallPlatform)])
+
     def test_dead_instance_blocks_as_long_as_the_platform_lists_it(self):
         self.add_key(2)
         self.sources.view["b"] = member("b", "west", 2, PeerState.DEAD)
--- a/endivepick/core/tests/test_zone_status.py
+++ b/endivepick/core/tests/test_zone_status.py
@@ -1,4 +1,5 @@
 import unittest
+from dataclasses import replace
 
 from endivepick.core.actions import CallPlatform, SendToPeer
 from endivepick.core.platform_calls import (
@@ -17,7 +18,8 @@
 )
 from endivepick.records.roles import hash_names
 from endivepick.records.settings import StatusSettings
-from endivepick.records.status import StatusView
+from endivepick.records.status import ShownRows, StatusView
+from endivepick.records.status_groups import StatusGroup
 
 MEMBERS = ("a", "b")
 SETTINGS = StatusSettings()
@@ -34,9 +36,15 @@
     def own_part(self):
         return self.part
 
+    def group_view(self):
+        view = self.view()
+        return replace(view, shown=ShownRows(MEMBERS, group=2))
+
     def view(self):
         report = SubtreeReport(5, 2, hash_names(MEMBERS))
-        return StatusView([], report, MEMBERS, {})
+        groups = self.group.groups if self.group else 0
+        shown = ShownRows((), (), groups) if groups else ShownRows()
+        return StatusView([], report, MEMBERS, {}, shown)
 
 
 class TestZoneStatus(unittest.TestCase):
@@ -126,6 +134,47 @@
         self.sources.status_writer = "a"
         self.assertIsInstance(self.call(status), ReadObject)
 
+    def grouped(self, writer):
+        status = self.status("a")
+        self.sources.group = StatusGroup("north", 2, 3, frozenset(MEMBERS), writer)
+        return status
+
+    def test_part_goes_to_the_writer_of_the_group(self):
+        status = self.grouped("b")
+        [action] = self.sent(status, SETTINGS.write_interval_s)
+        self.assertEqual(action.name, "b")
+
+    def test_writer_of_zone_and_group_makes_one_call_at_a_time(self):
+        status = self.grouped("a")
+        status.note("b", InstanceStatus("ready", 2.0, (2,), ()), self.now_s)
+        names, written = [], {}
+        for _ in range(4):
+            call = self.call(status)
+            self.assertEqual(
+                [a for a in self.tick(status) if isinstance(a, CallPlatform)], []
+            )
+            names.append(call.name)
+            if isinstance(call, ReadObject):
+                status.answered(ObjectRead(None), 0.0, self.now_s)
+            else:
+                written[call.name] = call.body
+                stored = StoredObject("status", call.name, 9, call.body)
+                status.answered(ObjectWritten(stored), 0.0, self.now_s)
+        self.assertEqual(sorted(names), ["north", "north", "north.2", "north.2"])
+        self.assertEqual(written["north"]["groups"], 3)
+        self.assertEqual(written["north"]["instances"], {})
+        self.assertEqual(sorted(written["north.2"]["instances"]), ["a", "b"])
+
+    def test_who_no_longer_writes_for_the_group_reads_before_it_writes_again(self):
+        status = self.grouped("a")
+        self.sources.status_writer = "c"
+        self.assertEqual(self.call(status), ReadObject("status", "north.2"))
+        status.answered(ObjectRead(None), 0.0, self.now_s)
+        known, self.sources.group = self.sources.group, None
+        self.tick(status)
+        self.sources.group = known
+        self.assertEqual(self.call(status), ReadObject("status", "north.2"))
+
     def test_nothing_is_written_without_a_configuration(self):
         status = self.status(None)
         actions = [action for _ in range(100) for action in self.tick(status)]
