--- a/endivepick/cli/tests/test_status_cluster.py
+++ b/endivepick/cli/tests/test_status_cluster.py
@@ -2,6 +2,7 @@
 import unittest
 
 from endivepick.cli.tests.support import run_command
+from endivepick.records import STATUS_KIND
 from standins.cluster import ClusterSettings, cluster
 from standins.process import wait_until
 from standins.shapes import SMALL
@@ -10,9 +11,13 @@
 class StatusOfAClusterTest(unittest.TestCase):
     """What operators see of real instances, by what these write themselves."""
 
+    instance_settings = {}
+
     @classmethod
     def setUpClass(cls):
-        settings = ClusterSettings(SMALL, faults=True)
+        settings = ClusterSettings(
+            SMALL, faults=True, instance_settings=cls.instance_settings
+        )
         cls.cluster = cls.enterClassContext(cluster(settings))
 
     def view(self):
@@ -68,3 +73,40 @@
             lambda: not self.record("exports")["not_reached"],
             "the healed zone to report the new version",
         )
+
+
+class StatusOfAGroupedClusterTest(StatusOfAClusterTest):
+    """The same with the instances of each zone dealt to groups."""
+
+    instance_settings = {"status": {"group_instances": 1}}
+
+    def test_rows_stand_in_objects_of_groups(self):
+        def names():
+            return {
+                name
+                for name in ("north", "north.1", "north.2", "north.3")
+                if self.cluster.platform.get(STATUS_KIND, name)
+            }
+
+        wait_until(lambda: "north" in names() and len(names()) > 1, "two objects")
+
+    def test_instances_that_die_are_followed_as_writers(self):
+        def ready():
+            rows = self.view()["instances"]
+            return {row["instance"] for row in rows if row["state"] == "ready"}
+
+        everyone = set(self.cluster.instances)
+        wait_until(lambda: ready() == everyone, "all instances in the status")
+        for name in ("north-1", "north-2"):
+            self.cluster.kill_instance(name)
+            left = set(self.cluster.instances)
+            wait_until(lambda left=left: ready() == left, "the others, and only these")
+            wait_until(
+                lambda: all(
+                    row["owner"] in self.cluster.instances
+                    for row in self.view()["targets"]
+                ),
+                "the owners of all targets",
+            )
+            self.cluster.start_instance(name)
+            wait_until(lambda: ready() == everyone, "the replacement in the status")
