--- a/endivepick/records/tests/test_status_bounds.py
+++ b/endivepick/records/tests/test_status_bounds.py
@@ -120,6 +120,23 @@
         body = merge_status("thamel", {}, view(), StatusNews({"entry-3": part}))
         self.assertEqual(sorted(body["instances"]), ["entry-3"])
 
+    def test_object_of_a_group_keeps_fields_of_a_newer_build(self):
+        shown = ShownRows(("entry-3",), group=4)
+        base = {
+            "schema_version": 9,
+            "weather": "fair",
+            "instances": {"entry-3": {"state": "ready", "since_s": 12}},
+        }
+        report = SubtreeReport(1, 1, 0)
+        of_group = StatusView((), report, MEMBERS, {}, shown)
+        part = InstanceStatus("leaving", 1.0, (2,), ())
+        news = StatusNews({"entry-3": part, "entry-9": part})
+        body = merge_status("thamel", base, of_group, news)
+        self.assertEqual((body["schema_version"], body["weather"]), (9, "fair"))
+        self.assertEqual((body["zone"], body["group"]), ("thamel", 4))
+        [row] = body["instances"].values()
+        self.assertEqual((row["state"], row["since_s"]), ("leaving", 12))
+
     def test_large_object_is_written_less_often(self):
         settings = StatusSettings()
         writer = StatusWriter(settings, "thamel")
