Wait until the giver sees its successor alive before it is held

Cause: under a load of 55 on 12 cores the first probe of a new link can take longer than its deadline of 0.25 s, so that a healthy peer is suspected for half a second right after the start (both failures in 5 runs of TestHandOver and TestFrozenHandOver: suspected 0.1 to 0.2 s before the rule that holds answers back was set). The giver then chose the third instance, and the test waited for the second.

Change: begin_stop_unaccepted waits until the giver sees the successor alive. Nothing that the tests assert has changed.

--- a/endivepick/tests/promises/_disturbed.py
+++ b/endivepick/tests/promises/_disturbed.py
@@ -252,6 +252,8 @@
 
     def begin_stop_unaccepted(self, name: str, successor: str) -> None:
         """Begin a planned stop; what the successor answers does not come through."""
+        # Right after the start a first probe may have been late.
+        wait(lambda: self._sees(name, successor, "alive"), f"{successor} to be alive")
         # Paused meanwhile, it cannot suspect the successor before it chooses it.
         self.cluster.freeze_instance(name)
         self.add_rule("blackhole", source=successor, route=f"peer:{name}")
