Measure how long changes take to be in force, with faults

Weighed: polling of /status alone gives times no finer than a round over all instances; the logs of platform and instances hold exact ones, so they are the measure, and polling only waits and watches for versions that go back. Loss on the peer links is made as TCP shows it: bytes come later, in order; dropping bytes from a proxied TCP connection would break it, which the close rule already does.

--- a/standins/_proxyconnection.py
+++ b/standins/_proxyconnection.py
@@ -2,6 +2,7 @@
 
 import collections
 import errno
+import random
 import socket
 import struct
 import time
@@ -21,6 +22,7 @@
     Delay,
     Direction,
     DropAnswers,
+    Loss,
     Route,
     Rule,
     Source,
@@ -69,6 +71,7 @@
         self._changed = Event()
         self._counted_bytes: collections.Counter[str] = collections.Counter()
         self._tasks: list[gevent.Greenlet] = []
+        self._random = random.Random(f"{source.name}:{route.name}")
 
     def apply(self, rules: list[Rule]) -> None:
         """Apply these rules from now on."""
@@ -141,7 +144,9 @@
 
     def _delay_s(self) -> float:
         delays = [a.delay_ms for a in self._actions if isinstance(a, Delay)]
-        return sum(delays) / 1000
+        losses = [a for a in self._actions if isinstance(a, Loss)]
+        repeats = [a.repeat_ms for a in losses if self._random.random() < a.share]
+        return sum(delays + repeats) / 1000
 
     def _write(
         self, direction: Direction, taker: GeventSocket, queue: "Queue[Chunk]"
--- a/standins/_proxyrules.py
+++ b/standins/_proxyrules.py
@@ -16,6 +16,7 @@
     "Delay",
     "Direction",
     "DropAnswers",
+    "Loss",
     "ProxyControl",
     "Route",
     "Rule",
@@ -50,6 +51,14 @@
     delay_ms: float
 
 
+class Loss(BorderModel):
+    """Lose this share of the chunks, each way; TCP repeats them later, in order."""
+
+    type: Literal["loss"]
+    share: float
+    repeat_ms: float = 200.0
+
+
 class DropAnswers(BorderModel):
     """Swallow the next bytes from the target and close the connection."""
 
@@ -73,7 +82,7 @@
 
 
 Action = Annotated[
-    Cut | Blackhole | Delay | DropAnswers | CloseAfterBytes,
+    Cut | Blackhole | Delay | Loss | DropAnswers | CloseAfterBytes,
     pydantic.Field(discriminator="type"),
 ]
 
--- a/standins/tests/test_faultproxy.py
+++ b/standins/tests/test_faultproxy.py
@@ -185,6 +185,16 @@
         self.assert_passes(self.pair())
         self.assert_nothing_arrives(pair.target)
 
+    def test_lost_bytes_come_later(self):
+        pair = self.pair()
+        loss = {"type": "loss", "share": 1.0, "repeat_ms": 3_600_000}
+        self.rules({"action": loss})
+        pair.source.sendall(b"late")
+        self.wait_read("to_target", 4)
+        self.assert_nothing_arrives(pair.target)
+        self.rules({"action": {**loss, "share": 0.0}})
+        self.assert_passes(self.pair())
+
     def test_dropped_answer_closes_after_the_request_arrived(self):
         self.rules({"action": {"type": "drop_answers"}})
         pair = self.pair()
--- a/standins/versions.py
+++ b/standins/versions.py
@@ -2,7 +2,7 @@
 
 import http.client
 import threading
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
@@ -13,13 +13,16 @@
 __all__ = ["InstanceVersions", "VersionWatch", "wait_in_force", "watch_versions"]
 
 _PERIOD_S = 0.2
+_STARTING = ("starting", "joining")
 
 
 @dataclass(frozen=True)
 class InstanceVersions:
     """Versions in force in one instance, by name of the record."""
 
+    name: str
     incarnation: str
+    starting: bool
     records: dict[str, int]
 
 
@@ -30,7 +33,11 @@
         return None
     if reply.status != 200:
         return None
-    return InstanceVersions(reply.body["incarnation"], reply.body["records"])
+    body = reply.body
+    starting = body["state"] in _STARTING
+    return InstanceVersions(
+        body["name"], body["incarnation"], starting, body["records"]
+    )
 
 
 def _has_version(http_address: str, record: str, version: int) -> bool:
@@ -38,9 +45,24 @@
     return versions is not None and versions.records.get(record, 0) >= version
 
 
-def wait_in_force(running: Cluster, record: str, version: int) -> None:
-    """Wait until all instances have at least this version of a record in force."""
-    waiting = {instance.http_address for instance in running.instances.values()}
+def wait_in_force(
+    running: Cluster, record: str, version: int, names: Collection[str] | None = None
+) -> None:
+    """Wait until instances have at least this version of a record in force.
+
+    Parameters
+    ----------
+    running : Cluster
+        The installation.
+    record : str
+        Name of the record.
+    version : int
+        The version.
+    names : collection of str, optional
+        Instances to wait for; all by default.
+    """
+    chosen = running.instances if names is None else names
+    waiting = {running.instances[name].http_address for name in chosen}
 
     def all_have_it() -> bool:
         done = {a for a in waiting if _has_version(a, record, version)}
@@ -52,15 +74,23 @@
 
 @dataclass
 class VersionWatch:
-    """Versions seen, and those that went back."""
+    """Versions seen, and those that went back.
 
+    With ``over_restarts`` a replacement, once it is ready, may not show less than
+    the instance before it either; that holds while somebody reachable knows.
+    """
+
+    over_restarts: bool = False
     highest: dict[tuple[str, str], int] = field(default_factory=dict)
     reverted: list[str] = field(default_factory=list)
 
     def take(self, versions: InstanceVersions) -> None:
-        """Compare with what this incarnation showed before."""
+        """Compare with what this incarnation, or this instance, showed before."""
+        if self.over_restarts and versions.starting:
+            return
+        who = versions.name if self.over_restarts else versions.incarnation
         for record, version in versions.records.items():
-            key = (versions.incarnation, record)
+            key = (who, record)
             before = self.highest.get(key, 0)
             if version < before:
                 self.reverted.append(
@@ -70,9 +100,11 @@
 
 
 @contextmanager
-def watch_versions(running: Cluster) -> Iterator[VersionWatch]:
+def watch_versions(
+    running: Cluster, over_restarts: bool = False
+) -> Iterator[VersionWatch]:
     """Read the versions of all instances again and again in a thread."""
-    watch = VersionWatch()
+    watch = VersionWatch(over_restarts=over_restarts)
     stopped = threading.Event()
 
     def run() -> None:
