--- a/endivepick/tests/test_packaging.py
+++ b/endivepick/tests/test_packaging.py
@@ -1,3 +1,4 @@
+import ast
 import tomllib
 import unittest
 from pathlib import Path
@@ -9,6 +10,18 @@
 NOT_DATA = {".py", ".pyc"}
 
 
+def imported(path):
+    """Return the modules that importing a file imports."""
+    names = set()
+    for node in ast.parse(path.read_text()).body:
+        match node:
+            case ast.Import(names=aliases):
+                names.update(alias.name for alias in aliases)
+            case ast.ImportFrom(module=module):
+                names.add(module)
+    return names
+
+
 class PackagingTest(unittest.TestCase):
     def test_wheel_holds_all_data_files(self):
         options = tomllib.loads(PROJECT.read_text())["tool"]["setuptools"]
@@ -18,3 +31,10 @@
         data = {path for path in files if path.suffix not in NOT_DATA}
         self.assertIn(PACKAGE / "timeline" / "page.html", data)
         self.assertEqual(data - packed, set())
+
+    def test_library_can_be_imported_without_the_stand_ins(self):
+        for path in PACKAGE.rglob("*.py"):
+            if "tests" in path.parts:
+                continue
+            packages = {name.partition(".")[0] for name in imported(path)}
+            self.assertNotIn("standins", packages, path)
--- a/standins/_inforcecases.py
+++ b/standins/_inforcecases.py
@@ -11,10 +11,9 @@
 from endivepick.records.roles import zone_roles
 from endivepick.records.settings import DisseminationSettings
 from standins.cluster import Cluster
-from standins.process import wait_until
 from standins.versions import wait_in_force
 
-__all__ = ["CASES", "Case", "Change", "Run", "wait_agreed"]
+__all__ = ["CASES", "Case", "Change", "Run"]
 
 PAUSE_S = 0.5
 """Longest pause between two changes, in seconds; it is drawn."""
@@ -96,21 +95,6 @@
         self.changes.append(Change(record, version, names, since_s))
 
 
-def wait_agreed(running: Cluster) -> None:
-    """Wait until all instances know that all others are ready."""
-    names = set(running.instances)
-
-    def agree() -> bool:
-        views = [one.status()["peers"] for one in running.instances.values()]
-        return all(names == _usable(view) for view in views)
-
-    wait_until(agree, "all instances to know each other")
-
-
-def _usable(peers: list[dict[str, Any]]) -> set[str]:
-    return {p["name"] for p in peers if p["ready"] and p["state"] == "alive"}
-
-
 def _change(run: Run) -> None:
     run.wait(run.write())
 
--- a/standins/in_force.py
+++ b/standins/in_force.py
@@ -17,11 +17,11 @@
 import fire
 
 from endivepick.bench.measures import LatencyHistogram
-from standins._inforcecases import CASES, PAUSE_S, Case, Change, Run, wait_agreed
+from standins._inforcecases import CASES, PAUSE_S, Case, Change, Run
 from standins.cluster import Cluster, ClusterSettings, cluster
 from standins.jsonlines import read_lines
 from standins.shapes import SHAPES
-from standins.versions import watch_versions
+from standins.versions import wait_agreed, watch_versions
 
 __all__ = ["InForceTimes", "main", "measure_case"]
 
--- a/standins/versions.py
+++ b/standins/versions.py
@@ -1,16 +1,23 @@
-"""Watches which version of each record is in force in each instance."""
+"""Watches what instances show: versions in force, and what they know of each other."""
 
 import http.client
 import threading
 from collections.abc import Collection, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from typing import Any
 
 from standins.cluster import Cluster
 from standins.endpoint import call
 from standins.process import wait_until
 
-__all__ = ["InstanceVersions", "VersionWatch", "wait_in_force", "watch_versions"]
+__all__ = [
+    "InstanceVersions",
+    "VersionWatch",
+    "wait_agreed",
+    "wait_in_force",
+    "watch_versions",
+]
 
 _PERIOD_S = 0.2
 _STARTING = ("starting", "joining")
@@ -72,6 +79,21 @@
     wait_until(all_have_it, f"{record} version {version} in force everywhere")
 
 
+def wait_agreed(running: Cluster) -> None:
+    """Wait until all instances know that all others are ready."""
+    names = set(running.instances)
+
+    def agree() -> bool:
+        views = [one.status()["peers"] for one in running.instances.values()]
+        return all(names == _usable(view) for view in views)
+
+    wait_until(agree, "all instances to know each other")
+
+
+def _usable(peers: list[dict[str, Any]]) -> set[str]:
+    return {p["name"] for p in peers if p["ready"] and p["state"] == "alive"}
+
+
 @dataclass
 class VersionWatch:
     """Versions seen, and those that went back.
