End all processes of a measurement that is ended by a signal

Cause: a measuring tool that got SIGTERM, as from timeout(1), left its installation running; the demonstration had the remedy for itself.

Change: exit_on_signal moved from the demonstration to standins.process and used by both tools.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -9,8 +9,7 @@
 import signal
 import sys
 import time
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 from typing import Any
 
 import fire
@@ -18,7 +17,7 @@
 from standins.checker import Disturbance, Promise, Report, Violation, check
 from standins.cluster import Cluster, ClusterSettings, cluster
 from standins.evidence import Evidence, read_evidence
-from standins.process import ChildProcess, wait_until
+from standins.process import ChildProcess, exit_on_signal, wait_until
 from standins.shapes import SHAPES, ServicePlan, Shape
 from standins.summary import Story, print_summary
 from standins.versions import VersionWatch, wait_in_force, watch_versions
@@ -224,20 +223,6 @@
     return report
 
 
-@contextmanager
-def _exit_on_signal() -> Iterator[None]:
-    """Let SIGTERM raise, so that the clean-up ends all processes."""
-
-    def leave(_number: int, _frame: Any) -> None:
-        sys.exit("ended by a signal")
-
-    before = signal.signal(signal.SIGTERM, leave)
-    try:
-        yield
-    finally:
-        signal.signal(signal.SIGTERM, before)
-
-
 def main(shape: str = "harada", seed: int = 1, folder: str = "") -> None:
     """Run the demonstration; exit status 1 if a promise was broken.
 
@@ -254,7 +239,7 @@
     if shape not in SHAPES:
         sys.exit(f"There is no shape {shape!r}. Use one of: {', '.join(SHAPES)}.")
     started_s = time.monotonic()
-    with _exit_on_signal():
+    with exit_on_signal():
         report = run_demo(SHAPES[shape], seed, folder)
     print(f"{'duration in seconds':<50} {time.monotonic() - started_s:.1f}")
     if not report.violations:
--- a/standins/in_force.py
+++ b/standins/in_force.py
@@ -20,6 +20,7 @@
 from standins._inforcecases import CASES, PAUSE_S, Case, Change, Run
 from standins.cluster import Cluster, ClusterSettings, cluster
 from standins.jsonlines import read_lines
+from standins.process import exit_on_signal
 from standins.shapes import SHAPES
 from standins.versions import wait_agreed, watch_versions
 
@@ -147,7 +148,7 @@
     reverted = False
     for case in _chosen(cases):
         settings = ClusterSettings(SHAPES[shape], faults=True, seed=seed)
-        with cluster(settings) as running:
+        with exit_on_signal(), cluster(settings) as running:
             figures = measure_case(running, case, seed, changes)
         reverted = reverted or bool(figures["reverted"])
         load = round(os.getloadavg()[0], 1)
--- a/standins/process.py
+++ b/standins/process.py
@@ -8,7 +8,8 @@
 import sys
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 import gevent
@@ -17,6 +18,7 @@
 __all__ = [
     "ChildProcess",
     "ProcessNotReadyError",
+    "exit_on_signal",
     "run_until_stopped",
     "wait_until",
 ]
@@ -38,6 +40,20 @@
     stopped.wait(max_life_s)
 
 
+@contextmanager
+def exit_on_signal() -> Iterator[None]:
+    """Let SIGTERM raise, so that the clean-up ends all processes."""
+
+    def leave(_number: int, _frame: Any) -> None:
+        sys.exit("ended by a signal")
+
+    before = signal.signal(signal.SIGTERM, leave)
+    try:
+        yield
+    finally:
+        signal.signal(signal.SIGTERM, before)
+
+
 def wait_until(
     condition: Callable[[], Any], what: str, timeout_s: float = READY_TIMEOUT_S
 ) -> Any:
--- a/standins/tests/test_cluster.py
+++ b/standins/tests/test_cluster.py
@@ -1,9 +1,10 @@
+import signal
 import unittest
 from dataclasses import replace
 
 from standins.cluster import ClusterSettings, cluster
 from standins.endpoint import EndpointError, call, call_ok
-from standins.process import wait_until
+from standins.process import exit_on_signal, wait_until
 from standins.shapes import HARADA, LEAVE_DESK, SMALL
 
 WITHOUT_INSTANCES = replace(SMALL, instances=())
@@ -111,6 +112,16 @@
             raise KeyError
         self.assertFalse(any(process.running for process in processes))
 
+    def test_nothing_runs_after_a_signal(self):
+        settings = ClusterSettings(WITHOUT_INSTANCES)
+        with (
+            self.assertRaises(SystemExit),
+            exit_on_signal(),
+            cluster(settings) as running,
+        ):
+            signal.raise_signal(signal.SIGTERM)
+        self.assertFalse(running.platform.process.running)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/standins/time_to_answer.py
+++ b/standins/time_to_answer.py
@@ -24,7 +24,7 @@
 from standins.cluster import Cluster, ClusterSettings, cluster
 from standins.evidence import Request, read_evidence
 from standins.jsonlines import read_lines
-from standins.process import wait_until
+from standins.process import exit_on_signal, wait_until
 from standins.shapes import SHAPES
 from standins.versions import wait_agreed
 
@@ -296,7 +296,8 @@
     """
     if shape not in SHAPES:
         sys.exit(f"There is no shape {shape!r}. Use one of: {', '.join(SHAPES)}.")
-    with cluster(ClusterSettings(SHAPES[shape], seed=seed)) as running:
+    settings = ClusterSettings(SHAPES[shape], seed=seed)
+    with exit_on_signal(), cluster(settings) as running:
         for case in _chosen(cases):
             figures = measure_case(running, case, rounds, idle_flows)
             load = round(os.getloadavg()[0], 1)
