Let an answer about the configuration repeat its question's number

Cause: readiness matched digests to its question by the peer's name alone. A digest that a peer sent to an earlier process of the same name, before newer versions arrived, counted as the peer's answer; a digest under way could also lower what a peer had answered. The instance then served an older version than the peer.

Ruled out: the receiver's incarnation in the envelope (the sender often doesn't know it yet, and what is meant for a name, as probes are, has to arrive); answers only to the newest of several numbers (a slow link would never answer in time).

Change: a digest that asks carries the incarnation as its number while the sender is not ready, and the answer repeats it. Other digests only raise what a peer is known to hold. A peer of a build that repeats nothing counts as silent: it holds the start up for ask_patience_s at most. The model no longer drops a restarted instance's messages, and a start that takes any digest for an answer is a new mutation.

--- a/endivepick/bench/_node.py
+++ b/endivepick/bench/_node.py
@@ -192,14 +192,14 @@
         match action.message:
             case Ping(sequence=sequence):
                 self.answer(action.name, Ack(sequence, [], []))
-            case ConfigDigest(reply=True):
-                self.answer(action.name, self._digest())
+            case ConfigDigest(reply=True, question=question):
+                self.answer(action.name, self._digest(question))
 
     def answer(self, name: str, message: Any) -> list[Action]:
         """Give the core a message of the peer of this name."""
         peer = self.update_of(int(name.rpartition("-")[2]))
         return self.handle(PeerMessage(peer.name, peer.incarnation, message))
 
-    def _digest(self) -> ConfigDigest:
+    def _digest(self, question: int) -> ConfigDigest:
         held = self.core.configuration.cache.digest
-        return ConfigDigest(held.root, held.revision, ready=True)
+        return ConfigDigest(held.root, held.revision, ready=True, answered=question)
--- a/endivepick/core/configuration.py
+++ b/endivepick/core/configuration.py
@@ -42,6 +42,8 @@
         How records spread.
     name, zone : str
         Name and availability zone of this instance.
+    incarnation : int
+        Random number of this process.
     membership : Membership
         Whom records can spread to.
     catalog : Catalog
@@ -68,6 +70,7 @@
         settings: DisseminationSettings,
         name: str,
         zone: str,
+        incarnation: int,
         membership: Membership,
         catalog: Catalog,
         relay: Relay,
@@ -82,7 +85,9 @@
         self._stop = stop
         self._wish = StopWish(name)
         self.cache = RecordCache()
-        self.dissemination = Dissemination(settings, name, zone, self.cache)
+        self.dissemination = Dissemination(
+            settings, name, zone, self.cache, incarnation
+        )
         self.members_dirty = True
         self._refused: tuple[RefusedRecord, ...] = ()
 
--- a/endivepick/core/instance.py
+++ b/endivepick/core/instance.py
@@ -146,6 +146,7 @@
             settings.records,
             settings.name,
             settings.zone,
+            incarnation,
             self.membership,
             self.catalog,
             self.relay,
--- a/endivepick/model/_config_node.py
+++ b/endivepick/model/_config_node.py
@@ -78,11 +78,13 @@
         Name of the instance.
     parts : ConfigParts
         Classes that it is built of.
+    incarnation : int
+        Number of this process.
     """
 
-    def __init__(self, name: str, parts: ConfigParts) -> None:
+    def __init__(self, name: str, parts: ConfigParts, incarnation: int) -> None:
         self.cache = parts.cache(kinds=(SERVICE_KIND,), max_tombstones=0)
-        self.readiness = parts.readiness(SETTINGS, name)
+        self.readiness = parts.readiness(SETTINGS, name, incarnation)
         subscribers = Subscribers(SETTINGS)
         self._exchange = Exchange(SETTINGS, self.cache, self.readiness, subscribers)
 
--- a/endivepick/model/_other_scenarios.py
+++ b/endivepick/model/_other_scenarios.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 from typing import Any
 
+import msgspec
 from returns.result import Result, Success
 
 from endivepick.core.dispatch import Decision, RequestIntent, ServiceDispatcher
@@ -22,6 +23,7 @@
 from endivepick.records._readiness import Readiness
 from endivepick.records.cache import Change, RecordCache
 from endivepick.records.objects import StoredObject
+from endivepick.records.peer_messages import ConfigDigest
 
 __all__ = ["OTHER_MUTATIONS", "OTHER_SCENARIOS"]
 
@@ -59,6 +61,14 @@
         return self.ready
 
 
+class CredulousReadiness(Readiness):
+    """A start that takes any digest for the answer to its own question."""
+
+    def heard(self, name: str, digest: ConfigDigest) -> None:
+        """Overlook which question the digest answers."""
+        super().heard(name, msgspec.structs.replace(digest, answered=self.question))
+
+
 class CarelessDispatcher(ServiceDispatcher):
     """A dispatcher that repeats every request whose connection broke."""
 
@@ -128,6 +138,13 @@
             parts=ConfigParts(readiness=HastyReadiness),
         )
     ),
+    "an answer to an earlier process of the name counts": _configuration(
+        ConfigBounds(
+            history=_NO_DELETION,
+            messages=2,
+            parts=ConfigParts(readiness=CredulousReadiness),
+        )
+    ),
     "a key is used before it is everywhere": _keys(
         KeyBounds(cuts=0, restarts=0, rules=KeyRules(may_activate=_always))
     ),
--- a/endivepick/model/configuration.py
+++ b/endivepick/model/configuration.py
@@ -2,7 +2,8 @@
 
 Two instances run the real record cache, exchange of records and readiness.  The
 platform's reads may be stale, its watch answers may come again, peer messages may
-come late, twice or never, and an instance may lose everything and start again.
+come late, twice or never, also at a later process of the receiver's name, and an
+instance may lose everything and start again.
 """
 
 from collections.abc import Iterator
@@ -102,11 +103,15 @@
 
     def initial(self) -> ConfigWorld:
         """Return the world in which nothing is known anywhere."""
-        nodes = tuple(self._fresh(index) for index in range(len(_NAMES)))
-        return ConfigWorld(nodes, (0, 0), (0, 0), 0, frozenset(), self._bounds.restarts)
+        restarts = self._bounds.restarts
+        nodes = tuple(self._fresh(index, restarts) for index in range(len(_NAMES)))
+        return ConfigWorld(nodes, (0, 0), (0, 0), 0, frozenset(), restarts)
 
-    def _fresh(self, index: int) -> int:
-        return self._nodes.number_of(ConfigNode(_NAMES[index], self._bounds.parts))
+    def _fresh(self, index: int, restarts: int) -> int:
+        # The processes of a name differ in the starts that were left to them.
+        incarnation = restarts + 1
+        node = ConfigNode(_NAMES[index], self._bounds.parts, incarnation)
+        return self._nodes.number_of(node)
 
     def steps(self, world: ConfigWorld) -> Iterator[Step]:
         """Yield every step out of a world, with its label."""
@@ -181,14 +186,13 @@
     def _restart(self, world: ConfigWorld, index: int) -> ConfigWorld:
         peer = self._nodes[world.nodes[1 - index]]
         floor = peer.version if peer.readiness.ready else 0
-        # What was meant for the process before it is lost with its connections.
-        sent = frozenset(one for one in world.sent if one[0] != index)
+        # What was meant for the process before it may still arrive.
+        restarts = world.restarts - 1
         return world._replace(
-            nodes=_replaced(world.nodes, index, self._fresh(index)),
-            sent=sent,
+            nodes=_replaced(world.nodes, index, self._fresh(index, restarts)),
             highest=_replaced(world.highest, index, 0),
             floor=_replaced(world.floor, index, floor),
-            restarts=world.restarts - 1,
+            restarts=restarts,
         )
 
     def never_reverts(self, world: ConfigWorld) -> bool:
--- a/endivepick/records/_exchange.py
+++ b/endivepick/records/_exchange.py
@@ -81,10 +81,16 @@
         """Return a digest of the cache for a peer."""
         digest = self._cache.digest
         ready = self._readiness.ready
+        question = self._readiness.question if reply and not ready else 0
         return ConfigDigest(
-            digest.root, digest.revision, ready, reply, subscribe, report
+            digest.root, digest.revision, ready, reply, subscribe, report, question
         )
 
+    def _answer(self, question: int) -> ConfigDigest:
+        digest = self._cache.digest
+        ready = self._readiness.ready
+        return ConfigDigest(digest.root, digest.revision, ready, answered=question)
+
     def take(self, sender: str, message: Any, now_s: float) -> Answers:
         """Take a message and return what it leads to."""
         limit = self._settings.delta_bytes
@@ -109,7 +115,7 @@
         messages: list[RecordsMessage] = []
         if digest.reply:
             self._subscribers.heard(sender, digest.subscribe, digest.report, now_s)
-            messages.append(self.digest())
+            messages.append(self._answer(digest.question))
         # Both sides see the other's digest; the one behind asks.
         mine = self._cache.revision
         if not agreed and digest.revision >= mine:
--- a/endivepick/records/_readiness.py
+++ b/endivepick/records/_readiness.py
@@ -14,19 +14,29 @@
     all zones.  It is ready once it got a whole configuration, from the platform
     or from a ready peer, and none of the peers that answered has a newer one.
 
+    An answer repeats the question's number.  A digest without it may be older than
+    this process: one that its predecessor of the same name asked for, or one that
+    was under way.  Such a digest is believed in what it holds, never as an answer.
+
     Parameters
     ----------
     settings : DisseminationSettings
         How many to ask and how long to wait.
     name : str
         Name of this instance.
+    question : int
+        Number that no earlier process of this name used, such as the incarnation.
     """
 
-    def __init__(self, settings: DisseminationSettings, name: str) -> None:
+    def __init__(
+        self, settings: DisseminationSettings, name: str, question: int
+    ) -> None:
         self._settings = settings
         self._name = name
+        self.question = question
         self._waiting_since_s: float | None = None
         self._asked: set[str] = set()
+        self._answered: set[str] = set()
         self._revisions: dict[str, int] = {}
         self._serving: set[str] = set()
         self._listed = False
@@ -40,8 +50,13 @@
         """Take note of a peer's digest."""
         if self.ready:
             return
-        self._asked.add(name)
-        self._revisions[name] = digest.revision
+        if digest.answered == self.question:
+            self._answered.add(name)
+            self._revisions[name] = digest.revision
+        else:
+            # Of unknown age: it shows what the peer had, not what it has now.
+            known = self._revisions.get(name, 0)
+            self._revisions[name] = max(known, digest.revision)
         if digest.ready:
             self._serving.add(name)
         else:
@@ -60,7 +75,7 @@
         if not candidates or (self._patience_over(now_s) and not useful):
             candidates += others
         ranked = rank(f"ask:{self._name}", candidates)
-        ranked.sort(key=lambda peer: peer in self._revisions)
+        ranked.sort(key=lambda peer: peer in self._answered)
         chosen = ranked[: self._settings.ask_peers]
         self._asked.update(chosen)
         return chosen
@@ -81,7 +96,7 @@
             return False
         if not self._holds_a_whole_configuration(revision):
             return False
-        silent = self._asked - self._revisions.keys()
+        silent = self._asked - self._answered
         if silent & set(reachable) and not self._patience_over(now_s):
             return False
         revisions = (
--- a/endivepick/records/dissemination.py
+++ b/endivepick/records/dissemination.py
@@ -54,16 +54,23 @@
         This instance.
     cache : RecordCache
         The configuration that it holds.
+    incarnation : int
+        Random number of this process.
     """
 
     def __init__(
-        self, settings: DisseminationSettings, name: str, zone: str, cache: RecordCache
+        self,
+        settings: DisseminationSettings,
+        name: str,
+        zone: str,
+        cache: RecordCache,
+        incarnation: int,
     ) -> None:
         self._settings = settings
         self._name = name
         self._zone = zone
         self._cache = cache
-        self._readiness = Readiness(settings, name)
+        self._readiness = Readiness(settings, name, incarnation)
         self._subscribers = Subscribers(settings)
         self._exchange = Exchange(settings, cache, self._readiness, self._subscribers)
         self._peers: dict[str, InstanceView] = {}
--- a/endivepick/records/peer_messages.py
+++ b/endivepick/records/peer_messages.py
@@ -80,6 +80,11 @@
         The receiver shall send changes for a while.
     report : SubtreeReport or None
         What the sender and its subscribers hold, for the status of the zone.
+    question : int
+        Number that the answer repeats; 0 if the sender needs no such proof.
+    answered : int
+        ``question`` of the digest that this one answers; 0 for none, also from
+        a build that does not know the field.
     """
 
     root: int
@@ -88,6 +93,8 @@
     reply: bool = False
     subscribe: bool = False
     report: SubtreeReport | None = None
+    question: int = 0
+    answered: int = 0
 
 
 class ConfigRequest(msgspec.Struct, frozen=True, array_like=True, tag=97):
--- a/endivepick/records/tests/network.py
+++ b/endivepick/records/tests/network.py
@@ -51,10 +51,10 @@
 class Node:
     """One instance: its decisions, and the watch that they asked for."""
 
-    def __init__(self, name, zone, settings):
+    def __init__(self, name, zone, settings, incarnation):
         self.name, self.zone = name, zone
         self.cache = RecordCache()
-        self.core = Dissemination(settings, name, zone, self.cache)
+        self.core = Dissemination(settings, name, zone, self.cache, incarnation)
         self.watch_after = None
         self.sent_bytes = 0
         self.deltas = 0
@@ -74,13 +74,15 @@
         self.delayed = []
         self.now_s = 0.0
         self.calls = 0
+        self.started = 0
         for zone, count in zones.items():
             for index in range(count):
                 self.start(f"{zone}-{index}", zone)
         self.refresh_members()
 
     def start(self, name, zone):
-        self.nodes[name] = Node(name, zone, self.settings)
+        self.started += 1
+        self.nodes[name] = Node(name, zone, self.settings, self.started)
 
     def refresh_members(self):
         for node in self.nodes.values():
--- a/endivepick/records/tests/test_dissemination.py
+++ b/endivepick/records/tests/test_dissemination.py
@@ -1,11 +1,15 @@
 import unittest
 from unittest.mock import patch
 
+from endivepick.core.actions import SendToPeer
 from endivepick.core.events import PeerMessage
+from endivepick.platform.answers import ObjectList
 from endivepick.records._transfer import encode_object
+from endivepick.records.cache import CACHED_KINDS
 from endivepick.records.dissemination import Dissemination
+from endivepick.records.events import ListReceived, Tick
 from endivepick.records.objects import StoredObject
-from endivepick.records.peer_messages import ConfigDelta
+from endivepick.records.peer_messages import ConfigDelta, ConfigDigest
 from endivepick.records.roles import hash_names
 from endivepick.records.settings import DisseminationSettings
 from endivepick.records.tests.network import Network
@@ -143,6 +147,35 @@
         network.run(lambda: network.nodes["thamel-0"].core.ready)
         self.assertTrue(network.in_force("leave", version))
 
+    def test_answer_to_an_earlier_process_does_not_make_ready(self):
+        """The peer answers, learns more, and its answer reaches the next process."""
+        network = Network({"thamel": 2})
+        network.store.put("sessions")
+        network.run(network.all_ready)
+        asker, peer = network.nodes.values()
+        question = ConfigDigest(0, 0, False, reply=True)
+        late = next(
+            action.message
+            for action in peer.core.handle(
+                PeerMessage(asker.name, 1, question), network.now_s
+            )
+            if isinstance(action, SendToPeer)
+        )
+        stale = ObjectList("service", 1, network.store.live("service"))
+        newest = network.store.put("sessions")
+        network.run(lambda: peer.cache.revision == newest)
+        network.start(asker.name, asker.zone)
+        started = network.nodes[asker.name].core
+        network.refresh_members()
+        started.handle(Tick(0.5), network.now_s)
+        for kind in CACHED_KINDS:
+            listed = stale if kind == stale.kind else ObjectList(kind, 1, ())
+            started.handle(ListReceived(listed), network.now_s)
+        started.handle(PeerMessage(peer.name, 1, late), network.now_s)
+        self.assertFalse(started.ready)
+        network.run(network.all_ready)
+        self.assertEqual(network.nodes[asker.name].cache.revision, newest)
+
     def test_silent_feeder_is_passed_over(self):
         network = started({"thamel": 3})
         fed = next(n for n in network.nodes.values() if not n.core.watching)
--- a/endivepick/records/tests/test_transfer.py
+++ b/endivepick/records/tests/test_transfer.py
@@ -84,7 +84,7 @@
 
 class TestReadiness(unittest.TestCase):
     def test_listed_but_older_than_a_peer_is_not_ready(self):
-        core = Dissemination(DisseminationSettings(), "a", "thamel", RecordCache())
+        core = Dissemination(DisseminationSettings(), "a", "thamel", RecordCache(), 1)
         peer = InstanceView("b", "thamel", 1, "", PeerState.ALIVE)
         core.handle(MembersChanged((peer,)), 0.0)
         core.handle(Tick(0.5), 0.0)
