--- a/endivepick/daemon/metrics.py
+++ b/endivepick/daemon/metrics.py
@@ -118,6 +118,9 @@
                 ("bytes_received", "Their encoded bytes, without encryption."),
             )
         }
+        self._dropped = self._gauge(
+            "peer_messages_dropped", "Messages of peers not read, by reason."
+        )
         self._peers = self._gauge("peers", "Peers, by state.")
         self._record_version = self._gauge(
             "record_version", "Version in force of records with a dispatcher here."
@@ -187,6 +190,8 @@
         """Show what went to and came from peers."""
         for name, gauge in self._traffic.items():
             gauge.set(_NO_LABELS, getattr(traffic, name))
+        for reason, count in traffic.dropped.items():
+            self._dropped.set({"reason": reason}, count)
 
     def render(self, accepts: Sequence[str]) -> tuple[bytes, dict[str, str]]:
         """Render all metrics.
--- a/endivepick/daemon/peers.py
+++ b/endivepick/daemon/peers.py
@@ -9,7 +9,7 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from hashlib import blake2b
 from typing import Any
 
@@ -20,6 +20,7 @@
 
 from endivepick.core.events import PeerMessage
 from endivepick.core.wire import (
+    UNKNOWN_KIND,
     AnyPeerMessage,
     Envelope,
     decode_envelope,
@@ -61,12 +62,20 @@
         Messages.
     bytes_sent, bytes_received : int
         Their encoded sizes, without encryption and the layers below.
+    dropped : dict of str to int
+        Messages of peers that could not be read, by reason.
     """
 
     messages_sent: int = 0
     messages_received: int = 0
     bytes_sent: int = 0
     bytes_received: int = 0
+    dropped: dict[str, int] = field(default_factory=dict)
+
+    def drop(self, reason: str) -> int:
+        """Count a message that could not be read; returns how many there were."""
+        self.dropped[reason] = self.dropped.get(reason, 0) + 1
+        return self.dropped[reason]
 
 
 def curve_keys(secret: bytes) -> tuple[bytes, bytes]:
@@ -166,7 +175,9 @@
         try:
             envelope = decode_envelope(data)
         except PacketInvalidError as error:
-            _log.warning("message_invalid", "message dropped", reason=error.reason)
+            # Newer builds may send many: the counter tells about the others.
+            if self.traffic.drop(error.reason) == 1 or error.reason != UNKNOWN_KIND:
+                _log.warning("message_invalid", "message dropped", reason=error.reason)
             return
         self._clock.observe(envelope.clock, time.time())
         self._deliver(
--- a/endivepick/daemon/tests/test_peers.py
+++ b/endivepick/daemon/tests/test_peers.py
@@ -3,9 +3,11 @@
 from unittest.mock import patch
 
 import gevent
+import msgspec
 import zmq
 
 from endivepick.core.peer_messages import HandOverAccepted
+from endivepick.core.wire import UNKNOWN_KIND
 from endivepick.daemon import peers
 from endivepick.daemon.metrics import DaemonMetrics
 from endivepick.daemon.peers import peer_task
@@ -48,6 +50,22 @@
                     gevent.sleep(0.01)
                 gevent.sleep(0)
 
+    def test_what_cannot_be_read_is_counted_and_ends_nothing(self):
+        sender, receiver, *_ = self.tasks
+        self.send_until_received(receiver)
+        dealer = sender._dealer(receiver._name, receiver.address)
+        unknown = msgspec.msgpack.encode(["a", 0, 0, [127, "of a newer build"]])
+        for data in (unknown, unknown, b"no envelope", b""):
+            dealer.send(data)
+        self.send_until_received(receiver)
+        self.assertEqual(
+            receiver.traffic.dropped, {UNKNOWN_KIND: 2, "malformed_peer_message": 2}
+        )
+        metrics = DaemonMetrics()
+        metrics.set_traffic(receiver.traffic)
+        shown = metrics.render([])[0].decode()
+        self.assertIn('peer_messages_dropped{reason="unknown_kind"} 2', shown)
+
     def test_the_connection_unused_for_longest_makes_room(self):
         sender, b, c, d = self.tasks
         with patch.object(peers, "CONNECTIONS_MAX", 2):
--- a/endivepick/membership/_prober.py
+++ b/endivepick/membership/_prober.py
@@ -50,7 +50,8 @@
         self._departed = departed
         self._outbox = outbox
         self._probes: dict[int, _Probe] = {}
-        self._sequence = 0
+        # Answers to an earlier process of this name must fit no probe of this one.
+        self._sequence = table.own.incarnation >> 3
         self._round: list[str] = []
         self._urgent: deque[str] = deque(maxlen=_URGENT_COUNT)
         self._dead_round: deque[str] = deque()
@@ -240,7 +241,8 @@
         del self._probes[ack.sequence]
         if member.incarnation != incarnation:
             return
-        member.last_ack_s = now_s
+        # It proves no more than that the probe's receiver was there when it came.
+        member.last_ack_s = probe.sent_s
         if probe.refutation >= 0:
             member.introduced_refutation = probe.refutation
         if probe.requester:
--- a/endivepick/membership/_sync.py
+++ b/endivepick/membership/_sync.py
@@ -9,6 +9,7 @@
 from endivepick.membership._outbox import Outbox
 from endivepick.membership._table import MemberTable
 from endivepick.membership.peer_messages import (
+    UNASKED,
     HandedOver,
     Liveness,
     MemberUpdate,
@@ -101,7 +102,8 @@
             members += self._members_in(bucket, now_s)
             handed_over += self._departed.entries_in(bucket, now_s)
             bucket += 1
-        page = SyncPage(bucket % BUCKET_COUNT, [], members, handed_over)
+        asker = request.me.incarnation
+        page = SyncPage(bucket % BUCKET_COUNT, [], members, handed_over, asker)
         self._outbox.send(sender, page)
 
     def on_page(self, now_s: float, sender: str, page: SyncPage) -> None:
@@ -115,9 +117,13 @@
             self._departed.merge(now_s, news, passed_on)
         if page.wanted:
             self._send_buckets(now_s, sender, page.wanted, wanted=[])
-        elif not self._table.own.joined:
+        elif not self._table.own.joined and self._answers_me(page):
             self._continue_join(now_s, sender, page.next_cursor)
 
+    def _answers_me(self, page: SyncPage) -> bool:
+        # An earlier process of this name may have asked for what arrives now.
+        return page.answered in (0, self._table.own.incarnation)
+
     def _continue_join(self, now_s: float, sender: str, next_cursor: int) -> None:
         if next_cursor == 0:
             self._table.own.joined = True
@@ -152,7 +158,7 @@
             members += self._members_in(bucket, now_s)
             handed_over += self._departed.entries_in(bucket, now_s)
             sent += 1
-        page = SyncPage(0, wanted[:sent], members, handed_over)
+        page = SyncPage(0, wanted[:sent], members, handed_over, UNASKED)
         self._outbox.send(to_name, page)
 
     # Entries
--- a/endivepick/membership/core.py
+++ b/endivepick/membership/core.py
@@ -12,6 +12,7 @@
 from endivepick.membership._table import MemberTable
 from endivepick.membership.actions import Action, LeaveRequested
 from endivepick.membership.peer_messages import (
+    UNASKED,
     Ack,
     HandedOver,
     MembershipMessage,
@@ -214,7 +215,7 @@
         if self._own.set_phase(Phase.STOPPED):
             self._table.own_changed()
         handed_over = self._departed.entries_of(self._own.incarnation, now_s)
-        farewell = SyncPage(0, [], [self._own.to_update()], handed_over)
+        farewell = SyncPage(0, [], [self._own.to_update()], handed_over, UNASKED)
         for name in self._table.live_names[: self._settings.piggyback_count]:
             self._outbox.send(name, farewell)
         return self._outbox.drain()
--- a/endivepick/membership/peer_messages.py
+++ b/endivepick/membership/peer_messages.py
@@ -9,6 +9,7 @@
 import msgspec
 
 __all__ = [
+    "UNASKED",
     "Ack",
     "HandedOver",
     "Liveness",
@@ -24,6 +25,8 @@
 ]
 
 
+UNASKED = 2**64 - 1
+"""Marks a page that answers no request."""
 _Counter = Annotated[int, msgspec.Meta(ge=0, lt=2**62)]
 """Number that may be increased and still fits the wire."""
 _Incarnation = Annotated[int, msgspec.Meta(ge=0)]
@@ -173,12 +176,16 @@
         Entries of the membership.
     handed_over : list of HandedOver
         Entries of the hand-overs.
+    answered : int
+        Incarnation whose ``SyncRequest`` it answers, or ``UNASKED``; 0 from a build
+        that does not tell.
     """
 
     next_cursor: _Counter
     wanted: list[int]
     members: list[MemberUpdate]
     handed_over: list[HandedOver]
+    answered: _Incarnation = 0
 
 
 class SyncDigest(msgspec.Struct, frozen=True, array_like=True, tag=70):
--- a/endivepick/membership/tests/test_membership.py
+++ b/endivepick/membership/tests/test_membership.py
@@ -21,6 +21,7 @@
 )
 from endivepick.membership._loop import Loop
 from endivepick.membership.peer_messages import (
+    UNASKED,
     Ack,
     HandedOver,
     Liveness,
@@ -33,6 +34,7 @@
     SyncPage,
     SyncRequest,
 )
+from endivepick.membership.view import InstanceView
 
 SETTINGS = MembershipSettings()
 ZONES = ("fukuoka", "kumamoto", "kagoshima")
@@ -349,6 +351,58 @@
         known = loop.me["entry-1"].incarnation
         self.assertFalse(node.is_incarnation_dead("entry-1", known))
 
+    def test_answer_that_was_under_way_does_not_find_an_incarnation_dead(self):
+        """Its sender may have started again since, as the one asked about."""
+        loop = started(2)
+        node = loop.nodes["entry-0"]
+        peer = loop.me["entry-1"]
+        ping = None
+        while ping is None:
+            loop.now_s += SETTINGS.probe_period_s
+            sent = node.tick(loop.now_s, 1)
+            ping = next(
+                (s.message for s in sent if isinstance(getattr(s, "message", 0), Ping)),
+                None,
+            )
+        self.assertFalse(node.is_incarnation_dead("entry-1", 4711))
+        ack = Ack(ping.sequence, [], [])
+        node.on_message(loop.now_s + 0.2, "entry-1", peer.incarnation, ack)
+        self.assertFalse(node.is_incarnation_dead("entry-1", 4711))
+
+    def test_answers_to_an_earlier_process_do_not_fit(self):
+        sequences = set()
+        for incarnation in (1 << 40, 2 << 40):
+            node = self.joining(incarnation)
+            sequences |= {
+                send.message.sequence
+                for tick in range(3)
+                for send in node.tick(tick, 1)
+                if isinstance(getattr(send, "message", None), Ping)
+            }
+        self.assertEqual(len(sequences), 6)
+
+    def joining(self, incarnation):
+        me = InstanceView("a", "z", incarnation, "", PeerState.ALIVE, ready=False)
+        node = Membership(SETTINGS, me, generation=1)
+        node.on_list(0.0, [ListedInstance("b", "z", "127.0.0.1:1")])
+        return node
+
+    def test_page_for_an_earlier_process_does_not_end_the_join(self):
+        node = self.joining(2 << 40)
+        node.tick(0.0, 1)
+        for answered in (1 << 40, UNASKED):
+            page = SyncPage(0, [], [random_update("b")], [], answered)
+            node.on_message(0.1, "b", 5, page)
+            self.assertFalse(node.joined)
+        node.on_message(0.2, "b", 5, SyncPage(0, [], [], [], 2 << 40))
+        self.assertTrue(node.joined)
+
+    def test_page_of_a_build_that_does_not_tell_ends_the_join(self):
+        node = self.joining(2 << 40)
+        node.tick(0.0, 1)
+        node.on_message(0.2, "b", 5, SyncPage(0, [], [], []))
+        self.assertTrue(node.joined)
+
     def test_unknown_name_counts_as_dead_only_after_a_while(self):
         loop = started()
         node = loop.nodes["entry-0"]
