--- a/endivepick/model/configuration.py
+++ b/endivepick/model/configuration.py
@@ -126,6 +126,11 @@
                     yield f"{name} {label}", changed
             if world.restarts:
                 yield f"{name} starts again", self._restart(world, index)
+                # What was meant for the process before may be lost with its
+                # connections, which leaves more new messages within the bounds.
+                kept = frozenset(one for one in world.sent if one[0] != index)
+                lost = self._restart(world._replace(sent=kept), index)
+                yield f"{name} starts again, messages to it are lost", lost
 
     def _events(self, world: ConfigWorld, index: int) -> Iterator[tuple[str, Event]]:
         if index or not self._bounds.cut_off:
@@ -186,7 +191,6 @@
     def _restart(self, world: ConfigWorld, index: int) -> ConfigWorld:
         peer = self._nodes[world.nodes[1 - index]]
         floor = peer.version if peer.readiness.ready else 0
-        # What was meant for the process before it may still arrive.
         restarts = world.restarts - 1
         return world._replace(
             nodes=_replaced(world.nodes, index, self._fresh(index, restarts)),
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -55,6 +55,8 @@
         Running targets by name.
     faults : FaultsHandle or None
         Fault proxy, if the settings ask for it.
+    builds : dict of str to str
+        Checkout that each instance runs from its next start on.
     """
 
     def __init__(self, settings: ClusterSettings, launcher: Launcher) -> None:
@@ -64,6 +66,7 @@
         self.instances: dict[str, Instance] = {}
         self.targets: dict[str, Target] = {}
         self.faults: FaultsHandle | None = None
+        self.builds = dict(settings.builds)
         self._leaving: set[str] = set()
         self._peer_addresses: dict[str, str] = {}
         self._last_ready: dict[str, dict[str, Any]] = {}
@@ -235,7 +238,10 @@
         settings = daemon_settings(self.settings, plan, self._endpoints, log, addresses)
         path = self.launcher.write_settings(plan.name, settings)
         process = self.launcher.spawn(
-            plan.name, "endivepick.daemon", [f"--settings={path}"]
+            plan.name,
+            "endivepick.daemon",
+            [f"--settings={path}"],
+            self.builds.get(plan.name, ""),
         )
         return process, log
 
--- a/standins/clustersettings.py
+++ b/standins/clustersettings.py
@@ -43,6 +43,9 @@
         Further command line flags of the targets.
     seed : int
         Seed of fabric and fault proxy.
+    builds : dict of str to str
+        Checkouts whose code instances and callers run, by their names; the others
+        run this one.
     """
 
     shape: Shape
@@ -52,6 +55,7 @@
     record_settings: dict[str, Any] = field(default_factory=dict)
     target_flags: dict[str, Any] = field(default_factory=dict)
     seed: int = 1
+    builds: dict[str, str] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -47,8 +47,8 @@
     return max(1, round(_LOAD_SHARE * slots / busy_share / CALLER_PROCESSES))
 
 
-def start_callers(running: Cluster) -> list[ChildProcess]:
-    """Start caller processes that use every service of an installation."""
+def start_callers(running: Cluster, run_s: float = _LOAD_MAX_S) -> list[ChildProcess]:
+    """Start caller processes that use every service, for ``run_s`` at most."""
     callers = []
     for number in range(1, CALLER_PROCESSES + 1):
         name = f"caller-{number}"
@@ -68,10 +68,13 @@
                 for service in running.shape.services
             ],
             "seed": running.settings.seed,
-            "run_s": _LOAD_MAX_S,
+            "run_s": run_s,
         }
         path = running.launcher.write_settings(name, settings)
-        process = running.launcher.spawn(name, "standins.load", [f"--settings={path}"])
+        build = running.builds.get(name, "")
+        process = running.launcher.spawn(
+            name, "standins.load", [f"--settings={path}"], build
+        )
         callers.append(process)
     return callers
 
--- a/standins/evidence.py
+++ b/standins/evidence.py
@@ -225,10 +225,11 @@
 
 def _leaving_of(service: str, versions: list[dict[str, Any]]) -> Iterator[Leaving]:
     """Yield the spans in which a target was draining or gone from its record."""
+    names: dict[str, str] = {}
     serving: set[str] = set()
     left_s: dict[str, float] = {}
     for write in versions:
-        now = _serving(write)
+        now = _serving(write, names)
         for target in serving - now:
             left_s[target] = write["at_s"]
         for target in now & left_s.keys():
@@ -238,8 +239,18 @@
         yield Leaving(service, target, from_s)
 
 
-def _serving(write: dict[str, Any]) -> set[str]:
+def _serving(write: dict[str, Any], names: dict[str, str]) -> set[str]:
+    """Return the targets that may get work; ``names`` keeps names by address.
+
+    Schema 1 calls a target by its address, and so does what is converted from it.
+    """
     if write["type"] == "delete":
         return set()
-    targets = write["body"].get("targets", [])
-    return {entry["name"] for entry in targets if not entry.get("draining")}
+    body = write["body"]
+    targets = body.get("targets", [])
+    if body.get("schema_version") == 1:
+        return {names.get(a, a) for a in targets if a not in body.get("drain", [])}
+    named = [entry for entry in targets if entry["name"] != entry.get("address")]
+    names |= {entry.get("address", ""): entry["name"] for entry in named}
+    serving = {entry["name"] for entry in targets if not entry.get("draining")}
+    return {names.get(name, name) for name in serving}
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -24,10 +24,12 @@
         self._processes: list[ChildProcess] = []
         self._names: dict[tuple[str, str], int] = {}
 
-    def spawn(self, name: str, module: str, arguments: list[str]) -> ChildProcess:
+    def spawn(
+        self, name: str, module: str, arguments: list[str], code_folder: str = ""
+    ) -> ChildProcess:
         """Start a process which ends with the cluster; does not wait for it."""
         errors = self.folder / self._unique(name, "err")
-        process = ChildProcess(name, module, arguments, str(errors))
+        process = ChildProcess(name, module, arguments, str(errors), code_folder)
         self._processes.append(process)
         return process
 
--- a/standins/process.py
+++ b/standins/process.py
@@ -69,10 +69,17 @@
         Command line.
     error_path : str
         File that takes its standard error.
+    code_folder : str
+        Checkout whose code it runs; empty: that of this process.
     """
 
     def __init__(
-        self, name: str, module: str, arguments: list[str], error_path: str
+        self,
+        name: str,
+        module: str,
+        arguments: list[str],
+        error_path: str,
+        code_folder: str = "",
     ) -> None:
         self.name = name
         self.error_path = error_path
@@ -83,6 +90,8 @@
                 stdin=subprocess.DEVNULL,
                 stdout=subprocess.PIPE,
                 stderr=errors,
+                # The current folder comes first where Python looks for modules.
+                cwd=code_folder or None,
             )
         self._lines: queue.Queue[bytes] = queue.Queue()
         threading.Thread(target=self._read, daemon=True).start()
--- a/standins/tests/test_checker.py
+++ b/standins/tests/test_checker.py
@@ -33,8 +33,16 @@
         common |= {"named_service": "s", "echo": echo}
         self._add("targets", at_s, event, common, fields)
 
-    def record(self, at_s, draining):
-        body = {"targets": [{"name": "t", "draining": draining}]}
+    def record(self, at_s, draining, name="t"):
+        target = {"name": name, "address": "127.0.0.1:1", "draining": draining}
+        self.record_body(at_s, {"schema_version": 2, "targets": [target]})
+
+    def record_of_schema_1(self, at_s, drain):
+        addresses = ["127.0.0.1:1"]
+        body = {"schema_version": 1, "targets": addresses, "drain": addresses * drain}
+        self.record_body(at_s, body)
+
+    def record_body(self, at_s, body):
         fields = {"type": "put", "kind": "service", "name": "s", "body": body}
         self._add("platform", at_s, "write", fields, {})
 
@@ -133,6 +141,21 @@
         self.logs.record(8.05, draining=False)
         self.assertEqual(self.broken(), [])
 
+    def test_work_on_a_target_that_schema_1_names_by_its_address(self):
+        self.logs.record(1.0, draining=False)
+        self.logs.record_of_schema_1(2.0, drain=False)
+        self.logs.record(3.0, draining=False, name="127.0.0.1:1")
+        self.logs.target(7.9, "start", echo="serves")
+        self.assertEqual(self.broken(), [])
+        self.logs.record_of_schema_1(4.0, drain=True)
+        self.assertEqual(self.broken(), [Promise.LEAVING])
+
+    def test_target_that_took_over_an_address(self):
+        self.logs.record(1.0, draining=False)
+        self.logs.record(2.0, draining=False, name="u")
+        self.logs.target(5.1, "start")
+        self.assertEqual(self.broken(), [Promise.LEAVING])
+
     def test_target_that_says_itself_that_it_drains(self):
         self.logs.target(1.0, "control", change={"drain": True})
         self.logs.target(4.1, "stream_start")
