--- a/endivepick/tests/compatibility/test_wire.py
+++ b/endivepick/tests/compatibility/test_wire.py
@@ -2,6 +2,11 @@
 
 from endivepick.core.wire import UNKNOWN_KIND
 from endivepick.errors import PacketInvalidError, TokenInvalidError
+from endivepick.membership.peer_messages import Liveness, Phase
+from endivepick.records._transfer import Transfers, build_inventory
+from endivepick.records.cache import CACHED_KINDS, RecordCache
+from endivepick.records.objects import StoredObject
+from endivepick.records.peer_messages import InventoryRequest
 from endivepick.tests.compatibility._kinds import WIRES, as_lists, example, named
 from endivepick.tests.compatibility.generate import (
     read_samples,
@@ -52,6 +57,28 @@
         )
 
 
+class TestFixedSets(unittest.TestCase):
+    """What may not grow: an older build would drop or delete; see the design note."""
+
+    def test_kinds_of_cached_objects(self):
+        self.assertEqual(set(CACHED_KINDS), {"instance", "keyring", "service"})
+
+    def test_members_of_enumerations(self):
+        self.assertEqual([phase.value for phase in Phase], [0, 1, 2, 3])
+        self.assertEqual([liveness.value for liveness in Liveness], [0, 1, 2])
+
+    def test_inventory_of_a_build_without_a_kind_would_delete_its_objects(self):
+        newer = RecordCache(kinds=("service", "kind of the future"))
+        newer.offer_list("service", 5, [])
+        held = StoredObject("kind of the future", "x", 4, {"a": 1})
+        newer.offer_list("kind of the future", 5, [held])
+        older = RecordCache(kinds=("service",))
+        older.offer_list("service", 6, [])
+        inventory = build_inventory(older, InventoryRequest(newer.buckets), 1000)
+        received = Transfers(newer).take_inventory(inventory)
+        self.assertEqual([c.after.deleted for c in received.changes], [True])
+
+
 class TestNewerBuilds(unittest.TestCase):
     def test_fields_that_a_newer_build_added_are_passed_over(self):
         for name, wire, kind in kinds():
