--- a/endivepick/membership/_prober.py
+++ b/endivepick/membership/_prober.py
@@ -51,7 +51,8 @@
         self._outbox = outbox
         self._probes: dict[int, _Probe] = {}
         # Answers to an earlier process of this name must fit no probe of this one.
-        self._sequence = table.own.incarnation >> 3
+        self._first_sequence = table.own.incarnation >> 3
+        self._sequence = self._first_sequence
         self._round: list[str] = []
         self._urgent: deque[str] = deque(maxlen=_URGENT_COUNT)
         self._dead_round: deque[str] = deque()
@@ -191,7 +192,8 @@
         if self._table.own.takes_roles:
             names.remove(self._table.own.name)
         count = min(self._settings.indirect_probes, len(names))
-        for name in Random(random_number ^ sequence).sample(names, count):
+        number = sequence - self._first_sequence
+        for name in Random(random_number ^ number).sample(names, count):
             probe.helpers += 1
             self._outbox.send(name, PingRequest(sequence, probe.name))
 
