--- a/endivepick/membership/_prober.py
+++ b/endivepick/membership/_prober.py
@@ -50,7 +50,9 @@
         self._departed = departed
         self._outbox = outbox
         self._probes: dict[int, _Probe] = {}
-        self._sequence = 0
+        # Answers to an earlier process of this name must fit no probe of this one.
+        self._first_sequence = table.own.incarnation >> 3
+        self._sequence = self._first_sequence
         self._round: list[str] = []
         self._urgent: deque[str] = deque(maxlen=_URGENT_COUNT)
         self._dead_round: deque[str] = deque()
@@ -190,7 +192,8 @@
         if self._table.own.takes_roles:
             names.remove(self._table.own.name)
         count = min(self._settings.indirect_probes, len(names))
-        for name in Random(random_number ^ sequence).sample(names, count):
+        number = sequence - self._first_sequence
+        for name in Random(random_number ^ number).sample(names, count):
             probe.helpers += 1
             self._outbox.send(name, PingRequest(sequence, probe.name))
 
@@ -240,7 +243,8 @@
         del self._probes[ack.sequence]
         if member.incarnation != incarnation:
             return
-        member.last_ack_s = now_s
+        # It proves no more than that the probe's receiver was there when it came.
+        member.last_ack_s = probe.sent_s
         if probe.refutation >= 0:
             member.introduced_refutation = probe.refutation
         if probe.requester:
--- a/standins/clustersettings.py
+++ b/standins/clustersettings.py
@@ -50,6 +50,9 @@
     peer_secret_hex, key_secret_hex : str
         Secret of the instances and of the first key for tokens; drawn anew by
         default, since installations that share one would talk to each other.
+    builds : dict of str to str
+        Checkouts whose code instances and callers run, by their names; the others
+        run this one.
     """
 
     shape: Shape
@@ -61,6 +64,7 @@
     seed: int = 1
     peer_secret_hex: str = field(default_factory=_new_secret_hex, repr=False)
     key_secret_hex: str = field(default_factory=_new_secret_hex, repr=False)
+    builds: dict[str, str] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
