Wait until the late instance has joined before its hand-overs are compared

Cause: test_chains_reach_everybody_and_those_who_join_later compared as soon as all saw each other; the newcomer gets the hand-overs with the page by which it joins.

--- a/endivepick/membership/tests/test_membership.py
+++ b/endivepick/membership/tests/test_membership.py
@@ -507,7 +507,8 @@
         self.hand_over(loop, "entry-1", "entry-2")
         loop.add("entry-9", "fukuoka")
         loop.list_all()
-        loop.run_until(lambda: everybody_sees(loop, 10), 10)
+        late = loop.nodes["entry-9"]
+        loop.run_until(lambda: everybody_sees(loop, 10) and late.joined, 10)
         first, last = loop.me["entry-0"], loop.me["entry-2"]
         for node in loop.nodes.values():
             self.assertEqual(
