Watch a few fixed peers instead of probing the whole fleet in turn

Cause: each instance probed every other one in turn, so that it spoke to all of them: a connection to each, or, above the 900 that are kept, a new one for most messages. And everybody probed each dead peer once a second: one dead instance of 8,000 would hear 8,000 probes a second when it comes back. Weighed: random probes with more connections kept (memory grows with the fleet: 33 kB a connection on the connecting side); one ring with k successors (news need n/k hops along it, and all watchers may stand in one zone); successors of k points on one ring (an instance may have no watcher); datagrams in place of connections (no connections at all, but replay protection and the order of large messages would have to be built anew; left for later). Change: above 32 instances, eight rings by hashes of the names. In four, one for each zone, an instance is watched by the one before it; in the other four by the nearest before it in another zone, at most 8 steps away. Whoever goes is replaced by the next, all other pairs stay. A suspect leaves the rings, but those that watched it go on to probe it. Of all instances together each dead peer gets 32 probes a period. Connections on which nothing was sent for 30 s are closed. Not run above 512 instances that all talk.

--- a/endivepick/daemon/peers.py
+++ b/endivepick/daemon/peers.py
@@ -48,9 +48,21 @@
 MESSAGE_BYTES_MAX = 64 << 20
 CONNECTIONS_MAX = 900
 """Connections kept to peers; the library has 1,023 sockets for a process."""
+IDLE_S = 30.0
+"""Time after which a connection on which nothing was sent is closed."""
+IDLE_CHECK_S = 5.0
 _log = PartLog("peers")
 
 
+@dataclass(slots=True)
+class _Link:
+    """Connection to a peer."""
+
+    address: str
+    dealer: Any
+    used_s: float
+
+
 @dataclass
 class PeerTraffic:
     """Messages to and from peers since the start.
@@ -124,7 +136,7 @@
         self._zap = self._open_zap()
         self._router = self._open_router(port)
         # The one used last stands last.
-        self._dealers: dict[str, tuple[str, Any]] = {}
+        self._links: dict[str, _Link] = {}
         self.traffic = PeerTraffic()
 
     def _open_zap(self) -> Any:
@@ -207,19 +219,38 @@
         return self.send(address, address, message)
 
     def _dealer(self, name: str, address: str) -> Any:
-        known = self._dealers.pop(name, None)
-        if known is not None and known[0] == address:
-            self._dealers[name] = known
-            return known[1]
-        if known is not None:
-            known[1].close()
+        link = self._links.pop(name, None)
+        if link is not None and link.address != address:
+            link.dealer.close()
+            link = None
+        if link is None:
+            link = self._new_link(address)
+        link.used_s = time.monotonic()
+        self._links[name] = link
+        return link.dealer
+
+    def _new_link(self, address: str) -> _Link:
         # Once its name is known, an instance keeps the connection made without.
-        unnamed = self._dealers.pop(address, None)
-        if unnamed is None and len(self._dealers) >= CONNECTIONS_MAX:
-            self.forget(next(iter(self._dealers)))
-        dealer = unnamed[1] if unnamed else self._connect(address)
-        self._dealers[name] = (address, dealer)
-        return dealer
+        unnamed = self._links.pop(address, None)
+        if unnamed is not None:
+            return unnamed
+        if len(self._links) >= CONNECTIONS_MAX:
+            self.forget(next(iter(self._links)))
+        return _Link(address, self._connect(address), 0.0)
+
+    def run_idle(self) -> None:
+        """Close connections that nobody uses until the task is killed."""
+        while True:
+            gevent.sleep(IDLE_CHECK_S)
+            self.close_idle(time.monotonic())
+
+    def close_idle(self, now_s: float) -> None:
+        """Close the connections that were last used too long ago."""
+        while self._links:
+            name, link = next(iter(self._links.items()))
+            if link.used_s > now_s - IDLE_S:
+                return
+            self.forget(name)
 
     def _connect(self, address: str) -> Any:
         # Never waits, so that the waiting of the cooperative class is not needed.
@@ -232,7 +263,7 @@
         dealer.immediate = True
         dealer.reconnect_ivl = RECONNECT_MS
         dealer.reconnect_ivl_max = RECONNECT_MAX_MS
-        every_ms = HEARTBEAT_MS * max(1, len(self._dealers) // HEARTBEATS_PER_S)
+        every_ms = HEARTBEAT_MS * max(1, len(self._links) // HEARTBEATS_PER_S)
         dealer.heartbeat_ivl = every_ms
         dealer.heartbeat_timeout = HEARTBEATS_MISSED * every_ms
         dealer.setsockopt(zmq.TCP_MAXRT, UNACKNOWLEDGED_MS)
@@ -241,14 +272,14 @@
 
     def forget(self, name: str) -> None:
         """Close the connection to a peer that is gone."""
-        known = self._dealers.pop(name, None)
-        if known is not None:
-            known[1].close()
+        link = self._links.pop(name, None)
+        if link is not None:
+            link.dealer.close()
 
     def close(self) -> None:
         """Close all sockets; the last messages still go out."""
-        for _, dealer in self._dealers.values():
-            dealer.close(linger=LAST_MESSAGES_MS)
+        for link in self._links.values():
+            link.dealer.close(linger=LAST_MESSAGES_MS)
         self._router.close()
         self._zap.close()
         self._context.term()
@@ -263,7 +294,8 @@
 ) -> Iterator[PeerTask]:
     """Run the task while the context is open."""
     task = PeerTask(settings, incarnation, clock, deliver)
-    readers = [gevent.spawn(task.run_zap), gevent.spawn(task.run)]
+    parts = (task.run_zap, task.run, task.run_idle)
+    readers = [gevent.spawn(part) for part in parts]
     try:
         yield task
     finally:
--- a/endivepick/daemon/tests/test_peers.py
+++ b/endivepick/daemon/tests/test_peers.py
@@ -1,3 +1,4 @@
+import time
 import unittest
 from contextlib import ExitStack
 from unittest.mock import patch
@@ -53,8 +54,8 @@
         with patch.object(peers, "CONNECTIONS_MAX", 2):
             for receiver in (b, c, b, d):
                 self.send_until_received(receiver)
-                self.assertLessEqual(len(sender._dealers), 2)
-            self.assertEqual(list(sender._dealers), ["b", "d"])
+                self.assertLessEqual(len(sender._links), 2)
+            self.assertEqual(list(sender._links), ["b", "d"])
             self.send_until_received(c)
 
     def test_heartbeats_do_not_grow_with_the_connections(self):
@@ -63,12 +64,24 @@
             sender.send(
                 f"peer-{number}", f"127.0.0.1:{number + 1}", HandOverAccepted(7)
             )
-        dealers = [dealer for _, dealer in sender._dealers.values()]
+        dealers = [link.dealer for link in sender._links.values()]
         periods_ms = [dealer.heartbeat_ivl for dealer in dealers]
         self.assertEqual(set(periods_ms[:32]), {1000})
         self.assertLess(sum(1000 / period_ms for period_ms in periods_ms), 70)
         self.assertEqual({d.getsockopt(zmq.TCP_MAXRT) for d in dealers}, {3000})
 
+    def test_a_connection_that_nobody_uses_is_closed_and_made_again(self):
+        sender, b, c, _ = self.tasks
+        for receiver in (b, c):
+            self.send_until_received(receiver)
+        link = sender._links["b"]
+        link.used_s -= peers.IDLE_S
+        sender._links = {"b": link, "c": sender._links["c"]}
+        sender.close_idle(time.monotonic())
+        self.assertEqual(list(sender._links), ["c"])
+        self.assertTrue(link.dealer.closed)
+        self.send_until_received(b)
+
     def test_traffic_is_counted_and_shown(self):
         sender, receiver = self.tasks[:2]
         self.send_until_received(receiver)
--- a/endivepick/membership/_prober.py
+++ b/endivepick/membership/_prober.py
@@ -10,6 +10,7 @@
 from endivepick.membership._table import MemberTable
 from endivepick.membership.peer_messages import (
     Ack,
+    Liveness,
     MemberUpdate,
     Phase,
     Ping,
@@ -52,6 +53,7 @@
         self._probes: dict[int, _Probe] = {}
         self._sequence = 0
         self._round: list[str] = []
+        self._watching: list[str] = []
         self._urgent: deque[str] = deque(maxlen=_URGENT_COUNT)
         self._dead_round: deque[str] = deque()
         self._next_probe_s = float("-inf")
@@ -87,7 +89,7 @@
         self._probe_next(now_s, random_number)
         if now_s >= self._next_dead_s:
             self._next_dead_s = now_s + self._settings.dead_probe_period_s
-            self._probe_next_dead(now_s)
+            self._probe_dead(now_s, random_number)
         return True
 
     def _probe_or_repeat(self, now_s: float, name: str) -> None:
@@ -115,13 +117,48 @@
                 return
 
     def _shuffled(self, random_number: int) -> list[str]:
-        names = [n for n in self._table.members if n not in self._table.dead]
+        names = self._watched()
         Random(random_number).shuffle(names)
         return names
 
-    def _probe_next_dead(self, now_s: float) -> None:
+    def _watched(self) -> list[str]:
+        """Return all peers of a small fleet, else those that the rings name.
+
+        A suspect leaves the rings, so that the next ones are watched without a
+        wait, but whoever watched it goes on to probe it.
+        """
+        table = self._table
+        if self._is_small:
+            self._watching = [n for n in table.members if n not in table.dead]
+        else:
+            names = dict.fromkeys(table.rings.targets())
+            names |= dict.fromkeys(n for n in self._watching if self._is_suspect(n))
+            self._watching = list(names)
+        return list(self._watching)
+
+    @property
+    def _is_small(self) -> bool:
+        present = len(self._table.members) + 1 - len(self._table.dead)
+        return present <= self._settings.all_probed_up_to
+
+    def _is_suspect(self, name: str) -> bool:
+        member = self._table.members.get(name)
+        return member is not None and member.liveness is Liveness.SUSPECT
+
+    def _probe_dead(self, now_s: float, random_number: int) -> None:
+        """Probe one of the dead, in a large fleet not each time.
+
+        Whoever comes back hears from a constant number of peers.
+        """
+        present = len(self._table.members) + 1 - len(self._table.dead)
+        wanted = self._settings.all_probed_up_to * len(self._table.dead)
+        if Random(random_number).random() * present < wanted:
+            self._probe_next_dead(now_s, random_number)
+
+    def _probe_next_dead(self, now_s: float, random_number: int) -> None:
         if not self._dead_round:
             self._dead_round.extend(self._table.dead)
+            Random(random_number).shuffle(self._dead_round)
         while self._dead_round:
             name = self._dead_round.popleft()
             member = self._table.dead.get(name)
@@ -186,14 +223,21 @@
     def _ask_others(self, sequence: int, probe: _Probe, random_number: int) -> None:
         if probe.requester or probe.name in self._table.dead:
             return
-        names = [n for n in self._table.live_names if n != probe.name]
-        if self._table.own.takes_roles:
-            names.remove(self._table.own.name)
+        names = self._helpers(probe.name)
         count = min(self._settings.indirect_probes, len(names))
         for name in Random(random_number ^ sequence).sample(names, count):
             probe.helpers += 1
             self._outbox.send(name, PingRequest(sequence, probe.name))
 
+    def _helpers(self, name: str) -> list[str]:
+        """Return peers that may be asked; in a large fleet those with a link."""
+        names = [] if self._is_small else [n for n in self._watching if n != name]
+        trusted = [n for n in names if not self._is_suspect(n)]
+        if len(trusted) >= self._settings.indirect_probes:
+            return trusted
+        own = self._table.own.name
+        return [n for n in self._table.live_names if n not in (name, own)]
+
     def _fail(self, now_s: float, probe: _Probe) -> None:
         member = self._table.members.get(probe.name)
         if member is not None:
--- a/endivepick/membership/_table.py
+++ b/endivepick/membership/_table.py
@@ -7,6 +7,7 @@
 from endivepick.membership._member import BUCKET_COUNT, Member, bucket_of
 from endivepick.membership._outbox import Outbox
 from endivepick.membership._own import OwnStatus
+from endivepick.membership._rings import WatchRings
 from endivepick.membership._spread import SpreadQueue
 from endivepick.membership._suspicion import SuspicionTimers
 from endivepick.membership.actions import PeerChanged, Superseded
@@ -35,6 +36,7 @@
         self.superseded: dict[int, tuple[str, float]] = {}
         self.health = LocalHealth(settings)
         self.losses = LossWatch(settings)
+        self.rings = WatchRings(settings, own.name, own.to_view().zone)
         self.timers = SuspicionTimers(settings, self.losses)
         self.spread: SpreadQueue[str] = SpreadQueue(settings.spread_factor)
         self._views: dict[str, InstanceView] = {}
@@ -111,6 +113,13 @@
         self.publish(member)
         return member
 
+    def describe(self, member: Member, entry: ListedInstance) -> None:
+        """Take over zone and address of a peer that only the list knows."""
+        member.describe(entry)
+        if member.name in self.rings:
+            self.rings.add(member.name, member.zone)
+        self.publish(member)
+
     def suspect(self, now_s: float, name: str, accuser: str) -> None:
         """Suspect a peer by an own finding."""
         member = self.members.get(name)
@@ -129,6 +138,7 @@
         del self.members[name]
         del self.buckets[bucket_of(name)][name]
         self.dead.pop(name, None)
+        self.rings.remove(name)
         self.timers.stop(name)
         self.spread.discard(name)
         self.losses.remove(name)
@@ -174,6 +184,7 @@
     def _insert(self, name: str, zone: str, peer_address: str) -> Member:
         member = Member(name, zone, peer_address)
         self.members[name] = member
+        self.rings.add(name, zone)
         self.buckets[bucket_of(name)][name] = member
         return member
 
@@ -201,6 +212,7 @@
         self.timers.stop(member.name)
         self.dead.pop(member.name, None)
         member.adopt(update, now_s)
+        self.rings.add(member.name, member.zone)
         self._merge_same(now_s, member, update, news=True)
 
     def _bury_incarnation(self, now_s: float, incarnation: int, name: str) -> None:
@@ -253,12 +265,14 @@
         member.set_liveness(Liveness.ALIVE)
         self.timers.stop(member.name)
         self.dead.pop(member.name, None)
+        self.rings.add(member.name, member.zone)
         self.losses.add(member.name, member.zone)
 
     def _set_suspect(self, now_s: float, member: Member, accuser: str) -> bool:
         began = member.liveness is Liveness.ALIVE
         if began:
             member.set_liveness(Liveness.SUSPECT)
+            self.rings.remove(member.name)
             self.losses.add(member.name, member.zone)
             self.timers.start(member.name, now_s)
             self._outbox.log("suspects a peer", member.name)
@@ -275,6 +289,7 @@
         self.timers.stop(member.name)
         self.losses.bury(member.name, now_s)
         self.dead[member.name] = member
+        self.rings.remove(member.name)
         self._outbox.log("declares a peer dead", member.name)
         self._spread_and_publish(member)
 
--- a/endivepick/membership/core.py
+++ b/endivepick/membership/core.py
@@ -274,8 +274,7 @@
         member.listed = True
         member.was_listed = True
         if not member.heard:
-            member.describe(entry)
-            self._table.publish(member)
+            self._table.describe(member, entry)
         elif member.heard_since_s <= snapshot_s:
             self._table.set_listed(member, entry.leaving)
 
--- a/endivepick/membership/measure.py
+++ b/endivepick/membership/measure.py
@@ -19,6 +19,7 @@
 from endivepick.membership._loop import TICK_S, Loop
 from endivepick.membership.actions import Action, Send
 from endivepick.membership.core import Membership
+from endivepick.membership.measure_fleet import LINK_IDLE_S
 from endivepick.membership.peer_messages import (
     Ack,
     Liveness,
@@ -35,9 +36,11 @@
 
 __all__ = ["measure_cost", "measure_detection", "measure_join", "run"]
 
-SIZES = (8, 32, 128, 512, 2048)
+SIZES = (8, 32, 128, 512, 2_048, 8_000)
 _MICROSECONDS = 1e6
 _ZONES = 4
+_SETTLE_S = 65.0
+"""Until the news of the start have been passed on."""
 
 
 class _Meter:
@@ -49,9 +52,9 @@
 
     def run(self, call: Callable[[], list[Action]]) -> list[Action]:
         """Call and add up."""
-        started_s = time.perf_counter()
+        started_s = time.process_time()
         actions = call()
-        self.total_s += time.perf_counter() - started_s
+        self.total_s += time.process_time() - started_s
         self.calls += 1
         return actions
 
@@ -71,6 +74,8 @@
         self.core = Membership(MembershipSettings(), me)
         self.updates = {u.name: u for u in map(_update, range(1, size))}
         self.names = list(self.updates)
+        self.watchers = _watchers(self.names, self.random)
+        self.partners: set[str] = set()
         self.sent_messages = 0
         self.sent_bytes = 0
         self.sync_bytes = 0
@@ -92,6 +97,7 @@
     def reset(self) -> None:
         """Start to count anew."""
         self.sent_messages = self.sent_bytes = self.sync_bytes = 0
+        self.partners.clear()
         self.tick_meter = _Meter()
         self.message_meter = _Meter()
 
@@ -104,7 +110,8 @@
             tick = partial(self.core.tick, self.now_s, self.random.getrandbits(64))
             self._handle(self.tick_meter.run(tick))
             if number % per_period == 0:
-                self.receive(self.random.choice(self.names), Ping(number, 1, 0, [], []))
+                name = self.random.choice(self.watchers)
+                self.receive(name, Ping(number, 1, 0, [], []))
 
     def receive(self, name: str, message: MembershipMessage) -> None:
         """Give the core a message of a peer."""
@@ -117,6 +124,7 @@
             if not isinstance(action, Send):
                 continue
             self.sent_messages += 1
+            self.partners.add(action.to_name)
             envelope = Envelope("entry-0", 2**63, 2**60, action.message)
             size_bytes = len(encode_envelope(envelope))
             self.sent_bytes += size_bytes
@@ -126,6 +134,14 @@
                 self.receive(action.to_name, Ack(action.message.sequence, [], []))
 
 
+def _watchers(names: list[str], random: Random) -> list[str]:
+    """Return who probes the node: in a large fleet a few."""
+    settings = MembershipSettings()
+    if len(names) < settings.all_probed_up_to:
+        return names
+    return random.sample(names, settings.watchers)
+
+
 def _update(number: int) -> MemberUpdate:
     return MemberUpdate(
         f"entry-{number}",
@@ -154,8 +170,9 @@
     Returns
     -------
     dict
-        Rates per second of simulated time, processor time in microseconds, and
-        memory of the core's peers in bytes.
+        Rates per second of simulated time, processor time in microseconds,
+        memory of the core's peers in bytes, and ``partners``: peers that the node
+        sent to in the last ``LINK_IDLE_S``.
     """
     tracemalloc.start()
     node = _Node(size, seed)
@@ -163,14 +180,17 @@
     node.fill()
     after_bytes, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    node.run(size * MembershipSettings().probe_period_s + 5)
+    node.run(_SETTLE_S)
     node.reset()
-    node.run(duration_s)
+    node.run(duration_s - LINK_IDLE_S)
+    node.partners.clear()
+    node.run(LINK_IDLE_S)
     busy_s = node.tick_meter.total_s + node.message_meter.total_s
     return {
         "measure": "cost",
         "size": size,
         "seed": seed,
+        "partners": len(node.partners),
         "sent_messages_per_s": round(node.sent_messages / duration_s, 2),
         "sent_bytes_per_s": round(node.sent_bytes / duration_s, 1),
         "of_it_digest_bytes_per_s": round(node.sync_bytes / duration_s, 1),
@@ -185,7 +205,7 @@
     """Measure what the news about one peer costs a node until it is spread."""
     node = _Node(size, seed)
     node.fill()
-    node.run(size * MembershipSettings().probe_period_s + 5)
+    node.run(_SETTLE_S)
     node.reset()
     node.run(60.0)
     quiet_bytes = node.sent_bytes
--- a/endivepick/membership/settings.py
+++ b/endivepick/membership/settings.py
@@ -20,6 +20,11 @@
         Time after which a probe has failed, in seconds.
     indirect_probes : int
         Peers that are asked to probe as well.
+    watchers : int
+        Peers that probe an instance, and that it probes on average; half of them
+        in its own zone.
+    all_probed_up_to : int
+        In a fleet of at most as many instances everybody probes everybody.
     suspect_min_s, suspect_max_s : float
         Time from suspicion to death, with and without confirmations, in seconds.
     suspect_confirmations : int
@@ -40,7 +45,8 @@
     health_max : int
         Probe time-outs grow up to ``1 + health_max`` times on own trouble.
     dead_probe_period_s : float
-        Time between two probes of dead peers, in seconds.
+        Time between two probes of dead peers, in seconds; in a fleet above
+        ``all_probed_up_to`` each dead peer gets as many a period from all together.
     dead_kept_s : float
         Time for which dead peers are remembered, in seconds.
     dead_kept_count : int
@@ -72,6 +78,8 @@
     probe_timeout_s: float = 0.1
     probe_deadline_s: float = 0.25
     indirect_probes: int = 3
+    watchers: int = 8
+    all_probed_up_to: int = 32
     suspect_min_s: float = 1.0
     suspect_max_s: float = 3.0
     suspect_confirmations: int = 2
