--- a/endivepick/bench/_capacity_lines.py
+++ b/endivepick/bench/_capacity_lines.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from enum import Enum
-from math import ceil
+from math import ceil, exp
 
 from endivepick.bench._fleet import Fleet, Limits
 from endivepick.bench._slopes import Measured
@@ -29,7 +29,7 @@
 WATCH_WAIT_S = 30.0
 STATUS_PERIOD_S = 1.5 * StatusSettings().write_interval_s
 PART_PERIOD_S = StatusSettings().part_expiry_s / 3
-NEWS_PER_MESSAGE = MembershipSettings().piggyback_count
+NEWS_PER_MESSAGE = MembershipSettings().short_count
 _S_PER_MS = 1e-3
 _S_PER_US = 1e-6
 _DAY_S = 86_400.0
@@ -151,29 +151,43 @@
 
     def connections(self) -> Iterator[CapacityLine]:
         """Yield what connections cost; the accepting side is assumed to cost alike."""
-        role, peers = "links", self._fleet.instances - 1
+        role, settings = "links", MembershipSettings()
+        partners = self._at_fleet("link_partners")
+        memory = self._slope("connection_memory_bytes")
+        what = f"membership, 2 x {partners:.0f}"
+        yield self._memory(role, what, 2 * partners * memory)
+        yield from self._heartbeats("heartbeats, membership", partners)
+        # One digest is sent in each period, and one is answered.
+        yield from self._new_links("new ones, membership", 2 / settings.sync_period_s)
+        peers, fleet = self._fleet.instances - 1, self._fleet
         kept = min(peers, CONNECTIONS_MAX)
-        for what, count in (("to all peers", peers), ("kept", kept)):
-            memory = 2 * count * self._slope("connection_memory_bytes")
-            yield self._memory(role, f"{what}, 2 x {count:,}", memory)
-        # Heartbeats hardly grow with the connections: the largest size stands for all.
-        idle_us = 2 * self._slopes["connection_idle_us_per_s"].last
-        yield self._share(role, "heartbeats", idle_us * _S_PER_US)
-        idle_bytes = 2 * self._slopes["connection_idle_bytes_per_s"].last
-        yield self._bytes_per_s(role, "heartbeats", idle_bytes)
-        opens_per_s = self._fleet.opens_per_s / self._fleet.instances
-        sends = (
-            ("probes", 2 / MembershipSettings().probe_period_s),
-            ("probes and opens", 2 / MembershipSettings().probe_period_s + opens_per_s),
-        )
-        for what, sends_per_s in sends:
-            new_per_s = 2 * sends_per_s * (1 - kept / peers)
-            setup_us = self._slope("connection_setup_us")
-            yield self._share(
-                role, f"new ones, {what}", new_per_s * setup_us * _S_PER_US
-            )
-            setup_bytes = self._slope("connection_setup_bytes")
-            yield self._bytes_per_s(role, f"new ones, {what}", new_per_s * setup_bytes)
+        yield self._memory(role, f"opens, 2 x {kept:,} kept", 2 * kept * memory)
+        yield from self._heartbeats("heartbeats, opens", kept)
+        owners = fleet.instances * (1 - exp(-fleet.records_per_instance))
+        missed = max(0.0, 1 - kept / owners)
+        opens_per_s = fleet.opens_per_s / fleet.instances
+        yield from self._new_links("new ones, opens", opens_per_s * missed)
+
+    def _heartbeats(self, what: str, count: float) -> Iterator[CapacityLine]:
+        """Yield heartbeats, which grow less than the number of connections."""
+        for name, to_line in (
+            ("connection_idle_us_per_s", self._share),
+            ("connection_idle_bytes_per_s", self._bytes_per_s),
+        ):
+            measured = self._slopes[name]
+            size = max((s for s in measured.sizes if s <= count), default=0)
+            size = size or measured.sizes[0]
+            growing = count / size if count < 2 * size else 1.0
+            value = 2 * growing * measured.median(size)
+            is_time = name.endswith("us_per_s")
+            yield to_line("links", what, value * _S_PER_US if is_time else value)
+
+    def _new_links(self, what: str, each_way_per_s: float) -> Iterator[CapacityLine]:
+        """Yield the cost of as many connections made as are accepted."""
+        busy_s = 2 * each_way_per_s * self._slope("connection_setup_us") * _S_PER_US
+        yield self._share("links", what, busy_s)
+        setup_bytes = 2 * each_way_per_s * self._slope("connection_setup_bytes")
+        yield self._bytes_per_s("links", what, setup_bytes)
 
     def faults(self) -> Iterator[CapacityLine]:
         """Yield what failures, restarts and cuts cost each node."""
@@ -189,20 +203,27 @@
             role, "changes of peers, mean", 2 * per_day / _DAY_S * news
         )
         news_per_s = NEWS_PER_MESSAGE * 2 / MembershipSettings().probe_period_s
-        zone_s = self._at_fleet("zone_lost_ms") * _S_PER_MS
+        zone_busy_s = self._at_fleet("zone_dead_busy_ms") * _S_PER_MS
+        zone_dead_s = self._at_fleet("zone_dead_s")
         lost = fleet.instances_per_zone
-        peer_s = zone_s / lost
+        peer_s = zone_busy_s / lost
         rack = f"rack of {RACK_INSTANCES} lost"
         rack_ms = RACK_INSTANCES * peer_s / _S_PER_MS
         yield CapacityLine(role, f"{rack}: processor", rack_ms, "ms", None)
         flows = RACK_INSTANCES * fleet.flows / fleet.instances
         yield CapacityLine(role, f"{rack}: flows re-issued", flows, "flows", None)
-        yield CapacityLine(role, "zone lost: spread", lost / news_per_s, "s", None)
-        yield self._share(
-            role, "zone lost: while it spreads", zone_s / lost * news_per_s
+        yield CapacityLine(
+            role, "zone lost: told in at least", lost / news_per_s, "s", None
         )
+        yield CapacityLine(role, "zone lost: all held dead", zone_dead_s, "s", None)
+        what = "zone lost: until then"
+        yield self._share(role, what, zone_busy_s / zone_dead_s)
+        sent = self._at_fleet("zone_dead_sent_bytes_per_s")
+        yield self._bytes_per_s(role, f"{what}, sent", sent)
         away = fleet.instances * (1 - 1 / fleet.regions)
-        yield CapacityLine(role, "region cut: spread", away / news_per_s, "s", None)
+        yield CapacityLine(
+            role, "region cut: told in at least", away / news_per_s, "s", None
+        )
         view = self._at_fleet("join_bytes")
         yield CapacityLine(role, "restart: view of the peers", view, "B", None)
         taken_ms = self._at_fleet("records_taken_ms")
--- a/endivepick/bench/_node.py
+++ b/endivepick/bench/_node.py
@@ -115,6 +115,7 @@
         self.sent: Counter[str] = Counter()
         self.sent_bytes: Counter[str] = Counter()
         self._ticks = count()
+        self._silent: set[str] = set()
         self._peers = [member_update(fleet, n) for n in range(1, fleet.instances)]
         settings = CoreSettings(instance_name(0), fleet.zone_of(0))
         self.core = InstanceCore(
@@ -195,8 +196,14 @@
             case ConfigDigest(reply=True):
                 self.answer(action.name, self._digest())
 
+    def silence(self, names: set[str]) -> None:
+        """Let peers answer no more."""
+        self._silent |= names
+
     def answer(self, name: str, message: Any) -> list[Action]:
         """Give the core a message of the peer of this name."""
+        if name in self._silent:
+            return []
         peer = self.update_of(int(name.rpartition("-")[2]))
         return self.handle(PeerMessage(peer.name, peer.incarnation, message))
 
