Make a connection anew whose handshake does not end

Cause: a connection that is accepted and then leads nowhere, as through a proxy whose other side is not there yet, waited 30 s for the library's handshake before it was made anew. Nothing can be sent meanwhile, heartbeats only begin after it, and bytes that the near side acknowledges don't count as lost. Change: 3 s, as for a connection that carries data without an answer. Whether this is what kept fresh installations behind a fault proxy apart is not shown.

--- a/endivepick/daemon/peers.py
+++ b/endivepick/daemon/peers.py
@@ -43,6 +43,8 @@
 HEARTBEATS_MISSED = 3
 UNACKNOWLEDGED_MS = 3000
 """Time after which a connection that carries data without an answer is closed."""
+HANDSHAKE_MS = 3000
+"""Time after which a connection without a finished handshake is made anew."""
 LAST_MESSAGES_MS = 300
 """How long the messages of an instance that ends may take, in milliseconds."""
 MESSAGE_BYTES_MAX = 64 << 20
@@ -263,6 +265,8 @@
         dealer.immediate = True
         dealer.reconnect_ivl = RECONNECT_MS
         dealer.reconnect_ivl_max = RECONNECT_MAX_MS
+        # Heartbeats only begin after it, and the library would wait for 30 s.
+        dealer.handshake_ivl = HANDSHAKE_MS
         every_ms = HEARTBEAT_MS * max(1, len(self._links) // HEARTBEATS_PER_S)
         dealer.heartbeat_ivl = every_ms
         dealer.heartbeat_timeout = HEARTBEATS_MISSED * every_ms
--- a/endivepick/daemon/tests/test_peers.py
+++ b/endivepick/daemon/tests/test_peers.py
@@ -1,16 +1,19 @@
 import time
 import unittest
-from contextlib import ExitStack
+from contextlib import ExitStack, contextmanager, suppress
 from unittest.mock import patch
 
 import gevent
 import zmq
+from gevent import socket
+from gevent.server import StreamServer
 
 from endivepick.core.peer_messages import HandOverAccepted
 from endivepick.daemon import peers
 from endivepick.daemon.metrics import DaemonMetrics
 from endivepick.daemon.peers import peer_task
 from endivepick.settings import parse_settings
+from endivepick.settings.address import parse_address
 from endivepick.timeline.clock import HybridClock
 
 SETTINGS = """{
@@ -21,6 +24,21 @@
 }"""
 
 
+@contextmanager
+def running(server):
+    server.start()
+    try:
+        yield server
+    finally:
+        server.stop()
+
+
+def copy(source, target):
+    with suppress(OSError):
+        while data := source.recv(4096):
+            target.sendall(data)
+
+
 class TestPeers(unittest.TestCase):
     def setUp(self):
         stack = ExitStack()
@@ -70,6 +88,34 @@
         self.assertLess(sum(1000 / period_ms for period_ms in periods_ms), 70)
         self.assertEqual({d.getsockopt(zmq.TCP_MAXRT) for d in dealers}, {3000})
 
+    def test_a_connection_that_led_nowhere_is_made_anew(self):
+        sender, receiver = self.tasks[:2]
+        with self.swallowing(1, receiver.address) as address, gevent.Timeout(20):
+            while not self.received:
+                sender.send("b", address, HandOverAccepted(7))
+                gevent.sleep(0.05)
+
+    @contextmanager
+    def swallowing(self, count, address):
+        """Accept connections: the first ones lead nowhere, the others on."""
+        accepted = []
+
+        def handle(client, _):
+            accepted.append(client)
+            if len(accepted) <= count:
+                client.settimeout(None)
+                while client.recv(4096):
+                    pass
+                return
+            with socket.create_connection(parse_address(address)) as target:
+                copies = ((client, target), (target, client))
+                gevent.joinall([gevent.spawn(copy, *ends) for ends in copies])
+
+        with running(StreamServer(("127.0.0.1", 0), handle)) as server:
+            yield f"127.0.0.1:{server.server_port}"
+            for client in accepted:
+                client.close()
+
     def test_a_connection_that_nobody_uses_is_closed_and_made_again(self):
         sender, b, c, _ = self.tasks
         for receiver in (b, c):
