--- a/endivepick/daemon/tests/test_peers.py
+++ b/endivepick/daemon/tests/test_peers.py
@@ -1,11 +1,13 @@
+import time
 import unittest
-from contextlib import ExitStack, suppress
+from contextlib import ExitStack, contextmanager, suppress
 from unittest.mock import patch
 
 import gevent
 import gevent.socket
 import msgspec
 import zmq
+from gevent.server import StreamServer
 
 from endivepick.core.peer_messages import HandOverAccepted
 from endivepick.core.wire import UNKNOWN_KIND
@@ -13,6 +15,7 @@
 from endivepick.daemon.metrics import DaemonMetrics
 from endivepick.daemon.peers import peer_task
 from endivepick.settings import parse_settings
+from endivepick.settings.address import parse_address
 from endivepick.timeline.clock import HybridClock
 
 SETTINGS = """{
@@ -23,6 +26,21 @@
 }"""
 
 
+@contextmanager
+def running(server):
+    server.start()
+    try:
+        yield server
+    finally:
+        server.stop()
+
+
+def copy(source, target):
+    with suppress(OSError):
+        while data := source.recv(4096):
+            target.sendall(data)
+
+
 class TestPeers(unittest.TestCase):
     def setUp(self):
         stack = ExitStack()
@@ -72,8 +90,8 @@
         with patch.object(peers, "CONNECTIONS_MAX", 2):
             for receiver in (b, c, b, d):
                 self.send_until_received(receiver)
-                self.assertLessEqual(len(sender._dealers), 2)
-            self.assertEqual(list(sender._dealers), ["b", "d"])
+                self.assertLessEqual(len(sender._links), 2)
+            self.assertEqual(list(sender._links), ["b", "d"])
             self.send_until_received(c)
 
     def test_heartbeats_do_not_grow_with_the_connections(self):
@@ -82,7 +100,7 @@
             sender.send(
                 f"peer-{number}", f"127.0.0.1:{number + 1}", HandOverAccepted(7)
             )
-        dealers = [dealer for _, dealer in sender._dealers.values()]
+        dealers = [link.dealer for link in sender._links.values()]
         periods_ms = [dealer.heartbeat_ivl for dealer in dealers]
         self.assertEqual(set(periods_ms[:32]), {1000})
         self.assertLess(sum(1000 / period_ms for period_ms in periods_ms), 70)
@@ -116,6 +134,46 @@
                 sender.send("b", address, HandOverAccepted(7))
                 gevent.sleep(0.01)
 
+    def test_a_connection_that_led_nowhere_is_made_anew(self):
+        sender, receiver = self.tasks[:2]
+        with self.swallowing(1, receiver.address) as address, gevent.Timeout(20):
+            while not self.received:
+                sender.send("b", address, HandOverAccepted(7))
+                gevent.sleep(0.05)
+
+    @contextmanager
+    def swallowing(self, count, address):
+        """Accept connections: the first ones lead nowhere, the others on."""
+        accepted = []
+
+        def handle(client, _):
+            accepted.append(client)
+            if len(accepted) <= count:
+                client.settimeout(None)
+                while client.recv(4096):
+                    pass
+                return
+            with gevent.socket.create_connection(parse_address(address)) as target:
+                copies = ((client, target), (target, client))
+                gevent.joinall([gevent.spawn(copy, *ends) for ends in copies])
+
+        with running(StreamServer(("127.0.0.1", 0), handle)) as server:
+            yield f"127.0.0.1:{server.server_port}"
+            for client in accepted:
+                client.close()
+
+    def test_a_connection_that_nobody_uses_is_closed_and_made_again(self):
+        sender, b, c, _ = self.tasks
+        for receiver in (b, c):
+            self.send_until_received(receiver)
+        link = sender._links["b"]
+        link.used_s -= peers.IDLE_S
+        sender._links = {"b": link, "c": sender._links["c"]}
+        sender.close_idle(time.monotonic())
+        self.assertEqual(list(sender._links), ["c"])
+        self.assertTrue(link.dealer.closed)
+        self.send_until_received(b)
+
     def test_traffic_is_counted_and_shown(self):
         sender, receiver = self.tasks[:2]
         self.send_until_received(receiver)
--- a/endivepick/membership/_table.py
+++ b/endivepick/membership/_table.py
@@ -2,15 +2,23 @@
 
 from types import MappingProxyType
 
+import msgspec
+
 from endivepick.membership._health import LocalHealth
 from endivepick.membership._losses import LossWatch
 from endivepick.membership._member import BUCKET_COUNT, Member, bucket_of
 from endivepick.membership._outbox import Outbox
 from endivepick.membership._own import OwnStatus
+from endivepick.membership._rings import WatchRings
 from endivepick.membership._spread import SpreadQueue
 from endivepick.membership._suspicion import SuspicionTimers
 from endivepick.membership.actions import PeerChanged, Superseded
-from endivepick.membership.peer_messages import Liveness, MemberUpdate, Phase
+from endivepick.membership.peer_messages import (
+    Liveness,
+    MemberUpdate,
+    Phase,
+    ShortUpdate,
+)
 from endivepick.membership.settings import MembershipSettings
 from endivepick.membership.view import InstanceView, ListedInstance, PeerState
 
@@ -35,8 +43,11 @@
         self.superseded: dict[int, tuple[str, float]] = {}
         self.health = LocalHealth(settings)
         self.losses = LossWatch(settings)
+        self.rings = WatchRings(settings, own.name, own.to_view().zone)
         self.timers = SuspicionTimers(settings, self.losses)
         self.spread: SpreadQueue[str] = SpreadQueue(settings.spread_factor)
+        self.spread_short: SpreadQueue[str] = SpreadQueue(settings.spread_factor)
+        self._by_incarnation: dict[int, Member] = {}
         self._views: dict[str, InstanceView] = {}
         self._takes_roles: set[str] = set()
         self._live: tuple[str, ...] | None = None
@@ -66,9 +77,26 @@
 
     def take_news(self, count: int) -> list[MemberUpdate]:
         """Return the piggy-backed updates of one message."""
-        updates = [self.update_of(name) for name in self.spread.take(count)]
+        names: list[str] = []
+        if not self._has_many_short:
+            others = min(len(self.spread), count // 2)
+            names += self.spread_short.take(count - others)
+        names += self.spread.take(count - len(names))
+        updates = [self.update_of(name) for name in names]
         return [update for update in updates if update is not None]
 
+    def take_short(self) -> list[ShortUpdate]:
+        """Return the news of one message that are too many for updates."""
+        if not self._has_many_short:
+            return []
+        names = self.spread_short.take(self._settings.short_count)
+        members = [self.members[name] for name in names]
+        return [member.to_short_update() for member in members]
+
+    @property
+    def _has_many_short(self) -> bool:
+        return len(self.spread_short) > self._settings.piggyback_count
+
     # Events
 
     def merge(self, now_s: float, update: MemberUpdate, passed_on: bool = True) -> None:
@@ -87,6 +115,23 @@
         self._merge(now_s, update)
         self._passes_on = True
 
+    def merge_short(self, now_s: float, short: ShortUpdate) -> None:
+        """Take over short news; about an unknown incarnation they say nothing."""
+        if short.incarnation == self.own.incarnation:
+            known = self.own.to_update()
+        elif short.incarnation in self._by_incarnation:
+            known = self._by_incarnation[short.incarnation].to_update()
+        else:
+            return
+        update = msgspec.structs.replace(
+            known,
+            phase=short.phase,
+            refutation=short.refutation,
+            liveness=short.liveness,
+            accuser="",
+        )
+        self._merge(now_s, update)
+
     def _merge(self, now_s: float, update: MemberUpdate) -> None:
         if update.name == self.own.name:
             self._merge_own(update)
@@ -111,6 +156,13 @@
         self.publish(member)
         return member
 
+    def describe(self, member: Member, entry: ListedInstance) -> None:
+        """Take over zone and address of a peer that only the list knows."""
+        member.describe(entry)
+        if member.name in self.rings:
+            self.rings.add(member.name, member.zone)
+        self.publish(member)
+
     def suspect(self, now_s: float, name: str, accuser: str) -> None:
         """Suspect a peer by an own finding."""
         member = self.members.get(name)
@@ -126,11 +178,14 @@
 
     def forget(self, name: str) -> None:
         """Drop the entry of a peer."""
-        del self.members[name]
+        member = self.members.pop(name)
+        self._by_incarnation.pop(member.incarnation, None)
         del self.buckets[bucket_of(name)][name]
         self.dead.pop(name, None)
+        self.rings.remove(name)
         self.timers.stop(name)
         self.spread.discard(name)
+        self.spread_short.discard(name)
         self.losses.remove(name)
         old = self._views.pop(name, None)
         if old is not None:
@@ -164,16 +219,25 @@
         else:
             self._takes_roles.discard(name)
 
-    def set_listed(self, member: Member, leaving: bool) -> None:
-        """Take over whether the platform's list says that a peer leaves."""
-        if member.set_listed_leaving(leaving):
+    def set_listed(self, member: Member, leaving: bool) -> bool:
+        """Take over whether the platform's list says that a peer leaves.
+
+        Returns
+        -------
+        bool
+            Whether that is new.
+        """
+        is_new = member.set_listed_leaving(leaving)
+        if is_new:
             self.publish(member)
+        return is_new
 
     # Rules
 
     def _insert(self, name: str, zone: str, peer_address: str) -> Member:
         member = Member(name, zone, peer_address)
         self.members[name] = member
+        self.rings.add(name, zone)
         self.buckets[bucket_of(name)][name] = member
         return member
 
@@ -200,7 +264,13 @@
             self._bury_incarnation(now_s, member.incarnation, member.name)
         self.timers.stop(member.name)
         self.dead.pop(member.name, None)
+        self._by_incarnation.pop(member.incarnation, None)
         member.adopt(update, now_s)
+        self.spread_short.discard(member.name)
+        self._by_incarnation[member.incarnation] = member
+        self.rings.add(member.name, member.zone)
+        if self._passes_on:
+            self.spread.put(member.name, len(self.members))
         self._merge_same(now_s, member, update, news=True)
 
     def _bury_incarnation(self, now_s: float, incarnation: int, name: str) -> None:
@@ -253,12 +323,14 @@
         member.set_liveness(Liveness.ALIVE)
         self.timers.stop(member.name)
         self.dead.pop(member.name, None)
+        self.rings.add(member.name, member.zone)
         self.losses.add(member.name, member.zone)
 
     def _set_suspect(self, now_s: float, member: Member, accuser: str) -> bool:
         began = member.liveness is Liveness.ALIVE
         if began:
             member.set_liveness(Liveness.SUSPECT)
+            self.rings.remove(member.name)
             self.losses.add(member.name, member.zone)
             self.timers.start(member.name, now_s)
             self._outbox.log("suspects a peer", member.name)
@@ -275,12 +347,16 @@
         self.timers.stop(member.name)
         self.losses.bury(member.name, now_s)
         self.dead[member.name] = member
+        self.rings.remove(member.name)
         self._outbox.log("declares a peer dead", member.name)
         self._spread_and_publish(member)
 
     def _spread_and_publish(self, member: Member) -> None:
         if member.heard and self._passes_on:
-            self.spread.put(member.name, len(self.members))
+            # Others may not know an incarnation that is still being introduced.
+            known = member.name not in self.spread
+            queue = self.spread_short if known else self.spread
+            queue.put(member.name, len(self.members))
         self.publish(member)
 
     def is_dead(self, member: Member) -> bool:
--- a/endivepick/membership/core.py
+++ b/endivepick/membership/core.py
@@ -14,9 +14,8 @@
 from endivepick.membership.peer_messages import (
     UNASKED,
     Ack,
-    HandedOver,
+    LeaveWish,
     MembershipMessage,
-    MemberUpdate,
     Phase,
     Ping,
     PingRequest,
@@ -158,7 +157,7 @@
         listed = {entry.name: entry for entry in entries}
         me = listed.pop(self._own.name, None)
         if me is not None and me.leaving:
-            self._request_leave(now_s - age_s)
+            self._request_leave(now_s - age_s >= self._started_s)
         for entry in listed.values():
             self._merge_listed(now_s, entry, now_s - age_s)
         for member in list(self._table.members.values()):
@@ -175,15 +174,16 @@
         self._enter(now_s)
         match message:
             case Ping():
-                self._merge_news(now_s, message.updates, message.handed_over)
+                self._merge_news(now_s, message)
                 self._prober.on_ping(now_s, sender, incarnation, message)
             case Ack():
-                self._merge_news(now_s, message.updates, message.handed_over)
+                self._merge_news(now_s, message)
                 self._prober.on_ack(now_s, sender, incarnation, message)
             case PingRequest():
                 self._prober.on_ping_request(now_s, sender, message)
             case ProbeReport():
-                self._merge_news(now_s, message.updates, [])
+                for update in message.updates:
+                    self._table.merge(now_s, update)
                 self._prober.on_report(message)
             case SyncRequest():
                 self._table.merge(now_s, message.me)
@@ -192,6 +192,8 @@
                 self._sync.on_page(now_s, sender, message)
             case SyncDigest():
                 self._sync.on_digest(now_s, sender, message)
+            case LeaveWish():
+                self._request_leave(message.incarnation == self._own.incarnation)
         return self._outbox.drain()
 
     def direct_failure(self, now_s: float, name: str) -> list[Action]:
@@ -242,15 +244,12 @@
         self._now_s = now_s
         self._departed.peer_count = len(self._table.members)
 
-    def _merge_news(
-        self,
-        now_s: float,
-        updates: Iterable[MemberUpdate],
-        handed_over: Iterable[HandedOver],
-    ) -> None:
-        for update in updates:
+    def _merge_news(self, now_s: float, message: Ping | Ack) -> None:
+        for update in message.updates:
             self._table.merge(now_s, update)
-        for news in handed_over:
+        for short in message.short_updates:
+            self._table.merge_short(now_s, short)
+        for news in message.handed_over:
             self._departed.merge(now_s, news)
 
     def _announce_phase(self, now_s: float, phase: Phase) -> list[Action]:
@@ -259,11 +258,10 @@
             self._table.own_changed()
         return self._outbox.drain()
 
-    def _request_leave(self, snapshot_s: float) -> None:
-        if self._leave_requested or snapshot_s < self._started_s:
-            return
-        self._leave_requested = True
-        self._outbox.add(LeaveRequested())
+    def _request_leave(self, is_meant: bool) -> None:
+        if is_meant and not self._leave_requested:
+            self._leave_requested = True
+            self._outbox.add(LeaveRequested())
 
     def _merge_listed(
         self, now_s: float, entry: ListedInstance, snapshot_s: float
@@ -275,10 +273,12 @@
         member.listed = True
         member.was_listed = True
         if not member.heard:
-            member.describe(entry)
-            self._table.publish(member)
+            self._table.describe(member, entry)
         elif member.heard_since_s <= snapshot_s:
-            self._table.set_listed(member, entry.leaving)
+            is_new = self._table.set_listed(member, entry.leaving)
+            if is_new and entry.leaving:
+                # It may read the list much later itself.
+                self._outbox.send(entry.name, LeaveWish(member.incarnation))
 
     def _unlist(self, name: str) -> None:
         member = self._table.members[name]
--- a/endivepick/membership/peer_messages.py
+++ b/endivepick/membership/peer_messages.py
@@ -12,6 +12,7 @@
     "UNASKED",
     "Ack",
     "HandedOver",
+    "LeaveWish",
     "Liveness",
     "MemberUpdate",
     "MembershipMessage",
@@ -19,6 +20,7 @@
     "Ping",
     "PingRequest",
     "ProbeReport",
+    "ShortUpdate",
     "SyncDigest",
     "SyncPage",
     "SyncRequest",
@@ -83,6 +85,27 @@
     accuser: _Text = ""
 
 
+class ShortUpdate(msgspec.Struct, frozen=True, array_like=True):
+    """News about an incarnation that the receiver knows.
+
+    Attributes
+    ----------
+    incarnation : int
+        The incarnation.
+    phase : Phase
+        What it said about itself.
+    refutation : int
+        Highest one that the sender knows of it.
+    liveness : Liveness
+        What others found.
+    """
+
+    incarnation: _Incarnation
+    phase: Phase
+    refutation: _Counter
+    liveness: Liveness
+
+
 class HandedOver(msgspec.Struct, frozen=True, array_like=True):
     """An incarnation handed the flows of a service to a successor.
 
@@ -123,6 +146,8 @@
         Piggy-backed news.
     handed_over : list of HandedOver
         Piggy-backed hand-overs.
+    short_updates : list of ShortUpdate
+        Piggy-backed news that are too many for ``updates``.
     """
 
     sequence: _Counter
@@ -130,6 +155,7 @@
     known_refutation: _Counter
     updates: list[MemberUpdate]
     handed_over: list[HandedOver]
+    short_updates: list[ShortUpdate] = []
 
 
 class Ack(msgspec.Struct, frozen=True, array_like=True, tag=65):
@@ -138,6 +164,7 @@
     sequence: _Counter
     updates: list[MemberUpdate]
     handed_over: list[HandedOver]
+    short_updates: list[ShortUpdate] = []
 
 
 class PingRequest(msgspec.Struct, frozen=True, array_like=True, tag=66):
@@ -195,6 +222,19 @@
     handed_over: list[int]
 
 
+class LeaveWish(msgspec.Struct, frozen=True, array_like=True, tag=71):
+    """Tell an incarnation that the platform's list names it as leaving."""
+
+    incarnation: _Incarnation
+
+
 MembershipMessage = (
-    Ping | Ack | PingRequest | ProbeReport | SyncRequest | SyncPage | SyncDigest
+    Ping
+    | Ack
+    | PingRequest
+    | ProbeReport
+    | SyncRequest
+    | SyncPage
+    | SyncDigest
+    | LeaveWish
 )
--- a/endivepick/membership/tests/test_membership.py
+++ b/endivepick/membership/tests/test_membership.py
@@ -24,12 +24,14 @@
     UNASKED,
     Ack,
     HandedOver,
+    LeaveWish,
     Liveness,
     MemberUpdate,
     Phase,
     Ping,
     PingRequest,
     ProbeReport,
+    ShortUpdate,
     SyncDigest,
     SyncPage,
     SyncRequest,
@@ -105,14 +107,18 @@
     )
     hand_overs = st.lists(hand_over, max_size=3)
     wanted = st.lists(st.integers(-1, 300), max_size=300)
+    kinds = st.sampled_from(Phase), st.sampled_from(Liveness)
+    short = st.builds(ShortUpdate, st.integers(0, 9), kinds[0], number, kinds[1])
+    shorts = st.lists(short, max_size=3)
     message = st.one_of(
-        st.builds(Ping, number, number, number, news, hand_overs),
-        st.builds(Ack, number, news, hand_overs),
+        st.builds(Ping, number, number, number, news, hand_overs, shorts),
+        st.builds(Ack, number, news, hand_overs, shorts),
         st.builds(PingRequest, number, st.sampled_from(["b", "entry-1"])),
         st.builds(ProbeReport, number, st.just("entry-1"), st.booleans(), news),
         st.builds(SyncRequest, number, updates()),
         st.builds(SyncPage, number, wanted, news, hand_overs),
         st.builds(SyncDigest, wanted, wanted),
+        st.builds(LeaveWish, number),
     )
     return st.tuples(st.sampled_from(["b", "entry-0", "entry-1"]), message)
 
@@ -438,6 +444,38 @@
         self.assertTrue(everybody_sees(loop, 8) or "entry-3" in loop.nodes)
         self.assertNotIn("entry-3", loop.nodes["entry-0"].live_names())
 
+    def test_who_reads_that_another_shall_leave_tells_it(self):
+        loop = started()
+        loop.run(10)
+        entries = [
+            ListedInstance(name, me.zone, me.peer_address, name == "entry-3")
+            for name, me in loop.me.items()
+        ]
+        for _ in range(2):
+            news = loop.nodes["entry-0"].on_list(loop.now_s, entries)
+            loop.carry_out("entry-0", news)
+            loop.run(1)
+        wishes = [
+            (name, action)
+            for _, name, action in loop.actions
+            if isinstance(action, LeaveRequested)
+        ]
+        self.assertEqual([name for name, _ in wishes], ["entry-3"])
+        told = [
+            action.message
+            for _, _, action in loop.actions
+            if isinstance(action, Send) and isinstance(action.message, LeaveWish)
+        ]
+        self.assertEqual(told, [LeaveWish(loop.me["entry-3"].incarnation)])
+
+    def test_wish_for_an_earlier_incarnation_stops_nobody(self):
+        loop = started()
+        node = loop.nodes["entry-0"]
+        own = loop.me["entry-0"].incarnation
+        self.assertEqual(node.on_message(loop.now_s, "entry-1", 1, LeaveWish(7)), [])
+        wished = node.on_message(loop.now_s, "entry-1", 1, LeaveWish(own))
+        self.assertEqual(wished, [LeaveRequested()])
+
     def test_stale_list_does_not_stop_a_new_incarnation(self):
         loop = started()
         loop.run(5)
@@ -580,6 +618,21 @@
         loop.is_cut = lambda a, b: False
         loop.run_until(lambda: everybody_sees(loop, 9), 60)
 
+    def test_digest_of_a_peer_is_that_of_its_last_state(self):
+        loop = started(3)
+        member = loop.nodes["entry-0"]._table.members["entry-1"]
+        seen = [member.digest]
+        leaving = loop.nodes["entry-1"].leave(loop.now_s)
+        loop.carry_out("entry-1", leaving)
+        loop.run(5)
+        seen.append(member.digest)
+        self.assertEqual(member.digest, loop.nodes["entry-1"]._own.digest)
+        loop.add("entry-1", "kumamoto", generation=2)
+        loop.list_all()
+        loop.run(10)
+        self.assertEqual(member.digest, loop.nodes["entry-1"]._own.digest)
+        self.assertEqual(len({*seen, member.digest}), 3)
+
     def test_list_forgets_a_peer_that_was_never_heard(self):
         loop = Loop()
         node = loop.add("a", "thamel")
