Compare owners of single targets, shards and a hot service

Cause: one owner for each target with a placer above them had never been measured, nor a service that is too hot for one instance.

The table runs the hot shape too.

--- a/endivepick/bench/alone.py
+++ b/endivepick/bench/alone.py
@@ -133,7 +133,14 @@
         if not self.world.connected(instance.zone, target.zone):
             answer(FinishKind.CONNECT_FAILED, 0.0)
             return
-        self.world.loop.call_later(delay_s, lambda: target.send(request, answer))
+        self.world.work(
+            instance.number,
+            self.world.shape.send_work_s,
+            request,
+            lambda: self.world.loop.call_later(
+                delay_s, lambda: target.send(request, answer)
+            ),
+        )
 
     def _target_of(self, flow: Flow, instance: _Instance, tried: set[str]) -> str:
         pinned = self.world.affinity is Affinity.FLOW
--- a/endivepick/bench/owners.py
+++ b/endivepick/bench/owners.py
@@ -15,6 +15,7 @@
     Fail,
     FinishKind,
     ProbeFailed,
+    RefusalReason,
     Refuse,
     RequestIntent,
     ServiceDispatcher,
@@ -22,7 +23,7 @@
 )
 from endivepick.records.model import Affinity, ServiceRecord
 
-__all__ = ["OwnerOwnZonePolicy", "OwnerPerZonePolicy", "OwnerPolicy"]
+__all__ = ["Owner", "OwnerOwnZonePolicy", "OwnerPerZonePolicy", "OwnerPolicy"]
 
 _PROBE_PERIOD_S = 0.5
 _PROBE_BYTES = 600
@@ -34,8 +35,24 @@
 
 
 @dataclass(eq=False)
-class _Owner:
-    """One owner incarnation of the service."""
+class Owner:
+    """One owner incarnation of the service, or of a part of its targets.
+
+    Attributes
+    ----------
+    number : int
+        Unique number.
+    instance, zone
+        Where it runs.
+    scope : str
+        Which flows are its own.
+    dispatcher : ServiceDispatcher
+        The product's decisions.
+    alive, stopping : bool
+        Whether it runs, and whether it takes no more flows.
+    requests : dict
+        Requests that it runs or lets wait, by number.
+    """
 
     number: int
     instance: int
@@ -57,8 +74,8 @@
         super().__init__(world)
         self.settings = DispatchSettings()
         self._record = world.record
-        self._owners: list[_Owner] = []
-        self._current: dict[str, _Owner] = {}
+        self._owners: list[Owner] = []
+        self._current: dict[str, Owner] = {}
         for scope in self._scopes():
             self._add_owner(scope)
         loop = world.loop
@@ -68,7 +85,7 @@
 
     def open_flow(self, flow: Flow) -> None:
         """Let the owner of the reached instance's scope place a new flow."""
-        owner = self._current[self._scope_of(flow.instance)]
+        owner = self._current[self._scope_of(flow.instance, flow)]
         if not owner.alive:
             self.world.loop.call_later(_RESEND_S, lambda: self.open_flow(flow))
             return
@@ -98,21 +115,22 @@
         self.hops += owner.instance != request.instance
         self.zone_crossings += owner.zone != reached
         delay_s = world.delay_s(reached, owner.zone)
-        world.loop.call_later(delay_s, lambda: self._submit_at(owner, request))
+        world.loop.call_later(delay_s, lambda: self._take_in(owner, request))
 
     def update_record(self, record: ServiceRecord) -> None:
         """Let each owner learn of a newer record at its own time."""
-        self._record = dataclasses.replace(record, spill_share=self.spill_share)
+        self._record = record
         for owner in self._living():
             lag_s = self.world.random.uniform(0.0, _RECORD_LAG_S)
-            self.world.loop.call_later(lag_s, self._take_record(owner, self._record))
+            part = self._record_of(owner.scope)
+            self.world.loop.call_later(lag_s, self._take_record(owner, part))
 
     def waiting(self) -> dict[str, float]:
         """Return requests that wait at the owners, by target."""
         waiting = dict.fromkeys(self.world.targets, 0.0)
         for owner in self._living():
             snapshot = owner.dispatcher.snapshot()
-            shared = snapshot.waiting_unpinned / len(waiting)
+            shared = snapshot.waiting_unpinned / len(snapshot.targets)
             for target in snapshot.targets:
                 waiting[target.name] += target.waiting + shared
         return waiting
@@ -149,46 +167,54 @@
     def _scopes(self) -> list[str]:
         return list(self.world.shape.zones) if self.per_zone else ["all"]
 
-    def _scope_of(self, instance: int) -> str:
+    def _scope_of(self, instance: int, flow: Flow) -> str:
         zone = self.world.shape.zone_of_instance(instance)
         return zone if zone in self._current else "all"
 
-    def _living(self) -> list[_Owner]:
+    def _record_of(self, scope: str) -> ServiceRecord:
+        """Return what the owner of a scope knows of the newest record."""
+        return dataclasses.replace(self._record, spill_share=self.spill_share)
+
+    def _living(self) -> list[Owner]:
         return [owner for owner in self._owners if owner.alive]
 
     def _add_owner(self, scope: str) -> None:
         shape = self.world.shape
         number = len(self._owners)
-        fits = [
-            instance
-            for instance in range(shape.instances)
-            if scope in ("all", shape.zone_of_instance(instance))
-        ]
+        fits = self._instances_of(scope)
         instance = fits[number % len(fits)]
         zone = shape.zone_of_instance(instance)
         now_s = self.world.loop.now_s
-        record = dataclasses.replace(self._record, spill_share=self.spill_share)
+        record = self._record_of(scope)
         dispatcher = ServiceDispatcher(self.settings, record, zone, now_s)
-        owner = _Owner(number, instance, zone, scope, dispatcher)
+        owner = Owner(number, instance, zone, scope, dispatcher)
         self._owners.append(owner)
         self._current[scope] = owner
         self._probe(owner)
 
-    def _succeed(self, old: _Owner) -> None:
+    def _instances_of(self, scope: str) -> list[int]:
+        """Return the instances that may own a scope; all but for a zone."""
+        shape = self.world.shape
+        numbers = range(shape.instances)
+        if scope not in shape.zones:
+            return list(numbers)
+        return [n for n in numbers if shape.zone_of_instance(n) == scope]
+
+    def _succeed(self, old: Owner) -> None:
         self._add_owner(old.scope)
 
     def _rejoin(self, zone: str) -> None:
         owner = self._current.pop(zone)
         owner.stopping = True
 
-    def _owner_of(self, request: Request) -> _Owner | None:
+    def _owner_of(self, request: Request) -> Owner | None:
         """Return the flow's owner; a lost or stopped one has a successor."""
         owner = self._owners[request.flow.owner]
         reached = self.world.shape.zone_of_instance(request.instance)
         cut_off = not self.world.connected(reached, owner.zone)
         if owner.alive and not owner.stopping and not cut_off:
             return owner
-        successor = self._current.get(self._scope_of(request.instance))
+        successor = self._current.get(self._scope_of(request.instance, request.flow))
         if successor is None or not successor.alive:
             return None
         if request.flow.owner != successor.number:
@@ -196,7 +222,15 @@
             successor.dispatcher.adopt_flow(request.flow.target, self.world.loop.now_s)
         return successor
 
-    def _submit_at(self, owner: _Owner, request: Request) -> None:
+    def _take_in(self, owner: Owner, request: Request) -> None:
+        self.world.work(
+            owner.instance,
+            self.world.shape.send_work_s,
+            request,
+            lambda: self._submit_at(owner, request),
+        )
+
+    def _submit_at(self, owner: Owner, request: Request) -> None:
         if not owner.alive:
             self.submit(request)
             return
@@ -214,23 +248,29 @@
             owner, owner.dispatcher.submit(intent, now_s, self.world.random.random())
         )
 
-    def _carry_out(self, owner: _Owner, decisions: list[Decision]) -> None:
+    def _carry_out(self, owner: Owner, decisions: list[Decision]) -> None:
         for decision in decisions:
             match decision:
                 case Start(request_id=request_id):
                     self._send(owner, owner.requests[request_id], decision)
-                case Refuse(request_id=request_id):
-                    self.world.finish(owner.requests.pop(request_id), "refused")
+                case Refuse(request_id=request_id, reason=reason):
+                    self._on_refused(owner, owner.requests.pop(request_id), reason)
                 case Fail(request_id=request_id):
                     self.world.finish(owner.requests.pop(request_id), "unknown")
 
-    def _send(self, owner: _Owner, request: Request, start: Start) -> None:
+    def _on_refused(
+        self, owner: Owner, request: Request, reason: RefusalReason
+    ) -> None:
+        self.world.finish(request, "refused")
+
+    def _send(self, owner: Owner, request: Request, start: Start) -> None:
         world = self.world
         target = world.targets[start.target]
         if world.affinity is Affinity.FLOW:
             request.flow.target = start.target
         self.zone_crossings += target.zone != owner.zone
         request.attempts += 1
+        attempt = request.attempts
         delay_s = world.delay_s(owner.zone, target.zone)
         sent_s = world.loop.now_s
 
@@ -238,7 +278,7 @@
             world.loop.call_later(
                 delay_s,
                 lambda: self._on_answer(
-                    owner, request, start.attempt, sent_s, kind, retry_after_s
+                    owner, request, attempt, sent_s, kind, retry_after_s
                 ),
             )
 
@@ -249,13 +289,13 @@
         world.loop.call_at(
             request.deadline_at_s,
             lambda: self._on_answer(
-                owner, request, start.attempt, sent_s, FinishKind.LATE, 0.0
+                owner, request, attempt, sent_s, FinishKind.LATE, 0.0
             ),
         )
 
     def _on_answer(
         self,
-        owner: _Owner,
+        owner: Owner,
         request: Request,
         attempt: int,
         sent_s: float,
@@ -274,7 +314,7 @@
         )
         self._carry_out(owner, decisions)
 
-    def _take_record(self, owner: _Owner, record: ServiceRecord) -> Callable[[], None]:
+    def _take_record(self, owner: Owner, record: ServiceRecord) -> Callable[[], None]:
         def apply() -> None:
             now_s = self.world.loop.now_s
             self._carry_out(owner, owner.dispatcher.update_record(record, now_s))
@@ -285,9 +325,10 @@
         for owner in self._living():
             self._probe(owner)
 
-    def _probe(self, owner: _Owner) -> None:
+    def _probe(self, owner: Owner) -> None:
         world = self.world
-        for name, target in world.targets.items():
+        for name in [target.name for target in owner.dispatcher.record.targets]:
+            target = world.targets[name]
             self.control_bytes += _PROBE_BYTES
             if world.connected(owner.zone, target.zone):
                 outcome = target.probe(world.record.name)
--- a/endivepick/bench/policies.py
+++ b/endivepick/bench/policies.py
@@ -14,6 +14,7 @@
 )
 from endivepick.bench.perfect import PerfectPolicy
 from endivepick.bench.policy import Policy
+from endivepick.bench.shards import OwnerShardsPolicy, TargetOwnersPolicy
 
 __all__ = ["POLICIES"]
 
@@ -22,6 +23,8 @@
     "owner": OwnerPolicy,
     "owner_per_zone": OwnerPerZonePolicy,
     "owner_own_zone": OwnerOwnZonePolicy,
+    "owner_shards": OwnerShardsPolicy,
+    "target_owners": TargetOwnersPolicy,
     "random": RandomPolicy,
     "round_robin": RoundRobinPolicy,
     "bounded_hash": BoundedHashPolicy,
--- a/endivepick/bench/policy.py
+++ b/endivepick/bench/policy.py
@@ -2,7 +2,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 
 from endivepick.bench.backend import VirtualTarget
@@ -33,6 +33,8 @@
         Takes a request and its outcome, once for each request.
     cut_zones : set of str
         Zones that are cut off; each reaches itself only.
+    busy_until_s : dict
+        When each instance's processor has done what it has taken in, in seconds.
     """
 
     loop: VirtualLoop
@@ -42,6 +44,7 @@
     random: Random
     finish: Callable[[Request, str], None]
     cut_zones: set[str]
+    busy_until_s: dict[int, float] = field(default_factory=dict)
 
     @property
     def affinity(self) -> Affinity:
@@ -58,6 +61,35 @@
             return True
         return zone not in self.cut_zones and other not in self.cut_zones
 
+    def work(
+        self, instance: int, work_s: float, request: Request, done: Callable[[], None]
+    ) -> None:
+        """Let an instance's processor work on a request, one after another.
+
+        A request whose deadline has passed when its turn comes costs nothing.
+
+        Parameters
+        ----------
+        instance : int
+            The instance.
+        work_s : float
+            Processor time that the request needs, in seconds; with 0 the work is
+            done at once.
+        request : Request
+            The request.
+        done : callable
+            Called at the end.
+        """
+        if work_s == 0.0:
+            done()
+            return
+        free_s = max(self.loop.now_s, self.busy_until_s.get(instance, 0.0))
+        if free_s >= request.deadline_at_s:
+            self.loop.call_at(request.deadline_at_s, done)
+            return
+        self.busy_until_s[instance] = free_s + work_s
+        self.loop.call_at(free_s + work_s, done)
+
 
 class Policy(ABC):
     """Places flows and requests on targets.
--- a/endivepick/bench/table.py
+++ b/endivepick/bench/table.py
@@ -19,7 +19,12 @@
 STEADY_LOAD = 0.9
 STEADY_DURATION_S = 320.0
 FAULT_LOAD = 0.7
-STEADY_POLICIES = tuple(name for name in POLICIES if name != "owner_per_zone")
+HOT_SHAPE = "harada-hot"
+HOT_DURATION_S = 50.0
+STEADY_POLICIES = tuple(
+    name for name in POLICIES if name not in ("owner_per_zone", "owner_shards")
+)
+HOT_POLICIES = ("perfect", "owner", "owner_shards", "target_owners", "two_choices")
 OVERLOAD_POLICIES = ("perfect", "owner", "two_choices", "least_loaded")
 ZONE_POLICIES = ("perfect", "owner", "owner_per_zone", "owner_own_zone", "two_choices")
 _PERFECT = "perfect"
@@ -71,6 +76,9 @@
             yield dataclasses.replace(steady, load=load), OVERLOAD_POLICIES
     for shape, load in product(EXPORT_SHAPES, (STEADY_LOAD, 1.2)):
         yield Experiment(shape, "request", load, _PERFECT), OVERLOAD_POLICIES
+    for affinity in AFFINITIES:
+        hot = Experiment(HOT_SHAPE, affinity, STEADY_LOAD, _PERFECT)
+        yield dataclasses.replace(hot, duration_s=HOT_DURATION_S), HOT_POLICIES
     for shape, affinity, fault in product(SESSION_SHAPES, AFFINITIES, FAULTS):
         faulty = Experiment(shape, affinity, FAULT_LOAD, _PERFECT, fault)
         policies = ZONE_POLICIES if fault == "zone_cut" else OVERLOAD_POLICIES
--- a/endivepick/bench/tests/test_policies.py
+++ b/endivepick/bench/tests/test_policies.py
@@ -1,12 +1,18 @@
+import dataclasses
+import math
 import unittest
 
 from endivepick.bench.experiment import Experiment, run_experiment
 from endivepick.bench.measures import ImbalanceMeter
+from endivepick.bench.paired import Mean, format_paired
+from endivepick.bench.placer import Placer, TargetReport
 from endivepick.bench.policies import POLICIES
 from endivepick.bench.report import render_report
 from endivepick.bench.results import Spread
 from endivepick.bench.table import format_table, table_experiments
-from endivepick.bench.workload import SHAPES, Requested, generate_events
+from endivepick.bench.workload import SHAPES, Requested, generate_events, make_record
+from endivepick.core.dispatch import DispatchSettings
+from endivepick.records.model import Affinity
 
 
 def run(policy="owner", affinity="request", load=0.7, fault="none", duration_s=35.0):
@@ -78,6 +84,77 @@
         owner, perfect = run(load=0.9), run("perfect", load=0.9)
         self.assertLess(owner.imbalance_median, 1.1 * perfect.imbalance_median)
 
+    def test_planned_changes_at_target_owners_break_no_flow(self):
+        for affinity in ("flow", "request"):
+            result = run("target_owners", affinity, fault="planned")
+            self.assertEqual((result.broken_flows, result.unfinished), (0, 0))
+
+    def test_lost_target_owner_ends_only_its_own_requests(self):
+        result = run("target_owners", "flow", fault="kill")
+        self.assertEqual(result.unfinished, 0)
+        self.assertLessEqual(result.unknown, SHAPES["harada"].slots * 9)
+
+    def test_hot_service_needs_more_than_one_sender(self):
+        def hot_goodput(policy):
+            hot = Experiment("harada-hot", "request", 0.9, policy, duration_s=50.0)
+            return run_experiment(hot).goodput
+
+        self.assertLess(hot_goodput("owner"), 0.7)
+        self.assertGreater(hot_goodput("owner_shards"), 0.85)
+        self.assertGreater(hot_goodput("target_owners"), 0.85)
+
+
+class PlacerTest(unittest.TestCase):
+    def setUp(self):
+        record = make_record(SHAPES["harada"], Affinity.REQUEST)
+        self.placer = Placer(DispatchSettings(), record, 0.0)
+        self.names = {target.name for target in record.targets}
+
+    def report(self, name, sent_s, work=0, serves=True):
+        self.placer.on_report(
+            TargetReport(name, sent_s, 0.01, work, 0.0, 0, serves, True)
+        )
+
+    def test_counts_what_it_has_placed_since_a_report(self):
+        placed = {self.placer.place_request(set(), 0.0, 1.0) for _ in self.names}
+        self.assertEqual(placed, self.names)
+
+    def test_report_replaces_only_what_its_owner_had_seen(self):
+        first = self.placer.place_request(set(), 0.0, 1.0)
+        self.report(first, sent_s=1.005)
+        others = {self.placer.place_request(set(), 0.0, 1.0) for _ in self.names}
+        self.assertEqual(others, self.names)
+        self.report(first, sent_s=1.02)
+        self.assertEqual(self.placer.place_request(set(), 0.0, 1.02), first)
+
+    def test_places_nothing_where_no_target_is_served_or_left(self):
+        self.assertEqual(self.placer.place_request(self.names, 0.0, 1.0), "")
+        for name in self.names:
+            self.report(name, sent_s=1.0, serves=False)
+        self.assertEqual(self.placer.place_flow(set(), 0.0, 1.0), "")
+
+
+class PairedTest(unittest.TestCase):
+    def test_mean_has_its_standard_error(self):
+        self.assertEqual(Mean.of([1.0, 2.0, 3.0]), Mean(2.0, 1.0 / math.sqrt(3)))
+
+    def test_differences_are_taken_seed_by_seed(self):
+        results = [
+            dataclasses.replace(
+                run(policy, load=0.5, duration_s=25.0),
+                experiment=Experiment("harada", "flow", 0.5, policy, seed=seed),
+                imbalance_median=imbalance,
+            )
+            for policy, seed, imbalance in (
+                ("perfect", 1, 2.0),
+                ("perfect", 2, 4.0),
+                ("owner", 2, 4.5),
+                ("owner", 1, 2.5),
+            )
+        ]
+        table = format_paired(results, "perfect")
+        self.assertRegex(table, r"owner +imbalance +3.5 \(1\) +0.5 \(0\)")
+
 
 class TableTest(unittest.TestCase):
     def test_table_and_report_show_each_policy(self):
--- a/endivepick/bench/workload.py
+++ b/endivepick/bench/workload.py
@@ -56,6 +56,9 @@
         Time that a caller waits for its answer, in seconds.
     idempotent_share : float
         Share of requests that may run more than once.
+    send_work_s, place_work_s : float
+        Processor time of the instance that sends a request to its target, and of
+        the one that places it for another to send, in seconds.
     """
 
     name: str
@@ -71,6 +74,8 @@
     think_time_s: float
     timeout_s: float
     idempotent_share: float
+    send_work_s: float = 0.0
+    place_work_s: float = 0.0
 
     @property
     def service_time_s(self) -> float:
@@ -143,6 +148,15 @@
             long_share=0.2,
             timeout_s=30.0,
         ),
+        # Hot: at a load of 0.9 one sender's processor would have to do 1.26 s of
+        # work in a second.  Placing takes 0.3 of the work of sending, as measured.
+        dataclasses.replace(
+            _HARADA,
+            name="harada-hot",
+            target_zones=(0, 0, 0, 1, 1, 2, 2) * 4,
+            send_work_s=0.005,
+            place_work_s=0.0015,
+        ),
     )
 }
 
