--- a/endivepick/bench/policy_commands.py
+++ b/endivepick/bench/policy_commands.py
@@ -29,7 +29,8 @@
     Parameters
     ----------
     shape : str
-        ``harada``, ``leave-desk``, ``harada-packs`` or ``leave-desk-exports``.
+        ``harada``, ``leave-desk``, ``harada-packs``, ``leave-desk-exports`` or
+        ``harada-hot``.
     affinity : str
         ``flow`` or ``request``.
     load : float
