--- a/endivepick/bench/placer.py
+++ b/endivepick/bench/placer.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from endivepick.core.dispatch import DispatchSettings
+from endivepick.core.dispatch import DispatchSettings, FlowActivity
 from endivepick.core.dispatch.placement import choose_flow_target, choose_target
 from endivepick.core.dispatch.service_time import ServiceTimeEstimate
 from endivepick.core.dispatch.target import TargetState
@@ -84,8 +84,7 @@
         target.healthy = report.healthy
         target.flows = report.flows
         now_s = report.sent_s + report.delay_s
-        change_per_s = report.rate_per_s - target.arrivals.per_s(now_s)
-        target.arrivals.add(change_per_s, now_s)
+        target.activity.take_report(report.rate_per_s, report.flows, now_s)
         if report.serves and not target.record.draining:
             self._serving.add(target.name)
         else:
@@ -97,7 +96,7 @@
         if not targets:
             return ""
         chosen = choose_flow_target(targets, tie, now_s)
-        self._targets.add_flow(chosen, now_s)
+        self._targets.add_flow(chosen, FlowActivity(), now_s)
         return chosen.name
 
     def place_request(self, tried: set[str], tie: float, now_s: float) -> str:
@@ -112,7 +111,7 @@
     def mean_pace_per_s(self, now_s: float) -> float:
         """Return how fast a flow sends on average, in requests per second."""
         flows = sum(target.flows for target in self._targets)
-        rate_per_s = sum(target.arrivals.per_s(now_s) for target in self._targets)
+        rate_per_s = sum(target.activity.rate_per_s(now_s) for target in self._targets)
         return rate_per_s / max(1, flows)
 
     def _known(self, tried: set[str], now_s: float) -> list[TargetState]:
--- a/endivepick/bench/shards.py
+++ b/endivepick/bench/shards.py
@@ -1,6 +1,7 @@
 """Services cut into parts: an owner for some of the targets, or for each of them."""
 
 import dataclasses
+from collections import defaultdict
 
 from endivepick.bench.alone import DATAGRAM_HEADER_BYTES
 from endivepick.bench.owners import Owner, OwnerPolicy
@@ -8,8 +9,8 @@
 from endivepick.bench.policy import World
 from endivepick.bench.workload import Flow, Request
 from endivepick.core.codec import encode_struct
-from endivepick.core.dispatch import RefusalReason
-from endivepick.core.dispatch.arrival_rate import ArrivalRate
+from endivepick.core.dispatch import FlowActivity, RefusalReason
+from endivepick.core.dispatch.flow_activity import TargetActivity
 from endivepick.records.model import Affinity, ServiceRecord
 
 __all__ = ["OwnerShardsPolicy", "TargetOwnersPolicy"]
@@ -52,15 +53,15 @@
     """
 
     def __init__(self, world: World) -> None:
-        self._rates: dict[str, ArrivalRate] = {}
+        self._rates: dict[str, TargetActivity] = {}
+        self._flows: defaultdict[int, FlowActivity] = defaultdict(FlowActivity)
         self._tried: dict[int, set[str]] = {}
         super().__init__(world)
         self.placer = Placer(self.settings, world.record, world.loop.now_s)
         self._placer_instance = 0
         self._placer_zone = world.shape.zone_of_instance(0)
-        self._rates = {
-            name: ArrivalRate(self.settings.arrival_memory_s) for name in world.targets
-        }
+        memory_s = self.settings.arrival_memory_s
+        self._rates = {name: TargetActivity(memory_s) for name in world.targets}
         world.loop.call_every(_REPORT_PERIOD_S, self._report_all)
 
     def open_flow(self, flow: Flow) -> None:
@@ -81,7 +82,9 @@
         if not request.flow.target:
             self._bind(request.flow, set())
         if request.attempts == 0 and request.flow.target:
-            self._rates[request.flow.target].on_request(self.world.loop.now_s)
+            activity = self._flows[request.flow.number]
+            rate = self._rates[request.flow.target]
+            rate.on_request(activity, self.world.loop.now_s)
         super().submit(request)
 
     def update_record(self, record: ServiceRecord) -> None:
@@ -122,16 +125,15 @@
             return
         owner = self._current[flow.target]
         flow.owner = owner.number
-        owner.dispatcher.adopt_flow(flow.target, now_s)
-        self._rates[flow.target].add(self.placer.mean_pace_per_s(now_s), now_s)
+        owner.dispatcher.adopt_flow(flow.target, flow.activity, now_s)
+        pace_per_s = self.placer.mean_pace_per_s(now_s)
+        self._rates[flow.target].join(self._flows[flow.number], pace_per_s, now_s)
 
     def _leave(self, flow: Flow) -> None:
         now_s = self.world.loop.now_s
         dispatcher = self._current[flow.target].dispatcher
-        rate = self._rates[flow.target]
-        flows = max(1, dispatcher.snapshot().targets[0].flows)
-        rate.add(-rate.per_s(now_s) / flows, now_s)
-        dispatcher.close_flow(flow.target, now_s)
+        self._rates[flow.target].leave(self._flows.pop(flow.number), now_s)
+        dispatcher.close_flow(flow.target, flow.activity, now_s)
 
     def _to_placer(self, request: Request) -> None:
         world = self.world
@@ -199,7 +201,7 @@
             sent_s=now_s,
             delay_s=delay_s,
             work=target.in_flight + target.waiting + snapshot.waiting_unpinned,
-            rate_per_s=self._rates[target.name].per_s(now_s),
+            rate_per_s=self._rates[target.name].rate_per_s(now_s),
             flows=target.flows,
             serves=target.state in ("ready", "cold", "trial"),
             healthy=target.healthy,
--- a/endivepick/daemon/run.py
+++ b/endivepick/daemon/run.py
@@ -103,7 +103,7 @@
         performer = Performer(core, tasks, metrics, loop.deliver_now)
         performer.perform(core.start())
         _announce(settings, core, tasks)
-        stack.enter_context(_spawned(loop.tick))
+        stack.enter_context(loop.ticking())
         metrics.collect_with(lambda: _collect(metrics, core, peers))
         yield loop, performer
 
@@ -113,21 +113,15 @@
     metrics.set_traffic(peers.traffic)
 
 
-@contextmanager
-def _spawned(function, *arguments) -> Iterator[None]:  # type: ignore[no-untyped-def]
-    greenlet = gevent.spawn(function, *arguments)
-    try:
-        yield
-    finally:
-        greenlet.kill()
-
-
 def _core_settings(settings: DaemonSettings) -> CoreSettings:
     return CoreSettings(
         name=settings.instance.name,
         zone=settings.instance.zone,
         flow=settings.flow,
-        roles=RoleSettings(probe_every_s=settings.targets.probe_every_s),
+        roles=RoleSettings(
+            probe_every_s=settings.targets.probe_every_s,
+            quiet_probe_every_s=settings.targets.quiet_probe_every_s,
+        ),
         dispatch=settings.dispatch,
         membership=settings.membership,
         records=settings.records,
