Count a changed period of ticks from the last tick

Cause: the timer of the core's ticks was started anew whenever the period changed, so that periods that change more often than they pass put the next tick off without end.

Change: the new timer first waits for what is left since the last tick. test_tick_is_not_put_off_by_periods_that_change failed first (0.3 s > 0.25 s).

--- a/endivepick/daemon/core_loop.py
+++ b/endivepick/daemon/core_loop.py
@@ -75,6 +75,7 @@
         self._busy_until_s = 0.0
         self._timer: Any = None
         self._timer_s = 0.0
+        self._ticked_at_s = clock.now_s()
 
     @property
     def tick_s(self) -> float:
@@ -111,7 +112,7 @@
     @contextmanager
     def ticking(self) -> Iterator[None]:
         """Let time pass for the core while the context is open."""
-        self._inbox.put(Tick())
+        self._put_tick()
         self._set_timer(self.tick_s)
         try:
             yield
@@ -120,16 +121,19 @@
             self._timer = None
 
     def _set_timer(self, every_s: float) -> None:
-        """Tick with another period from now on, if it is another one."""
+        """Tick with another period after the last tick, if it is another one."""
         if every_s == self._timer_s:
             return
         if self._timer is not None:
             self._timer.close()
         self._timer_s = every_s
-        self._timer = gevent.get_hub().loop.timer(every_s, every_s)
+        # From the last tick: periods that change often must not put the next one off.
+        after_s = max(0.0, self._ticked_at_s + every_s - self._clock.now_s())
+        self._timer = gevent.get_hub().loop.timer(after_s, every_s)
         self._timer.start(self._put_tick)
 
     def _put_tick(self) -> None:
+        self._ticked_at_s = self._clock.now_s()
         # Called by the event loop, which must not wait; the next tick makes up
         # for one that finds no room.
         if not self._inbox.full():
