--- a/endivepick/cli/bench.py
+++ b/endivepick/cli/bench.py
@@ -46,7 +46,7 @@
         Parameters
         ----------
         shape : str
-            harada, leave-desk, harada-packs or leave-desk-exports.
+            harada, leave-desk, harada-packs, leave-desk-exports or harada-hot.
         affinity : str
             flow or request.
         load : str
