Measure what a closed flow holds and what its expiry costs

Cause: CAPACITY.md names flows kept until their token expires as the line furthest over its limit, from the slope of open flows; closed ones had no measurement.

Change: a measurement "closed" opens, uses and closes flows and looks at what is held two minutes later. "expire_us" is now the mean of 30 expiries 10 s apart, of flows that were used, since unused ones leave after a minute.

--- a/endivepick/bench/_core_slopes.py
+++ b/endivepick/bench/_core_slopes.py
@@ -31,6 +31,7 @@
     Acknowledge,
     CallerAddress,
     CallerPacket,
+    FlowClosed,
     Open,
     Opened,
     Renew,
@@ -42,6 +43,7 @@
 from endivepick.records.model import Affinity, ServiceRecord, TargetRecord
 
 __all__ = [
+    "measure_closed",
     "measure_dispatcher",
     "measure_flows",
     "measure_memory",
@@ -51,6 +53,12 @@
 
 FLOW_SIZES = (1_000, 4_000, 16_000, 64_000)
 MEMORY_SIZES = (500, 1_000, 2_000, 4_000)
+CLOSED_SIZES = (1_000, 2_000, 4_000, 8_000)
+EXPIRY_EVERY_S = 10.0
+EXPIRIES = 30
+"""Expiries over which the time of one is averaged, so that all parts are in it."""
+SETTLED_S = 120.0
+"""Age of a closed flow of which nothing more is heard, in seconds."""
 PACKET_FLEETS = (8, 64, 512, 2_048)
 TARGET_SIZES = (2, 8, 32, 128)
 KEY_SIZES = (1, 4, 16, 64)
@@ -163,15 +171,52 @@
     return measure("flow", sizes, units, _memory_once, repeats=2)
 
 
+def _expire_us(owner: _OwnerNode) -> float:
+    """Return the processor time of one expiry, in microseconds."""
+    table, now_s = owner.core.table, owner.node.now_s
+    late_s = count(now_s, EXPIRY_EVERY_S)
+    return _timed_us(lambda: table.expire(next(late_s)), EXPIRIES)
+
+
+def _closed_once(flows: int) -> dict[str, float]:
+    owner = _OwnerNode()
+    owner.request(owner.open(), 1)
+    with traced() as held:
+        for number in range(flows):
+            token = owner.open(number)
+            owner.request(token, 1, number)
+            owner.send(FlowClosed(token), _caller(number))
+        owner.core.table.expire(owner.node.now_s)
+        owner.core.table.expire(owner.node.now_s + SETTLED_S)
+    owner.node.now_s += SETTLED_S
+    return {
+        "closed_flow_bytes": float(held.held),
+        "closed_flows_kept": float(len(owner.core.table)),
+        "closed_expire_us": _expire_us(owner),
+    }
+
+
+def measure_closed(sizes: Sequence[int] = CLOSED_SIZES) -> dict[str, Measured]:
+    """Measure what flows cost that were used and closed two minutes ago."""
+    units = {
+        "closed_flow_bytes": "B",
+        "closed_flows_kept": "flows",
+        "closed_expire_us": "us",
+    }
+    return measure("flow", sizes, units, _closed_once, repeats=2)
+
+
 def _flows_once(flows: int) -> dict[str, float]:
     owner = _OwnerNode()
     for number in range(flows):
         owner.open(number)
+    for flow in owner.core.table:
+        flow.window.claim(1)
     core, now_s = owner.core, owner.node.now_s
     later_s = count(1)
     return {
         "sweep_us": _timed_us(lambda: core.owner.tick(now_s + next(later_s)), 3),
-        "expire_us": _timed_us(lambda: core.table.expire(now_s + 1.0), 3),
+        "expire_us": _expire_us(owner),
         **_hand_over(owner, flows),
     }
 
--- a/endivepick/bench/capacity.py
+++ b/endivepick/bench/capacity.py
@@ -32,6 +32,7 @@
 DEFAULT_RESULTS = "var/bench/capacity.json"
 MEASUREMENTS: dict[str, Callable[[], dict[str, Measured]]] = {
     "memory": _core_slopes.measure_memory,
+    "closed": _core_slopes.measure_closed,
     "flows": _core_slopes.measure_flows,
     "packets": _core_slopes.measure_packets,
     "dispatcher": _core_slopes.measure_dispatcher,
