Give a binding its empty window once, and forget closed flows

Cause: owners kept the window of every flow, closed or not, until its token could not be valid any more, because an unknown binding under a token of this incarnation was always adopted with an empty window: memory carried "at most once".

Ruled out (docs/design/forgotten-flows.md): closed bindings in sets by time (70 B each, and the successor must get them), shorter tokens, a floor by time, generations in the binding. "Issued by me and not open, so closed" alone is wrong for bindings that a relay draws after the loss of an owner: the owner sees them for the first time in the token.

Change: tokens say whether a relay drew the binding; an owner adopts such a binding once and remembers it in two sets that take turns. Any other binding that it does not hold is answered with a new one and never runs. Closed flows go after flow.unacknowledged_s and are not handed over; expiry looks at a 360th part of the open flows every 10 s. Flows never used are kept like used ones, the youngest 65,536.

Model: closing and forgetting are steps now.

Conclusion: what is remembered decides only how long a flow lives, not whether a promise holds. Left: flows whose callers vanish without closing stay until their token expires.

--- a/endivepick/bench/_capacity_lines.py
+++ b/endivepick/bench/_capacity_lines.py
@@ -1,13 +1,14 @@
 """What each role costs at a given size, worked out from measured slopes."""
 
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from math import ceil
 
 from endivepick.bench._fleet import Fleet, Limits
 from endivepick.bench._slopes import Measured
-from endivepick.core.flow_table import CLOCK_SKEW_MARGIN_S
+from endivepick.core.flow_table import CLOCK_SKEW_MARGIN_S, LOOK_EVERY_S
+from endivepick.core.instance import EXPIRY_EVERY_S
 from endivepick.core.roles import RoleSettings
 from endivepick.core.settings import FlowSettings
 from endivepick.daemon.peers import CONNECTIONS_MAX
@@ -22,6 +23,8 @@
 """Suspected, dead (assumed)."""
 CHANGES_PER_RESTART = 4
 """Leaving, stopped, back, ready (assumed)."""
+ABANDONED_SHARE = 0.01
+"""Flows whose callers go away without closing them (assumed)."""
 RACK_INSTANCES = 40
 """Instances that a rack or switch takes along (assumed)."""
 DIGEST_SPREAD = 1.2
@@ -231,12 +234,7 @@
         yield self._memory(
             role, f"open flows, {fleet.most_records} services", flow * busiest
         )
-        kept_s = FlowSettings().token_lifetime_s + CLOCK_SKEW_MARGIN_S
-        kept = fleet.opens_per_s * kept_s / fleet.instances
-        yield self._memory(role, f"flows kept after use ({kept:,.0f})", flow * kept)
-        expire_s = self._slope("expire_us") * _S_PER_US / 10
-        yield self._share(role, "expiry of open flows", expire_s * mean)
-        yield self._share(role, "expiry of flows kept", expire_s * kept)
+        yield from self._flows_kept(role, flow, mean)
         open_us = self._slopes["real_open_us"].last
         yield CapacityLine(role, "an open", open_us, "us", None, Basis.MEASURED)
         own_us = self._slopes["real_owner_us"].last
@@ -248,6 +246,23 @@
         stop_ms = self._slopes["hand_over_us"].at(service) / 1000
         yield CapacityLine(role, "planned stop: processor", stop_ms, "ms", None)
 
+    def _flows_kept(
+        self, role: str, flow_bytes: float, open_flows: float
+    ) -> Iterator[CapacityLine]:
+        """Yield what flows cost that are closed, or left without being closed."""
+        settings = FlowSettings()
+        opens_per_s = self._fleet.opens_per_s / self._fleet.instances
+        closed = opens_per_s * (settings.unacknowledged_s + EXPIRY_EVERY_S)
+        yield self._memory(role, f"closed flows ({closed:,.0f})", flow_bytes * closed)
+        kept_s = settings.token_lifetime_s + CLOCK_SKEW_MARGIN_S + LOOK_EVERY_S
+        left = ABANDONED_SHARE * opens_per_s * kept_s
+        what = f"flows left open, {100 * ABANDONED_SHARE:.0f} % ({left:,.0f})"
+        line = self._memory(role, what, flow_bytes * left)
+        yield replace(line, basis=Basis.ASSUMED)
+        expire_s = self._slope("expire_us") * _S_PER_US / EXPIRY_EVERY_S
+        held = open_flows + closed + left
+        yield self._share(role, f"expiry ({held:,.0f} flows)", expire_s * held)
+
     def placer(self) -> Iterator[CapacityLine]:
         """Yield what the dispatcher of one service spends."""
         role, targets = "placer", self._fleet.targets_per_record
--- a/endivepick/bench/_core_slopes.py
+++ b/endivepick/bench/_core_slopes.py
@@ -26,6 +26,7 @@
     StopRequested,
     Tick,
 )
+from endivepick.core.instance import EXPIRY_EVERY_S
 from endivepick.core.keyring import Keyring, TokenKey, keyring_to_body
 from endivepick.core.messages import (
     Acknowledge,
@@ -54,9 +55,8 @@
 FLOW_SIZES = (1_000, 4_000, 16_000, 64_000)
 MEMORY_SIZES = (500, 1_000, 2_000, 4_000)
 CLOSED_SIZES = (1_000, 2_000, 4_000, 8_000)
-EXPIRY_EVERY_S = 10.0
-EXPIRIES = 30
-"""Expiries over which the time of one is averaged, so that all parts are in it."""
+EXPIRIES = 360
+"""Expiries over which the time of one is averaged: an hour, a round over all flows."""
 SETTLED_S = 120.0
 """Age of a closed flow of which nothing more is heard, in seconds."""
 PACKET_FLEETS = (8, 64, 512, 2_048)
@@ -174,23 +174,38 @@
 def _expire_us(owner: _OwnerNode) -> float:
     """Return the processor time of one expiry, in microseconds."""
     table, now_s = owner.core.table, owner.node.now_s
-    late_s = count(now_s, EXPIRY_EVERY_S)
+    table.expire(now_s)
+    late_s = count(now_s + EXPIRY_EVERY_S, EXPIRY_EVERY_S)
     return _timed_us(lambda: table.expire(next(late_s)), EXPIRIES)
 
 
-def _closed_once(flows: int) -> dict[str, float]:
+def _closed_in_turn(flows: int, times: int) -> tuple[_OwnerNode, int]:
+    """Return an owner of flows that were closed in turn, and the memory they hold."""
     owner = _OwnerNode()
     owner.request(owner.open(), 1)
     with traced() as held:
-        for number in range(flows):
-            token = owner.open(number)
-            owner.request(token, 1, number)
-            owner.send(FlowClosed(token), _caller(number))
-        owner.core.table.expire(owner.node.now_s)
-        owner.core.table.expire(owner.node.now_s + SETTLED_S)
+        for _ in range(times):
+            _use_and_close(owner, flows)
+    return owner, held.held
+
+
+def _use_and_close(owner: _OwnerNode, flows: int) -> None:
+    """Open flows, send a request on each, close them, and let some time pass."""
+    for number in range(flows):
+        token = owner.open(number)
+        owner.request(token, 1, number)
+        owner.send(FlowClosed(token), _caller(number))
     owner.node.now_s += SETTLED_S
+    owner.core.table.expire(owner.node.now_s)
+
+
+def _closed_once(flows: int) -> dict[str, float]:
+    # Tables keep the room of as many flows as were there at once: this is what
+    # further flows add that come after those have gone.
+    _, once_bytes = _closed_in_turn(flows, 1)
+    owner, twice_bytes = _closed_in_turn(flows, 2)
     return {
-        "closed_flow_bytes": float(held.held),
+        "closed_flow_bytes": float(twice_bytes - once_bytes),
         "closed_flows_kept": float(len(owner.core.table)),
         "closed_expire_us": _expire_us(owner),
     }
--- a/endivepick/core/handover.py
+++ b/endivepick/core/handover.py
@@ -110,6 +110,7 @@
     def tick(self, now_s: float) -> list[Action]:
         """Freeze what is idle, send it, and send again what has no answer."""
         self._now_s = now_s
+        self.table.drop_closed()
         self._drop_lost_transfers()
         return self._send_again(now_s) + self._give(now_s)
 
@@ -147,6 +148,8 @@
                 break
             if flow.service != service or flow.frozen or flow.in_progress:
                 continue
+            if flow.closed:
+                continue
             actions += self._freeze(flow, now_s)
             batch.append(snapshot_flow(flow, now_s))
             size_bytes += len(encode_struct(batch[-1]))
--- a/endivepick/core/handover_taker.py
+++ b/endivepick/core/handover_taker.py
@@ -139,6 +139,9 @@
     def _restore(self, message: HandOver, now_s: float) -> list[OwnedFlow]:
         flows = []
         for snapshot in message.flows:
+            if snapshot.closed:
+                # Earlier builds send these too; nothing of them may run here.
+                continue
             flow = restore_flow(snapshot, self.settings.window_size, now_s)
             if self.table.restore(flow):
                 self.executor.flow_added(flow, now_s)
--- a/endivepick/core/owner.py
+++ b/endivepick/core/owner.py
@@ -164,7 +164,7 @@
 
     def _close(self, flow: OwnedFlow, now_s: float) -> list[Action]:
         self._executor.flow_removed(flow, now_s)
-        flow.closed = True
+        self._table.note_closed(flow, now_s)
         actions: list[Action] = []
         for request in list(flow.requests.values()):
             flow.window.claim(request.seq)
--- a/endivepick/core/relay.py
+++ b/endivepick/core/relay.py
@@ -28,6 +28,8 @@
 
 HOPS_MAX = 4
 """Instances that a datagram may pass before it is given up."""
+FORGOTTEN = "forgotten"
+"""Why a flow got a new binding although its owner lives."""
 SILENT_RETRY_MS = 300
 """When to come back while the owner is suspected, in milliseconds."""
 
@@ -165,6 +167,28 @@
         self, token: FlowToken, caller: CallerAddress, now_s: float
     ) -> list[Action]:
         """Give the flow a new owner and a new, empty binding."""
+        text = "owner lost, flow has a new owner"
+        return self._reissue(token, caller, now_s, text, "")
+
+    def reissue_forgotten(
+        self, token: FlowToken, caller: CallerAddress, now_s: float
+    ) -> list[Action]:
+        """Give a flow that was closed or forgotten here a new, empty binding.
+
+        Whether its requests ran is not known any more, so that "not run" might be
+        untrue; under the old binding nothing ever runs again.
+        """
+        text = "packet of a flow that was closed or forgotten here"
+        return self._reissue(token, caller, now_s, text, FORGOTTEN)
+
+    def _reissue(
+        self,
+        token: FlowToken,
+        caller: CallerAddress,
+        now_s: float,
+        text: str,
+        reason: str,
+    ) -> list[Action]:
         owner = self._present_owner(token.service)
         renewed = FlowToken(
             service=token.service,
@@ -174,6 +198,7 @@
             owner_incarnation=owner.incarnation,
             target=token.target,
             issued_at_s=int(now_s),
+            drawn_by_relay=True,
         )
         packet = Reissued(
             flow_id=token.flow_id,
@@ -187,7 +212,7 @@
             Log(
                 "relay",
                 "flow_reissued",
-                "owner lost, flow has a new owner",
+                text,
                 {
                     "flow": token.flow_id,
                     "binding": renewed.binding,
@@ -196,7 +221,7 @@
                 },
             ),
             SendToCaller(caller, packet),
-            Count("flows_reissued"),
+            Count("flows_reissued", reason),
         ]
 
     def _present_owner(self, service: str) -> Identity:
--- a/endivepick/core/router.py
+++ b/endivepick/core/router.py
@@ -140,10 +140,13 @@
         now_s: float,
     ) -> list[Action]:
         issued_here = token.owner_incarnation == self._me.incarnation
-        if not issued_here or self._table.successor(token.binding) is not None:
+        handed_on = self._table.successor(token.binding) is not None
+        if not issued_here or handed_on:
             # A predecessor handed its flows over, but this one did not arrive; or
             # it was handed on from here, so that an empty window would be a second.
             return self._relay.reissue_after_loss(token, caller, now_s)
+        if not self._table.may_adopt(token):
+            return self._relay.reissue_forgotten(token, caller, now_s)
         return self._handle_here(token, packet, caller, now_s)
 
     def _handle_here(
--- a/endivepick/core/token.py
+++ b/endivepick/core/token.py
@@ -34,6 +34,9 @@
         Target that the flow is pinned to; empty if it is pinned to none.
     issued_at_s : int
         Time of issue, in seconds since the epoch.
+    drawn_by_relay : bool
+        A relay drew the binding after the loss of an owner, so that the owner named
+        here may see it for the first time in this token.
     """
 
     service: str
@@ -43,6 +46,7 @@
     owner_incarnation: int
     target: str
     issued_at_s: int
+    drawn_by_relay: bool = False
 
 
 _decoder = msgspec.msgpack.Decoder(FlowToken)
--- a/endivepick/daemon/metrics.py
+++ b/endivepick/daemon/metrics.py
@@ -28,7 +28,10 @@
     "owner_unreachable": ("reason", "Datagrams whose owner could not be reached."),
     "flows_opened": ("service", "Flows opened, by service."),
     "opens_refused": ("reason", "Flows not opened, by reason."),
-    "flows_reissued": ("reason", "Flows with a new owner after the loss of one."),
+    "flows_reissued": (
+        "reason",
+        "Packets answered with a new binding: owner lost (no reason), or forgotten.",
+    ),
     "flows_handed_over": ("service", "Flows moved to a successor, by service."),
     "attempts_retried": (
         "reason",
--- a/endivepick/model/_caller.py
+++ b/endivepick/model/_caller.py
@@ -7,6 +7,7 @@
     Acknowledge,
     AnswerPart,
     Cancel,
+    FlowClosed,
     InstancePacket,
     Refused,
     Reissued,
@@ -29,7 +30,12 @@
         if bounds.cancels:
             sent = frozenset([encode_packet(Cancel(caller.token, caller.seq))])
             yield "gives up", caller._replace(outcome=Outcome.UNKNOWN), sent
+        if bounds.closes:
+            closed = caller._replace(outcome=Outcome.UNKNOWN)
+            yield "closes the flow", closed, _closing(caller)
         return
+    if bounds.closes and not _closing(caller) <= world.packets:
+        yield "closes the flow", caller, _closing(caller)
     if bounds.acknowledges:
         done = encode_packet(Acknowledge(caller.token, caller.seq, 1, [], 1, True))
         if done not in world.packets:
@@ -42,6 +48,10 @@
         yield _try_again(caller, bounds)
 
 
+def _closing(caller: Caller) -> frozenset[bytes]:
+    return frozenset([encode_packet(FlowClosed(caller.token))])
+
+
 def _receive(
     caller: Caller, packet: InstancePacket, bounds: Bounds
 ) -> Iterator[CallerStep]:
--- a/endivepick/model/_events.py
+++ b/endivepick/model/_events.py
@@ -108,7 +108,7 @@
 
 @dataclass(frozen=True)
 class Forget:
-    """Time passes and flows that were never used are forgotten."""
+    """Time passes and flows that were closed or never used are forgotten."""
 
 
 Event = Packet | Ended | Turn | Stop | Give | Peer | TimeUp | Forget
--- a/endivepick/model/_flow_mutants.py
+++ b/endivepick/model/_flow_mutants.py
@@ -16,16 +16,18 @@
 from endivepick.core.router import PacketRouter
 from endivepick.core.token import FlowToken
 from endivepick.core.window import ReplayWindow, WindowSnapshot
+from endivepick.model._forgetful import ForgetfulTable
 
 __all__ = [
     "AnyIncarnationTaker",
     "BlindExecutor",
     "EmptyWindowTaker",
     "ForgetfulExecutor",
-    "ForgetfulTable",
+    "ForgetfulReadoptingTable",
     "ImpatientGiver",
     "NameOnlyRelay",
     "NameOnlyRouter",
+    "ReadoptingTable",
     "RefusingRelay",
     "RepeatingTaker",
     "ReusingRelay",
@@ -95,11 +97,20 @@
         return super()._refuse(held, reason, retry_after_ms)
 
 
-class ForgetfulTable(FlowTable):
-    """A table that forgets used windows while their tokens are valid."""
+class ReadoptingTable(FlowTable):
+    """A table that adopts whatever names its instance, as if it never forgot."""
 
-    def _expired(self, flow: OwnedFlow, now_s: float) -> bool:
-        return now_s - flow.heard_at_s > self._settings.unacknowledged_s
+    def may_adopt(self, token: FlowToken) -> bool:
+        """Take any binding that is not here for a new one."""
+        return True
+
+
+class ForgetfulReadoptingTable(ForgetfulTable):
+    """A forgetful table that adopts what a relay drew again and again."""
+
+    def may_adopt(self, token: FlowToken) -> bool:
+        """Do not ask whether it was adopted before."""
+        return token.drawn_by_relay
 
 
 @dataclass(slots=True)
--- a/endivepick/model/_flow_scenarios.py
+++ b/endivepick/model/_flow_scenarios.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 
 from endivepick.model import _flow_mutants as mutants
+from endivepick.model._forgetful import ForgetfulTable
 from endivepick.model._mutation import Mutation
 from endivepick.model._node import Parts
 from endivepick.model._world import Bounds, CallerRules
@@ -16,6 +17,9 @@
 _STOP = Bounds(_TWO, stops=("a",), attempts=2)
 _STOP_OF_THREE = replace(_STOP, names=_THREE)
 _STOP_AND_CRASH = replace(_STOP, crashes=1, restarts=1)
+_CLOSE = replace(_CRASH, closes=True, forgets=True)
+_FORGET_OPEN = replace(_CRASH, forgets=True, next_request=True)
+_FORGETFUL = Parts(table=ForgetfulTable)
 _CHAIN = Bounds(_THREE, stops=("a", "b"), attempts=1, in_turn=True, renews=False)
 
 FLOW_SCENARIOS: dict[str, Bounds] = {
@@ -27,6 +31,12 @@
     "planned stop, two candidates": _STOP_OF_THREE,
     "planned stop and crash": _STOP_AND_CRASH,
     "planned stop, unused flows forgotten": replace(_STOP_OF_THREE, forgets=True),
+    "closed flow forgotten, crash": _CLOSE,
+    "closed flow forgotten, planned stop": replace(_STOP, closes=True, forgets=True),
+    "open flows forgotten, crash": replace(_FORGET_OPEN, parts=_FORGETFUL),
+    "open flows forgotten, planned stop": replace(
+        _STOP, forgets=True, reissues=1, parts=_FORGETFUL
+    ),
     "planned stop, time is up": replace(_STOP, time_up=True),
     "planned stop, idempotent, time is up": replace(
         _STOP, time_up=True, idempotent=True
@@ -64,9 +74,14 @@
         Parts(executor=mutants.ForgetfulExecutor),
     ),
     _mutation(
-        "a used window is forgotten early",
-        replace(_CRASH, forgets=True),
-        Parts(table=mutants.ForgetfulTable),
+        "a closed flow's binding is adopted again",
+        _CLOSE,
+        Parts(table=mutants.ReadoptingTable),
+    ),
+    _mutation(
+        "a relay's binding is adopted again",
+        _FORGET_OPEN,
+        Parts(table=mutants.ForgetfulReadoptingTable),
     ),
     _caller_mutation(
         "a non-idempotent request is sent again under a new binding",
--- a/endivepick/model/_node.py
+++ b/endivepick/model/_node.py
@@ -49,7 +49,7 @@
 CALLER = ("127.0.0.1", 1)
 NOW_S = 0.0
 LATER_S = 1000.0
-"""Time at which unused flows are forgotten and tokens are still valid."""
+"""Time at which closed and unused flows are forgotten; tokens are still valid."""
 SETTINGS = FlowSettings(hand_over_retry_s=0.0)
 CODEC = TokenCodec(first_keyring(bytes(32), NOW_S), SETTINGS.token_lifetime_s)
 
@@ -111,7 +111,7 @@
         self._ids = ids
         self.peers = ChoicePeers(self.me)
         self.dispatcher = ChoiceDispatcher()
-        self.table = parts.table(SETTINGS, self.me, ids)
+        self.table = parts.table(SETTINGS, self.me, ids, unused_max=0)
         self._executor = parts.executor(SETTINGS, self.table, _no_chance)
         self._executor.dispatchers[SERVICE] = self.dispatcher  # type: ignore[assignment]
         self.owner = parts.owner(
--- a/endivepick/model/_world.py
+++ b/endivepick/model/_world.py
@@ -76,7 +76,9 @@
     time_up : bool
         A planned stop may come to its time limit while a request runs.
     forgets : bool
-        Flows that were never used may be forgotten.
+        Flows that were closed or never used may be forgotten.
+    closes : bool
+        The caller may close the flow, before or after its request has ended.
     next_request : bool
         After the loss of the owner the program sends another request.
     acknowledges : bool
@@ -102,6 +104,7 @@
     gives_up: bool = True
     time_up: bool = False
     forgets: bool = False
+    closes: bool = False
     next_request: bool = False
     acknowledges: bool = False
     renews: bool = True
--- a/endivepick/model/flows.py
+++ b/endivepick/model/flows.py
@@ -122,7 +122,7 @@
             yield from self._stopping(world, index, state)
             yield from self._crash(world, index)
             if self._bounds.forgets:
-                yield from self._event(world, index, Forget(), "forgets unused flows")
+                yield from self._event(world, index, Forget(), "forgets flows")
         yield from self._targets(world)
         for label, caller, packets in _caller.steps(world, self._bounds):
             sent = world.packets | packets
--- a/endivepick/model/run.py
+++ b/endivepick/model/run.py
@@ -31,6 +31,8 @@
     "chain of planned stops, crash",
     "planned stop and crash",
     "caller gives up during a stop",
+    "closed flow forgotten, planned stop",
+    "closed flow forgotten, crash",
 )
 
 
--- a/endivepick/settings/schema.py
+++ b/endivepick/settings/schema.py
@@ -330,7 +330,7 @@
         le=30 * _DAY_S,
         description="How long a token is valid after its issue; longer lets "
         "callers stay away longer, and an instance remembers its "
-        "flows for as long.",
+        "open flows for as long.",
     )
     renew_share: float = Field(
         default=model.FlowSettings.renew_share,
@@ -373,7 +373,8 @@
         default=model.FlowSettings.unacknowledged_s,
         ge=1,
         le=3600,
-        description="How long a finished answer waits for its caller.",
+        description="How long a finished answer waits for its caller, and a "
+        "closed flow is remembered.",
     )
     caller_silence_s: float = Field(
         default=model.FlowSettings.caller_silence_s,
--- a/endivepick/tests/promises/_raw_caller.py
+++ b/endivepick/tests/promises/_raw_caller.py
@@ -18,6 +18,7 @@
     Acknowledge,
     AnswerPart,
     Cancel,
+    FlowClosed,
     InstancePacket,
     Open,
     Opened,
@@ -33,6 +34,7 @@
 
 Word = AnswerPart | Refused | Outcome
 """What ends a request, or begins its answer."""
+CLOSINGS = 3
 _BUFFER_BYTES = 4 << 20
 _RECEIVE_BYTES = 2048
 _REPEAT_S = 0.1
@@ -158,6 +160,11 @@
         """Give a request up."""
         self._socket.send(encode_packet(Cancel(request.flow.token, request.seq)))
 
+    def close_flow(self, flow: RawFlow) -> None:
+        """Say that the flow is closed, more than once as the library does."""
+        for _ in range(CLOSINGS):
+            self._socket.send(encode_packet(FlowClosed(flow.token)))
+
     def _acknowledge(
         self, request: RawRequest, next_index: int, window: int, done: bool
     ) -> None:
@@ -180,6 +187,11 @@
         """Return the tokens that were offered in place of a flow's first."""
         return self._reissued[flow.binding]
 
+    def renewed(self, flow: RawFlow) -> RawFlow:
+        """Return a flow with the last token that was offered for it."""
+        last = self.reissued(flow)[-1]
+        return RawFlow(flow.flow_id, last.binding, last.token)
+
     def was_refused(self, request: RawRequest) -> bool:
         """Tell whether anyone said "not run"."""
         return any(isinstance(word, Refused) for word in self.words(request))
