Keep the time of the last look out of the model's states

Change: an expiry at the time of the last one looks at nothing, and the model's instances start with a look behind them. Cancelled flows no longer hold places of unused ones.

Conclusion: time does not belong to the model's states.

--- a/endivepick/core/flow_table.py
+++ b/endivepick/core/flow_table.py
@@ -229,12 +229,14 @@
 
     def _unused_beyond_limit(self, now_s: float) -> list[OwnedFlow]:
         excess = max(0, len(self._unused) - self._unused_max)
-        return [
-            flow
-            for flow in islice(self._unused.values(), excess)
-            if self._is_silent(flow, now_s, self._settings.unacknowledged_s)
-            and flow.is_unused
-        ]
+        found = []
+        for flow in list(islice(self._unused.values(), excess)):
+            if not flow.is_unused:
+                # Its request was cancelled before it came.
+                del self._unused[flow.binding]
+            elif self._is_silent(flow, now_s, self._settings.unacknowledged_s):
+                found.append(flow)
+        return found
 
     def _expired(self, now_s: float) -> list[OwnedFlow]:
         """Look at the next share of all flows for those whose token has expired."""
@@ -242,6 +244,8 @@
         if self._looked_at_s is not None:
             share = min(1.0, (now_s - self._looked_at_s) / LOOK_EVERY_S)
         self._looked_at_s = now_s
+        if not share:
+            return []
         if not self._to_look_at:
             self._to_look_at = list(self._flows)
             self._round_size = len(self._to_look_at)
--- a/endivepick/model/_node.py
+++ b/endivepick/model/_node.py
@@ -112,6 +112,8 @@
         self.peers = ChoicePeers(self.me)
         self.dispatcher = ChoiceDispatcher()
         self.table = parts.table(SETTINGS, self.me, ids, unused_max=0)
+        # When it last looked for expired tokens must not tell states apart.
+        self.table.expire(LATER_S)
         self._executor = parts.executor(SETTINGS, self.table, _no_chance)
         self._executor.dispatchers[SERVICE] = self.dispatcher  # type: ignore[assignment]
         self.owner = parts.owner(
