--- a/standins/combined.py
+++ b/standins/combined.py
@@ -16,11 +16,12 @@
 
 import fire
 
+from standins.cases import choose_shape
 from standins.checker import Disturbance, Promise, Report, Violation, check
 from standins.cluster import Cluster, ClusterSettings, cluster
 from standins.demo import start_callers, stop_callers
 from standins.evidence import read_evidence
-from standins.shapes import SHAPES, Shape
+from standins.shapes import Shape
 from standins.versions import VersionWatch, wait_in_force, watch_versions
 
 __all__ = ["main", "run_combined"]
@@ -320,7 +321,7 @@
         How long failures begin, in seconds; at most 600.
     """
     drawn = seed or random.SystemRandom().randrange(1, 1_000_000)
-    report, counts = run_combined(SHAPES[shape], drawn, min(run_s, 600.0))
+    report, counts = run_combined(choose_shape(shape), drawn, min(run_s, 600.0))
     print("failures:", ", ".join(f"{kind} {n}" for kind, n in sorted(counts.items())))
     for name in ("requests", "answer_whole", "not_run", "unknown", "gave_up"):
         print(f"{name:20} {report.counts[name]}")
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -14,11 +14,12 @@
 
 import fire
 
+from standins.cases import choose_shape
 from standins.checker import Disturbance, Promise, Report, Violation, check
 from standins.cluster import Cluster, ClusterSettings, cluster
 from standins.evidence import Evidence, read_evidence
 from standins.process import ChildProcess, exit_on_signal, wait_until
-from standins.shapes import SHAPES, ServicePlan, Shape
+from standins.shapes import ServicePlan, Shape
 from standins.summary import Story, print_summary
 from standins.versions import VersionWatch, wait_in_force, watch_versions
 
@@ -239,11 +240,10 @@
         Where logs go, with all that the time line needs; empty: a temporary
         directory.
     """
-    if shape not in SHAPES:
-        sys.exit(f"There is no shape {shape!r}. Use one of: {', '.join(SHAPES)}.")
+    chosen = choose_shape(shape)
     started_s = time.monotonic()
     with exit_on_signal():
-        report = run_demo(SHAPES[shape], seed, folder)
+        report = run_demo(chosen, seed, folder)
     print(f"{'duration in seconds':<50} {time.monotonic() - started_s:.1f}")
     if not report.violations:
         print("\nEvery promise was kept.")
--- a/standins/in_force.py
+++ b/standins/in_force.py
@@ -18,10 +18,10 @@
 
 from endivepick.bench.measures import LatencyHistogram
 from standins._inforcecases import CASES, PAUSE_S, Case, Change, Run
+from standins.cases import choose_cases, choose_shape
 from standins.cluster import Cluster, ClusterSettings, cluster
 from standins.jsonlines import read_lines
 from standins.process import exit_on_signal
-from standins.shapes import SHAPES
 from standins.versions import wait_agreed, watch_versions
 
 __all__ = ["InForceTimes", "main", "measure_case"]
@@ -114,16 +114,6 @@
         yield from read_lines(path)
 
 
-def _chosen(names: str | Sequence[str]) -> list[Case]:
-    """Return the cases of these names; the command line splits a list by itself."""
-    wanted = names.split(",") if isinstance(names, str) else list(names)
-    known = {case.name: case for case in CASES}
-    unknown = [name for name in wanted if name and name not in known]
-    if unknown:
-        sys.exit(f"There is no case {unknown[0]!r}. Use: {', '.join(known)}.")
-    return [known[name] for name in wanted if name] or list(CASES)
-
-
 def main(
     shape: str = "harada",
     seed: int = 1,
@@ -143,11 +133,9 @@
     changes : int
         Changes of each case; 0 for as many as the case says.
     """
-    if shape not in SHAPES:
-        sys.exit(f"There is no shape {shape!r}. Use one of: {', '.join(SHAPES)}.")
     reverted = False
-    for case in _chosen(cases):
-        settings = ClusterSettings(SHAPES[shape], faults=True, seed=seed)
+    for case in choose_cases(cases, CASES):
+        settings = ClusterSettings(choose_shape(shape), faults=True, seed=seed)
         with exit_on_signal(), cluster(settings) as running:
             figures = measure_case(running, case, seed, changes)
         reverted = reverted or bool(figures["reverted"])
--- a/standins/time_to_answer.py
+++ b/standins/time_to_answer.py
@@ -9,7 +9,6 @@
 import json
 import os
 import signal
-import sys
 import time
 from collections import Counter
 from collections.abc import Callable, Iterator, Sequence
@@ -21,11 +20,11 @@
 import fire
 
 from endivepick.bench.measures import LatencyHistogram
+from standins.cases import choose_cases, choose_shape
 from standins.cluster import Cluster, ClusterSettings, cluster
 from standins.evidence import Request, read_evidence
 from standins.jsonlines import read_lines
 from standins.process import exit_on_signal, wait_until
-from standins.shapes import SHAPES
 from standins.versions import wait_agreed
 
 __all__ = ["CASES", "Case", "main", "measure_case"]
@@ -262,16 +261,6 @@
     }
 
 
-def _chosen(names: str | Sequence[str]) -> list[Case]:
-    """Return the cases of these names; the command line splits a list by itself."""
-    wanted = names.split(",") if isinstance(names, str) else list(names)
-    known = {case.name: case for case in CASES}
-    unknown = [name for name in wanted if name and name not in known]
-    if unknown:
-        sys.exit(f"There is no case {unknown[0]!r}. Use: {', '.join(known)}.")
-    return [known[name] for name in wanted if name] or list(CASES)
-
-
 def main(
     shape: str = "harada",
     seed: int = 1,
@@ -294,11 +283,9 @@
     idle_flows : int
         Flows that are held beside those that send requests.
     """
-    if shape not in SHAPES:
-        sys.exit(f"There is no shape {shape!r}. Use one of: {', '.join(SHAPES)}.")
-    settings = ClusterSettings(SHAPES[shape], seed=seed)
+    settings = ClusterSettings(choose_shape(shape), seed=seed)
     with exit_on_signal(), cluster(settings) as running:
-        for case in _chosen(cases):
+        for case in choose_cases(cases, CASES):
             figures = measure_case(running, case, rounds, idle_flows)
             load = round(os.getloadavg()[0], 1)
             about = {"shape": shape, "seed": seed, "load_average": load}
--- a/standins/upgrade.py
+++ b/standins/upgrade.py
@@ -19,13 +19,14 @@
 import fire
 
 from endivepick.records.schema import parse_service, write_service
+from standins.cases import choose_shape
 from standins.checker import Disturbance, Promise, Report, Violation, check
 from standins.cluster import Cluster, ClusterSettings, cluster
 from standins.demo import IN_FORCE_LIMIT_S, start_callers, stop_callers
 from standins.evidence import read_evidence
 from standins.jsonlines import read_lines
 from standins.process import wait_until
-from standins.shapes import SHAPES, Shape
+from standins.shapes import Shape
 from standins.summary import Story
 from standins.versions import VersionWatch, wait_in_force, watch_versions
 
@@ -223,7 +224,9 @@
     if not (Path(old) / "endivepick").is_dir():
         sys.exit(f"{old} holds no checkout. Make one: git worktree add FOLDER COMMIT.")
     checkout = str(Path(old).resolve())
-    report, faults = run_upgrade(SHAPES[shape], checkout, seed, folder, old_caller)
+    report, faults = run_upgrade(
+        choose_shape(shape), checkout, seed, folder, old_caller
+    )
     for name in ("requests", "answer_whole", "not_run", "unknown", "gave_up", "flows"):
         print(f"{name:20} {report.counts[name]}")
     for fault in faults:
