Use the field's words for what waits for nothing and what reports elsewhere

Cause: the terms calm and guest were of our own making. A core whose ticks may come rarely is quiescent now, and instances that report to a writer of another group are called reporting; the states that need no look are the normal ones.

--- a/endivepick/cli/status.py
+++ b/endivepick/cli/status.py
@@ -32,7 +32,7 @@
 _DAY_S = 86400
 
 _IN_FORCE = "in force"
-_CALM_STATES = frozenset({_IN_FORCE, READY_STATE})
+_NORMAL_STATES = frozenset({_IN_FORCE, READY_STATE})
 
 Row = TypeVar("Row")
 
@@ -99,7 +99,7 @@
     """Return at most so many rows, first those that need a look."""
     if not limit or len(rows) <= limit:
         return rows
-    return sorted(rows, key=lambda row: state(row) in _CALM_STATES)[:limit]
+    return sorted(rows, key=lambda row: state(row) in _NORMAL_STATES)[:limit]
 
 
 def _print_rest(
--- a/endivepick/core/instance.py
+++ b/endivepick/core/instance.py
@@ -187,7 +187,7 @@
         self._next_expiry_s = now_s + EXPIRY_EVERY_S
 
     @property
-    def calm(self) -> bool:
+    def quiescent(self) -> bool:
         """Whether ticks are needed only for what is done now and then.
 
         They are needed soon for a probe of a peer that has no answer, after a
--- a/endivepick/core/tests/test_calm.py
+++ b/endivepick/core/tests/test_quiescent.py
@@ -17,13 +17,13 @@
 
 NOW_S = 1_000_000.0
 IDLE_TICK_S = 0.1
-CALM_TICK_S = 0.25
+QUIESCENT_TICK_S = 0.25
 SETTLE_S = 10.0
 NAMES = ("a", "b", "c")
 
 
 class Fleet:
-    """Cores that exchange messages at once; only ``a`` ticks as calm as it may."""
+    """Cores that exchange messages at once; only ``a`` ticks as rarely as it may."""
 
     def __init__(self):
         self.now_s = NOW_S
@@ -63,7 +63,7 @@
         end_s = self.now_s + length_s
         while self.now_s < end_s:
             core = self.cores["a"]
-            self.now_s += CALM_TICK_S if core.calm else IDLE_TICK_S
+            self.now_s += QUIESCENT_TICK_S if core.quiescent else IDLE_TICK_S
             for name in sorted(set(NAMES) - self.silent):
                 self.handle(name, Tick())
 
@@ -75,17 +75,17 @@
         ]
 
 
-class TestCalm(unittest.TestCase):
+class TestQuiescent(unittest.TestCase):
     def setUp(self):
         self.fleet = Fleet()
         self.fleet.run(SETTLE_S)
         self.core = self.fleet.cores["a"]
 
-    def test_calm_while_all_peers_answer(self):
-        self.assertTrue(self.core.calm)
+    def test_quiescent_while_all_peers_answer(self):
+        self.assertTrue(self.core.quiescent)
         before_s = self.fleet.now_s
         self.fleet.run(SETTLE_S)
-        self.assertTrue(self.core.calm)
+        self.assertTrue(self.core.quiescent)
         pings = len(self.fleet.sent_since(before_s, Ping))
         period_s = MembershipSettings().probe_period_s
         self.assertGreaterEqual(pings, SETTLE_S / period_s - 2)
@@ -109,37 +109,37 @@
         view = self.core.membership.view()
         self.assertIs(view["c"].state, PeerState.DEAD)
 
-    def test_no_calm_until_a_probe_is_answered(self):
+    def test_not_quiescent_until_a_probe_is_answered(self):
         self.fleet.silent = {"b", "c"}
-        self.fleet.now_s += CALM_TICK_S
+        self.fleet.now_s += QUIESCENT_TICK_S
         self.fleet.handle("a", Tick())
         [(_, action), *_] = self.fleet.sent_since(self.fleet.now_s, Ping)
-        self.assertFalse(self.core.calm)
+        self.assertFalse(self.core.quiescent)
         incarnation = self.fleet.cores[action.name].me.incarnation
-        for sequence, calm in ((action.message.sequence + 1, False), (None, True)):
+        for sequence, quiescent in ((action.message.sequence + 1, False), (None, True)):
             number = action.message.sequence if sequence is None else sequence
             ack = Ack(number, [], [])
             self.fleet.handle("a", PeerMessage(action.name, incarnation, ack))
-            self.assertIs(self.core.calm, calm)
+            self.assertIs(self.core.quiescent, quiescent)
 
-    def test_calm_comes_back_after_a_probe_that_nobody_answers(self):
+    def test_quiescent_again_after_a_probe_that_nobody_answers(self):
         self.fleet.silent = {"b", "c"}
         self.fleet.run(60.0)
         self.fleet.silent = set()
         self.fleet.run(60.0)
-        self.assertTrue(self.core.calm)
+        self.assertTrue(self.core.quiescent)
 
     def test_failed_send_is_followed_up_soon(self):
         self.fleet.handle("a", PeerSendFailed("b"))
-        self.assertFalse(self.core.calm)
+        self.assertFalse(self.core.quiescent)
         self.fleet.now_s += IDLE_TICK_S
         self.fleet.handle("a", Tick())
-        self.assertTrue(self.core.calm)
+        self.assertTrue(self.core.quiescent)
 
     def test_change_among_the_instances_is_followed_up_soon(self):
         entry = ListedInstance("d", "z1", "127.0.0.1:9009", False)
         self.fleet.handle("a", InstancesListed((entry,), 0.0))
-        self.assertFalse(self.core.calm)
+        self.assertFalse(self.core.quiescent)
 
 
 if __name__ == "__main__":
--- a/endivepick/daemon/core_loop.py
+++ b/endivepick/daemon/core_loop.py
@@ -30,7 +30,7 @@
 BUSY_TICK_S = 0.05
 IDLE_TICK_S = 0.1
 """Without requests each wake-up costs more than the work that it is for."""
-CALM_TICK_S = 0.25
+QUIESCENT_TICK_S = 0.25
 """While the core awaits nothing; what it does now and then is due as often or less."""
 BUSY_S = 1.0
 """How long after the last event of a request ticks come more often."""
@@ -82,7 +82,7 @@
         """Time between two ticks at present, in seconds."""
         if self._clock.now_s() < self._busy_until_s or not self.core.lifecycle.ready:
             return BUSY_TICK_S
-        return CALM_TICK_S if self.core.calm else IDLE_TICK_S
+        return QUIESCENT_TICK_S if self.core.quiescent else IDLE_TICK_S
 
     def deliver(self, event: Event) -> None:
         """Queue an event from a socket task; waits while the inbox is full."""
--- a/endivepick/daemon/tests/test_core_loop.py
+++ b/endivepick/daemon/tests/test_core_loop.py
@@ -13,9 +13,9 @@
 from endivepick.daemon.core_loop import (
     BUSY_S,
     BUSY_TICK_S,
-    CALM_TICK_S,
     IDLE_TICK_S,
     INBOX_EVENTS,
+    QUIESCENT_TICK_S,
     CoreLoop,
 )
 
@@ -37,7 +37,7 @@
         self.taken = []
         self.core = SimpleNamespace(
             lifecycle=self.lifecycle,
-            calm=False,
+            quiescent=False,
             handle=lambda event, _: self.taken.append(event) or [],
         )
         self.loop = CoreLoop(self.core, self.clock)
@@ -74,13 +74,13 @@
         self.lifecycle.ready = False
         self.assertEqual(self.loop.tick_s, BUSY_TICK_S)
 
-    def test_calm_core_gets_fewer_ticks(self):
-        self.core.calm = True
-        self.assertEqual(self.loop.tick_s, CALM_TICK_S)
+    def test_quiescent_core_gets_fewer_ticks(self):
+        self.core.quiescent = True
+        self.assertEqual(self.loop.tick_s, QUIESCENT_TICK_S)
         self.take(CallerDatagram(CALLER, b""))
         self.assertEqual(self.loop.tick_s, BUSY_TICK_S)
         self.clock.time_s += BUSY_S
-        self.assertEqual(self.loop.tick_s, CALM_TICK_S)
+        self.assertEqual(self.loop.tick_s, QUIESCENT_TICK_S)
         self.lifecycle.ready = False
         self.assertEqual(self.loop.tick_s, BUSY_TICK_S)
 
@@ -106,7 +106,7 @@
         self.timers = FakeTimers()
         hub = mock.patch("endivepick.daemon.core_loop.gevent.get_hub")
         self.enterContext(hub).return_value = self.timers
-        self.core.calm = True
+        self.core.quiescent = True
         self.ticking = self.enterContext(ExitStack())
         self.ticking.enter_context(self.loop.ticking())
 
@@ -115,7 +115,7 @@
         return timer.repeat_s
 
     def test_first_tick_comes_at_once_and_others_with_the_timer(self):
-        self.assertEqual(self.period_s(), CALM_TICK_S)
+        self.assertEqual(self.period_s(), QUIESCENT_TICK_S)
         self.run_once()
         self.timers.open[0].fire()
         self.run_once()
@@ -129,12 +129,12 @@
         self.assertEqual(self.period_s(), BUSY_TICK_S)
         self.clock.time_s += BUSY_S
         self.take(Tick())
-        self.assertEqual(self.period_s(), CALM_TICK_S)
+        self.assertEqual(self.period_s(), QUIESCENT_TICK_S)
 
     def test_period_follows_what_the_core_awaits(self):
         self.run_once()
-        for calm, period_s in ((False, IDLE_TICK_S), (True, CALM_TICK_S)):
-            self.core.calm = calm
+        for quiescent, period_s in ((False, IDLE_TICK_S), (True, QUIESCENT_TICK_S)):
+            self.core.quiescent = quiescent
             self.take(InstancesListed((), 0.0))
             self.assertEqual(self.period_s(), period_s)
 
@@ -144,9 +144,9 @@
         while self.timers.open[0].after_s > step_s:
             self.clock.time_s += step_s
             waited_s += step_s
-            self.core.calm = not self.core.calm
+            self.core.quiescent = not self.core.quiescent
             self.take(InstancesListed((), 0.0))
-            self.assertLessEqual(waited_s, CALM_TICK_S)
+            self.assertLessEqual(waited_s, QUIESCENT_TICK_S)
 
     def test_timer_runs_on_while_the_period_stays(self):
         self.run_once()
--- a/endivepick/records/_status_body.py
+++ b/endivepick/records/_status_body.py
@@ -34,7 +34,7 @@
     ----------
     listed : collection of str or None
         Members that have a row in any case; None for all.
-    guests : collection of str
+    reporting : collection of str
         Members that have a row while they send their part to this writer.
     groups, group : int
         Number of the zone's groups, and of the group whose object this is; 0 for
@@ -42,7 +42,7 @@
     """
 
     listed: Collection[str] | None = None
-    guests: Collection[str] = ()
+    reporting: Collection[str] = ()
     groups: int = 0
     group: int = 0
 
@@ -85,7 +85,7 @@
         """Return the instances that have a row, given those that told their part."""
         shown = self.shown
         listed = self.members if shown.listed is None else shown.listed
-        return {*listed, *(name for name in shown.guests if name in parts)}
+        return {*listed, *(name for name in shown.reporting if name in parts)}
 
 
 @dataclass(frozen=True)
--- a/endivepick/records/status_groups.py
+++ b/endivepick/records/status_groups.py
@@ -109,8 +109,8 @@
 ) -> ShownRows:
     """Choose the rows of the zone's object, or of the group's.
 
-    A guest is an instance of an earlier build, or one that sees other groups: it
-    sends its part to who it takes for its writer, and is shown by that one.
+    An instance of an earlier build, or one that sees other groups, sends its part to
+    who it takes for its writer, and is shown by that one while it does so.
 
     Parameters
     ----------
@@ -129,7 +129,7 @@
         return ShownRows()
     own = group.members.intersection(members)
     if of_group:
-        guests = frozenset() if writes_zone else frozenset(members) - own
-        return ShownRows(own, guests, group=group.number)
+        reporting = frozenset() if writes_zone else frozenset(members) - own
+        return ShownRows(own, reporting, group=group.number)
     elsewhere = own if group.writer == name else frozenset()
     return ShownRows(frozenset(), frozenset(members) - elsewhere, group.groups)
