--- a/endivepick/membership/measure_fleet.py
+++ b/endivepick/membership/measure_fleet.py
@@ -1,7 +1,7 @@
 """Measures fleets in which all instances talk; prints one JSON line for each size.
 
 Run it as ``python -m endivepick.membership.measure_fleet``.  All cores run in one
-process, joined by a simulated network; only the processor time is real.
+process, joined by the in-memory loop of the tests; only the processor time is real.
 """
 
 import statistics
