--- a/endivepick/records/cost.py
+++ b/endivepick/records/cost.py
@@ -2,12 +2,13 @@
 
 Run ``python -m endivepick.records.cost`` for the table of ``docs/design``, and
 ``python -m endivepick.records.cost --timings`` for the processor time of cache
-and roles.
+and roles, ``--feeders`` for the busiest feeder of zones of several sizes.
 """
 
 import sys
 import time
 from collections import Counter
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from math import ceil, log
 
@@ -31,7 +32,7 @@
     SubtreeReport,
     TargetStatus,
 )
-from endivepick.records.roles import hash_names, zone_roles
+from endivepick.records.roles import ZoneRoles, hash_names, zone_roles
 from endivepick.records.settings import DisseminationSettings, StatusSettings
 from endivepick.records.status_groups import group_count
 
@@ -270,9 +271,55 @@
     return took_s, sorted(feeders.values())
 
 
+def first_feeders(
+    names: Sequence[str], settings: DisseminationSettings
+) -> tuple[ZoneRoles, dict[str, str]]:
+    """Return the roles of a zone, and whom each instance subscribes to."""
+    members = [InstanceView(name, "zone", 1, "", PeerState.ALIVE) for name in names]
+    roles = zone_roles("zone", members, settings)
+    fed = [name for name in roles.ranked if name not in roles.watchers]
+    return roles, {name: roles.feeders(name, settings)[0] for name in fed}
+
+
+def busiest_feeder(
+    roles: ZoneRoles,
+    fed: Mapping[str, str],
+    changes_per_s: float,
+    settings: DisseminationSettings,
+) -> tuple[float, float]:
+    """Return the bytes each second of the busiest watcher and of any other."""
+    digests = 2 * digest_bytes() / settings.digest_interval_s
+    pushes = push_bytes(7) * changes_per_s
+    loads = Counter(fed.values())
+    links = 2 * (len(roles.watchers) - 1 + settings.zones_per_digest)
+    watchers = [
+        links * digests + loads[name] * (digests + pushes) + pushes
+        for name in roles.watchers
+    ]
+    others = [(1 + loads[name]) * (digests + pushes) for name in fed]
+    return max(watchers), max(others, default=0.0)
+
+
+def moved_by_one(
+    names: Sequence[str], fed: Mapping[str, str], settings: DisseminationSettings
+) -> list[int]:
+    """Return how many change their feeder when one goes, of some that might.
+
+    The same number moves when that one comes back.
+    """
+    moved = []
+    for gone in names[:: ceil(len(names) / 4)]:
+        left = [name for name in names if name != gone]
+        _, after = first_feeders(left, settings)
+        moved.append(sum(fed.get(name) != feeder for name, feeder in after.items()))
+    return moved
+
+
 def main() -> None:
-    """Print the table, or the timings."""
-    if "--timings" in sys.argv:
+    """Print the table, the timings or the feeders."""
+    if "--feeders" in sys.argv:
+        print_feeders()
+    elif "--timings" in sys.argv:
         print_timings()
     else:
         print_costs()
@@ -294,6 +341,26 @@
         print(f"{instances:9} {took_s * 1e3:9.1f} {mean:9.1f} {loads[-1]:5}")
 
 
+def print_feeders(zones: int = 14) -> None:
+    """Print the load of the busiest feeder of some zones, and what one less moves."""
+    settings = DisseminationSettings()
+    print("instances  most fed  B/s: watcher, other  ten times  moved: mean, most")
+    for size in (8, 64, 571):
+        most, moved = 0, []
+        bytes_per_s = [0.0] * 4
+        for zone in range(zones):
+            names = [f"entry-{zone}-{index}" for index in range(size)]
+            roles, fed = first_feeders(names, settings)
+            most = max(most, *Counter(fed.values()).values())
+            mean = busiest_feeder(roles, fed, LARGE.changes_per_s, settings)
+            peak = busiest_feeder(roles, fed, PEAK.changes_per_s, settings)
+            bytes_per_s = list(map(max, bytes_per_s, (*mean, *peak)))
+            moved += moved_by_one(names, fed, settings)
+        loads = " ".join(f"{value:9.0f}" for value in bytes_per_s)
+        mean_moved = sum(moved) / len(moved)
+        print(f"{size:9} {most:9} {loads} {mean_moved:9.1f} {max(moved):5}")
+
+
 def print_costs() -> None:
     """Print calls and bytes each second for each way and fleet."""
     settings = DisseminationSettings()
