Deal subscribers to feeders with bounded loads, four to each

Cause: subscribers chose a feeder by rendezvous hashing, so that the busiest of 14 zones of 571 had 16 at a fan-out of 8; leaving instances all went to the watchers (23 to one, of 64). Smaller pushes: packed already. Batching: not tried. Change: consistent hashing with bounded loads between tiers, worked out once for each change of the members; fan-out 4; a digest each 1.4 s, since the fifth hop needs it to stay within 14 s with each push lost once and a feeder dead; leaving instances come last in the order.

--- a/endivepick/records/dissemination.py
+++ b/endivepick/records/dissemination.py
@@ -78,6 +78,7 @@
         self._roles = zone_roles(zone, [self._view()], settings)
         self._refused: tuple[RefusedRecord, ...] = ()
         self._feeder = Feeder(settings)
+        self._feeders: list[str] | None = None
         self._watching = False
         self._platform_failed = False
         self._digest_due_s = 0.0
@@ -212,6 +213,7 @@
         self._peers = {peer.name: peer for peer in peers if peer.name != self._name}
         members = [self._view(), *self._peers.values()]
         self._roles = zone_roles(self._zone, members, self._settings)
+        self._feeders = None
         # A new feeder is told at once.
         self._digest_due_s = min(self._digest_due_s, now_s)
 
@@ -263,9 +265,10 @@
             self._send(name, self._exchange.digest(reply=True, subscribe=subscribe))
 
     def _subscribe(self, now_s: float) -> None:
-        choices = self._roles.feeders(self._name, self._settings)
+        if self._feeders is None:
+            self._feeders = self._roles.feeders(self._name, self._settings)
         previous = self._feeder.name
-        feeder = self._feeder.choose(choices, now_s)
+        feeder = self._feeder.choose(self._feeders, now_s)
         if previous not in (None, feeder):
             self._send(previous, self._exchange.digest(reply=True))
         if feeder is not None:
--- a/endivepick/records/roles.py
+++ b/endivepick/records/roles.py
@@ -4,6 +4,7 @@
 Disagreement costs a message or a call, never a wrong configuration.
 """
 
+from bisect import bisect
 from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass
 
@@ -47,23 +48,60 @@
         """Return whom an instance subscribes to, the first choice first.
 
         The watchers form the first tier; each further tier is ``fan_out`` times
-        as large as the one before and subscribes to it.  Suspected instances come
-        last.
+        as large as the one before and subscribes to it, ``fan_out`` instances to
+        each at most.  Leaving instances come after all others.  Suspected feeders
+        come last; who stands in for them is spread by hash.
+
+        The first choice costs a pass over the tier: ask once for each change of
+        the members.
         """
-        tier = self._tier_above(name, settings)
+        if name in self.watchers:
+            tier, first = self.watchers, []
+        else:
+            tier, children = self._tiers_around(name, settings)
+            first = [_dealt(children, tier)[name]] if name in children else []
         chosen = rank(f"feeder:{name}", (peer for peer in tier if peer != name))
         spare = [peer for peer in self.watchers if peer not in tier and peer != name]
-        return sorted(chosen + spare, key=lambda peer: peer in self.suspected)
-
-    def _tier_above(self, name: str, settings: DisseminationSettings) -> Sequence[str]:
-        if name in self.watchers or name not in self.ranked:
-            return self.watchers
-        position = self.ranked.index(name)
+        # Duplicates go, the first of them stays.
+        choices = dict.fromkeys(first + chosen + spare)
+        return sorted(choices, key=lambda peer: peer in self.suspected)
+
+    def _tiers_around(
+        self, name: str, settings: DisseminationSettings
+    ) -> tuple[Sequence[str], Sequence[str]]:
+        """Return the tier above an instance, and its own."""
+        fed = self.ranked + self.others
+        position = fed.index(name) if name in fed else len(fed)
         # Stand-ins do not count: a suspicion must not move the tiers.
         start, size = 0, min(settings.watchers, len(self.ranked))
-        while position >= start + size + size * settings.fan_out:
+        end = start + size + size * settings.fan_out
+        while end <= position and end < len(self.ranked):
             start, size = start + size, size * settings.fan_out
-        return self.ranked[start : start + size]
+            end = start + size + size * settings.fan_out
+        if end >= len(self.ranked):
+            # Nobody below feeds: the last tier has the leaving ones as well.
+            end = len(fed)
+        return self.ranked[start : start + size], fed[start + size : end]
+
+
+def _dealt(children: Sequence[str], feeders: Sequence[str]) -> dict[str, str]:
+    """Deal instances to feeders, as many to each but for one.
+
+    Consistent hashing with bounded loads: each takes the next feeder of a ring
+    that has room.  One more or less on either side moves few of the others.
+    """
+    if not feeders:
+        return {}
+    ring = sorted((xxh3_64_intdigest(name.encode()), name) for name in feeders)
+    room = [-(-len(children) // len(ring))] * len(ring)
+    dealt = {}
+    for name in children:
+        place = bisect(ring, (xxh3_64_intdigest(name.encode()), name)) % len(ring)
+        while not room[place]:
+            place = (place + 1) % len(ring)
+        room[place] -= 1
+        dealt[name] = ring[place][1]
+    return dealt
 
 
 def zone_roles(
--- a/endivepick/records/settings.py
+++ b/endivepick/records/settings.py
@@ -14,7 +14,7 @@
     watchers : int
         Instances of each zone that watch the platform.
     fan_out : int
-        Instances that one instance feeds on average.
+        Instances that one instance feeds at most, unless another feeder is lost.
     digest_interval_s : float
         Time between two digests to the same peer, in seconds.
     starting_interval_s : float
@@ -36,8 +36,8 @@
     """
 
     watchers: int = 2
-    fan_out: int = 8
-    digest_interval_s: float = 1.5
+    fan_out: int = 4
+    digest_interval_s: float = 1.4
     starting_interval_s: float = 0.5
     report_delay_s: float = 0.2
     silence_intervals: float = 2.5
--- a/endivepick/records/tests/test_dissemination.py
+++ b/endivepick/records/tests/test_dissemination.py
@@ -1,8 +1,10 @@
+import itertools
 import unittest
 from unittest.mock import patch
 
 from endivepick.core.actions import SendToPeer
 from endivepick.core.events import PeerMessage
+from endivepick.core.rendezvous import rank
 from endivepick.platform.answers import ObjectList
 from endivepick.records._transfer import encode_object
 from endivepick.records.cache import CACHED_KINDS
@@ -31,6 +33,17 @@
     return {node.cache.digest.root for node in network.nodes.values()}
 
 
+def middle_feeder(network):
+    """Return a feeder that is no watcher, and one that it feeds."""
+    for node in network.nodes.values():
+        if node.core.watching:
+            continue
+        feeder = node.core.roles.feeders(node.name, network.settings)[0]
+        if not network.nodes[feeder].core.watching:
+            return feeder, node.name
+    raise AssertionError("too few tiers")
+
+
 class TestSpreading(unittest.TestCase):
     def test_ready_instance_does_not_walk_over_its_peers_at_each_event(self):
         network = started()
@@ -210,6 +223,46 @@
             )
             self.assertLessEqual(took_s, 1.0)
 
+    def test_feeder_between_the_tiers_dies(self):
+        """Without a suspicion those below it go elsewhere, with one at once."""
+        for suspected, limit_s in ((False, 14.0), (True, 1.0)):
+            network = started({"thamel": 24}, settings=DisseminationSettings(fan_out=2))
+            lost, below = middle_feeder(network)
+            network.silence([lost])
+            if suspected:
+                network.refresh_members(suspects=[lost])
+            version = network.store.put("leave")
+            others = [name for name in network.nodes if name != lost]
+            network.step()
+            if not suspected:
+                self.assertFalse(network.holds(below, "leave", version))
+            took_s = network.run(
+                lambda n=network, v=version, o=others: all(
+                    n.holds(name, "leave", v) for name in o
+                )
+            )
+            self.assertLessEqual(took_s, limit_s)
+
+    def test_changes_go_on_while_an_instance_joins_before_all_others(self):
+        settings = DisseminationSettings(fan_out=2)
+        network = started({"thamel": 24}, settings=settings)
+        candidates = (f"newcomer-{number}" for number in itertools.count())
+        order = "configuration:thamel"
+        first = next(
+            name
+            for name in candidates
+            if rank(order, [*network.nodes, name])[0] == name
+        )
+        network.start(first, "thamel")
+        network.refresh_members()
+        version = network.store.put("leave")
+        took_s = network.run(lambda: network.in_force("leave", version))
+        network.check_claims()
+        self.assertLessEqual(took_s, SECONDS_ALLOWED)
+        network.run(network.all_at_head)
+        self.assertEqual(len(roots(network)), 1)
+        self.assertIn(first, network.nodes[first].core.roles.watchers)
+
     def test_repeated_part_of_a_transfer_claims_nothing(self):
         network = Network({"thamel": 2})
         node = network.nodes["thamel-0"]
