Name no feeder where a zone leaves as a whole

Cause: with no instance left that can hold a role, the first choice was looked up among none (KeyError), and instances of a zone that is replaced as a whole ended with code 1. Found by test_point8_configuration.test_zone_restarted_during_an_outage (1 != 0 at the stop). Change: no first choice without feeders; a test in test_roles that failed with the KeyError.

--- a/endivepick/records/roles.py
+++ b/endivepick/records/roles.py
@@ -55,11 +55,8 @@
         The first choice costs a pass over the tier: ask once for each change of
         the members.
         """
-        if name in self.watchers:
-            tier, first = self.watchers, []
-        else:
-            tier, children = self._tiers_around(name, settings)
-            first = [_dealt(children, tier)[name]] if name in children else []
+        tier, children = self._tiers_around(name, settings)
+        first = [_dealt(children, tier)[name]] if tier and name in children else []
         chosen = rank(f"feeder:{name}", (peer for peer in tier if peer != name))
         spare = [peer for peer in self.watchers if peer not in tier and peer != name]
         # Duplicates go, the first of them stays.
@@ -69,7 +66,9 @@
     def _tiers_around(
         self, name: str, settings: DisseminationSettings
     ) -> tuple[Sequence[str], Sequence[str]]:
-        """Return the tier above an instance, and its own."""
+        """Return the tier above an instance, and its own unless it watches."""
+        if name in self.watchers:
+            return self.watchers, ()
         fed = self.ranked + self.others
         position = fed.index(name) if name in fed else len(fed)
         # Stand-ins do not count: a suspicion must not move the tiers.
@@ -90,8 +89,6 @@
     Consistent hashing with bounded loads: each takes the next feeder of a ring
     that has room.  One more or less on either side moves few of the others.
     """
-    if not feeders:
-        return {}
     ring = sorted((xxh3_64_intdigest(name.encode()), name) for name in feeders)
     room = [-(-len(children) // len(ring))] * len(ring)
     dealt = {}
--- a/endivepick/records/tests/test_roles.py
+++ b/endivepick/records/tests/test_roles.py
@@ -65,6 +65,11 @@
         roles = roles_of(names, leaving=names[1:])
         self.assertEqual(set(first_choices(roles).values()), {names[0]})
 
+    def test_zone_that_leaves_as_a_whole_has_no_feeders(self):
+        names = zone(3)
+        roles = roles_of(names, leaving=names)
+        self.assertEqual([roles.feeders(name, SETTINGS) for name in names], [[]] * 3)
+
     def test_suspected_feeder_moves_only_its_own_subscribers_apart(self):
         names = zone(200)
         before = first_choices(roles_of(names))
