--- a/endivepick/records/settings.py
+++ b/endivepick/records/settings.py
@@ -14,7 +14,7 @@
     watchers : int
         Instances of each zone that watch the platform.
     fan_out : int
-        Instances that one instance feeds at most, unless another feeder is lost.
+        Instances that one instance feeds at most if all feeders live.
     digest_interval_s : float
         Time between two digests to the same peer, in seconds.
     starting_interval_s : float
--- a/endivepick/settings/_coordination_models.py
+++ b/endivepick/settings/_coordination_models.py
@@ -97,7 +97,7 @@
         default=model.DisseminationSettings.fan_out,
         ge=1,
         le=64,
-        description="Instances that one instance feeds at most, unless another feeder is lost.",
+        description="Instances that one instance feeds at most if all feeders live.",
     )
     digest_interval_s: float = Field(
         default=model.DisseminationSettings.digest_interval_s,
