Compare records with few of the instances that stand in for suspected watchers

Cause: for each suspected watcher another instance of the zone watches too, so that an instance that suspects its whole zone held all of it for watchers and sent each a digest in every round: in a fleet of 8,000 that loses this zone, 24.4 kB/s in place of 6.0 (membership measurement of python -m endivepick.bench.capacity on the merged code; the limit is 9 kB/s).

Change: a watcher compares its records with the watchers by rank, and with those standing in that are not suspected. test_who_suspects_its_whole_zone_asks_a_few_of_it failed first. After: 270 B/s of digests, in all 5.4 kB/s at 2,048.

--- a/endivepick/records/dissemination.py
+++ b/endivepick/records/dissemination.py
@@ -252,9 +252,7 @@
 
     def _exchange_as_watcher(self) -> None:
         writer = self._roles.status_writer
-        for name in self._roles.watchers:
-            if name == self._name:
-                continue
+        for name in self._roles.compared(self._name, self._settings):
             report = self.zone_report if name == writer else None
             self._send(name, self._exchange.digest(reply=True, report=report))
         for name in watchers_elsewhere(
--- a/endivepick/records/roles.py
+++ b/endivepick/records/roles.py
@@ -44,6 +44,19 @@
         """Instance that writes the status of the zone."""
         return self.watchers[0] if self.watchers else None
 
+    def compared(self, name: str, settings: DisseminationSettings) -> list[str]:
+        """Return the watchers with which a watcher compares its records.
+
+        Of the suspected ones only those count that watch by their rank: there may
+        be as many as the zone has instances.
+        """
+        usual = self.ranked[: settings.watchers]
+        return [
+            peer
+            for peer in self.watchers
+            if peer != name and (peer in usual or peer not in self.suspected)
+        ]
+
     def feeders(self, name: str, settings: DisseminationSettings) -> list[str]:
         """Return whom an instance subscribes to, the first choice first.
 
--- a/endivepick/records/tests/test_dissemination.py
+++ b/endivepick/records/tests/test_dissemination.py
@@ -208,6 +208,24 @@
         took_s = network.run(lambda: network.holds(last, "sessions", version))
         self.assertLessEqual(took_s, SECONDS_ALLOWED)
 
+    def test_who_suspects_its_whole_zone_asks_a_few_of_it(self):
+        network = started({"thamel": 40})
+        [node, *others] = network.nodes.values()
+        network.refresh_members(suspects=[other.name for other in others])
+        asked = set()
+        send = network.send
+
+        def recorded(sender, name, message):
+            if sender is node and getattr(message, "reply", False):
+                asked.add(name)
+            return send(sender, name, message)
+
+        with patch.object(network, "send", recorded):
+            until_s = network.now_s + 4 * network.settings.digest_interval_s
+            network.run(lambda: network.now_s >= until_s)
+        self.assertTrue(node.core.watching)
+        self.assertLessEqual(len(asked), 2 * network.settings.watchers)
+
     def test_change_comes_at_once_from_the_watcher_that_is_not_suspected(self):
         for lost in range(2):
             network = started({"thamel": 8})
