Test that a target which drains itself in a quiet time gets none of the first requests

Cause: point 6 was tested with callers that send all the time. Since services without requests are probed every two seconds only, a target that drains itself while nobody sends is the case in which an owner could know too little.

Ruled out: a clock in the verdict. The test waits until every instance that places requests of the service shows the drain, then starts callers; nothing may begin at the target while much begins elsewhere.

Conclusion: the period of quiet probes is now held by a promise test. How fresh the owner's knowledge is at the first request is a matter of the period, not of this test.

--- a/endivepick/tests/promises/test_point6_leaving_targets.py
+++ b/endivepick/tests/promises/test_point6_leaving_targets.py
@@ -95,6 +95,17 @@
                 self.cluster.targets[target].control(drain=True)
                 self.assert_no_new_work(service, target)
 
+    def test_drains_itself_while_nobody_sends(self):
+        for service in (SESSIONS, EXPORTS):
+            target = f"{service}-1"
+            self.wait_shown(service, self.owner_of(service))
+            before = self.runs(service)
+            self.cluster.targets[target].control(drain=True)
+            self.wait_left(service, target, self.names())
+            with self.load(service):
+                self.assert_no_new_work(service, target)
+            self.assertEqual(self.runs(service)[target], before[target])
+
     def test_drains_itself_in_a_zone_that_is_cut_off(self):
         with self.load(SESSIONS):
             self.wait_busy(SESSIONS, "sessions-1")
