Refuse a misspelt option before the command runs, show examples in every help

Cause: the library that reads the command line finds an unknown option only after the command has run, and gives an option without value the value True.

Ruled out: catching the library's complaint, which comes too late; commands that return a function to be called at the end, since the library calls it with the words that are left.

Change: option names and missing values are checked against the command's signature before it runs; the refusal names the options that there are.

Conclusion: nothing is written by a command that ends with status 2 for an option. Surplus words without a dash are still taken as further arguments in order.

--- a/endivepick/cli/keys.py
+++ b/endivepick/cli/keys.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from endivepick.cli.connection import platform_client
-from endivepick.cli.output import print_line, print_table
+from endivepick.cli.output import print_json, print_line, print_table
 from endivepick.cli.writing import ObjectName, read_object, update_object
 from endivepick.core.keyring import (
     KEY_SIZE_BYTES,
@@ -50,16 +50,35 @@
         else:
             print_line(f"key {pending.key_id} is pending until all instances hold it")
 
-    def list(self, platform: str = "") -> None:
+    def list(self, platform: str = "", json: bool = False) -> None:
         """List the keys and their stages, without secrets.
 
+        Examples
+        --------
+        endivepick keys list
+        endivepick keys list --json
+
         Parameters
         ----------
         platform : str
             host:port of the object API; ENDIVEPICK_PLATFORM by default.
+        json : bool
+            Print JSON.
         """
         with platform_client(platform) as client:
             keyring = _keyring_of(read_object(client, _KEYRING))
+        if json:
+            print_json(
+                [
+                    {
+                        "key": key_id,
+                        "stage": _stage(keyring, key_id),
+                        "created_at_s": key.created_at_s,
+                    }
+                    for key_id, key in sorted(keyring.keys.items())
+                ]
+            )
+            return
         rows = [
             (key_id, _stage(keyring, key_id), _date(key.created_at_s))
             for key_id, key in sorted(keyring.keys.items())
--- a/endivepick/cli/main.py
+++ b/endivepick/cli/main.py
@@ -13,6 +13,7 @@
 
 from endivepick.cli.exit_codes import ExitCode, exit_code_of
 from endivepick.cli.failures import CommandError, option_values
+from endivepick.cli.option_names import check_option_names
 from endivepick.cli.output import print_line
 from endivepick.errors import EndivepickError
 
@@ -59,6 +60,10 @@
     def check_settings(self, file: str) -> None:
         """Check a settings file; line, key and remedy of each fault if refused.
 
+        Examples
+        --------
+        endivepick check-settings entry-1.json5
+
         Parameters
         ----------
         file : str
@@ -73,6 +78,11 @@
     def settings(self, explain: bool = False, markdown: bool = False) -> None:
         """Print all settings with meaning, unit, default and range.
 
+        Examples
+        --------
+        endivepick settings --explain
+        endivepick settings --explain --markdown
+
         Parameters
         ----------
         explain : bool
@@ -245,6 +255,12 @@
 
         A record is honoured everywhere once no zone is left under "not reached".
 
+        Examples
+        --------
+        endivepick status
+        endivepick status --rows 20
+        endivepick status --json
+
         Parameters
         ----------
         json : bool
@@ -263,7 +279,12 @@
         show_status(platform, json, limit)
 
     def version(self) -> None:
-        """Print the version."""
+        """Print the version.
+
+        Examples
+        --------
+        endivepick version
+        """
         from endivepick import __version__
 
         print_line(__version__)
@@ -278,8 +299,10 @@
         Words after ``endivepick``; those of the process by default.
     """
     words = sys.argv[1:] if arguments is None else list(arguments)
+    commands = Commands()
     try:
-        fire.Fire(Commands(), command=list(map(_as_text, words)), name="endivepick")
+        check_option_names(commands, words)
+        fire.Fire(commands, command=list(map(_as_text, words)), name="endivepick")
     except CommandError as error:
         _fail(error, error.code)
     except EndivepickError as error:
--- a/endivepick/cli/records.py
+++ b/endivepick/cli/records.py
@@ -96,6 +96,11 @@
     def list(self, json: bool = False, platform: str = "") -> None:
         """List all records.
 
+        Examples
+        --------
+        endivepick records list
+        endivepick records list --json
+
         Parameters
         ----------
         json : bool
@@ -115,6 +120,10 @@
     def diff(self, file: str, json: bool = False, platform: str = "") -> None:
         """Show what a file would change; exit code 9 if anything.
 
+        Examples
+        --------
+        endivepick records diff notes.json5
+
         Parameters
         ----------
         file : str
@@ -139,6 +148,11 @@
     def delete(self, name: str, version: str = "", platform: str = "") -> None:
         """Delete a record.
 
+        Examples
+        --------
+        endivepick records delete notes
+        endivepick records delete notes --version 12
+
         Parameters
         ----------
         name : str
@@ -165,6 +179,11 @@
     ) -> None:
         """Print changes of records as they happen, until interrupted.
 
+        Examples
+        --------
+        endivepick records watch
+        endivepick records watch notes --count 1 --json
+
         Parameters
         ----------
         name : str
--- a/endivepick/cli/tests/test_main.py
+++ b/endivepick/cli/tests/test_main.py
@@ -1,10 +1,16 @@
+import inspect
 import json
 import tempfile
 import unittest
 from pathlib import Path
 
 import endivepick
+from endivepick.cli.bench import BenchCommands
+from endivepick.cli.drain import DrainCommands
 from endivepick.cli.exit_codes import ExitCode
+from endivepick.cli.keys import KeyCommands
+from endivepick.cli.main import Commands
+from endivepick.cli.records import RecordCommands
 from endivepick.cli.tests.support import run_command
 from endivepick.client import command
 
@@ -33,12 +39,26 @@
             ("call", "notes", "--fabric=127.0.0.1:x"),
             ("call", "notes", "--fabric=127.0.0.1:1", "--deadline_s=soon"),
             ("stream", "notes", "--fabric=127.0.0.1:1", "--events=all"),
+            ("version", "--jsn"),
+            ("timeline", "--flow"),
+            ("timeline", "--flow", "--out=t.html"),
+            ("call", "notes", "--fabric"),
         ):
             with self.subTest(words):
                 outcome = run_command(*words)
                 self.assertEqual(outcome.code, ExitCode.USAGE)
                 self.assertTrue(outcome.err)
 
+    def test_every_command_shows_examples(self):
+        groups = [Commands, RecordCommands, DrainCommands, KeyCommands, BenchCommands]
+        for group in groups:
+            for name, member in vars(group).items():
+                if name.startswith("_") or not inspect.isfunction(member):
+                    continue
+                with self.subTest(member.__qualname__):
+                    self.assertIn("Examples\n", inspect.getdoc(member))
+                    self.assertIn("\nendivepick ", inspect.getdoc(member))
+
     def test_codes_of_call_are_those_of_the_client(self):
         # There is one set of codes: nothing can differ.
         self.assertIs(command.ExitCode, ExitCode)
--- a/endivepick/cli/tests/test_records.py
+++ b/endivepick/cli/tests/test_records.py
@@ -2,6 +2,7 @@
 
 from endivepick.cli.exit_codes import ExitCode
 from endivepick.cli.tests.support import (
+    RECORD,
     PlatformCase,
     platform_that_dies_in_a_write,
     run_command,
@@ -56,6 +57,30 @@
         same = self.run_on_platform("records", "diff", self.record_file())
         self.assertEqual(same.code, ExitCode.OK)
 
+    def test_misspelt_option_is_refused_before_the_command_runs(self):
+        self.apply()
+        for words in (
+            ("records", "delete", "notes", "--verison=1"),
+            ("records", "apply", self.record_file(spill_share=0.5), "--dryrun"),
+            ("drain", "target", "notes", "notes-1", "--und"),
+            ("keys", "rotate", "--json"),
+        ):
+            with self.subTest(words):
+                refused = self.run_on_platform(*words)
+                self.assertEqual(refused.code, ExitCode.USAGE)
+                self.assertIn(words[-1].partition("=")[0], refused.err)
+                self.assertIn("--platform", refused.err)
+        self.assertEqual(self.body()["targets"], RECORD["targets"])
+        self.assertNotIn("spill_share", self.body())
+        self.assertIsNone(self.platform.get("keyring", "tokens"))
+
+    def test_keys_as_json(self):
+        self.run_on_platform("keys", "rotate")
+        shown = self.run_on_platform("keys", "list", "--json")
+        (key,) = json.loads(shown.out)
+        self.assertEqual((key["key"], key["stage"]), (1, "current"))
+        self.assertEqual(set(key), {"key", "stage", "created_at_s"})
+
     def test_delete_holds_to_the_version(self):
         self.apply()
         stale = self.run_on_platform("records", "delete", "notes", "--version=0")
