--- a/endivepick/cli/tests/test_pages.py
+++ b/endivepick/cli/tests/test_pages.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 
 import endivepick
+from endivepick.client import CallerSettings
 from endivepick.core.dispatch.messages import FailReason, RefusalReason
 
 ROOT = Path(endivepick.__file__).parent.parent
@@ -25,6 +26,19 @@
         self.assertIn("forged", reasons)
         self.assertEqual(reasons - explained, set())
 
+    def test_defaults_of_the_caller_are_those_of_its_settings(self):
+        page = (ROOT / "docs" / "caller.md").read_text()
+        table = page.partition("## Settings")[2].partition("\n\n`caller.counts`")[0]
+        shown = {}
+        for names, defaults in re.findall(r"^\| (`.*?) \| (.*?) \|", table, re.M):
+            values = [value.replace(",", "") for value in defaults.split(", ")]
+            shown.update(zip(re.findall(r"`(\w+)`", names), values, strict=True))
+        fields = CallerSettings.model_fields
+        self.assertEqual(set(shown), set(fields))
+        del shown["fabric_address"]
+        defaults = {name: fields[name].default for name in shown}
+        self.assertEqual({name: float(shown[name]) for name in shown}, defaults)
+
     def test_links_between_pages_lead_somewhere(self):
         pages = [ROOT / "README.md", ROOT / "CONTRIBUTING.md"]
         for page in (*pages, *(ROOT / "docs").rglob("*.md")):
