Name the unit of settings in bytes per second

Cause: status.write_bytes_per_s was explained with the unit "per second", of which a reader has to guess what.

Ruled out: nothing else; the unit follows from the key's suffix.

Before: the added test failed ("unit: per second"). After: it passes.

Conclusion: one key is concerned.

--- a/endivepick/settings/explain.py
+++ b/endivepick/settings/explain.py
@@ -16,6 +16,7 @@
     "_s": "seconds",
     "_ms": "milliseconds",
     "_per_s": "per second",
+    "_bytes_per_s": "bytes per second",
     "_share": "share",
     "_share_limit": "share",
     "_hex": "hexadecimal digits",
--- a/endivepick/settings/tests/test_explain.py
+++ b/endivepick/settings/tests/test_explain.py
@@ -15,5 +15,9 @@
             for name in group.annotation.model_fields:
                 self.assertIn(f"{section}.{name} (default: ", text)
 
+    def test_units_follow_the_names(self):
+        shown = "status.write_bytes_per_s (default: 1000; unit: bytes per second;"
+        self.assertIn(shown, explain())
+
     def test_page_is_up_to_date(self):
         self.assertEqual(PAGE.read_text(encoding="utf-8"), explain_markdown())
