Wait for all probes of a round before the next one is measured

Cause: python -m endivepick.bench.capacity hung for ten minutes in its probes on a busy machine: the loop waited for a multiple of the targets, which a round that was still under way already was; a target that still answered was not probed again, and the count was never a multiple again.

Change: each round waits for its own number. test_late_answer_leaves_out_no_probe failed first (10 answers in place of 12).

--- a/endivepick/bench/_target_slopes.py
+++ b/endivepick/bench/_target_slopes.py
@@ -127,10 +127,11 @@
     before = serving.counted_bytes()
     with probe_tasks(bench_settings(), done.append) as tasks:
         started_s = time.process_time()
-        for _ in range(PROBE_ROUNDS):
+        for probed in range(targets, (PROBE_ROUNDS + 1) * targets, targets):
             for number in range(targets):
                 tasks.probe(Probe("s", f"t{number}", serving.addresses[number]))
-            while len(done) % targets or not done:
+            # A target that still answers would not be probed again.
+            while len(done) < probed:
                 gevent.sleep(0.005)
             gevent.sleep(0.05)
         busy_s = time.process_time() - started_s
