Show with many targets that each round of probes is whole

The cause is another one than it said: the probes of this measurement run one after the other, the event loop takes a timer in between after 50 of them, and the next round began while some were still to run; with 56 targets these were left out, and the count was never a multiple of the targets again.

--- a/endivepick/bench/tests/test_target_slopes.py
+++ b/endivepick/bench/tests/test_target_slopes.py
@@ -8,28 +8,30 @@
 
 from endivepick.bench import _target_slopes
 
-ANSWERS_OF_FIRST_ROUND = 4
+TARGETS = 56
+ROUNDS = 3
+QUESTIONS = 2
 
 
 class TestProbes(unittest.TestCase):
-    def test_late_answer_leaves_out_no_probe(self):
+    def test_each_round_probes_all_targets_although_answers_are_slow(self):
         server = _target_slopes._Server()
         serving = SimpleNamespace(
-            addresses=[server.listen() for _ in range(2)],
+            addresses=[server.listen() for _ in range(TARGETS)],
             counted_bytes=lambda: server.counted_bytes,
         )
         numbers, answer = itertools.count(), _target_slopes._answer
 
-        def late_once(path):
-            if next(numbers) == ANSWERS_OF_FIRST_ROUND:
-                time.sleep(0.2)
+        def slow(path):
+            next(numbers)
+            time.sleep(0.002)
             return answer(path)
 
-        rounds = patch.object(_target_slopes, "PROBE_ROUNDS", 3)
-        answers = patch.object(_target_slopes, "_answer", late_once)
+        rounds = patch.object(_target_slopes, "PROBE_ROUNDS", ROUNDS)
+        answers = patch.object(_target_slopes, "_answer", slow)
         with gevent.Timeout(30), rounds, answers:
-            _target_slopes._probes_once(serving, 2)
-        self.assertEqual(next(numbers), 3 * ANSWERS_OF_FIRST_ROUND)
+            _target_slopes._probes_once(serving, TARGETS)
+        self.assertEqual(next(numbers), ROUNDS * TARGETS * QUESTIONS)
 
 
 if __name__ == "__main__":
