Repeat a request part twice after a long wait

Cause: after the kill of an entry instance single requests took up to 6.6 s, and nobody knew why. The merged logs of kills with a trace of each repetition (trial on a scratch copy) show it: for 0.3 s repetitions are relayed to the dead owner, so the caller's wait doubles to 0.5 s and more; and the fabric, whose list still names the dead instance, goes on to send it one datagram in eight or nine. Each repetition that falls there costs the whole next wait, up to 1.25 s. One request was repeated at 0.47, 1.07 and 1.92 s, no living instance got any of these, and the fourth, at 3.01 s, found the loss known.

Ruled out for this: a relay that learned late, slots still counted at targets, a first probe that was waited for (the new owner answered within 30 ms).

Change: after a wait of 0.2 s or more a part that is still not confirmed is repeated a second time after the measured round trip, unless a reply came in between. A working path sees none of it; a path without any answer sees at most two repetitions a second in place of one, per request not yet accepted.

--- a/endivepick/client/_core/request.py
+++ b/endivepick/client/_core/request.py
@@ -25,6 +25,12 @@
 
 _CHART = load_chart("request")
 REISSUE_SPREAD_S = 0.01
+PAIRS_FROM_S = 0.2
+"""Wait from which a part is repeated twice, in seconds.
+
+The fabric goes on to send a share of all datagrams to an instance that was just
+killed; the loss of one repetition would cost the whole next wait.
+"""
 
 
 class RequestState:
@@ -55,7 +61,7 @@
         self._context = context
         self._seed = seed
         self._may_have_run = False
-        self._backoff = Backoff(seed, context.settings.resend_max_s)
+        self._backoff = self._resend_backoff()
         self._collector = self._new_collector()
         self._attempt = Attempt(call, call.head, context)
         context.timers.update(self)
@@ -233,9 +239,13 @@
     def _begin_sending(self, now_s: float) -> None:
         self._log("request_sent", "request sent")
         self._attempt.send_all(now_s)
-        self._backoff = Backoff(self._seed, self._context.settings.resend_max_s)
+        self._backoff = self._resend_backoff()
         self._schedule_resend(now_s)
 
+    def _resend_backoff(self) -> Backoff:
+        limit_s = self._context.settings.resend_max_s
+        return Backoff(self._seed, limit_s, PAIRS_FROM_S)
+
     def _schedule_resend(self, now_s: float) -> None:
         resend_s = self._context.round_trip.resend_s
         self._schedule(now_s + self._backoff.next_s(resend_s))
--- a/endivepick/client/_core/timing.py
+++ b/endivepick/client/_core/timing.py
@@ -48,24 +48,38 @@
         Seed of the spread.
     limit_s : float
         Longest interval.
+    pairs_from_s : float
+        After an interval of at least this, the next one is the base, so that what
+        is repeated rarely is repeated twice.
     """
 
     seed: int
     limit_s: float
+    pairs_from_s: float = NEVER_S
     _count: int = 0
     _doublings: int = 0
+    _second_is_due: bool = False
 
     def next_s(self, base_s: float) -> float:
         """Return the next interval, from 3/4 to 5/4 of the doubled base."""
+        interval_s = self._interval_s(base_s)
+        self._count += 1
+        return interval_s * (0.75 + 0.5 * spread(self.seed, self._count))
+
+    def _interval_s(self, base_s: float) -> float:
+        if self._second_is_due:
+            self._second_is_due = False
+            return min(base_s, self.limit_s)
         interval_s = min(base_s * 2**self._doublings, self.limit_s)
         if interval_s < self.limit_s:
             self._doublings += 1
-        self._count += 1
-        return interval_s * (0.75 + 0.5 * spread(self.seed, self._count))
+        self._second_is_due = interval_s >= self.pairs_from_s
+        return interval_s
 
     def reset(self) -> None:
         """Start again at the base."""
         self._doublings = 0
+        self._second_is_due = False
 
 
 @dataclass(slots=True)
--- a/endivepick/client/tests/test_core.py
+++ b/endivepick/client/tests/test_core.py
@@ -199,6 +199,32 @@
         self.assertGreater(len(parts), 1)
         self.assertEqual({part.seq for part in parts}, {1})
 
+    def test_lost_repetitions_after_a_silence_cost_no_long_wait(self):
+        reached_s = [self._reached_s(seed) for seed in range(500)]
+        self.assertLess(max(reached_s), 2.0)
+        self.assertLess(sum(at_s > 1.3 for at_s in reached_s), 10)
+
+    def _reached_s(self, seed):
+        """Return when a request reached its owner, which was silent at first."""
+        simulation = Simulation(seed=seed)
+        simulation.open()
+        simulation.path.loss = 1 / 8
+        simulation.owner.silent = True
+        simulation.request(seed)
+        simulation.run_for(0.4)
+        simulation.owner.silent = False
+        simulation.run_until(lambda: simulation.owner.runs)
+        return simulation.now_s
+
+    def test_repetitions_that_nobody_answers_come_in_pairs_of_a_bounded_rate(self):
+        self.simulation.request(1)
+        self.simulation.run_for(10.0)
+        before = len(self.simulation.owner.sent(RequestPart))
+        self.simulation.run_for(40.0)
+        repeated = len(self.simulation.owner.sent(RequestPart)) - before
+        self.assertLess(repeated, 2 * 45)
+        self.assertGreater(repeated, 2 * 30)
+
 
 class TestNewTokens(unittest.TestCase):
     def setUp(self):
--- a/endivepick/client/tests/test_parts.py
+++ b/endivepick/client/tests/test_parts.py
@@ -113,6 +113,13 @@
         self.assertTrue(all(0.75 <= wait_s <= 1.25 for wait_s in waits_s[10:]))
         self.assertGreater(len(set(waits_s)), 30)
 
+    def test_each_long_interval_of_a_paired_backoff_is_followed_by_the_base(self):
+        backoff = Backoff(seed=1, limit_s=1.0, pairs_from_s=0.2)
+        waits_s = [backoff.next_s(0.05) for _ in range(9)]
+        wanted_s = (0.05, 0.1, 0.2, 0.05, 0.4, 0.05, 0.8, 0.05, 1.0)
+        for wait_s, about_s in zip(waits_s, wanted_s, strict=True):
+            self.assertTrue(0.75 * about_s <= wait_s <= 1.25 * about_s)
+
 
 class TestEventParser(unittest.TestCase):
     def test_events_are_the_same_however_the_bytes_are_cut(self):
