Poll a second time after a long wait without a reply

Cause: polls of accepted requests double their wait as repeated parts did, and a poll that falls to a dead instance costs the whole next wait as well.

Change: polls come in pairs, too, but an `Accepted` from the owner, its reply to any poll of a request at rest, takes the second one back.

The fake owner of these tests now says `Accepted` when it has nothing else to say to a poll, as the real one does.

--- a/endivepick/client/_core/request.py
+++ b/endivepick/client/_core/request.py
@@ -26,7 +26,7 @@
 _CHART = load_chart("request")
 REISSUE_SPREAD_S = 0.01
 PAIRS_FROM_S = 0.2
-"""Wait from which a part is repeated twice, in seconds.
+"""Wait from which a part or poll is repeated twice, in seconds.
 
 The fabric goes on to send a share of all datagrams to an instance that was just
 killed; the loss of one repetition would cost the whole next wait.
@@ -126,14 +126,21 @@
     # Packets
 
     def on_accepted(self, now_s: float) -> None:
-        """Stop sending parts and begin to wait."""
+        """Stop sending parts and begin to wait, or go on to wait."""
         if self.state != "sending":
+            self._skip_second_poll(now_s)
             return
         self._attempt.on_accepted(now_s)
         self._step("accept")
-        self._backoff = Backoff(self._seed, self._context.settings.poll_max_s)
+        limit_s = self._context.settings.poll_max_s
+        self._backoff = Backoff(self._seed, limit_s, PAIRS_FROM_S)
         self._schedule(now_s + self._context.settings.poll_min_s)
 
+    def _skip_second_poll(self, now_s: float) -> None:
+        """Poll at the usual pace: the owner has answered."""
+        if self._backoff.skip_second():
+            self._schedule(now_s + self._backoff.next_s(self._poll_base_s))
+
     def on_progress(self, packet: RequestProgress, now_s: float) -> None:
         """Send the parts that the owner misses."""
         if self.state == "sending":
--- a/endivepick/client/_core/timing.py
+++ b/endivepick/client/_core/timing.py
@@ -59,6 +59,7 @@
     _count: int = 0
     _doublings: int = 0
     _second_is_due: bool = False
+    _in_second: bool = False
 
     def next_s(self, base_s: float) -> float:
         """Return the next interval, from 3/4 to 5/4 of the doubled base."""
@@ -67,7 +68,8 @@
         return interval_s * (0.75 + 0.5 * spread(self.seed, self._count))
 
     def _interval_s(self, base_s: float) -> float:
-        if self._second_is_due:
+        self._in_second = self._second_is_due
+        if self._in_second:
             self._second_is_due = False
             return min(base_s, self.limit_s)
         interval_s = min(base_s * 2**self._doublings, self.limit_s)
@@ -80,6 +82,13 @@
         """Start again at the base."""
         self._doublings = 0
         self._second_is_due = False
+        self._in_second = False
+
+    def skip_second(self) -> bool:
+        """Note an answer; True if the interval before the second runs now."""
+        runs = self._in_second
+        self._in_second = False
+        return runs
 
 
 @dataclass(slots=True)
--- a/endivepick/client/tests/fake_owner.py
+++ b/endivepick/client/tests/fake_owner.py
@@ -109,7 +109,8 @@
             return []
         again = answer.acknowledge(packet.next_index, packet.missing, packet.window)
         repeated = [self._part(packet.seq, index) for index in again]
-        return repeated + self._send_new(packet.seq)
+        packets = repeated + self._send_new(packet.seq)
+        return packets or [Accepted(self.flow_id, self.binding, packet.seq)]
 
     def sent(self, kind) -> list:
         return [packet for packet in self.received if isinstance(packet, kind)]
--- a/endivepick/client/tests/test_core.py
+++ b/endivepick/client/tests/test_core.py
@@ -216,6 +216,32 @@
         simulation.run_until(lambda: simulation.owner.runs)
         return simulation.now_s
 
+    def test_lost_polls_after_a_silence_cost_no_long_wait(self):
+        heard_s = [self._polled_s(seed) for seed in range(500)]
+        self.assertLess(max(heard_s), 2.0)
+
+    def _polled_s(self, seed):
+        """Return when an owner, silent at first, heard of an accepted request."""
+        simulation = Simulation(seed=seed)
+        simulation.open()
+        simulation.owner.silent = True
+        simulation.request(seed)
+        simulation.deliver(Accepted(FLOW, 1, 1))
+        simulation.path.loss = 1 / 8
+        simulation.run_for(0.4)
+        silent = len(simulation.owner.sent(Acknowledge))
+        simulation.run_until(lambda: len(simulation.owner.sent(Acknowledge)) > silent)
+        return simulation.now_s
+
+    def test_polls_that_are_answered_come_one_at_a_time(self):
+        simulation = Simulation()
+        simulation.open()
+        simulation.request(1, deadline_s=1000.0, stream=True)
+        simulation.run_for(10.0)
+        before = len(simulation.owner.sent(Acknowledge))
+        simulation.run_for(100.0)
+        self.assertLess(len(simulation.owner.sent(Acknowledge)) - before, 105)
+
     def test_repetitions_that_nobody_answers_come_in_pairs_of_a_bounded_rate(self):
         self.simulation.request(1)
         self.simulation.run_for(10.0)
