--- a/endivepick/tests/promises/_disturbed.py
+++ b/endivepick/tests/promises/_disturbed.py
@@ -4,12 +4,11 @@
 import json
 import unittest
 from collections import Counter
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Iterable, Iterator
 from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass, field
 from typing import Any
 
-import gevent
 from returns.result import Failure, Result, Success
 
 from endivepick.client import (
@@ -24,16 +23,15 @@
 )
 from endivepick.core.rendezvous import owner
 from endivepick.tests.promises._raw_caller import RawCaller, RawRequest
+from endivepick.tests.promises._waiting import in_thread, wait
 from standins.cluster import Cluster, ClusterSettings, cluster
 from standins.jsonlines import read_lines
 from standins.payload import verify_answer
 from standins.shapes import SMALL
 
-__all__ = ["EXPORTS", "SESSIONS", "DisturbedTestCase", "Work", "in_thread", "wait"]
+__all__ = ["EXPORTS", "SESSIONS", "DisturbedTestCase", "Work"]
 
 SESSIONS, EXPORTS = "sessions", "exports"
-_POLL_S = 0.02
-_WAIT_S = 60.0
 _REPEAT_S = 0.3
 _RAN = ("start", "stream_start")
 # Targets that failed in one test serve again in the next without delay.
@@ -56,26 +54,6 @@
 _NO_LOSS = {"loss": 0.0, "duplicate": 0.0, "delay_ms_min": 0.0, "delay_ms_max": 0.0}
 
 
-def in_thread(function: Callable[..., Any], *arguments: Any, **named: Any) -> Any:
-    """Make a blocking call while the callers' tasks of this process go on."""
-    return gevent.get_hub().threadpool.apply(function, arguments, named)
-
-
-def wait(
-    condition: Callable[[], Any], what: str, state: Callable[[], Any] | None = None
-) -> Any:
-    """Wait for a condition while the callers' tasks go on; return its value.
-
-    If it does not hold in time, the error tells ``state`` as well.
-    """
-    with gevent.Timeout(_WAIT_S, False):
-        while not (value := condition()):
-            gevent.sleep(_POLL_S)
-        return value
-    found = f"; found {state()}" if state else ""
-    raise TimeoutError(f"waited {_WAIT_S} s for: {what}{found}")
-
-
 @dataclass(frozen=True)
 class Work:
     """A request of the caller library."""
@@ -349,12 +327,15 @@
 
     def wait_words(self, caller: RawCaller, requests: Iterable[RawRequest]) -> None:
         """Send copies until each request has a word, or its flow a new token."""
-        left = list(requests)
-        with gevent.Timeout(_WAIT_S, TimeoutError("no word about requests")):
-            while left:
-                caller.send(left)
-                gevent.sleep(_POLL_S)
-                left = [request for request in left if not caller.words(request)]
+        wanted = list(requests)
+        caller.send(wanted)
+
+        def all_have_one() -> bool:
+            left = [request for request in wanted if not caller.words(request)]
+            caller.send(left)
+            return not left
+
+        wait(all_have_one, "a word about requests")
 
     def wait_idle(self) -> None:
         """Wait until no target and no owner has anything left to do."""
@@ -391,12 +372,13 @@
 
     def _send_until_heard(self, caller: RawCaller) -> None:
         heard = {request.key: caller.heard(request) for request in caller.requests}
-        left = list(caller.requests)
-        with gevent.Timeout(_WAIT_S, TimeoutError("no reply to late copies")):
-            while left:
-                caller.send(left)
-                gevent.sleep(_REPEAT_S)
-                left = [r for r in left if caller.heard(r) == heard[r.key]]
+
+        def all_heard() -> bool:
+            left = [r for r in caller.requests if caller.heard(r) == heard[r.key]]
+            caller.send(left)
+            return not left
+
+        wait(all_heard, "a reply to late copies", poll_s=_REPEAT_S)
 
     def assert_promises(self) -> None:
         """Check "not run" and "at most once" for all that this test sent."""
--- a/endivepick/tests/promises/_planned.py
+++ b/endivepick/tests/promises/_planned.py
@@ -3,7 +3,7 @@
 import itertools
 import json
 import unittest
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -17,33 +17,19 @@
     PendingRequest,
     open_caller,
 )
+from endivepick.tests.promises._waiting import in_thread, wait
 from standins.cluster import Cluster, ClusterSettings, cluster
 from standins.evidence import read_evidence
 from standins.nodes import Instance
 from standins.payload import verify_answer
 from standins.shapes import SMALL, Shape
 
-__all__ = ["PlannedChangeTestCase", "StreamReader", "Work", "in_thread", "wait"]
+__all__ = ["PlannedChangeTestCase", "StreamReader", "Work"]
 
 SESSIONS, EXPORTS = "sessions", "exports"
-_POLL_S = 0.02
-_WAIT_S = 60.0
 _numbers = itertools.count(1)
 
 
-def in_thread(function: Callable[..., Any], *arguments: Any) -> Any:
-    """Make a blocking call while the callers' tasks of this process go on."""
-    return gevent.get_hub().threadpool.apply(function, arguments)
-
-
-def wait(condition: Callable[[], Any], what: str) -> Any:
-    """Wait for a condition while the callers' tasks go on; return its value."""
-    with gevent.Timeout(_WAIT_S, TimeoutError(f"waited {_WAIT_S} s for: {what}")):
-        while not (value := condition()):
-            gevent.sleep(_POLL_S)
-    return value
-
-
 def roomy(shape: Shape, slots: int = 16) -> Shape:
     """Give all targets so many slots that requests seldom wait for each other."""
     services = [
--- a/endivepick/tests/promises/test_point1_hand_over.py
+++ b/endivepick/tests/promises/test_point1_hand_over.py
@@ -9,10 +9,9 @@
 from endivepick.tests.promises._planned import (
     SESSIONS,
     PlannedChangeTestCase,
-    in_thread,
     roomy,
-    wait,
 )
+from endivepick.tests.promises._waiting import in_thread, wait
 from standins.cluster import ClusterSettings
 from standins.jsonlines import read_lines
 from standins.shapes import SMALL, InstancePlan
--- a/endivepick/tests/promises/test_point1_planned_change.py
+++ b/endivepick/tests/promises/test_point1_planned_change.py
@@ -10,8 +10,8 @@
     SESSIONS,
     PlannedChangeTestCase,
     roomy,
-    wait,
 )
+from endivepick.tests.promises._waiting import wait
 from standins.checker import check
 from standins.cluster import ClusterSettings
 from standins.evidence import read_evidence
--- a/endivepick/tests/promises/test_point3_whole_answers.py
+++ b/endivepick/tests/promises/test_point3_whole_answers.py
@@ -12,9 +12,8 @@
     EXPORTS,
     SESSIONS,
     DisturbedTestCase,
-    in_thread,
-    wait,
 )
+from endivepick.tests.promises._waiting import in_thread, wait
 from standins.payload import verify_event
 
 LARGE_ANSWER_BYTES = 8 << 20
--- a/endivepick/tests/promises/test_point4_frozen_hand_over.py
+++ b/endivepick/tests/promises/test_point4_frozen_hand_over.py
@@ -2,7 +2,11 @@
 
 import unittest
 
-from endivepick.tests.promises._disturbed import EXPORTS, DisturbedTestCase, wait
+from endivepick.tests.promises._disturbed import (
+    EXPORTS,
+    DisturbedTestCase,
+)
+from endivepick.tests.promises._waiting import wait
 
 COPIES = 5
 
--- a/endivepick/tests/promises/test_point4_frozen_owner.py
+++ b/endivepick/tests/promises/test_point4_frozen_owner.py
@@ -4,7 +4,11 @@
 
 from endivepick.client import OutcomeUnknown
 from endivepick.core.messages import AnswerPart
-from endivepick.tests.promises._disturbed import EXPORTS, DisturbedTestCase, wait
+from endivepick.tests.promises._disturbed import (
+    EXPORTS,
+    DisturbedTestCase,
+)
+from endivepick.tests.promises._waiting import wait
 
 COPIES = 5
 
--- a/endivepick/tests/promises/test_point5_at_most_once.py
+++ b/endivepick/tests/promises/test_point5_at_most_once.py
@@ -9,8 +9,8 @@
     EXPORTS,
     SESSIONS,
     DisturbedTestCase,
-    in_thread,
 )
+from endivepick.tests.promises._waiting import in_thread
 
 COPIES = 5
 
--- a/endivepick/tests/promises/test_point5_closed_flows.py
+++ b/endivepick/tests/promises/test_point5_closed_flows.py
@@ -7,9 +7,8 @@
     EXPORTS,
     SESSIONS,
     DisturbedTestCase,
-    in_thread,
-    wait,
 )
+from endivepick.tests.promises._waiting import in_thread, wait
 
 FORGET_AFTER_S = 1
 """Age at which owners forget closed flows, in seconds; 60 in use."""
--- a/endivepick/tests/promises/test_point5_owner_lost.py
+++ b/endivepick/tests/promises/test_point5_owner_lost.py
@@ -10,9 +10,8 @@
     EXPORTS,
     SESSIONS,
     DisturbedTestCase,
-    in_thread,
-    wait,
 )
+from endivepick.tests.promises._waiting import in_thread, wait
 
 COPIES = 5
 
--- a/endivepick/tests/promises/test_point7_graceful_stop.py
+++ b/endivepick/tests/promises/test_point7_graceful_stop.py
@@ -10,9 +10,8 @@
     EXPORTS,
     SESSIONS,
     PlannedChangeTestCase,
-    in_thread,
-    wait,
 )
+from endivepick.tests.promises._waiting import in_thread, wait
 from standins.endpoint import call_ok
 
 
