Share addresses, backoff and store errors between both paths

Cause: the forwarder's path needs the same addresses, backoff and errors of the object API as the owners' path; they lived inside its packages.

Change: they move to modules of their own, used by both.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint format model bench capacity combined clean
+.PHONY: demo test lint format model bench capacity combined soak clean
 
 $(STAMP): pyproject.toml constraints.txt
 	python3 -m venv $(VENV)
@@ -11,6 +11,7 @@
 
 demo: $(STAMP)
 	$(PY) -m standins.demo --shape=$(or $(SHAPE),harada)
+	PYTHONPATH=platform $(PY) -m adapter.tests.demo
 
 test: $(STAMP)
 	$(PY) -m standins.run_tests
@@ -28,6 +29,10 @@
 combined: $(STAMP)
 	$(PY) -m standins.combined --shape=$(or $(SHAPE),small) --seed=$(or $(SEED),0) --run_s=$(or $(RUN_S),30)
 
+# Drawn faults around forwarders; SEEDS runs so many from SEED on (0 draws one).
+soak: $(STAMP)
+	PYTHONPATH=platform $(PY) -m adapter.tests.soak.run --seed=$(or $(SEED),0) --run_s=$(or $(RUN_S),20) --seeds=$(or $(SEEDS),1) --logs=var/soak
+
 model: $(STAMP)
 	$(PY) -m endivepick.model
 
--- a/endivepick/bench/packets.py
+++ b/endivepick/bench/packets.py
@@ -13,12 +13,12 @@
 
 import fire
 
+from endivepick.addresses import parse_address
 from endivepick.bench._instances import flat_shape, owner_first, running_cluster
 from endivepick.bench._processes import cpu_s, rss_bytes
 from endivepick.bench._sender import Sender
 from endivepick.bench._slopes import Measured, format_slopes, measure
 from endivepick.core.messages import CallerAddress
-from endivepick.settings.address import parse_address
 
 __all__ = [
     "Pair",
--- a/endivepick/cli/calling.py
+++ b/endivepick/cli/calling.py
@@ -2,9 +2,9 @@
 
 import os
 
+from endivepick.addresses import parse_address
 from endivepick.cli.exit_codes import ExitCode
 from endivepick.cli.failures import CommandError, option_values
-from endivepick.settings.address import parse_address
 
 __all__ = ["FABRIC_VARIABLE", "fabric_address"]
 
--- a/endivepick/cli/connection.py
+++ b/endivepick/cli/connection.py
@@ -6,10 +6,10 @@
 from collections.abc import Iterator
 from contextlib import closing, contextmanager
 
+from endivepick.addresses import parse_address
 from endivepick.cli.exit_codes import ExitCode
 from endivepick.cli.failures import CommandError, option_values
 from endivepick.platform import PlatformClient, PlatformSettings
-from endivepick.settings.address import parse_address
 
 __all__ = ["PLATFORM_VARIABLE", "platform_client"]
 
--- a/endivepick/core/key_rotator.py
+++ b/endivepick/core/key_rotator.py
@@ -12,6 +12,7 @@
 import msgspec
 from returns.result import Failure
 
+from endivepick.backoff import Backoff, BackoffSettings
 from endivepick.core.actions import Action, CallPlatform, Count, Log
 from endivepick.core.catalog import HeldKeys
 from endivepick.core.flow_table import CLOCK_SKEW_MARGIN_S
@@ -32,7 +33,6 @@
     WriteObject,
 )
 from endivepick.membership import InstanceView, PeerState
-from endivepick.platform.backoff import Backoff, BackoffSettings
 from endivepick.records.objects import (
     KEYRING_KIND,
     KEYRING_NAME,
--- a/endivepick/core/zone_status.py
+++ b/endivepick/core/zone_status.py
@@ -8,6 +8,7 @@
 
 from msgspec.structs import replace
 
+from endivepick.backoff import Backoff, BackoffSettings
 from endivepick.core.actions import Action, CallPlatform, Log, SendToPeer
 from endivepick.core.platform_calls import (
     CallFailed,
@@ -18,7 +19,6 @@
     ReadObject,
     WriteObject,
 )
-from endivepick.platform.backoff import Backoff, BackoffSettings
 from endivepick.records.objects import STATUS_KIND
 from endivepick.records.peer_messages import InstanceStatus
 from endivepick.records.settings import StatusSettings
--- a/endivepick/daemon/fabric.py
+++ b/endivepick/daemon/fabric.py
@@ -7,11 +7,11 @@
 import gevent
 from gevent import socket as gevent_socket
 
+from endivepick.addresses import parse_address
 from endivepick.core.codec import encode_packet
 from endivepick.core.events import CallerDatagram
 from endivepick.core.messages import CallerAddress, InstancePacket
 from endivepick.daemon.logs import PartLog
-from endivepick.settings.address import parse_address
 from endivepick.settings.model import DaemonSettings
 
 __all__ = ["FabricTask", "PREFIX_SIZE_BYTES", "fabric_task", "pack_prefix"]
--- a/endivepick/daemon/http.py
+++ b/endivepick/daemon/http.py
@@ -12,9 +12,9 @@
 from gevent.pywsgi import WSGIServer
 from gevent.queue import Queue
 
+from endivepick.addresses import parse_address
 from endivepick.daemon.logs import PartLog
 from endivepick.daemon.metrics import DaemonMetrics
-from endivepick.settings.address import parse_address
 from endivepick.settings.model import ListenSettings
 
 __all__ = ["HttpTask", "ReadinessChanged", "http_task"]
--- a/endivepick/daemon/peers.py
+++ b/endivepick/daemon/peers.py
@@ -18,6 +18,7 @@
 import zmq.green as zmq
 from zmq.utils import z85
 
+from endivepick.addresses import parse_address
 from endivepick.core.events import PeerMessage
 from endivepick.core.wire import (
     UNKNOWN_KIND,
@@ -28,7 +29,6 @@
 )
 from endivepick.daemon.logs import PartLog
 from endivepick.errors import PacketInvalidError
-from endivepick.settings.address import parse_address
 from endivepick.settings.model import DaemonSettings
 from endivepick.timeline.clock import HybridClock
 
--- a/endivepick/daemon/platform.py
+++ b/endivepick/daemon/platform.py
@@ -10,6 +10,7 @@
 from gevent.pool import Group
 from returns.result import Failure, Result, Success
 
+from endivepick.addresses import parse_address
 from endivepick.core.events import (
     Event,
     InstancesListed,
@@ -42,7 +43,6 @@
 from endivepick.platform.answers import ObjectList, WatchResult
 from endivepick.platform.client import PlatformClient
 from endivepick.platform.watcher import Watcher, WatcherEvent, WatchFailed
-from endivepick.settings.address import parse_address
 from endivepick.settings.model import DaemonSettings
 
 __all__ = ["PlatformTask", "platform_task"]
--- a/endivepick/daemon/probes.py
+++ b/endivepick/daemon/probes.py
@@ -13,6 +13,7 @@
 import msgspec
 from gevent.pool import Group
 
+from endivepick.addresses import parse_address
 from endivepick.core.actions import Probe
 from endivepick.core.dispatch import (
     ProbeFailed,
@@ -22,7 +23,6 @@
 )
 from endivepick.core.events import Event, Probed
 from endivepick.daemon._kept_http import AnswerError, KeptHttp
-from endivepick.settings.address import parse_address
 from endivepick.settings.model import DaemonSettings
 
 __all__ = ["ProbeTasks", "probe_tasks"]
--- a/endivepick/daemon/targets.py
+++ b/endivepick/daemon/targets.py
@@ -10,6 +10,7 @@
 from urllib3.exceptions import HTTPError
 from urllib3.response import HTTPResponse
 
+from endivepick.addresses import parse_address
 from endivepick.core.actions import CancelAttempt, RequestId, StartAttempt
 from endivepick.core.dispatch import (
     FinishKind,
@@ -24,7 +25,6 @@
 )
 from endivepick.daemon.logs import PartLog
 from endivepick.daemon.sse import split_events
-from endivepick.settings.address import parse_address
 from endivepick.settings.model import DaemonSettings
 
 __all__ = ["TargetTasks", "target_tasks"]
--- a/endivepick/daemon/tests/test_peers.py
+++ b/endivepick/daemon/tests/test_peers.py
@@ -1,3 +1,4 @@
+import itertools
 import time
 import unittest
 from contextlib import ExitStack, contextmanager, suppress
@@ -9,13 +10,13 @@
 import zmq
 from gevent.server import StreamServer
 
+from endivepick.addresses import parse_address
 from endivepick.core.peer_messages import HandOverAccepted
 from endivepick.core.wire import UNKNOWN_KIND
 from endivepick.daemon import peers
 from endivepick.daemon.metrics import DaemonMetrics
 from endivepick.daemon.peers import peer_task
 from endivepick.settings import parse_settings
-from endivepick.settings.address import parse_address
 from endivepick.timeline.clock import HybridClock
 
 SETTINGS = """{
@@ -46,6 +47,7 @@
         stack = ExitStack()
         self.addCleanup(stack.close)
         self.received = []
+        self.transfer_ids = itertools.count(1)
         self.tasks = [
             stack.enter_context(
                 peer_task(
@@ -59,13 +61,16 @@
         ]
 
     def send_until_received(self, receiver):
-        """Send as the core does: what cannot go out now is sent again later."""
+        """Send as the core does: what cannot go out now is sent again later.
+
+        The message is a new one, so that all that was sent before it has arrived.
+        """
         sender = self.tasks[0]
-        count = len(self.received)
+        message = HandOverAccepted(next(self.transfer_ids))
         with gevent.Timeout(30):
-            while len(self.received) == count:
+            while message not in [received.message for received in self.received]:
                 name, address = receiver._name, receiver.address
-                if not sender.send(name, address, HandOverAccepted(7)):
+                if not sender.send(name, address, message):
                     gevent.sleep(0.01)
                 gevent.sleep(0)
 
--- a/endivepick/platform/_http.py
+++ b/endivepick/platform/_http.py
@@ -1,8 +1,7 @@
-"""One HTTP call to the object API, with its failure told apart by effect."""
+"""One HTTP call to the object API over a pool of connections."""
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass
 from typing import Any
 from urllib.parse import quote, urlencode
 
@@ -14,38 +13,14 @@
     NewConnectionError,
 )
 
-from endivepick.errors import (
-    EndivepickError,
-    PlatformAnswerError,
-    PlatformUnavailableError,
-)
 from endivepick.platform.settings import PlatformSettings
-
-
-@dataclass(frozen=True)
-class Answer:
-    """The platform's whole answer."""
-
-    status: int
-    data: bytes
-    retry_after_s: float | None
-
-
-@dataclass(frozen=True)
-class NotSent:
-    """The call did not reach the platform: it has no effect."""
-
-    reason: str
-
-
-@dataclass(frozen=True)
-class AnswerLost:
-    """The call may have reached the platform: its effect is unknown."""
-
-    reason: str
-
-
-CallOutcome = Answer | NotSent | AnswerLost
+from endivepick.store_calls import (
+    Answer,
+    AnswerLost,
+    CallOutcome,
+    NotSent,
+    retry_after_s,
+)
 
 
 class HttpCaller:
@@ -107,36 +82,5 @@
             return NotSent(str(error))
         except (HTTPError, OSError) as error:
             return AnswerLost(str(error))
-        retry_after_s = _retry_after_s(response.headers.get("Retry-After"))
-        return Answer(response.status, response.data, retry_after_s)
-
-
-def _retry_after_s(header: str | None) -> float | None:
-    # A date is allowed as well; the platform's contract gives seconds.
-    if header is None or not header.isascii() or not header.isdigit():
-        return None
-    return float(header)
-
-
-def call_error(outcome: CallOutcome) -> EndivepickError:
-    """Return the typed error of a call that had no effect."""
-    match outcome:
-        case Answer(status=429 | 503 as status, retry_after_s=retry_after_s):
-            return PlatformUnavailableError(
-                f"The platform answered {status}. Try again later.", retry_after_s
-            )
-        case Answer(status=status) if status >= 500:
-            return PlatformUnavailableError(
-                f"The platform answered {status}. Try again later."
-            )
-        case Answer(status=status, data=data):
-            text = data[:200].decode(errors="replace")
-            return PlatformAnswerError(
-                f"The platform refused the call with {status}: {text} "
-                "Check the name and the size of the body (at most a megabyte)."
-            )
-        case NotSent(reason=reason) | AnswerLost(reason=reason):
-            return PlatformUnavailableError(
-                f"No answer from the platform ({reason}). Check platform.address "
-                "and the network, or try again later."
-            )
+        wait_s = retry_after_s(response.headers.get("Retry-After"))
+        return Answer(response.status, response.data, wait_s)
--- a/endivepick/platform/client.py
+++ b/endivepick/platform/client.py
@@ -13,13 +13,7 @@
     WatchExpiredError,
     WriteOutcomeUnknownError,
 )
-from endivepick.platform._http import (
-    Answer,
-    AnswerLost,
-    CallOutcome,
-    HttpCaller,
-    call_error,
-)
+from endivepick.platform._http import HttpCaller
 from endivepick.platform.answers import (
     InstanceList,
     ObjectList,
@@ -33,6 +27,7 @@
 from endivepick.platform.settings import PlatformSettings
 from endivepick.platform.writes import ConditionalWrite, ConditionalWriter, WriteError
 from endivepick.records.objects import StoredObject
+from endivepick.store_calls import Answer, AnswerLost, CallOutcome, call_error
 
 __all__ = ["PlatformClient", "ReadError", "WatchError", "WriteError"]
 
--- a/endivepick/platform/settings.py
+++ b/endivepick/platform/settings.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from endivepick.platform.backoff import BackoffSettings
+from endivepick.backoff import BackoffSettings
 
 __all__ = ["PlatformSettings"]
 
--- a/endivepick/platform/tests/test_client.py
+++ b/endivepick/platform/tests/test_client.py
@@ -10,6 +10,7 @@
 
 import gevent
 
+from endivepick.backoff import BackoffSettings
 from endivepick.errors import (
     PlatformAnswerError,
     PlatformUnavailableError,
@@ -18,7 +19,6 @@
     WriteOutcomeUnknownError,
 )
 from endivepick.platform.answers import ObjectList, WatchResult
-from endivepick.platform.backoff import BackoffSettings
 from endivepick.platform.client import PlatformClient
 from endivepick.platform.settings import PlatformSettings
 from endivepick.platform.watcher import Watcher, WatchFailed
--- a/endivepick/platform/tests/test_writes.py
+++ b/endivepick/platform/tests/test_writes.py
@@ -8,11 +8,11 @@
     WatchExpiredError,
     WriteOutcomeUnknownError,
 )
-from endivepick.platform._http import Answer, AnswerLost, NotSent
 from endivepick.platform.answers import WatchResult
 from endivepick.platform.settings import PlatformSettings
 from endivepick.platform.writes import ConditionalWrite, ConditionalWriter
 from endivepick.records.objects import StoredObject
+from endivepick.store_calls import Answer, AnswerLost, NotSent
 
 
 class Store:
--- a/endivepick/platform/watcher.py
+++ b/endivepick/platform/watcher.py
@@ -6,9 +6,9 @@
 
 from returns.result import Failure, Success
 
+from endivepick.backoff import Backoff
 from endivepick.errors import EndivepickError, WatchExpiredError
 from endivepick.platform.answers import ObjectList, WatchResult
-from endivepick.platform.backoff import Backoff
 from endivepick.platform.client import PlatformClient
 from endivepick.platform.settings import PlatformSettings
 from endivepick.records.cache import CACHED_KINDS
--- a/endivepick/platform/writes.py
+++ b/endivepick/platform/writes.py
@@ -6,6 +6,7 @@
 
 from returns.result import Failure, Result, Success
 
+from endivepick.backoff import Backoff
 from endivepick.errors import (
     EndivepickError,
     PlatformAnswerError,
@@ -13,19 +14,18 @@
     RecordConflictError,
     WriteOutcomeUnknownError,
 )
-from endivepick.platform._http import (
+from endivepick.platform._http import HttpCaller
+from endivepick.platform.answers import WatchResult, read_conflict, read_object
+from endivepick.platform.settings import PlatformSettings
+from endivepick.records.difference import body_differences
+from endivepick.records.objects import StoredObject
+from endivepick.store_calls import (
     Answer,
     AnswerLost,
     CallOutcome,
-    HttpCaller,
     NotSent,
     call_error,
 )
-from endivepick.platform.answers import WatchResult, read_conflict, read_object
-from endivepick.platform.backoff import Backoff
-from endivepick.platform.settings import PlatformSettings
-from endivepick.records.difference import body_differences
-from endivepick.records.objects import StoredObject
 
 __all__ = ["ConditionalWrite", "ConditionalWriter", "WriteError"]
 
--- a/endivepick/settings/__init__.py
+++ b/endivepick/settings/__init__.py
@@ -1,6 +1,6 @@
 """Settings of an instance: JSON with comments, checked, with an explanation."""
 
-from endivepick.settings.address import parse_address
+from endivepick.addresses import parse_address
 from endivepick.settings.explain import explain, explain_markdown
 from endivepick.settings.model import (
     DaemonSettings,
--- a/endivepick/settings/_border.py
+++ b/endivepick/settings/_border.py
@@ -4,7 +4,7 @@
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Strict
 
-from endivepick.settings.address import parse_address
+from endivepick.addresses import parse_address
 
 __all__ = [
     "Group",
--- a/endivepick/settings/_combinations.py
+++ b/endivepick/settings/_combinations.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from endivepick.settings.address import parse_address
+from endivepick.addresses import parse_address
 from endivepick.settings.model import DaemonSettings
 
 __all__ = ["CombinationFault", "combination_faults"]
--- a/endivepick/tests/promises/_loaded.py
+++ b/endivepick/tests/promises/_loaded.py
@@ -50,9 +50,13 @@
         """Put all targets into service again."""
         for target in self.cluster.targets.values():
             target.control(drain=False)
-        for service in self.cluster.shape.services:
+        services = self.cluster.shape.services
+        for service in services:
             self.cluster.write_record(service)
-        wait_until(self.all_serve, "all targets to serve")
+        if not self.all_serve():
+            # Only a request that succeeds ends the trial of a target that was ejected.
+            with self.load(*(service.name for service in services)):
+                wait_until(self.all_serve, "all targets to serve")
 
     def all_serve(self) -> bool:
         """Tell whether all instances see all targets of the shape in service."""
--- a/endivepick/tests/promises/test_point4_not_run_is_true.py
+++ b/endivepick/tests/promises/test_point4_not_run_is_true.py
@@ -6,6 +6,7 @@
 from endivepick.client import NotRun, OutcomeUnknown
 from endivepick.core.messages import Refused
 from endivepick.tests.promises._disturbed import EXPORTS, DisturbedTestCase
+from endivepick.tests.promises._waiting import wait
 
 COPIES = 5
 
@@ -30,12 +31,18 @@
     def test_late_copies_of_refused_requests(self):
         caller = self.new_raw_caller()
         flow = caller.open(EXPORTS)
-        blocking = [caller.request(flow, work_ms=1500) for _ in range(4)]
+        # No slot gets free before the deadline of those who wait is over.
+        self.control_targets(EXPORTS, stuck=True)
+        blocking = [caller.request(flow, work_ms=5) for _ in range(4)]
         caller.send(blocking)
         self.wait_running(request.echo for request in blocking)
         soon = [caller.request(flow, work_ms=5, deadline_ms=300) for _ in range(6)]
+        # Alone, since a crowd that overtakes them would fill the queue.
+        self.wait_words(caller, soon)
         crowd = [caller.request(flow, work_ms=5) for _ in range(30)]
-        caller.send([*soon, *crowd])
+        caller.send(crowd)
+        wait(lambda: any(map(caller.was_refused, crowd)), "a refusal")
+        self.control_targets(EXPORTS, stuck=False)
         self.wait_words(caller, caller.requests)
         reasons = {
             word.reason
--- a/endivepick/tests/promises/test_point5_owner_lost.py
+++ b/endivepick/tests/promises/test_point5_owner_lost.py
@@ -25,14 +25,20 @@
         self.raw = self.new_raw_caller()
         self.raw_flow = self.raw.open(EXPORTS)
 
-    def fill_slots(self, work_ms=600):
+    def hold_work(self):
+        """Let no work end before the owner is killed, however late it started."""
+        self.control_targets(EXPORTS, stuck=True)
+
+    def fill_slots(self):
+        self.hold_work()
         flow = self.open(self.caller, EXPORTS)
-        works = [self.send(flow, work_ms=work_ms) for _ in range(4)]
+        works = [self.send(flow) for _ in range(4)]
         self.wait_running(work.echo for work in works)
         return works
 
     def kill_owner(self, listed=False):
         in_thread(self.cluster.kill_instance, self.owner, listed=listed)
+        self.control_targets(EXPORTS, stuck=False)
 
     def assert_unknown(self, works):
         for work in works:
@@ -56,8 +62,9 @@
         self.assertFalse(any(runs[work.echo] for work in queued))
 
     def test_after_the_send(self):
-        works = [self.send(self.flow, work_ms=500) for _ in range(2)]
-        again = [self.send(self.flow, work_ms=500, idempotent=True) for _ in range(2)]
+        self.hold_work()
+        works = [self.send(self.flow) for _ in range(2)]
+        again = [self.send(self.flow, idempotent=True) for _ in range(2)]
         self.wait_running(work.echo for work in works + again)
         self.kill_owner()
         self.assert_unknown(works)
--- a/endivepick/platform/tests/test_backoff.py
+++ b/endivepick/tests/test_backoff.py
@@ -1,7 +1,7 @@
 import random
 import unittest
 
-from endivepick.platform.backoff import Backoff, BackoffSettings
+from endivepick.backoff import Backoff, BackoffSettings
 
 
 class TestBackoff(unittest.TestCase):
--- a/standins/run_tests.py
+++ b/standins/run_tests.py
@@ -7,6 +7,7 @@
 """
 
 import json
+import os
 import subprocess
 import sys
 import tempfile
@@ -22,7 +23,9 @@
 __all__ = ["ModuleResult", "find_units", "judge", "main", "read_known_red"]
 
 ROOT = Path(__file__).parent.parent
-PACKAGES = ("endivepick", "standins")
+PLATFORM = ROOT / "platform"
+PACKAGES = (ROOT / "endivepick", ROOT / "standins", PLATFORM / "adapter")
+"""Packages with tests; their modules are named from the folder that holds them."""
 JOBS = 4
 TIMEOUT_S = 900.0
 _END_TIMEOUT_S = 30.0
@@ -58,8 +61,8 @@
     reports: list[str]
 
 
-def _module_name(path: Path) -> str:
-    return ".".join(path.relative_to(ROOT).with_suffix("").parts)
+def _module_name(package: Path, path: Path) -> str:
+    return ".".join(path.relative_to(package.parent).with_suffix("").parts)
 
 
 def _holds_tests(folder: Path) -> bool:
@@ -70,14 +73,14 @@
     """Return the names of all units whose name holds one of the words."""
     units = []
     for package in PACKAGES:
-        sources = sorted((ROOT / package).rglob("*.py"))
+        sources = sorted(package.rglob("*.py"))
         units += [
-            _module_name(p)
+            _module_name(package, p)
             for p in sources
             if p.name.startswith("test_") and _holds_tests(p.parent)
         ]
         units += [
-            EXAMPLES_PREFIX + _module_name(path)
+            EXAMPLES_PREFIX + _module_name(package, path)
             for path in sources
             if not _holds_tests(path.parent)
             and path.name != "__main__.py"
@@ -102,7 +105,11 @@
         command = [sys.executable, "-m", "standins.run_unit", unit, str(result_path)]
         with open(Path(folder) / "output", "w+", encoding="utf-8") as output:
             process = subprocess.Popen(
-                command, cwd=ROOT, stdout=output, stderr=subprocess.STDOUT
+                command,
+                cwd=ROOT,
+                env=os.environ | {"PYTHONPATH": str(PLATFORM)},
+                stdout=output,
+                stderr=subprocess.STDOUT,
             )
             note = _wait(process)
             output.seek(0)
