Model the forwarders' registry, and read their logs in the time line

Change: a model of the registry with its mutants; the time line takes forwarders' logs and selects a flow by caller and port.

--- a/endivepick/model/_other_scenarios.py
+++ b/endivepick/model/_other_scenarios.py
@@ -1,4 +1,4 @@
-"""Bounds of the placement, configuration and key models, and their mutations."""
+"""Bounds of all models but the flow's, and their mutations."""
 
 from collections.abc import Callable
 from dataclasses import replace
@@ -12,6 +12,7 @@
 from endivepick.model._config_node import ConfigParts
 from endivepick.model._mutation import Mutation
 from endivepick.model._placement_node import PlacementParts
+from endivepick.model._registry_mutants import REGISTRY_MUTATIONS, REGISTRY_SCENARIOS
 from endivepick.model.checker import Specification
 from endivepick.model.configuration import ConfigBounds, configuration_specification
 from endivepick.model.key_rotation import KeyBounds, KeyRules, key_specification
@@ -113,10 +114,12 @@
     "keys, two rotations": _keys(KeyBounds(rotations=2, cuts=0, restarts=0)),
     "keys, restarts": _keys(KeyBounds(cuts=0)),
     "keys, one cut off": _keys(KeyBounds(restarts=0)),
+    **REGISTRY_SCENARIOS,
 }
 """By name, what builds the specification of each check."""
 
 _MUTATIONS: dict[str, Callable[[str], Specification]] = {
+    **REGISTRY_MUTATIONS,
     "a target runs whatever reaches it": _placement(
         PlacementBounds(False, rules=TargetRules(service=False, incarnation=False))
     ),
--- a/endivepick/model/tests/test_specifications.py
+++ b/endivepick/model/tests/test_specifications.py
@@ -22,6 +22,8 @@
     "planned stop, stream",
     "configuration, one cut off starts again",
     "keys, restarts",
+    "registry, two targets",
+    "registry, entry lapses and returns",
 )
 
 
--- a/endivepick/timeline/events.py
+++ b/endivepick/timeline/events.py
@@ -90,6 +90,12 @@
             return self.request.flow
         return _hex_id(self.fields.get("flow"))
 
+    @property
+    def flow_key(self) -> str:
+        """Addresses of the forwarders' flow that it is about, if any."""
+        key = self.fields.get("flow_key", "")
+        return key if isinstance(key, str) else ""
+
     @property
     def record(self) -> str | None:
         """Record that it is about: a service's, or another object's name."""
@@ -109,8 +115,8 @@
     Parameters
     ----------
     path : str or Path
-        File with one JSON object per line.  A torn last line is normal after a
-        process was killed.
+        File with one JSON object per line; what a collector of logs writes before it
+        is passed over.  A torn last line is normal after a process was killed.
 
     Yields
     ------
@@ -130,8 +136,9 @@
 
 
 def _decode(line: bytes) -> dict[str, Any] | None:
+    _, brace, rest = line.partition(b"{")
     try:
-        entry = _decoder.decode(line)
+        entry = _decoder.decode(brace + rest)
     except msgspec.DecodeError:
         return None
     if isinstance(entry.get("at_s"), int | float) and "event" in entry:
--- a/endivepick/timeline/render.py
+++ b/endivepick/timeline/render.py
@@ -9,9 +9,10 @@
 
 import msgspec
 
+from endivepick.timeline.events import LogEvent
 from endivepick.timeline.merge import Timeline, TimelineEvent
 
-__all__ = ["render_html", "render_json", "render_text"]
+__all__ = ["fields_text", "render_html", "render_json", "render_text"]
 
 _ROW_PX = 28
 _COLUMN_PX = 16
@@ -29,8 +30,9 @@
     return moment.isoformat(timespec="milliseconds").replace("+00:00", "Z")
 
 
-def _ids_text(event: TimelineEvent) -> str:
-    fields = event.log.fields
+def fields_text(event: LogEvent) -> str:
+    """Return the fields of an event that say what it is about."""
+    fields = event.fields
     hidden = _HIDDEN_IN_TEXT | (_NAMED_BY_KEY if "key" in fields else frozenset())
     shown = fields.items()
     return " ".join(f"{name}={value}" for name, value in shown if name not in hidden)
@@ -41,7 +43,7 @@
     width = max((len(event.log.process) for event in timeline.events), default=0)
     lines = [
         f"{_clock_text(event.time_s)}  {event.log.process:<{width}}  "
-        f"{event.log.message}  {_ids_text(event)}".rstrip()
+        f"{event.log.message}  {fields_text(event.log)}".rstrip()
         for event in timeline.events
     ]
     return "\n".join(lines)
@@ -116,7 +118,7 @@
 def _dot(event: TimelineEvent, position: int, y: int) -> str:
     level = _LEVEL_CLASSES.get(str(event.log.fields.get("level")), "info")
     note = html.escape(
-        f"{_clock_text(event.time_s)} {event.log.message} {_ids_text(event)}"
+        f"{_clock_text(event.time_s)} {event.log.message} {fields_text(event.log)}"
     )
     return (
         f'<circle class="{level}" data-row="{position}" cx="{_x(position)}" '
@@ -130,7 +132,7 @@
             _clock_text(event.time_s),
             event.log.process,
             event.log.message,
-            _ids_text(event),
+            fields_text(event.log),
         )
         columns = "".join(f"<td>{html.escape(cell)}</td>" for cell in cells)
         yield f'<tr id="e{position}">{columns}</tr>'
--- a/endivepick/timeline/select.py
+++ b/endivepick/timeline/select.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from endivepick.timeline.events import RequestKey
+from endivepick.timeline.flows import scope_of_flow
 from endivepick.timeline.merge import Timeline, TimelineEvent
 
 __all__ = ["EventFilter", "select_events"]
@@ -25,6 +26,9 @@
         Name of a service record.
     since_s, until_s : float or None
         Bounds of the time, in seconds since 1970.
+    flow_key : str
+        Addresses of a flow of forwarders, or a part of them; events of its targets
+        and processes around it are kept as well.
     """
 
     flow: int | None = None
@@ -33,6 +37,7 @@
     record: str | None = None
     since_s: float | None = None
     until_s: float | None = None
+    flow_key: str = ""
 
     def keeps(self, event: TimelineEvent) -> bool:
         """Tell whether an event is wanted."""
@@ -49,10 +54,20 @@
 
 def select_events(timeline: Timeline, wanted: EventFilter) -> Timeline:
     """Keep the wanted events, with causes among them."""
-    kept = [i for i, event in enumerate(timeline.events) if wanted.keeps(event)]
+    events = timeline.events
+    scope = None
+    if wanted.flow_key:
+        scope = scope_of_flow([event.log for event in events], wanted.flow_key)
+        if scope is None:
+            return Timeline((), timeline.contradictions)
+    kept = [
+        place
+        for place, event in enumerate(events)
+        if wanted.keeps(event) and (scope is None or scope.holds(event.log))
+    ]
     places = {old: new for new, old in enumerate(kept)}
-    events = tuple(_moved(timeline.events[old], places) for old in kept)
-    return Timeline(events, timeline.contradictions)
+    moved = tuple(_moved(events[old], places) for old in kept)
+    return Timeline(moved, timeline.contradictions)
 
 
 def _moved(event: TimelineEvent, places: dict[int, int]) -> TimelineEvent:
