Cut a zone only after the instances know each other

Cause: test_point2_key_rotation cut a zone as soon as each instance was ready; once the table of north-1 did not hold south-1 at all (KeyError). An instance is ready before it has found its peers: in 12 of 12 starts of the small shape the views agreed 0.1 to 1.3 s after the start returned.

Ruled out: a peer that was known and then forgotten; the error came 2.7 s after the start of the process, an entry of the list lapses later.

Change: the test waits until all see each other, as the other tests of cuts do.

--- a/endivepick/tests/promises/test_point2_key_rotation.py
+++ b/endivepick/tests/promises/test_point2_key_rotation.py
@@ -13,6 +13,7 @@
 from standins.cluster import ClusterSettings, cluster
 from standins.process import wait_until
 from standins.shapes import SMALL
+from standins.versions import wait_agreed
 
 SERVICE = SMALL.services[0].name
 LAGGING = "south-1"
@@ -37,6 +38,8 @@
     def setUp(self):
         settings = ClusterSettings(SMALL, faults=True, instance_settings=SETTINGS)
         self.cluster = self.enterContext(cluster(settings))
+        # An instance that is ready may not have found its peers yet.
+        wait_agreed(self.cluster)
 
     def start_load(self):
         settings = {
