--- a/standins/target_state.py
+++ b/standins/target_state.py
@@ -120,6 +120,8 @@
     key: str
     idempotent: bool
     service: str
+    incarnation: str = ""
+    """Of the target that the request is meant for; empty if it names none."""
     echo: str = ""
     cancelled: gevent.event.Event = field(default_factory=gevent.event.Event)
 
@@ -129,6 +131,7 @@
             "key": self.key,
             "idempotent": self.idempotent,
             "named_service": self.service,
+            "named_incarnation": self.incarnation,
             "echo": self.echo,
         }
 
