Call the object API over one kind of connection

Cause: instances called the object API over urllib3, forwarders over a connection of their own; only the kinds of outcome were shared. Two transports had two sets of limits, and a forwarder's call failed when the store had closed its connection while it was idle (test failed first).

Change: endivepick.store holds outcomes, the connection and a pool of connections; PlatformClient and the forwarders' tasks use it, wire differences stay in HttpCaller and in the adapter. A call's limits are one data class: until it is connected, until it begins, between two pieces, for the whole. The clock moves up, since it is no longer the forwarder's.

Tests: those of both clients unchanged; new ones for the pool, a task that ends in the middle of a call, an answer that drips, a store not reached.

--- a/endivepick/clock.py
+++ b/endivepick/clock.py
@@ -1,4 +1,4 @@
-"""The clock that all times of a forwarder are read from."""
+"""The clock that the times of forwarders and store connections are read from."""
 
 import time
 
--- a/endivepick/forwarder/feed.py
+++ b/endivepick/forwarder/feed.py
@@ -8,18 +8,18 @@
 import gevent
 
 from endivepick.backoff import Backoff, BackoffSettings
+from endivepick.clock import steady_now_s
 from endivepick.errors import (
     PlatformAnswerError,
     PlatformUnavailableError,
     WatchExpiredError,
 )
-from endivepick.forwarder.clock import steady_now_s
 from endivepick.forwarder.decision_log import DecisionLog
 from endivepick.forwarder.logs import rounded
 from endivepick.forwarder.ports import FeedKind, Item, StoreDialect
 from endivepick.forwarder.settings import ForwarderSettings
-from endivepick.forwarder.store import StoreConnection, store_connection
 from endivepick.forwarder.tasks import spawn_supervised
+from endivepick.store import StoreConnection, store_connection
 
 __all__ = ["ANSWER_SLACK_S", "FeedChanges", "FeedList", "StoreFeed"]
 
--- a/endivepick/forwarder/forwarder.py
+++ b/endivepick/forwarder/forwarder.py
@@ -11,7 +11,7 @@
 
 import gevent
 
-from endivepick.forwarder.clock import steady_now_s
+from endivepick.clock import steady_now_s
 from endivepick.forwarder.datagrams import DatagramSocket
 from endivepick.forwarder.decision_log import DecisionLog
 from endivepick.forwarder.feed import StoreFeed
--- a/endivepick/forwarder/news.py
+++ b/endivepick/forwarder/news.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from endivepick.forwarder.clock import steady_now_s
+from endivepick.clock import steady_now_s
 from endivepick.forwarder.decision_log import DecisionLog
 from endivepick.forwarder.feed import FeedChanges, FeedList
 from endivepick.forwarder.peers import PeerSnapshot
--- a/endivepick/forwarder/packet_path.py
+++ b/endivepick/forwarder/packet_path.py
@@ -7,8 +7,8 @@
 
 import gevent
 
+from endivepick.clock import steady_now_s
 from endivepick.errors import PacketInvalidError
-from endivepick.forwarder.clock import steady_now_s
 from endivepick.forwarder.datagrams import DatagramSocket, datagram_socket
 from endivepick.forwarder.decision_log import DecisionLog
 from endivepick.forwarder.ports import PacketCodec, StoreDialect
--- a/endivepick/forwarder/pages.py
+++ b/endivepick/forwarder/pages.py
@@ -7,8 +7,8 @@
 
 import gevent
 
+from endivepick.clock import steady_now_s
 from endivepick.forwarder import peers
-from endivepick.forwarder.clock import steady_now_s
 from endivepick.forwarder.decision_log import DecisionLog
 from endivepick.forwarder.feed import StoreFeed
 from endivepick.forwarder.http import Response, json_response
--- a/endivepick/forwarder/peers.py
+++ b/endivepick/forwarder/peers.py
@@ -17,14 +17,14 @@
 from gevent.pool import Pool
 
 from endivepick.addresses import parse_address
+from endivepick.clock import steady_now_s
 from endivepick.errors import EndivepickError
-from endivepick.forwarder.clock import steady_now_s
 from endivepick.forwarder.feed import StoreFeed
 from endivepick.forwarder.http import Response, json_response, query_fields
 from endivepick.forwarder.logs import BoundedLog
 from endivepick.forwarder.settings import ForwarderSettings
-from endivepick.forwarder.store import store_connection
 from endivepick.forwarding import Configuration, ForwardingCore, Target, TargetState
+from endivepick.store import store_connection
 
 __all__ = [
     "HELLO_PATH",
--- a/endivepick/forwarder/ports.py
+++ b/endivepick/forwarder/ports.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 from endivepick.forwarding import Configuration, FlowKey, Packet, Target
+from endivepick.store import StoreCall
 
 __all__ = [
     "ChangeBatch",
@@ -18,7 +19,6 @@
     "ListPage",
     "PacketCodec",
     "StoreDialect",
-    "StoreWrite",
     "UnreadableItem",
 ]
 
@@ -103,15 +103,6 @@
     revision: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class StoreWrite:
-    """A writing call: method, path and body."""
-
-    method: str
-    path: str
-    body: bytes
-
-
 class StoreDialect(Protocol):
     """Paths and bodies of a platform's object API."""
 
@@ -139,7 +130,7 @@
         """Decode a list of claims; raises PlatformAnswerError if it is none."""
         ...
 
-    def write_claim(self, claim: FeederClaim) -> StoreWrite:
+    def write_claim(self, claim: FeederClaim) -> StoreCall:
         """Return the call that creates a claim, or replaces its revision."""
         ...
 
--- a/endivepick/forwarder/tests/test_early.py
+++ b/endivepick/forwarder/tests/test_early.py
@@ -10,7 +10,7 @@
 from endivepick.errors import PlatformUnavailableError
 from endivepick.forwarder.datagrams import datagram_socket
 from endivepick.forwarder.early import ask_early, bind_early, connect_early
-from endivepick.forwarder.store import store_connection
+from endivepick.store import store_connection
 
 
 class TestBindEarly(unittest.TestCase):
--- a/endivepick/forwarder/tests/test_peers.py
+++ b/endivepick/forwarder/tests/test_peers.py
@@ -3,7 +3,7 @@
 
 import msgspec
 
-from endivepick.forwarder.clock import steady_now_s
+from endivepick.clock import steady_now_s
 from endivepick.forwarder.logs import BoundedLog
 from endivepick.forwarder.peers import (
     HELLO_PATH,
--- a/endivepick/forwarder/tests/test_zone.py
+++ b/endivepick/forwarder/tests/test_zone.py
@@ -5,8 +5,8 @@
 import gevent
 import msgspec
 
+from endivepick.clock import steady_now_s
 from endivepick.forwarder import zone
-from endivepick.forwarder.clock import steady_now_s
 from endivepick.forwarder.http import Response, http_server
 from endivepick.forwarder.logs import BoundedLog
 from endivepick.forwarder.ports import FeedKind
--- a/endivepick/forwarder/zone.py
+++ b/endivepick/forwarder/zone.py
@@ -16,8 +16,8 @@
 import msgspec
 from gevent.event import Event
 
+from endivepick.clock import steady_now_s
 from endivepick.errors import EndivepickError, PlatformAnswerError
-from endivepick.forwarder.clock import steady_now_s
 from endivepick.forwarder.feed import StoreFeed
 from endivepick.forwarder.feeders import Feed, FollowFeeder, WriteClaim, next_step
 from endivepick.forwarder.http import Response, json_response, query_fields
@@ -25,8 +25,8 @@
 from endivepick.forwarder.peers import NEWS_PATH
 from endivepick.forwarder.ports import FeederClaim, FeedKind, StoreDialect
 from endivepick.forwarder.settings import ForwarderSettings
-from endivepick.forwarder.store import StoreConnection, store_connection
 from endivepick.forwarding import ForwardingCore, RegistryNews
+from endivepick.store import StoreConnection, store_connection
 
 __all__ = ["ZoneMember", "ZoneNews"]
 
--- a/endivepick/platform/client.py
+++ b/endivepick/platform/client.py
@@ -27,7 +27,7 @@
 from endivepick.platform.settings import PlatformSettings
 from endivepick.platform.writes import ConditionalWrite, ConditionalWriter, WriteError
 from endivepick.records.objects import StoredObject
-from endivepick.store_calls import Answer, AnswerLost, CallOutcome, call_error
+from endivepick.store import Answer, AnswerLost, CallOutcome, call_error
 
 __all__ = ["PlatformClient", "ReadError", "WatchError", "WriteError"]
 
--- a/endivepick/platform/tests/test_writes.py
+++ b/endivepick/platform/tests/test_writes.py
@@ -12,7 +12,7 @@
 from endivepick.platform.settings import PlatformSettings
 from endivepick.platform.writes import ConditionalWrite, ConditionalWriter
 from endivepick.records.objects import StoredObject
-from endivepick.store_calls import Answer, AnswerLost, NotSent
+from endivepick.store import Answer, AnswerLost, NotSent
 
 
 class Store:
--- a/endivepick/platform/writes.py
+++ b/endivepick/platform/writes.py
@@ -19,7 +19,7 @@
 from endivepick.platform.settings import PlatformSettings
 from endivepick.records.difference import body_differences
 from endivepick.records.objects import StoredObject
-from endivepick.store_calls import (
+from endivepick.store import (
     Answer,
     AnswerLost,
     CallOutcome,
--- /dev/null
+++ b/endivepick/store/__init__.py
@@ -0,0 +1,31 @@
+"""Connections to a platform's object API, and how calls over them end."""
+
+from endivepick.store.connection import (
+    CallLimits,
+    StoreCall,
+    StoreConnection,
+    store_connection,
+)
+from endivepick.store.outcomes import (
+    Answer,
+    AnswerLost,
+    CallOutcome,
+    NotSent,
+    call_error,
+    retry_after_s,
+)
+from endivepick.store.pool import StorePool
+
+__all__ = [
+    "Answer",
+    "AnswerLost",
+    "CallLimits",
+    "CallOutcome",
+    "NotSent",
+    "StoreCall",
+    "StoreConnection",
+    "StorePool",
+    "call_error",
+    "retry_after_s",
+    "store_connection",
+]
--- a/endivepick/store/outcomes.py
+++ b/endivepick/store/outcomes.py
@@ -77,6 +77,6 @@
             )
         case NotSent(reason=reason) | AnswerLost(reason=reason):
             return PlatformUnavailableError(
-                f"No answer from the platform ({reason}). Check platform.address "
-                "and the network, or try again later."
+                f"No answer from the platform ({reason}). Check its address in the "
+                "settings and the network, or try again later."
             )
--- a/endivepick/store/tests/test_connection.py
+++ b/endivepick/store/tests/test_connection.py
@@ -8,7 +8,14 @@
     PlatformUnavailableError,
     WatchExpiredError,
 )
-from endivepick.forwarder.store import store_connection
+from endivepick.store import (
+    AnswerLost,
+    CallLimits,
+    NotSent,
+    StoreCall,
+    StorePool,
+    store_connection,
+)
 
 TIMEOUT_S = 20.0
 
@@ -58,6 +65,15 @@
                 store.get("/", TIMEOUT_S)
             self.assertEqual(store.get("/", TIMEOUT_S), b"b")
 
+    def test_a_connection_that_was_closed_while_idle_is_replaced(self):
+        closing = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nx: close\r\n\r\na"
+        address = self.serve(closing, self.answer(body="b"))
+        with store_connection(address) as store:
+            self.assertEqual(store.get("/1", TIMEOUT_S), b"a")
+            gevent.sleep(0.05)
+            self.assertEqual(store.get("/2", TIMEOUT_S), b"b")
+        self.assertEqual(self.connections, 2)
+
     def test_a_silent_store_is_given_up_in_time(self):
         silent = StreamServer(("127.0.0.1", 0), lambda c, _: c.recv(1) and c.recv(1))
         silent.start()
@@ -99,3 +115,81 @@
                 store.get("/", TIMEOUT_S)
             with self.assertRaises(PlatformAnswerError):
                 store.get("/", TIMEOUT_S)
+
+
+class TestStorePool(unittest.TestCase):
+    """Several tasks call over kept connections."""
+
+    def serve(self, handle):
+        self.connections = 0
+
+        def counted(connection, address):
+            self.connections += 1
+            handle(connection, address)
+
+        server = StreamServer(("127.0.0.1", 0), counted)
+        server.start()
+        self.addCleanup(server.stop, 0)
+        return f"127.0.0.1:{server.server_port}"
+
+    def pool(self, address, kept=2):
+        pool = StorePool(address, "", kept)
+        self.addCleanup(pool.close)
+        return pool
+
+    def test_connections_are_used_again_up_to_the_kept_number(self):
+        def echo(connection, _address):
+            while request := connection.recv(4096):
+                path = request.split()[1]
+                gevent.sleep(0.02)
+                length = len(path)
+                head = f"HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n"
+                connection.sendall(head.encode() + path)
+
+        pool = self.pool(self.serve(echo))
+
+        def call(number):
+            path = f"/{number}"
+            answer = pool.call(StoreCall("GET", path), CallLimits(TIMEOUT_S))
+            return answer.data == path.encode()
+
+        for _ in range(2):
+            tasks = [gevent.spawn(call, number) for number in range(4)]
+            gevent.joinall(tasks, raise_error=True)
+            self.assertTrue(all(task.value for task in tasks))
+        self.assertEqual(self.connections, 4 + 2)
+
+    def test_ended_task_leaves_no_answer_for_the_next_call(self):
+        def late(connection, _address):
+            while request := connection.recv(4096):
+                path = request.split()[1]
+                gevent.sleep(0.05 if path == b"/1" else 0)
+                head = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
+                connection.sendall(head.encode() + path)
+
+        pool = self.pool(self.serve(late))
+        task = gevent.spawn(pool.call, StoreCall("GET", "/1"), CallLimits(TIMEOUT_S))
+        gevent.sleep(0.02)
+        task.kill()
+        answer = pool.call(StoreCall("GET", "/2"), CallLimits(TIMEOUT_S))
+        self.assertEqual(answer.data, b"/2")
+
+    def test_dripping_answer_is_lost_at_the_limit_of_the_whole(self):
+        def drip(connection, _address):
+            connection.recv(4096)
+            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n")
+            while True:
+                connection.sendall(b"x")
+                gevent.sleep(0.01)
+
+        pool = self.pool(self.serve(drip))
+        limits = CallLimits(TIMEOUT_S, whole_s=0.1)
+        self.assertIsInstance(pool.call(StoreCall("GET", "/"), limits), AnswerLost)
+
+    def test_unreachable_store_got_nothing(self):
+        server = StreamServer(("127.0.0.1", 0), lambda *_: None)
+        server.start()
+        address = f"127.0.0.1:{server.server_port}"
+        server.stop()
+        outcome = self.pool(address).call(StoreCall("GET", "/"), CallLimits(TIMEOUT_S))
+        self.assertIsInstance(outcome, NotSent)
