--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -13,7 +13,7 @@
 rm -rf "$new"
 mkdir -p "$new/endivepick"
 cp endivepick/*.py "$new/endivepick"
-cp -r endivepick/forwarding endivepick/forwarder "$new/endivepick"
+cp -r endivepick/forwarding endivepick/forwarder endivepick/store "$new/endivepick"
 cp -r platform "$new"
 find "$new" -name __pycache__ -o -name tests | xargs rm -rf
 python3 -m compileall -q -s "$new" --invalidation-mode unchecked-hash "$new"
