Step the forwarders' beliefs of targets by state charts

Cause: states and reachability of targets moved in conditions spread over registry and evidence; the other parts of the product step charts.

Change: two charts; tables are made from them and committed, because sismic (and its YAML reader) would load before the first packet. The registry and the judge name events; the tables give the next state, the same if there is none. Reasons in logs are unchanged.

--- a/endivepick/forwarding/belief.py
+++ b/endivepick/forwarding/belief.py
@@ -3,9 +3,17 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from endivepick.forwarding._charts import REACHABILITY, REGISTERED_TARGET
 from endivepick.forwarding.model import Target
 
-__all__ = ["BeliefChange", "Reachability", "TargetBelief", "TargetState"]
+__all__ = [
+    "BeliefChange",
+    "Reachability",
+    "ReachabilityEvent",
+    "TargetBelief",
+    "TargetEvent",
+    "TargetState",
+]
 
 
 class TargetState(Enum):
@@ -26,6 +34,21 @@
     LAPSED = "lapsed"
     GONE = "gone"
 
+    def after(self, event: "TargetEvent") -> "TargetState":
+        """Return the state that follows; the same if the chart has no transition."""
+        return _TARGET_STATES.get((self, event), self)
+
+
+class TargetEvent(Enum):
+    """What changes what the registry says of a target."""
+
+    ENTRY_READY = "entry_ready"
+    ENTRY_DRAINING = "entry_draining"
+    ENTRY_REMOVED = "entry_removed"
+    DEAD_ENTRY_REMOVED = "dead_entry_removed"
+    FOUND_DEAD = "found_dead"
+    GRACE_OVER = "grace_over"
+
 
 class Reachability(Enum):
     """What packets and probes say of a target.
@@ -47,6 +70,30 @@
     SILENT = "silent"
     DEAD = "dead"
 
+    def after(self, event: "ReachabilityEvent") -> "Reachability":
+        """Return the state that follows; the same if the chart has no transition."""
+        return _REACHABILITIES.get((self, event), self)
+
+
+class ReachabilityEvent(Enum):
+    """What speaks for or against a target."""
+
+    CALLERS_REPEAT = "callers_repeat"
+    PROGRESS = "progress"
+    PROBE_ALIVE = "probe_alive"
+    PROBE_SILENT = "probe_silent"
+    PROBE_REFUSED = "probe_refused"
+
+
+_TARGET_STATES = {
+    (TargetState(state), TargetEvent(event)): TargetState(after)
+    for (state, event), after in REGISTERED_TARGET.items()
+}
+_REACHABILITIES = {
+    (Reachability(state), ReachabilityEvent(event)): Reachability(after)
+    for (state, event), after in REACHABILITY.items()
+}
+
 
 @dataclass(slots=True)
 class TargetBelief:
--- a/endivepick/forwarding/evidence.py
+++ b/endivepick/forwarding/evidence.py
@@ -15,7 +15,12 @@
     Reset,
     ResetReason,
 )
-from endivepick.forwarding.belief import Reachability, TargetBelief, TargetState
+from endivepick.forwarding.belief import (
+    Reachability,
+    ReachabilityEvent,
+    TargetBelief,
+    TargetState,
+)
 from endivepick.forwarding.flows import FlowTable
 from endivepick.forwarding.model import FlowKey, RouteKind
 from endivepick.forwarding.registry import TargetRegistry
@@ -25,6 +30,12 @@
 __all__ = ["EvidenceJudge"]
 
 _DEFAULT_HEALTH_PATH = "/health"
+_PROBE_EVENTS = {
+    ProbeOutcome.ALIVE: ReachabilityEvent.PROBE_ALIVE,
+    ProbeOutcome.SILENT: ReachabilityEvent.PROBE_SILENT,
+    ProbeOutcome.REFUSED: ReachabilityEvent.PROBE_REFUSED,
+    ProbeOutcome.REPLACED: ReachabilityEvent.PROBE_REFUSED,
+}
 
 
 class EvidenceJudge:
@@ -77,11 +88,11 @@
         probe = self._probe(belief, now_s)
         if not probe:
             return []
-        reason = "callers repeat"
+        event, reason = ReachabilityEvent.CALLERS_REPEAT, "callers repeat"
         age_s = now_s - since_s
         return [
             Note("flow_repeats", flow, belief.name, "no progress", age_s=age_s),
-            *self._registry.reach(belief, Reachability.SUSPECT, reason, now_s),
+            *self._registry.reach(belief, event, reason, now_s),
             *probe,
         ]
 
@@ -128,25 +139,17 @@
         """Take in that a caller acknowledged something new of a target."""
         if belief.reachability is Reachability.REACHABLE:
             return []
-        return [
-            *self._registry.reach(belief, Reachability.REACHABLE, "progress", now_s)
-        ]
+        event = ReachabilityEvent.PROGRESS
+        return [*self._registry.reach(belief, event, "progress", now_s)]
 
     def on_probe(
         self, belief: TargetBelief, outcome: ProbeOutcome, now_s: float
     ) -> list[Effect]:
         """Take in the outcome of a probe."""
-        match outcome:
-            case ProbeOutcome.ALIVE:
-                reachability = Reachability.REACHABLE
-            case ProbeOutcome.SILENT:
-                reachability = Reachability.SILENT
-            case ProbeOutcome.REFUSED | ProbeOutcome.REPLACED:
-                reachability = Reachability.DEAD
         reason = f"probe: {outcome.value}"
-        changes = self._registry.reach(belief, reachability, reason, now_s)
+        changes = self._registry.reach(belief, _PROBE_EVENTS[outcome], reason, now_s)
         effects: list[Effect] = [*changes, *self.resets(belief)]
-        if changes and reachability is Reachability.SILENT:
+        if changes and belief.reachability is Reachability.SILENT:
             effects += self._probe_zone(belief, now_s)
         return effects
 
--- a/endivepick/forwarding/registry.py
+++ b/endivepick/forwarding/registry.py
@@ -13,7 +13,9 @@
 from endivepick.forwarding.belief import (
     BeliefChange,
     Reachability,
+    ReachabilityEvent,
     TargetBelief,
+    TargetEvent,
     TargetState,
 )
 from endivepick.forwarding.cookies import CookieDirectory
@@ -26,6 +28,10 @@
     TargetPhase.READY: TargetState.READY,
     TargetPhase.DRAINING: TargetState.DRAINING,
 }
+_ENTRY_EVENTS = {
+    TargetPhase.READY: TargetEvent.ENTRY_READY,
+    TargetPhase.DRAINING: TargetEvent.ENTRY_DRAINING,
+}
 
 
 @dataclass(frozen=True)
@@ -178,7 +184,7 @@
         belief.target = target
         belief.revision = target.revision
         belief.cold_until_s = now_s + target.cold_s
-        return self._move(belief, _STATES[target.phase], "entry", now_s)
+        return self._move(belief, _ENTRY_EVENTS[target.phase], "entry", now_s)
 
     def take_removal(
         self, name: str, revision: int, now_s: float
@@ -193,15 +199,11 @@
         if revision < belief.revision:
             return []
         belief.revision = revision
-        match belief.state:
-            case TargetState.READY if belief.reachability is Reachability.DEAD:
-                return self._move(belief, TargetState.GONE, "entry removed", now_s)
-            case TargetState.READY:
-                return self._move(belief, TargetState.LAPSED, "entry removed", now_s)
-            case TargetState.DRAINING:
-                return self._move(belief, TargetState.GONE, "left", now_s)
-            case _:
-                return []
+        event = TargetEvent.ENTRY_REMOVED
+        if belief.reachability is Reachability.DEAD:
+            event = TargetEvent.DEAD_ENTRY_REMOVED
+        left = belief.state is TargetState.DRAINING
+        return self._move(belief, event, "left" if left else "entry removed", now_s)
 
     def expire(self, now_s: float, heard_s: float = float("inf")) -> list[BeliefChange]:
         """Give up lapsed entries after their grace, and forget those long gone.
@@ -223,7 +225,7 @@
                     if not self._confirmed(belief, heard_s):
                         continue
                     reason = "grace over"
-                    changes += self._move(belief, TargetState.GONE, reason, now_s)
+                    changes += self._move(belief, TargetEvent.GRACE_OVER, reason, now_s)
                 case TargetState.GONE if age_s >= self._settings.gone_memory_s:
                     self._forget(belief)
                 case _:
@@ -256,7 +258,7 @@
     def reach(
         self,
         belief: TargetBelief,
-        reachability: Reachability,
+        event: ReachabilityEvent,
         reason: str,
         now_s: float,
     ) -> list[BeliefChange]:
@@ -265,17 +267,16 @@
         A dead target whose entry has lapsed is gone: nothing is left to wait for.
         """
         changes: list[BeliefChange] = []
-        if belief.reachability is not reachability:
-            before = belief.reachability
+        before = belief.reachability
+        after = before.after(event)
+        if before is not after:
             age_s = now_s - belief.reachability_since_s
-            belief.reachability = reachability
+            belief.reachability = after
             belief.reachability_since_s = now_s
             self._file(belief)
-            changes.append(
-                _change(belief, before.value, reachability.value, reason, age_s)
-            )
-        if reachability is Reachability.DEAD and belief.state is TargetState.LAPSED:
-            changes += self._move(belief, TargetState.GONE, reason, now_s)
+            changes.append(_change(belief, before.value, after.value, reason, age_s))
+        if after is Reachability.DEAD:
+            changes += self._move(belief, TargetEvent.FOUND_DEAD, reason, now_s)
         return changes
 
     def _add(self, target: Target, now_s: float) -> BeliefChange:
@@ -291,11 +292,12 @@
         return _change(belief, "", state.value, "entry", 0.0)
 
     def _move(
-        self, belief: TargetBelief, state: TargetState, reason: str, now_s: float
+        self, belief: TargetBelief, event: TargetEvent, reason: str, now_s: float
     ) -> list[BeliefChange]:
-        if belief.state is state:
-            return []
         before, age_s = belief.state, now_s - belief.state_since_s
+        state = before.after(event)
+        if before is state:
+            return []
         belief.state = state
         belief.state_since_s = now_s
         self._candidates.pop(belief.target.service, None)
--- a/endivepick/forwarding/tests/test_registry.py
+++ b/endivepick/forwarding/tests/test_registry.py
@@ -1,6 +1,7 @@
 import unittest
 
-from endivepick.forwarding import Reachability, TargetPhase, TargetState
+from endivepick.forwarding import TargetPhase, TargetState
+from endivepick.forwarding.belief import ReachabilityEvent
 from endivepick.forwarding.registry import TargetRegistry
 from endivepick.forwarding.settings import ForwardingSettings
 from endivepick.forwarding.tests.support import make_target
@@ -102,7 +103,8 @@
     def test_a_dead_target_whose_entry_vanished_is_gone_at_once(self):
         belief = self.registry.get("i-2")
         self.registry.take_removal("i-2", 25, 5.0)
-        self.registry.reach(belief, Reachability.DEAD, "probe: refused", 5.1)
+        dead = ReachabilityEvent.PROBE_REFUSED
+        self.registry.reach(belief, dead, "probe: refused", 5.1)
         self.assertIs(belief.state, TargetState.GONE)
 
     def test_candidates_follow_each_change(self):
@@ -117,10 +119,12 @@
         self.assertEqual(self.registry.unsettled, [])
         self.registry.take_removal("i-2", 25, 5.0)
         silent = self.registry.get("i-3")
-        self.registry.reach(silent, Reachability.SILENT, "probe: silent", 5.0)
+        event = ReachabilityEvent.PROBE_SILENT
+        self.registry.reach(silent, event, "probe: silent", 5.0)
         names = {belief.name for belief in self.registry.unsettled}
         self.assertEqual(names, {"i-2", "i-3"})
-        self.registry.reach(silent, Reachability.REACHABLE, "progress", 6.0)
+        event = ReachabilityEvent.PROGRESS
+        self.registry.reach(silent, event, "progress", 6.0)
         self.registry.expire(5.0 + GRACE_S)
         self.registry.expire(5.0 + GRACE_S + MEMORY_S)
         self.assertEqual(self.registry.unsettled, [])
