Count packets at ticks instead of one by one

Cause: by parts (eight forwarders side by side, trial), counting each packet and its batch cost 3.6 % of the packet path, lines of the log 1.4 %: 210 times a second the code of the counters is fetched anew.

Ruled out: writing lines at ticks only; a killed instance would lose the lines of its last 0.1 s, which are the ones asked for. One frame less a packet alone: 5.9 % against 6.2 %, within the spread.

Change: the path appends service and duration to lists; a tick folds them into counters and histogram, as does a reader, which gets a copy: the page is rendered in another thread. The benchmark has two processes of each kind in the order told, untold, untold, told: of two that do the same, the first took 1.3 to 2.0 % more.

At the usual load before 4.4, 6.2, 5.9 %; after 2.1, 0.7, 4.8, 3.8 %.

--- a/endivepick/bench/path_cost.py
+++ b/endivepick/bench/path_cost.py
@@ -1,8 +1,8 @@
 """What logs and metrics cost of the packet path.
 
-Run ``python -m endivepick.bench.path_cost``; it takes about two minutes.  Two processes
-forward the same flows, packet by packet in turn, so that what else the machine does
-meets both: one writes lines and counts, the other does neither.
+Run ``python -m endivepick.bench.path_cost``; it takes about two minutes.  Four
+processes forward the same flows, packet by packet in turn, so that what else the
+machine does meets all: two write lines and count, the others do neither.
 """
 
 import random
@@ -20,6 +20,7 @@
 import gevent
 
 from endivepick.forwarder.decision_log import DecisionLog
+from endivepick.forwarder.forwarder import TICK_S
 from endivepick.forwarder.logs import open_log
 from endivepick.forwarder.metrics import ForwarderMetrics
 from endivepick.forwarder.packet_path import PacketPath, PathRequests
@@ -48,6 +49,9 @@
 PLAYED_S = 40.0
 """A processor time of some tenths of a second at the lowest load."""
 _WARM_FLOWS = 20
+_ORDER = (True, False, False, True)
+"""Which of the processes tell.  Of two that do the same, the first takes 1.3 to 2.0 %
+more in this order of starts and packets; here each kind has a first and a last."""
 _HOST, _PORT = 0xC6120001, 443
 _CALLER = 0x64400007
 _OPENING, _CLOSING = 1, 2
@@ -112,8 +116,16 @@
         datagram = self._codec.to_target(data, target, belief.cookie)
         self._datagrams.send(datagram, target.host, target.port)
 
-    def _after_batch(self, duration_s: float, _now_s: float) -> None:
-        pass
+
+class _NoMetrics(ForwarderMetrics):
+    """Notes no duration."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.batch = lambda _: None
+
+    def fold(self) -> None:
+        """Count nothing."""
 
 
 def _core() -> ForwardingCore:
@@ -149,18 +161,26 @@
         Whether lines are written to standard output and packets are counted.
     """
     log = open_log("front-1")
-    metrics = ForwarderMetrics()
+    metrics = ForwarderMetrics() if told else _NoMetrics()
     decisions = DecisionLog(log, metrics) if told else _NoLog(log, metrics)
     requests = PathRequests(lambda: None, lambda _: None)
     codec, dialect = cast(PacketCodec, _Codec()), cast(StoreDialect, None)
     kind = PacketPath if told else _BarePath
     with kind(_core(), codec, dialect, decisions, requests).open("127.0.0.1:0") as at:
+        gevent.spawn(_tick, metrics)
         _say(at.port)
         for _ in range(2):
             gevent.get_hub().threadpool.apply(sys.stdin.readline)
             _say(time.process_time())
 
 
+def _tick(metrics: ForwarderMetrics) -> None:
+    """Count at the pace at which a forwarder does; both processes tick."""
+    while True:
+        gevent.sleep(TICK_S)
+        metrics.fold()
+
+
 def _say(value: object) -> None:
     print(value, file=sys.stderr, flush=True)
 
@@ -218,21 +238,22 @@
     """Measure at a multiple of the usual load."""
     flows_per_s = load * USUAL_FLOWS_PER_S
     number = round(flows_per_s * PLAYED_S)
-    with (
-        _forwarder(told=True) as told,
-        _forwarder(told=False) as untold,
-        closing(socket(AF_INET, SOCK_DGRAM)) as caller,
-    ):
-        both = (told, untold)
-        ports = [one.port for one in both]
-        gap_s = 1 / (flows_per_s * PACKETS_OF_A_FLOW * len(both))
+    with ExitStack() as stack:
+        caller = stack.enter_context(closing(socket(AF_INET, SOCK_DGRAM)))
+        forwarders = [stack.enter_context(_forwarder(told)) for told in _ORDER]
+        ports = [one.port for one in forwarders]
+        gap_s = 1 / (flows_per_s * PACKETS_OF_A_FLOW * len(ports))
         _play(range(_WARM_FLOWS), 0.0005, ports, caller)
-        before_s = [one.used_s() for one in both]
+        before_s = [one.used_s() for one in forwarders]
         _play(range(_WARM_FLOWS, _WARM_FLOWS + number), gap_s, ports, caller)
-        used_s = [one.used_s() - had for one, had in zip(both, before_s, strict=True)]
-    packets = number * PACKETS_OF_A_FLOW
-    with_us, without_us = (spent_s / packets * _MICRO for spent_s in used_s)
-    return CostOfLoad(load, with_us, without_us)
+        after_s = [one.used_s() for one in forwarders]
+    used_s = {True: 0.0, False: 0.0}
+    for told, had_s, has_s in zip(_ORDER, before_s, after_s, strict=True):
+        used_s[told] += has_s - had_s
+    packets = number * PACKETS_OF_A_FLOW * len(ports) / len(used_s)
+    return CostOfLoad(
+        load, used_s[True] / packets * _MICRO, used_s[False] / packets * _MICRO
+    )
 
 
 def main() -> None:
--- a/endivepick/forwarder/datagrams.py
+++ b/endivepick/forwarder/datagrams.py
@@ -71,7 +71,7 @@
     address: str,
     on_packet: Callable[[bytes, float], None],
     on_fault: Callable[[Exception], None],
-    after_batch: Callable[[float, float], None],
+    after_batch: Callable[[float], None],
     now_s: Callable[[], float],
     early: socket | None = None,
 ) -> Iterator[DatagramSocket]:
@@ -87,7 +87,7 @@
         Called with what ``on_packet`` raised; the event loop would not listen to the
         socket again after a callback that failed.
     after_batch : callable
-        Called after each batch with its duration and the time, in seconds.
+        Called after each batch with its duration, in seconds.
     now_s : callable
         Gives the time, in seconds.
     early : socket, default=None
@@ -103,7 +103,7 @@
                     on_packet(data, began_s)
                 except Exception as error:
                     on_fault(error)
-            after_batch(now_s() - began_s, began_s)
+            after_batch(now_s() - began_s)
 
         watcher = gevent.get_hub().loop.io(connection.fileno(), _READABLE)
         watcher.start(on_readable)
--- a/endivepick/forwarder/forwarder.py
+++ b/endivepick/forwarder/forwarder.py
@@ -207,6 +207,7 @@
                 self.core.on_unread(now_s)
             self.core.tick(now_s, registry.heard_s)
             self._path.perform()
+            self.decisions.metrics.fold()
             self.decisions.log.flush()
 
     def _on_pause(self, paused_s: float, now_s: float) -> None:
--- a/endivepick/forwarder/metrics.py
+++ b/endivepick/forwarder/metrics.py
@@ -5,10 +5,11 @@
 """
 
 from bisect import bisect_left
-from collections import Counter, defaultdict
-from collections.abc import Sequence
+from collections import Counter
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 
-__all__ = ["ForwarderMetrics"]
+__all__ = ["ForwarderMetrics", "MetricsSnapshot", "render_page"]
 
 _BUCKETS_S = (0.0001, 0.0005, 0.001, 0.005, 0.01, 0.05, 0.1, 0.5, 1.0)
 _HELP = {
@@ -24,71 +25,117 @@
 }
 
 
+@dataclass(frozen=True)
+class MetricsSnapshot:
+    """What was counted up to a moment.
+
+    Attributes
+    ----------
+    counts : Counter
+        By name and kind.
+    batches : list of int
+        Batches by duration; the last of them lasted longer than all limits.
+    batches_s : float
+        Their durations summed, in seconds.
+    """
+
+    counts: Counter[tuple[str, str]]
+    batches: list[int]
+    batches_s: float
+
+
 class ForwarderMetrics:
     """What a forwarder counts.
 
+    What happens with each packet is put on a list and counted at the next tick, all
+    packets since the last at once: with the lines of the log, 0.7 to 4.8 % of the
+    processor time of the path at the usual load instead of 4.4 to 6.2 %.
+
+    Attributes
+    ----------
+    forwarded : callable
+        Notes the service of a packet that was sent to a target.
+    batch : callable
+        Notes how long a batch of packets took, in seconds.
+
     Examples
     --------
     >>> metrics = ForwarderMetrics()
     >>> metrics.count("probes", "alive")
-    >>> b'endivepick_forwarder_probes_total{kind="alive"} 1' in metrics.render({})
+    >>> page = render_page(metrics.snapshot(), {})
+    >>> b'endivepick_forwarder_probes_total{kind="alive"} 1' in page
     True
     """
 
     def __init__(self) -> None:
         self.counts: Counter[tuple[str, str]] = Counter()
-        self.forwarded: defaultdict[str, int] = defaultdict(int)
-        """Packets sent to targets, by service; apart, as each packet counts here."""
-        self._batch_buckets = [0] * (len(_BUCKETS_S) + 1)
-        self._batch_sum_s = 0.0
+        self._new_services: list[str] = []
+        self._new_batches_s: list[float] = []
+        self.forwarded: Callable[[str], None] = self._new_services.append
+        self.batch: Callable[[float], None] = self._new_batches_s.append
+        self._batches = [0] * (len(_BUCKETS_S) + 1)
+        self._batches_s = 0.0
 
     def count(self, name: str, kind: str, number: int = 1) -> None:
         """Add to a counter."""
         self.counts[name, kind] += number
 
-    def batch(self, duration_s: float) -> None:
-        """Note how long a batch of packets took."""
-        self._batch_buckets[bisect_left(_BUCKETS_S, duration_s)] += 1
-        self._batch_sum_s += duration_s
-
-    def render(self, gauges: dict[str, float]) -> bytes:
-        """Return all metrics in the text format of Prometheus.
-
-        Parameters
-        ----------
-        gauges : dict of str to float
-            Present values, by name with unit.
-        """
-        from aioprometheus import Counter as PrometheusCounter
-        from aioprometheus import Gauge, Registry, render
-
-        registry = Registry()
-        counters = {
-            name: PrometheusCounter(
-                f"endivepick_forwarder_{name}_total", text, registry=registry
-            )
-            for name, text in _HELP.items()
-        }
-        for (name, kind), number in list(self.counts.items()):
-            counters[name].set({"kind": kind}, number)
-        for service, number in list(self.forwarded.items()):
-            counters["packets_forwarded"].set({"kind": service}, number)
-        for name, value in gauges.items():
-            gauge = Gauge(f"endivepick_forwarder_{name}", name, registry=registry)
-            gauge.set({}, value)
-        body, _ = render(registry, [])
-        return body + self._histogram()
-
-    def _histogram(self) -> bytes:
-        name = "endivepick_forwarder_batch_seconds"
-        lines = [
-            f"# HELP {name} Time that a batch of packets took.",
-            f"# TYPE {name} histogram",
-        ]
-        total = 0
-        limits: Sequence[str] = [str(limit) for limit in _BUCKETS_S] + ["+Inf"]
-        for limit, number in zip(limits, self._batch_buckets, strict=True):
-            total += number
-            lines.append(f'{name}_bucket{{le="{limit}"}} {total}')
-        lines += [f"{name}_sum {self._batch_sum_s}", f"{name}_count {total}", ""]
-        return "\n".join(lines).encode()
+    def fold(self) -> None:
+        """Count what packets have left on the lists."""
+        for service, number in Counter(self._new_services).items():
+            self.counts["packets_forwarded", service] += number
+        for duration_s in self._new_batches_s:
+            self._batches[bisect_left(_BUCKETS_S, duration_s)] += 1
+        self._batches_s += sum(self._new_batches_s)
+        self._new_services.clear()
+        self._new_batches_s.clear()
+
+    def snapshot(self) -> MetricsSnapshot:
+        """Return what was counted up to now, for a reader in another thread."""
+        self.fold()
+        counts = Counter(self.counts)
+        return MetricsSnapshot(counts, list(self._batches), self._batches_s)
+
+
+def render_page(snapshot: MetricsSnapshot, gauges: dict[str, float]) -> bytes:
+    """Return all metrics in the text format of Prometheus.
+
+    Parameters
+    ----------
+    snapshot : MetricsSnapshot
+        Counters and the histogram.
+    gauges : dict of str to float
+        Present values, by name with unit.
+    """
+    from aioprometheus import Counter as PrometheusCounter
+    from aioprometheus import Gauge, Registry, render
+
+    registry = Registry()
+    counters = {
+        name: PrometheusCounter(
+            f"endivepick_forwarder_{name}_total", text, registry=registry
+        )
+        for name, text in _HELP.items()
+    }
+    for (name, kind), number in snapshot.counts.items():
+        counters[name].set({"kind": kind}, number)
+    for name, value in gauges.items():
+        gauge = Gauge(f"endivepick_forwarder_{name}", name, registry=registry)
+        gauge.set({}, value)
+    body, _ = render(registry, [])
+    return body + _histogram(snapshot)
+
+
+def _histogram(snapshot: MetricsSnapshot) -> bytes:
+    name = "endivepick_forwarder_batch_seconds"
+    lines = [
+        f"# HELP {name} Time that a batch of packets took.",
+        f"# TYPE {name} histogram",
+    ]
+    total = 0
+    limits: Sequence[str] = [str(limit) for limit in _BUCKETS_S] + ["+Inf"]
+    for limit, number in zip(limits, snapshot.batches, strict=True):
+        total += number
+        lines.append(f'{name}_bucket{{le="{limit}"}} {total}')
+    lines += [f"{name}_sum {snapshot.batches_s}", f"{name}_count {total}", ""]
+    return "\n".join(lines).encode()
--- a/endivepick/forwarder/packet_path.py
+++ b/endivepick/forwarder/packet_path.py
@@ -105,7 +105,7 @@
             address,
             self._on_packet,
             self._decisions.packet_failed,
-            self._after_batch,
+            self._metrics.batch,
             steady_now_s,
             early,
         ) as datagrams:
@@ -148,9 +148,6 @@
             self.perform()
             self._decisions.log.flush()
 
-    def _after_batch(self, duration_s: float, _now_s: float) -> None:
-        self._metrics.batch(duration_s)
-
     def _carry_out(self, verdict: Verdict, data: bytes) -> None:
         match verdict:
             case Forward(belief):
@@ -167,7 +164,7 @@
         target = belief.target
         datagram = self._codec.to_target(data, target, belief.cookie)
         if self._datagrams.send(datagram, target.host, target.port):
-            self._forwarded[target.service] += 1
+            self._forwarded(target.service)
         else:
             self._metrics.count("packets_dropped", _NOT_SENT)
 
--- a/endivepick/forwarder/pages.py
+++ b/endivepick/forwarder/pages.py
@@ -12,6 +12,7 @@
 from endivepick.forwarder.decision_log import DecisionLog
 from endivepick.forwarder.feed import StoreFeed
 from endivepick.forwarder.http import Response, json_response
+from endivepick.forwarder.metrics import render_page
 from endivepick.forwarder.peers import PeerFeed
 from endivepick.forwarder.ports import FeedKind
 from endivepick.forwarder.settings import ForwarderSettings
@@ -94,7 +95,8 @@
         # The library is loaded by the first reader: beside the packets, not in
         # their way.
         pool = gevent.get_hub().threadpool
-        return Response(200, pool.apply(metrics.render, (self._gauges(),)))
+        counted = (metrics.snapshot(), self._gauges())
+        return Response(200, pool.apply(render_page, counted))
 
     def _gauges(self) -> dict[str, float]:
         now_s = steady_now_s()
--- a/endivepick/forwarder/tests/test_metrics.py
+++ b/endivepick/forwarder/tests/test_metrics.py
@@ -1,6 +1,6 @@
 import unittest
 
-from endivepick.forwarder.metrics import ForwarderMetrics
+from endivepick.forwarder.metrics import ForwarderMetrics, render_page
 
 
 class TestForwarderMetrics(unittest.TestCase):
@@ -9,7 +9,7 @@
         metrics.count("flows_reset", "no_route", 3)
         metrics.batch(0.0002)
         metrics.batch(7.0)
-        page = metrics.render({"flows": 12}).decode()
+        page = render_page(metrics.snapshot(), {"flows": 12}).decode()
         for line in (
             'endivepick_forwarder_flows_reset_total{kind="no_route"} 3',
             "endivepick_forwarder_flows 12",
@@ -19,3 +19,16 @@
             "endivepick_forwarder_batch_seconds_count 2",
         ):
             self.assertIn(line + "\n", page)
+
+    def test_packets_are_counted_once_whenever_they_are_folded(self):
+        metrics = ForwarderMetrics()
+        for _ in range(3):
+            metrics.forwarded("notes")
+            metrics.batch(0.002)
+            metrics.fold()
+        metrics.forwarded("mail")
+        page = render_page(metrics.snapshot(), {}).decode()
+        name = "endivepick_forwarder_packets_forwarded_total"
+        self.assertIn(f'{name}{{kind="notes"}} 3\n', page)
+        self.assertIn(f'{name}{{kind="mail"}} 1\n', page)
+        self.assertIn("endivepick_forwarder_batch_seconds_count 3\n", page)
