Check by the model for what forwarders reset flows

Change: a specification runs the real decision core against a target that serves, falls silent once and comes back, or ends, with probes that end late, copies, answers and a removed entry.

--- a/endivepick/model/_freeze.py
+++ b/endivepick/model/_freeze.py
@@ -1,5 +1,6 @@
 """Hashable pictures of mutable objects, by which equal states are recognised."""
 
+from collections import deque
 from collections.abc import Hashable, Mapping
 from enum import Enum
 from itertools import count
@@ -41,7 +42,7 @@
         return (dict, *pairs)
     if isinstance(value, (set, frozenset)):
         return frozenset(freeze(one, skip) for one in value)
-    if isinstance(value, (list, tuple)):
+    if isinstance(value, (list, tuple, deque)):
         return (type(value), *(freeze(one, skip) for one in value))
     if isinstance(value, count):
         return repr(value)
--- a/endivepick/model/tests/test_specifications.py
+++ b/endivepick/model/tests/test_specifications.py
@@ -24,6 +24,7 @@
     "keys, restarts",
     "registry, two targets",
     "registry, entry lapses and returns",
+    "evidence, one step of time",
 )
 
 
