Say once which configuration is in force; wait on conditions

Cause: the core, the zone's task and the peers' task each worked out the version or revision of the configuration in force, 0 without one; three new tests of store connections slept where they could wait.

Change: RouteTable has version and revision, beside the registry's own. The tests wait for the closed connection and for the question under way; one pause in a server was needless. Assertions are the same; without the check of idle connections the test of it still fails.

Ruled out: one reader of responses for store connections, probes and the server (they stop at different places), the old probes' kept connection (standard client, other limits), a shorter ReadRegistry (a test asserts its cookie).

--- a/endivepick/forwarder/peers.py
+++ b/endivepick/forwarder/peers.py
@@ -304,8 +304,7 @@
             )
 
     def _question(self) -> str:
-        configuration = self._core.routes.configuration
-        config = 0 if configuration is None else configuration.revision
+        config = self._core.routes.revision
         registry = self._core.registry.revision if self._core.registry.known else 0
         return f"{_FROM}={self._own}&{_CONFIG}={config}&{_REGISTRY}={registry}"
 
--- a/endivepick/forwarder/zone.py
+++ b/endivepick/forwarder/zone.py
@@ -173,7 +173,7 @@
         now_s = steady_now_s()
         news = ZoneNews(
             self._settings.name,
-            self._config_revision,
+            self._core.routes.revision,
             self._core.registry.news_since(registry),
             now_s - max(feed.heard_s for feed in self._feeds.values()),
             now_s - self._feeds[FeedKind.REGISTRY].heard_s,
@@ -201,13 +201,11 @@
     def _all_settled(self) -> bool:
         return all(feed.settled for feed in self._feeds.values())
 
-    @property
-    def _config_revision(self) -> int:
-        configuration = self._core.routes.configuration
-        return 0 if configuration is None else configuration.revision
-
     def _has_news(self, config: int, registry: int) -> bool:
-        return self._config_revision > config or self._core.registry.revision > registry
+        return (
+            self._core.routes.revision > config
+            or self._core.registry.revision > registry
+        )
 
     def _step(self) -> None:
         with store_connection(self._settings.store_address) as store:
@@ -312,11 +310,11 @@
         finally:
             self.fed = False
             self._feeds[FeedKind.REGISTRY].resume(self._core.registry.revision)
-            self._feeds[FeedKind.CONFIGURATION].resume(self._config_revision)
+            self._feeds[FeedKind.CONFIGURATION].resume(self._core.routes.revision)
 
     def _poll(self, connection: StoreConnection) -> ZoneNews:
         """Ask for news, and take them in."""
-        config = self._config_revision
+        config = self._core.routes.revision
         if not self._feeds[FeedKind.CONFIGURATION].settled:
             # It is being read; once that has ended, an older one is asked for again.
             config = max(config, self._asked_config)
@@ -341,7 +339,7 @@
         self._note_heard(FeedKind.CONFIGURATION, news.heard_before_s)
         # Lapsed entries are given up on the registry's own word only.
         self._note_heard(FeedKind.REGISTRY, news.registry_before_s)
-        if news.config_revision > self._config_revision:
+        if news.config_revision > self._core.routes.revision:
             self._asked_config = news.config_revision
             self._feeds[FeedKind.CONFIGURATION].list_again()
 
--- a/endivepick/forwarding/forwarder.py
+++ b/endivepick/forwarding/forwarder.py
@@ -221,7 +221,7 @@
                 placement.candidates,
                 placement.load,
                 packet.acknowledged,
-                self._version,
+                self.routes.version,
                 now_s - belief.state_since_s,
             )
         )
@@ -299,7 +299,7 @@
                 packet.flow,
                 target,
                 reason.value,
-                version=self._version,
+                version=self.routes.version,
                 age_s=age_s,
             )
         )
@@ -312,11 +312,6 @@
             return self.settings.idle_flow_s
         return configuration.idle_timeout_s
 
-    @property
-    def _version(self) -> int:
-        configuration = self.routes.configuration
-        return 0 if configuration is None else configuration.version
-
     def _hold(
         self, packet: Packet, data: bytes, reason: DropReason, now_s: float
     ) -> Verdict:
--- a/endivepick/forwarding/routes.py
+++ b/endivepick/forwarding/routes.py
@@ -27,6 +27,16 @@
         self._routes: dict[tuple[int, int], Route] = {}
         self._removed: set[tuple[int, int]] = set()
 
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force, 0 without one."""
+        return 0 if self.configuration is None else self.configuration.version
+
+    @property
+    def revision(self) -> int:
+        """Revision of the store that it was written at, 0 without one."""
+        return 0 if self.configuration is None else self.configuration.revision
+
     def take_in(self, configuration: Configuration, now_s: float) -> bool:
         """Put a configuration in force unless it is older than the present one.
 
--- a/endivepick/store/tests/test_connection.py
+++ b/endivepick/store/tests/test_connection.py
@@ -1,6 +1,8 @@
 import unittest
 
 import gevent
+from gevent import socket
+from gevent.event import Event
 from gevent.server import StreamServer
 
 from endivepick.errors import (
@@ -24,6 +26,7 @@
     def serve(self, *answers):
         """Answer each request of a connection with the next text; then close it."""
         self.connections = 0
+        self.closed = Event()
         remaining = list(answers)
 
         def serve(connection, _address):
@@ -32,6 +35,8 @@
                 text = remaining.pop(0)
                 connection.sendall(text.encode())
                 if not text or "close" in text:
+                    connection.shutdown(socket.SHUT_RDWR)
+                    self.closed.set()
                     return
 
         server = StreamServer(("127.0.0.1", 0), serve)
@@ -70,7 +75,7 @@
         address = self.serve(closing, self.answer(body="b"))
         with store_connection(address) as store:
             self.assertEqual(store.get("/1", TIMEOUT_S), b"a")
-            gevent.sleep(0.05)
+            self.assertTrue(self.closed.wait(TIMEOUT_S))
             self.assertEqual(store.get("/2", TIMEOUT_S), b"b")
         self.assertEqual(self.connections, 2)
 
@@ -141,7 +146,6 @@
         def echo(connection, _address):
             while request := connection.recv(4096):
                 path = request.split()[1]
-                gevent.sleep(0.02)
                 length = len(path)
                 head = f"HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n"
                 connection.sendall(head.encode() + path)
@@ -160,17 +164,22 @@
         self.assertEqual(self.connections, 4 + 2)
 
     def test_ended_task_leaves_no_answer_for_the_next_call(self):
+        asked, ended = Event(), Event()
+
         def late(connection, _address):
             while request := connection.recv(4096):
                 path = request.split()[1]
-                gevent.sleep(0.05 if path == b"/1" else 0)
+                if path == b"/1":
+                    asked.set()
+                    ended.wait(TIMEOUT_S)
                 head = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
                 connection.sendall(head.encode() + path)
 
         pool = self.pool(self.serve(late))
         task = gevent.spawn(pool.call, StoreCall("GET", "/1"), CallLimits(TIMEOUT_S))
-        gevent.sleep(0.02)
+        self.assertTrue(asked.wait(TIMEOUT_S))
         task.kill()
+        ended.set()
         answer = pool.call(StoreCall("GET", "/2"), CallLimits(TIMEOUT_S))
         self.assertEqual(answer.data, b"/2")
 
