--- a/endivepick/addresses.py
+++ b/endivepick/addresses.py
@@ -1,12 +1,31 @@
 """Addresses of the form ``host:port`` with an IPv4 number as host."""
 
-from ipaddress import IPv4Address
+from socket import AF_INET, inet_pton
 
-__all__ = ["parse_address"]
+__all__ = ["host_number", "parse_address"]
 
 _PORT_MAX = 65535
 
 
+def host_number(text: str) -> int:
+    """Return the number that an IPv4 address stands for.
+
+    Raises
+    ------
+    ValueError
+        If the text is no such address.
+
+    Examples
+    --------
+    >>> hex(host_number("198.18.0.1"))
+    '0xc6120001'
+    """
+    try:
+        return int.from_bytes(inet_pton(AF_INET, text), "big")
+    except OSError:
+        raise ValueError("use an IPv4 number as host, for example 127.0.0.1") from None
+
+
 def parse_address(text: str) -> tuple[str, int]:
     """Split ``host:port``.
 
@@ -36,8 +55,5 @@
     port = int(port_text)
     if port > _PORT_MAX:
         raise ValueError(f"use a port from 0 to {_PORT_MAX}")
-    try:
-        IPv4Address(host)
-    except ValueError:
-        raise ValueError("use an IPv4 number as host, for example 127.0.0.1") from None
+    host_number(host)
     return host, port
--- a/endivepick/backoff.py
+++ b/endivepick/backoff.py
@@ -1,12 +1,11 @@
 """Back-off with spread, so that callers do not return together."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 __all__ = ["Backoff", "BackoffSettings"]
 
 
-@dataclass(frozen=True)
-class BackoffSettings:
+class BackoffSettings(Struct, frozen=True):
     """Bounds of the wait between two attempts.
 
     Attributes
@@ -24,8 +23,7 @@
     growth: float = 3.0
 
 
-@dataclass(frozen=True)
-class Backoff:
+class Backoff(Struct, frozen=True):
     """Wait after a number of failures in a row (decorrelated jitter).
 
     Each wait is drawn between ``base_s`` and ``growth`` times the last one.  A
--- a/endivepick/forwarder/feed.py
+++ b/endivepick/forwarder/feed.py
@@ -2,10 +2,10 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
 from socket import socket as PlainSocket
 
 import gevent
+from msgspec import Struct
 
 from endivepick.backoff import Backoff, BackoffSettings
 from endivepick.clock import steady_now_s
@@ -29,8 +29,7 @@
 """Wait of the first watch after a loss: its answer shows that the store is back."""
 
 
-@dataclass(frozen=True, slots=True)
-class FeedList:
+class FeedList(Struct, frozen=True):
     """All objects of a kind at one revision.
 
     Attributes
@@ -51,8 +50,7 @@
     asked_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class FeedChanges:
+class FeedChanges(Struct, frozen=True):
     """Changes since the last message of the same kind."""
 
     kind: FeedKind
--- a/endivepick/forwarder/feeders.py
+++ b/endivepick/forwarder/feeders.py
@@ -10,28 +10,26 @@
 """
 
 from collections.abc import Callable, Collection, Sequence
-from dataclasses import dataclass
 from typing import TypeVar
 
+from msgspec import Struct
+
 from endivepick.forwarder.ports import FeederClaim
 
 __all__ = ["Feed", "FollowFeeder", "Step", "WriteClaim", "next_step"]
 
 
-@dataclass(frozen=True, slots=True)
-class Feed:
+class Feed(Struct, frozen=True):
     """Follow the store, and feed others: a claim is held here."""
 
 
-@dataclass(frozen=True, slots=True)
-class WriteClaim:
+class WriteClaim(Struct, frozen=True):
     """Take a free place, or that of a feeder that is lost."""
 
     claim: FeederClaim
 
 
-@dataclass(frozen=True, slots=True)
-class FollowFeeder:
+class FollowFeeder(Struct, frozen=True):
     """Be fed by the holder of a claim."""
 
     claim: FeederClaim
--- a/endivepick/forwarder/http.py
+++ b/endivepick/forwarder/http.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
 
 import gevent
 import httptools
 import msgspec
 from gevent import socket
 from gevent.server import StreamServer
+from msgspec import Struct
 
 from endivepick.addresses import parse_address
 
@@ -21,8 +21,7 @@
 _REASONS = {200: "OK", 404: "Not Found", 503: "Service Unavailable"}
 
 
-@dataclass(frozen=True, slots=True)
-class Response:
+class Response(Struct, frozen=True):
     """Answer to a request."""
 
     status: int
--- a/endivepick/forwarder/metrics.py
+++ b/endivepick/forwarder/metrics.py
@@ -7,7 +7,8 @@
 from bisect import bisect_left
 from collections import Counter
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 __all__ = ["ForwarderMetrics", "MetricsSnapshot", "render_page"]
 
@@ -25,8 +26,7 @@
 }
 
 
-@dataclass(frozen=True)
-class MetricsSnapshot:
+class MetricsSnapshot(Struct, frozen=True):
     """What was counted up to a moment.
 
     Attributes
--- a/endivepick/forwarder/packet_path.py
+++ b/endivepick/forwarder/packet_path.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
 from socket import socket
 
 import gevent
+from msgspec import Struct
 
 from endivepick.clock import steady_now_s
 from endivepick.errors import PacketInvalidError
@@ -38,8 +38,7 @@
 """A verdict is told to peers when it is new, not each time it is confirmed."""
 
 
-@dataclass(frozen=True)
-class PathRequests:
+class PathRequests(Struct, frozen=True):
     """What the path asks other tasks for.
 
     Attributes
--- a/endivepick/forwarder/peers.py
+++ b/endivepick/forwarder/peers.py
@@ -10,11 +10,11 @@
 import random
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 
 import gevent
 import msgspec
 from gevent.pool import Pool
+from msgspec import Struct
 
 from endivepick.addresses import parse_address
 from endivepick.clock import steady_now_s
@@ -66,8 +66,7 @@
 """Longest wait for a peer; the next one is asked then."""
 
 
-@dataclass(frozen=True)
-class PeerSnapshot:
+class PeerSnapshot(Struct, frozen=True):
     """What a forwarder knows, with the store's revisions.
 
     Attributes
--- a/endivepick/forwarder/ports.py
+++ b/endivepick/forwarder/ports.py
@@ -4,10 +4,11 @@
 adapter implements these protocols and decodes all wire names into the product's types.
 """
 
-from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
 
+from msgspec import Struct
+
 from endivepick.forwarding import Configuration, FlowKey, Packet, Target
 from endivepick.store import StoreCall
 
@@ -30,16 +31,14 @@
     CONFIGURATION = "configuration"
 
 
-@dataclass(frozen=True, slots=True)
-class ItemRemoved:
+class ItemRemoved(Struct, frozen=True):
     """An object is no longer in the store."""
 
     name: str
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class UnreadableItem:
+class UnreadableItem(Struct, frozen=True):
     """An object that the adapter could not read; the others stay valid."""
 
     name: str
@@ -49,8 +48,7 @@
 Item = Target | Configuration | ItemRemoved | UnreadableItem
 
 
-@dataclass(frozen=True, slots=True)
-class ListPage:
+class ListPage(Struct, frozen=True):
     """Part of a list of objects.
 
     Attributes
@@ -68,8 +66,7 @@
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class ChangeBatch:
+class ChangeBatch(Struct, frozen=True):
     """Changes that a watch returned; the last one of an object counts.
 
     Attributes
@@ -84,8 +81,7 @@
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class FeederClaim:
+class FeederClaim(Struct, frozen=True):
     """Object of the product's own in the store: who feeds a zone's instances.
 
     Attributes
--- a/endivepick/forwarder/zone.py
+++ b/endivepick/forwarder/zone.py
@@ -10,11 +10,11 @@
 import random
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
-from dataclasses import dataclass
 
 import gevent
 import msgspec
 from gevent.event import Event
+from msgspec import Struct
 
 from endivepick.clock import steady_now_s
 from endivepick.errors import EndivepickError, PlatformAnswerError
@@ -55,8 +55,7 @@
 """How long a feeder that did not answer is remembered as lost."""
 
 
-@dataclass(frozen=True)
-class ZoneNews:
+class ZoneNews(Struct, frozen=True):
     """Answer of a feeder.
 
     Attributes
--- a/endivepick/forwarding/actions.py
+++ b/endivepick/forwarding/actions.py
@@ -1,8 +1,9 @@
 """What the forwarding core asks for, and what it decided, as typed messages."""
 
-from dataclasses import dataclass
 from enum import Enum
 
+from msgspec import Struct
+
 from endivepick.forwarding.belief import BeliefChange, TargetBelief
 from endivepick.forwarding.model import FlowKey, Target
 
@@ -44,15 +45,13 @@
     MALFORMED = "malformed"
 
 
-@dataclass(frozen=True, slots=True)
-class Forward:
+class Forward(Struct, frozen=True):
     """Send the packet to a target, with the target's cookie."""
 
     belief: TargetBelief
 
 
-@dataclass(frozen=True, slots=True)
-class Reset:
+class Reset(Struct, frozen=True):
     """Tell the caller that the flow is over.
 
     Attributes
@@ -73,31 +72,27 @@
     target: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class Drop:
+class Drop(Struct, frozen=True):
     """Forget the packet."""
 
     reason: DropReason
 
 
-@dataclass(frozen=True, slots=True)
-class Hold:
+class Hold(Struct, frozen=True):
     """The packet is kept until more is known."""
 
 
 Verdict = Forward | Reset | Drop | Hold
 
 
-@dataclass(frozen=True, slots=True)
-class ProbeTarget:
+class ProbeTarget(Struct, frozen=True):
     """Find out whether a target lives."""
 
     target: Target
     path: str
 
 
-@dataclass(frozen=True, slots=True)
-class ReadRegistry:
+class ReadRegistry(Struct, frozen=True):
     """Read the registry now.
 
     A packet names a target that is not known, or entries have to be given up that
@@ -107,16 +102,14 @@
     cookie: int
 
 
-@dataclass(frozen=True, slots=True)
-class Release:
+class Release(Struct, frozen=True):
     """Carry out the verdict about a packet that was held."""
 
     data: bytes
     verdict: Verdict
 
 
-@dataclass(frozen=True, slots=True)
-class Note:
+class Note(Struct, frozen=True):
     """A decision about a flow, for the log.
 
     Attributes
@@ -162,8 +155,7 @@
     SILENT = "silent"
 
 
-@dataclass(frozen=True, slots=True)
-class ProbeResult:
+class ProbeResult(Struct, frozen=True):
     """Outcome of a probe of a target."""
 
     target: str
--- a/endivepick/forwarding/belief.py
+++ b/endivepick/forwarding/belief.py
@@ -1,8 +1,9 @@
 """What an instance believes of one target, and since when."""
 
-from dataclasses import dataclass
 from enum import Enum
 
+from msgspec import Struct
+
 from endivepick.forwarding._charts import REACHABILITY, REGISTERED_TARGET
 from endivepick.forwarding.model import Target
 
@@ -95,8 +96,7 @@
 }
 
 
-@dataclass(slots=True)
-class TargetBelief:
+class TargetBelief(Struct):
     """What is believed of one incarnation of a target.
 
     Attributes
@@ -167,8 +167,7 @@
         return self.state in (TargetState.READY, TargetState.LAPSED)
 
 
-@dataclass(frozen=True, slots=True)
-class BeliefChange:
+class BeliefChange(Struct, frozen=True):
     """A change of what is believed of a target, for logs and the time line.
 
     Attributes
--- a/endivepick/forwarding/flows.py
+++ b/endivepick/forwarding/flows.py
@@ -7,9 +7,10 @@
 
 from collections import OrderedDict
 from collections.abc import Iterator
-from dataclasses import dataclass
 from enum import Enum
 
+from msgspec import Struct
+
 from endivepick.forwarding.belief import TargetBelief
 from endivepick.forwarding.model import FlowKey, Packet, RouteKind
 from endivepick.forwarding.settings import ForwardingSettings
@@ -28,8 +29,7 @@
     REPETITION = "repetition"
 
 
-@dataclass(slots=True)
-class ObservedFlow:
+class ObservedFlow(Struct):
     """What the packets of one flow have shown.
 
     Attributes
--- a/endivepick/forwarding/forwarder.py
+++ b/endivepick/forwarding/forwarder.py
@@ -6,7 +6,8 @@
 
 from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from endivepick.forwarding.actions import (
     Drop,
@@ -48,8 +49,7 @@
 __all__ = ["ForwardingCore"]
 
 
-@dataclass(frozen=True, slots=True)
-class _HeldPacket:
+class _HeldPacket(Struct, frozen=True):
     packet: Packet
     data: bytes
     since_s: float
--- a/endivepick/forwarding/model.py
+++ b/endivepick/forwarding/model.py
@@ -1,9 +1,10 @@
 """What the forwarding path speaks of: flows, packets, targets, configuration."""
 
-from dataclasses import dataclass, field
 from enum import Enum
 from socket import inet_ntoa
 
+from msgspec import Struct, field
+
 __all__ = [
     "Configuration",
     "FlowKey",
@@ -16,8 +17,7 @@
 ]
 
 
-@dataclass(frozen=True, slots=True)
-class FlowKey:
+class FlowKey(Struct, frozen=True):
     """Addresses that identify a flow.
 
     Attributes
@@ -49,8 +49,7 @@
         return f"{caller}>{service_address}:{self.service_port}"
 
 
-@dataclass(frozen=True, slots=True)
-class Packet:
+class Packet(Struct, frozen=True):
     """Head of one packet that a caller sent.
 
     Attributes
@@ -88,8 +87,7 @@
     DRAINING = "draining"
 
 
-@dataclass(frozen=True, slots=True)
-class Target:
+class Target(Struct, frozen=True):
     """Registry entry of one incarnation of a backend server.
 
     Attributes
@@ -134,16 +132,14 @@
     AT_MOST_ONCE = "at_most_once"
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceShare:
+class ServiceShare(Struct, frozen=True):
     """Share of a route's new flows that goes to a service."""
 
     service: str
     weight: float
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(Struct, frozen=True):
     """Where new flows to one address and port go.
 
     Attributes
@@ -165,8 +161,7 @@
     kind: RouteKind
 
 
-@dataclass(frozen=True, slots=True)
-class Configuration:
+class Configuration(Struct, frozen=True):
     """One version of the operator's configuration.
 
     Attributes
--- a/endivepick/forwarding/openings.py
+++ b/endivepick/forwarding/openings.py
@@ -6,7 +6,8 @@
 
 from collections import OrderedDict, deque
 from collections.abc import Iterator
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from endivepick.forwarding.model import FlowKey
 from endivepick.forwarding.settings import ForwardingSettings
@@ -14,8 +15,7 @@
 __all__ = ["Opening", "OpeningMemory"]
 
 
-@dataclass(slots=True)
-class Opening:
+class Opening(Struct):
     """Opening packets of one flow so far.
 
     Attributes
--- a/endivepick/forwarding/placement.py
+++ b/endivepick/forwarding/placement.py
@@ -11,7 +11,8 @@
 """
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from endivepick.forwarding.belief import Reachability, TargetBelief
 from endivepick.forwarding.settings import ForwardingSettings
@@ -19,8 +20,7 @@
 __all__ = ["Placement", "choose_target", "local_share"]
 
 
-@dataclass(frozen=True, slots=True)
-class Placement:
+class Placement(Struct, frozen=True):
     """The target of a new flow, and what decided.
 
     Attributes
--- a/endivepick/forwarding/registry.py
+++ b/endivepick/forwarding/registry.py
@@ -8,7 +8,8 @@
 """
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from endivepick.forwarding.belief import (
     BeliefChange,
@@ -34,16 +35,14 @@
 }
 
 
-@dataclass(frozen=True)
-class RemovedTarget:
+class RemovedTarget(Struct, frozen=True):
     """An entry that vanished, and the store's revision at which it had."""
 
     name: str
     revision: int
 
 
-@dataclass(frozen=True)
-class RegistryNews:
+class RegistryNews(Struct, frozen=True):
     """What changed in the registry since a revision.
 
     Attributes
--- a/endivepick/forwarding/settings.py
+++ b/endivepick/forwarding/settings.py
@@ -1,12 +1,11 @@
 """Settings of the forwarding core."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 __all__ = ["ForwardingSettings"]
 
 
-@dataclass(frozen=True)
-class ForwardingSettings:
+class ForwardingSettings(Struct, frozen=True):
     """Limits of the forwarding core.
 
     Attributes
--- a/endivepick/model/_registry_mutants.py
+++ b/endivepick/model/_registry_mutants.py
@@ -1,7 +1,8 @@
 """Registries with one rule broken, and the checks of the registry model."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import replace
+
+from msgspec.structs import replace
 
 from endivepick.forwarding import RegistryNews, Target, TargetPhase
 from endivepick.forwarding.belief import BeliefChange, TargetBelief
--- a/endivepick/store/connection.py
+++ b/endivepick/store/connection.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
 from select import POLLRDHUP
 from socket import socket as PlainSocket
 
 import gevent
 import httptools
 from gevent import monkey, socket
+from msgspec import Struct
 
 from endivepick.addresses import parse_address
 from endivepick.clock import steady_now_s
@@ -40,8 +40,7 @@
 _poll = monkey.get_original("select", "poll")
 
 
-@dataclass(frozen=True, slots=True)
-class StoreCall:
+class StoreCall(Struct, frozen=True):
     """One call.
 
     Attributes
@@ -59,8 +58,7 @@
     body: bytes = b""
 
 
-@dataclass(frozen=True, slots=True)
-class CallLimits:
+class CallLimits(Struct, frozen=True):
     """How long a call may take.
 
     Attributes
--- a/endivepick/store/outcomes.py
+++ b/endivepick/store/outcomes.py
@@ -1,6 +1,6 @@
 """How calls to the object API end, and the typed errors of those without effect."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from endivepick.errors import (
     EndivepickError,
@@ -18,8 +18,7 @@
 ]
 
 
-@dataclass(frozen=True)
-class Answer:
+class Answer(Struct, frozen=True):
     """The platform's whole answer."""
 
     status: int
@@ -27,15 +26,13 @@
     retry_after_s: float | None
 
 
-@dataclass(frozen=True)
-class NotSent:
+class NotSent(Struct, frozen=True):
     """The call did not reach the platform: it has no effect."""
 
     reason: str
 
 
-@dataclass(frozen=True)
-class AnswerLost:
+class AnswerLost(Struct, frozen=True):
     """The call may have reached the platform: its effect is unknown."""
 
     reason: str
