Tell fed instances what changed in a configuration; let one feed try a lost store

Ruled out: passing whole versions on (25 times 330 kB over a feeder's link take 6.6 s); a longer wait between retries (a watch lost in an outage has to be given up in time); fewer feeders (their watches are 9 of some 60 calls a second).

Change: endivepick.forwarding.changes says what differs between two versions and applies it; a feeder answers with the change since the version that the asker has. What is not known or large is read from the store as before. endivepick.forwarder.breaker lets one feed try while the store does not answer. The log says who told of a configuration.

--- a/endivepick/forwarder/decision_log.py
+++ b/endivepick/forwarder/decision_log.py
@@ -11,6 +11,7 @@
 from endivepick.forwarding import (
     BeliefChange,
     Configuration,
+    ConfigurationChange,
     DropReason,
     Note,
     ProbeResult,
@@ -98,8 +99,10 @@
         """Write that a peer says a target does not answer."""
         self.log.event("peer", "peer_hint", f"{target} may be lost", target=target)
 
-    def configuration(self, configuration: Configuration, in_force: bool) -> None:
-        """Write that a configuration was read."""
+    def configuration(
+        self, configuration: Configuration, in_force: bool, learnt_from: str
+    ) -> None:
+        """Write that a configuration was read, or told by another instance."""
         self.log.event(
             "config",
             "config_in_force" if in_force else "config_ignored",
@@ -107,6 +110,19 @@
             config_version=configuration.version,
             revision=configuration.revision,
             routes=len(configuration.routes),
+            learnt_from=learnt_from,
+        )
+
+    def change_unfit(self, change: ConfigurationChange, known_revision: int) -> None:
+        """Write that a change starts from another version than that in force."""
+        self.log.event(
+            "config",
+            "change_unfit",
+            "change left out, reading the configuration from the store",
+            config_version=change.version,
+            revision=change.revision,
+            before_revision=change.before_revision,
+            known_revision=known_revision,
         )
 
     def snapshot(
--- a/endivepick/forwarder/feed.py
+++ b/endivepick/forwarder/feed.py
@@ -14,6 +14,7 @@
     PlatformUnavailableError,
     WatchExpiredError,
 )
+from endivepick.forwarder.breaker import CircuitBreaker
 from endivepick.forwarder.decision_log import DecisionLog
 from endivepick.forwarder.logs import rounded
 from endivepick.forwarder.ports import FeedKind, Item, StoreDialect
@@ -73,6 +74,8 @@
         Called with ``FeedList`` and ``FeedChanges``.
     decisions : DecisionLog
         Where it says what it does.
+    breaker : CircuitBreaker
+        Shared with the other feeds of this instance.
     asked : socket, default=None
         Connection on which the first list was asked for already.
     """
@@ -84,6 +87,7 @@
         dialect: StoreDialect,
         deliver: Callable[[FeedList | FeedChanges], None],
         decisions: DecisionLog,
+        breaker: CircuitBreaker,
         asked: PlainSocket | None = None,
     ) -> None:
         self._asked = asked
@@ -93,6 +97,7 @@
         self._deliver = deliver
         self._decisions = decisions
         self._log = decisions.log
+        self._breaker = breaker
         self._revision = 0
         self._list_wanted = True
         self._suspended = False
@@ -129,6 +134,7 @@
         """End the task."""
         if self._task is not None:
             self._task.kill(block=False)
+        self._breaker.stopped(self._kind)
 
     @property
     def settled(self) -> bool:
@@ -144,8 +150,7 @@
         """Follow the store again, from a revision that is known by now."""
         self._suspended = False
         self._revision = max(self._revision, revision)
-        self.stop()
-        self.start()
+        self._restart()
 
     def list_again(self) -> None:
         """Read the whole list now, unless that is under way; never waits.
@@ -155,6 +160,10 @@
         if self._list_wanted:
             return
         self._list_wanted = True
+        self._restart()
+
+    def _restart(self) -> None:
+        """Give up the call under way, and make the next one now."""
         self.stop()
         self.start()
 
@@ -183,7 +192,10 @@
                     backoff = backoff.failed(random.random(), _wait_asked(error))
                     self._on_failure(error, backoff.wait_s)
                     connection.close()
-                    gevent.sleep(backoff.wait_s)
+                    if self._breaker.failed(self._kind):
+                        gevent.sleep(backoff.wait_s)
+                    else:
+                        self._breaker.wait()
                 else:
                     backoff = backoff.succeeded()
                     self._on_success()
@@ -248,6 +260,7 @@
 
     def _on_success(self) -> None:
         self._count("answered")
+        self._breaker.answered()
         self.heard_s = steady_now_s()
         if self._lost_since_s is None:
             return
--- a/endivepick/forwarder/forwarder.py
+++ b/endivepick/forwarder/forwarder.py
@@ -12,6 +12,7 @@
 import gevent
 
 from endivepick.clock import steady_now_s
+from endivepick.forwarder.breaker import CircuitBreaker
 from endivepick.forwarder.datagrams import DatagramSocket
 from endivepick.forwarder.decision_log import DecisionLog
 from endivepick.forwarder.feed import StoreFeed
@@ -84,6 +85,7 @@
         self._zone: ZoneMember | None = None
         self._zone_task: gevent.Greenlet | None = None
         self._news = news = NewsIntake(self.core, self.decisions, self._after_news)
+        breaker = CircuitBreaker()
         self._feeds = {
             kind: StoreFeed(
                 settings,
@@ -91,6 +93,7 @@
                 dialect,
                 news.on_feed,
                 self.decisions,
+                breaker,
                 (asked or {}).get(kind),
             )
             for kind in FeedKind
@@ -184,7 +187,7 @@
             self.core,
             self._feeds,
             self._dialect,
-            self._news.on_registry_news,
+            self._news.on_zone_news,
             self.decisions.log,
         )
         if self.stopping:
--- a/endivepick/forwarder/news.py
+++ b/endivepick/forwarder/news.py
@@ -9,13 +9,18 @@
 from endivepick.forwarder.ports import FeedKind, ItemRemoved, UnreadableItem
 from endivepick.forwarding import (
     Configuration,
+    ConfigurationChange,
     ForwardingCore,
     RegistryNews,
     Target,
+    apply_change,
 )
 
 __all__ = ["NewsIntake"]
 
+STORE, FEEDER, PEER = "store", "feeder", "peer"
+"""Who told of a configuration, for the log."""
+
 
 class NewsIntake:
     """Hands news to the core, and has what it decides carried out.
@@ -54,12 +59,26 @@
                 self._on_items(news, now_s)
         self._after()
 
-    def on_registry_news(self, news: RegistryNews) -> None:
-        """Take in what the zone's feeder tells of the registry."""
-        if news.revision <= self._core.registry.revision:
-            return
-        self._core.on_registry_news(news, steady_now_s())
-        self._after()
+    def on_zone_news(
+        self, registry: RegistryNews, change: ConfigurationChange | None
+    ) -> None:
+        """Take in what the zone's feeder tells.
+
+        Parameters
+        ----------
+        registry : RegistryNews
+            What changed in the registry.
+        change : ConfigurationChange or None
+            What changed in the configuration, as far as the feeder can tell.
+        """
+        now_s = steady_now_s()
+        newer = registry.revision > self._core.registry.revision
+        if change is not None:
+            self._on_change(change, now_s)
+        if newer:
+            self._core.on_registry_news(registry, now_s)
+        if newer or change is not None:
+            self._after()
 
     def on_snapshot(self, snapshot: PeerSnapshot) -> None:
         """Take in what a peer knows, as far as it is newer."""
@@ -69,7 +88,7 @@
         if configuration is not None and (
             known is None or configuration.revision > known.revision
         ):
-            self._on_configuration(configuration, now_s)
+            self._on_configuration(configuration, now_s, PEER)
         if snapshot.targets is not None and revision >= self._core.registry.revision:
             self._core.on_target_list(snapshot.targets, revision, now_s)
         self._decisions.snapshot(
@@ -88,10 +107,21 @@
                 case ItemRemoved(name, revision) if news.kind is FeedKind.REGISTRY:
                     self._core.on_target_removed(name, revision, now_s)
                 case Configuration():
-                    self._on_configuration(item, now_s)
+                    self._on_configuration(item, now_s, STORE)
                 case _:
                     pass
 
-    def _on_configuration(self, configuration: Configuration, now_s: float) -> None:
+    def _on_change(self, change: ConfigurationChange, now_s: float) -> None:
+        known = self._core.routes.configuration
+        configuration = None if known is None else apply_change(known, change)
+        if configuration is None:
+            # The version that the feeder has is read from the store instead.
+            self._decisions.change_unfit(change, self._core.routes.revision)
+        else:
+            self._on_configuration(configuration, now_s, FEEDER)
+
+    def _on_configuration(
+        self, configuration: Configuration, now_s: float, learnt_from: str
+    ) -> None:
         in_force = self._core.on_configuration(configuration, now_s)
-        self._decisions.configuration(configuration, in_force)
+        self._decisions.configuration(configuration, in_force, learnt_from)
--- a/endivepick/forwarder/tests/test_feed.py
+++ b/endivepick/forwarder/tests/test_feed.py
@@ -4,6 +4,7 @@
 import msgspec
 from gevent.server import StreamServer
 
+from endivepick.forwarder.breaker import CircuitBreaker
 from endivepick.forwarder.decision_log import DecisionLog
 from endivepick.forwarder.feed import ANSWER_SLACK_S, StoreFeed
 from endivepick.forwarder.logs import BoundedLog
@@ -39,7 +40,9 @@
         address = f"127.0.0.1:{server.server_port}"
         settings = msgspec.structs.replace(decode(), store_address=address)
         decisions = DecisionLog(BoundedLog("a", len), ForwarderMetrics())
-        feed = StoreFeed(settings, FeedKind.REGISTRY, Paths(), print, decisions)
+        feed = StoreFeed(
+            settings, FeedKind.REGISTRY, Paths(), print, decisions, CircuitBreaker()
+        )
         self.assertFalse(feed.arriving(TIMEOUT_S))
         feed.start()
         self.addCleanup(feed.stop)
--- a/endivepick/forwarder/tests/test_zone.py
+++ b/endivepick/forwarder/tests/test_zone.py
@@ -7,13 +7,17 @@
 
 from endivepick.clock import steady_now_s
 from endivepick.forwarder import zone
+from endivepick.forwarder.decision_log import DecisionLog
 from endivepick.forwarder.http import Response, http_server
 from endivepick.forwarder.logs import BoundedLog
+from endivepick.forwarder.metrics import ForwarderMetrics
+from endivepick.forwarder.news import NewsIntake
 from endivepick.forwarder.ports import FeedKind
 from endivepick.forwarder.settings import decode_settings
 from endivepick.forwarder.tests.test_settings import GOOD
 from endivepick.forwarder.zone import ZoneMember, ZoneNews
 from endivepick.forwarding import RegistryNews, TargetState
+from endivepick.forwarding.changes import change_between
 from endivepick.forwarding.tests.support import (
     make_configuration,
     make_core,
@@ -58,9 +62,8 @@
         )
         log = BoundedLog("a", lambda data: self.lines.append(bytes(data)) or len(data))
 
-        def take(news):
-            core.on_registry_news(news, steady_now_s())
-
+        decisions = DecisionLog(log, ForwarderMetrics())
+        take = NewsIntake(core, decisions, lambda: None).on_zone_news
         return ZoneMember(settings, core, self.feeds, None, take, log)
 
     def feed(self):
@@ -91,6 +94,13 @@
         self.assertEqual([t.name for t in news.registry.targets], ["i-2"])
         self.assertLess(news.heard_before_s, 1.0)
 
+    def test_of_a_new_configuration_the_change_is_told(self):
+        self.feed()
+        self.core.on_configuration(make_configuration(7, 9, ports=(443,)), 1.0)
+        change = self.ask().config_change
+        self.assertEqual((change.version, change.removed_routes), (9, ("r8080",)))
+        self.assertIsNone(self.ask(config=7, registry=1).config_change)
+
     def test_only_a_feeder_that_is_asked_keeps_a_short_watch(self):
         feed = self.feeds[FeedKind.CONFIGURATION]
         self.feed()
@@ -135,8 +145,16 @@
                 self.member._follow(address)
             return address
 
-    def news(self, config=1, registry=NOTHING, heard_before_s=0.1, registry_s=3.0):
-        news = ZoneNews("front-9", config, registry, heard_before_s, registry_s)
+    def news(
+        self,
+        config=1,
+        registry=NOTHING,
+        heard_before_s=0.1,
+        registry_s=3.0,
+        change=None,
+    ):
+        told = (config, change, registry, heard_before_s, registry_s)
+        news = ZoneNews("front-9", *told)
         return Response(200, msgspec.json.encode(news), "application/json")
 
     def reasons(self):
@@ -144,6 +162,11 @@
         lines = [json.loads(line) for line in b"".join(self.lines).splitlines()]
         return [line["reason"] for line in lines if line["event"] == "feeder_left"]
 
+    def events(self):
+        self.member._log.flush()
+        lines = b"".join(self.lines).splitlines()
+        return [json.loads(line)["event"] for line in lines]
+
     def done(self, kind):
         return self.feeds[kind].done
 
@@ -177,6 +200,23 @@
         expected = ["suspend", "list", "resume 1"]
         self.assertEqual(self.done(FeedKind.CONFIGURATION), expected)
 
+    def test_a_change_that_is_told_needs_no_store(self):
+        known = self.core.routes.configuration
+        newer = make_configuration(revision=7, version=9, ports=(443,))
+        told = self.news(config=7, change=change_between(known, newer))
+        self.follow(self.news(), told)
+        self.assertEqual(self.done(FeedKind.CONFIGURATION), ["suspend", "resume 7"])
+        self.assertEqual(self.core.routes.configuration, newer)
+
+    def test_one_that_starts_from_another_version_is_read_from_the_store(self):
+        older = make_configuration(revision=0, version=1)
+        newer = make_configuration(revision=7, version=9)
+        told = self.news(config=7, change=change_between(older, newer))
+        self.follow(self.news(), told)
+        expected = ["suspend", "list", "resume 1"]
+        self.assertEqual(self.done(FeedKind.CONFIGURATION), expected)
+        self.assertIn("change_unfit", self.events())
+
     def test_a_configuration_that_was_not_there_yet_is_read_again(self):
         self.follow(self.news(), self.news(config=7), self.news(config=7))
         self.assertEqual(self.done(FeedKind.CONFIGURATION).count("list"), 2)
--- a/endivepick/forwarder/zone.py
+++ b/endivepick/forwarder/zone.py
@@ -2,9 +2,9 @@
 
 An instance that is fed keeps what it knows as fresh as its feeder's word: each answer
 says how long ago the store answered there, and beyond a bound, or without an answer,
-the instance follows the store by itself at once.  Configurations are not passed on:
-they may be large, and the feeder's link is that of its packets; the instance is told
-that there is a new one and reads it from the store.
+the instance follows the store by itself at once.  Of a new configuration it is told
+what changed.  Where that is not known there, or too much for the feeder's link, which
+is that of its packets, it is told that there is a new one and reads it from the store.
 """
 
 import random
@@ -25,7 +25,11 @@
 from endivepick.forwarder.peers import NEWS_PATH
 from endivepick.forwarder.ports import FeederClaim, FeedKind, StoreDialect
 from endivepick.forwarder.settings import ForwarderSettings
-from endivepick.forwarding import ForwardingCore, RegistryNews
+from endivepick.forwarding import (
+    ConfigurationChange,
+    ForwardingCore,
+    RegistryNews,
+)
 from endivepick.store import StoreConnection, store_connection
 
 __all__ = ["ZoneMember", "ZoneNews"]
@@ -64,6 +68,8 @@
         Name of the instance that answers.
     config_revision : int
         Revision of the configuration in force there.
+    config_change : ConfigurationChange or None
+        What leads to it from the one that the asker has.
     registry : RegistryNews
         What changed in the registry.
     heard_before_s : float
@@ -74,6 +80,7 @@
 
     feeder: str
     config_revision: int
+    config_change: ConfigurationChange | None
     registry: RegistryNews
     heard_before_s: float
     registry_before_s: float
@@ -113,7 +120,7 @@
     dialect : StoreDialect
         Claims in the store.
     take : callable
-        Called with what a feeder tells of the registry.
+        Called with what a feeder tells of the registry and the configuration.
     log : BoundedLog
         Where it says what it does.
     """
@@ -124,7 +131,7 @@
         core: ForwardingCore,
         feeds: Mapping[FeedKind, StoreFeed],
         dialect: StoreDialect,
-        take: Callable[[RegistryNews], None],
+        take: Callable[[RegistryNews, ConfigurationChange | None], None],
         log: BoundedLog,
     ) -> None:
         self._settings = settings
@@ -173,6 +180,7 @@
         news = ZoneNews(
             self._settings.name,
             self._core.routes.revision,
+            self._core.routes.change_since(config),
             self._core.registry.news_since(registry),
             now_s - max(feed.heard_s for feed in self._feeds.values()),
             now_s - self._feeds[FeedKind.REGISTRY].heard_s,
@@ -327,7 +335,7 @@
             raise _FeederLeft("it does not feed", silent=False) from None
         except (EndivepickError, msgspec.MsgspecError) as error:
             raise _FeederLeft(str(error), silent=True) from None
-        self._take(news.registry)
+        self._take(news.registry, news.config_change)
         return news
 
     def _check(self, news: ZoneNews) -> None:
--- a/endivepick/forwarding/__init__.py
+++ b/endivepick/forwarding/__init__.py
@@ -22,6 +22,7 @@
     TargetBelief,
     TargetState,
 )
+from endivepick.forwarding.changes import ConfigurationChange, apply_change
 from endivepick.forwarding.forwarder import ForwardingCore
 from endivepick.forwarding.model import (
     Configuration,
@@ -39,6 +40,7 @@
 __all__ = [
     "BeliefChange",
     "Configuration",
+    "ConfigurationChange",
     "Drop",
     "DropReason",
     "Effect",
@@ -66,4 +68,5 @@
     "TargetPhase",
     "TargetState",
     "Verdict",
+    "apply_change",
 ]
--- a/endivepick/forwarding/routes.py
+++ b/endivepick/forwarding/routes.py
@@ -1,5 +1,6 @@
 """Routes of the configuration in force; versions never go back."""
 
+from endivepick.forwarding.changes import ChangeHistory, ConfigurationChange
 from endivepick.forwarding.model import Configuration, FlowKey, Route
 
 __all__ = ["RouteTable", "service_of"]
@@ -26,6 +27,7 @@
         self.since_s = 0.0
         self._routes: dict[tuple[int, int], Route] = {}
         self._removed: set[tuple[int, int]] = set()
+        self._history = ChangeHistory()
 
     @property
     def version(self) -> int:
@@ -55,6 +57,8 @@
         present = self.configuration
         if present is not None and configuration.revision <= present.revision:
             return False
+        if present is not None:
+            self._history.note(present, configuration)
         self.configuration = configuration
         self.since_s = now_s
         before = self._routes.keys()
@@ -63,6 +67,21 @@
         self._removed -= self._routes.keys()
         return True
 
+    def change_since(self, revision: int) -> ConfigurationChange | None:
+        """Return what leads from an older version to the one in force.
+
+        Parameters
+        ----------
+        revision : int
+            Revision of the store that wrote the older version.
+
+        Returns
+        -------
+        ConfigurationChange or None
+            None if it is not known here, or too much to be told.
+        """
+        return self._history.since(revision)
+
     def find(self, flow: FlowKey) -> Route | None:
         """Return the route that a flow's address and port name, if there is one."""
         return self._routes.get((flow.service_host, flow.service_port))
