Let the number of feeders follow the size of the zone

Cause: three feeders a zone made 15 of 62 instances follow the store (1.25 calls a second each while targets are replaced), and none of the zones of two or three was fed at all; in a zone of 571 each of three would have answered 270 questions a second.

Ruled out: one feeder a zone for good (a zone of hundreds); a view of the zone's members (what feeders spare is just that).

Change: one feeder a zone at least, which feeds 24 at most; of those who find all feeders full every eighth claims another place. An answer is ZoneNews or FeederFull.

--- a/endivepick/forwarder/settings.py
+++ b/endivepick/forwarder/settings.py
@@ -59,8 +59,12 @@
     link_mbps : float
         Speed of this machine's link, in Mbit/s.
     zone_feeders : int
-        Instances of a zone that follow the store and feed the others; 0 lets all
-        follow it.  With three the loss of two at a time is borne without a call.
+        Fewest instances of a zone that follow the store and feed the others; 0 lets
+        all follow it.  When the only one is lost, those whom it fed follow the store
+        for some seconds, which costs calls but no time.
+    fed_most : int
+        Most instances that one of them feeds; a larger zone has more feeders.  Each
+        asks 1.4 times a second: 24 of them take 0.2 % of a core.
     """
 
     name: str
@@ -85,7 +89,8 @@
     stop_grace_s: _Seconds = 6.0
     flow_longest_s: _Seconds = 60.0
     link_mbps: Annotated[float, msgspec.Meta(gt=0)] = 1000.0
-    zone_feeders: Annotated[int, msgspec.Meta(ge=0, le=100)] = 3
+    zone_feeders: Annotated[int, msgspec.Meta(ge=0, le=64)] = 1
+    fed_most: Annotated[int, msgspec.Meta(ge=1, le=1000)] = 24
 
 
 _ADDRESSES = ("data_address", "ready_address", "metrics_address", "store_address")
--- a/endivepick/forwarder/tests/test_zone.py
+++ b/endivepick/forwarder/tests/test_zone.py
@@ -15,7 +15,7 @@
 from endivepick.forwarder.ports import FeedKind
 from endivepick.forwarder.settings import decode_settings
 from endivepick.forwarder.tests.test_settings import GOOD
-from endivepick.forwarder.zone import ZoneMember, ZoneNews
+from endivepick.forwarder.zone import FeederFull, ZoneMember, ZoneNews
 from endivepick.forwarding import RegistryNews, TargetState
 from endivepick.forwarding.changes import change_between
 from endivepick.forwarding.tests.support import (
@@ -77,17 +77,25 @@
 
 
 class TestFeeding(ZoneCase):
-    def ask(self, config=1, registry=10):
-        response = self.member.answer(f"config={config}&registry={registry}")
+    def ask(self, config=1, registry=10, asker="10.0.0.2:1"):
+        response = self.member.answer(
+            f"from={asker}&config={config}&registry={registry}"
+        )
         self.assertEqual(response.status, 200)
         return msgspec.json.decode(response.body, type=ZoneNews)
 
     def test_one_that_does_not_feed_says_so(self):
-        self.assertEqual(self.member.answer("config=1&registry=1").status, 404)
+        query = "from=a&config=1&registry=1"
+        self.assertEqual(self.member.answer(query).status, 404)
 
     def test_a_question_that_cannot_be_read_is_refused(self):
         self.feed()
-        for query in ("", "config=1", "config=x&registry=1"):
+        for query in (
+            "",
+            "from=a&config=1",
+            "from=a&config=x&registry=1",
+            "config=1&registry=1",
+        ):
             self.assertEqual(self.member.answer(query).status, 404)
 
     def test_what_is_newer_is_told_at_once(self):
@@ -97,6 +105,18 @@
         self.assertEqual([t.name for t in news.registry.targets], ["i-2"])
         self.assertLess(news.heard_before_s, 1.0)
 
+    def test_more_than_it_can_feed_are_told_so(self):
+        self.feed()
+        most = self.member._settings.fed_most
+        for number in range(most):
+            self.ask(registry=1, asker=f"10.0.0.{number}:1")
+        query = "from=10.0.1.1:1&config=1&registry=1"
+        answer = self.member.answer(query)
+        self.assertEqual(
+            msgspec.json.decode(answer.body, type=FeederFull), FeederFull("front-1")
+        )
+        self.ask(registry=1, asker="10.0.0.1:1")
+
     def test_of_a_new_configuration_the_change_is_told(self):
         self.feed()
         self.core.on_configuration(make_configuration(7, 9, ports=(443,)), 1.0)
@@ -127,7 +147,7 @@
 
     def test_a_planned_stop_turns_those_away_who_wait(self):
         self.feed()
-        asked = gevent.spawn(self.member.answer, "config=1&registry=10")
+        asked = gevent.spawn(self.member.answer, "from=a&config=1&registry=10")
         gevent.sleep(0)
         self.member.stop()
         self.assertEqual(asked.get(timeout=TIMEOUT_S).status, 404)
@@ -240,6 +260,13 @@
             self.member._follow(address)
         self.assertEqual(self.member._lost(), [address])
 
+    def test_one_that_is_full_is_remembered_but_not_lost(self):
+        full = Response(200, msgspec.json.encode(FeederFull("f")), "application/json")
+        address = self.follow(full)
+        self.assertEqual(self.reasons(), ["it feeds as many as it can"])
+        self.assertEqual(self.member._full(), [address])
+        self.assertEqual(self.member._lost(), [])
+
     def test_one_that_cannot_be_read_counts_as_lost(self):
         address = self.follow(Response(200, b"[]", "application/json"))
         self.assertEqual(self.member._lost(), [address])
@@ -261,7 +288,7 @@
 
         with http_server("127.0.0.1:0", answer) as address:
             self.member._follow(address)
-        self.assertEqual(asked, ["config=9&registry=10"])
+        self.assertEqual(asked, ["from=127.0.0.1:1&config=9&registry=10"])
 
 
 if __name__ == "__main__":
--- a/endivepick/forwarder/zone.py
+++ b/endivepick/forwarder/zone.py
@@ -19,7 +19,13 @@
 from endivepick.clock import steady_now_s
 from endivepick.errors import EndivepickError, PlatformAnswerError
 from endivepick.forwarder.feed import StoreFeed, heard_before_s
-from endivepick.forwarder.feeders import Feed, FollowFeeder, WriteClaim, next_step
+from endivepick.forwarder.feeders import (
+    Askers,
+    Feed,
+    FollowFeeder,
+    WriteClaim,
+    next_step,
+)
 from endivepick.forwarder.freshness import POLL_WAIT_S, freshness_of
 from endivepick.forwarder.http import Response, json_response, query_fields
 from endivepick.forwarder.logs import BoundedLog, rounded
@@ -33,7 +39,7 @@
 )
 from endivepick.store import StoreConnection, store_connection
 
-__all__ = ["ZoneMember", "ZoneNews"]
+__all__ = ["FeederFull", "ZoneMember", "ZoneNews"]
 
 ENROL_S = (0.1, 0.6)
 """Wait before claims are first read.  Within the pause that follows a list an instance
@@ -56,10 +62,26 @@
 """A feeder that nobody has asked for so long keeps no short watch: in a small zone all
 instances are feeders, and short watches would cost the store calls for nothing."""
 LOST_MEMORY_S = 10.0
-"""How long a feeder that did not answer is remembered as lost."""
+"""How long a feeder that did not answer is remembered as lost, or one that could feed
+no more as full."""
+MOST_PLACES = 64
+"""Feeders that a zone may have; 64 feed 1,536 instances, three times the largest zone
+that is expected."""
+
 
+class FeederFull(Struct, frozen=True, tag=True):
+    """Answer of a feeder that feeds as many as it can.
+
+    Attributes
+    ----------
+    feeder : str
+        Name of the instance that answers.
+    """
 
-class ZoneNews(Struct, frozen=True):
+    feeder: str
+
+
+class ZoneNews(Struct, frozen=True, tag=True):
     """Answer of a feeder.
 
     Attributes
@@ -86,7 +108,9 @@
     registry_before_s: float
 
 
-_read_news = msgspec.json.Decoder(ZoneNews)
+_read_answer: msgspec.json.Decoder[ZoneNews | FeederFull] = msgspec.json.Decoder(
+    ZoneNews | FeederFull
+)
 
 
 class _FeederLeft(Exception):
@@ -141,8 +165,11 @@
         self._take = take
         self._log = log
         self._freshness = freshness_of(settings)
-        self._places = [f"{settings.zone}.{n}" for n in range(settings.zone_feeders)]
+        number = MOST_PLACES if settings.zone_feeders else 0
+        self._places = [f"{settings.zone}.{n}" for n in range(number)]
         self._lost_s: dict[str, float] = {}
+        self._full_s: dict[str, float] = {}
+        self._askers = Askers(settings.fed_most)
         self._changed = Event()
         self._asked_config = 0
         self._asked_s = float("-inf")
@@ -168,9 +195,12 @@
         fields = query_fields(query)
         try:
             config, registry = int(fields["config"]), int(fields["registry"])
+            asker = fields["from"]
         except (KeyError, ValueError):
             return Response(404)
         self._asked_s = steady_now_s()
+        if self.feeding and not self._askers.admit(asker, self._asked_s):
+            return json_response(FeederFull(self._settings.name))
         self._set_watch_wait()
         with gevent.Timeout(POLL_WAIT_S, False):
             while self.feeding and not self._has_news(config, registry):
@@ -211,7 +241,7 @@
         except EndivepickError as error:
             self._say_unknown(error)
             return True
-        return not held.issuperset(self._places)
+        return not held.issuperset(self._places[: self._settings.zone_feeders])
 
     def _say_unknown(self, error: EndivepickError) -> None:
         self._log.warning("zone", "claims_unknown", "claims not read", error=str(error))
@@ -231,8 +261,10 @@
             step = next_step(
                 self._settings.peer_address,
                 self._places,
+                self._settings.zone_feeders,
                 self._claims(store),
                 self._lost(),
+                self._full(),
                 random.random,
             )
             if isinstance(step, WriteClaim):
@@ -264,10 +296,13 @@
             self._begin_feeding()
 
     def _lost(self) -> list[str]:
-        limit_s = steady_now_s() - LOST_MEMORY_S
-        self._lost_s = {a: s for a, s in self._lost_s.items() if s > limit_s}
+        self._lost_s = _recent(self._lost_s)
         return list(self._lost_s)
 
+    def _full(self) -> list[str]:
+        self._full_s = _recent(self._full_s)
+        return list(self._full_s)
+
     def _begin_feeding(self) -> None:
         self.feeding = not self._stopping
         self._set_watch_wait()
@@ -298,10 +333,10 @@
         began_s = steady_now_s()
         try:
             with store_connection(feeder) as connection:
-                self._check(self._poll(connection))
+                self._check(self._poll(feeder, connection))
                 with self._fed(feeder):
                     while True:
-                        self._check(self._poll(connection))
+                        self._check(self._poll(feeder, connection))
         except _FeederLeft as left:
             if left.silent:
                 self._lost_s[feeder] = steady_now_s()
@@ -329,24 +364,30 @@
             self._feeds[FeedKind.REGISTRY].resume(self._core.registry.revision)
             self._feeds[FeedKind.CONFIGURATION].resume(self._core.routes.revision)
 
-    def _poll(self, connection: StoreConnection) -> ZoneNews:
+    def _poll(self, feeder: str, connection: StoreConnection) -> ZoneNews:
         """Ask for news, and take them in."""
         config = self._core.routes.revision
         if not self._feeds[FeedKind.CONFIGURATION].settled:
             # It is being read; once that has ended, an older one is asked for again.
             config = max(config, self._asked_config)
         registry = self._core.registry.revision
-        path = f"{NEWS_PATH}?config={config}&registry={registry}"
+        own = self._settings.peer_address
+        path = f"{NEWS_PATH}?from={own}&config={config}&registry={registry}"
         try:
             body = connection.get(path, POLL_WAIT_S + POLL_SLACK_S)
-            news = _read_news.decode(body)
+            answer = _read_answer.decode(body)
         except PlatformAnswerError:
             # It lives: it has just started, or is about to stop.
             raise _FeederLeft("it does not feed", silent=False) from None
         except (EndivepickError, msgspec.MsgspecError) as error:
             raise _FeederLeft(str(error), silent=True) from None
-        self._take(news.registry, news.config_change)
-        return news
+        match answer:
+            case FeederFull():
+                self._full_s[feeder] = steady_now_s()
+                raise _FeederLeft("it feeds as many as it can", silent=False)
+            case ZoneNews():
+                self._take(answer.registry, answer.config_change)
+                return answer
 
     def _check(self, news: ZoneNews) -> None:
         """Rely on a feeder only while the store answers it."""
@@ -365,5 +406,10 @@
         feed.heard_s = max(feed.heard_s, steady_now_s() - before_s)
 
 
+def _recent(noted_s: Mapping[str, float]) -> dict[str, float]:
+    limit_s = steady_now_s() - LOST_MEMORY_S
+    return {address: at_s for address, at_s in noted_s.items() if at_s > limit_s}
+
+
 def _sleep(bounds_s: tuple[float, float]) -> None:
     gevent.sleep(random.uniform(*bounds_s))
