Greet lost neighbours, so that a restart in a zone that is cut off finds them

Change: endivepick.forwarder.peer_book keeps the neighbours, those that feed an instance or are fed by it; one that has been silent for 2 s is greeted each second until it answers, for 30 s. A greeting wakes an instance that is not ready, which asks those first that answer its own greetings. An instance that stops answers no greeting. PeerBook moved there from peers.

--- a/endivepick/forwarder/forwarder.py
+++ b/endivepick/forwarder/forwarder.py
@@ -164,6 +164,7 @@
     def stop(self) -> None:
         """Ask the fabric to turn away; packets are forwarded on."""
         self.stopping = True
+        self._peers.stopping = True
         if self._zone is not None:
             self._zone.stop()
         self.decisions.stop_begun(len(self.core.flows), self.forwards_for_s)
@@ -197,6 +198,7 @@
             self._feeds,
             self._dialect,
             self._news.on_zone_news,
+            self._peers.neighbours,
             self.decisions.log,
         )
         if self.stopping:
--- a/endivepick/forwarder/peers.py
+++ b/endivepick/forwarder/peers.py
@@ -8,19 +8,21 @@
 """
 
 import random
-from collections import OrderedDict
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 
 import gevent
 import msgspec
+from gevent.event import Event
 from gevent.pool import Pool
 from msgspec import Struct
 
 from endivepick.addresses import parse_address
+from endivepick.clock import steady_now_s
 from endivepick.errors import EndivepickError
 from endivepick.forwarder.feed import StoreFeed, heard_before_s
 from endivepick.forwarder.http import Response, json_response, query_fields
 from endivepick.forwarder.logs import BoundedLog
+from endivepick.forwarder.peer_book import MAX_PEERS, Neighbours, PeerBook
 from endivepick.forwarder.settings import ForwarderSettings
 from endivepick.forwarding import Configuration, ForwardingCore, Target, TargetState
 from endivepick.store import store_connection
@@ -30,7 +32,6 @@
     "HINT_PATH",
     "NEWS_PATH",
     "SNAPSHOT_PATH",
-    "PeerBook",
     "PeerFeed",
     "PeerSnapshot",
     "asks_peers",
@@ -46,8 +47,6 @@
 _CONFIG = "config"
 _REGISTRY = "registry"
 """Fields of a question: who asks, and the revisions that it knows."""
-MAX_PEERS = 32
-"""Peers that are remembered; a few that live are enough to learn from one."""
 TOLD_PEERS = 8
 """Peers that are told to another, the last heard first."""
 MAX_ASKED = 8
@@ -61,6 +60,8 @@
 """How often one peer is greeted, so that peers know of each other in time."""
 MAX_HINTS = 16
 """Hints under way at a time; more are left out, since in a partition most fail."""
+MAX_GREETINGS = 16
+"""Greetings of lost neighbours under way at a time."""
 CALL_TIMEOUT_S = 0.5
 """Longest wait for a peer; the next one is asked then."""
 
@@ -100,56 +101,6 @@
 _read_peers = msgspec.json.Decoder(list[str])
 
 
-class PeerBook:
-    """Addresses of peers, the last heard last.
-
-    Parameters
-    ----------
-    own : str
-        Own address, which is no peer.
-    seeds : sequence of str
-        Addresses to begin with; some may be stale.
-
-    Examples
-    --------
-    >>> book = PeerBook("10.0.0.1:1", ["10.0.0.1:1", "10.0.0.2:1"])
-    >>> book.heard("10.0.0.3:1")
-    >>> book.recent(2)
-    ['10.0.0.3:1', '10.0.0.2:1']
-    """
-
-    def __init__(self, own: str, seeds: Sequence[str]) -> None:
-        self._own = own
-        self._peers: OrderedDict[str, None] = OrderedDict()
-        for seed in seeds:
-            self.told(seed)
-
-    def heard(self, address: str) -> None:
-        """Note that a peer lives."""
-        self._peers.pop(address, None)
-        if address != self._own:
-            self._peers[address] = None
-        while len(self._peers) > MAX_PEERS:
-            self._peers.popitem(last=False)
-
-    def told(self, address: str) -> None:
-        """Note an address that another told."""
-        if address in self._peers or address == self._own:
-            return
-        if len(self._peers) < MAX_PEERS:
-            self._peers[address] = None
-            self._peers.move_to_end(address, last=False)
-
-    def failed(self, address: str) -> None:
-        """Note that a peer did not answer: the others go first."""
-        if address in self._peers:
-            self._peers.move_to_end(address, last=False)
-
-    def recent(self, number: int) -> list[str]:
-        """Return some peers, the last heard first."""
-        return list(reversed(self._peers))[:number]
-
-
 def asks_peers(ready: bool, store_lost: bool, arriving: bool) -> bool:
     """Whether peers are asked for what they know.
 
@@ -201,19 +152,26 @@
         self._take = take
         self._log = log
         self.book = PeerBook(settings.peer_address, settings.seeds)
+        self.neighbours = Neighbours()
+        self.stopping = False
+        """A neighbour that stops is to be greeted again when it has started."""
         self._hints = Pool(MAX_HINTS)
+        self._greetings = Pool(MAX_GREETINGS)
+        self._found = Event()
 
     def run(self) -> None:
         """Greet peers now and then; ask them while the store is out of reach."""
         gevent.sleep(ASK_AFTER_S)
         until_hello_s = 0.0
         while True:
+            self._found.clear()
+            self._greet_lost()
             if asks_peers(self._core.ready, self._store_lost, self._arriving):
                 self._ask()
             elif until_hello_s <= 0:
                 self._greet()
                 until_hello_s = HELLO_EVERY_S
-            gevent.sleep(ASK_EVERY_S)
+            self._found.wait(ASK_EVERY_S)
             until_hello_s -= ASK_EVERY_S
 
     def hint(self, target: str) -> None:
@@ -231,6 +189,10 @@
         fields = query_fields(query)
         if _is_address(fields.get(_FROM, "")):
             self.book.heard(fields[_FROM])
+            if not self._core.ready:
+                self._found.set()
+        if path == HELLO_PATH and self.stopping:
+            return Response(503)
         if path == HELLO_PATH:
             return json_response(self.book.recent(TOLD_PEERS))
         known = (_number(fields, _CONFIG), _number(fields, _REGISTRY))
@@ -267,9 +229,28 @@
 
     def _greet(self) -> None:
         for address in self.book.recent(1):
-            body = self._call(address, f"{HELLO_PATH}?{_FROM}={self._own}")
-            if body is not None:
-                self._learn(_read_peers.decode(body))
+            self._hello(address)
+
+    def _greet_lost(self) -> None:
+        """Greet neighbours that have fallen silent, beside all else."""
+        for address in self.neighbours.lost(steady_now_s()):
+            if self._greetings.free_count() > 0:
+                self._greetings.spawn(self._greet_back, address)
+
+    def _greet_back(self, address: str) -> None:
+        if self._hello(address):
+            self.neighbours.greeted(address)
+            self._log.event(
+                "peer", "neighbour_found", "lost neighbour answers", peer=address
+            )
+
+    def _hello(self, address: str) -> bool:
+        """Greet a peer, and learn of others; returns whether it answered."""
+        body = self._call(address, f"{HELLO_PATH}?{_FROM}={self._own}")
+        if body is None:
+            return False
+        self._learn(_read_peers.decode(body))
+        return True
 
     def _ask(self) -> None:
         """Ask one peer after the other until one is in touch with the store."""
@@ -277,7 +258,7 @@
         peers = self.book.recent(MAX_PEERS)
         asked = random.sample(peers, k=min(MAX_ASKED, len(peers)))
         helped = False
-        for address in asked:
+        for address in asked if self._core.ready else self._answering(asked):
             body = self._call(address, f"{SNAPSHOT_PATH}?{self._question()}")
             if body is None:
                 continue
@@ -301,6 +282,22 @@
                 ready=self._core.ready,
             )
 
+    def _answering(self, addresses: Sequence[str]) -> Iterator[str]:
+        """Greet some peers at once, and yield those that answer, the first first.
+
+        One that has just started knows little else than seeds.  Asked one after the
+        other, those in other zones would take half a second each in a partition.
+        """
+        greetings = {
+            gevent.spawn(self._hello, address): address for address in addresses
+        }
+        try:
+            for greeting in gevent.iwait(list(greetings)):
+                if greeting.value:
+                    yield greetings[greeting]
+        finally:
+            gevent.killall(list(greetings), block=False)
+
     def _question(self) -> str:
         config = self._core.routes.revision
         registry = self._core.registry.revision if self._core.registry.known else 0
--- a/endivepick/forwarder/tests/test_peers.py
+++ b/endivepick/forwarder/tests/test_peers.py
@@ -5,11 +5,10 @@
 
 from endivepick.clock import steady_now_s
 from endivepick.forwarder.logs import BoundedLog
+from endivepick.forwarder.peer_book import MAX_PEERS, Neighbours, PeerBook
 from endivepick.forwarder.peers import (
     HELLO_PATH,
-    MAX_PEERS,
     SNAPSHOT_PATH,
-    PeerBook,
     PeerFeed,
     PeerSnapshot,
     asks_peers,
@@ -63,6 +62,30 @@
         self.assertEqual(recent[0], f"p{MAX_PEERS * 3 - 1}")
 
 
+class TestNeighbours(unittest.TestCase):
+    def test_one_that_asks_on_is_not_greeted(self):
+        neighbours = Neighbours()
+        for tenths in range(0, 100, 7):
+            neighbours.heard("a", tenths / 10)
+            self.assertEqual(neighbours.lost(tenths / 10 + 1.0), [])
+
+    def test_a_lost_one_is_greeted_until_it_answers(self):
+        neighbours = Neighbours()
+        neighbours.heard("a", 1.0)
+        neighbours.heard("b", 9.0)
+        for now_s in (4.0, 9.0, 10.0):
+            self.assertEqual(neighbours.lost(now_s), ["a"])
+        neighbours.greeted("a")
+        self.assertEqual(neighbours.lost(10.5), [])
+        neighbours.greeted("c")
+
+    def test_one_that_never_returns_is_forgotten(self):
+        neighbours = Neighbours()
+        neighbours.heard("a", 1.0)
+        self.assertEqual(neighbours.lost(20.0), ["a"])
+        self.assertEqual(neighbours.lost(32.0), [])
+
+
 class TestAsksPeers(unittest.TestCase):
     def test_hundreds_that_start_at_once_leave_their_peers_alone(self):
         # Lists of 480 kB arrive for seconds on links of 2 Mbit/s.
@@ -114,6 +137,12 @@
         core = ForwardingCore(ForwardingSettings(zone="a"), lambda: 0.5)
         self.assertEqual(make_feed(core).answer(SNAPSHOT_PATH, "").status, 503)
 
+    def test_one_that_stops_does_not_answer_greetings(self):
+        feed = make_feed(make_core())
+        feed.stopping = True
+        self.assertEqual(feed.answer(HELLO_PATH, "from=10.0.0.3:1").status, 503)
+        self.assertEqual(feed.answer(SNAPSHOT_PATH, "").status, 200)
+
     def test_a_greeting_is_answered_with_peers(self):
         feed = make_feed(make_core(), ["10.0.0.2:1"])
         body = feed.answer(HELLO_PATH, "from=10.0.0.3:1").body
--- a/endivepick/forwarder/tests/test_zone.py
+++ b/endivepick/forwarder/tests/test_zone.py
@@ -12,6 +12,7 @@
 from endivepick.forwarder.logs import BoundedLog
 from endivepick.forwarder.metrics import ForwarderMetrics
 from endivepick.forwarder.news import NewsIntake
+from endivepick.forwarder.peer_book import Neighbours
 from endivepick.forwarder.ports import FeedKind
 from endivepick.forwarder.settings import decode_settings
 from endivepick.forwarder.tests.test_settings import GOOD
@@ -67,7 +68,8 @@
 
         decisions = DecisionLog(log, ForwarderMetrics())
         take = NewsIntake(core, decisions, lambda: None).on_zone_news
-        return ZoneMember(settings, core, self.feeds, None, take, log)
+        self.neighbours = Neighbours()
+        return ZoneMember(settings, core, self.feeds, None, take, self.neighbours, log)
 
     def feed(self):
         """Let the member feed others, and have heard of the store just now."""
@@ -215,6 +217,13 @@
         self.assertEqual(self.reasons(), ["store silent there for 1.7 s"])
         self.assertEqual(self.member._lost(), [])
 
+    def test_those_who_feed_or_are_fed_are_neighbours(self):
+        address = self.follow(self.news())
+        self.feed()
+        self.member.answer("from=10.0.0.9:1&config=0&registry=1")
+        later_s = steady_now_s() + 5.0
+        self.assertEqual(self.neighbours.lost(later_s), [address, "10.0.0.9:1"])
+
     def test_one_that_is_stale_from_the_start_is_not_followed(self):
         self.follow(self.news(heard_before_s=9.0))
         self.assertEqual(self.done(FeedKind.REGISTRY), [])
--- a/endivepick/forwarder/zone.py
+++ b/endivepick/forwarder/zone.py
@@ -29,6 +29,7 @@
 from endivepick.forwarder.freshness import POLL_WAIT_S, freshness_of
 from endivepick.forwarder.http import Response, json_response, query_fields
 from endivepick.forwarder.logs import BoundedLog, rounded
+from endivepick.forwarder.peer_book import Neighbours
 from endivepick.forwarder.peers import NEWS_PATH
 from endivepick.forwarder.ports import FeederClaim, FeedKind, StoreDialect
 from endivepick.forwarder.settings import ForwarderSettings
@@ -145,6 +146,8 @@
         Claims in the store.
     take : callable
         Called with what a feeder tells of the registry and the configuration.
+    neighbours : Neighbours
+        Told who feeds or is fed here.
     log : BoundedLog
         Where it says what it does.
     """
@@ -156,6 +159,7 @@
         feeds: Mapping[FeedKind, StoreFeed],
         dialect: StoreDialect,
         take: Callable[[RegistryNews, ConfigurationChange | None], None],
+        neighbours: Neighbours,
         log: BoundedLog,
     ) -> None:
         self._settings = settings
@@ -163,6 +167,7 @@
         self._feeds = feeds
         self._dialect = dialect
         self._take = take
+        self._neighbours = neighbours
         self._log = log
         self._freshness = freshness_of(settings)
         number = MOST_PLACES if settings.zone_feeders else 0
@@ -201,6 +206,7 @@
         self._asked_s = steady_now_s()
         if self.feeding and not self._askers.admit(asker, self._asked_s):
             return json_response(FeederFull(self._settings.name))
+        self._neighbours.heard(asker, self._asked_s)
         self._set_watch_wait()
         with gevent.Timeout(POLL_WAIT_S, False):
             while self.feeding and not self._has_news(config, registry):
@@ -386,6 +392,7 @@
                 self._full_s[feeder] = steady_now_s()
                 raise _FeederLeft("it feeds as many as it can", silent=False)
             case ZoneNews():
+                self._neighbours.heard(feeder, steady_now_s())
                 self._take(answer.registry, answer.config_change)
                 return answer
 
