--- a/endivepick/forwarder/peers.py
+++ b/endivepick/forwarder/peers.py
@@ -146,12 +146,12 @@
         log: BoundedLog,
     ) -> None:
         self._name = settings.name
-        self._own = settings.peer_address
+        self._own = settings.reached_at
         self._core = core
         self._feeds = feeds
         self._take = take
         self._log = log
-        self.book = PeerBook(settings.peer_address, settings.seeds)
+        self.book = PeerBook(self._own, settings.seeds)
         self.neighbours = Neighbours()
         self.stopping = False
         """A neighbour that stops is to be greeted again when it has started."""
--- a/endivepick/forwarder/settings.py
+++ b/endivepick/forwarder/settings.py
@@ -34,6 +34,9 @@
         TCP address of the platform's object API.
     peer_address : str
         TCP address that peers ask; empty if they cannot.
+    peer_reach_address : str
+        Address at which peers reach it, if that is another one: behind a proxy or a
+        translation of addresses.
     seeds : list of str
         Peer addresses to begin with; some may be stale.
     change_in_force_ms, drain_in_force_ms : float
@@ -76,6 +79,7 @@
     store_address: str
     ready_path: str = "/readyz"
     peer_address: str = ""
+    peer_reach_address: str = ""
     seeds: list[str] = []
     change_in_force_ms: _Milliseconds = 3000.0
     drain_in_force_ms: _Milliseconds = 3000.0
@@ -92,9 +96,14 @@
     zone_feeders: Annotated[int, msgspec.Meta(ge=0, le=64)] = 1
     fed_most: Annotated[int, msgspec.Meta(ge=1, le=1000)] = 24
 
+    @property
+    def reached_at(self) -> str:
+        """Address that this instance tells its peers."""
+        return self.peer_reach_address or self.peer_address
+
 
 _ADDRESSES = ("data_address", "ready_address", "metrics_address", "store_address")
-_OPTIONAL_ADDRESSES = ("peer_address",)
+_OPTIONAL_ADDRESSES = ("peer_address", "peer_reach_address")
 
 
 def decode_settings(text: bytes) -> ForwarderSettings:
--- a/endivepick/forwarder/zone.py
+++ b/endivepick/forwarder/zone.py
@@ -265,7 +265,7 @@
     def _step(self) -> None:
         with store_connection(self._settings.store_address) as store:
             step = next_step(
-                self._settings.peer_address,
+                self._settings.reached_at,
                 self._places,
                 self._settings.zone_feeders,
                 self._claims(store),
@@ -377,7 +377,7 @@
             # It is being read; once that has ended, an older one is asked for again.
             config = max(config, self._asked_config)
         registry = self._core.registry.revision
-        own = self._settings.peer_address
+        own = self._settings.reached_at
         path = f"{NEWS_PATH}?from={own}&config={config}&registry={registry}"
         try:
             body = connection.get(path, POLL_WAIT_S + POLL_SLACK_S)
