--- /dev/null
+++ b/endivepick/forwarder/feeding.py
@@ -0,0 +1,133 @@
+"""Feeds other instances of the zone: answers their questions with what is newer."""
+
+from collections.abc import Mapping
+
+import gevent
+from gevent.event import Event
+
+from endivepick.clock import steady_now_s
+from endivepick.forwarder.feed import StoreFeed, heard_before_s
+from endivepick.forwarder.feeders import Askers
+from endivepick.forwarder.freshness import POLL_WAIT_S
+from endivepick.forwarder.http import Response, json_response
+from endivepick.forwarder.logs import BoundedLog
+from endivepick.forwarder.peer_book import Neighbours
+from endivepick.forwarder.ports import FeedKind
+from endivepick.forwarder.settings import ForwarderSettings
+from endivepick.forwarder.zone_messages import FeederFull, ZoneNews, ZoneQuestion
+from endivepick.forwarding import ForwardingCore
+
+__all__ = ["ZoneFeeder"]
+
+FEEDING_WAIT_S = 1.0
+"""How long the store may hold a feeder's watch of the registry; its answers are what
+keeps those who are fed sure of their feeder.  The registry changes more often than the
+configuration, so the short wait costs fewer calls there: 1.25 a second instead of 2.1
+while targets are replaced."""
+UNASKED_S = 10.0
+"""A feeder that nobody has asked for so long keeps no short watch: the only instance of
+a zone is its feeder, and short watches would cost the store calls for nothing."""
+_NOT_FEEDING = Response(404)
+
+
+class ZoneFeeder:
+    """What an instance does for those whom it feeds.
+
+    Parameters
+    ----------
+    settings : ForwarderSettings
+        Name, and how many are fed at a time.
+    core : ForwardingCore
+        What is known here.
+    feeds : mapping of FeedKind to StoreFeed
+        How fresh that is.
+    neighbours : Neighbours
+        Told who is fed here.
+    log : BoundedLog
+        Where it says what it does.
+    """
+
+    def __init__(
+        self,
+        settings: ForwarderSettings,
+        core: ForwardingCore,
+        feeds: Mapping[FeedKind, StoreFeed],
+        neighbours: Neighbours,
+        log: BoundedLog,
+    ) -> None:
+        self._name = settings.name
+        self._core = core
+        self._feeds = feeds
+        self._neighbours = neighbours
+        self._log = log
+        self._askers = Askers(settings.fed_most)
+        self._changed = Event()
+        self._asked_s = float("-inf")
+        self._stopping = False
+        self.feeding = False
+        """Whether others may be fed here."""
+
+    def begin(self) -> None:
+        """Feed others from now on, unless this instance is about to stop."""
+        if not self.feeding and not self._stopping:
+            self._log.event("zone", "feeding", "feeding others of the zone")
+        self.feeding = not self._stopping
+        self._set_watch_wait()
+
+    def end(self) -> None:
+        """Feed others no more: another does."""
+        if self.feeding:
+            self._log.event("zone", "feeding_ended", "another feeds in its place")
+        self.feeding = False
+        self._set_watch_wait()
+        self.notify()
+
+    def stop(self) -> None:
+        """Let those who are fed here look for another feeder, for good."""
+        self._stopping = True
+        self.feeding = False
+        self.notify()
+
+    def notify(self) -> None:
+        """Answer those who wait for news."""
+        waiting, self._changed = self._changed, Event()
+        waiting.set()
+
+    def answer(self, query: str) -> Response:
+        """Answer an instance that is fed: at once if there is news for it."""
+        question = ZoneQuestion.read(query)
+        if question is None:
+            return _NOT_FEEDING
+        self._asked_s = steady_now_s()
+        if self.feeding and not self._askers.admit(question.asker, self._asked_s):
+            return json_response(FeederFull(self._name))
+        self._neighbours.heard(question.asker, self._asked_s)
+        self._set_watch_wait()
+        with gevent.Timeout(POLL_WAIT_S, False):
+            while self.feeding and not self._has_news(question):
+                self._changed.wait()
+        if not self.feeding or not self._core.ready:
+            return _NOT_FEEDING
+        return json_response(self._news(question))
+
+    def _news(self, question: ZoneQuestion) -> ZoneNews:
+        return ZoneNews(
+            self._name,
+            self._core.routes.revision,
+            self._core.routes.change_since(question.config_revision),
+            self._core.registry.news_since(question.registry_revision),
+            heard_before_s(self._feeds.values()),
+            heard_before_s([self._feeds[FeedKind.REGISTRY]]),
+        )
+
+    def _has_news(self, question: ZoneQuestion) -> bool:
+        return (
+            self._core.routes.revision > question.config_revision
+            or self._core.registry.revision > question.registry_revision
+        )
+
+    def _set_watch_wait(self) -> None:
+        """Keep a short watch while others are fed."""
+        asked = steady_now_s() - self._asked_s < UNASKED_S
+        wait_s = FEEDING_WAIT_S if self.feeding and asked else None
+        self._feeds[FeedKind.REGISTRY].hold_watches(wait_s)
--- a/endivepick/forwarder/forwarder.py
+++ b/endivepick/forwarder/forwarder.py
@@ -172,7 +172,7 @@
     def _after_news(self) -> None:
         self._path.perform()
         if self._zone is not None:
-            self._zone.notify()
+            self._zone.feeder.notify()
         if self.core.ready and not self._was_ready:
             self._was_ready = True
             self._on_first_ready()
--- a/endivepick/forwarder/pages.py
+++ b/endivepick/forwarder/pages.py
@@ -81,7 +81,7 @@
                 return self._peers.answer(path, query)
             case peers.NEWS_PATH:
                 zone = self._zone()
-                return Response(404) if zone is None else zone.answer(query)
+                return Response(404) if zone is None else zone.feeder.answer(query)
             case "/metrics":
                 return self._metrics()
             case "/status":
@@ -104,7 +104,7 @@
         return {
             "flows": len(self._core.flows),
             "ready": int(self._ready()),
-            "feeding": int(zone is not None and zone.feeding),
+            "feeding": int(zone is not None and zone.feeder.feeding),
             "fed": int(zone is not None and zone.fed),
             "config_age_seconds": now_s - self._core.routes.since_s,
             **{
--- a/endivepick/forwarder/tests/test_zone.py
+++ b/endivepick/forwarder/tests/test_zone.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from endivepick.clock import steady_now_s
-from endivepick.forwarder import zone
+from endivepick.forwarder import feeding, zone
 from endivepick.forwarder.decision_log import DecisionLog
 from endivepick.forwarder.http import Response, http_server
 from endivepick.forwarder.logs import BoundedLog
@@ -16,7 +16,8 @@
 from endivepick.forwarder.ports import FeedKind
 from endivepick.forwarder.settings import decode_settings
 from endivepick.forwarder.tests.test_settings import GOOD
-from endivepick.forwarder.zone import FeederFull, ZoneMember, ZoneNews
+from endivepick.forwarder.zone import ZoneMember
+from endivepick.forwarder.zone_messages import FeederFull, ZoneNews
 from endivepick.forwarding import RegistryNews, TargetState
 from endivepick.forwarding.changes import change_between
 from endivepick.forwarding.tests.support import (
@@ -73,14 +74,14 @@
 
     def feed(self):
         """Let the member feed others, and have heard of the store just now."""
-        self.member._begin_feeding()
+        self.member.feeder.begin()
         for feed in self.feeds.values():
             feed.heard_s = steady_now_s()
 
 
 class TestFeeding(ZoneCase):
     def ask(self, config=1, registry=10, asker="10.0.0.2:1"):
-        response = self.member.answer(
+        response = self.member.feeder.answer(
             f"from={asker}&config={config}&registry={registry}"
         )
         self.assertEqual(response.status, 200)
@@ -88,7 +89,7 @@
 
     def test_one_that_does_not_feed_says_so(self):
         query = "from=a&config=1&registry=1"
-        self.assertEqual(self.member.answer(query).status, 404)
+        self.assertEqual(self.member.feeder.answer(query).status, 404)
 
     def test_a_question_that_cannot_be_read_is_refused(self):
         self.feed()
@@ -98,7 +99,7 @@
             "from=a&config=x&registry=1",
             "config=1&registry=1",
         ):
-            self.assertEqual(self.member.answer(query).status, 404)
+            self.assertEqual(self.member.feeder.answer(query).status, 404)
 
     def test_what_is_newer_is_told_at_once(self):
         self.feed()
@@ -113,7 +114,7 @@
         for number in range(most):
             self.ask(registry=1, asker=f"10.0.0.{number}:1")
         query = "from=10.0.1.1:1&config=1&registry=1"
-        answer = self.member.answer(query)
+        answer = self.member.feeder.answer(query)
         self.assertEqual(
             msgspec.json.decode(answer.body, type=FeederFull), FeederFull("front-1")
         )
@@ -131,9 +132,9 @@
         self.feed()
         self.assertIsNone(feed.wait_s)
         self.ask(config=0)
-        self.assertEqual(feed.wait_s, zone.FEEDING_WAIT_S)
-        with patch.object(zone, "UNASKED_S", 0.0):
-            self.member._begin_feeding()
+        self.assertEqual(feed.wait_s, feeding.FEEDING_WAIT_S)
+        with patch.object(feeding, "UNASKED_S", 0.0):
+            self.member.feeder.begin()
         self.assertIsNone(feed.wait_s)
         self.assertIsNone(self.feeds[FeedKind.CONFIGURATION].wait_s)
 
@@ -143,18 +144,18 @@
         gevent.sleep(0)
         self.assertFalse(asked.ready())
         self.core.on_target_removed("i-1", 30, 1.0)
-        self.member.notify()
+        self.member.feeder.notify()
         news = asked.get(timeout=TIMEOUT_S)
         self.assertEqual([r.name for r in news.registry.removed], ["i-1"])
 
     def test_a_planned_stop_turns_those_away_who_wait(self):
         self.feed()
-        asked = gevent.spawn(self.member.answer, "from=a&config=1&registry=10")
+        asked = gevent.spawn(self.member.feeder.answer, "from=a&config=1&registry=10")
         gevent.sleep(0)
         self.member.stop()
         self.assertEqual(asked.get(timeout=TIMEOUT_S).status, 404)
-        self.member._begin_feeding()
-        self.assertFalse(self.member.feeding)
+        self.member.feeder.begin()
+        self.assertFalse(self.member.feeder.feeding)
 
 
 class TestBeingFed(ZoneCase):
@@ -220,7 +221,7 @@
     def test_those_who_feed_or_are_fed_are_neighbours(self):
         address = self.follow(self.news())
         self.feed()
-        self.member.answer("from=10.0.0.9:1&config=0&registry=1")
+        self.member.feeder.answer("from=10.0.0.9:1&config=0&registry=1")
         later_s = steady_now_s() + 5.0
         self.assertEqual(self.neighbours.lost(later_s), [address, "10.0.0.9:1"])
 
--- a/endivepick/forwarder/zone.py
+++ b/endivepick/forwarder/zone.py
@@ -1,4 +1,4 @@
-"""Feeds the instances of a zone, or is fed by one of them.
+"""Decides with the claims in the store who feeds the zone, and is fed by a feeder.
 
 An instance that is fed keeps what it knows as fresh as its feeder's word: each answer
 says how long ago the store answered there, and beyond a bound, or without an answer,
@@ -13,26 +13,24 @@
 
 import gevent
 import msgspec
-from gevent.event import Event
-from msgspec import Struct
 
 from endivepick.clock import steady_now_s
 from endivepick.errors import EndivepickError, PlatformAnswerError
-from endivepick.forwarder.feed import StoreFeed, heard_before_s
-from endivepick.forwarder.feeders import (
-    Askers,
-    Feed,
-    FollowFeeder,
-    WriteClaim,
-    next_step,
-)
+from endivepick.forwarder.feed import StoreFeed
+from endivepick.forwarder.feeders import Feed, FollowFeeder, WriteClaim, next_step
+from endivepick.forwarder.feeding import ZoneFeeder
 from endivepick.forwarder.freshness import POLL_WAIT_S, freshness_of
-from endivepick.forwarder.http import Response, json_response, query_fields
 from endivepick.forwarder.logs import BoundedLog, rounded
 from endivepick.forwarder.peer_book import Neighbours
 from endivepick.forwarder.peers import NEWS_PATH
 from endivepick.forwarder.ports import FeederClaim, FeedKind, StoreDialect
 from endivepick.forwarder.settings import ForwarderSettings
+from endivepick.forwarder.zone_messages import (
+    FeederFull,
+    ZoneNews,
+    ZoneQuestion,
+    read_feeder_answer,
+)
 from endivepick.forwarding import (
     ConfigurationChange,
     ForwardingCore,
@@ -40,7 +38,7 @@
 )
 from endivepick.store import StoreConnection, store_connection
 
-__all__ = ["FeederFull", "ZoneMember", "ZoneNews"]
+__all__ = ["ZoneMember"]
 
 ENROL_S = (0.1, 0.6)
 """Wait before claims are first read.  Within the pause that follows a list an instance
@@ -54,14 +52,6 @@
 """Wait after a feeder was left; meanwhile the store is followed."""
 POLL_SLACK_S = 0.5
 """An answer that comes later is none: the feeder is frozen or cut off."""
-FEEDING_WAIT_S = 1.0
-"""How long the store may hold a feeder's watch of the registry; its answers are what
-keeps those who are fed sure of their feeder.  The registry changes more often than the
-configuration, so the short wait costs fewer calls there: 1.25 a second instead of 2.1
-while targets are replaced."""
-UNASKED_S = 10.0
-"""A feeder that nobody has asked for so long keeps no short watch: in a small zone all
-instances are feeders, and short watches would cost the store calls for nothing."""
 LOST_MEMORY_S = 10.0
 """How long a feeder that did not answer is remembered as lost, or one that could feed
 no more as full."""
@@ -70,50 +60,6 @@
 that is expected."""
 
 
-class FeederFull(Struct, frozen=True, tag=True):
-    """Answer of a feeder that feeds as many as it can.
-
-    Attributes
-    ----------
-    feeder : str
-        Name of the instance that answers.
-    """
-
-    feeder: str
-
-
-class ZoneNews(Struct, frozen=True, tag=True):
-    """Answer of a feeder.
-
-    Attributes
-    ----------
-    feeder : str
-        Name of the instance that answers.
-    config_revision : int
-        Revision of the configuration in force there.
-    config_change : ConfigurationChange or None
-        What leads to it from the one that the asker has.
-    registry : RegistryNews
-        What changed in the registry.
-    heard_before_s : float
-        How long ago the store answered there, in seconds.
-    registry_before_s : float
-        How long ago it told of the registry, in seconds.
-    """
-
-    feeder: str
-    config_revision: int
-    config_change: ConfigurationChange | None
-    registry: RegistryNews
-    heard_before_s: float
-    registry_before_s: float
-
-
-_read_answer: msgspec.json.Decoder[ZoneNews | FeederFull] = msgspec.json.Decoder(
-    ZoneNews | FeederFull
-)
-
-
 class _FeederLeft(Exception):
     """The feeder cannot be relied on.
 
@@ -174,54 +120,17 @@
         self._places = [f"{settings.zone}.{n}" for n in range(number)]
         self._lost_s: dict[str, float] = {}
         self._full_s: dict[str, float] = {}
-        self._askers = Askers(settings.fed_most)
-        self._changed = Event()
         self._asked_config = 0
-        self._asked_s = float("-inf")
         self._stopping = False
-        self.feeding = False
-        """Whether others may be fed here."""
+        self.feeder = ZoneFeeder(settings, core, feeds, neighbours, log)
+        """What this instance does for others of its zone."""
         self.fed = False
         """Whether a feeder is followed instead of the store."""
 
     def stop(self) -> None:
         """Let those who are fed here look for another feeder."""
         self._stopping = True
-        self.feeding = False
-        self.notify()
-
-    def notify(self) -> None:
-        """Answer those who wait for news."""
-        waiting, self._changed = self._changed, Event()
-        waiting.set()
-
-    def answer(self, query: str) -> Response:
-        """Answer an instance that is fed: at once if there is news for it."""
-        fields = query_fields(query)
-        try:
-            config, registry = int(fields["config"]), int(fields["registry"])
-            asker = fields["from"]
-        except (KeyError, ValueError):
-            return Response(404)
-        self._asked_s = steady_now_s()
-        if self.feeding and not self._askers.admit(asker, self._asked_s):
-            return json_response(FeederFull(self._settings.name))
-        self._neighbours.heard(asker, self._asked_s)
-        self._set_watch_wait()
-        with gevent.Timeout(POLL_WAIT_S, False):
-            while self.feeding and not self._has_news(config, registry):
-                self._changed.wait()
-        if not self.feeding or not self._core.ready:
-            return Response(404)
-        news = ZoneNews(
-            self._settings.name,
-            self._core.routes.revision,
-            self._core.routes.change_since(config),
-            self._core.registry.news_since(registry),
-            heard_before_s(self._feeds.values()),
-            heard_before_s([self._feeds[FeedKind.REGISTRY]]),
-        )
-        return json_response(news)
+        self.feeder.stop()
 
     def run(self) -> None:
         """Feed others or be fed, as the claims say, until a planned stop."""
@@ -256,12 +165,6 @@
     def _all_settled(self) -> bool:
         return all(feed.settled for feed in self._feeds.values())
 
-    def _has_news(self, config: int, registry: int) -> bool:
-        return (
-            self._core.routes.revision > config
-            or self._core.registry.revision > registry
-        )
-
     def _step(self) -> None:
         with store_connection(self._settings.store_address) as store:
             step = next_step(
@@ -299,7 +202,7 @@
             before_revision=claim.revision,
         )
         if written:
-            self._begin_feeding()
+            self.feeder.begin()
 
     def _lost(self) -> list[str]:
         self._lost_s = _recent(self._lost_s)
@@ -309,33 +212,14 @@
         self._full_s = _recent(self._full_s)
         return list(self._full_s)
 
-    def _begin_feeding(self) -> None:
-        self.feeding = not self._stopping
-        self._set_watch_wait()
-
-    def _set_watch_wait(self) -> None:
-        """Keep a short watch while others are fed."""
-        asked = steady_now_s() - self._asked_s < UNASKED_S
-        wait_s = FEEDING_WAIT_S if self.feeding and asked else None
-        self._feeds[FeedKind.REGISTRY].hold_watches(wait_s)
-
     def _feed(self) -> None:
         """Feed others until the claim is read again."""
-        if not self.feeding:
-            self._log.event("zone", "feeding", "feeding others of the zone")
-        self._begin_feeding()
+        self.feeder.begin()
         _sleep(REVIEW_S)
 
-    def _stop_feeding(self) -> None:
-        if self.feeding:
-            self._log.event("zone", "feeding_ended", "another feeds in its place")
-        self.feeding = False
-        self._set_watch_wait()
-        self.notify()
-
     def _follow(self, feeder: str) -> None:
         """Be fed until the feeder cannot be relied on."""
-        self._stop_feeding()
+        self.feeder.end()
         began_s = steady_now_s()
         try:
             with store_connection(feeder) as connection:
@@ -377,11 +261,11 @@
             # It is being read; once that has ended, an older one is asked for again.
             config = max(config, self._asked_config)
         registry = self._core.registry.revision
-        own = self._settings.reached_at
-        path = f"{NEWS_PATH}?from={own}&config={config}&registry={registry}"
+        question = ZoneQuestion(self._settings.reached_at, config, registry)
         try:
+            path = f"{NEWS_PATH}?{question.query}"
             body = connection.get(path, POLL_WAIT_S + POLL_SLACK_S)
-            answer = _read_answer.decode(body)
+            answer = read_feeder_answer(body)
         except PlatformAnswerError:
             # It lives: it has just started, or is about to stop.
             raise _FeederLeft("it does not feed", silent=False) from None
