--- a/endivepick/model/_other_scenarios.py
+++ b/endivepick/model/_other_scenarios.py
@@ -9,6 +9,7 @@
 
 from endivepick.core.dispatch import Decision, RequestIntent, ServiceDispatcher
 from endivepick.core.key_rotation import RotationSettings
+from endivepick.model._change_mutants import CHANGE_MUTATIONS, CHANGE_SCENARIOS
 from endivepick.model._config_node import ConfigParts
 from endivepick.model._evidence_mutants import EVIDENCE_MUTATIONS, EVIDENCE_SCENARIOS
 from endivepick.model._mutation import Mutation
@@ -117,12 +118,14 @@
     "keys, one cut off": _keys(KeyBounds(restarts=0)),
     **REGISTRY_SCENARIOS,
     **EVIDENCE_SCENARIOS,
+    **CHANGE_SCENARIOS,
 }
 """By name, what builds the specification of each check."""
 
 _MUTATIONS: dict[str, Callable[[str], Specification]] = {
     **REGISTRY_MUTATIONS,
     **EVIDENCE_MUTATIONS,
+    **CHANGE_MUTATIONS,
     "a target runs whatever reaches it": _placement(
         PlacementBounds(False, rules=TargetRules(service=False, incarnation=False))
     ),
--- a/endivepick/model/tests/test_specifications.py
+++ b/endivepick/model/tests/test_specifications.py
@@ -25,6 +25,7 @@
     "registry, two targets",
     "registry, entry lapses and returns",
     "evidence, one step of time",
+    "told changes, a route returns",
 )
 
 
