Tell no whole registry over a slow link; count time without changes as news

Ruled out: telling it in parts (the link is that of packets all the same); a list that says what it hides (the store's does not).

Change: a feeder that would have to tell the whole of a registry that keeps its link for over a second says so (FeederAhead); the asker follows the store and asks again seconds later. So that it catches up when nothing changes, a watch that ends without changes brings the known revision up to the store's.

--- a/endivepick/forwarder/feed.py
+++ b/endivepick/forwarder/feed.py
@@ -51,7 +51,17 @@
 
 
 class FeedChanges(Struct, frozen=True):
-    """Changes since the last message of the same kind."""
+    """Changes since the last message of the same kind; none if time alone passed.
+
+    Attributes
+    ----------
+    kind : FeedKind
+        Kind of the objects.
+    items : tuple of Item
+        Objects and removals, oldest first.
+    revision : int
+        Revision of the store up to which these are all.
+    """
 
     kind: FeedKind
     items: tuple[Item, ...]
@@ -251,11 +261,10 @@
         path = self._dialect.watch_path(self._kind, self._revision, wait_s)
         body = connection.get(path, wait_s + ANSWER_SLACK_S)
         batch = self._dialect.read_changes(self._kind, body)
+        if batch.items or batch.revision > self._revision:
+            self._deliver(FeedChanges(self._kind, batch.items, batch.revision))
         self._revision = max(self._revision, batch.revision)
-        if not batch.items:
-            return False
-        self._deliver(FeedChanges(self._kind, batch.items, batch.revision))
-        return True
+        return bool(batch.items)
 
     def _on_failure(
         self, error: PlatformUnavailableError | PlatformAnswerError, wait_s: float
--- a/endivepick/forwarder/feeding.py
+++ b/endivepick/forwarder/feeding.py
@@ -14,7 +14,12 @@
 from endivepick.forwarder.peer_book import Neighbours
 from endivepick.forwarder.ports import FeedKind
 from endivepick.forwarder.settings import ForwarderSettings
-from endivepick.forwarder.zone_messages import FeederFull, ZoneNews, ZoneQuestion
+from endivepick.forwarder.zone_messages import (
+    FeederAhead,
+    FeederFull,
+    ZoneNews,
+    ZoneQuestion,
+)
 from endivepick.forwarding import ForwardingCore
 
 __all__ = ["ZoneFeeder"]
@@ -27,6 +32,12 @@
 UNASKED_S = 10.0
 """A feeder that nobody has asked for so long keeps no short watch: the only instance of
 a zone is its feeder, and short watches would cost the store calls for nothing."""
+TARGET_BYTES = 160
+"""What an entry of the registry takes in an answer."""
+WHOLE_S = 1.0
+"""How long the whole registry may keep the feeder's link, told to all whom it feeds:
+that of 3,000 targets took 9 s on a link of 10 Mbit/s after a common start."""
+_MBIT_BYTES = 125_000
 _NOT_FEEDING = Response(404)
 
 
@@ -61,6 +72,8 @@
         self._neighbours = neighbours
         self._log = log
         self._askers = Askers(settings.fed_most)
+        told_bytes = TARGET_BYTES * settings.fed_most
+        self._whole_targets = WHOLE_S * settings.link_mbps * _MBIT_BYTES / told_bytes
         self._changed = Event()
         self._asked_s = float("-inf")
         self._stopping = False
@@ -108,8 +121,17 @@
                 self._changed.wait()
         if not self.feeding or not self._core.ready:
             return _NOT_FEEDING
+        if self._is_too_much(question):
+            return json_response(FeederAhead(self._name))
         return json_response(self._news(question))
 
+    def _is_too_much(self, question: ZoneQuestion) -> bool:
+        """Whether all of a large registry would have to be told."""
+        registry = self._core.registry
+        if question.registry_revision >= registry.told_from:
+            return False
+        return len(registry) > self._whole_targets
+
     def _news(self, question: ZoneQuestion) -> ZoneNews:
         return ZoneNews(
             self._name,
--- a/endivepick/forwarder/news.py
+++ b/endivepick/forwarder/news.py
@@ -57,6 +57,8 @@
                 self._core.on_target_list(targets, news.revision, now_s, news.asked_s)
             case _:
                 self._on_items(news, now_s)
+        if news.kind is FeedKind.REGISTRY:
+            self._core.on_registry_seen(news.revision)
         self._after()
 
     def on_zone_news(
--- a/endivepick/forwarder/tests/test_feed.py
+++ b/endivepick/forwarder/tests/test_feed.py
@@ -6,10 +6,10 @@
 
 from endivepick.forwarder.breaker import CircuitBreaker
 from endivepick.forwarder.decision_log import DecisionLog
-from endivepick.forwarder.feed import StoreFeed
+from endivepick.forwarder.feed import FeedChanges, StoreFeed
 from endivepick.forwarder.logs import BoundedLog
 from endivepick.forwarder.metrics import ForwarderMetrics
-from endivepick.forwarder.ports import FeedKind
+from endivepick.forwarder.ports import ChangeBatch, FeedKind
 from endivepick.forwarder.tests.empty_store import Dialect
 from endivepick.forwarder.tests.test_settings import decode
 
@@ -71,6 +71,7 @@
 
     def setUp(self):
         self.asked = []
+        self.delivered = []
         server = StreamServer(("127.0.0.1", 0), self.serve)
         server.start()
         self.addCleanup(server.stop, 0)
@@ -83,7 +84,7 @@
             settings,
             FeedKind.CONFIGURATION,
             Dialect(),
-            lambda _: None,
+            self.delivered.append,
             decisions,
             CircuitBreaker(),
         )
@@ -118,5 +119,40 @@
         self.assertEqual(self.asked, before)
 
 
+class TimePasses(Dialect):
+    """Each watch ends without a change, at a later revision of the store."""
+
+    def __init__(self):
+        self.revision = 1
+
+    def read_changes(self, _kind, _body):
+        self.revision += 1
+        return ChangeBatch((), self.revision)
+
+
+class TestWatchesWithoutChanges(unittest.TestCase):
+    def test_they_tell_up_to_when_nothing_changed(self):
+        def serve(connection, _address):
+            while connection.recv(4096):
+                connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                gevent.sleep(0.001)
+
+        server = StreamServer(("127.0.0.1", 0), serve)
+        server.start()
+        self.addCleanup(server.stop, 0)
+        address = f"127.0.0.1:{server.server_port}"
+        settings = msgspec.structs.replace(decode(), store_address=address, gather_s=0)
+        decisions = DecisionLog(BoundedLog("a", len), ForwarderMetrics())
+        told = []
+        kind, breaker = FeedKind.REGISTRY, CircuitBreaker()
+        feed = StoreFeed(settings, kind, TimePasses(), told.append, decisions, breaker)
+        self.addCleanup(feed.stop)
+        feed.start()
+        with gevent.Timeout(TIMEOUT_S):
+            while len(told) < 4:
+                gevent.sleep(0.001)
+        self.assertEqual(told[1:4], [FeedChanges(kind, (), n) for n in (2, 3, 4)])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/endivepick/forwarder/tests/test_zone.py
+++ b/endivepick/forwarder/tests/test_zone.py
@@ -8,6 +8,7 @@
 from endivepick.clock import steady_now_s
 from endivepick.forwarder import feeding, zone
 from endivepick.forwarder.decision_log import DecisionLog
+from endivepick.forwarder.feeding import ZoneFeeder
 from endivepick.forwarder.http import Response, http_server
 from endivepick.forwarder.logs import BoundedLog
 from endivepick.forwarder.metrics import ForwarderMetrics
@@ -17,7 +18,7 @@
 from endivepick.forwarder.settings import decode_settings
 from endivepick.forwarder.tests.test_settings import GOOD
 from endivepick.forwarder.zone import ZoneMember
-from endivepick.forwarder.zone_messages import FeederFull, ZoneNews
+from endivepick.forwarder.zone_messages import FeederAhead, FeederFull, ZoneNews
 from endivepick.forwarding import RegistryNews, TargetState
 from endivepick.forwarding.changes import change_between
 from endivepick.forwarding.tests.support import (
@@ -120,6 +121,27 @@
         )
         self.ask(registry=1, asker="10.0.0.1:1")
 
+    def test_the_whole_of_a_large_registry_is_not_told(self):
+        self.feed()
+        for number in range(2, 400):
+            target = make_target(f"i-{number:x}", revision=20 + number)
+            self.core.on_target(target, 1.0)
+        self.core.on_target_list([b.target for b in self.core.registry], 900, 1.0)
+        self.assertTrue(self.ask(registry=899).registry.whole)
+        self.member.feeder._whole_targets = 300
+        query = "from=a&config=1&registry=899"
+        answer = self.member.feeder.answer(query)
+        self.assertEqual(
+            msgspec.json.decode(answer.body, type=FeederAhead), FeederAhead("front-1")
+        )
+        self.core.on_target(make_target("i-ffff", revision=901), 1.0)
+        self.assertEqual(len(self.ask(registry=900).registry.targets), 1)
+
+    def test_how_much_may_be_told_follows_from_the_link(self):
+        settings = decode_settings(json.dumps(GOOD | {"link_mbps": 10}).encode())
+        feeder = ZoneFeeder(settings, self.core, self.feeds, self.neighbours, None)
+        self.assertAlmostEqual(feeder._whole_targets, 325, delta=1)
+
     def test_of_a_new_configuration_the_change_is_told(self):
         self.feed()
         self.core.on_configuration(make_configuration(7, 9, ports=(443,)), 1.0)
@@ -270,6 +292,12 @@
             self.member._follow(address)
         self.assertEqual(self.member._lost(), [address])
 
+    def test_one_that_is_ahead_is_followed_later(self):
+        ahead = Response(200, msgspec.json.encode(FeederAhead("f")), "application/json")
+        self.follow(ahead)
+        self.assertEqual(self.reasons(), ["it cannot tell what changed"])
+        self.assertEqual((self.member._full(), self.member._lost()), ([], []))
+
     def test_one_that_is_full_is_remembered_but_not_lost(self):
         full = Response(200, msgspec.json.encode(FeederFull("f")), "application/json")
         address = self.follow(full)
--- a/endivepick/forwarder/zone.py
+++ b/endivepick/forwarder/zone.py
@@ -26,6 +26,7 @@
 from endivepick.forwarder.ports import FeederClaim, FeedKind, StoreDialect
 from endivepick.forwarder.settings import ForwarderSettings
 from endivepick.forwarder.zone_messages import (
+    FeederAhead,
     FeederFull,
     ZoneNews,
     ZoneQuestion,
@@ -275,6 +276,8 @@
             case FeederFull():
                 self._full_s[feeder] = steady_now_s()
                 raise _FeederLeft("it feeds as many as it can", silent=False)
+            case FeederAhead():
+                raise _FeederLeft("it cannot tell what changed", silent=False)
             case ZoneNews():
                 self._neighbours.heard(feeder, steady_now_s())
                 self._take(answer.registry, answer.config_change)
--- a/endivepick/forwarder/zone_messages.py
+++ b/endivepick/forwarder/zone_messages.py
@@ -8,7 +8,14 @@
 from endivepick.forwarder.http import query_fields
 from endivepick.forwarding import ConfigurationChange, RegistryNews
 
-__all__ = ["FeederFull", "ZoneNews", "ZoneQuestion", "read_feeder_answer"]
+__all__ = [
+    "FeederAhead",
+    "FeederAnswer",
+    "FeederFull",
+    "ZoneNews",
+    "ZoneQuestion",
+    "read_feeder_answer",
+]
 
 
 class ZoneQuestion(Struct, frozen=True):
@@ -62,6 +69,21 @@
     feeder: str
 
 
+class FeederAhead(Struct, frozen=True, tag=True):
+    """Answer of a feeder that cannot tell what changed since the asker's revision.
+
+    The whole registry would be too much for its link, so the asker has to catch up with
+    the store first.
+
+    Attributes
+    ----------
+    feeder : str
+        Name of the instance that answers.
+    """
+
+    feeder: str
+
+
 class ZoneNews(Struct, frozen=True, tag=True):
     """Answer of a feeder.
 
@@ -89,10 +111,10 @@
     registry_before_s: float
 
 
-_Answers = ZoneNews | FeederFull
-_decoder: msgspec.json.Decoder[_Answers] = msgspec.json.Decoder(_Answers)
+FeederAnswer = ZoneNews | FeederFull | FeederAhead
+_decoder: msgspec.json.Decoder[FeederAnswer] = msgspec.json.Decoder(FeederAnswer)
 
 
-def read_feeder_answer(body: bytes) -> ZoneNews | FeederFull:
-    """Read what a feeder answered; raises ``msgspec.MsgspecError`` if it is neither."""
+def read_feeder_answer(body: bytes) -> FeederAnswer:
+    """Read what a feeder answered; raises ``msgspec.MsgspecError`` if it is none."""
     return _decoder.decode(body)
--- a/endivepick/forwarding/forwarder.py
+++ b/endivepick/forwarding/forwarder.py
@@ -144,6 +144,10 @@
             self._unknown.listed(asked_s)
         self._after_changes(self.registry.take_list(targets, revision, now_s), now_s)
 
+    def on_registry_seen(self, revision: int) -> None:
+        """Take in that the registry has told all that changed up to a revision."""
+        self.registry.seen(revision)
+
     def on_registry_news(self, news: RegistryNews, now_s: float) -> None:
         """Take in what another instance knows beyond this one's revision."""
         self._after_changes(self.registry.take_news(news, now_s), now_s)
--- a/endivepick/forwarding/registry.py
+++ b/endivepick/forwarding/registry.py
@@ -84,11 +84,15 @@
         """Whether a whole list was read."""
         self.revision = 0
         """Revision of the store up to which entries are known."""
-        self._forgotten_revision = 0
+        self.told_from = 0
+        """Oldest revision since which changes can be told; a list hides older ones."""
 
     def __iter__(self) -> Iterator[TargetBelief]:
         return iter(self._beliefs.values())
 
+    def __len__(self) -> int:
+        return len(self._beliefs)
+
     @property
     def unsettled(self) -> list[TargetBelief]:
         """Targets that time changes something about; few of all that are known."""
@@ -131,7 +135,7 @@
         listed = list(targets)
         self.known = True
         # What came and went since the last word is not in the list, nor known here.
-        self._forgotten_revision = revision
+        self.told_from = revision
         self.revision = revision
         changes = [c for target in listed for c in self._take(target, now_s)]
         names = {target.name for target in listed}
@@ -140,6 +144,11 @@
                 changes += self.take_removal(name, revision, now_s)
         return changes
 
+    def seen(self, revision: int) -> None:
+        """Take in that nothing but what is known changed up to a revision."""
+        if self.known:
+            self.revision = max(self.revision, revision)
+
     def take_news(self, news: RegistryNews, now_s: float) -> list[BeliefChange]:
         """Take in what another instance knows beyond this one's revision."""
         if news.revision <= self.revision:
@@ -156,7 +165,7 @@
 
     def news_since(self, revision: int) -> RegistryNews:
         """Return what changed since a revision, or all if that is too long ago."""
-        whole = revision < self._forgotten_revision
+        whole = revision < self.told_from
         newer = [b for b in self if whole or b.revision > revision]
         present = (TargetState.READY, TargetState.DRAINING)
         targets = [b.target for b in newer if b.state in present]
@@ -196,7 +205,7 @@
         belief = self._beliefs.get(name)
         if belief is None:
             # It came and went unseen: nobody can be told of its removal alone.
-            self._forgotten_revision = max(self._forgotten_revision, revision)
+            self.told_from = max(self.told_from, revision)
             return []
         if revision < belief.revision:
             return []
@@ -318,7 +327,7 @@
 
     def _forget(self, belief: TargetBelief) -> None:
         del self._beliefs[belief.name]
-        self._forgotten_revision = max(self._forgotten_revision, belief.revision)
+        self.told_from = max(self.told_from, belief.revision)
         self._unsettled.pop(belief.name, None)
         service = self._by_service[belief.target.service]
         del service[belief.name]
--- a/endivepick/forwarding/tests/test_registry.py
+++ b/endivepick/forwarding/tests/test_registry.py
@@ -43,6 +43,16 @@
         self.registry.reach(belief, ReachabilityEvent.PROBE_ALIVE, "", 12.0)
         self.assertEqual(self.sorted_for_zone(), (left, ["i-1"], 15))
 
+    def test_time_without_changes_makes_what_is_known_newer(self):
+        self.registry.seen(90)
+        self.registry.seen(40)
+        self.assertEqual((self.registry.revision, self.registry.told_from), (90, 6))
+        old = make_target("i-9", revision=80)
+        self.assertEqual(self.registry.take_entry(old, 1.0), [])
+        fresh = TargetRegistry(ForwardingSettings(zone="a"))
+        fresh.seen(90)
+        self.assertEqual(fresh.revision, 0)
+
     def test_a_short_list_after_an_outage_does_not_take_the_targets_away(self):
         self.registry.take_list(self.targets[:1], 40, 10.0)
         self.registry.expire(10.0 + GRACE_S - 0.1)
--- a/endivepick/model/_registry_mutants.py
+++ b/endivepick/model/_registry_mutants.py
@@ -40,9 +40,9 @@
         self, targets: Iterable[Target], revision: int, now_s: float
     ) -> list[BeliefChange]:
         """Forget that entries may have come and gone."""
-        before = self._forgotten_revision
+        before = self.told_from
         changes = super().take_list(targets, revision, now_s)
-        self._forgotten_revision = before
+        self.told_from = before
         return changes
 
 
@@ -53,9 +53,9 @@
         self, name: str, revision: int, now_s: float
     ) -> list[BeliefChange]:
         """Forget what was not known."""
-        before = self._forgotten_revision
+        before = self.told_from
         changes = super().take_removal(name, revision, now_s)
-        self._forgotten_revision = before
+        self.told_from = before
         return changes
 
 
@@ -63,9 +63,9 @@
     """Forgets targets, and that it has."""
 
     def _forget(self, belief: TargetBelief) -> None:
-        before = self._forgotten_revision
+        before = self.told_from
         super()._forget(belief)
-        self._forgotten_revision = before
+        self.told_from = before
 
 
 class OldListsBelieved(TargetRegistry):
--- a/endivepick/model/registry.py
+++ b/endivepick/model/registry.py
@@ -208,6 +208,7 @@
                 node.take_removal(name, change, 0.0)
             else:
                 node.take_entry(entry, 0.0)
+        node.seen(revision)
 
     def agrees(self, world: RegistryWorld) -> bool:
         """Tell whether each instance believes what stood at its revision."""
