Reset flows of a draining target whose address has another incarnation

Found by reading the change that leaves a draining target its flows: if it ended early and another incarnation got its address, that one ignores its packets, so its callers would have waited in silence for the three heartbeats until the entry lapses.

Change: the belief notes that a probe met another incarnation; such a target has ended. The test failed first.

--- a/endivepick/forwarding/belief.py
+++ b/endivepick/forwarding/belief.py
@@ -113,6 +113,8 @@
         What packets and probes say.
     reachability_since_s : float
         When that began, in seconds.
+    replaced : bool
+        Another incarnation answered at its address, so it has ended.
     revision : int
         Revision of the store up to which its entry, or its removal, is known.
     cold_until_s : float
@@ -133,6 +135,7 @@
     state_since_s: float
     reachability: Reachability = Reachability.REACHABLE
     reachability_since_s: float = 0.0
+    replaced: bool = False
     revision: int = 0
     cold_until_s: float = 0.0
     flows: int = 0
--- a/endivepick/forwarding/evidence.py
+++ b/endivepick/forwarding/evidence.py
@@ -143,6 +143,7 @@
     ) -> list[Effect]:
         """Take in the outcome of a probe."""
         reason = f"probe: {outcome.value}"
+        belief.replaced = outcome is ProbeOutcome.REPLACED
         changes = self._registry.reach(belief, _PROBE_EVENTS[outcome], reason, now_s)
         effects: list[Effect] = [*changes, *self.resets(belief)]
         if changes and belief.reachability is Reachability.SILENT:
@@ -225,6 +226,10 @@
         return [ProbeTarget(belief.target, path)]
 
 
+def _may_finish(belief: TargetBelief) -> bool:
+    return belief.state is TargetState.DRAINING and not belief.replaced
+
+
 def reset_reason(
     belief: TargetBelief, kind: RouteKind, busy: bool, elsewhere: bool
 ) -> ResetReason | None:
@@ -232,7 +237,7 @@
 
     A dead target answers no flow again.  One that drains is not dead when it refuses
     connections: it finishes its requests first, and its entry is removed when it has
-    ended.  A silent one may answer again, after a partition: its idempotent requests
+    ended; sooner only if another incarnation has its address.  A silent one may answer again, after a partition: its idempotent requests
     are better repeated elsewhere, if there is a target elsewhere; callers without one
     are served when the partition ends within their deadline.
     Other requests may be running and are left alone until the registry gives the
@@ -251,7 +256,7 @@
         Another target could serve the flow's requests.
     """
     match belief.reachability:
-        case Reachability.DEAD if belief.state is TargetState.DRAINING:
+        case Reachability.DEAD if _may_finish(belief):
             return None
         case Reachability.DEAD:
             return ResetReason.TARGET_DEAD
--- a/endivepick/forwarding/tests/test_evidence.py
+++ b/endivepick/forwarding/tests/test_evidence.py
@@ -2,6 +2,7 @@
 
 from endivepick.forwarding import (
     Forward,
+    ProbeOutcome,
     ProbeResult,
     ProbeTarget,
     Reachability,
@@ -193,6 +194,15 @@
         answered = data(flow, belief.cookie, 701, 3100, 0)
         self.assertEqual(self.core.on_packet(answered, b"", 8.55), Forward(belief))
 
+    def test_one_whose_address_has_another_incarnation_has_ended(self):
+        flow, belief = self.established(1)
+        leaving = make_target(belief.name, phase=TargetPhase.DRAINING, revision=20)
+        self.core.on_target(leaving, 3.0)
+        self.core.effects.clear()
+        self.core.on_hint(belief.name, 8.0)
+        answer_probes(self.core, ProbeOutcome.REPLACED, 8.1)
+        self.assertEqual([r.flow for r in take(self.core, Reset)], [flow])
+
     def test_its_flows_are_reset_once_its_entry_is_gone(self):
         flow, belief = self.established(1)
         leaving = make_target(belief.name, phase=TargetPhase.DRAINING, revision=20)
