--- a/endivepick/forwarding/evidence.py
+++ b/endivepick/forwarding/evidence.py
@@ -237,9 +237,10 @@
 
     A dead target answers no flow again.  One that drains is not dead when it refuses
     connections: it finishes its requests first, and its entry is removed when it has
-    ended; sooner only if another incarnation has its address.  A silent one may answer again, after a partition: its idempotent requests
-    are better repeated elsewhere, if there is a target elsewhere; callers without one
-    are served when the partition ends within their deadline.
+    ended; sooner only if another incarnation has its address.  A silent one may answer
+    again, after a partition: its idempotent requests are better repeated elsewhere, if
+    there is a target elsewhere; callers without one are served when the partition ends
+    within their deadline.
     Other requests may be running and are left alone until the registry gives the
     target up as well; without a request in progress, the reset lets the next request
     open a flow that works.
