Take a greeting's answer of another build for a sign of life

An answer that could not be read raised in the task of peers, which then began anew after a second, and in a greeting's own task, where nobody wrote it down. It is logged now as other answers of other builds are.

--- a/endivepick/forwarder/peers.py
+++ b/endivepick/forwarder/peers.py
@@ -249,7 +249,11 @@
         body = self._call(address, f"{HELLO_PATH}?{_FROM}={self._own}")
         if body is None:
             return False
-        self._learn(_read_peers.decode(body))
+        try:
+            self._learn(_read_peers.decode(body))
+        except msgspec.MsgspecError as error:
+            # A peer of another build; it lives all the same.
+            self._say_failed(address, str(error))
         return True
 
     def _ask(self) -> None:
@@ -258,7 +262,8 @@
         peers = self.book.recent(MAX_PEERS)
         asked = random.sample(peers, k=min(MAX_ASKED, len(peers)))
         helped = False
-        for address in asked if self._core.ready else self._answering(asked):
+        likely = asked if self._core.ready else self._answering(asked)
+        for address in likely:
             body = self._call(address, f"{SNAPSHOT_PATH}?{self._question()}")
             if body is None:
                 continue
--- a/endivepick/forwarder/tests/test_peers.py
+++ b/endivepick/forwarder/tests/test_peers.py
@@ -1,9 +1,11 @@
 import json
 import unittest
 
+import gevent
 import msgspec
 
 from endivepick.clock import steady_now_s
+from endivepick.forwarder.http import Response, http_server
 from endivepick.forwarder.logs import BoundedLog
 from endivepick.forwarder.peer_book import MAX_PEERS, Neighbours, PeerBook
 from endivepick.forwarder.peers import (
@@ -19,6 +21,7 @@
 from endivepick.forwarding.tests.support import make_core, make_target
 
 OWN = "10.0.0.1:7000"
+TIMEOUT_S = 20.0
 
 
 def make_feed(core, seeds=()):
@@ -86,6 +89,28 @@
         self.assertEqual(neighbours.lost(32.0), [])
 
 
+class TestGreetings(unittest.TestCase):
+    def greeted(self, body):
+        """Greet a lost neighbour that answers so; returns who is still lost."""
+        feed = make_feed(make_core())
+        answer = Response(200, body, "application/json")
+        with http_server("127.0.0.1:0", lambda *_: answer) as address:
+            feed.neighbours.heard(address, steady_now_s() - 5.0)
+            feed._greet_lost()
+            with gevent.Timeout(TIMEOUT_S):
+                feed._greetings.join()
+        return feed, feed.neighbours.lost(steady_now_s())
+
+    def test_peers_of_one_that_was_found_are_learnt(self):
+        feed, lost = self.greeted(b'["10.0.0.7:1"]')
+        self.assertEqual(lost, [])
+        self.assertIn("10.0.0.7:1", feed.book.recent(9))
+
+    def test_an_answer_of_another_build_is_one_all_the_same(self):
+        _, lost = self.greeted(b'{"peers": 3}')
+        self.assertEqual(lost, [])
+
+
 class TestAsksPeers(unittest.TestCase):
     def test_hundreds_that_start_at_once_leave_their_peers_alone(self):
         # Lists of 480 kB arrive for seconds on links of 2 Mbit/s.
