--- a/endivepick/forwarder/tests/test_zone.py
+++ b/endivepick/forwarder/tests/test_zone.py
@@ -248,8 +248,9 @@
         self.assertEqual(self.neighbours.lost(later_s), [address, "10.0.0.9:1"])
 
     def test_one_that_is_stale_from_the_start_is_not_followed(self):
-        self.follow(self.news(heard_before_s=9.0))
+        address = self.follow(self.news(heard_before_s=9.0))
         self.assertEqual(self.done(FeedKind.REGISTRY), [])
+        self.assertEqual(self.member._lost(), [address])
 
     def test_a_new_configuration_is_read_from_the_store(self):
         self.follow(self.news(), self.news(config=7))
--- a/endivepick/forwarder/zone.py
+++ b/endivepick/forwarder/zone.py
@@ -68,14 +68,14 @@
     ----------
     reason : str
         Why.
-    silent : bool
-        Whether it did not answer at all.
+    lost : bool
+        Whether another has to take its place: it does not answer, or is cut off.
     """
 
-    def __init__(self, reason: str, silent: bool) -> None:
+    def __init__(self, reason: str, lost: bool) -> None:
         super().__init__(reason)
         self.reason = reason
-        self.silent = silent
+        self.lost = lost
 
 
 class ZoneMember:
@@ -224,12 +224,12 @@
         began_s = steady_now_s()
         try:
             with store_connection(feeder) as connection:
-                self._check(self._poll(feeder, connection))
+                self._check_first(self._poll(feeder, connection))
                 with self._fed(feeder):
                     while True:
                         self._check(self._poll(feeder, connection))
         except _FeederLeft as left:
-            if left.silent:
+            if left.lost:
                 self._lost_s[feeder] = steady_now_s()
             self._log.event(
                 "zone",
@@ -243,7 +243,7 @@
     @contextmanager
     def _fed(self, feeder: str) -> Iterator[None]:
         if not self._all_settled:
-            raise _FeederLeft("store lost here meanwhile", silent=False)
+            raise _FeederLeft("store lost here meanwhile", lost=False)
         self._log.event("zone", "feeder_followed", "fed by a peer", feeder=feeder)
         self.fed = True
         for feed in self._feeds.values():
@@ -269,25 +269,37 @@
             answer = read_feeder_answer(body)
         except PlatformAnswerError:
             # It lives: it has just started, or is about to stop.
-            raise _FeederLeft("it does not feed", silent=False) from None
+            raise _FeederLeft("it does not feed", lost=False) from None
         except (EndivepickError, msgspec.MsgspecError) as error:
-            raise _FeederLeft(str(error), silent=True) from None
+            raise _FeederLeft(str(error), lost=True) from None
         match answer:
             case FeederFull():
                 self._full_s[feeder] = steady_now_s()
-                raise _FeederLeft("it feeds as many as it can", silent=False)
+                raise _FeederLeft("it feeds as many as it can", lost=False)
             case FeederAhead():
-                raise _FeederLeft("it cannot tell what changed", silent=False)
+                raise _FeederLeft("it cannot tell what changed", lost=False)
             case ZoneNews():
                 self._neighbours.heard(feeder, steady_now_s())
                 self._take(answer.registry, answer.config_change)
                 return answer
 
+    def _check_first(self, news: ZoneNews) -> None:
+        """Take a feeder for lost that the store does not answer, though it does us.
+
+        The claims have just been read here.  Otherwise those whom it fed came back to
+        it every few seconds until its partition ended, and followed the store all of
+        eight seconds.
+        """
+        try:
+            self._check(news)
+        except _FeederLeft as left:
+            raise _FeederLeft(left.reason, lost=True) from None
+
     def _check(self, news: ZoneNews) -> None:
         """Rely on a feeder only while the store answers it."""
         if news.heard_before_s > self._freshness.feeder_silent_s:
             reason = f"store silent there for {news.heard_before_s:.1f} s"
-            raise _FeederLeft(reason, silent=False)
+            raise _FeederLeft(reason, lost=False)
         self._note_heard(FeedKind.CONFIGURATION, news.heard_before_s)
         # Lapsed entries are given up on the registry's own word only.
         self._note_heard(FeedKind.REGISTRY, news.registry_before_s)
