--- a/endivepick/forwarder/feeding.py
+++ b/endivepick/forwarder/feeding.py
@@ -36,7 +36,7 @@
 """What an entry of the registry takes in an answer."""
 WHOLE_S = 1.0
 """How long the whole registry may keep the feeder's link, told to all whom it feeds:
-that of 3,000 targets took 9 s on a link of 10 Mbit/s after a common start."""
+3,000 targets, 480 kB told to 24 instances, would keep one of 10 Mbit/s for 9 s."""
 _MBIT_BYTES = 125_000
 _NOT_FEEDING = Response(404)
 
