Tell targets between instances as arrays

Cause: what a feeder tells of changes goes out once for each instance that it feeds.

Change: Target and RemovedTarget are encoded without the names of their fields: 188 bytes, then 90.

--- a/endivepick/forwarder/feeding.py
+++ b/endivepick/forwarder/feeding.py
@@ -32,11 +32,11 @@
 UNASKED_S = 10.0
 """A feeder that nobody has asked for so long keeps no short watch: the only instance of
 a zone is its feeder, and short watches would cost the store calls for nothing."""
-TARGET_BYTES = 160
-"""What an entry of the registry takes in an answer."""
+TARGET_BYTES = 100
+"""What an entry of the registry takes in an answer, with a long name of its zone."""
 WHOLE_S = 1.0
 """How long the whole registry may keep the feeder's link, told to all whom it feeds:
-3,000 targets, 480 kB told to 24 instances, would keep one of 10 Mbit/s for 9 s."""
+3,000 targets, 270 kB told to 24 instances, would keep one of 10 Mbit/s for 5 s."""
 _MBIT_BYTES = 125_000
 _NOT_FEEDING = Response(404)
 
--- a/endivepick/forwarder/tests/test_zone.py
+++ b/endivepick/forwarder/tests/test_zone.py
@@ -140,7 +140,7 @@
     def test_how_much_may_be_told_follows_from_the_link(self):
         settings = decode_settings(json.dumps(GOOD | {"link_mbps": 10}).encode())
         feeder = ZoneFeeder(settings, self.core, self.feeds, self.neighbours, None)
-        self.assertAlmostEqual(feeder._whole_targets, 325, delta=1)
+        self.assertAlmostEqual(feeder._whole_targets, 520, delta=1)
 
     def test_of_a_new_configuration_the_change_is_told(self):
         self.feed()
--- a/endivepick/forwarding/model.py
+++ b/endivepick/forwarding/model.py
@@ -87,9 +87,12 @@
     DRAINING = "draining"
 
 
-class Target(Struct, frozen=True):
+class Target(Struct, frozen=True, array_like=True):
     """Registry entry of one incarnation of a backend server.
 
+    Instances tell each other of entries as arrays, 90 bytes each instead of 188 with
+    the names of the fields: a feeder passes each change on to all whom it feeds.
+
     Attributes
     ----------
     name : str
--- a/endivepick/forwarding/registry.py
+++ b/endivepick/forwarding/registry.py
@@ -36,7 +36,7 @@
 }
 
 
-class RemovedTarget(Struct, frozen=True):
+class RemovedTarget(Struct, frozen=True, array_like=True):
     """An entry that vanished, and the store's revision at which it had."""
 
     name: str
--- a/endivepick/forwarding/tests/test_registry.py
+++ b/endivepick/forwarding/tests/test_registry.py
@@ -1,5 +1,7 @@
 import unittest
 
+import msgspec
+
 from endivepick.forwarding import TargetPhase, TargetState
 from endivepick.forwarding.belief import ReachabilityEvent
 from endivepick.forwarding.registry import TargetRegistry
@@ -43,6 +45,14 @@
         self.registry.reach(belief, ReachabilityEvent.PROBE_ALIVE, "", 12.0)
         self.assertEqual(self.sorted_for_zone(), (left, ["i-1"], 15))
 
+    def test_an_entry_takes_little_on_its_way_between_instances(self):
+        target = make_target("i-7f3a91c2", "fukuoka-hall", revision=5312, created=5300)
+        self.registry.take_entry(target, 1.0)
+        news = self.registry.news_since(5311)
+        told = msgspec.json.encode(news)
+        self.assertLess(len(told), 160)
+        self.assertEqual(msgspec.json.decode(told, type=type(news)), news)
+
     def test_time_without_changes_makes_what_is_known_newer(self):
         self.registry.seen(90)
         self.registry.seen(40)
