--- a/endivepick/bench/path_cost.py
+++ b/endivepick/bench/path_cost.py
@@ -94,7 +94,7 @@
         return Packet(flow, opening, last, cookie, seq, ack, size_bytes)
 
     def to_target(self, data: bytes, target: Target, cookie: int) -> bytes:
-        return _NAME.pack(target.incarnation, cookie) + data[4:]
+        return _NAME.pack(target.number, cookie) + data[4:]
 
     def reset(self, flow: FlowKey, sequence: int) -> bytes:
         raise NotImplementedError("No flow of this load is reset.")
--- a/endivepick/forwarder/decision_log.py
+++ b/endivepick/forwarder/decision_log.py
@@ -93,6 +93,8 @@
             f"{result.target} {result.outcome.value}",
             target=result.target,
             outcome=result.outcome.value,
+            probed_born_ms=result.probed_born_ms,
+            shown_born_ms=result.shown_born_ms,
         )
 
     def hint(self, target: str) -> None:
@@ -143,7 +145,8 @@
         )
 
     def unreadable(self, kind: FeedKind, item: UnreadableItem) -> None:
-        """Write that an object of the store was skipped."""
+        """Write that an object of the store, or told by an instance, was skipped."""
+        self.metrics.count("items_unreadable", kind.value)
         self.log.warning(
             "store",
             "item_unreadable",
@@ -151,6 +154,7 @@
             kind=kind.value,
             item=item.name,
             fault=item.fault,
+            revision=item.revision,
         )
 
     def malformed(self, error: PacketInvalidError, size_bytes: int) -> None:
--- a/endivepick/forwarder/feed.py
+++ b/endivepick/forwarder/feed.py
@@ -249,6 +249,8 @@
             items += page.items
             # Changes between two pages are found again by watching from the first.
             revision = page.revision if revision is None else revision
+            if after and page.next_after == after:
+                raise PlatformAnswerError("A list does not go on after a name.")
             after = page.next_after
             if not after:
                 break
--- a/endivepick/forwarder/feeders.py
+++ b/endivepick/forwarder/feeders.py
@@ -100,11 +100,11 @@
     wanted = [name for name in places[:fewest] if name not in held]
     if wanted:
         return WriteClaim(FeederClaim(_draw(wanted, random_share), own))
-    taken = [claim for claim in held.values() if claim.holder in lost]
+    taken = [claim for claim in held.values() if _is_lost(claim, lost)]
     if taken:
         claim = _draw(taken, random_share)
         return WriteClaim(FeederClaim(claim.name, own, claim.revision))
-    feeders = [claim for claim in held.values() if claim.holder not in full]
+    feeders = [c for c in held.values() if c.holder and c.holder not in full]
     if feeders:
         return FollowFeeder(_draw(feeders, random_share))
     free = [name for name in places if name not in held]
@@ -148,5 +148,13 @@
         self._asked_s = {a: s for a, s in self._asked_s.items() if s > limit_s}
 
 
+def _is_lost(claim: FeederClaim, lost: Collection[str]) -> bool:
+    """Whether a place is to be taken over: its holder is lost, or names nobody."""
+    if not claim.holder:
+        # Without its revision it cannot be replaced.
+        return claim.revision > 0
+    return claim.holder in lost
+
+
 def _draw(choices: Sequence[_Choice], random_share: Callable[[], float]) -> _Choice:
     return choices[int(random_share() * len(choices)) % len(choices)]
--- a/endivepick/forwarder/forwarder.py
+++ b/endivepick/forwarder/forwarder.py
@@ -4,6 +4,7 @@
 
 import gc
 import random
+import time
 from collections.abc import Iterator, Mapping
 from contextlib import ExitStack, contextmanager
 from socket import socket
@@ -217,6 +218,7 @@
             self._ticked_s = now_s
             if late_s > PAUSE_S:
                 self._on_pause(late_s, now_s)
+            self.core.on_wall_clock(time.time() - now_s)
             registry = self._feeds[FeedKind.REGISTRY]
             if registry.lost:
                 self.core.on_unread(now_s)
--- a/endivepick/forwarder/metrics.py
+++ b/endivepick/forwarder/metrics.py
@@ -20,6 +20,7 @@
     "flows_reset": "Flows reset at their callers, by reason.",
     "target_changes": "Changes of what is believed of targets, by new belief.",
     "probes": "Probes of targets, by outcome.",
+    "items_unreadable": "Objects of the store that could not be read, by kind.",
     "store_calls": "Calls of the platform's object API, by answer.",
     "tasks_failed": "Tasks that met a fault and began again, by name.",
     "log_lines_dropped": "Log lines left out.",
--- a/endivepick/forwarder/news.py
+++ b/endivepick/forwarder/news.py
@@ -12,8 +12,10 @@
     ConfigurationChange,
     ForwardingCore,
     RegistryNews,
+    RemovedTarget,
     Target,
     apply_change,
+    check_target,
 )
 
 __all__ = ["NewsIntake"]
@@ -54,7 +56,12 @@
         match news:
             case FeedList(kind=FeedKind.REGISTRY, items=items):
                 targets = [item for item in items if isinstance(item, Target)]
-                self._core.on_target_list(targets, news.revision, now_s, news.asked_s)
+                unreadable = [
+                    i.name for i in items if isinstance(i, UnreadableItem) and i.name
+                ]
+                self._core.on_target_list(
+                    targets, news.revision, now_s, news.asked_s, unreadable
+                )
             case _:
                 self._on_items(news, now_s)
         if news.kind is FeedKind.REGISTRY:
@@ -78,7 +85,7 @@
         if change is not None:
             self._on_change(change, now_s)
         if newer:
-            self._core.on_registry_news(registry, now_s)
+            self._core.on_registry_news(self._usable(registry), now_s)
         if newer or change is not None:
             self._after()
 
@@ -92,7 +99,13 @@
         ):
             self._on_configuration(configuration, now_s, PEER)
         if snapshot.targets is not None and revision >= self._core.registry.revision:
-            self._core.on_target_list(snapshot.targets, revision, now_s)
+            removed = [RemovedTarget(n, revision, True) for n in snapshot.unreadable]
+            told = RegistryNews(snapshot.targets, removed, True, revision)
+            usable = self._usable(told)
+            unreadable = [each.name for each in usable.removed]
+            self._core.on_target_list(
+                usable.targets, revision, now_s, unreadable=unreadable
+            )
         self._decisions.snapshot(
             snapshot.name,
             configuration.version if configuration is not None else None,
@@ -108,11 +121,31 @@
                     self._core.on_target(item, now_s)
                 case ItemRemoved(name, revision) if news.kind is FeedKind.REGISTRY:
                     self._core.on_target_removed(name, revision, now_s)
+                case UnreadableItem(name, _, revision) if _is_entry(news.kind, name):
+                    self._core.on_target_unreadable(name, revision, now_s)
                 case Configuration():
                     self._on_configuration(item, now_s, STORE)
                 case _:
                     pass
 
+    def _usable(self, told: RegistryNews) -> RegistryNews:
+        """Return what another instance told, its unusable entries as unreadable.
+
+        One of another build may pass on what is not taken here.
+        """
+        targets: list[Target] = []
+        removed = list(told.removed)
+        for target in told.targets:
+            try:
+                check_target(target)
+            except ValueError as error:
+                item = UnreadableItem(target.name, str(error), target.revision)
+                self._decisions.unreadable(FeedKind.REGISTRY, item)
+                removed.append(RemovedTarget(item.name, item.revision, True))
+            else:
+                targets.append(target)
+        return RegistryNews(targets, removed, told.whole, told.revision)
+
     def _on_change(self, change: ConfigurationChange, now_s: float) -> None:
         known = self._core.routes.configuration
         configuration = None if known is None else apply_change(known, change)
@@ -127,3 +160,8 @@
     ) -> None:
         in_force = self._core.on_configuration(configuration, now_s)
         self._decisions.configuration(configuration, in_force, learnt_from)
+
+
+def _is_entry(kind: FeedKind, name: str) -> bool:
+    """Whether an unreadable object is an entry of the registry that can be named."""
+    return kind is FeedKind.REGISTRY and bool(name)
--- a/endivepick/forwarder/packet_path.py
+++ b/endivepick/forwarder/packet_path.py
@@ -63,7 +63,7 @@
     codec : PacketCodec
         Packets of the fabric.
     dialect : StoreDialect
-        Names the header of health checks.
+        Reads answers of health checks.
     decisions : DecisionLog
         Where decisions are written.
     requests : PathRequests
@@ -179,7 +179,7 @@
         gevent.spawn(
             probe_target,
             probe,
-            self._dialect.identity_header,
+            self._dialect,
             self._core.settings,
             self._on_probe,
         )
--- a/endivepick/forwarder/peers.py
+++ b/endivepick/forwarder/peers.py
@@ -14,7 +14,7 @@
 import msgspec
 from gevent.event import Event
 from gevent.pool import Pool
-from msgspec import Struct
+from msgspec import Struct, field
 
 from endivepick.addresses import parse_address
 from endivepick.clock import steady_now_s
@@ -86,6 +86,8 @@
         Whether the store is out of reach there as well.
     peers : list of str
         Peers that it knows.
+    unreadable : list of str
+        Entries of the registry that are there and cannot be read.
     """
 
     name: str
@@ -95,6 +97,7 @@
     heard_before_s: float
     store_lost: bool
     peers: list[str]
+    unreadable: list[str] = field(default_factory=list)
 
 
 _read_snapshot = msgspec.json.Decoder(PeerSnapshot)
@@ -221,11 +224,12 @@
             heard_before_s(self._feeds),
             self._store_lost,
             self.book.recent(TOLD_PEERS),
+            [b.name for b in self._core.registry if b.state is TargetState.UNREADABLE],
         )
 
     def _targets(self) -> list[Target]:
-        beliefs = list(self._core.registry)
-        return [b.target for b in beliefs if b.state is not TargetState.GONE]
+        named = (TargetState.READY, TargetState.DRAINING, TargetState.LAPSED)
+        return [b.target for b in self._core.registry if b.state in named]
 
     def _greet(self) -> None:
         for address in self.book.recent(1):
--- a/endivepick/forwarder/ports.py
+++ b/endivepick/forwarder/ports.py
@@ -20,6 +20,7 @@
     "ListPage",
     "PacketCodec",
     "StoreDialect",
+    "TargetIdentity",
     "UnreadableItem",
 ]
 
@@ -39,10 +40,21 @@
 
 
 class UnreadableItem(Struct, frozen=True):
-    """An object that the adapter could not read; the others stay valid."""
+    """An object that the adapter could not read; the others stay valid.
+
+    Attributes
+    ----------
+    name : str
+        Its name, "" if not even that can be read.
+    fault : str
+        What is wrong with it.
+    revision : int
+        Revision of the store that wrote it, or that it was read at.
+    """
 
     name: str
     fault: str
+    revision: int
 
 
 Item = Target | Configuration | ItemRemoved | UnreadableItem
@@ -89,9 +101,9 @@
     name : str
         Name of the object: one of the zone's places for feeders.
     holder : str
-        Address at which the feeder answers its peers.
+        Address at which the feeder answers its peers, "" if it cannot be read.
     revision : int
-        Revision of the store that wrote it; 0 if it is to be created.
+        Revision of the store that wrote it; 0 if it is to be created, or not known.
     """
 
     name: str
@@ -99,6 +111,21 @@
     revision: int = 0
 
 
+class TargetIdentity(Struct, frozen=True):
+    """Who answered a health check.
+
+    Attributes
+    ----------
+    name : str
+        Name of the target's entry, "" if it does not say.
+    born_ms : int
+        When it started, in Unix milliseconds; 0 if it does not say.
+    """
+
+    name: str
+    born_ms: int = 0
+
+
 class StoreDialect(Protocol):
     """Paths and bodies of a platform's object API."""
 
@@ -135,6 +162,10 @@
         """Header in which a target's health check names its entry, lower case."""
         ...
 
+    def read_health(self, header: str, body: bytes) -> TargetIdentity:
+        """Decode who answered a health check, from that header and the body."""
+        ...
+
 
 class PacketCodec(Protocol):
     """Packets of a platform's fabric."""
--- a/endivepick/forwarder/status.py
+++ b/endivepick/forwarder/status.py
@@ -33,6 +33,7 @@
         "name": belief.name,
         "service": belief.target.service,
         "zone": belief.target.zone,
+        "born_ms": belief.target.born_ms,
         "state": belief.state.value,
         "state_for_s": rounded(now_s - belief.state_since_s),
         "reachability": belief.reachability.value,
--- a/endivepick/forwarder/tests/test_feeders.py
+++ b/endivepick/forwarder/tests/test_feeders.py
@@ -45,6 +45,14 @@
         taken = step(OTHERS, lost=["10.0.0.3:1", "10.0.0.4:1"], share=0.99)
         self.assertEqual(taken, WriteClaim(FeederClaim("a.1", OWN, 6)))
 
+    def test_the_place_of_a_claim_that_names_nobody_is_taken_under_its_revision(self):
+        taken = step([FeederClaim("a.0", "", 5), OTHERS[1]])
+        self.assertEqual(taken, WriteClaim(FeederClaim("a.0", OWN, 5)))
+
+    def test_a_claim_of_which_nothing_can_be_read_is_left_alone(self):
+        followed = step([FeederClaim("a.0", "", 0), OTHERS[1]])
+        self.assertEqual(followed, FollowFeeder(OTHERS[1]))
+
     def test_places_beyond_the_fewest_stay_free_while_feeders_have_room(self):
         followed = step(OTHERS, full=["10.0.0.2:1"])
         self.assertEqual(followed, FollowFeeder(OTHERS[1]))
--- /dev/null
+++ b/endivepick/forwarder/tests/test_news.py
@@ -0,0 +1,108 @@
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from msgspec.structs import replace
+
+from endivepick.forwarder.decision_log import DecisionLog
+from endivepick.forwarder.feed import FeedChanges, FeedList
+from endivepick.forwarder.logs import BoundedLog
+from endivepick.forwarder.metrics import ForwarderMetrics
+from endivepick.forwarder.news import NewsIntake
+from endivepick.forwarder.peers import PeerSnapshot
+from endivepick.forwarder.ports import FeedKind, UnreadableItem
+from endivepick.forwarding import (
+    RegistryNews,
+    RemovedTarget,
+    Target,
+    TargetState,
+    check_target,
+)
+from endivepick.forwarding.tests.support import make_core, make_target
+
+ODD_TARGETS = st.builds(
+    Target,
+    st.sampled_from(["i-1", "i-0", "", "i-" + "f" * 17, "x y"]),
+    st.integers(-(1 << 70), 1 << 70),
+    st.sampled_from(["notes", "", "packs"]),
+    st.sampled_from(["10.0.0.1", "", "here", "300.1.1.1"]),
+    st.integers(-5, 1 << 20),
+    st.sampled_from(["a", ""]),
+    st.integers(-3, 1 << 40),
+    cold_s=st.floats(),
+    revision=st.integers(0, 99),
+    born_ms=st.integers(-5, 1 << 60),
+)
+
+
+class TestNews(unittest.TestCase):
+    def setUp(self):
+        self.targets = [make_target(f"i-{n}", revision=n) for n in range(1, 4)]
+        self.core = make_core(self.targets)
+        self.lines = []
+        log = BoundedLog("a", lambda data: self.lines.append(data) or len(data))
+        self.decisions = DecisionLog(log, ForwarderMetrics())
+        self.intake = NewsIntake(self.core, self.decisions, log.flush)
+
+    def state(self, name):
+        belief = self.core.registry.get(name)
+        return None if belief is None else belief.state
+
+    def states(self):
+        return [self.state(target.name) for target in self.targets]
+
+    def written(self, event):
+        return b"".join(self.lines).count(f'"event":"{event}"'.encode())
+
+    def test_a_list_with_an_unreadable_entry_keeps_the_others(self):
+        odd = UnreadableItem("i-2", "slots", 15)
+        items = (self.targets[0], odd, self.targets[2], UnreadableItem("", "?", 15))
+        self.intake.on_feed(FeedList(FeedKind.REGISTRY, items, 20, 0.0))
+        ready, unreadable = TargetState.READY, TargetState.UNREADABLE
+        self.assertEqual(self.states(), [ready, unreadable, ready])
+        self.assertEqual(self.written("item_unreadable"), 2)
+        self.assertEqual(
+            self.decisions.metrics.counts["items_unreadable", "registry"], 2
+        )
+
+    def test_a_change_that_makes_an_entry_unreadable(self):
+        odd = UnreadableItem("i-2", "slots", 15)
+        self.intake.on_feed(FeedChanges(FeedKind.REGISTRY, (odd,), 20))
+        self.assertIs(self.state("i-2"), TargetState.UNREADABLE)
+        back = replace(self.targets[1], revision=25)
+        self.intake.on_feed(FeedChanges(FeedKind.REGISTRY, (back,), 25))
+        self.assertIs(self.state("i-2"), TargetState.READY)
+
+    def test_an_unreadable_configuration_changes_no_target(self):
+        odd = UnreadableItem("i-2", "routes", 15)
+        self.intake.on_feed(FeedChanges(FeedKind.CONFIGURATION, (odd,), 20))
+        self.assertIs(self.state("i-2"), TargetState.READY)
+
+    def test_what_a_feeder_of_another_build_passes_on_is_checked(self):
+        odd = replace(self.targets[1], slots=0, revision=30)
+        good = make_target("i-9", revision=31)
+        gone = RemovedTarget("i-3", 32, unreadable=True)
+        news = RegistryNews([odd, good], [gone], False, 32)
+        self.intake.on_zone_news(news, None)
+        unreadable = TargetState.UNREADABLE
+        self.assertEqual(self.states()[1:], [unreadable, unreadable])
+        self.assertIs(self.state("i-9"), TargetState.READY)
+
+    def test_what_a_peer_of_another_build_tells_is_checked(self):
+        odd = replace(self.targets[1], host="nowhere", revision=30)
+        snapshot = PeerSnapshot(
+            "b", None, [self.targets[0], odd], 40, 0.0, False, [], ["i-3"]
+        )
+        self.intake.on_snapshot(snapshot)
+        ready, unreadable = TargetState.READY, TargetState.UNREADABLE
+        self.assertEqual(self.states(), [ready, unreadable, unreadable])
+
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    @given(st.lists(ODD_TARGETS, max_size=4), st.booleans())
+    def test_whatever_is_told_only_what_can_be_used_is_believed(self, odd, whole):
+        self.setUp()
+        good = make_target("i-abc", revision=100)
+        self.intake.on_zone_news(RegistryNews([*odd, good], [], whole, 200), None)
+        self.assertIs(self.state("i-abc"), TargetState.READY)
+        for belief in self.core.registry:
+            check_target(belief.target)
--- a/endivepick/forwarder/tests/test_probes.py
+++ b/endivepick/forwarder/tests/test_probes.py
@@ -6,6 +6,7 @@
 from gevent.server import StreamServer
 
 from endivepick.forwarder import probes
+from endivepick.forwarder.ports import TargetIdentity
 from endivepick.forwarder.probes import probe_target
 from endivepick.forwarding import (
     ForwardingSettings,
@@ -15,16 +16,28 @@
 )
 
 SETTINGS = ForwardingSettings(zone="a", probe_timeouts_s=(5.0, 5.0))
-HEADER = b"x-instance-id"
 
 
-def probe(port):
-    """Probe the target i-1 at a port of this machine."""
+class Dialect:
+    """Reads answers whose body is the time of start."""
+
+    identity_header = b"x-instance-id"
+
+    def read_health(self, header, body):
+        return TargetIdentity(header, int(body or 0))
+
+
+def probe_result(port):
+    """Probe the target i-1, started at 5, at a port of this machine."""
     results = []
-    target = Target("i-1", 1, "notes", "127.0.0.1", port, "a", 2)
-    probe_target(ProbeTarget(target, "/health"), HEADER, SETTINGS, results.append)
+    target = Target("i-1", 1, "notes", "127.0.0.1", port, "a", 2, born_ms=5)
+    probe_target(ProbeTarget(target, "/health"), Dialect(), SETTINGS, results.append)
     (result,) = results
-    return result.outcome
+    return result
+
+
+def probe(port):
+    return probe_result(port).outcome
 
 
 class TestProbeTarget(unittest.TestCase):
@@ -34,11 +47,14 @@
         self.addCleanup(server.stop)
         return server.server_port
 
-    def answer_as(self, name, status="200 OK"):
+    def answer_as(self, name, status="200 OK", body="", length=None):
+        length = len(body) if length is None else length
         head = (
-            f"HTTP/1.1 {status}\r\nX-Instance-Id: {name}\r\nContent-Length: 0\r\n\r\n"
+            f"HTTP/1.1 {status}\r\nX-Instance-Id: {name}\r\n"
+            f"Content-Length: {length}\r\n\r\n"
         )
-        return self.serve(lambda connection, _: connection.sendall(head.encode()))
+        answer = (head + body).encode()
+        return self.serve(lambda connection, _: connection.sendall(answer))
 
     def test_a_target_that_answers_as_itself_lives(self):
         self.assertIs(probe(self.answer_as("i-1")), ProbeOutcome.ALIVE)
@@ -50,6 +66,16 @@
     def test_another_incarnation_at_the_address_replaced_it(self):
         self.assertIs(probe(self.answer_as("i-2")), ProbeOutcome.REPLACED)
 
+    def test_an_answer_shows_which_incarnation_gave_it(self):
+        result = probe_result(self.answer_as("i-1", body="7"))
+        self.assertEqual((result.probed_born_ms, result.shown_born_ms), (5, 7))
+
+    def test_an_answer_without_an_end_still_says_who_gave_it(self):
+        result = probe_result(self.answer_as("i-2", body="7", length=9))
+        self.assertIs(result.outcome, ProbeOutcome.REPLACED)
+        result = probe_result(self.answer_as("i-1", body="7", length=9))
+        self.assertEqual(result.shown_born_ms, 7)
+
     def test_a_refused_connection_is_told_from_a_silent_one(self):
         with socket.socket() as holder:
             holder.bind(("127.0.0.1", 0))
--- a/endivepick/forwarding/__init__.py
+++ b/endivepick/forwarding/__init__.py
@@ -23,6 +23,7 @@
     TargetState,
 )
 from endivepick.forwarding.changes import ConfigurationChange, apply_change
+from endivepick.forwarding.checks import check_target, number_of_name
 from endivepick.forwarding.forwarder import ForwardingCore
 from endivepick.forwarding.model import (
     Configuration,
@@ -34,7 +35,7 @@
     Target,
     TargetPhase,
 )
-from endivepick.forwarding.registry import RegistryNews
+from endivepick.forwarding.registry import RegistryNews, RemovedTarget
 from endivepick.forwarding.settings import ForwardingSettings
 
 __all__ = [
@@ -58,6 +59,7 @@
     "ReadRegistry",
     "RegistryNews",
     "Release",
+    "RemovedTarget",
     "Reset",
     "ResetReason",
     "Route",
@@ -69,4 +71,6 @@
     "TargetState",
     "Verdict",
     "apply_change",
+    "check_target",
+    "number_of_name",
 ]
--- a/endivepick/forwarding/actions.py
+++ b/endivepick/forwarding/actions.py
@@ -34,6 +34,7 @@
     TARGET_DEAD = "target_dead"
     TARGET_SILENT = "target_silent"
     TARGET_GONE = "target_gone"
+    TARGET_RESTARTED = "target_restarted"
 
 
 class DropReason(Enum):
@@ -154,7 +155,22 @@
 
 
 class ProbeResult(Struct, frozen=True):
-    """Outcome of a probe of a target."""
+    """Outcome of a probe of a target.
+
+    Attributes
+    ----------
+    target : str
+        Name of the target.
+    outcome : ProbeOutcome
+        How it ended.
+    probed_born_ms : int
+        Start of the incarnation that was to be probed, in Unix milliseconds; 0 if its
+        entry does not say.
+    shown_born_ms : int
+        Start that the answer shows, in Unix milliseconds; 0 if it does not say.
+    """
 
     target: str
     outcome: ProbeOutcome
+    probed_born_ms: int = 0
+    shown_born_ms: int = 0
--- a/endivepick/forwarding/belief.py
+++ b/endivepick/forwarding/belief.py
@@ -13,6 +13,7 @@
     "ReachabilityEvent",
     "TargetBelief",
     "TargetEvent",
+    "TargetRestart",
     "TargetState",
 ]
 
@@ -24,6 +25,9 @@
     ----------
     READY, DRAINING
         As the entry says.
+    UNREADABLE
+        The entry cannot be read any more.  It names no target to use, so no new flow
+        goes there; the target may live, so open flows go on.
     LAPSED
         The entry vanished while the target was ready; it may return.
     GONE
@@ -32,6 +36,7 @@
 
     READY = "ready"
     DRAINING = "draining"
+    UNREADABLE = "unreadable"
     LAPSED = "lapsed"
     GONE = "gone"
 
@@ -45,6 +50,7 @@
 
     ENTRY_READY = "entry_ready"
     ENTRY_DRAINING = "entry_draining"
+    ENTRY_UNREADABLE = "entry_unreadable"
     ENTRY_REMOVED = "entry_removed"
     DEAD_ENTRY_REMOVED = "dead_entry_removed"
     FOUND_DEAD = "found_dead"
@@ -170,6 +176,19 @@
         return self.state in (TargetState.READY, TargetState.LAPSED)
 
 
+class TargetRestart(Struct, frozen=True):
+    """A target has started again under its name.
+
+    Attributes
+    ----------
+    before, after : TargetBelief
+        What is believed of the incarnation that has ended, and of the new one.
+    """
+
+    before: TargetBelief
+    after: TargetBelief
+
+
 class BeliefChange(Struct, frozen=True):
     """A change of what is believed of a target, for logs and the time line.
 
--- a/endivepick/forwarding/evidence.py
+++ b/endivepick/forwarding/evidence.py
@@ -19,6 +19,7 @@
     Reachability,
     ReachabilityEvent,
     TargetBelief,
+    TargetRestart,
     TargetState,
 )
 from endivepick.forwarding.flows import FlowTable
@@ -165,6 +166,30 @@
             self._flows.end(flow.key)
         return effects
 
+    def restarted(self, restart: TargetRestart, began_s: float) -> list[Effect]:
+        """Reset the flows of an incarnation that has ended.
+
+        The new one knows none of them and resets each itself when a packet of it
+        comes, but an idle flow whose next request may run once only has lost that
+        request by then.  Flows that may be open at the new one already are left to it.
+
+        Parameters
+        ----------
+        restart : TargetRestart
+            What is believed of the two incarnations.
+        began_s : float
+            No clock allows an earlier start of the new one, in seconds.
+        """
+        effects: list[Effect] = []
+        reason = ResetReason.TARGET_RESTARTED
+        for flow in self._flows.of_target(restart.before):
+            if flow.opened_s is None or flow.opened_s >= began_s:
+                continue
+            name = restart.before.name
+            effects.append(Reset(flow.key, flow.acknowledged, reason, name))
+            self._flows.end(flow.key)
+        return effects
+
     def has_alternative(self, belief: TargetBelief) -> bool:
         """Whether another target of the service may take flows and is reachable."""
         candidates = self._registry.candidates(belief.target.service)
@@ -227,7 +252,12 @@
 
 
 def _may_finish(belief: TargetBelief) -> bool:
-    return belief.state is TargetState.DRAINING and not belief.replaced
+    """Whether a target that refuses connections may have requests in progress.
+
+    One that drains has; one whose entry cannot be read may drain unseen.
+    """
+    planned = (TargetState.DRAINING, TargetState.UNREADABLE)
+    return belief.state in planned and not belief.replaced
 
 
 def reset_reason(
--- a/endivepick/forwarding/flows.py
+++ b/endivepick/forwarding/flows.py
@@ -46,8 +46,9 @@
         Number after the last byte that the caller sent.
     seen_s : float
         When the last packet came, in seconds.
-    opened : bool
-        The caller answered a target, so the flow is open at just that one.
+    opened_s : float or None
+        When the caller was first seen to have answered a target, in seconds; since then
+        the flow is open at just that one.
     busy_since_s : float or None
         When the data that the target has not answered yet came first, in seconds.
     noted_doubt : str
@@ -60,10 +61,15 @@
     acknowledged: int
     sent_end: int
     seen_s: float
-    opened: bool
+    opened_s: float | None
     busy_since_s: float | None = None
     noted_doubt: str = ""
 
+    @property
+    def opened(self) -> bool:
+        """Whether the flow is open at its target."""
+        return self.opened_s is not None
+
 
 def _ahead(number: int, other: int) -> bool:
     """Whether a 32-bit sequence number is newer than another.
@@ -155,8 +161,10 @@
     ) -> None:
         end = (packet.sequence + packet.data_bytes) % _NUMBERS
         acknowledged = 0 if packet.opening else packet.acknowledged
-        opened = not packet.opening
-        flow = ObservedFlow(packet.flow, belief, kind, acknowledged, end, now_s, opened)
+        opened_s = None if packet.opening else now_s
+        flow = ObservedFlow(
+            packet.flow, belief, kind, acknowledged, end, now_s, opened_s
+        )
         self._flows[packet.flow] = flow
         belief.flows += 1
         if packet.data_bytes:
@@ -174,7 +182,8 @@
             self._set_busy(flow, busy_since_s)
 
     def _compare(self, flow: ObservedFlow, packet: Packet, now_s: float) -> FlowSign:
-        flow.opened = True
+        if flow.opened_s is None:
+            flow.opened_s = now_s
         sign = FlowSign.NOTHING
         if flow.acknowledged == 0 or _ahead(packet.acknowledged, flow.acknowledged):
             flow.acknowledged = packet.acknowledged
--- a/endivepick/forwarding/forwarder.py
+++ b/endivepick/forwarding/forwarder.py
@@ -81,6 +81,7 @@
         self._unknown = UnknownCookies(settings.lapse_grace_s)
         self._held: deque[_HeldPacket] = deque()
         self._asked_s = float("-inf")
+        self._wall_ahead_s = float("-inf")
 
     @property
     def ready(self) -> bool:
@@ -102,7 +103,7 @@
         if not self.ready:
             return self._hold(packet, data, DropReason.NOT_READY, now_s)
         if self._cookie_unknown(packet):
-            if self._unknown.is_gone(packet.cookie, now_s) and not packet.closing:
+            if self._is_gone(packet.cookie, now_s) and not packet.closing:
                 return self._reset(packet, ResetReason.TARGET_GONE, "", now_s)
             return self._hold(packet, data, DropReason.UNKNOWN_COOKIE, now_s)
         return self._decide(packet, now_s)
@@ -123,6 +124,12 @@
             return False
         return self.registry.of_cookie(packet.cookie) is None
 
+    def _is_gone(self, cookie: int, now_s: float) -> bool:
+        """Whether no target is left behind a cookie that is not known."""
+        if self.registry.may_return(cookie):
+            return False
+        return self._unknown.is_gone(cookie, now_s)
+
     def on_configuration(self, configuration: Configuration, now_s: float) -> bool:
         """Take in a configuration; returns whether it is newly in force."""
         in_force = self.routes.take_in(configuration, now_s)
@@ -135,14 +142,17 @@
         revision: int,
         now_s: float,
         asked_s: float | None = None,
+        unreadable: Iterable[str] = (),
     ) -> None:
         """Take in a whole list of the registry at a revision of the store.
 
-        ``asked_s`` says when the store was asked for it, None if it is a peer's.
+        ``asked_s`` says when the store was asked for it, None if it is a peer's;
+        ``unreadable`` names entries that cannot be read.
         """
         if asked_s is not None:
             self._unknown.listed(asked_s)
-        self._after_changes(self.registry.take_list(targets, revision, now_s), now_s)
+        changes = self.registry.take_list(targets, revision, now_s, unreadable)
+        self._after_changes(changes, now_s)
 
     def on_registry_seen(self, revision: int) -> None:
         """Take in that the registry has told all that changed up to a revision."""
@@ -156,16 +166,36 @@
         """Take in one entry of the registry."""
         self._after_changes(self.registry.take_entry(target, now_s), now_s)
 
+    def on_target_unreadable(self, name: str, revision: int, now_s: float) -> None:
+        """Take in that an entry cannot be read, as written at a revision."""
+        changes = self.registry.take_unreadable(name, revision, now_s)
+        self._after_changes(changes, now_s)
+
     def on_target_removed(self, name: str, revision: int, now_s: float) -> None:
         """Take in that an entry vanished at a revision of the store."""
         changes = self.registry.take_removal(name, revision, now_s)
         self._after_changes(changes, now_s)
 
     def on_probe(self, result: ProbeResult, now_s: float) -> None:
-        """Take in the outcome of a probe."""
+        """Take in the outcome of a probe, if it is of the incarnation known here."""
         belief = self.registry.get(result.target)
-        if belief is not None:
-            self.effects += self._judge.on_probe(belief, result.outcome, now_s)
+        if belief is None:
+            return
+        known_ms = belief.target.born_ms
+        if result.probed_born_ms and known_ms not in (0, result.probed_born_ms):
+            return
+        changes = self.registry.take_start(belief, result.shown_born_ms, now_s)
+        self._after_changes(changes, now_s)
+        belief = self.registry.get(result.target) or belief
+        self.effects += self._judge.on_probe(belief, result.outcome, now_s)
+
+    def on_wall_clock(self, ahead_s: float) -> None:
+        """Take in how far the time of day is ahead of this process's time.
+
+        A clock that jumps forth makes starts of targets look older, which resets fewer
+        flows; so the farthest that it was ahead counts.
+        """
+        self._wall_ahead_s = max(self._wall_ahead_s, ahead_s)
 
     def on_hint(self, target: str, now_s: float) -> None:
         """Take in a peer's word that a target does not answer."""
@@ -352,8 +382,22 @@
                 _held_note("packet_dropped", held.packet, "nothing learnt", age_s)
             )
 
+    def _reset_restarted(self, now_s: float) -> None:
+        restarts, self.registry.restarts = self.registry.restarts, []
+        for restart in restarts:
+            began_s = self._earliest_start_s(restart.after.target, now_s)
+            self.effects += self._judge.restarted(restart, began_s)
+
+    def _earliest_start_s(self, target: Target, now_s: float) -> float:
+        """Return a time before which a target cannot have started, in seconds."""
+        if self._wall_ahead_s == float("-inf"):
+            return float("-inf")
+        started_s = target.born_ms / 1000.0 - self._wall_ahead_s
+        return min(now_s, started_s) - self.settings.clock_difference_s
+
     def _after_changes(self, changes: list[BeliefChange], now_s: float) -> None:
         self.effects += changes
+        self._reset_restarted(now_s)
         self._retry_held(now_s)
         for change in changes:
             belief = self.registry.get(change.target)
@@ -362,6 +406,8 @@
             match belief.state:
                 case TargetState.LAPSED:
                     self.effects += self._judge.vanished(belief, now_s)
+                case TargetState.UNREADABLE:
+                    self.effects += self._judge.vanished(belief, now_s)
                 case TargetState.GONE if belief.flows:
                     self.effects += self._judge.vanished(belief, now_s)
                     self.effects += self._judge.resets(belief)
--- a/endivepick/forwarding/model.py
+++ b/endivepick/forwarding/model.py
@@ -90,15 +90,20 @@
 class Target(Struct, frozen=True, array_like=True):
     """Registry entry of one incarnation of a backend server.
 
-    Instances tell each other of entries as arrays, 90 bytes each instead of 188 with
-    the names of the fields: a feeder passes each change on to all whom it feeds.
+    Name and time of start identify the incarnation: a server may start again under
+    its name, and then knows nothing of the flows that it had.
+
+    Instances tell each other of entries as arrays, which halves what a feeder sends: it
+    passes each change on to all whom it feeds.  New fields come last, so that instances
+    of another build read the rest.
 
     Attributes
     ----------
     name : str
-        Name of the entry; a restarted server has a new one.
-    incarnation : int
-        64-bit number that packets carry, so that no other server takes them.
+        Name of the entry.
+    number : int
+        64-bit number of the name that packets carry, so that no other server takes
+        them.
     service : str
         Service that it serves.
     host, port : str, int
@@ -113,10 +118,13 @@
         How much longer it is slow after its start, in seconds.
     created, revision : int
         Revisions of the store that created and last wrote this entry.
+    born_ms : int
+        When the server started, by its own clock, in Unix milliseconds; 0 if its entry
+        does not say.
     """
 
     name: str
-    incarnation: int
+    number: int
     service: str
     host: str
     port: int
@@ -126,6 +134,15 @@
     cold_s: float = 0.0
     created: int = 0
     revision: int = 0
+    born_ms: int = 0
+
+    def is_other_incarnation(self, other: "Target") -> bool:
+        """Whether this is another incarnation than an entry known before.
+
+        An entry without a time of start tells nothing of it.
+        """
+        known = self.born_ms and other.born_ms
+        return bool(known) and self.born_ms != other.born_ms
 
 
 class RouteKind(Enum):
--- a/endivepick/forwarding/registry.py
+++ b/endivepick/forwarding/registry.py
@@ -5,11 +5,15 @@
 that was away; if all instances believed such a short list, the few targets left
 would get the work of all.  The entry counts as lapsed for a grace period, in which a
 probe usually settles the matter sooner.
+
+An entry that cannot be read any more names no target to use.  One with another time of
+start is of another incarnation: what was believed of the former one ends with it.
 """
 
 from collections.abc import Iterable, Iterator
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 from endivepick.forwarding.belief import (
     BeliefChange,
@@ -17,15 +21,18 @@
     ReachabilityEvent,
     TargetBelief,
     TargetEvent,
+    TargetRestart,
     TargetState,
 )
-from endivepick.forwarding.cookies import CookieDirectory
+from endivepick.forwarding.cookies import CookieDirectory, cookie_of
 from endivepick.forwarding.model import Target, TargetPhase
 from endivepick.forwarding.placement import Candidates
 from endivepick.forwarding.settings import ForwardingSettings
 
 __all__ = ["RegistryNews", "RemovedTarget", "TargetRegistry"]
 
+REMEMBERED_UNREADABLE = 1024
+"""Names of entries that were never readable; more are not told apart from none."""
 _STATES = {
     TargetPhase.READY: TargetState.READY,
     TargetPhase.DRAINING: TargetState.DRAINING,
@@ -37,10 +44,22 @@
 
 
 class RemovedTarget(Struct, frozen=True, array_like=True):
-    """An entry that vanished, and the store's revision at which it had."""
+    """An entry that names no target any more.
+
+    Attributes
+    ----------
+    name : str
+        Its name.
+    revision : int
+        Revision of the store at which that was so.
+    unreadable : bool
+        It is still there, but cannot be read.  An instance of a build that does not
+        know this field takes it for removed.
+    """
 
     name: str
     revision: int
+    unreadable: bool = False
 
 
 class RegistryNews(Struct, frozen=True):
@@ -51,7 +70,7 @@
     targets : list of Target
         Entries that were written since.
     removed : list of RemovedTarget
-        Entries that vanished since.
+        Entries that vanished or became unreadable since.
     whole : bool
         The entries are all there are; what is not among them has vanished.
     revision : int
@@ -80,6 +99,9 @@
         self._cookies = CookieDirectory()
         self._unsettled: dict[str, TargetBelief] = {}
         self._candidates: dict[str, Candidates] = {}
+        self._never_read: dict[int, str] = {}
+        self.restarts: list[TargetRestart] = []
+        """Targets that started again under their names; the caller takes them out."""
         self.known = False
         """Whether a whole list was read."""
         self.revision = 0
@@ -123,12 +145,31 @@
             self._candidates[service] = kept
         return kept
 
+    def may_return(self, cookie: int) -> bool:
+        """Whether a cookie is that of an entry that is there and cannot be read."""
+        return cookie in self._never_read
+
     def take_list(
-        self, targets: Iterable[Target], revision: int, now_s: float
+        self,
+        targets: Iterable[Target],
+        revision: int,
+        now_s: float,
+        unreadable: Iterable[str] = (),
     ) -> list[BeliefChange]:
         """Take in a whole list; entries missing in it have vanished.
 
         A list that is older than what is known changes nothing.
+
+        Parameters
+        ----------
+        targets : iterable of Target
+            Entries that can be read.
+        revision : int
+            Revision of the store that it shows.
+        now_s : float
+            Present time, in seconds.
+        unreadable : iterable of str
+            Names of entries that cannot.
         """
         if revision < self.revision:
             return []
@@ -137,8 +178,12 @@
         # What came and went since the last word is not in the list, nor known here.
         self.told_from = revision
         self.revision = revision
+        self._never_read.clear()
         changes = [c for target in listed for c in self._take(target, now_s)]
         names = {target.name for target in listed}
+        for name in unreadable:
+            names.add(name)
+            changes += self.take_unreadable(name, revision, now_s)
         for name in list(self._beliefs):
             if name not in names:
                 changes += self.take_removal(name, revision, now_s)
@@ -154,12 +199,14 @@
         if news.revision <= self.revision:
             return []
         if news.whole:
-            return self.take_list(news.targets, news.revision, now_s)
+            unreadable = [each.name for each in news.removed if each.unreadable]
+            return self.take_list(news.targets, news.revision, now_s, unreadable)
         changes: list[BeliefChange] = []
         for target in news.targets:
             changes += self._take(target, now_s)
         for each in news.removed:
-            changes += self.take_removal(each.name, each.revision, now_s)
+            taken_in = self.take_unreadable if each.unreadable else self.take_removal
+            changes += taken_in(each.name, each.revision, now_s)
         self.revision = max(self.revision, news.revision)
         return changes
 
@@ -170,7 +217,9 @@
         present = (TargetState.READY, TargetState.DRAINING)
         targets = [b.target for b in newer if b.state in present]
         removed = [
-            RemovedTarget(b.name, b.revision) for b in newer if b.state not in present
+            RemovedTarget(b.name, b.revision, b.state is TargetState.UNREADABLE)
+            for b in newer
+            if b.state not in present
         ]
         return RegistryNews(targets, removed, whole, self.revision)
 
@@ -191,18 +240,56 @@
             return [self._add(target, now_s)]
         if target.revision < belief.revision:
             return []
-        belief.target = target
-        self._candidates.pop(target.service, None)
+        if target.is_other_incarnation(belief.target):
+            after = self._restart(belief, target, now_s)
+            return [_restart_change(belief, after, "started again", now_s)]
+        if not target.born_ms:
+            # Told by an instance that does not know of times of start.
+            target = replace(target, born_ms=belief.target.born_ms)
+        self._refile(belief, target)
         belief.revision = target.revision
         belief.cold_until_s = now_s + target.cold_s
         return self._move(belief, _ENTRY_EVENTS[target.phase], "entry", now_s)
 
+    def take_start(
+        self, belief: TargetBelief, born_ms: int, now_s: float
+    ) -> list[BeliefChange]:
+        """Take in when the target at an address started, as it says of itself.
+
+        Its entry may tell so later, and until then says what it said.  An earlier start
+        than the entry's is old news.
+        """
+        known_ms = belief.target.born_ms
+        if not known_ms or born_ms <= known_ms:
+            return []
+        target = replace(belief.target, born_ms=born_ms, revision=belief.revision)
+        after = self._restart(belief, target, now_s)
+        after.state, after.state_since_s = belief.state, belief.state_since_s
+        self._file(after)
+        return [_restart_change(belief, after, "answered a probe anew", now_s)]
+
+    def take_unreadable(
+        self, name: str, revision: int, now_s: float
+    ) -> list[BeliefChange]:
+        """Take in that an entry cannot be read, unless it was written again since."""
+        belief = self._beliefs.get(name)
+        if belief is None:
+            self._note_never_read(name)
+            return []
+        if revision < belief.revision:
+            return []
+        self.revision = max(self.revision, revision)
+        belief.revision = revision
+        event = TargetEvent.ENTRY_UNREADABLE
+        return self._move(belief, event, "entry unreadable", now_s)
+
     def take_removal(
         self, name: str, revision: int, now_s: float
     ) -> list[BeliefChange]:
         """Take in that an entry vanished, unless it was written again since."""
         self.revision = max(self.revision, revision)
         belief = self._beliefs.get(name)
+        self._never_read.pop(cookie_of(name), None)
         if belief is None:
             # It came and went unseen: nobody can be told of its removal alone.
             self.told_from = max(self.told_from, revision)
@@ -292,16 +379,42 @@
         return changes
 
     def _add(self, target: Target, now_s: float) -> BeliefChange:
+        belief = self._new_belief(target, now_s)
+        self._never_read.pop(belief.cookie, None)
+        return _change(belief, "", belief.state.value, "entry", 0.0)
+
+    def _new_belief(self, target: Target, now_s: float) -> TargetBelief:
         cookie = self._cookies.add(target.name, target.created)
-        state = _STATES[target.phase]
-        belief = TargetBelief(target, cookie, state, now_s)
+        belief = TargetBelief(target, cookie, _STATES[target.phase], now_s)
         belief.revision = target.revision
         belief.reachability_since_s = now_s
         belief.cold_until_s = now_s + target.cold_s
         self._beliefs[target.name] = belief
         self._by_service.setdefault(target.service, {})[target.name] = belief
         self._candidates.clear()
-        return _change(belief, "", state.value, "entry", 0.0)
+        return belief
+
+    def _restart(
+        self, before: TargetBelief, target: Target, now_s: float
+    ) -> TargetBelief:
+        """Begin afresh: whatever was believed of the former incarnation has ended."""
+        self._remove(before)
+        after = self._new_belief(target, now_s)
+        self.restarts.append(TargetRestart(before, after))
+        return after
+
+    def _refile(self, belief: TargetBelief, target: Target) -> None:
+        """Take the newest entry of a target, which may name another service."""
+        self._candidates.pop(belief.target.service, None)
+        if target.service != belief.target.service:
+            self._leave_service(belief)
+            self._by_service.setdefault(target.service, {})[target.name] = belief
+        belief.target = target
+        self._candidates.pop(target.service, None)
+
+    def _note_never_read(self, name: str) -> None:
+        if len(self._never_read) < REMEMBERED_UNREADABLE:
+            self._never_read[cookie_of(name)] = name
 
     def _move(
         self, belief: TargetBelief, event: TargetEvent, reason: str, now_s: float
@@ -326,15 +439,21 @@
             self._unsettled[belief.name] = belief
 
     def _forget(self, belief: TargetBelief) -> None:
-        del self._beliefs[belief.name]
         self.told_from = max(self.told_from, belief.revision)
+        self._remove(belief)
+
+    def _remove(self, belief: TargetBelief) -> None:
+        del self._beliefs[belief.name]
         self._unsettled.pop(belief.name, None)
+        self._leave_service(belief)
+        self._cookies.remove(belief.name)
+        self._candidates.clear()
+
+    def _leave_service(self, belief: TargetBelief) -> None:
         service = self._by_service[belief.target.service]
         del service[belief.name]
         if not service:
             del self._by_service[belief.target.service]
-        self._cookies.remove(belief.name)
-        self._candidates.clear()
 
 
 def _change(
@@ -344,3 +463,10 @@
     return BeliefChange(
         target.name, target.service, before, after, reason, age_s, belief.revision
     )
+
+
+def _restart_change(
+    before: TargetBelief, after: TargetBelief, reason: str, now_s: float
+) -> BeliefChange:
+    age_s = now_s - before.state_since_s
+    return _change(after, before.state.value, after.state.value, reason, age_s)
--- a/endivepick/forwarding/settings.py
+++ b/endivepick/forwarding/settings.py
@@ -19,6 +19,10 @@
     entry_return_s : float
         Entries that expired in an outage of the store return within this time of its
         end, in seconds.  What the store answered before that says nothing of them.
+    clock_difference_s : float
+        How much the clocks of a target and of this instance may differ, in seconds.  A
+        flow that was opened so long before its target's start was the former
+        incarnation's.
     gone_memory_s : float
         How long the cookie of a target that is gone still resolves, in seconds: the
         longest life of a flow.
@@ -75,6 +79,7 @@
     zone: str
     lapse_grace_s: float = 2.5
     entry_return_s: float = 2.0
+    clock_difference_s: float = 3.0
     gone_memory_s: float = 60.0
     opening_memory_s: float = 2.0
     observed_flows: int = 32768
--- a/endivepick/model/_other_scenarios.py
+++ b/endivepick/model/_other_scenarios.py
@@ -15,6 +15,7 @@
 from endivepick.model._mutation import Mutation
 from endivepick.model._placement_node import PlacementParts
 from endivepick.model._registry_mutants import REGISTRY_MUTATIONS, REGISTRY_SCENARIOS
+from endivepick.model._restart_mutants import RESTART_MUTATIONS, RESTART_SCENARIOS
 from endivepick.model.checker import Specification
 from endivepick.model.configuration import ConfigBounds, configuration_specification
 from endivepick.model.key_rotation import KeyBounds, KeyRules, key_specification
@@ -119,6 +120,7 @@
     **REGISTRY_SCENARIOS,
     **EVIDENCE_SCENARIOS,
     **CHANGE_SCENARIOS,
+    **RESTART_SCENARIOS,
 }
 """By name, what builds the specification of each check."""
 
@@ -126,6 +128,7 @@
     **REGISTRY_MUTATIONS,
     **EVIDENCE_MUTATIONS,
     **CHANGE_MUTATIONS,
+    **RESTART_MUTATIONS,
     "a target runs whatever reaches it": _placement(
         PlacementBounds(False, rules=TargetRules(service=False, incarnation=False))
     ),
--- a/endivepick/model/_registry_mutants.py
+++ b/endivepick/model/_registry_mutants.py
@@ -8,13 +8,35 @@
 from endivepick.forwarding.belief import BeliefChange, TargetBelief
 from endivepick.forwarding.registry import TargetRegistry
 from endivepick.model.checker import Specification
-from endivepick.model.registry import RegistryBounds, registry_specification
+from endivepick.model.registry import Entry, RegistryBounds, registry_specification
 
 __all__ = ["REGISTRY_MUTATIONS", "REGISTRY_SCENARIOS"]
 
 _READY, _DRAINING = TargetPhase.READY, TargetPhase.DRAINING
-_TWO_TARGETS = (("i-1", _READY), ("i-2", _READY), ("i-1", None), ("i-2", _DRAINING))
-_LAPSE_AND_RETURN = (("i-1", _READY), ("i-1", None), ("i-1", _READY), ("i-1", None))
+_TWO_TARGETS = (
+    Entry("i-1", _READY),
+    Entry("i-2", _READY),
+    Entry("i-1", None),
+    Entry("i-2", _DRAINING),
+)
+_LAPSE_AND_RETURN = (
+    Entry("i-1", _READY),
+    Entry("i-1", None),
+    Entry("i-1", _READY),
+    Entry("i-1", None),
+)
+_STARTS_AGAIN = (
+    Entry("i-1", _READY, 5),
+    Entry("i-1", _DRAINING, 5),
+    Entry("i-1", None),
+    Entry("i-1", _READY, 9),
+)
+_STARTS_TWICE = (
+    Entry("i-1", _READY, 5),
+    Entry("i-1", _READY, 9),
+    Entry("i-1", _DRAINING, 5),
+)
+"""The last one was written late by the incarnation that had ended."""
 
 
 class RemovalsUntold(TargetRegistry):
@@ -37,11 +59,15 @@
     """Believes that a list shows all that happened before it."""
 
     def take_list(
-        self, targets: Iterable[Target], revision: int, now_s: float
+        self,
+        targets: Iterable[Target],
+        revision: int,
+        now_s: float,
+        unreadable: Iterable[str] = (),
     ) -> list[BeliefChange]:
         """Forget that entries may have come and gone."""
         before = self.told_from
-        changes = super().take_list(targets, revision, now_s)
+        changes = super().take_list(targets, revision, now_s, unreadable)
         self.told_from = before
         return changes
 
@@ -72,11 +98,15 @@
     """Takes any list for the newest."""
 
     def take_list(
-        self, targets: Iterable[Target], revision: int, now_s: float
+        self,
+        targets: Iterable[Target],
+        revision: int,
+        now_s: float,
+        unreadable: Iterable[str] = (),
     ) -> list[BeliefChange]:
         """Go back to the list's revision."""
         self.revision = min(self.revision, revision)
-        return super().take_list(targets, revision, now_s)
+        return super().take_list(targets, revision, now_s, unreadable)
 
 
 class OldNewsBelieved(TargetRegistry):
@@ -110,6 +140,23 @@
         return super().take_removal(name, revision, now_s)
 
 
+class StartsUntold(TargetRegistry):
+    """Does not tell when targets started."""
+
+    def news_since(self, revision: int) -> RegistryNews:
+        """Leave out the time of start."""
+        news = super().news_since(revision)
+        targets = [replace(target, born_ms=0) for target in news.targets]
+        return replace(news, targets=targets)
+
+
+class StartsOverlooked(TargetRegistry):
+    """Takes a name for the identity."""
+
+    def _take(self, target: Target, now_s: float) -> list[BeliefChange]:
+        return super()._take(replace(target, born_ms=0), now_s)
+
+
 class OldEntriesBelieved(TargetRegistry):
     """Takes any writing of an entry for the newest."""
 
@@ -132,6 +179,12 @@
     "registry, entry lapses and returns": _registry(
         RegistryBounds(history=_LAPSE_AND_RETURN, messages=1, restarts=0)
     ),
+    "registry, target starts again": _registry(
+        RegistryBounds(history=_STARTS_AGAIN, messages=1, restarts=0)
+    ),
+    "registry, target starts twice": _registry(
+        RegistryBounds(history=_STARTS_TWICE, messages=2, restarts=0)
+    ),
 }
 """By name, what builds the specification of each check."""
 
@@ -147,9 +200,18 @@
     "an old removal is believed": OldRemovalsBelieved,
     "an old entry is believed": OldEntriesBelieved,
 }
+_START_MUTANTS: dict[str, type[TargetRegistry]] = {
+    "a feeder does not tell when targets started": StartsUntold,
+    "a name is taken for an incarnation": StartsOverlooked,
+}
 
 REGISTRY_MUTATIONS: dict[str, Callable[[str], Specification]] = {
     name: _registry(RegistryBounds(registry=mutant))
     for name, mutant in _MUTANTS.items()
+} | {
+    name: _registry(
+        RegistryBounds(history=_STARTS_TWICE, messages=1, restarts=0, registry=mutant)
+    )
+    for name, mutant in _START_MUTANTS.items()
 }
 """By name, what builds the specification with one rule broken."""
--- a/endivepick/model/registry.py
+++ b/endivepick/model/registry.py
@@ -29,11 +29,27 @@
     TargetPhase.DRAINING: TargetState.DRAINING,
 }
 Step = tuple[str, "RegistryWorld"]
-Entry = tuple[str, TargetPhase | None]
-"""Name of a target, and its phase after a change; None if the entry was removed."""
 _READY, _DRAINING = TargetPhase.READY, TargetPhase.DRAINING
 
 
+class Entry(NamedTuple):
+    """A change of an entry.
+
+    Attributes
+    ----------
+    name : str
+        Name of the target.
+    phase : TargetPhase or None
+        Its phase after the change; None if the entry was removed.
+    born_ms : int
+        When it started, in Unix milliseconds; 0 if the entry does not say.
+    """
+
+    name: str
+    phase: TargetPhase | None
+    born_ms: int = 0
+
+
 @dataclass(frozen=True)
 class RegistryBounds:
     """How much may happen in one run of the registry model.
@@ -51,9 +67,9 @@
     """
 
     history: tuple[Entry, ...] = (
-        ("i-1", _READY),
-        ("i-1", None),
-        ("i-1", _DRAINING),
+        Entry("i-1", _READY),
+        Entry("i-1", None),
+        Entry("i-1", _DRAINING),
     )
     messages: int = 2
     restarts: int = 1
@@ -108,7 +124,7 @@
     def __init__(self, bounds: RegistryBounds) -> None:
         self._bounds = bounds
         self._nodes: Memory[TargetRegistry] = Memory(freeze)
-        self._names = sorted({name for name, _ in bounds.history})
+        self._names = sorted({entry.name for entry in bounds.history})
 
     def initial(self) -> RegistryWorld:
         """Return the world in which nothing is known anywhere."""
@@ -121,9 +137,9 @@
     def steps(self, world: RegistryWorld) -> Iterator[Step]:
         """Yield every step out of a world, with its label."""
         if world.revision < len(self._bounds.history):
-            name, phase = self._bounds.history[world.revision]
-            what = "removed" if phase is None else phase.value
-            label = f"store: {name} {what}, revision {world.revision + 1}"
+            entry = self._bounds.history[world.revision]
+            what = "removed" if entry.phase is None else entry.phase.value
+            label = f"store: {entry.name} {what}, revision {world.revision + 1}"
             yield label, world._replace(revision=world.revision + 1)
         for index, name in enumerate(_NODES):
             for label, act in self._events(world, index):
@@ -180,18 +196,21 @@
             yield f"feeder answers {told}", world._replace(sent=sent)
 
     def _entry(self, revision: int) -> Target | None:
-        name, phase = self._bounds.history[revision - 1]
+        name, phase, born_ms = self._bounds.history[revision - 1]
         if phase is None:
             return None
         return Target(
-            name, 1, "s", "10.0.0.1", 1, "z", 1, phase, created=1, revision=revision
+            *(name, 1, "s", "10.0.0.1", 1, "z", 1, phase),
+            created=1,
+            revision=revision,
+            born_ms=born_ms,
         )
 
     def _last_change(self, name: str, after: int, revision: int) -> int:
         """Return the last change of an entry within some, 0 if there is none."""
         changes = range(after + 1, revision + 1)
         return max(
-            (r for r in changes if self._bounds.history[r - 1][0] == name), default=0
+            (r for r in changes if self._bounds.history[r - 1].name == name), default=0
         )
 
     def _listed(self, revision: int) -> list[Target]:
@@ -202,7 +221,7 @@
     def _take_changes(self, after: int, revision: int, node: TargetRegistry) -> None:
         last = {self._last_change(name, after, revision) for name in self._names}
         for change in sorted(last - {0}):
-            name, _ = self._bounds.history[change - 1]
+            name = self._bounds.history[change - 1].name
             entry = self._entry(change)
             if entry is None:
                 node.take_removal(name, change, 0.0)
@@ -226,6 +245,8 @@
             entry = stood.get(name)
             if entry is not None and state is not _PRESENT[entry.phase]:
                 return False
+            if entry and belief and belief.target.born_ms != entry.born_ms:
+                return False
             if entry is None and state in _PRESENT.values():
                 return False
         return True
--- a/endivepick/model/tests/test_specifications.py
+++ b/endivepick/model/tests/test_specifications.py
@@ -24,7 +24,9 @@
     "keys, restarts",
     "registry, two targets",
     "registry, entry lapses and returns",
+    "registry, target starts twice",
     "evidence, one step of time",
+    "restarts",
     "told changes, a route returns",
 )
 
