--- a/endivepick/forwarder/breaker.py
+++ b/endivepick/forwarder/breaker.py
@@ -1,9 +1,9 @@
 """Circuit breaker of the store: one of an instance's feeds tries, the others wait.
 
 Load pattern: the store refuses or does not answer all instances for seconds.  Each feed
-that called again by itself after 0.2 to 1.0 s doubled the calls of an outage, which are
-paid for and, once the store is back, meet its limit of calls a second; an answer to one
-feed says as much to the others.
+that called again by itself would double the calls of an outage, which are paid for and,
+once the store is back, meet its limit of calls a second; an answer to one feed says as
+much to the others.
 """
 
 from collections.abc import Hashable
--- a/endivepick/forwarder/decision_log.py
+++ b/endivepick/forwarder/decision_log.py
@@ -220,7 +220,7 @@
         self.log.flush()
 
     def _fault(self, part: str, name: str, message: str, error: Exception) -> None:
-        # Loaded only when it is needed: it takes 0.005 s of the start.
+        # Loaded only when it is needed: it would delay the start.
         import traceback
 
         self.log.warning(
--- a/endivepick/forwarder/early.py
+++ b/endivepick/forwarder/early.py
@@ -4,9 +4,8 @@
 its lists.
 
 Load pattern: all instances start at once, and callers repeat what was lost meanwhile
-after 0.2, 0.4 and 0.8 s.  Packets that come while libraries are loaded, which takes
-some 0.15 s of processor time, wait in the socket instead of being lost.  So this module
-imports nothing but sockets and signals.
+after fractions of a second.  Packets that come while libraries are loaded wait in the
+socket instead of being lost.  So this module imports nothing but sockets and signals.
 """
 
 from __future__ import annotations
@@ -99,9 +98,8 @@
 ) -> dict[_Kind, socket]:
     """Send a request on each connection that is up by now; never waits.
 
-    Load pattern: all instances start at once with links of 10 Mbit/s, on which the
-    lists take some 0.06 s.  Asked for before the rest is loaded, they arrive
-    meanwhile: instances are ready 0.05 to 0.1 s earlier.
+    Load pattern: all instances start at once with slow links.  Asked for before the
+    rest is loaded, the lists arrive meanwhile.
 
     Parameters
     ----------
@@ -140,7 +138,7 @@
 
     A process that is asked to stop while it loads has no flow to look after and ends
     at once, as planned.  It ends inside the handler: an exception, raised into a
-    library that is being loaded, can crash it (msgspec's classes, one stop in 240).
+    library that is being loaded, can crash it.
     One that is told of new settings has not read them yet.
     """
     signal(SIGTERM, lambda *_: _exit(0))
--- a/endivepick/forwarder/feed.py
+++ b/endivepick/forwarder/feed.py
@@ -165,7 +165,7 @@
         """Let the store hold each watch that long from now on.
 
         A longer one under way is given up: until the store answered it, those who are
-        fed took their feeder for cut off (32 of 58 instances after a common start).
+        fed would take their feeder for cut off.
 
         Parameters
         ----------
--- a/endivepick/forwarder/feeders.py
+++ b/endivepick/forwarder/feeders.py
@@ -31,7 +31,7 @@
 
 CLAIM_SHARE = 0.125
 """Share of those who find all feeders full that claim a place; were it all, most calls
-of a large zone's start would be claims in vain, and feeders three times too many."""
+of a large zone's start would be claims in vain."""
 ASKED_MEMORY_S = 2.0
 """How long an instance that asked counts as fed: a question is held for 0.7 s."""
 
--- a/endivepick/forwarder/feeding.py
+++ b/endivepick/forwarder/feeding.py
@@ -27,8 +27,7 @@
 FEEDING_WAIT_S = 1.0
 """How long the store may hold a feeder's watch of the registry; its answers are what
 keeps those who are fed sure of their feeder.  The registry changes more often than the
-configuration, so the short wait costs fewer calls there: 1.25 a second instead of 2.1
-while targets are replaced."""
+configuration, so the short wait costs fewer calls there."""
 UNASKED_S = 10.0
 """A feeder that nobody has asked for so long keeps no short watch: the only instance of
 a zone is its feeder, and short watches would cost the store calls for nothing."""
@@ -36,7 +35,7 @@
 """What an entry of the registry takes in an answer, with a long name of its zone."""
 WHOLE_S = 1.0
 """How long the whole registry may keep the feeder's link, told to all whom it feeds:
-3,000 targets, 270 kB told to 24 instances, would keep one of 10 Mbit/s for 5 s."""
+packets wait behind it."""
 _MBIT_BYTES = 125_000
 _NOT_FEEDING = Response(404)
 
--- a/endivepick/forwarder/forwarder.py
+++ b/endivepick/forwarder/forwarder.py
@@ -180,9 +180,8 @@
         self.decisions.log.flush()
 
     def _on_first_ready(self) -> None:
-        # What was loaded until now stays: the collector need not look at it again.  A
-        # collection before that would free 1,066 objects and take 0.012 s in which no
-        # packet is forwarded, a seventh of the time that loading takes.
+        # What was loaded until now stays: a collection of it would free next to nothing
+        # and keep packets waiting.
         gc.freeze()
         gc.enable()
         targets = sum(1 for _ in self.core.registry)
--- a/endivepick/forwarder/freshness.py
+++ b/endivepick/forwarder/freshness.py
@@ -15,13 +15,12 @@
 ANSWER_SLACK_S = 1.0
 """A watch is answered that much after its wait at the latest, or it is lost."""
 READ_S = 0.7
-"""What an instance takes to read a change by itself: a list of 330 kB takes 0.3 to
-0.5 s on a link of 10 Mbit/s that carries packets as well."""
+"""What an instance takes to read a change by itself over a slow link that carries
+packets as well."""
 GATHER_SHARE = 0.25
 """Part of the time that the gathering of changes may take."""
 GATHER_MOST_S = 0.8
-"""Beyond that flows are placed on targets that have left; a longer pause saved no more
-than every third call of a release."""
+"""Beyond that flows are placed on targets that have left."""
 FEEDER_SILENT_MOST_S = 2.5
 """A store that drops its history leaves its watches unanswered for a second, after the
 second that it may hold them; those who are fed need not leave their feeders for it."""
--- a/endivepick/forwarder/logs.py
+++ b/endivepick/forwarder/logs.py
@@ -1,8 +1,7 @@
 """Log lines of a forwarder: bounded in number, never waiting for their reader.
 
 The lines have the form of the other daemons' logs, so that the time line reads both.
-They are encoded here and not by eliot: loading it takes 0.023 s of processor time on
-top of the 0.141 s that a forwarder takes to load (least of 12 starts each), and no
+They are encoded here and not by eliot: loading it would make each start longer, and no
 packet is forwarded until then.
 """
 
@@ -35,8 +34,8 @@
 def rounded(number: float, parts: int = PARTS_PER_UNIT) -> float:
     """Return a number cut to whole parts of a unit, for a line.
 
-    It takes 0.2 us where ``round`` takes 1.3 us, three times a line.  Infinity, the
-    age of what never was, stays as it is.
+    It is several times as fast as ``round``, which each line would call three times.
+    Infinity, the age of what never was, stays as it is.
 
     Examples
     --------
--- a/endivepick/forwarder/metrics.py
+++ b/endivepick/forwarder/metrics.py
@@ -49,8 +49,7 @@
     """What a forwarder counts.
 
     What happens with each packet is put on a list and counted at the next tick, all
-    packets since the last at once: with the lines of the log, 0.7 to 4.8 % of the
-    processor time of the path at the usual load instead of 4.4 to 6.2 %.
+    packets since the last at once, which leaves more of the processor to packets.
 
     Attributes
     ----------
--- a/endivepick/forwarder/packet_path.py
+++ b/endivepick/forwarder/packet_path.py
@@ -195,10 +195,10 @@
     def _hint_if_new(self, target: str) -> None:
         """Tell peers of a target that has just been found dead.
 
-        Of one that drains the registry tells all: each end was a hint from every
-        instance to 32 others, some thousand a second while targets are replaced.
-        Silence is not told: it may be our own link that is full, and peers that all
-        probe because of it would fill theirs.
+        Of one that drains the registry tells all, and hints of each end from every
+        instance would be some thousand a second while targets are replaced.  Silence
+        is not told: it may be our own link that is full, and peers that all probe
+        because of it would fill theirs.
         """
         belief = self._core.registry.get(target)
         if belief is None or not belief.takes_flows:
--- a/endivepick/forwarder/peer_book.py
+++ b/endivepick/forwarder/peer_book.py
@@ -8,7 +8,7 @@
 MAX_PEERS = 32
 """Peers that are remembered; a few that live are enough to learn from one."""
 SILENT_AFTER_S = 2.0
-"""From then on a neighbour is taken for lost: a question is held for 0.7 s."""
+"""From then on a neighbour is taken for lost: a question is not held for so long."""
 GREETED_FOR_S = 30.0
 """How long a lost neighbour is greeted: a planned stop and the start after it take some
 3 s, an instance without power may be back after some ten seconds."""
--- a/endivepick/forwarder/settings.py
+++ b/endivepick/forwarder/settings.py
@@ -66,8 +66,7 @@
         all follow it.  When the only one is lost, those whom it fed follow the store
         for some seconds, which costs calls but no time.
     fed_most : int
-        Most instances that one of them feeds; a larger zone has more feeders.  Each
-        asks 1.4 times a second: 24 of them take 0.2 % of a core.
+        Most instances that one of them feeds; a larger zone has more feeders.
     """
 
     name: str
--- a/endivepick/forwarder/zone.py
+++ b/endivepick/forwarder/zone.py
@@ -286,9 +286,8 @@
     def _check_first(self, news: ZoneNews) -> None:
         """Take a feeder for lost that the store does not answer, though it does us.
 
-        The claims have just been read here.  Otherwise those whom it fed came back to
-        it every few seconds until its partition ended, and followed the store all of
-        eight seconds.
+        The claims have just been read here.  Otherwise those whom it fed would come
+        back to it every few seconds until its partition ends.
         """
         try:
             self._check(news)
--- a/endivepick/forwarding/changes.py
+++ b/endivepick/forwarding/changes.py
@@ -1,10 +1,9 @@
 """What differs between two versions of the configuration.
 
 Load pattern: an operator changes a few of thousands of routes, at times twice a second,
-and all instances need each version within seconds.  Whole, a version of 1,640 routes is
-330 kB; read from the store by each of 75 instances it was a quarter of their calls, and
-kept a link of 10 Mbit/s busy for 0.3 s a time.  Its difference to the version before is
-some hundred bytes, so whoever reads the store can pass it on.
+and all instances need each version within seconds.  Whole, a version keeps a slow link
+busy, and read from the store by each instance it is a large part of all calls.  Its
+difference to the version before is small, so whoever reads the store can pass it on.
 """
 
 from collections import deque
@@ -21,8 +20,8 @@
 """Changes that can be told; at two a second these are what an instance misses while
 its feeder is replaced, which takes some seconds."""
 TOLD_ROUTES = 100
-"""Most routes of a change that is told: 13 kB, which a feeder of 25 instances sends in
-0.3 s on a link of 10 Mbit/s."""
+"""Most routes of a change that is told: a feeder sends it to all whom it feeds, on the
+link of its packets."""
 
 
 _Value = TypeVar("_Value")
--- a/endivepick/forwarding/placement.py
+++ b/endivepick/forwarding/placement.py
@@ -23,8 +23,8 @@
 class Candidates(Struct, frozen=True):
     """Targets of a service that the registry lets take new flows, sorted for a zone.
 
-    They are sorted when one of them changes, not for each opening: with 440 targets an
-    opening takes 11 us instead of 73 us (median of three paired runs).
+    They are sorted when one of them changes, not for each opening, so that an opening
+    costs no more with each target.
 
     Attributes
     ----------
--- a/endivepick/forwarding/settings.py
+++ b/endivepick/forwarding/settings.py
@@ -30,8 +30,8 @@
         How long the targets of a flow's opening packets are remembered, in seconds;
         callers give up an opening after 1.4 s.
     observed_flows : int
-        Flows whose progress is watched; the oldest are dropped beyond it.  A flow
-        takes about 0.5 kB, so this bounds the table to some 16 MB.
+        Flows whose progress is watched; the oldest are dropped beyond it, which
+        bounds the memory of the table.
     idle_flow_s : float
         A flow without packets for longer no longer counts as load, in seconds; the
         configuration's own time-out goes before it.
