Judge targets by what becomes of their requests, told within the zone

Cause: a target that takes connections counted as good, whatever became of its requests.

Change: endivepick.forwarding.fitness learns from each service how long answers take to begin and how much comes first, counts what is overdue, late or far too short against its target, and compares targets of the zone (G-test). Feeders add up what instances of their zone see; new flows pass condemned targets over, two fifths of the slots at most; a trickle of repeatable flows tries them again. Flows of one that goes on failing are reset, repeatable requests and idle flows only, once most instances of the zone were heard.

Ruled out: counts that fade in 4 s for resets (errors: no reset at all, good answers of before weigh too long); hearing only instances that saw failures (a few by chance condemn a good target).

--- a/endivepick/core/chart_tables.py
+++ b/endivepick/core/chart_tables.py
@@ -11,7 +11,7 @@
 
 __all__ = ["main", "render_tables"]
 
-_CHARTS = ("reachability", "registered_target")
+_CHARTS = ("fitness", "reachability", "registered_target")
 _HEAD = '''"""State charts as tables: the next state by state and event.
 
 Made from endivepick/charts by ``python -m endivepick.core.chart_tables``; change the
--- a/endivepick/forwarder/feeding.py
+++ b/endivepick/forwarder/feeding.py
@@ -20,7 +20,8 @@
     ZoneNews,
     ZoneQuestion,
 )
-from endivepick.forwarding import ForwardingCore
+from endivepick.forwarding import FitnessReport, ForwardingCore, merge_reports
+from endivepick.forwarding.fitness import TOLD_S
 
 __all__ = ["ZoneFeeder"]
 
@@ -73,6 +74,9 @@
         self._askers = Askers(settings.fed_most)
         told_bytes = TARGET_BYTES * settings.fed_most
         self._whole_targets = WHOLE_S * settings.link_mbps * _MBIT_BYTES / told_bytes
+        self._seen: dict[str, tuple[float, FitnessReport]] = {}
+        self._alarming: frozenset[str] = frozenset()
+        self._alarms = 0
         self._changed = Event()
         self._asked_s = float("-inf")
         self._stopping = False
@@ -114,9 +118,11 @@
         if self.feeding and not self._askers.admit(question.asker, self._asked_s):
             return json_response(FeederFull(self._name))
         self._neighbours.heard(question.asker, self._asked_s)
+        self._seen[question.asker] = (self._asked_s, question.seen)
         self._set_watch_wait()
+        alarms = self._alarms
         with gevent.Timeout(POLL_WAIT_S, False):
-            while self.feeding and not self._has_news(question):
+            while self._may_wait(question, alarms):
                 self._changed.wait()
         if not self.feeding or not self._core.ready:
             return _NOT_FEEDING
@@ -124,6 +130,30 @@
             return json_response(FeederAhead(self._name))
         return json_response(self._news(question))
 
+    def _may_wait(self, question: ZoneQuestion, alarms: int) -> bool:
+        """Whether there is nothing to tell an instance yet."""
+        return self.feeding and self._alarms == alarms and not self._has_news(question)
+
+    def note_seen(self, query: str) -> Response:
+        """Take in what an instance has seen of targets, between its questions."""
+        question = ZoneQuestion.read(query)
+        if question is None or not self.feeding:
+            return _NOT_FEEDING
+        self._seen[question.asker] = (steady_now_s(), question.seen)
+        self.review_seen()
+        return Response(200)
+
+    def review_seen(self) -> None:
+        """Tell all who are fed at once when the zone condemns one more target."""
+        if not self.feeding:
+            return
+        self._seen_together()
+        alarming = self._core.fitness.alarming(steady_now_s())
+        if not alarming <= self._alarming:
+            self._alarms += 1
+            self.notify()
+        self._alarming = alarming
+
     def _is_too_much(self, question: ZoneQuestion) -> bool:
         """Whether all of a large registry would have to be told."""
         registry = self._core.registry
@@ -131,6 +161,16 @@
             return False
         return len(registry) > self._whole_targets
 
+    def _seen_together(self) -> FitnessReport:
+        """Add up what instances of the zone see; a silent one tells nothing."""
+        now_s = steady_now_s()
+        oldest_s = now_s - TOLD_S
+        self._seen = {a: seen for a, seen in self._seen.items() if seen[0] >= oldest_s}
+        own = self._core.fitness.report(now_s)
+        together = merge_reports([own, *(report for _, report in self._seen.values())])
+        self._core.fitness.take_told(together, now_s)
+        return together
+
     def _news(self, question: ZoneQuestion) -> ZoneNews:
         return ZoneNews(
             self._name,
@@ -139,6 +179,7 @@
             self._core.registry.news_since(question.registry_revision),
             heard_before_s(self._feeds.values()),
             heard_before_s([self._feeds[FeedKind.REGISTRY]]),
+            self._seen_together(),
         )
 
     def _has_news(self, question: ZoneQuestion) -> bool:
--- a/endivepick/forwarder/forwarder.py
+++ b/endivepick/forwarder/forwarder.py
@@ -223,6 +223,8 @@
                 self.core.on_unread(now_s)
             self.core.tick(now_s, registry.heard_s)
             self._path.perform()
+            if self._zone is not None:
+                self._zone.tell_seen()
             self.decisions.metrics.fold()
             self.decisions.log.flush()
 
--- a/endivepick/forwarder/pages.py
+++ b/endivepick/forwarder/pages.py
@@ -82,6 +82,9 @@
             case peers.NEWS_PATH:
                 zone = self._zone()
                 return Response(404) if zone is None else zone.feeder.answer(query)
+            case peers.SEEN_PATH:
+                zone = self._zone()
+                return Response(404) if zone is None else zone.feeder.note_seen(query)
             case "/metrics":
                 return self._metrics()
             case "/status":
--- a/endivepick/forwarder/peers.py
+++ b/endivepick/forwarder/peers.py
@@ -32,6 +32,7 @@
     "HINT_PATH",
     "NEWS_PATH",
     "SNAPSHOT_PATH",
+    "SEEN_PATH",
     "PeerFeed",
     "PeerSnapshot",
     "asks_peers",
@@ -41,6 +42,8 @@
 HELLO_PATH = "/peers/hello"
 NEWS_PATH = "/peers/news"
 """What a feeder answers, see `endivepick.forwarder.zone`."""
+SEEN_PATH = "/peers/seen"
+"""What an instance that is fed has seen of targets, for its feeder."""
 HINT_PATH = "/peers/hint/"
 """Followed by the name of a target that does not answer."""
 _FROM = "from"
--- a/endivepick/forwarder/zone.py
+++ b/endivepick/forwarder/zone.py
@@ -22,7 +22,7 @@
 from endivepick.forwarder.freshness import POLL_WAIT_S, freshness_of
 from endivepick.forwarder.logs import BoundedLog, rounded
 from endivepick.forwarder.peer_book import Neighbours
-from endivepick.forwarder.peers import NEWS_PATH
+from endivepick.forwarder.peers import NEWS_PATH, SEEN_PATH
 from endivepick.forwarder.ports import FeederClaim, FeedKind, StoreDialect
 from endivepick.forwarder.settings import ForwarderSettings
 from endivepick.forwarder.zone_messages import (
@@ -53,6 +53,8 @@
 """Wait after a feeder was left; meanwhile the store is followed."""
 POLL_SLACK_S = 0.5
 """An answer that comes later is none: the feeder is frozen or cut off."""
+TELL_EVERY_S = 0.3
+"""How often a feeder is told of targets that fail, between questions."""
 LOST_MEMORY_S = 10.0
 """How long a feeder that did not answer is remembered as lost, or one that could feed
 no more as full."""
@@ -122,6 +124,8 @@
         self._lost_s: dict[str, float] = {}
         self._full_s: dict[str, float] = {}
         self._asked_config = 0
+        self._feeder_address = ""
+        self._seen_told_s = float("-inf")
         self._stopping = False
         self.feeder = ZoneFeeder(settings, core, feeds, neighbours, log)
         """What this instance does for others of its zone."""
@@ -246,6 +250,7 @@
             raise _FeederLeft("store lost here meanwhile", lost=False)
         self._log.event("zone", "feeder_followed", "fed by a peer", feeder=feeder)
         self.fed = True
+        self._feeder_address = feeder
         for feed in self._feeds.values():
             feed.suspend()
         try:
@@ -262,7 +267,8 @@
             # It is being read; once that has ended, an older one is asked for again.
             config = max(config, self._asked_config)
         registry = self._core.registry.revision
-        question = ZoneQuestion(self._settings.reached_at, config, registry)
+        seen = self._core.fitness.report(steady_now_s())
+        question = ZoneQuestion(self._settings.reached_at, config, registry, seen)
         try:
             path = f"{NEWS_PATH}?{question.query}"
             body = connection.get(path, POLL_WAIT_S + POLL_SLACK_S)
@@ -281,8 +287,36 @@
             case ZoneNews():
                 self._neighbours.heard(feeder, steady_now_s())
                 self._take(answer.registry, answer.config_change)
+                self._core.fitness.take_told(answer.seen, steady_now_s())
                 return answer
 
+    def tell_seen(self) -> None:
+        """Tell the zone what speaks against targets here; never waits.
+
+        A question is held for most of a second, in which each instance would go on to
+        lose requests to a target that others know to be bad.
+        """
+        now_s = steady_now_s()
+        if not self._core.fitness.doubts or now_s - self._seen_told_s < TELL_EVERY_S:
+            return
+        self._seen_told_s = now_s
+        if self.feeder.feeding:
+            self.feeder.review_seen()
+        elif self.fed:
+            gevent.spawn(self._tell_feeder, self._feeder_address)
+
+    def _tell_feeder(self, feeder: str) -> None:
+        seen = self._core.fitness.report(steady_now_s())
+        if not seen.targets:
+            return
+        question = ZoneQuestion(self._settings.reached_at, 0, 0, seen)
+        try:
+            with store_connection(feeder) as connection:
+                connection.get(f"{SEEN_PATH}?{question.query}", POLL_SLACK_S)
+        except (EndivepickError, ValueError) as error:
+            # The next question brings the same, and shows whether the feeder is lost.
+            self._log.event("zone", "seen_untold", "feeder not told", error=str(error))
+
     def _check_first(self, news: ZoneNews) -> None:
         """Take a feeder for lost that the store does not answer, though it does us.
 
--- a/endivepick/forwarder/zone_messages.py
+++ b/endivepick/forwarder/zone_messages.py
@@ -3,10 +3,10 @@
 from typing import Self
 
 import msgspec
-from msgspec import Struct
+from msgspec import Struct, field
 
 from endivepick.forwarder.http import query_fields
-from endivepick.forwarding import ConfigurationChange, RegistryNews
+from endivepick.forwarding import ConfigurationChange, FitnessReport, RegistryNews
 
 __all__ = [
     "FeederAhead",
@@ -18,8 +18,12 @@
 ]
 
 
+def _nothing_seen() -> FitnessReport:
+    return FitnessReport([], [])
+
+
 class ZoneQuestion(Struct, frozen=True):
-    """What is newer than an instance knows?
+    """What is newer than an instance knows?  With it comes what it has seen of targets.
 
     Attributes
     ----------
@@ -27,6 +31,8 @@
         Address at which peers reach the instance that asks.
     config_revision, registry_revision : int
         Revisions of the store up to which it knows the configuration and the registry.
+    seen : FitnessReport
+        What became of requests there.
 
     Examples
     --------
@@ -40,23 +46,36 @@
     asker: str
     config_revision: int
     registry_revision: int
+    seen: FitnessReport = field(default_factory=_nothing_seen)
 
     @property
     def query(self) -> str:
         """The question as the query of a path."""
         revisions = f"config={self.config_revision}&registry={self.registry_revision}"
-        return f"from={self.asker}&{revisions}"
+        question = f"from={self.asker}&{revisions}"
+        if not self.seen.targets:
+            return question
+        return f"{question}&seen={msgspec.json.encode(self.seen).hex()}"
 
     @classmethod
     def read(cls, query: str) -> Self | None:
         """Read a query, None if it is no such question."""
         fields = query_fields(query)
         try:
-            return cls(fields["from"], int(fields["config"]), int(fields["registry"]))
+            config, registry = int(fields["config"]), int(fields["registry"])
+            return cls(fields["from"], config, registry, _read_seen(fields))
         except (KeyError, ValueError):
             return None
 
 
+def _read_seen(fields: dict[str, str]) -> FitnessReport:
+    """Read what an instance has seen; nothing if it is of another build."""
+    try:
+        return _report_decoder.decode(bytes.fromhex(fields["seen"]))
+    except (KeyError, ValueError):
+        return _nothing_seen()
+
+
 class FeederFull(Struct, frozen=True, tag=True):
     """Answer of a feeder that feeds as many as it can.
 
@@ -101,6 +120,8 @@
         How long ago the store answered there, in seconds.
     registry_before_s : float
         How long ago it told of the registry, in seconds.
+    seen : FitnessReport
+        What became of requests at the instances of the zone together.
     """
 
     feeder: str
@@ -109,9 +130,11 @@
     registry: RegistryNews
     heard_before_s: float
     registry_before_s: float
+    seen: FitnessReport = field(default_factory=_nothing_seen)
 
 
 FeederAnswer = ZoneNews | FeederFull | FeederAhead
+_report_decoder = msgspec.json.Decoder(FitnessReport)
 _decoder: msgspec.json.Decoder[FeederAnswer] = msgspec.json.Decoder(FeederAnswer)
 
 
--- a/endivepick/forwarding/__init__.py
+++ b/endivepick/forwarding/__init__.py
@@ -18,12 +18,14 @@
 )
 from endivepick.forwarding.belief import (
     BeliefChange,
+    Fitness,
     Reachability,
     TargetBelief,
     TargetState,
 )
 from endivepick.forwarding.changes import ConfigurationChange, apply_change
 from endivepick.forwarding.checks import check_target, number_of_name
+from endivepick.forwarding.fitness import FitnessReport, merge_reports
 from endivepick.forwarding.forwarder import ForwardingCore
 from endivepick.forwarding.model import (
     Configuration,
@@ -45,6 +47,8 @@
     "Drop",
     "DropReason",
     "Effect",
+    "Fitness",
+    "FitnessReport",
     "FlowKey",
     "Forward",
     "ForwardingCore",
@@ -72,5 +76,6 @@
     "Verdict",
     "apply_change",
     "check_target",
+    "merge_reports",
     "number_of_name",
 ]
--- a/endivepick/forwarding/_charts.py
+++ b/endivepick/forwarding/_charts.py
@@ -4,7 +4,14 @@
 charts instead of this file.
 """
 
-__all__ = ["REACHABILITY", "REGISTERED_TARGET"]
+__all__ = ["FITNESS", "REACHABILITY", "REGISTERED_TARGET"]
+
+FITNESS = {
+    ("impaired", "rested"): "returning",
+    ("returning", "condemned"): "impaired",
+    ("returning", "proved"): "sound",
+    ("sound", "condemned"): "impaired",
+}
 
 REACHABILITY = {
     ("dead", "probe_alive"): "reachable",
--- a/endivepick/forwarding/actions.py
+++ b/endivepick/forwarding/actions.py
@@ -35,6 +35,7 @@
     TARGET_SILENT = "target_silent"
     TARGET_GONE = "target_gone"
     TARGET_RESTARTED = "target_restarted"
+    TARGET_IMPAIRED = "target_impaired"
 
 
 class DropReason(Enum):
--- a/endivepick/forwarding/belief.py
+++ b/endivepick/forwarding/belief.py
@@ -2,15 +2,18 @@
 
 from enum import Enum
 
-from msgspec import Struct
+from msgspec import Struct, field
 
-from endivepick.forwarding._charts import REACHABILITY, REGISTERED_TARGET
+from endivepick.forwarding._charts import FITNESS, REACHABILITY, REGISTERED_TARGET
 from endivepick.forwarding.model import Target
 
 __all__ = [
     "BeliefChange",
+    "Fitness",
+    "FitnessEvent",
     "Reachability",
     "ReachabilityEvent",
+    "RequestCounts",
     "TargetBelief",
     "TargetEvent",
     "TargetRestart",
@@ -92,6 +95,40 @@
     PROBE_REFUSED = "probe_refused"
 
 
+class Fitness(Enum):
+    """Whether a target serves the requests that reach it.
+
+    Attributes
+    ----------
+    SOUND
+        As well as the others of its service.
+    IMPAIRED
+        It fails far more of its requests than the others; new flows pass it over.
+    RETURNING
+        It may have recovered; a trickle of new flows shows whether it has.
+    """
+
+    SOUND = "sound"
+    IMPAIRED = "impaired"
+    RETURNING = "returning"
+
+    def after(self, event: "FitnessEvent") -> "Fitness":
+        """Return the state that follows; the same if the chart has no transition."""
+        return _FITNESSES.get((self, event), self)
+
+
+class FitnessEvent(Enum):
+    """What speaks for or against the fitness of a target."""
+
+    CONDEMNED = "condemned"
+    RESTED = "rested"
+    PROVED = "proved"
+
+
+_FITNESSES = {
+    (Fitness(state), FitnessEvent(event)): Fitness(after)
+    for (state, event), after in FITNESS.items()
+}
 _TARGET_STATES = {
     (TargetState(state), TargetEvent(event)): TargetState(after)
     for (state, event), after in REGISTERED_TARGET.items()
@@ -102,6 +139,46 @@
 }
 
 
+class RequestCounts(Struct):
+    """What became of requests of late, fading with time.
+
+    Attributes
+    ----------
+    good : float
+        Answered as is usual.
+    failed : float
+        Not answered long after answers usually begin.
+    poor : float
+        Answered far later than is usual, or with far less: an error.
+    at_s : float
+        Up to when they have faded, in seconds.
+    failed_s, poor_s : float
+        When the last one of the kind was noted, in seconds.
+    good_since, failed_since, short_since : int
+        Those since something first spoke against the target, which do not fade.
+    """
+
+    good: float = 0.0
+    failed: float = 0.0
+    poor: float = 0.0
+    at_s: float = 0.0
+    failed_s: float = float("-inf")
+    poor_s: float = float("-inf")
+    good_since: int = 0
+    failed_since: int = 0
+    short_since: int = 0
+
+    @property
+    def bad(self) -> float:
+        """Requests that failed or were answered poorly."""
+        return self.failed + self.poor
+
+    @property
+    def total(self) -> float:
+        """All requests that count."""
+        return self.good + self.bad
+
+
 class TargetBelief(Struct):
     """What is believed of one incarnation of a target.
 
@@ -133,6 +210,12 @@
         When a caller last acknowledged something new of it, in seconds.
     probed_s : float
         When the last probe began, in seconds.
+    fitness : Fitness
+        Whether it serves the requests that reach it.
+    fitness_since_s : float
+        When that began, in seconds.
+    requests : RequestCounts
+        What became of its requests, as seen here.
     """
 
     target: Target
@@ -148,6 +231,9 @@
     busy_flows: int = 0
     progress_s: float = float("-inf")
     probed_s: float = float("-inf")
+    fitness: Fitness = Fitness.SOUND
+    fitness_since_s: float = 0.0
+    requests: RequestCounts = field(default_factory=RequestCounts)
 
     @property
     def name(self) -> str:
@@ -161,6 +247,8 @@
             return self.state.value
         if self.reachability is not Reachability.REACHABLE:
             return self.reachability.value
+        if self.fitness is Fitness.IMPAIRED:
+            return self.fitness.value
         return ""
 
     @property
@@ -168,7 +256,9 @@
         """When the belief behind the doubt began, in seconds."""
         if self.state is not TargetState.READY:
             return self.state_since_s
-        return self.reachability_since_s
+        if self.reachability is not Reachability.REACHABLE:
+            return self.reachability_since_s
+        return self.fitness_since_s
 
     @property
     def takes_flows(self) -> bool:
--- /dev/null
+++ b/endivepick/forwarding/fitness.py
@@ -0,0 +1,647 @@
+"""Whether targets serve the requests that reach them, compared with each other.
+
+Load pattern: some targets of a service take connections and acknowledge data, but leave
+requests unanswered, answer them with errors, or lose their connections.  Probes find
+nothing, and each instance sees few requests of each target.
+
+What is usual is learnt from each service: how long answers take to begin, and how much
+comes first.  A request far beyond that counts against its target.  Whatever befalls all
+targets alike, a burst, a slow instance, flows that move to another instance, counts
+against all of them, so only the difference condemns one.  What the instances of a zone
+see is added up by their feeder.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from math import exp, log
+
+from msgspec import Struct
+
+from endivepick.forwarding.actions import Effect, Reset, ResetReason
+from endivepick.forwarding.belief import (
+    Fitness,
+    FitnessEvent,
+    Reachability,
+    RequestCounts,
+    TargetBelief,
+    TargetState,
+)
+from endivepick.forwarding.flows import FlowTable, ObservedFlow
+from endivepick.forwarding.histogram import UsualValues
+from endivepick.forwarding.model import FlowKey, RouteKind
+from endivepick.forwarding.registry import TargetRegistry
+
+__all__ = [
+    "FitnessJudge",
+    "FitnessReport",
+    "ServiceCounts",
+    "TargetCounts",
+    "evidence_against",
+    "merge_reports",
+]
+
+FADE_S = 2.0
+"""Time in which counts fade to a third; long enough for some requests of each target
+within a zone, short enough that what one did before it failed soon counts little."""
+ENOUGH_ANSWERS = 30
+"""Answers after which it is known what is usual."""
+OVERDUE_FACTOR = 3.0
+"""A request is overdue after so many times the longest usual time."""
+USUAL_SHARE = 0.99
+"""Share of the answers that begin within the longest usual time."""
+SHORT_FACTOR = 3.0
+"""An answer that begins with so many times less than is usual is an error."""
+ENOUGH_EVIDENCE = 7.0
+"""Logarithm of how much likelier the counts are for a bad target than for one like the
+others, before new flows pass it over; that does no harm if it is by chance."""
+RETURNING_EVIDENCE = 2.0
+"""The same for a target that was condemned just before."""
+LEAST_SHARE = 0.2
+"""A target that fails less of its requests is better than a crowd at the others."""
+COMPARED_REQUESTS = 5.0
+"""Requests of other targets without which nothing can be compared."""
+LEAST_USUAL = 0.01
+"""Share of failures that is expected of any target: callers that give up, packets that
+are lost."""
+MOST_PASSED_OVER = 0.4
+"""Share of a service's slots that may be passed over; with more, the rest would be
+overrun by what they cannot serve."""
+REST_S = 5.0
+"""How long nothing has to speak against a target before it is tried again."""
+LONGEST_REST_S = 24.0
+TRIAL_S = 2.0
+"""How long a target that returns gets a trickle of flows only."""
+RESET_FAILED_SHARE = 0.3
+RESET_FAILED = 3
+"""Requests, and share of them, that fail at a target since something first spoke
+against it, before its flows are reset."""
+RESET_SHORT_SHARE = 0.9
+RESET_SHORT = 5
+"""The same for errors.  A target that is overrun refuses requests as well, but goes on
+to answer those that it has slots for."""
+FRESH_S = 1.5
+"""Flows are reset while the evidence is that fresh, so never of one that recovered."""
+SURE_INSTANCES = 2
+SURE_CALLERS = 3
+"""Instances, or callers of a single one, that have to agree before flows are reset."""
+TOLD_S = 2.0
+"""What instances have told counts for so long: one that stands still tells nothing."""
+MOST_TOLD = 16
+"""Targets that a report names."""
+MOST_OF_ONE = 20.0
+"""Requests of a target that one instance's word counts for at the most."""
+_LEAST_TOLD = 0.5
+_SMALLEST_S = 0.001
+_SMALLEST_BYTES = 1.0
+
+
+class TargetCounts(Struct, frozen=True, array_like=True):
+    """What became of a target's requests, as instances tell each other.
+
+    Attributes
+    ----------
+    name : str
+        The target.
+    born_ms : int
+        Its incarnation.
+    good, failed, poor : float
+        As in `RequestCounts`.
+    instances : int
+        Instances that saw requests fail.
+    reporting : int
+        Instances that said anything of it.
+    good_since, failed_since, short_since : int
+        As in `RequestCounts`.
+    """
+
+    name: str
+    born_ms: int
+    good: float
+    failed: float
+    poor: float
+    instances: int = 1
+    reporting: int = 1
+    good_since: int = 0
+    failed_since: int = 0
+    short_since: int = 0
+
+    @property
+    def total(self) -> float:
+        """All requests that count."""
+        return self.good + self.failed + self.poor
+
+
+class ServiceCounts(Struct, frozen=True, array_like=True):
+    """Requests of a service within the zone, and how many of them failed."""
+
+    service: str
+    total: float
+    bad: float
+
+
+class FitnessReport(Struct, frozen=True):
+    """What an instance, or all of a zone, have seen of late.
+
+    Attributes
+    ----------
+    targets : list of TargetCounts
+        Targets against which something speaks.
+    services : list of ServiceCounts
+        Their services.
+    instances : int
+        Instances that it adds up.
+    """
+
+    targets: list[TargetCounts]
+    services: list[ServiceCounts]
+    instances: int = 1
+
+
+class _Due(Struct, frozen=True):
+    due_s: float
+    flow: FlowKey
+    since_s: float
+
+
+class _Usual:
+    """What is usual for requests of a kind at a service."""
+
+    def __init__(self) -> None:
+        self.waits_s = UsualValues(_SMALLEST_S)
+        self.first_bytes = UsualValues(_SMALLEST_BYTES)
+
+    @property
+    def known(self) -> bool:
+        return self.waits_s.count >= ENOUGH_ANSWERS
+
+    def overdue_s(self) -> float:
+        return OVERDUE_FACTOR * self.waits_s.quantile(USUAL_SHARE)
+
+    def is_short(self, size_bytes: int) -> bool:
+        return size_bytes * SHORT_FACTOR < self.first_bytes.quantile(0.5)
+
+
+def evidence_against(
+    bad: float, total: float, others_bad: float, others_total: float
+) -> float:
+    """Return how much speaks against a target, compared with others.
+
+    It is the logarithm of the likelihood ratio between the target's own share of bad
+    requests and that of the others (a G-test); 0 if it does no worse.
+
+    Examples
+    --------
+    >>> round(evidence_against(4, 4, 0, 100), 1)
+    18.4
+    >>> evidence_against(4, 8, 50, 100)
+    0.0
+    """
+    usual = max(LEAST_USUAL, others_bad / others_total)
+    share = bad / total if total else 0.0
+    if share <= usual or usual >= 1.0:
+        return 0.0
+    against = bad * log(share / usual)
+    if share < 1.0:
+        against += (total - bad) * log((1.0 - share) / (1.0 - usual))
+    return against
+
+
+class FitnessJudge:
+    """Counts what becomes of requests, and condemns targets.
+
+    Parameters
+    ----------
+    registry : TargetRegistry
+        Beliefs that it changes.
+    flows : FlowTable
+        Flows to reset.
+    """
+
+    def __init__(self, registry: TargetRegistry, flows: FlowTable) -> None:
+        self._registry = registry
+        self._flows = flows
+        self._usual: dict[tuple[str, RouteKind], _Usual] = {}
+        self._due: deque[_Due] = deque()
+        self._doubted: dict[str, TargetBelief] = {}
+        self._rests_s: dict[str, float] = {}
+        self._callers: dict[str, set[int]] = {}
+        self._told = FitnessReport([], [])
+        self._told_s = float("-inf")
+
+    # What packets show.
+
+    def began(self, flow: ObservedFlow, now_s: float) -> None:
+        """Take in that a request has begun on a flow."""
+        flow.overdue = False
+        usual = self._usual.get((flow.belief.target.service, flow.kind))
+        if usual is not None and usual.known:
+            self._due.append(_Due(now_s + usual.overdue_s(), flow.key, now_s))
+
+    def answered(
+        self, flow: ObservedFlow, waited_s: float, size_bytes: int, now_s: float
+    ) -> None:
+        """Take in that an answer has begun.
+
+        Parameters
+        ----------
+        flow : ObservedFlow
+            The flow.
+        waited_s : float
+            Time since its request, in seconds.
+        size_bytes : int
+            What the caller has of the answer.
+        now_s : float
+            Present time, in seconds.
+        """
+        key = (flow.belief.target.service, flow.kind)
+        usual = self._usual.setdefault(key, _Usual())
+        counts = _faded(flow.belief.requests, now_s)
+        if flow.overdue:
+            # It was late, not lost.
+            flow.overdue = False
+            counts.failed = max(0.0, counts.failed - 1.0)
+            counts.failed_since = max(0, counts.failed_since - 1)
+            self._doubt(flow)
+            counts.poor += 1.0
+        elif usual.known and usual.is_short(size_bytes):
+            self._doubt(flow)
+            counts.poor += 1.0
+            counts.short_since += 1
+            counts.poor_s = now_s
+        else:
+            counts.good += 1.0
+            counts.good_since += 1
+        usual.waits_s.add(waited_s)
+        usual.first_bytes.add(size_bytes)
+
+    def tick(self, now_s: float) -> list[Effect]:
+        """Note what is overdue, and judge targets that something speaks against."""
+        overdue = self._take_overdue(now_s)
+        effects: list[Effect] = []
+        for belief in list(self._doubted.values()):
+            effects += self._judge(belief, now_s)
+        for flow in overdue:
+            if self._resets_failed(flow.belief, now_s):
+                effects += self._reset_overdue(flow)
+        return effects
+
+    def _take_overdue(self, now_s: float) -> list[ObservedFlow]:
+        overdue = []
+        # Services differ in what is overdue, so the order is nearly that of time.
+        waiting = self._due
+        self._due = deque()
+        for due in waiting:
+            if due.due_s > now_s:
+                self._due.append(due)
+                continue
+            flow = self._flows.get(due.flow)
+            if flow is None or flow.busy_since_s != due.since_s:
+                continue
+            flow.overdue = True
+            counts = _faded(flow.belief.requests, now_s)
+            self._doubt(flow)
+            counts.failed += 1.0
+            counts.failed_since += 1
+            counts.failed_s = now_s
+            overdue.append(flow)
+        return overdue
+
+    def _doubt(self, flow: ObservedFlow) -> None:
+        name = flow.belief.name
+        self._look_at(flow.belief)
+        callers = self._callers.setdefault(name, set())
+        if len(callers) < SURE_CALLERS:
+            callers.add(flow.key.caller_host)
+
+    def _look_at(self, belief: TargetBelief) -> None:
+        """Count anew from when something first speaks against a target."""
+        if self._doubted.get(belief.name) is belief:
+            return
+        self._doubted[belief.name] = belief
+        counts = belief.requests
+        counts.good_since = counts.failed_since = counts.short_since = 0
+
+    # What others of the zone have seen.
+
+    def report(self, now_s: float) -> FitnessReport:
+        """Return what was seen here of targets that something speaks against.
+
+        Of those that others doubt as well, also if they did well here: otherwise only
+        the instances that happened to see requests fail would be heard.
+        """
+        asked = {told.name for told in self._told.targets}
+        doubted = [
+            belief
+            for belief in self._doubted.values()
+            if _faded(belief.requests, now_s).bad >= _LEAST_TOLD or belief.name in asked
+        ]
+        doubted.sort(key=lambda belief: -belief.requests.bad)
+        targets = [
+            TargetCounts(
+                belief.name,
+                belief.target.born_ms,
+                round(belief.requests.good, 1),
+                round(belief.requests.failed, 1),
+                round(belief.requests.poor, 1),
+                instances=int(belief.requests.bad >= _LEAST_TOLD),
+                good_since=belief.requests.good_since,
+                failed_since=belief.requests.failed_since,
+                short_since=belief.requests.short_since,
+            )
+            for belief in doubted[:MOST_TOLD]
+        ]
+        services = dict.fromkeys(belief.target.service for belief in doubted)
+        return FitnessReport(
+            targets, [self._service_counts(service, now_s) for service in services]
+        )
+
+    def take_told(self, report: FitnessReport, now_s: float) -> None:
+        """Take in what the instances of the zone have seen together."""
+        self._told = report
+        self._told_s = now_s
+        for told in report.targets:
+            belief = self._registry.get(told.name)
+            if belief is not None and belief.target.born_ms == told.born_ms:
+                self._look_at(belief)
+
+    @property
+    def doubts(self) -> bool:
+        """Whether something speaks against a target here."""
+        return bool(self._doubted)
+
+    def alarming(self, now_s: float) -> frozenset[str]:
+        """Return targets that what is known of the zone condemns."""
+        names = []
+        for belief in self._doubted.values():
+            counts, told = _faded(belief.requests, now_s), self._told_of(belief, now_s)
+            if self._against(belief, counts, told, now_s) >= ENOUGH_EVIDENCE:
+                names.append(belief.name)
+        return frozenset(names)
+
+    def _service_counts(self, service: str, now_s: float) -> ServiceCounts:
+        total = bad = 0.0
+        for belief in self._registry.of_service(service):
+            if self._is_compared(belief):
+                counts = _faded(belief.requests, now_s)
+                total += counts.total
+                bad += counts.bad
+        return ServiceCounts(service, round(total, 1), round(bad, 1))
+
+    def _is_compared(self, belief: TargetBelief) -> bool:
+        return belief.target.zone == self._registry.zone and belief.takes_flows
+
+    # Verdicts.
+
+    def _judge(self, belief: TargetBelief, now_s: float) -> list[Effect]:
+        if self._registry.get(belief.name) is not belief:
+            self._forget(belief)
+            return []
+        counts = _faded(belief.requests, now_s)
+        told = self._told_of(belief, now_s)
+        against = self._against(belief, counts, told, now_s)
+        match belief.fitness:
+            case Fitness.SOUND if against >= ENOUGH_EVIDENCE:
+                return self._condemn(belief, counts, told, against, now_s)
+            case Fitness.RETURNING if against >= RETURNING_EVIDENCE:
+                rest_s = self._rests_s.get(belief.name, REST_S)
+                self._rests_s[belief.name] = min(2 * rest_s, LONGEST_REST_S)
+                return self._condemn(belief, counts, told, against, now_s)
+            case Fitness.RETURNING if now_s - belief.fitness_since_s >= TRIAL_S:
+                self._rests_s.pop(belief.name, None)
+                event = FitnessEvent.PROVED
+                return [*self._registry.judge(belief, event, "tried", now_s)]
+            case Fitness.IMPAIRED if self._has_rested(belief, now_s):
+                counts.good = counts.failed = counts.poor = 0.0
+                event = FitnessEvent.RESTED
+                return [*self._registry.judge(belief, event, "rested", now_s)]
+            case Fitness.IMPAIRED:
+                return self._reset_flows(belief, now_s)
+            case Fitness.SOUND if counts.bad < _LEAST_TOLD and told is None:
+                self._forget(belief)
+        return []
+
+    def _forget(self, belief: TargetBelief) -> None:
+        self._doubted.pop(belief.name, None)
+        self._callers.pop(belief.name, None)
+        self._rests_s.pop(belief.name, None)
+
+    def _told_of(self, belief: TargetBelief, now_s: float) -> TargetCounts | None:
+        if now_s - self._told_s > TOLD_S:
+            return None
+        for told in self._told.targets:
+            if told.name == belief.name and told.born_ms == belief.target.born_ms:
+                return told
+        return None
+
+    def _against(
+        self,
+        belief: TargetBelief,
+        counts: RequestCounts,
+        told: TargetCounts | None,
+        now_s: float,
+    ) -> float:
+        """Return what speaks against a target, here or in the zone."""
+        if not self._is_judged(belief):
+            return 0.0
+        service = self._service_counts(belief.target.service, now_s)
+        against = _compared(counts.bad, counts.total, service)
+        if told is None:
+            return against
+        bad = told.failed + told.poor
+        for all_told in self._told.services:
+            if all_told.service == belief.target.service:
+                zone = _compared(bad, told.total, all_told)
+                against = max(against, zone)
+        return against
+
+    def _is_judged(self, belief: TargetBelief) -> bool:
+        """Whether a target's failures would be its own.
+
+        Those of one that drains, or that cannot be reached, have other reasons; what
+        an instance sees of other zones may be the way there.
+        """
+        return (
+            belief.state is TargetState.READY
+            and belief.reachability is Reachability.REACHABLE
+            and belief.target.zone == self._registry.zone
+        )
+
+    def _condemn(
+        self,
+        belief: TargetBelief,
+        counts: RequestCounts,
+        told: TargetCounts | None,
+        against: float,
+        now_s: float,
+    ) -> list[Effect]:
+        if not self._may_pass_over(belief):
+            return []
+        reason = (
+            f"evidence {against:.1f}: {counts.failed:.1f} failed and "
+            f"{counts.poor:.1f} poor of {counts.total:.1f} here"
+        )
+        if told is not None:
+            reason += (
+                f", {told.failed:.1f} and {told.poor:.1f} of {told.total:.1f} "
+                f"at {told.instances} instances"
+            )
+        event = FitnessEvent.CONDEMNED
+        changes = self._registry.judge(belief, event, reason, now_s)
+        return [*changes, *self._reset_flows(belief, now_s)]
+
+    def _may_pass_over(self, belief: TargetBelief) -> bool:
+        beliefs = [
+            each
+            for each in self._registry.of_service(belief.target.service)
+            if each.takes_flows and each.reachability is Reachability.REACHABLE
+        ]
+        slots = sum(each.target.slots for each in beliefs)
+        passed = sum(
+            each.target.slots for each in beliefs if each.fitness is not Fitness.SOUND
+        )
+        if belief.fitness is Fitness.SOUND:
+            passed += belief.target.slots
+        return passed <= MOST_PASSED_OVER * slots
+
+    def _has_rested(self, belief: TargetBelief, now_s: float) -> bool:
+        last_s = max(
+            belief.requests.failed_s, belief.requests.poor_s, belief.fitness_since_s
+        )
+        if self._told_of(belief, now_s) is not None:
+            return False
+        return now_s - last_s >= self._rests_s.get(belief.name, REST_S)
+
+    # Resets.
+
+    def _reset_flows(self, belief: TargetBelief, now_s: float) -> list[Effect]:
+        """Reset flows of a target that surely fails what comes on them."""
+        failing = self._resets_failed(belief, now_s)
+        if not failing and not self._resets_short(belief, now_s):
+            return []
+        effects: list[Effect] = []
+        for flow in self._flows.of_target(belief):
+            if flow.busy_since_s is None and flow.opened:
+                effects += self._reset(flow)
+            elif failing and flow.overdue:
+                effects += self._reset_overdue(flow)
+        return effects
+
+    def _reset_overdue(self, flow: ObservedFlow) -> list[Effect]:
+        """Reset a flow whose request may be tried elsewhere."""
+        if flow.kind is not RouteKind.IDEMPOTENT:
+            return []
+        return self._reset(flow)
+
+    def _reset(self, flow: ObservedFlow) -> list[Effect]:
+        self._flows.end(flow.key)
+        reason = ResetReason.TARGET_IMPAIRED
+        return [Reset(flow.key, flow.acknowledged, reason, flow.belief.name)]
+
+    def _resets_failed(self, belief: TargetBelief, now_s: float) -> bool:
+        if belief.fitness is not Fitness.IMPAIRED:
+            return False
+        counts, told = belief.requests, self._told_of(belief, now_s)
+        if now_s - counts.failed_s > FRESH_S and told is None:
+            return False
+        if told is not None and told.instances >= SURE_INSTANCES:
+            return self._most_report(told) and _still_fails(told)
+        if len(self._callers.get(belief.name, ())) < SURE_CALLERS:
+            return False
+        return _still_fails(counts)
+
+    def _most_report(self, told: TargetCounts) -> bool:
+        """Whether most instances were heard, not only those that saw requests fail."""
+        return 2 * told.reporting >= self._told.instances
+
+    def _resets_short(self, belief: TargetBelief, now_s: float) -> bool:
+        counts, told = belief.requests, self._told_of(belief, now_s)
+        if now_s - counts.poor_s > FRESH_S and told is None:
+            return False
+        if told is not None and told.instances >= SURE_INSTANCES:
+            return self._most_report(told) and _all_short(told)
+        if len(self._callers.get(belief.name, ())) < SURE_CALLERS:
+            return False
+        return _all_short(counts)
+
+
+def merge_reports(reports: Iterable[FitnessReport]) -> FitnessReport:
+    """Add up what several instances have seen; each one's word is bounded."""
+    targets: dict[tuple[str, int], TargetCounts] = {}
+    services: dict[str, ServiceCounts] = {}
+    instances = 0
+    for report in reports:
+        instances += 1
+        for told in report.targets:
+            key = (told.name, told.born_ms)
+            known = targets.get(key)
+            bounded = _bounded(told)
+            targets[key] = bounded if known is None else _added(known, bounded)
+        for service in report.services:
+            before = services.get(service.service)
+            services[service.service] = ServiceCounts(
+                service.service,
+                service.total + (0.0 if before is None else before.total),
+                service.bad + (0.0 if before is None else before.bad),
+            )
+    worst = sorted(targets.values(), key=lambda t: -(t.failed + t.poor))
+    return FitnessReport(worst[:MOST_TOLD], list(services.values()), instances)
+
+
+def _still_fails(counts: RequestCounts | TargetCounts) -> bool:
+    total = counts.failed_since + counts.good_since
+    return counts.failed_since >= max(RESET_FAILED, RESET_FAILED_SHARE * total)
+
+
+def _all_short(counts: RequestCounts | TargetCounts) -> bool:
+    total = counts.short_since + counts.good_since
+    return counts.short_since >= max(RESET_SHORT, RESET_SHORT_SHARE * total)
+
+
+def _bounded(told: TargetCounts) -> TargetCounts:
+    share = min(1.0, MOST_OF_ONE / told.total) if told.total > 0 else 0.0
+    return TargetCounts(
+        told.name,
+        told.born_ms,
+        told.good * share,
+        told.failed * share,
+        told.poor * share,
+        min(told.instances, 1),
+        1,
+        told.good_since,
+        min(told.failed_since, RESET_FAILED - 1),
+        min(told.short_since, RESET_SHORT - 1),
+    )
+
+
+def _added(first: TargetCounts, second: TargetCounts) -> TargetCounts:
+    return TargetCounts(
+        first.name,
+        first.born_ms,
+        first.good + second.good,
+        first.failed + second.failed,
+        first.poor + second.poor,
+        first.instances + second.instances,
+        first.reporting + second.reporting,
+        first.good_since + second.good_since,
+        first.failed_since + second.failed_since,
+        first.short_since + second.short_since,
+    )
+
+
+def _compared(bad: float, total: float, service: ServiceCounts) -> float:
+    others_total = service.total - total
+    if others_total < COMPARED_REQUESTS or bad < LEAST_SHARE * total:
+        return 0.0
+    return evidence_against(bad, total, max(0.0, service.bad - bad), others_total)
+
+
+def _faded(counts: RequestCounts, now_s: float) -> RequestCounts:
+    """Let counts fade up to now."""
+    passed_s = now_s - counts.at_s
+    if passed_s > 0:
+        kept = exp(-passed_s / FADE_S)
+        counts.good *= kept
+        counts.failed *= kept
+        counts.poor *= kept
+        counts.at_s = now_s
+    return counts
--- a/endivepick/forwarding/flows.py
+++ b/endivepick/forwarding/flows.py
@@ -15,9 +15,10 @@
 from endivepick.forwarding.model import FlowKey, Packet, RouteKind
 from endivepick.forwarding.settings import ForwardingSettings
 
-__all__ = ["FlowSign", "FlowTable", "ObservedFlow"]
+__all__ = ["SEQUENCE_NUMBERS", "FlowSign", "FlowTable", "ObservedFlow"]
 
-_NUMBERS = 2**32
+SEQUENCE_NUMBERS = 2**32
+"""Numbers of bytes begin anew after this many."""
 _HALF = 2**31
 
 
@@ -51,6 +52,8 @@
         the flow is open at just that one.
     busy_since_s : float or None
         When the data that the target has not answered yet came first, in seconds.
+    overdue : bool
+        The request in progress is unanswered for longer than is usual.
     noted_doubt : str
         Doubt about the target that was noted of this flow last.
     """
@@ -63,6 +66,7 @@
     seen_s: float
     opened_s: float | None
     busy_since_s: float | None = None
+    overdue: bool = False
     noted_doubt: str = ""
 
     @property
@@ -79,7 +83,7 @@
     >>> _ahead(1, 2**32 - 1), _ahead(5, 5)
     (True, False)
     """
-    return 0 < (number - other) % _NUMBERS < _HALF
+    return 0 < (number - other) % SEQUENCE_NUMBERS < _HALF
 
 
 class FlowTable:
@@ -159,7 +163,7 @@
     def _start(
         self, packet: Packet, belief: TargetBelief, kind: RouteKind, now_s: float
     ) -> None:
-        end = (packet.sequence + packet.data_bytes) % _NUMBERS
+        end = (packet.sequence + packet.data_bytes) % SEQUENCE_NUMBERS
         acknowledged = 0 if packet.opening else packet.acknowledged
         opened_s = None if packet.opening else now_s
         flow = ObservedFlow(
@@ -192,7 +196,7 @@
             sign = FlowSign.PROGRESS
         if not packet.data_bytes:
             return sign
-        end = (packet.sequence + packet.data_bytes) % _NUMBERS
+        end = (packet.sequence + packet.data_bytes) % SEQUENCE_NUMBERS
         if _ahead(end, flow.sent_end):
             flow.sent_end = end
             self._set_busy(flow, now_s)
--- a/endivepick/forwarding/forwarder.py
+++ b/endivepick/forwarding/forwarder.py
@@ -30,7 +30,8 @@
     TargetState,
 )
 from endivepick.forwarding.evidence import EvidenceJudge, reset_reason
-from endivepick.forwarding.flows import FlowSign, FlowTable
+from endivepick.forwarding.fitness import FitnessJudge
+from endivepick.forwarding.flows import SEQUENCE_NUMBERS, FlowSign, FlowTable
 from endivepick.forwarding.model import (
     Configuration,
     FlowKey,
@@ -78,6 +79,7 @@
         self._random_share = random_share
         self._openings = OpeningMemory(settings)
         self._judge = EvidenceJudge(settings, self.registry, self.flows, self.routes)
+        self.fitness = FitnessJudge(self.registry, self.flows)
         self._unknown = UnknownCookies(settings.lapse_grace_s)
         self._held: deque[_HeldPacket] = deque()
         self._asked_s = float("-inf")
@@ -229,6 +231,7 @@
         if self.registry.unconfirmed(now_s, heard_s):
             self._ask_registry(now_s)
         self.effects += self._judge.retry_probes(now_s)
+        self.effects += self.fitness.tick(now_s)
 
     def _on_opening(self, packet: Packet, route: Route | None, now_s: float) -> Verdict:
         if route is None:
@@ -238,8 +241,9 @@
         if opening is not None:
             self._suspect_first(opening, packet.flow, now_s)
         candidates = self.registry.candidates(service_of(route, packet.flow))
+        repeatable = route.kind is RouteKind.IDEMPOTENT
         placement = choose_target(
-            self.settings, candidates, tried, self._random_share, now_s
+            self.settings, candidates, tried, self._random_share, now_s, repeatable
         )
         if placement is None:
             return self._reset(packet, ResetReason.NO_TARGET, "", now_s)
@@ -285,11 +289,13 @@
         kind = RouteKind.AT_MOST_ONCE if route is None else route.kind
         known = self.flows.get(packet.flow)
         busy_since_s = None if known is None else known.busy_since_s
+        acknowledged = packet.acknowledged if known is None else known.acknowledged
         reason = self._reset_reason(packet, kind, belief)
         if reason is not None:
             self.flows.end(packet.flow)
             return self._reset(packet, reason, belief.name, now_s)
         sign = self.flows.observe(packet, belief, kind, now_s)
+        self._note_request(packet, busy_since_s, acknowledged, now_s)
         self._note_doubt(packet.flow, belief, now_s)
         match sign:
             case FlowSign.PROGRESS:
@@ -302,6 +308,36 @@
                 pass
         return Forward(belief)
 
+    def _note_request(
+        self,
+        packet: Packet,
+        busy_since_s: float | None,
+        acknowledged: int,
+        now_s: float,
+    ) -> None:
+        """Note that a packet shows the beginning of a request, or of its answer.
+
+        Parameters
+        ----------
+        packet : Packet
+            The packet, observed already.
+        busy_since_s : float or None
+            When the request before it began, in seconds; None if it had its answer.
+        acknowledged : int
+            What the caller had acknowledged before.
+        now_s : float
+            Present time, in seconds.
+        """
+        flow = self.flows.get(packet.flow)
+        if flow is None:
+            return
+        if busy_since_s is not None and flow.busy_since_s != busy_since_s:
+            size_bytes = (packet.acknowledged - acknowledged) % SEQUENCE_NUMBERS
+            waited_s = now_s - busy_since_s
+            self.fitness.answered(flow, waited_s, size_bytes, now_s)
+        if flow.busy_since_s is not None and flow.busy_since_s != busy_since_s:
+            self.fitness.began(flow, now_s)
+
     def _note_doubt(self, key: FlowKey, belief: TargetBelief, now_s: float) -> None:
         """Note once of each flow that its packets go on to a target in doubt."""
         doubt = belief.doubt
--- /dev/null
+++ b/endivepick/forwarding/histogram.py
@@ -0,0 +1,59 @@
+"""Distributions that forget: what is usual now, in a few hundred bytes."""
+
+from math import log2
+
+__all__ = ["UsualValues"]
+
+_STEPS_PER_DOUBLING = 2
+_BUCKETS = 64
+"""Enough for a factor of 2**32 between the smallest and the largest value."""
+REMEMBERED = 512
+"""Values that count; older ones are halved away as new ones come, so that a change of
+load is usual after as many requests, however fast they are."""
+
+
+class UsualValues:
+    """Counts positive values in buckets of half an octave.
+
+    Parameters
+    ----------
+    smallest : float
+        Values up to this one are not told apart.
+
+    Examples
+    --------
+    >>> usual = UsualValues(smallest=0.001)
+    >>> for value in (0.01, 0.011, 0.012, 0.5):
+    ...     usual.add(value)
+    >>> round(usual.quantile(0.5), 3), usual.count
+    (0.016, 4)
+    """
+
+    def __init__(self, smallest: float) -> None:
+        self._smallest = smallest
+        self._buckets = [0] * _BUCKETS
+        self.count = 0
+        """Values that count now."""
+
+    def add(self, value: float) -> None:
+        """Take in a value."""
+        ratio = value / self._smallest
+        index = 0 if ratio <= 1.0 else int(log2(ratio) * _STEPS_PER_DOUBLING) + 1
+        self._buckets[min(index, _BUCKETS - 1)] += 1
+        self.count += 1
+        if self.count >= REMEMBERED:
+            self._buckets = [number // 2 for number in self._buckets]
+            self.count = sum(self._buckets)
+
+    def quantile(self, share: float) -> float:
+        """Return an upper bound of the value that a share does not exceed."""
+        wanted = share * self.count
+        passed = 0
+        for index, number in enumerate(self._buckets):
+            passed += number
+            if passed >= wanted:
+                return self._upper(index)
+        return self._upper(_BUCKETS - 1)
+
+    def _upper(self, index: int) -> float:
+        return float(self._smallest * 2 ** (index / _STEPS_PER_DOUBLING))
--- a/endivepick/forwarding/placement.py
+++ b/endivepick/forwarding/placement.py
@@ -14,11 +14,15 @@
 
 from msgspec import Struct
 
-from endivepick.forwarding.belief import Reachability, TargetBelief
+from endivepick.forwarding.belief import Fitness, Reachability, TargetBelief
 from endivepick.forwarding.settings import ForwardingSettings
 
 __all__ = ["Candidates", "Placement", "choose_target", "local_share"]
 
+TRICKLE = 0.05
+"""Share of new flows that targets are considered for that may have recovered; without
+flows of its own, one that has not would get all of them."""
+
 
 class Candidates(Struct, frozen=True):
     """Targets of a service that the registry lets take new flows, sorted for a zone.
@@ -31,25 +35,30 @@
     every : list of TargetBelief
         All of them.
     own, others : list of TargetBelief
-        Those that are reachable, in the zone and elsewhere.
+        Those that are reachable and not impaired, in the zone and elsewhere.
     all_slots : int
-        Slots of those that are reachable.
+        Slots of these.
+    impaired : list of TargetBelief
+        Those that are reachable and impaired.
     """
 
     every: list[TargetBelief]
     own: list[TargetBelief]
     others: list[TargetBelief]
     all_slots: int
+    impaired: list[TargetBelief]
 
     @classmethod
     def of_zone(cls, zone: str, beliefs: Sequence[TargetBelief]) -> "Candidates":
         """Sort beliefs of targets for instances of a zone."""
         reachable = [b for b in beliefs if b.reachability is Reachability.REACHABLE]
+        fit = [b for b in reachable if b.fitness is not Fitness.IMPAIRED]
         return cls(
             list(beliefs),
-            [b for b in reachable if b.target.zone == zone],
-            [b for b in reachable if b.target.zone != zone],
-            sum(b.target.slots for b in reachable),
+            [b for b in fit if b.target.zone == zone],
+            [b for b in fit if b.target.zone != zone],
+            sum(b.target.slots for b in fit),
+            [b for b in reachable if b.fitness is Fitness.IMPAIRED],
         )
 
     def without(self, tried: Sequence[str]) -> "Candidates":
@@ -57,7 +66,15 @@
         own = [b for b in self.own if b.name not in tried]
         others = [b for b in self.others if b.name not in tried]
         slots = sum(b.target.slots for b in (*own, *others))
-        return Candidates(self.every, own, others, slots)
+        return Candidates(self.every, own, others, slots, self.impaired)
+
+    def without_returning(self) -> "Candidates":
+        """Return what is left when targets that return have had their trickle."""
+        own = [b for b in self.own if b.fitness is Fitness.SOUND]
+        if not own:
+            return self
+        slots = sum(b.target.slots for b in (*own, *self.others))
+        return Candidates(self.every, own, self.others, slots, self.impaired)
 
 
 class Placement(Struct, frozen=True):
@@ -72,7 +89,8 @@
     load : float
         Its load per slot at that time.
     reason : str
-        ``"zone"``, ``"spill"``, ``"busy"``, ``"retried"`` or ``"doubtful"``.
+        ``"zone"``, ``"spill"``, ``"busy"``, ``"retried"``, ``"impaired"`` or
+        ``"doubtful"``.
     """
 
     belief: TargetBelief
@@ -87,6 +105,7 @@
     tried: Sequence[str],
     random_share: Callable[[], float],
     now_s: float,
+    repeatable: bool = True,
 ) -> Placement | None:
     """Choose the target of a new flow.
 
@@ -102,6 +121,9 @@
         Returns random numbers from 0 to 1.
     now_s : float
         Present time, in seconds.
+    repeatable : bool
+        The flow's requests may be tried again elsewhere.  Only such show whether a
+        target has recovered.
 
     Returns
     -------
@@ -109,11 +131,16 @@
         None if no target is left that may be alive.
     """
     fresh = candidates.without(tried) if tried else candidates
+    if any(b.fitness is Fitness.RETURNING for b in fresh.own):
+        tried_out = repeatable and random_share() < TRICKLE
+        fresh = fresh if tried_out else fresh.without_returning()
     pool: Sequence[TargetBelief]
     if fresh.own or fresh.others:
         pool, reason = _zone_pool(settings, fresh, random_share)
     elif candidates.own or candidates.others:
         pool, reason = [*candidates.own, *candidates.others], "retried"
+    elif candidates.impaired:
+        pool, reason = candidates.impaired, "impaired"
     else:
         alive = [b for b in candidates.every if b.reachability is not Reachability.DEAD]
         pool, reason = [b for b in alive if b.name not in tried] or alive, "doubtful"
--- a/endivepick/forwarding/registry.py
+++ b/endivepick/forwarding/registry.py
@@ -17,6 +17,7 @@
 
 from endivepick.forwarding.belief import (
     BeliefChange,
+    FitnessEvent,
     Reachability,
     ReachabilityEvent,
     TargetBelief,
@@ -129,6 +130,15 @@
         name = self._cookies.resolve(cookie)
         return None if name is None else self._beliefs[name]
 
+    @property
+    def zone(self) -> str:
+        """Availability zone of this instance."""
+        return self._settings.zone
+
+    def of_service(self, service: str) -> Iterable[TargetBelief]:
+        """Return all that is believed of the targets of a service."""
+        return self._by_service.get(service, {}).values()
+
     def candidates(self, service: str) -> Candidates:
         """Return the targets of a service that may take new flows.
 
@@ -378,6 +388,20 @@
             changes += self._move(belief, TargetEvent.FOUND_DEAD, reason, now_s)
         return changes
 
+    def judge(
+        self, belief: TargetBelief, event: FitnessEvent, reason: str, now_s: float
+    ) -> list[BeliefChange]:
+        """Note whether a target serves the requests that reach it."""
+        before = belief.fitness
+        after = before.after(event)
+        if before is after:
+            return []
+        age_s = now_s - belief.fitness_since_s
+        belief.fitness = after
+        belief.fitness_since_s = now_s
+        self._candidates.pop(belief.target.service, None)
+        return [_change(belief, before.value, after.value, reason, age_s)]
+
     def _add(self, target: Target, now_s: float) -> BeliefChange:
         belief = self._new_belief(target, now_s)
         self._never_read.pop(belief.cookie, None)
