Tell within a zone only of targets that something speaks against; explain the judgement

Cause: a target that all were asked about was told on with nothing against it, and asked about for ever.

--- a/endivepick/cli/forwarder.py
+++ b/endivepick/cli/forwarder.py
@@ -16,7 +16,10 @@
 
 STATUS_TIMEOUT_S = 5.0
 """Longest wait for a forwarder's status; it answers within milliseconds."""
-_HEADER = ("service", "target", "zone", "state", "for", "reached", "for", "flows")
+_HEADER = (
+    *("service", "target", "zone", "state", "for", "reached", "for"),
+    *("fitness", "for", "flows"),
+)
 
 
 class ForwarderCommands:
@@ -126,6 +129,8 @@
         f"{target['state_for_s']} s",
         target["reachability"],
         f"{target['reachability_for_s']} s",
+        target["fitness"],
+        f"{target['fitness_for_s']} s",
         target["flows"],
     )
 
--- a/endivepick/cli/tests/test_forwarder.py
+++ b/endivepick/cli/tests/test_forwarder.py
@@ -23,6 +23,8 @@
             "state_for_s": 0.5,
             "reachability": "silent",
             "reachability_for_s": 0.25,
+            "fitness": "sound",
+            "fitness_for_s": 12.0,
             "flows": 2,
             "busy_flows": 1,
         }
--- a/endivepick/forwarder/status.py
+++ b/endivepick/forwarder/status.py
@@ -38,6 +38,14 @@
         "state_for_s": rounded(now_s - belief.state_since_s),
         "reachability": belief.reachability.value,
         "reachability_for_s": rounded(now_s - belief.reachability_since_s),
+        "fitness": belief.fitness.value,
+        "fitness_for_s": rounded(now_s - belief.fitness_since_s),
+        "requests": {
+            "good": rounded(belief.requests.good),
+            "failed": rounded(belief.requests.failed),
+            "poor": rounded(belief.requests.poor),
+            "counted_before_s": rounded(now_s - belief.requests.at_s),
+        },
         "flows": belief.flows,
         "busy_flows": belief.busy_flows,
     }
--- a/endivepick/forwarder/tests/test_zone.py
+++ b/endivepick/forwarder/tests/test_zone.py
@@ -18,9 +18,15 @@
 from endivepick.forwarder.settings import decode_settings
 from endivepick.forwarder.tests.test_settings import GOOD
 from endivepick.forwarder.zone import ZoneMember
-from endivepick.forwarder.zone_messages import FeederAhead, FeederFull, ZoneNews
-from endivepick.forwarding import RegistryNews, TargetState
+from endivepick.forwarder.zone_messages import (
+    FeederAhead,
+    FeederFull,
+    ZoneNews,
+    ZoneQuestion,
+)
+from endivepick.forwarding import FitnessReport, RegistryNews, TargetState
 from endivepick.forwarding.changes import change_between
+from endivepick.forwarding.fitness import ServiceCounts, TargetCounts
 from endivepick.forwarding.tests.support import (
     make_configuration,
     make_core,
@@ -180,6 +186,83 @@
         self.assertFalse(self.member.feeder.feeding)
 
 
+class TestSeenInTheZone(ZoneCase):
+    """What instances have seen of targets that fail goes through their feeder."""
+
+    def report(self, failed, total=40.0, born_ms=0):
+        counts = TargetCounts(
+            "i-1", born_ms, 1.0, failed, 0.0, failed_since=int(failed)
+        )
+        return FitnessReport([counts], [ServiceCounts("notes", total, failed)])
+
+    def ask(self, failed=None, asker="10.0.0.2:1"):
+        seen = FitnessReport([], []) if failed is None else self.report(failed)
+        question = ZoneQuestion(asker, 0, 1, seen)
+        answer = self.member.feeder.answer(question.query)
+        return msgspec.json.decode(answer.body, type=ZoneNews).seen
+
+    def test_the_words_of_all_are_added_up(self):
+        self.feed()
+        self.ask(3.0)
+        together = self.ask(2.0, "10.0.0.3:1")
+        (told,) = together.targets
+        self.assertEqual((told.failed, told.instances), (5.0, 2))
+        self.assertEqual(together.instances, 3)
+        self.assertEqual(together.services[0].total, 80.0)
+
+    def test_the_newest_word_of_an_instance_replaces_the_former(self):
+        self.feed()
+        self.ask(3.0)
+        self.assertEqual(self.ask(1.0).targets[0].failed, 1.0)
+        self.assertEqual(self.ask().targets, [])
+
+    def test_the_word_of_one_that_fell_silent_counts_no_more(self):
+        self.feed()
+        self.ask(3.0)
+        with patch.object(feeding, "TOLD_S", -1.0):
+            self.assertEqual(self.ask(2.0, "10.0.0.3:1").targets, [])
+
+    def test_a_new_verdict_is_told_at_once(self):
+        self.feed()
+        waiting = gevent.spawn(self.member.feeder.answer, "from=a&config=1&registry=10")
+        gevent.sleep(0)
+        question = ZoneQuestion("10.0.0.2:1", 0, 0, self.report(1.0, 400.0))
+        self.member.feeder.note_seen(question.query)
+        gevent.sleep(0)
+        self.assertFalse(waiting.ready())
+        question = ZoneQuestion("10.0.0.2:1", 0, 0, self.report(9.0, 400.0))
+        self.assertEqual(self.member.feeder.note_seen(question.query).status, 200)
+        news = waiting.get(timeout=TIMEOUT_S)
+        seen = msgspec.json.decode(news.body, type=ZoneNews).seen
+        self.assertEqual(seen.targets[0].failed, 9.0)
+
+    def test_one_that_does_not_feed_takes_no_word(self):
+        question = ZoneQuestion("10.0.0.2:1", 0, 0, self.report(9.0))
+        self.assertEqual(self.member.feeder.note_seen(question.query).status, 404)
+
+    def test_a_question_of_the_build_before_has_seen_nothing(self):
+        question = ZoneQuestion.read("from=a&config=1&registry=10")
+        self.assertEqual(question.seen, FitnessReport([], []))
+
+    def test_words_that_cannot_be_read_are_none(self):
+        for seen in ("", "zz", "00", b'{"targets":3}'.hex()):
+            question = ZoneQuestion.read(f"from=a&config=1&registry=10&seen={seen}")
+            self.assertEqual(question.seen, FitnessReport([], []))
+
+    def test_impossible_words_count_for_nothing(self):
+        self.feed()
+        for failed in (-5.0, 1e300):
+            self.assertEqual(self.ask(failed).targets, [])
+        self.core.fitness.take_told(self.report(-1.0, -5.0), steady_now_s())
+        self.core.tick(steady_now_s())
+
+    def test_an_answer_of_the_build_before_tells_nothing_seen(self):
+        news = msgspec.to_builtins(ZoneNews("f", 1, None, NOTHING, 0.1, 0.1))
+        del news["seen"]
+        read = msgspec.convert(news, ZoneNews)
+        self.assertEqual(read.seen, FitnessReport([], []))
+
+
 class TestBeingFed(ZoneCase):
     """The answers are those of one feeder; the last one ends the following."""
 
--- a/endivepick/forwarding/fitness.py
+++ b/endivepick/forwarding/fitness.py
@@ -60,9 +60,9 @@
 """A target that fails less of its requests is better than a crowd at the others."""
 COMPARED_REQUESTS = 5.0
 """Requests of other targets without which nothing can be compared."""
-LEAST_USUAL = 0.01
-"""Share of failures that is expected of any target: callers that give up, packets that
-are lost."""
+PRIOR_FAILED, PRIOR_TOTAL = 0.2, 10.0
+"""Requests that are added to those of the others: some fail anywhere, so few that were
+all good do not mean that none ever fails."""
 MOST_PASSED_OVER = 0.4
 """Share of a service's slots that may be passed over; with more, the rest would be
 overrun by what they cannot serve."""
@@ -90,6 +90,8 @@
 """Targets that a report names."""
 MOST_OF_ONE = 20.0
 """Requests of a target that one instance's word counts for at the most."""
+MOST_COUNTED = 1e9
+"""More requests than a zone sees in the time in which counts fade."""
 _LEAST_TOLD = 0.5
 _SMALLEST_S = 0.001
 _SMALLEST_BYTES = 1.0
@@ -192,11 +194,11 @@
     Examples
     --------
     >>> round(evidence_against(4, 4, 0, 100), 1)
-    18.4
+    25.2
     >>> evidence_against(4, 8, 50, 100)
     0.0
     """
-    usual = max(LEAST_USUAL, others_bad / others_total)
+    usual = (others_bad + PRIOR_FAILED) / (others_total + PRIOR_TOTAL)
     share = bad / total if total else 0.0
     if share <= usual or usual >= 1.0:
         return 0.0
@@ -357,9 +359,9 @@
 
     def take_told(self, report: FitnessReport, now_s: float) -> None:
         """Take in what the instances of the zone have seen together."""
-        self._told = report
+        self._told = _usable(report)
         self._told_s = now_s
-        for told in report.targets:
+        for told in self._told.targets:
             belief = self._registry.get(told.name)
             if belief is not None and belief.target.born_ms == told.born_ms:
                 self._look_at(belief)
@@ -569,7 +571,7 @@
     targets: dict[tuple[str, int], TargetCounts] = {}
     services: dict[str, ServiceCounts] = {}
     instances = 0
-    for report in reports:
+    for report in map(_usable, reports):
         instances += 1
         for told in report.targets:
             key = (told.name, told.born_ms)
@@ -583,10 +585,28 @@
                 service.total + (0.0 if before is None else before.total),
                 service.bad + (0.0 if before is None else before.bad),
             )
-    worst = sorted(targets.values(), key=lambda t: -(t.failed + t.poor))
+    # One that all asked about and nobody doubts would be asked about for ever.
+    doubted = [t for t in targets.values() if t.failed + t.poor >= _LEAST_TOLD]
+    worst = sorted(doubted, key=lambda told: -(told.failed + told.poor))
     return FitnessReport(worst[:MOST_TOLD], list(services.values()), instances)
 
 
+def _usable(report: FitnessReport) -> FitnessReport:
+    """Leave out what no instance of this build would tell."""
+    targets = [told for told in report.targets if _is_possible(told)]
+    services = [s for s in report.services if 0.0 <= s.bad <= s.total <= MOST_COUNTED]
+    return FitnessReport(targets[:MOST_TOLD], services, max(1, report.instances))
+
+
+def _is_possible(told: TargetCounts) -> bool:
+    counts = (
+        *(told.good, told.failed, told.poor),
+        *(told.good_since, told.failed_since, told.short_since),
+        *(told.instances, told.reporting),
+    )
+    return all(0 <= count <= MOST_COUNTED for count in counts)
+
+
 def _still_fails(counts: RequestCounts | TargetCounts) -> bool:
     total = counts.failed_since + counts.good_since
     return counts.failed_since >= max(RESET_FAILED, RESET_FAILED_SHARE * total)
