Reset flows of a target only while several instances see it fail now

Failures counted since a target was first doubted stayed for ever, and a single one condemned it again after its rest, so the old count reset flows that had been opened meanwhile.

Ruled out: words of a silent instance (they are dropped after 2 s); the trickle itself.

Change: resets need failures within the last second at two instances, words no older than that, most of the zone heard, and that the comparison still speaks against the target with all of it counted; what is said of it before its rest is forgotten.

Test: flows of one that has recovered are left alone, replayed with 12 instances: failed on the former state, passes.

--- a/endivepick/forwarder/tests/test_zone.py
+++ b/endivepick/forwarder/tests/test_zone.py
@@ -190,9 +190,7 @@
     """What instances have seen of targets that fail goes through their feeder."""
 
     def report(self, failed, total=40.0, born_ms=0):
-        counts = TargetCounts(
-            "i-1", born_ms, 1.0, failed, 0.0, failed_since=int(failed)
-        )
+        counts = TargetCounts("i-1", born_ms, 1.0, failed, 0.0, fresh=1)
         return FitnessReport([counts], [ServiceCounts("notes", total, failed)])
 
     def ask(self, failed=None, asker="10.0.0.2:1"):
--- a/endivepick/forwarding/belief.py
+++ b/endivepick/forwarding/belief.py
@@ -154,8 +154,9 @@
         Up to when they have faded, in seconds.
     failed_s, poor_s : float
         When the last one of the kind was noted, in seconds.
-    good_since, failed_since, short_since : int
-        Those since something first spoke against the target, which do not fade.
+    good_since, short_since : int
+        Good ones and errors since something first spoke against the target, which do
+        not fade.
     """
 
     good: float = 0.0
@@ -165,7 +166,6 @@
     failed_s: float = float("-inf")
     poor_s: float = float("-inf")
     good_since: int = 0
-    failed_since: int = 0
     short_since: int = 0
 
     @property
--- a/endivepick/forwarding/fitness.py
+++ b/endivepick/forwarding/fitness.py
@@ -71,16 +71,16 @@
 LONGEST_REST_S = 24.0
 TRIAL_S = 2.0
 """How long a target that returns gets a trickle of flows only."""
-RESET_FAILED_SHARE = 0.3
-RESET_FAILED = 3
-"""Requests, and share of them, that fail at a target since something first spoke
-against it, before its flows are reset."""
+RESET_FAILED = 3.0
+"""Requests that fail at a condemned target before its flows are reset; fewer count of
+what one instance says."""
 RESET_SHORT_SHARE = 0.9
 RESET_SHORT = 5
-"""The same for errors.  A target that is overrun refuses requests as well, but goes on
-to answer those that it has slots for."""
-FRESH_S = 1.5
-"""Flows are reset while the evidence is that fresh, so never of one that recovered."""
+"""Errors, and share of the requests since the first of them, before flows are reset.
+A target that is overrun refuses some, but answers those that it has slots for."""
+FRESH_S = 1.0
+"""Flows are reset while failures, and words on them, are that fresh: with the time that
+words take, some three seconds after a target has recovered at the latest."""
 SURE_INSTANCES = 2
 SURE_CALLERS = 3
 """Instances, or callers of a single one, that have to agree before flows are reset."""
@@ -112,7 +112,11 @@
         Instances that saw requests fail.
     reporting : int
         Instances that said anything of it.
-    good_since, failed_since, short_since : int
+    fresh : int
+        Instances that saw requests fail within `FRESH_S`.
+    sure : float
+        Failed requests, of each instance no more than resets need less one.
+    good_since, short_since : int
         As in `RequestCounts`.
     """
 
@@ -123,8 +127,9 @@
     poor: float
     instances: int = 1
     reporting: int = 1
+    fresh: int = 0
+    sure: float = 0.0
     good_since: int = 0
-    failed_since: int = 0
     short_since: int = 0
 
     @property
@@ -262,7 +267,6 @@
             # It was late, not lost.
             flow.overdue = False
             counts.failed = max(0.0, counts.failed - 1.0)
-            counts.failed_since = max(0, counts.failed_since - 1)
             self._doubt(flow)
             counts.poor += 1.0
         elif usual.known and usual.is_short(size_bytes):
@@ -303,7 +307,6 @@
             counts = _faded(flow.belief.requests, now_s)
             self._doubt(flow)
             counts.failed += 1.0
-            counts.failed_since += 1
             counts.failed_s = now_s
             overdue.append(flow)
         return overdue
@@ -320,8 +323,7 @@
         if self._doubted.get(belief.name) is belief:
             return
         self._doubted[belief.name] = belief
-        counts = belief.requests
-        counts.good_since = counts.failed_since = counts.short_since = 0
+        belief.requests.good_since = belief.requests.short_since = 0
 
     # What others of the zone have seen.
 
@@ -346,8 +348,8 @@
                 round(belief.requests.failed, 1),
                 round(belief.requests.poor, 1),
                 instances=int(belief.requests.bad >= _LEAST_TOLD),
+                fresh=int(_is_fresh(belief.requests, now_s)),
                 good_since=belief.requests.good_since,
-                failed_since=belief.requests.failed_since,
                 short_since=belief.requests.short_since,
             )
             for belief in doubted[:MOST_TOLD]
@@ -414,6 +416,8 @@
                 return [*self._registry.judge(belief, event, "tried", now_s)]
             case Fitness.IMPAIRED if self._has_rested(belief, now_s):
                 counts.good = counts.failed = counts.poor = 0.0
+                counts.good_since = counts.short_since = 0
+                self._callers.pop(belief.name, None)
                 event = FitnessEvent.RESTED
                 return [*self._registry.judge(belief, event, "rested", now_s)]
             case Fitness.IMPAIRED:
@@ -543,27 +547,44 @@
         if belief.fitness is not Fitness.IMPAIRED:
             return False
         counts, told = belief.requests, self._told_of(belief, now_s)
-        if now_s - counts.failed_s > FRESH_S and told is None:
+        if self._against(belief, counts, told, now_s) < ENOUGH_EVIDENCE:
             return False
-        if told is not None and told.instances >= SURE_INSTANCES:
-            return self._most_report(told) and _still_fails(told)
-        if len(self._callers.get(belief.name, ())) < SURE_CALLERS:
-            return False
-        return _still_fails(counts)
+        if told is not None and self._agree(told, now_s):
+            failed_enough = told.failed >= LEAST_SHARE * told.total
+            return failed_enough and told.sure >= RESET_FAILED
+        return (
+            self._is_sure_alone(belief, now_s)
+            and counts.failed >= RESET_FAILED
+            and counts.failed >= LEAST_SHARE * counts.total
+        )
+
+    def _agree(self, told: TargetCounts, now_s: float) -> bool:
+        """Whether several instances see requests fail now, and most were heard.
+
+        Those that happened to see failures would condemn a target by themselves of
+        which most saw nothing but good.
+        """
+        return (
+            now_s - self._told_s <= FRESH_S
+            and told.fresh >= SURE_INSTANCES
+            and 2 * told.reporting >= self._told.instances
+        )
 
-    def _most_report(self, told: TargetCounts) -> bool:
-        """Whether most instances were heard, not only those that saw requests fail."""
-        return 2 * told.reporting >= self._told.instances
+    def _is_sure_alone(self, belief: TargetBelief, now_s: float) -> bool:
+        """Whether what is seen here is enough where no other instance is heard."""
+        heard = now_s - self._told_s <= TOLD_S and self._told.instances > 1
+        callers = self._callers.get(belief.name, ())
+        return (
+            not heard
+            and len(callers) >= SURE_CALLERS
+            and _is_fresh(belief.requests, now_s)
+        )
 
     def _resets_short(self, belief: TargetBelief, now_s: float) -> bool:
-        counts, told = belief.requests, self._told_of(belief, now_s)
-        if now_s - counts.poor_s > FRESH_S and told is None:
-            return False
-        if told is not None and told.instances >= SURE_INSTANCES:
-            return self._most_report(told) and _all_short(told)
-        if len(self._callers.get(belief.name, ())) < SURE_CALLERS:
-            return False
-        return _all_short(counts)
+        told = self._told_of(belief, now_s)
+        if told is not None and self._agree(told, now_s):
+            return _all_short(told)
+        return self._is_sure_alone(belief, now_s) and _all_short(belief.requests)
 
 
 def merge_reports(reports: Iterable[FitnessReport]) -> FitnessReport:
@@ -601,15 +622,14 @@
 def _is_possible(told: TargetCounts) -> bool:
     counts = (
         *(told.good, told.failed, told.poor),
-        *(told.good_since, told.failed_since, told.short_since),
-        *(told.instances, told.reporting),
+        *(told.instances, told.reporting, told.fresh, told.sure),
+        *(told.good_since, told.short_since),
     )
     return all(0 <= count <= MOST_COUNTED for count in counts)
 
 
-def _still_fails(counts: RequestCounts | TargetCounts) -> bool:
-    total = counts.failed_since + counts.good_since
-    return counts.failed_since >= max(RESET_FAILED, RESET_FAILED_SHARE * total)
+def _is_fresh(counts: RequestCounts, now_s: float) -> bool:
+    return now_s - max(counts.failed_s, counts.poor_s) <= FRESH_S
 
 
 def _all_short(counts: RequestCounts | TargetCounts) -> bool:
@@ -627,8 +647,9 @@
         told.poor * share,
         min(told.instances, 1),
         1,
+        min(told.fresh, 1),
+        min(told.failed, RESET_FAILED - 1.0),
         told.good_since,
-        min(told.failed_since, RESET_FAILED - 1),
         min(told.short_since, RESET_SHORT - 1),
     )
 
@@ -642,8 +663,9 @@
         first.poor + second.poor,
         first.instances + second.instances,
         first.reporting + second.reporting,
+        first.fresh + second.fresh,
+        first.sure + second.sure,
         first.good_since + second.good_since,
-        first.failed_since + second.failed_since,
         first.short_since + second.short_since,
     )
 
--- a/endivepick/forwarding/tests/test_fitness.py
+++ b/endivepick/forwarding/tests/test_fitness.py
@@ -59,6 +59,7 @@
         self.port = 1000
         self.events = []
         self.resets = []
+        self.reset_s = []
         self.placed = {}
         self.behave = self.usual
 
@@ -110,7 +111,9 @@
                 core.fitness.take_told(together, self.now_s)
         for core in self.cores:
             core.tick(self.now_s)
-            self.resets += take(core, Reset)
+            resets = take(core, Reset)
+            self.resets += resets
+            self.reset_s += [self.now_s] * len(resets)
 
     def fitness(self, name, core=0):
         return self.cores[core].registry.get(name).fitness
@@ -202,6 +205,19 @@
         zone.run(2.0)
         self.assertIs(zone.fitness("i-3"), Fitness.SOUND)
 
+    def test_flows_of_one_that_has_recovered_are_left_alone(self):
+        # It was reset again from what had been seen before it recovered, when single
+        # failures condemned it anew after its rest.
+        zone = self.failing(None, instances=12, share=0.45, per_s=300.0)
+        zone.run(6.0, 300.0)
+        self.assertNotEqual(zone.resets, [])
+        recovered_s = zone.now_s
+        zone.behave = lambda name: (
+            None if zone.draw.random() < 0.03 else zone.usual(name)
+        )
+        zone.run(25.0, 300.0)
+        self.assertLess(max(zone.reset_s), recovered_s + 4.0)
+
     def test_one_that_has_not_recovered_rests_longer_each_time(self):
         zone = self.failing(None, share=1.0)
         tried, last = [], Fitness.IMPAIRED
@@ -348,7 +364,7 @@
 class TestWordsOfOthers(unittest.TestCase):
     def told(self, failed, good=0.0, name="i-3", born_ms=0):
         report = FitnessReport(
-            [TargetCounts(name, born_ms, good, failed, 0.0, failed_since=int(failed))],
+            [TargetCounts(name, born_ms, good, failed, 0.0, fresh=1)],
             [ServiceCounts("notes", 100.0 + failed, failed)],
         )
         return report
