Let targets that return prove themselves; count a request overdue after twice the usual time

Cause: a target counted as sound again after 2 s of trial at instances that had sent it nothing meanwhile. Words and failures of the last second were too few at the rates of a zone.

Change: the trial ends with two good answers, or after 10 s; failures and words count as fresh for 1.2 s; overdue is twice the time in which 99 of 100 answers begin.

--- a/endivepick/forwarder/tests/test_zone.py
+++ b/endivepick/forwarder/tests/test_zone.py
@@ -14,6 +14,7 @@
 from endivepick.forwarder.metrics import ForwarderMetrics
 from endivepick.forwarder.news import NewsIntake
 from endivepick.forwarder.peer_book import Neighbours
+from endivepick.forwarder.peers import SEEN_PATH
 from endivepick.forwarder.ports import FeedKind
 from endivepick.forwarder.settings import decode_settings
 from endivepick.forwarder.tests.test_settings import GOOD
@@ -234,6 +235,34 @@
         seen = msgspec.json.decode(news.body, type=ZoneNews).seen
         self.assertEqual(seen.targets[0].failed, 9.0)
 
+    def test_a_new_doubt_is_told_to_the_feeder_between_questions(self):
+        asked = []
+
+        def answer(path, query):
+            asked.append((path, ZoneQuestion.read(query)))
+            return Response(200)
+
+        self.core.fitness.take_told(self.report(5.0), steady_now_s())
+        self.core.registry.get("i-1").requests.failed = 5.0
+        self.core.registry.get("i-1").requests.at_s = steady_now_s()
+        with http_server("127.0.0.1:0", answer) as address:
+            self.member.fed = True
+            self.member._feeder_address = address
+            for _ in range(3):
+                self.member.tell_seen()
+            with gevent.Timeout(TIMEOUT_S):
+                while not asked:
+                    gevent.sleep(0.001)
+        ((path, question),) = asked
+        self.assertEqual(path, SEEN_PATH)
+        self.assertEqual([told.name for told in question.seen.targets], ["i-1"])
+
+    def test_without_a_doubt_nothing_is_told(self):
+        self.member.fed = True
+        self.member._feeder_address = "127.0.0.1:1"
+        self.member.tell_seen()
+        self.assertEqual(self.member._seen_told_s, float("-inf"))
+
     def test_one_that_does_not_feed_takes_no_word(self):
         question = ZoneQuestion("10.0.0.2:1", 0, 0, self.report(9.0))
         self.assertEqual(self.member.feeder.note_seen(question.query).status, 404)
--- a/endivepick/forwarding/fitness.py
+++ b/endivepick/forwarding/fitness.py
@@ -45,7 +45,7 @@
 within a zone, short enough that what one did before it failed soon counts little."""
 ENOUGH_ANSWERS = 30
 """Answers after which it is known what is usual."""
-OVERDUE_FACTOR = 3.0
+OVERDUE_FACTOR = 2.0
 """A request is overdue after so many times the longest usual time."""
 USUAL_SHARE = 0.99
 """Share of the answers that begin within the longest usual time."""
@@ -70,7 +70,10 @@
 """How long nothing has to speak against a target before it is tried again."""
 LONGEST_REST_S = 24.0
 TRIAL_S = 2.0
-"""How long a target that returns gets a trickle of flows only."""
+"""How long a target that returns gets a trickle of flows only, at the least."""
+LONGEST_TRIAL_S = 10.0
+PROOFS = 2
+"""Good answers that end the trial; without requests it ends after the longest time."""
 RESET_FAILED = 3.0
 """Requests that fail at a condemned target before its flows are reset; fewer count of
 what one instance says."""
@@ -78,9 +81,11 @@
 RESET_SHORT = 5
 """Errors, and share of the requests since the first of them, before flows are reset.
 A target that is overrun refuses some, but answers those that it has slots for."""
-FRESH_S = 1.0
-"""Flows are reset while failures, and words on them, are that fresh: with the time that
-words take, some three seconds after a target has recovered at the latest."""
+FRESH_S = 1.2
+"""Flows are reset while failures are that fresh: with the age of words on them, some
+three seconds after a target has recovered at the latest."""
+FRESH_WORD_S = 1.2
+"""The same for what the zone has told, a little longer than a question is held."""
 SURE_INSTANCES = 2
 SURE_CALLERS = 3
 """Instances, or callers of a single one, that have to agree before flows are reset."""
@@ -410,7 +415,7 @@
                 rest_s = self._rests_s.get(belief.name, REST_S)
                 self._rests_s[belief.name] = min(2 * rest_s, LONGEST_REST_S)
                 return self._condemn(belief, counts, told, against, now_s)
-            case Fitness.RETURNING if now_s - belief.fitness_since_s >= TRIAL_S:
+            case Fitness.RETURNING if _is_proved(belief, now_s):
                 self._rests_s.pop(belief.name, None)
                 event = FitnessEvent.PROVED
                 return [*self._registry.judge(belief, event, "tried", now_s)]
@@ -565,7 +570,7 @@
         which most saw nothing but good.
         """
         return (
-            now_s - self._told_s <= FRESH_S
+            now_s - self._told_s <= FRESH_WORD_S
             and told.fresh >= SURE_INSTANCES
             and 2 * told.reporting >= self._told.instances
         )
@@ -628,6 +633,14 @@
     return all(0 <= count <= MOST_COUNTED for count in counts)
 
 
+def _is_proved(belief: TargetBelief, now_s: float) -> bool:
+    """Whether a target that returns has had its trial."""
+    tried_s = now_s - belief.fitness_since_s
+    if belief.requests.good_since >= PROOFS:
+        return tried_s >= TRIAL_S
+    return tried_s >= LONGEST_TRIAL_S
+
+
 def _is_fresh(counts: RequestCounts, now_s: float) -> bool:
     return now_s - max(counts.failed_s, counts.poor_s) <= FRESH_S
 
