Count errors anew when a target is condemned, so that its flows are let go

An answer that is short by chance had them doubted before, and the good answers since then hid that all were errors now. Change: good answers and errors are counted anew at the verdict.

Test: idle flows of one that errs, doubted before; failed on the former state, passes.

--- a/endivepick/forwarding/belief.py
+++ b/endivepick/forwarding/belief.py
@@ -155,8 +155,8 @@
     failed_s, poor_s : float
         When the last one of the kind was noted, in seconds.
     good_since, short_since : int
-        Good ones and errors since something first spoke against the target, which do
-        not fade.
+        Good ones and errors since something first spoke against the target, or since
+        its fitness changed, which do not fade.
     """
 
     good: float = 0.0
--- a/endivepick/forwarding/fitness.py
+++ b/endivepick/forwarding/fitness.py
@@ -496,6 +496,8 @@
                 f", {told.failed:.1f} and {told.poor:.1f} of {told.total:.1f} "
                 f"at {told.instances} instances"
             )
+        # Good answers of before would hide that all are errors now.
+        counts.good_since = counts.short_since = 0
         event = FitnessEvent.CONDEMNED
         changes = self._registry.judge(belief, event, reason, now_s)
         return [*changes, *self._reset_flows(belief, now_s)]
--- a/endivepick/forwarding/tests/test_fitness.py
+++ b/endivepick/forwarding/tests/test_fitness.py
@@ -83,6 +83,20 @@
             self.events.append((self.now_s + wait_s, core, answer))
         return flow
 
+    def ask_on_open_flows(self, name, count):
+        """Send the next request on some idle flows of a target, at each instance."""
+        for core in self.cores:
+            belief = core.registry.get(name)
+            idle = [f for f in core.flows.of_target(belief) if f.busy_since_s is None]
+            for flow in idle[:count]:
+                asked = data(flow.key, belief.cookie, flow.sent_end, flow.acknowledged)
+                core.on_packet(asked, b"", self.now_s)
+                wait_s, size = self.behave(name)
+                acknowledged = flow.acknowledged + size
+                sequence = asked.sequence + asked.data_bytes
+                answer = data(flow.key, belief.cookie, sequence, acknowledged, 0)
+                self.events.append((self.now_s + wait_s, core, answer))
+
     def run(self, for_s, per_s=60.0, share=True, port=IDEMPOTENT_PORT):
         """Let requests come for a time, at instances in turn."""
         end_s = self.now_s + for_s
@@ -175,6 +189,27 @@
         zone = self.failing((0.001, ERROR_BYTES), share=1.0)
         self.assertEqual(zone.condemned(), {"i-3"})
 
+    def test_idle_flows_of_one_that_errs_are_reset_though_it_was_doubted_before(self):
+        zone = Zone(instances=6)
+        # Each target has an answer now and then that is short.
+        zone.behave = lambda name: (
+            (0.01, ERROR_BYTES) if zone.draw.random() < 0.08 else zone.usual(name)
+        )
+        zone.run(8.0, 400.0)
+        self.assertEqual(zone.resets, [])
+        idle = sum(core.registry.get("i-3").flows for core in zone.cores)
+        self.assertGreater(idle, 50)
+        usual = zone.behave
+        zone.behave = lambda name: (
+            (0.001, ERROR_BYTES) if name == "i-3" else usual(name)
+        )
+        # Callers' next requests on the flows that they have open there.
+        for _ in range(12):
+            zone.ask_on_open_flows("i-3", 2)
+            zone.run(0.1, 100.0)
+        left = sum(core.registry.get("i-3").flows for core in zone.cores)
+        self.assertLess(left, idle / 4)
+
     def test_one_that_is_beyond_all_slow_gets_no_new_flows(self):
         zone = self.failing((WORK_S * 40, ANSWER_BYTES))
         self.assertEqual(zone.condemned(), {"i-3"})
