Split the judgement of targets into parts; count a service's targets once a tick

Change: words between instances, comparison and what is usual are modules of their own; own-zone targets are added up once for a tick. No decision changes but that targets whose entry has lapsed and that cannot be reached no longer count among the others.

--- a/endivepick/forwarder/tests/test_zone.py
+++ b/endivepick/forwarder/tests/test_zone.py
@@ -27,7 +27,7 @@
 )
 from endivepick.forwarding import FitnessReport, RegistryNews, TargetState
 from endivepick.forwarding.changes import change_between
-from endivepick.forwarding.fitness import ServiceCounts, TargetCounts
+from endivepick.forwarding.fitness_reports import ServiceCounts, TargetCounts
 from endivepick.forwarding.tests.support import (
     make_configuration,
     make_core,
--- a/endivepick/forwarding/__init__.py
+++ b/endivepick/forwarding/__init__.py
@@ -25,7 +25,7 @@
 )
 from endivepick.forwarding.changes import ConfigurationChange, apply_change
 from endivepick.forwarding.checks import check_target, number_of_name
-from endivepick.forwarding.fitness import FitnessReport, merge_reports
+from endivepick.forwarding.fitness_reports import FitnessReport, merge_reports
 from endivepick.forwarding.forwarder import ForwardingCore
 from endivepick.forwarding.model import (
     Configuration,
--- a/endivepick/forwarding/fitness.py
+++ b/endivepick/forwarding/fitness.py
@@ -12,8 +12,7 @@
 """
 
 from collections import deque
-from collections.abc import Iterable
-from math import exp, log
+from math import exp
 
 from msgspec import Struct
 
@@ -26,43 +25,33 @@
     TargetBelief,
     TargetState,
 )
+from endivepick.forwarding.comparison import LEAST_SHARE, compared_with_service
+from endivepick.forwarding.fitness_reports import (
+    LEAST_TOLD,
+    MOST_TOLD,
+    RESET_FAILED,
+    RESET_SHORT,
+    RESET_SHORT_SHARE,
+    FitnessReport,
+    ServiceCounts,
+    TargetCounts,
+    usable_report,
+)
 from endivepick.forwarding.flows import FlowTable, ObservedFlow
-from endivepick.forwarding.histogram import UsualValues
 from endivepick.forwarding.model import FlowKey, RouteKind
 from endivepick.forwarding.registry import TargetRegistry
+from endivepick.forwarding.usual import UsualRequests
 
-__all__ = [
-    "FitnessJudge",
-    "FitnessReport",
-    "ServiceCounts",
-    "TargetCounts",
-    "evidence_against",
-    "merge_reports",
-]
+__all__ = ["TOLD_S", "FitnessJudge"]
 
 FADE_S = 2.0
 """Time in which counts fade to a third; long enough for some requests of each target
 within a zone, short enough that what one did before it failed soon counts little."""
-ENOUGH_ANSWERS = 30
-"""Answers after which it is known what is usual."""
-OVERDUE_FACTOR = 2.0
-"""A request is overdue after so many times the longest usual time."""
-USUAL_SHARE = 0.99
-"""Share of the answers that begin within the longest usual time."""
-SHORT_FACTOR = 3.0
-"""An answer that begins with so many times less than is usual is an error."""
 ENOUGH_EVIDENCE = 7.0
 """Logarithm of how much likelier the counts are for a bad target than for one like the
 others, before new flows pass it over; that does no harm if it is by chance."""
 RETURNING_EVIDENCE = 2.0
 """The same for a target that was condemned just before."""
-LEAST_SHARE = 0.2
-"""A target that fails less of its requests is better than a crowd at the others."""
-COMPARED_REQUESTS = 5.0
-"""Requests of other targets without which nothing can be compared."""
-PRIOR_FAILED, PRIOR_TOTAL = 0.2, 10.0
-"""Requests that are added to those of the others: some fail anywhere, so few that were
-all good do not mean that none ever fails."""
 MOST_PASSED_OVER = 0.4
 """Share of a service's slots that may be passed over; with more, the rest would be
 overrun by what they cannot serve."""
@@ -74,13 +63,6 @@
 LONGEST_TRIAL_S = 10.0
 PROOFS = 2
 """Good answers that end the trial; without requests it ends after the longest time."""
-RESET_FAILED = 3.0
-"""Requests that fail at a condemned target before its flows are reset; fewer count of
-what one instance says."""
-RESET_SHORT_SHARE = 0.9
-RESET_SHORT = 5
-"""Errors, and share of the requests since the first of them, before flows are reset.
-A target that is overrun refuses some, but answers those that it has slots for."""
 FRESH_S = 1.2
 """Flows are reset while failures are that fresh: with the age of words on them, some
 three seconds after a target has recovered at the latest."""
@@ -91,82 +73,6 @@
 """Instances, or callers of a single one, that have to agree before flows are reset."""
 TOLD_S = 2.0
 """What instances have told counts for so long: one that stands still tells nothing."""
-MOST_TOLD = 16
-"""Targets that a report names."""
-MOST_OF_ONE = 20.0
-"""Requests of a target that one instance's word counts for at the most."""
-MOST_COUNTED = 1e9
-"""More requests than a zone sees in the time in which counts fade."""
-_LEAST_TOLD = 0.5
-_SMALLEST_S = 0.001
-_SMALLEST_BYTES = 1.0
-
-
-class TargetCounts(Struct, frozen=True, array_like=True):
-    """What became of a target's requests, as instances tell each other.
-
-    Attributes
-    ----------
-    name : str
-        The target.
-    born_ms : int
-        Its incarnation.
-    good, failed, poor : float
-        As in `RequestCounts`.
-    instances : int
-        Instances that saw requests fail.
-    reporting : int
-        Instances that said anything of it.
-    fresh : int
-        Instances that saw requests fail within `FRESH_S`.
-    sure : float
-        Failed requests, of each instance no more than resets need less one.
-    good_since, short_since : int
-        As in `RequestCounts`.
-    """
-
-    name: str
-    born_ms: int
-    good: float
-    failed: float
-    poor: float
-    instances: int = 1
-    reporting: int = 1
-    fresh: int = 0
-    sure: float = 0.0
-    good_since: int = 0
-    short_since: int = 0
-
-    @property
-    def total(self) -> float:
-        """All requests that count."""
-        return self.good + self.failed + self.poor
-
-
-class ServiceCounts(Struct, frozen=True, array_like=True):
-    """Requests of a service within the zone, and how many of them failed."""
-
-    service: str
-    total: float
-    bad: float
-
-
-class FitnessReport(Struct, frozen=True):
-    """What an instance, or all of a zone, have seen of late.
-
-    Attributes
-    ----------
-    targets : list of TargetCounts
-        Targets against which something speaks.
-    services : list of ServiceCounts
-        Their services.
-    instances : int
-        Instances that it adds up.
-    """
-
-    targets: list[TargetCounts]
-    services: list[ServiceCounts]
-    instances: int = 1
 
 
 class _Due(Struct, frozen=True):
@@ -175,49 +81,6 @@
     since_s: float
 
 
-class _Usual:
-    """What is usual for requests of a kind at a service."""
-
-    def __init__(self) -> None:
-        self.waits_s = UsualValues(_SMALLEST_S)
-        self.first_bytes = UsualValues(_SMALLEST_BYTES)
-
-    @property
-    def known(self) -> bool:
-        return self.waits_s.count >= ENOUGH_ANSWERS
-
-    def overdue_s(self) -> float:
-        return OVERDUE_FACTOR * self.waits_s.quantile(USUAL_SHARE)
-
-    def is_short(self, size_bytes: int) -> bool:
-        return size_bytes * SHORT_FACTOR < self.first_bytes.quantile(0.5)
-
-
-def evidence_against(
-    bad: float, total: float, others_bad: float, others_total: float
-) -> float:
-    """Return how much speaks against a target, compared with others.
-
-    It is the logarithm of the likelihood ratio between the target's own share of bad
-    requests and that of the others (a G-test); 0 if it does no worse.
-
-    Examples
-    --------
-    >>> round(evidence_against(4, 4, 0, 100), 1)
-    25.2
-    >>> evidence_against(4, 8, 50, 100)
-    0.0
-    """
-    usual = (others_bad + PRIOR_FAILED) / (others_total + PRIOR_TOTAL)
-    share = bad / total if total else 0.0
-    if share <= usual or usual >= 1.0:
-        return 0.0
-    against = bad * log(share / usual)
-    if share < 1.0:
-        against += (total - bad) * log((1.0 - share) / (1.0 - usual))
-    return against
-
-
 class FitnessJudge:
     """Counts what becomes of requests, and condemns targets.
 
@@ -232,13 +95,15 @@
     def __init__(self, registry: TargetRegistry, flows: FlowTable) -> None:
         self._registry = registry
         self._flows = flows
-        self._usual: dict[tuple[str, RouteKind], _Usual] = {}
+        self._usual: dict[tuple[str, RouteKind], UsualRequests] = {}
         self._due: deque[_Due] = deque()
         self._doubted: dict[str, TargetBelief] = {}
         self._rests_s: dict[str, float] = {}
         self._callers: dict[str, set[int]] = {}
         self._told = FitnessReport([], [])
         self._told_s = float("-inf")
+        self._counted: dict[str, ServiceCounts] = {}
+        self._counted_s = float("-inf")
 
     # What packets show.
 
@@ -266,7 +131,7 @@
             Present time, in seconds.
         """
         key = (flow.belief.target.service, flow.kind)
-        usual = self._usual.setdefault(key, _Usual())
+        usual = self._usual.setdefault(key, UsualRequests())
         counts = _faded(flow.belief.requests, now_s)
         if flow.overdue:
             # It was late, not lost.
@@ -342,7 +207,7 @@
         doubted = [
             belief
             for belief in self._doubted.values()
-            if _faded(belief.requests, now_s).bad >= _LEAST_TOLD or belief.name in asked
+            if _faded(belief.requests, now_s).bad >= LEAST_TOLD or belief.name in asked
         ]
         doubted.sort(key=lambda belief: -belief.requests.bad)
         targets = [
@@ -352,7 +217,7 @@
                 round(belief.requests.good, 1),
                 round(belief.requests.failed, 1),
                 round(belief.requests.poor, 1),
-                instances=int(belief.requests.bad >= _LEAST_TOLD),
+                instances=int(belief.requests.bad >= LEAST_TOLD),
                 fresh=int(_is_fresh(belief.requests, now_s)),
                 good_since=belief.requests.good_since,
                 short_since=belief.requests.short_since,
@@ -366,7 +231,7 @@
 
     def take_told(self, report: FitnessReport, now_s: float) -> None:
         """Take in what the instances of the zone have seen together."""
-        self._told = _usable(report)
+        self._told = usable_report(report)
         self._told_s = now_s
         for told in self._told.targets:
             belief = self._registry.get(told.name)
@@ -388,17 +253,26 @@
         return frozenset(names)
 
     def _service_counts(self, service: str, now_s: float) -> ServiceCounts:
+        """Add up the requests of a service's targets in the zone, once at a time."""
+        if self._counted_s != now_s:
+            self._counted.clear()
+            self._counted_s = now_s
+        counted = self._counted.get(service)
+        if counted is None:
+            counted = self._counted[service] = self._count(service, now_s)
+        return counted
+
+    def _count(self, service: str, now_s: float) -> ServiceCounts:
+        candidates = self._registry.candidates(service)
+        zone = self._registry.zone
+        impaired = [b for b in candidates.impaired if b.target.zone == zone]
         total = bad = 0.0
-        for belief in self._registry.of_service(service):
-            if self._is_compared(belief):
-                counts = _faded(belief.requests, now_s)
-                total += counts.total
-                bad += counts.bad
+        for belief in (*candidates.own, *impaired):
+            counts = _faded(belief.requests, now_s)
+            total += counts.total
+            bad += counts.bad
         return ServiceCounts(service, round(total, 1), round(bad, 1))
 
-    def _is_compared(self, belief: TargetBelief) -> bool:
-        return belief.target.zone == self._registry.zone and belief.takes_flows
-
     # Verdicts.
 
     def _judge(self, belief: TargetBelief, now_s: float) -> list[Effect]:
@@ -427,7 +301,7 @@
                 return [*self._registry.judge(belief, event, "rested", now_s)]
             case Fitness.IMPAIRED:
                 return self._reset_flows(belief, now_s)
-            case Fitness.SOUND if counts.bad < _LEAST_TOLD and told is None:
+            case Fitness.SOUND if counts.bad < LEAST_TOLD and told is None:
                 self._forget(belief)
         return []
 
@@ -455,13 +329,13 @@
         if not self._is_judged(belief):
             return 0.0
         service = self._service_counts(belief.target.service, now_s)
-        against = _compared(counts.bad, counts.total, service)
+        against = compared_with_service(counts.bad, counts.total, service)
         if told is None:
             return against
         bad = told.failed + told.poor
         for all_told in self._told.services:
             if all_told.service == belief.target.service:
-                zone = _compared(bad, told.total, all_told)
+                zone = compared_with_service(bad, told.total, all_told)
                 against = max(against, zone)
         return against
 
@@ -594,47 +468,6 @@
         return self._is_sure_alone(belief, now_s) and _all_short(belief.requests)
 
 
-def merge_reports(reports: Iterable[FitnessReport]) -> FitnessReport:
-    """Add up what several instances have seen; each one's word is bounded."""
-    targets: dict[tuple[str, int], TargetCounts] = {}
-    services: dict[str, ServiceCounts] = {}
-    instances = 0
-    for report in map(_usable, reports):
-        instances += 1
-        for told in report.targets:
-            key = (told.name, told.born_ms)
-            known = targets.get(key)
-            bounded = _bounded(told)
-            targets[key] = bounded if known is None else _added(known, bounded)
-        for service in report.services:
-            before = services.get(service.service)
-            services[service.service] = ServiceCounts(
-                service.service,
-                service.total + (0.0 if before is None else before.total),
-                service.bad + (0.0 if before is None else before.bad),
-            )
-    # One that all asked about and nobody doubts would be asked about for ever.
-    doubted = [t for t in targets.values() if t.failed + t.poor >= _LEAST_TOLD]
-    worst = sorted(doubted, key=lambda told: -(told.failed + told.poor))
-    return FitnessReport(worst[:MOST_TOLD], list(services.values()), instances)
-
-
-def _usable(report: FitnessReport) -> FitnessReport:
-    """Leave out what no instance of this build would tell."""
-    targets = [told for told in report.targets if _is_possible(told)]
-    services = [s for s in report.services if 0.0 <= s.bad <= s.total <= MOST_COUNTED]
-    return FitnessReport(targets[:MOST_TOLD], services, max(1, report.instances))
-
-
-def _is_possible(told: TargetCounts) -> bool:
-    counts = (
-        *(told.good, told.failed, told.poor),
-        *(told.instances, told.reporting, told.fresh, told.sure),
-        *(told.good_since, told.short_since),
-    )
-    return all(0 <= count <= MOST_COUNTED for count in counts)
-
-
 def _is_proved(belief: TargetBelief, now_s: float) -> bool:
     """Whether a target that returns has had its trial."""
     tried_s = now_s - belief.fitness_since_s
@@ -652,46 +485,6 @@
     return counts.short_since >= max(RESET_SHORT, RESET_SHORT_SHARE * total)
 
 
-def _bounded(told: TargetCounts) -> TargetCounts:
-    share = min(1.0, MOST_OF_ONE / told.total) if told.total > 0 else 0.0
-    return TargetCounts(
-        told.name,
-        told.born_ms,
-        told.good * share,
-        told.failed * share,
-        told.poor * share,
-        min(told.instances, 1),
-        1,
-        min(told.fresh, 1),
-        min(told.failed, RESET_FAILED - 1.0),
-        told.good_since,
-        min(told.short_since, RESET_SHORT - 1),
-    )
-
-
-def _added(first: TargetCounts, second: TargetCounts) -> TargetCounts:
-    return TargetCounts(
-        first.name,
-        first.born_ms,
-        first.good + second.good,
-        first.failed + second.failed,
-        first.poor + second.poor,
-        first.instances + second.instances,
-        first.reporting + second.reporting,
-        first.fresh + second.fresh,
-        first.sure + second.sure,
-        first.good_since + second.good_since,
-        first.short_since + second.short_since,
-    )
-
-
-def _compared(bad: float, total: float, service: ServiceCounts) -> float:
-    others_total = service.total - total
-    if others_total < COMPARED_REQUESTS or bad < LEAST_SHARE * total:
-        return 0.0
-    return evidence_against(bad, total, max(0.0, service.bad - bad), others_total)
-
-
 def _faded(counts: RequestCounts, now_s: float) -> RequestCounts:
     """Let counts fade up to now."""
     passed_s = now_s - counts.at_s
--- /dev/null
+++ b/endivepick/forwarding/fitness_reports.py
@@ -0,0 +1,175 @@
+"""What instances of a zone tell each other of failing requests, and how it adds up."""
+
+from collections.abc import Iterable
+
+from msgspec import Struct
+
+__all__ = [
+    "LEAST_TOLD",
+    "MOST_TOLD",
+    "RESET_FAILED",
+    "RESET_SHORT",
+    "RESET_SHORT_SHARE",
+    "FitnessReport",
+    "ServiceCounts",
+    "TargetCounts",
+    "merge_reports",
+    "usable_report",
+]
+
+MOST_TOLD = 16
+"""Targets that a report names."""
+MOST_OF_ONE = 20.0
+"""Requests of a target that one instance's word counts for at the most."""
+MOST_COUNTED = 1e9
+"""More requests than a zone sees in the time in which counts fade."""
+LEAST_TOLD = 0.5
+"""Bad requests of a target, faded, from which on it is told of."""
+RESET_FAILED = 3.0
+"""Requests that fail at a condemned target before its flows are reset; fewer count of
+what one instance says."""
+RESET_SHORT_SHARE = 0.9
+RESET_SHORT = 5
+"""Errors, and share of the requests since the first of them, before flows are reset.
+A target that is overrun refuses some, but answers those that it has slots for."""
+
+
+class TargetCounts(Struct, frozen=True, array_like=True):
+    """What became of a target's requests, as instances tell each other.
+
+    Attributes
+    ----------
+    name : str
+        The target.
+    born_ms : int
+        Its incarnation.
+    good, failed, poor : float
+        As in `RequestCounts`.
+    instances : int
+        Instances that saw requests fail.
+    reporting : int
+        Instances that said anything of it.
+    fresh : int
+        Instances that saw requests fail within `FRESH_S`.
+    sure : float
+        Failed requests, of each instance no more than resets need less one.
+    good_since, short_since : int
+        As in `RequestCounts`.
+    """
+
+    name: str
+    born_ms: int
+    good: float
+    failed: float
+    poor: float
+    instances: int = 1
+    reporting: int = 1
+    fresh: int = 0
+    sure: float = 0.0
+    good_since: int = 0
+    short_since: int = 0
+
+    @property
+    def total(self) -> float:
+        """All requests that count."""
+        return self.good + self.failed + self.poor
+
+
+class ServiceCounts(Struct, frozen=True, array_like=True):
+    """Requests of a service within the zone, and how many of them failed."""
+
+    service: str
+    total: float
+    bad: float
+
+
+class FitnessReport(Struct, frozen=True):
+    """What an instance, or all of a zone, have seen of late.
+
+    Attributes
+    ----------
+    targets : list of TargetCounts
+        Targets against which something speaks.
+    services : list of ServiceCounts
+        Their services.
+    instances : int
+        Instances that it adds up.
+    """
+
+    targets: list[TargetCounts]
+    services: list[ServiceCounts]
+    instances: int = 1
+
+
+def merge_reports(reports: Iterable[FitnessReport]) -> FitnessReport:
+    """Add up what several instances have seen; each one's word is bounded."""
+    targets: dict[tuple[str, int], TargetCounts] = {}
+    services: dict[str, ServiceCounts] = {}
+    instances = 0
+    for report in map(usable_report, reports):
+        instances += 1
+        for told in report.targets:
+            key = (told.name, told.born_ms)
+            known = targets.get(key)
+            bounded = _bounded(told)
+            targets[key] = bounded if known is None else _added(known, bounded)
+        for service in report.services:
+            before = services.get(service.service)
+            services[service.service] = ServiceCounts(
+                service.service,
+                service.total + (0.0 if before is None else before.total),
+                service.bad + (0.0 if before is None else before.bad),
+            )
+    # One that all asked about and nobody doubts would be asked about for ever.
+    doubted = [t for t in targets.values() if t.failed + t.poor >= LEAST_TOLD]
+    worst = sorted(doubted, key=lambda told: -(told.failed + told.poor))
+    return FitnessReport(worst[:MOST_TOLD], list(services.values()), instances)
+
+
+def usable_report(report: FitnessReport) -> FitnessReport:
+    """Leave out what no instance of this build would tell."""
+    targets = [told for told in report.targets if _is_possible(told)]
+    services = [s for s in report.services if 0.0 <= s.bad <= s.total <= MOST_COUNTED]
+    return FitnessReport(targets[:MOST_TOLD], services, max(1, report.instances))
+
+
+def _is_possible(told: TargetCounts) -> bool:
+    counts = (
+        *(told.good, told.failed, told.poor),
+        *(told.instances, told.reporting, told.fresh, told.sure),
+        *(told.good_since, told.short_since),
+    )
+    return all(0 <= count <= MOST_COUNTED for count in counts)
+
+
+def _bounded(told: TargetCounts) -> TargetCounts:
+    share = min(1.0, MOST_OF_ONE / told.total) if told.total > 0 else 0.0
+    return TargetCounts(
+        told.name,
+        told.born_ms,
+        told.good * share,
+        told.failed * share,
+        told.poor * share,
+        min(told.instances, 1),
+        1,
+        min(told.fresh, 1),
+        min(told.failed, RESET_FAILED - 1.0),
+        told.good_since,
+        min(told.short_since, RESET_SHORT - 1),
+    )
+
+
+def _added(first: TargetCounts, second: TargetCounts) -> TargetCounts:
+    return TargetCounts(
+        first.name,
+        first.born_ms,
+        first.good + second.good,
+        first.failed + second.failed,
+        first.poor + second.poor,
+        first.instances + second.instances,
+        first.reporting + second.reporting,
+        first.fresh + second.fresh,
+        first.sure + second.sure,
+        first.good_since + second.good_since,
+        first.short_since + second.short_since,
+    )
--- a/endivepick/forwarding/tests/test_fitness.py
+++ b/endivepick/forwarding/tests/test_fitness.py
@@ -15,15 +15,13 @@
     TargetPhase,
     merge_reports,
 )
-from endivepick.forwarding.fitness import (
-    LONGEST_REST_S,
+from endivepick.forwarding.comparison import evidence_against
+from endivepick.forwarding.fitness import LONGEST_REST_S, REST_S
+from endivepick.forwarding.fitness_reports import (
     MOST_OF_ONE,
-    REST_S,
     ServiceCounts,
     TargetCounts,
-    evidence_against,
 )
-from endivepick.forwarding.histogram import REMEMBERED, UsualValues
 from endivepick.forwarding.tests.support import (
     IDEMPOTENT_PORT,
     ONCE_PORT,
@@ -35,6 +33,7 @@
     opening,
     take,
 )
+from endivepick.forwarding.usual import REMEMBERED, UsualValues
 
 WORK_S = 0.025
 ANSWER_BYTES = 900
@@ -439,6 +438,25 @@
         self.assertEqual(zone.condemned(), set())
 
 
+class TestCost(unittest.TestCase):
+    def test_all_targets_of_a_service_are_counted_once_for_a_tick(self):
+        zone = Zone(targets=60)
+        zone.run(4.0, 200.0)
+        core, counted = zone.cores[0], []
+        count = core.fitness._count
+
+        def noted(service, now_s):
+            counted.append(service)
+            return count(service, now_s)
+
+        core.fitness._count = noted
+        bad = {"i-3", "i-17", "i-41"}
+        zone.behave = lambda name: None if name in bad else zone.usual(name)
+        zone.run(2.0, 400.0)
+        self.assertEqual(zone.condemned(), bad)
+        self.assertLessEqual(len(counted), 2.0 / TICK_S + 1)
+
+
 class TestParts(unittest.TestCase):
     def test_evidence_is_of_the_difference(self):
         self.assertEqual(evidence_against(0, 10, 0, 100), 0.0)
--- a/endivepick/forwarding/histogram.py
+++ b/endivepick/forwarding/usual.py
@@ -1,12 +1,25 @@
-"""Distributions that forget: what is usual now, in a few hundred bytes."""
+"""What is usual for requests of a service, learnt from those that were answered.
+
+Distributions forget as new values come, and take a few hundred bytes.
+"""
 
 from math import log2
 
-__all__ = ["UsualValues"]
+__all__ = ["UsualRequests", "UsualValues"]
 
 _STEPS_PER_DOUBLING = 2
+_SMALLEST_S = 0.001
+_SMALLEST_BYTES = 1.0
 _BUCKETS = 64
 """Enough for a factor of 2**32 between the smallest and the largest value."""
+ENOUGH_ANSWERS = 30
+"""Answers after which it is known what is usual."""
+OVERDUE_FACTOR = 2.0
+"""A request is overdue after so many times the longest usual time."""
+USUAL_SHARE = 0.99
+"""Share of the answers that begin within the longest usual time."""
+SHORT_FACTOR = 3.0
+"""An answer that begins with so many times less than is usual is an error."""
 REMEMBERED = 512
 """Values that count; older ones are halved away as new ones come, so that a change of
 load is usual after as many requests, however fast they are."""
@@ -57,3 +70,24 @@
 
     def _upper(self, index: int) -> float:
         return float(self._smallest * 2 ** (index / _STEPS_PER_DOUBLING))
+
+
+class UsualRequests:
+    """What is usual for requests of a kind at a service."""
+
+    def __init__(self) -> None:
+        self.waits_s = UsualValues(_SMALLEST_S)
+        self.first_bytes = UsualValues(_SMALLEST_BYTES)
+
+    @property
+    def known(self) -> bool:
+        """Whether enough answers were seen."""
+        return self.waits_s.count >= ENOUGH_ANSWERS
+
+    def overdue_s(self) -> float:
+        """Return the time without an answer after which a request is overdue."""
+        return OVERDUE_FACTOR * self.waits_s.quantile(USUAL_SHARE)
+
+    def is_short(self, size_bytes: int) -> bool:
+        """Whether an answer that begins with so much is an error."""
+        return size_bytes * SHORT_FACTOR < self.first_bytes.quantile(0.5)
