--- a/endivepick/forwarding/placement.py
+++ b/endivepick/forwarding/placement.py
@@ -40,6 +40,8 @@
         Slots of these.
     impaired : list of TargetBelief
         Those that are reachable and impaired.
+    returning : bool
+        Some of the zone's may have recovered and are on trial.
     """
 
     every: list[TargetBelief]
@@ -47,18 +49,21 @@
     others: list[TargetBelief]
     all_slots: int
     impaired: list[TargetBelief]
+    returning: bool
 
     @classmethod
     def of_zone(cls, zone: str, beliefs: Sequence[TargetBelief]) -> "Candidates":
         """Sort beliefs of targets for instances of a zone."""
         reachable = [b for b in beliefs if b.reachability is Reachability.REACHABLE]
         fit = [b for b in reachable if b.fitness is not Fitness.IMPAIRED]
+        own = [b for b in fit if b.target.zone == zone]
         return cls(
             list(beliefs),
-            [b for b in fit if b.target.zone == zone],
+            own,
             [b for b in fit if b.target.zone != zone],
             sum(b.target.slots for b in fit),
             [b for b in reachable if b.fitness is Fitness.IMPAIRED],
+            any(b.fitness is Fitness.RETURNING for b in own),
         )
 
     def without(self, tried: Sequence[str]) -> "Candidates":
@@ -66,7 +71,7 @@
         own = [b for b in self.own if b.name not in tried]
         others = [b for b in self.others if b.name not in tried]
         slots = sum(b.target.slots for b in (*own, *others))
-        return Candidates(self.every, own, others, slots, self.impaired)
+        return Candidates(self.every, own, others, slots, self.impaired, self.returning)
 
     def without_returning(self) -> "Candidates":
         """Return what is left when targets that return have had their trickle."""
@@ -74,7 +79,7 @@
         if not own:
             return self
         slots = sum(b.target.slots for b in (*own, *self.others))
-        return Candidates(self.every, own, self.others, slots, self.impaired)
+        return Candidates(self.every, own, self.others, slots, self.impaired, False)
 
 
 class Placement(Struct, frozen=True):
@@ -131,7 +136,7 @@
         None if no target is left that may be alive.
     """
     fresh = candidates.without(tried) if tried else candidates
-    if any(b.fitness is Fitness.RETURNING for b in fresh.own):
+    if fresh.returning:
         tried_out = repeatable and random_share() < TRICKLE
         fresh = fresh if tried_out else fresh.without_returning()
     pool: Sequence[TargetBelief]
