Leave the flows of a condemned target alone when it drains

Cause, found by reading: resets for errors did not ask whether the target is still judged, so idle flows of one that was condemned and then drained as planned could be reset. Test failed first.

--- a/endivepick/forwarding/fitness.py
+++ b/endivepick/forwarding/fitness.py
@@ -402,6 +402,8 @@
 
     def _reset_flows(self, belief: TargetBelief, now_s: float) -> list[Effect]:
         """Reset flows of a target that surely fails what comes on them."""
+        if not self._is_judged(belief):
+            return []
         failing = self._resets_failed(belief, now_s)
         if not failing and not self._resets_short(belief, now_s):
             return []
--- a/endivepick/forwarding/tests/test_fitness.py
+++ b/endivepick/forwarding/tests/test_fitness.py
@@ -209,6 +209,23 @@
         left = sum(core.registry.get("i-3").flows for core in zone.cores)
         self.assertLess(left, idle / 4)
 
+    def test_flows_of_one_that_drains_are_left_alone_though_it_errs(self):
+        zone = self.failing((0.001, ERROR_BYTES), instances=3, share=1.0, per_s=200.0)
+        self.assertEqual(zone.condemned(), {"i-3"})
+        draining = make_target("i-3", phase=TargetPhase.DRAINING, revision=20)
+        for core in zone.cores:
+            core.on_target(draining, zone.now_s)
+            belief = core.registry.get("i-3")
+            flow = flow_key(60000)
+            core.on_packet(data(flow, belief.cookie), b"", zone.now_s)
+            error = data(flow, belief.cookie, 401, 500 + ERROR_BYTES, 0)
+            core.on_packet(error, b"", zone.now_s)
+        zone.resets.clear()
+        for _ in range(10):
+            zone.ask_on_open_flows("i-3", 3)
+            zone.run(0.1, 200.0)
+        self.assertEqual(zone.resets, [])
+
     def test_one_that_is_beyond_all_slow_gets_no_new_flows(self):
         zone = self.failing((WORK_S * 40, ANSWER_BYTES))
         self.assertEqual(zone.condemned(), {"i-3"})
