--- a/endivepick/forwarding/comparison.py
+++ b/endivepick/forwarding/comparison.py
@@ -27,7 +27,7 @@
     --------
     >>> round(evidence_against(4, 4, 0, 100), 1)
     25.2
-    >>> evidence_against(4, 8, 50, 100)
+    >>> evidence_against(4, 8, 60, 100)
     0.0
     """
     usual = (others_bad + PRIOR_FAILED) / (others_total + PRIOR_TOTAL)
--- a/endivepick/forwarding/usual.py
+++ b/endivepick/forwarding/usual.py
@@ -39,7 +39,7 @@
     >>> for value in (0.01, 0.011, 0.012, 0.5):
     ...     usual.add(value)
     >>> round(usual.quantile(0.5), 3), usual.count
-    (0.016, 4)
+    (0.011, 4)
     """
 
     def __init__(self, smallest: float) -> None:
