Reset no flow for errors, nor at a target that has just started

For a moment a target that refuses cannot be told from one that errs.

Ruled out: waiting for more errors (the rush is as long as its queue); comparing with the zone's others (they are not rushed).

Change: short answers steer new flows only; unanswered requests reset flows of targets that have been ready for 5 s and are past their cold start.

What is lost: erring targets keep the flows that callers have open there.

--- a/endivepick/forwarding/belief.py
+++ b/endivepick/forwarding/belief.py
@@ -154,9 +154,6 @@
         Up to when they have faded, in seconds.
     failed_s, poor_s : float
         When the last one of the kind was noted, in seconds.
-    good_since, short_since : int
-        Good ones and errors since something first spoke against the target, or since
-        its fitness changed, which do not fade.
     """
 
     good: float = 0.0
@@ -165,8 +162,6 @@
     at_s: float = 0.0
     failed_s: float = float("-inf")
     poor_s: float = float("-inf")
-    good_since: int = 0
-    short_since: int = 0
 
     @property
     def bad(self) -> float:
--- a/endivepick/forwarding/fitness.py
+++ b/endivepick/forwarding/fitness.py
@@ -30,8 +30,6 @@
     LEAST_TOLD,
     MOST_TOLD,
     RESET_FAILED,
-    RESET_SHORT,
-    RESET_SHORT_SHARE,
     FitnessReport,
     ServiceCounts,
     TargetCounts,
@@ -61,13 +59,16 @@
 TRIAL_S = 2.0
 """How long a target that returns gets a trickle of flows only, at the least."""
 LONGEST_TRIAL_S = 10.0
-PROOFS = 2
-"""Good answers that end the trial; without requests it ends after the longest time."""
+PROOFS = 1.0
+"""Good answers, faded, that end the trial; without, it ends after the longest time."""
 FRESH_S = 1.2
 """Flows are reset while failures are that fresh: with the age of words on them, some
 three seconds after a target has recovered at the latest."""
 FRESH_WORD_S = 1.2
 """The same for what the zone has told, a little longer than a question is held."""
+SETTLED_S = 5.0
+"""How long a target has to be ready before its flows are reset: all instances open
+flows at one that has just started, and its queue grows long."""
 SURE_INSTANCES = 2
 SURE_CALLERS = 3
 """Instances, or callers of a single one, that have to agree before flows are reset."""
@@ -142,11 +143,9 @@
         elif usual.known and usual.is_short(size_bytes):
             self._doubt(flow)
             counts.poor += 1.0
-            counts.short_since += 1
             counts.poor_s = now_s
         else:
             counts.good += 1.0
-            counts.good_since += 1
         usual.waits_s.add(waited_s)
         usual.first_bytes.add(size_bytes)
 
@@ -183,18 +182,11 @@
 
     def _doubt(self, flow: ObservedFlow) -> None:
         name = flow.belief.name
-        self._look_at(flow.belief)
+        self._doubted[name] = flow.belief
         callers = self._callers.setdefault(name, set())
         if len(callers) < SURE_CALLERS:
             callers.add(flow.key.caller_host)
 
-    def _look_at(self, belief: TargetBelief) -> None:
-        """Count anew from when something first speaks against a target."""
-        if self._doubted.get(belief.name) is belief:
-            return
-        self._doubted[belief.name] = belief
-        belief.requests.good_since = belief.requests.short_since = 0
-
     # What others of the zone have seen.
 
     def report(self, now_s: float) -> FitnessReport:
@@ -219,8 +211,6 @@
                 round(belief.requests.poor, 1),
                 instances=int(belief.requests.bad >= LEAST_TOLD),
                 fresh=int(_is_fresh(belief.requests, now_s)),
-                good_since=belief.requests.good_since,
-                short_since=belief.requests.short_since,
             )
             for belief in doubted[:MOST_TOLD]
         ]
@@ -236,7 +226,7 @@
         for told in self._told.targets:
             belief = self._registry.get(told.name)
             if belief is not None and belief.target.born_ms == told.born_ms:
-                self._look_at(belief)
+                self._doubted[told.name] = belief
 
     @property
     def doubts(self) -> bool:
@@ -295,7 +285,6 @@
                 return [*self._registry.judge(belief, event, "tried", now_s)]
             case Fitness.IMPAIRED if self._has_rested(belief, now_s):
                 counts.good = counts.failed = counts.poor = 0.0
-                counts.good_since = counts.short_since = 0
                 self._callers.pop(belief.name, None)
                 event = FitnessEvent.RESTED
                 return [*self._registry.judge(belief, event, "rested", now_s)]
@@ -370,8 +359,6 @@
                 f", {told.failed:.1f} and {told.poor:.1f} of {told.total:.1f} "
                 f"at {told.instances} instances"
             )
-        # Good answers of before would hide that all are errors now.
-        counts.good_since = counts.short_since = 0
         event = FitnessEvent.CONDEMNED
         changes = self._registry.judge(belief, event, reason, now_s)
         return [*changes, *self._reset_flows(belief, now_s)]
@@ -401,17 +388,18 @@
     # Resets.
 
     def _reset_flows(self, belief: TargetBelief, now_s: float) -> list[Effect]:
-        """Reset flows of a target that surely fails what comes on them."""
-        if not self._is_judged(belief):
-            return []
-        failing = self._resets_failed(belief, now_s)
-        if not failing and not self._resets_short(belief, now_s):
+        """Reset flows of a target that surely leaves unanswered what comes on them.
+
+        Not for answers that are short: a target that refuses requests since it is
+        overrun, as one that has just started, answers like one that errs.
+        """
+        if not self._resets_failed(belief, now_s):
             return []
         effects: list[Effect] = []
         for flow in self._flows.of_target(belief):
             if flow.busy_since_s is None and flow.opened:
                 effects += self._reset(flow)
-            elif failing and flow.overdue:
+            elif flow.overdue:
                 effects += self._reset_overdue(flow)
         return effects
 
@@ -427,7 +415,7 @@
         return [Reset(flow.key, flow.acknowledged, reason, flow.belief.name)]
 
     def _resets_failed(self, belief: TargetBelief, now_s: float) -> bool:
-        if belief.fitness is not Fitness.IMPAIRED:
+        if belief.fitness is not Fitness.IMPAIRED or not _is_settled(belief, now_s):
             return False
         counts, told = belief.requests, self._told_of(belief, now_s)
         if self._against(belief, counts, told, now_s) < ENOUGH_EVIDENCE:
@@ -463,28 +451,23 @@
             and _is_fresh(belief.requests, now_s)
         )
 
-    def _resets_short(self, belief: TargetBelief, now_s: float) -> bool:
-        told = self._told_of(belief, now_s)
-        if told is not None and self._agree(told, now_s):
-            return _all_short(told)
-        return self._is_sure_alone(belief, now_s) and _all_short(belief.requests)
-
 
 def _is_proved(belief: TargetBelief, now_s: float) -> bool:
     """Whether a target that returns has had its trial."""
     tried_s = now_s - belief.fitness_since_s
-    if belief.requests.good_since >= PROOFS:
+    if belief.requests.good >= PROOFS:
         return tried_s >= TRIAL_S
     return tried_s >= LONGEST_TRIAL_S
 
 
-def _is_fresh(counts: RequestCounts, now_s: float) -> bool:
-    return now_s - max(counts.failed_s, counts.poor_s) <= FRESH_S
+def _is_settled(belief: TargetBelief, now_s: float) -> bool:
+    """Whether a target has long been there, and is not slow after its start."""
+    known_s = now_s - belief.state_since_s
+    return known_s >= SETTLED_S and now_s >= belief.cold_until_s
 
 
-def _all_short(counts: RequestCounts | TargetCounts) -> bool:
-    total = counts.short_since + counts.good_since
-    return counts.short_since >= max(RESET_SHORT, RESET_SHORT_SHARE * total)
+def _is_fresh(counts: RequestCounts, now_s: float) -> bool:
+    return now_s - max(counts.failed_s, counts.poor_s) <= FRESH_S
 
 
 def _faded(counts: RequestCounts, now_s: float) -> RequestCounts:
--- a/endivepick/forwarding/fitness_reports.py
+++ b/endivepick/forwarding/fitness_reports.py
@@ -8,8 +8,6 @@
     "LEAST_TOLD",
     "MOST_TOLD",
     "RESET_FAILED",
-    "RESET_SHORT",
-    "RESET_SHORT_SHARE",
     "FitnessReport",
     "ServiceCounts",
     "TargetCounts",
@@ -28,10 +26,6 @@
 RESET_FAILED = 3.0
 """Requests that fail at a condemned target before its flows are reset; fewer count of
 what one instance says."""
-RESET_SHORT_SHARE = 0.9
-RESET_SHORT = 5
-"""Errors, and share of the requests since the first of them, before flows are reset.
-A target that is overrun refuses some, but answers those that it has slots for."""
 
 
 class TargetCounts(Struct, frozen=True, array_like=True):
@@ -53,8 +47,6 @@
         Instances that saw requests fail within `FRESH_S`.
     sure : float
         Failed requests, of each instance no more than resets need less one.
-    good_since, short_since : int
-        As in `RequestCounts`.
     """
 
     name: str
@@ -66,8 +58,6 @@
     reporting: int = 1
     fresh: int = 0
     sure: float = 0.0
-    good_since: int = 0
-    short_since: int = 0
 
     @property
     def total(self) -> float:
@@ -137,7 +127,6 @@
     counts = (
         *(told.good, told.failed, told.poor),
         *(told.instances, told.reporting, told.fresh, told.sure),
-        *(told.good_since, told.short_since),
     )
     return all(0 <= count <= MOST_COUNTED for count in counts)
 
@@ -154,8 +143,6 @@
         1,
         min(told.fresh, 1),
         min(told.failed, RESET_FAILED - 1.0),
-        told.good_since,
-        min(told.short_since, RESET_SHORT - 1),
     )
 
 
@@ -170,6 +157,4 @@
         first.reporting + second.reporting,
         first.fresh + second.fresh,
         first.sure + second.sure,
-        first.good_since + second.good_since,
-        first.short_since + second.short_since,
     )
