Let each mechanism of the forwarding path be switched off by itself

Cause: nobody could say what one of them is worth, since none could be taken out. `mechanisms` in the settings is one data class of twenty names, checked where settings are read; limits of what is off are set so that they have no effect, the rest is asked where it decides. Packets and lists taken before the settings are read, the cookie and the name before each packet have no switch. EvidenceJudge now says alone why a flow is reset.

All are on by default; nothing changes for who sets none.

--- a/endivepick/cli/forwarder.py
+++ b/endivepick/cli/forwarder.py
@@ -6,6 +6,8 @@
 from collections.abc import Iterator, Sequence
 from typing import Any
 
+from msgspec.structs import asdict
+
 from endivepick.cli.exit_codes import ExitCode
 from endivepick.cli.failures import CommandError, option_values
 from endivepick.cli.output import print_json, print_line, print_table
@@ -35,6 +37,8 @@
     def check(self, file: str) -> None:
         """Check a settings file; key and remedy of the fault if it is refused.
 
+        Mechanisms that the settings switch off are named.
+
         Examples
         --------
         endivepick forwarder check settings.json
@@ -46,6 +50,9 @@
         """
         settings = load_forwarder_settings(file)
         print_line(f"{file}: fine for forwarder {settings.name} in {settings.zone}")
+        for name, used in asdict(settings.mechanisms).items():
+            if not used:
+                print_line(f"off: {name}")
 
     def status(self, address: str, json: bool = False) -> None:
         """Show what a forwarder believes of its targets, and since when.
--- a/endivepick/cli/tests/test_forwarder.py
+++ b/endivepick/cli/tests/test_forwarder.py
@@ -44,13 +44,21 @@
             file.flush()
             return run_command("forwarder", "check", file.name)
 
-    def test_good_settings(self):
+    def good(self, **fields):
         addresses = ("data", "ready", "metrics", "store")
         settings = {f"{name}_address": "127.0.0.1:1" for name in addresses}
         settings |= {"name": "front-1", "zone": "hall", "zones": ["hall"]}
-        outcome = self.check("// Mine.\n" + json.dumps(settings))
+        return self.check("// Mine.\n" + json.dumps(settings | fields))
+
+    def test_good_settings(self):
+        outcome = self.good()
         self.assertEqual(outcome.code, ExitCode.OK)
         self.assertIn("fine for forwarder front-1 in hall", outcome.out)
+        self.assertNotIn("off", outcome.out)
+
+    def test_mechanisms_that_are_off_are_named(self):
+        outcome = self.good(mechanisms={"hints": False})
+        self.assertIn("off: hints", outcome.out)
 
     def test_refused_settings(self):
         outcome = self.check("{}")
--- a/endivepick/cli/tests/test_pages.py
+++ b/endivepick/cli/tests/test_pages.py
@@ -5,6 +5,7 @@
 import endivepick
 from endivepick.client import CallerSettings
 from endivepick.core.dispatch.messages import FailReason, RefusalReason
+from endivepick.forwarding.mechanisms import Mechanisms
 
 ROOT = Path(endivepick.__file__).parent.parent
 CORE = ROOT / "endivepick" / "core"
@@ -39,6 +40,12 @@
         defaults = {name: fields[name].default for name in shown}
         self.assertEqual({name: float(shown[name]) for name in shown}, defaults)
 
+    def test_every_mechanism_is_explained(self):
+        page = (ROOT / "docs" / "operators" / "forwarder.md").read_text()
+        section = page.partition("## Mechanisms")[2].partition("\n## ")[0]
+        explained = re.findall(r"^\| `([a-z_]+)` \|", section, re.MULTILINE)
+        self.assertEqual(tuple(explained), Mechanisms.__struct_fields__)
+
     def test_links_between_pages_lead_somewhere(self):
         pages = [ROOT / "README.md", ROOT / "CONTRIBUTING.md"]
         for page in (*pages, *(ROOT / "docs").rglob("*.md")):
--- a/endivepick/forwarder/breaker.py
+++ b/endivepick/forwarder/breaker.py
@@ -16,6 +16,11 @@
 class CircuitBreaker:
     """Says which feed tries while the store does not answer.
 
+    Parameters
+    ----------
+    enabled : bool, default=True
+        False: each feed tries for itself.
+
     Examples
     --------
     >>> breaker = CircuitBreaker()
@@ -26,12 +31,15 @@
     True
     """
 
-    def __init__(self) -> None:
+    def __init__(self, enabled: bool = True) -> None:
+        self._enabled = enabled
         self._trying: Hashable | None = None
         self._changed = Event()
 
     def failed(self, feed: Hashable) -> bool:
         """Take in that a call failed; returns whether this feed is to try again."""
+        if not self._enabled:
+            return True
         if self._trying is None:
             self._trying = feed
         return self._trying == feed
--- a/endivepick/forwarder/feeding.py
+++ b/endivepick/forwarder/feeding.py
@@ -20,7 +20,12 @@
     ZoneNews,
     ZoneQuestion,
 )
-from endivepick.forwarding import FitnessReport, ForwardingCore, merge_reports
+from endivepick.forwarding import (
+    ConfigurationChange,
+    FitnessReport,
+    ForwardingCore,
+    merge_reports,
+)
 from endivepick.forwarding.fitness import TOLD_S
 
 __all__ = ["ZoneFeeder"]
@@ -67,6 +72,7 @@
         log: BoundedLog,
     ) -> None:
         self._name = settings.name
+        self._tells_changes = settings.mechanisms.told_changes
         self._core = core
         self._feeds = feeds
         self._neighbours = neighbours
@@ -175,13 +181,18 @@
         return ZoneNews(
             self._name,
             self._core.routes.revision,
-            self._core.routes.change_since(question.config_revision),
+            self._change_since(question.config_revision),
             self._core.registry.news_since(question.registry_revision),
             heard_before_s(self._feeds.values()),
             heard_before_s([self._feeds[FeedKind.REGISTRY]]),
             self._seen_together(),
         )
 
+    def _change_since(self, revision: int) -> ConfigurationChange | None:
+        if not self._tells_changes:
+            return None
+        return self._core.routes.change_since(revision)
+
     def _has_news(self, question: ZoneQuestion) -> bool:
         return (
             self._core.routes.revision > question.config_revision
--- a/endivepick/forwarder/forwarder.py
+++ b/endivepick/forwarder/forwarder.py
@@ -89,7 +89,7 @@
         self._zone: ZoneMember | None = None
         self._zone_task: gevent.Greenlet | None = None
         self._news = news = NewsIntake(self.core, self.decisions, self._after_news)
-        breaker = CircuitBreaker()
+        breaker = CircuitBreaker(settings.mechanisms.breaker)
         self._feeds = {
             kind: StoreFeed(
                 settings,
@@ -244,4 +244,5 @@
         gone_memory_s=settings.flow_longest_s,
         probe_timeouts_s=timeouts_s,
         probe_gap_s=max(PROBE_GAP_S, sum(timeouts_s)),
+        mechanisms=settings.mechanisms,
     )
--- a/endivepick/forwarder/peers.py
+++ b/endivepick/forwarder/peers.py
@@ -152,6 +152,7 @@
         log: BoundedLog,
     ) -> None:
         self._name = settings.name
+        self._used = settings.mechanisms
         self._own = settings.reached_at
         self._core = core
         self._feeds = feeds
@@ -186,6 +187,8 @@
         Each instance meets few of a target's flows; without a hint each loses a
         request of its own before it looks.
         """
+        if not self._used.hints:
+            return
         for address in self.book.recent(MAX_PEERS):
             if self._hints.free_count() > 0:
                 self._hints.spawn(self._call, address, HINT_PATH + target)
@@ -240,6 +243,8 @@
 
     def _greet_lost(self) -> None:
         """Greet neighbours that have fallen silent, beside all else."""
+        if not self._used.greet_neighbours:
+            return
         for address in self.neighbours.lost(steady_now_s()):
             if self._greetings.free_count() > 0:
                 self._greetings.spawn(self._greet_back, address)
--- a/endivepick/forwarder/settings.py
+++ b/endivepick/forwarder/settings.py
@@ -7,6 +7,7 @@
 
 from endivepick.addresses import parse_address
 from endivepick.errors import SettingsInvalidError
+from endivepick.forwarding.mechanisms import Mechanisms
 
 __all__ = ["ForwarderSettings", "decode_settings", "load_forwarder_settings"]
 
@@ -67,6 +68,8 @@
         for some seconds, which costs calls but no time.
     fed_most : int
         Most instances that one of them feeds; a larger zone has more feeders.
+    mechanisms : Mechanisms
+        What is in use; all are unless the settings say otherwise.
     """
 
     name: str
@@ -94,6 +97,7 @@
     link_mbps: Annotated[float, msgspec.Meta(gt=0)] = 1000.0
     zone_feeders: Annotated[int, msgspec.Meta(ge=0, le=64)] = 1
     fed_most: Annotated[int, msgspec.Meta(ge=1, le=1000)] = 24
+    mechanisms: Mechanisms = Mechanisms()
 
     @property
     def reached_at(self) -> str:
--- a/endivepick/forwarder/tests/test_breaker.py
+++ b/endivepick/forwarder/tests/test_breaker.py
@@ -29,6 +29,10 @@
         waiting.get(timeout=TIMEOUT_S)
         self.assertTrue(breaker.failed("b"))
 
+    def test_without_it_each_tries(self):
+        breaker = CircuitBreaker(enabled=False)
+        self.assertEqual([breaker.failed(feed) for feed in "aba"], [True] * 3)
+
     def test_an_answer_lets_all_call(self):
         breaker = CircuitBreaker()
         breaker.failed("a")
--- a/endivepick/forwarder/tests/test_settings.py
+++ b/endivepick/forwarder/tests/test_settings.py
@@ -38,6 +38,12 @@
             decode(**fields)
         return str(raised.exception)
 
+    def test_a_mechanism_is_switched_off_by_its_name(self):
+        used = decode(mechanisms={"hints": False}).mechanisms
+        self.assertEqual((used.hints, used.trickle), (False, True))
+        message = self.refused(mechanisms={"hint": False})
+        self.assertIn("hint", message)
+
     def test_a_misspelt_key_is_named(self):
         self.assertIn("gather_ms", self.refused(gather_ms=4))
 
--- a/endivepick/forwarder/tests/test_zone.py
+++ b/endivepick/forwarder/tests/test_zone.py
@@ -69,10 +69,9 @@
         self.lines = []
         self.member = self.make_member(self.core)
 
-    def make_member(self, core):
-        settings = decode_settings(
-            json.dumps(GOOD | {"peer_address": "127.0.0.1:1"}).encode()
-        )
+    def make_member(self, core, **fields):
+        fields = {"peer_address": "127.0.0.1:1"} | fields
+        settings = decode_settings(json.dumps(GOOD | fields).encode())
         log = BoundedLog("a", lambda data: self.lines.append(bytes(data)) or len(data))
 
         decisions = DecisionLog(log, ForwarderMetrics())
@@ -156,6 +155,13 @@
         self.assertEqual((change.version, change.removed_routes), (9, ("r8080",)))
         self.assertIsNone(self.ask(config=7, registry=1).config_change)
 
+    def test_without_told_changes_only_the_revision_is_told(self):
+        self.member = self.make_member(self.core, mechanisms={"told_changes": False})
+        self.feed()
+        self.core.on_configuration(make_configuration(7, 9, ports=(443,)), 1.0)
+        news = self.ask()
+        self.assertEqual((news.config_revision, news.config_change), (7, None))
+
     def test_only_a_feeder_that_is_asked_keeps_a_short_watch(self):
         feed = self.feeds[FeedKind.REGISTRY]
         self.feed()
--- a/endivepick/forwarding/evidence.py
+++ b/endivepick/forwarding/evidence.py
@@ -82,6 +82,8 @@
         now_s : float
             Present time, in seconds.
         """
+        if not self._settings.mechanisms.probe_repetition:
+            return []
         if now_s - since_s < self._settings.repeat_after_s:
             return []
         probe = self._probe_in_question(belief, since_s, now_s)
@@ -117,6 +119,8 @@
         now_s : float
             Present time, in seconds.
         """
+        if not self._settings.mechanisms.probe_silent_openings:
+            return []
         probe = self._probe_in_question(belief, since_s, now_s)
         if not probe:
             return []
@@ -154,6 +158,8 @@
     def resets(self, belief: TargetBelief) -> list[Effect]:
         """Reset the flows of a target that cannot serve them, and forget them."""
         effects: list[Effect] = []
+        if not self._resets_now(belief):
+            return effects
         elsewhere = self.has_alternative(belief)
         for flow in self._flows.of_target(belief):
             busy = flow.busy_since_s is not None
@@ -166,6 +172,26 @@
             self._flows.end(flow.key)
         return effects
 
+    def reset_reason(self, belief: TargetBelief, kind: RouteKind) -> ResetReason | None:
+        """Return why a flow with a packet under way is to be reset, None if it is not.
+
+        Parameters
+        ----------
+        belief : TargetBelief
+            The flow's target.
+        kind : RouteKind
+            Whether the flow's requests may be repeated.
+        """
+        if not self._resets_now(belief):
+            return None
+        return reset_reason(belief, kind, True, self.has_alternative(belief))
+
+    def _resets_now(self, belief: TargetBelief) -> bool:
+        """Whether flows of a target may be reset, whatever its state says."""
+        if belief.state is TargetState.GONE:
+            return True
+        return self._settings.mechanisms.reset_unreachable
+
     def restarted(self, restart: TargetRestart, began_s: float) -> list[Effect]:
         """Reset the flows of an incarnation that has ended.
 
@@ -224,6 +250,8 @@
         is found out only after a request to it was lost.
         """
         effects: list[Effect] = []
+        if not self._settings.mechanisms.probe_silent_zone:
+            return effects
         for belief in self._registry:
             if belief.target.zone != silent.target.zone or not belief.flows:
                 continue
--- a/endivepick/forwarding/fitness.py
+++ b/endivepick/forwarding/fitness.py
@@ -38,6 +38,7 @@
 from endivepick.forwarding.flows import FlowTable, ObservedFlow
 from endivepick.forwarding.model import FlowKey, RouteKind
 from endivepick.forwarding.registry import TargetRegistry
+from endivepick.forwarding.settings import ForwardingSettings
 from endivepick.forwarding.usual import UsualRequests
 
 __all__ = ["TOLD_S", "FitnessJudge"]
@@ -87,13 +88,21 @@
 
     Parameters
     ----------
+    settings : ForwardingSettings
+        Whether flows are reset.
     registry : TargetRegistry
         Beliefs that it changes.
     flows : FlowTable
         Flows to reset.
     """
 
-    def __init__(self, registry: TargetRegistry, flows: FlowTable) -> None:
+    def __init__(
+        self,
+        settings: ForwardingSettings,
+        registry: TargetRegistry,
+        flows: FlowTable,
+    ) -> None:
+        self._resets = settings.mechanisms.reset_impaired
         self._registry = registry
         self._flows = flows
         self._usual: dict[tuple[str, RouteKind], UsualRequests] = {}
@@ -415,6 +424,8 @@
         return [Reset(flow.key, flow.acknowledged, reason, flow.belief.name)]
 
     def _resets_failed(self, belief: TargetBelief, now_s: float) -> bool:
+        if not self._resets:
+            return False
         if belief.fitness is not Fitness.IMPAIRED or not _is_settled(belief, now_s):
             return False
         counts, told = belief.requests, self._told_of(belief, now_s)
--- a/endivepick/forwarding/forwarder.py
+++ b/endivepick/forwarding/forwarder.py
@@ -29,7 +29,7 @@
     TargetBelief,
     TargetState,
 )
-from endivepick.forwarding.evidence import EvidenceJudge, reset_reason
+from endivepick.forwarding.evidence import EvidenceJudge
 from endivepick.forwarding.fitness import FitnessJudge
 from endivepick.forwarding.flows import SEQUENCE_NUMBERS, FlowSign, FlowTable
 from endivepick.forwarding.model import (
@@ -44,7 +44,7 @@
 from endivepick.forwarding.placement import choose_target
 from endivepick.forwarding.registry import RegistryNews, TargetRegistry
 from endivepick.forwarding.routes import RouteTable, service_of
-from endivepick.forwarding.settings import ForwardingSettings
+from endivepick.forwarding.settings import ForwardingSettings, without_disabled
 from endivepick.forwarding.unknown import UnknownCookies
 
 __all__ = ["ForwardingCore"]
@@ -70,6 +70,7 @@
     def __init__(
         self, settings: ForwardingSettings, random_share: Callable[[], float]
     ) -> None:
+        settings = without_disabled(settings)
         self.settings = settings
         self.routes = RouteTable()
         self.registry = TargetRegistry(settings)
@@ -79,7 +80,7 @@
         self._random_share = random_share
         self._openings = OpeningMemory(settings)
         self._judge = EvidenceJudge(settings, self.registry, self.flows, self.routes)
-        self.fitness = FitnessJudge(self.registry, self.flows)
+        self.fitness = FitnessJudge(settings, self.registry, self.flows)
         self._unknown = UnknownCookies(settings.lapse_grace_s)
         self._held: deque[_HeldPacket] = deque()
         self._asked_s = float("-inf")
@@ -237,7 +238,8 @@
         if route is None:
             return self._reset(packet, ResetReason.NO_ROUTE, "", now_s)
         opening = self._openings.get(packet.flow)
-        tried = () if opening is None else opening.targets
+        elsewhere = self.settings.mechanisms.copies_elsewhere
+        tried = opening.targets if opening is not None and elsewhere else ()
         if opening is not None:
             self._suspect_first(opening, packet.flow, now_s)
         candidates = self.registry.candidates(service_of(route, packet.flow))
@@ -329,7 +331,7 @@
             Present time, in seconds.
         """
         flow = self.flows.get(packet.flow)
-        if flow is None:
+        if flow is None or not self.settings.mechanisms.judge_targets:
             return
         if busy_since_s is not None and flow.busy_since_s != busy_since_s:
             size_bytes = (packet.acknowledged - acknowledged) % SEQUENCE_NUMBERS
@@ -355,8 +357,7 @@
     ) -> ResetReason | None:
         if packet.closing or belief.reachability is Reachability.REACHABLE:
             return None
-        elsewhere = self._judge.has_alternative(belief)
-        return reset_reason(belief, kind, True, elsewhere)
+        return self._judge.reset_reason(belief, kind)
 
     def _reset(
         self, packet: Packet, reason: ResetReason, target: str, now_s: float
--- a/endivepick/forwarding/placement.py
+++ b/endivepick/forwarding/placement.py
@@ -94,8 +94,8 @@
     load : float
         Its load per slot at that time.
     reason : str
-        ``"zone"``, ``"spill"``, ``"busy"``, ``"retried"``, ``"impaired"`` or
-        ``"doubtful"``.
+        ``"zone"``, ``"spill"``, ``"busy"``, ``"any"``, ``"retried"``,
+        ``"impaired"`` or ``"doubtful"``.
     """
 
     belief: TargetBelief
@@ -136,7 +136,7 @@
         None if no target is left that may be alive.
     """
     fresh = candidates.without(tried) if tried else candidates
-    if fresh.returning:
+    if fresh.returning and settings.mechanisms.trickle:
         tried_out = repeatable and random_share() < TRICKLE
         fresh = fresh if tried_out else fresh.without_returning()
     pool: Sequence[TargetBelief]
@@ -180,11 +180,15 @@
     random_share: Callable[[], float],
 ) -> tuple[Sequence[TargetBelief], str]:
     own, others = candidates.own, candidates.others
+    if not settings.mechanisms.own_zone_first:
+        return [*own, *others], "any"
     if not others:
         return own, "zone"
     if not own:
         return others, "spill"
-    if all(_busy_per_slot(belief) >= settings.spill_busy for belief in own):
+    if settings.mechanisms.spill_when_busy and all(
+        _busy_per_slot(belief) >= settings.spill_busy for belief in own
+    ):
         return [*own, *others], "busy"
     if random_share() < local_share(settings, own, candidates.all_slots):
         return own, "zone"
--- a/endivepick/forwarding/settings.py
+++ b/endivepick/forwarding/settings.py
@@ -1,8 +1,11 @@
 """Settings of the forwarding core."""
 
 from msgspec import Struct
+from msgspec.structs import replace
 
-__all__ = ["ForwardingSettings"]
+from endivepick.forwarding.mechanisms import Mechanisms
+
+__all__ = ["ForwardingSettings", "without_disabled"]
 
 
 class ForwardingSettings(Struct, frozen=True):
@@ -74,6 +77,8 @@
     ask_gap_s : float
         Least time between two readings of the registry for an unknown cookie, in
         seconds.
+    mechanisms : Mechanisms
+        What is in use; see `without_disabled` for those that are limits.
     """
 
     zone: str
@@ -97,3 +102,26 @@
     held_packets: int = 256
     held_s: float = 0.4
     ask_gap_s: float = 0.5
+    mechanisms: Mechanisms = Mechanisms()
+
+
+def without_disabled(settings: ForwardingSettings) -> ForwardingSettings:
+    """Return settings in which the limits of disabled mechanisms have no effect.
+
+    Examples
+    --------
+    >>> off = Mechanisms(hold_packets=False, cold_capacity=False)
+    >>> settings = without_disabled(ForwardingSettings("a", mechanisms=off))
+    >>> settings.held_packets, settings.cold_capacity, settings.zone_headroom
+    (0, 1.0, 1.3)
+    """
+    used = settings.mechanisms
+    return replace(
+        settings,
+        zone_headroom=settings.zone_headroom if used.zone_headroom else 1.0,
+        busy_weight=settings.busy_weight if used.busy_flows_weigh else 0.0,
+        cold_capacity=settings.cold_capacity if used.cold_capacity else 1.0,
+        lapse_grace_s=settings.lapse_grace_s if used.lapse_grace else 0.0,
+        entry_return_s=settings.entry_return_s if used.entry_return else 0.0,
+        held_packets=settings.held_packets if used.hold_packets else 0,
+    )
