--- a/endivepick/forwarder/freshness.py
+++ b/endivepick/forwarder/freshness.py
@@ -21,6 +21,9 @@
 """Part of the time that the gathering of changes may take."""
 GATHER_MOST_S = 0.8
 """Beyond that flows are placed on targets that have left."""
+FEEDER_SILENT_SHARE = 0.6
+"""Part of the time that a feeder's silence may take; the rest covers the reading of a
+large configuration over a slow link."""
 FEEDER_SILENT_MOST_S = 4.0
 """Those who are fed by a feeder that was cut off miss what changes for so long."""
 FEEDING_SLACK_S = 1.5
@@ -81,7 +84,11 @@
         spent_s = ANSWER_SLACK_S + settings.retry_cap_s + gather_s + WATCH_MARGIN_S
         shortest_s, longest_s = WATCH_BOUNDS_S
         watch_wait_s = max(shortest_s, min(lost_for_s - spent_s, longest_s))
-    silent_s = min(in_force_s - POLL_WAIT_S - READ_S, FEEDER_SILENT_MOST_S)
+    silent_s = min(
+        in_force_s - POLL_WAIT_S - READ_S,
+        in_force_s * FEEDER_SILENT_SHARE,
+        FEEDER_SILENT_MOST_S,
+    )
     silent_s = round(max(silent_s, 0.0), 3)
     feeding_wait_s = max(
         silent_s - FEEDING_SLACK_S, min(FEEDING_WAIT_S, silent_s - FEEDING_MARGIN_S)
