Probe a vanished target only where flows of it are seen

A silent outage of the store lets all entries lapse; then each of 195 instances probed each of 293 targets once, 57,000 probes in the moment in which the store is back, each of which takes a slot of its target for a millisecond and waits in its queue before requests. It grows with instances times targets.

Change: a vanished entry is probed only by instances that see flows of its target. New flows find out by themselves, by what follows their opening.

--- a/endivepick/forwarding/evidence.py
+++ b/endivepick/forwarding/evidence.py
@@ -131,8 +131,14 @@
         ]
 
     def vanished(self, belief: TargetBelief, now_s: float) -> list[Effect]:
-        """Take in that a target's entry is no longer there."""
-        if belief.reachability is Reachability.DEAD:
+        """Take in that a target's entry is no longer there.
+
+        Load pattern: after an outage of the store all entries are missing for seconds,
+        and hundreds of instances know them.  Were each to probe all, a target would get
+        hundreds of probes at once, which wait in its queue before requests.  So only
+        flows that are seen here are looked after; new ones find out by themselves.
+        """
+        if belief.reachability is Reachability.DEAD or not belief.flows:
             return []
         return list(self._probe(belief, now_s))
 
--- a/endivepick/forwarding/tests/test_evidence.py
+++ b/endivepick/forwarding/tests/test_evidence.py
@@ -173,6 +173,14 @@
         self.assertEqual(answer_probes(self.core, REFUSED, 3.1), [belief.name])
         self.assertEqual([r.flow for r in take(self.core, Reset)], [flow])
 
+    def test_after_an_outage_only_targets_with_flows_here_are_probed(self):
+        core = make_core([make_target(f"i-{n:x}", revision=n) for n in range(1, 200)])
+        beliefs = {open_flow(core, flow_key(port), 1.0).name for port in range(3)}
+        core.effects.clear()
+        core.on_target_list([make_target("i-1", revision=1)], 500, 1.2)
+        probed = [probe.target.name for probe in take(core, ProbeTarget)]
+        self.assertEqual(set(probed), beliefs - {"i-1"})
+
     def test_a_target_that_left_after_draining_has_its_last_flows_settled(self):
         flow, belief = self.established(1)
         leaving = make_target(belief.name, phase=TargetPhase.DRAINING, revision=20)
