Let those who were told of a dead target tell few others

Cause: whoever found a target dead told all peers it may, also if a peer had just told it.

Change: who finds it by itself tells all as before; who was told passes it on to three. A test plays the spreading in a fleet of 200: more than nine of ten hear of it, by four messages an instance.

--- a/endivepick/bench/path_cost.py
+++ b/endivepick/bench/path_cost.py
@@ -163,7 +163,7 @@
     log = open_log("front-1")
     metrics = ForwarderMetrics() if told else _NoMetrics()
     decisions = DecisionLog(log, metrics) if told else _NoLog(log, metrics)
-    requests = PathRequests(lambda: None, lambda _: None)
+    requests = PathRequests(lambda: None, lambda _target, _found_here: None)
     codec, dialect = cast(PacketCodec, _Codec()), cast(StoreDialect, None)
     kind = PacketPath if told else _BarePath
     with kind(_core(), codec, dialect, decisions, requests).open("127.0.0.1:0") as at:
--- a/endivepick/forwarder/packet_path.py
+++ b/endivepick/forwarder/packet_path.py
@@ -36,6 +36,8 @@
 """The kernel did not take the packet."""
 HINT_WITHIN_S = 0.05
 """A verdict is told to peers when it is new, not each time it is confirmed."""
+HINT_MEMORY_S = 2.0
+"""A probe that follows a peer's word ends within some tenths of a second."""
 
 
 class PathRequests(Struct, frozen=True):
@@ -46,11 +48,11 @@
     read_registry : callable
         Reads the registry now, without waiting.
     hint_peers : callable
-        Tells peers that a target does not answer.
+        Tells peers that a target does not answer, and whether that was found out here.
     """
 
     read_registry: Callable[[], None]
-    hint_peers: Callable[[str], None]
+    hint_peers: Callable[[str, bool], None]
 
 
 class PacketPath:
@@ -203,5 +205,7 @@
         belief = self._core.registry.get(target)
         if belief is None or not belief.takes_flows:
             return
-        if belief.reachability_since_s >= steady_now_s() - HINT_WITHIN_S:
-            self._requests.hint_peers(target)
+        now_s = steady_now_s()
+        if belief.reachability_since_s >= now_s - HINT_WITHIN_S:
+            found_here = belief.hinted_s < now_s - HINT_MEMORY_S
+            self._requests.hint_peers(target, found_here)
--- a/endivepick/forwarder/peers.py
+++ b/endivepick/forwarder/peers.py
@@ -63,6 +63,8 @@
 """How often one peer is greeted, so that peers know of each other in time."""
 MAX_HINTS = 16
 """Hints under way at a time; more are left out, since in a partition most fail."""
+PASSED_ON = 3
+"""Peers that are told again of a hint; each of three reaches nineteen of twenty."""
 MAX_GREETINGS = 16
 """Greetings of lost neighbours under way at a time."""
 CALL_TIMEOUT_S = 0.5
@@ -181,15 +183,26 @@
             self._found.wait(ASK_EVERY_S)
             until_hello_s -= ASK_EVERY_S
 
-    def hint(self, target: str) -> None:
+    def hint(self, target: str, found_here: bool) -> None:
         """Tell peers that a target does not answer, so that each sees for itself.
 
         Each instance meets few of a target's flows; without a hint each loses a
-        request of its own before it looks.
+        request of its own before it looks.  Whoever was told passes the word on to few,
+        so that it costs a large fleet some messages for an instance, not for each pair.
+
+        Parameters
+        ----------
+        target : str
+            The target.
+        found_here : bool
+            No peer had told it before.
         """
         if not self._used.hints:
             return
-        for address in self.book.recent(MAX_PEERS):
+        peers = self.book.recent(MAX_PEERS)
+        if not found_here:
+            peers = random.sample(peers, min(PASSED_ON, len(peers)))
+        for address in peers:
             if self._hints.free_count() > 0:
                 self._hints.spawn(self._call, address, HINT_PATH + target)
 
--- a/endivepick/forwarder/tests/test_peers.py
+++ b/endivepick/forwarder/tests/test_peers.py
@@ -1,5 +1,7 @@
 import json
+import random
 import unittest
+from unittest.mock import patch
 
 import gevent
 import msgspec
@@ -10,6 +12,8 @@
 from endivepick.forwarder.peer_book import MAX_PEERS, Neighbours, PeerBook
 from endivepick.forwarder.peers import (
     HELLO_PATH,
+    MAX_HINTS,
+    PASSED_ON,
     SNAPSHOT_PATH,
     PeerFeed,
     PeerSnapshot,
@@ -40,6 +44,43 @@
         self.heard_s = steady_now_s()
 
 
+class TestHints(unittest.TestCase):
+    def told(self, found_here, peers):
+        feed = make_feed(make_core())
+        for number in range(peers):
+            feed.book.heard(f"10.0.0.{number + 2}:1")
+        told = []
+        with patch.object(feed, "_call", lambda address, path: told.append(address)):
+            feed.hint("i-1", found_here)
+            feed._hints.join(timeout=TIMEOUT_S)
+        return told
+
+    def test_who_finds_a_target_dead_tells_all_that_it_may(self):
+        self.assertEqual(len(self.told(True, peers=8)), 8)
+        self.assertEqual(len(self.told(True, peers=40)), MAX_HINTS)
+
+    def test_who_was_told_passes_it_on_to_few(self):
+        told = self.told(False, peers=40)
+        self.assertEqual(len(set(told)), PASSED_ON)
+        self.assertEqual(len(self.told(False, peers=1)), 1)
+
+    def test_a_word_that_few_pass_on_reaches_nearly_all(self):
+        """A fleet of hundreds, in which each knows its last peers only."""
+        source = random.Random(1)
+        fleet = range(200)
+        known = {one: source.sample(fleet, MAX_PEERS) for one in fleet}
+        heard, messages = {0, *known[0][:MAX_HINTS]}, MAX_HINTS
+        waiting = [one for one in heard if one]
+        while waiting:
+            for peer in source.sample(known[waiting.pop()], PASSED_ON):
+                messages += 1
+                if peer not in heard:
+                    heard.add(peer)
+                    waiting.append(peer)
+        self.assertGreater(len(heard), 0.9 * len(fleet))
+        self.assertLess(messages, (PASSED_ON + 1) * len(fleet))
+
+
 class TestPeerBook(unittest.TestCase):
     def test_peers_that_answered_last_are_asked_first(self):
         book = PeerBook(OWN, ["b", "c", OWN])
--- a/endivepick/forwarding/belief.py
+++ b/endivepick/forwarding/belief.py
@@ -205,6 +205,8 @@
         When a caller last acknowledged something new of it, in seconds.
     probed_s : float
         When the last probe began, in seconds.
+    hinted_s : float
+        When a peer last said that it does not answer, in seconds.
     fitness : Fitness
         Whether it serves the requests that reach it.
     fitness_since_s : float
@@ -226,6 +228,7 @@
     busy_flows: int = 0
     progress_s: float = float("-inf")
     probed_s: float = float("-inf")
+    hinted_s: float = float("-inf")
     fitness: Fitness = Fitness.SOUND
     fitness_since_s: float = 0.0
     requests: RequestCounts = field(default_factory=RequestCounts)
--- a/endivepick/forwarding/evidence.py
+++ b/endivepick/forwarding/evidence.py
@@ -230,6 +230,7 @@
 
     def hinted(self, belief: TargetBelief, now_s: float) -> list[Effect]:
         """Take in a peer's word that a target does not answer: see for oneself."""
+        belief.hinted_s = now_s
         if belief.reachability is not Reachability.REACHABLE:
             return []
         return list(self._probe(belief, now_s))
