Move held packets, awaited answers and the registry's news into modules of their own

What is held for a moment, which answers are overdue and what instances tell each other of the registry stand alone now.

--- a/endivepick/forwarding/__init__.py
+++ b/endivepick/forwarding/__init__.py
@@ -37,7 +37,7 @@
     Target,
     TargetPhase,
 )
-from endivepick.forwarding.registry import RegistryNews, RemovedTarget
+from endivepick.forwarding.registry_news import RegistryNews, RemovedTarget
 from endivepick.forwarding.settings import ForwardingSettings
 
 __all__ = [
--- a/endivepick/forwarding/fitness.py
+++ b/endivepick/forwarding/fitness.py
@@ -11,12 +11,10 @@
 see is added up by their feeder.
 """
 
-from collections import deque
 from math import exp
 
-from msgspec import Struct
-
 from endivepick.forwarding.actions import Effect, Reset, ResetReason
+from endivepick.forwarding.awaited import AwaitedAnswers
 from endivepick.forwarding.belief import (
     Fitness,
     FitnessEvent,
@@ -36,7 +34,7 @@
     usable_report,
 )
 from endivepick.forwarding.flows import FlowTable, ObservedFlow
-from endivepick.forwarding.model import FlowKey, RouteKind
+from endivepick.forwarding.model import RouteKind
 from endivepick.forwarding.registry import TargetRegistry
 from endivepick.forwarding.settings import ForwardingSettings
 from endivepick.forwarding.usual import UsualRequests
@@ -77,12 +75,6 @@
 """What instances have told counts for so long: one that stands still tells nothing."""
 
 
-class _Due(Struct, frozen=True):
-    due_s: float
-    flow: FlowKey
-    since_s: float
-
-
 class FitnessJudge:
     """Counts what becomes of requests, and condemns targets.
 
@@ -106,7 +98,7 @@
         self._registry = registry
         self._flows = flows
         self._usual: dict[tuple[str, RouteKind], UsualRequests] = {}
-        self._due: deque[_Due] = deque()
+        self._awaited = AwaitedAnswers()
         self._doubted: dict[str, TargetBelief] = {}
         self._rests_s: dict[str, float] = {}
         self._callers: dict[str, set[int]] = {}
@@ -122,7 +114,7 @@
         flow.overdue = False
         usual = self._usual.get((flow.belief.target.service, flow.kind))
         if usual is not None and usual.known:
-            self._due.append(_Due(now_s + usual.overdue_s(), flow.key, now_s))
+            self._awaited.expect(flow.key, now_s, now_s + usual.overdue_s())
 
     def answered(
         self, flow: ObservedFlow, waited_s: float, size_bytes: int, now_s: float
@@ -170,23 +162,13 @@
         return effects
 
     def _take_overdue(self, now_s: float) -> list[ObservedFlow]:
-        overdue = []
-        # Services differ in what is overdue, so the order is nearly that of time.
-        waiting = self._due
-        self._due = deque()
-        for due in waiting:
-            if due.due_s > now_s:
-                self._due.append(due)
-                continue
-            flow = self._flows.get(due.flow)
-            if flow is None or flow.busy_since_s != due.since_s:
-                continue
+        overdue = self._awaited.take_overdue(self._flows, now_s)
+        for flow in overdue:
             flow.overdue = True
             counts = _faded(flow.belief.requests, now_s)
             self._doubt(flow)
             counts.failed += 1.0
             counts.failed_s = now_s
-            overdue.append(flow)
         return overdue
 
     def _doubt(self, flow: ObservedFlow) -> None:
--- a/endivepick/forwarding/forwarder.py
+++ b/endivepick/forwarding/forwarder.py
@@ -4,11 +4,8 @@
 and the time, and answers with verdicts and effects.  It has no sockets and no clock.
 """
 
-from collections import deque
 from collections.abc import Callable, Iterable
 
-from msgspec import Struct
-
 from endivepick.forwarding.actions import (
     Drop,
     DropReason,
@@ -32,6 +29,7 @@
 from endivepick.forwarding.evidence import EvidenceJudge
 from endivepick.forwarding.fitness import FitnessJudge
 from endivepick.forwarding.flows import SEQUENCE_NUMBERS, FlowSign, FlowTable
+from endivepick.forwarding.held import HeldPacket, HeldPackets, held_note
 from endivepick.forwarding.model import (
     Configuration,
     FlowKey,
@@ -42,7 +40,8 @@
 )
 from endivepick.forwarding.openings import Opening, OpeningMemory
 from endivepick.forwarding.placement import choose_target
-from endivepick.forwarding.registry import RegistryNews, TargetRegistry
+from endivepick.forwarding.registry import TargetRegistry
+from endivepick.forwarding.registry_news import RegistryNews
 from endivepick.forwarding.routes import RouteTable, service_of
 from endivepick.forwarding.settings import ForwardingSettings, without_disabled
 from endivepick.forwarding.unknown import UnknownCookies
@@ -50,12 +49,6 @@
 __all__ = ["ForwardingCore"]
 
 
-class _HeldPacket(Struct, frozen=True):
-    packet: Packet
-    data: bytes
-    since_s: float
-
-
 class ForwardingCore:
     """Decides where each packet goes.
 
@@ -82,7 +75,7 @@
         self._judge = EvidenceJudge(settings, self.registry, self.flows, self.routes)
         self.fitness = FitnessJudge(settings, self.registry, self.flows)
         self._unknown = UnknownCookies(settings.lapse_grace_s)
-        self._held: deque[_HeldPacket] = deque()
+        self._held = HeldPackets(settings)
         self._asked_s = float("-inf")
         self._wall_ahead_s = float("-inf")
 
@@ -227,7 +220,7 @@
         self._look_after_openings(now_s)
         self.flows.expire(self._idle_s, now_s)
         self._openings.expire(now_s)
-        self._drop_held(now_s)
+        self.effects += self._held.expire(now_s)
         self._after_changes(self.registry.expire(now_s, heard_s), now_s)
         if self.registry.unconfirmed(now_s, heard_s):
             self._ask_registry(now_s)
@@ -386,12 +379,11 @@
     def _hold(
         self, packet: Packet, data: bytes, reason: DropReason, now_s: float
     ) -> Verdict:
-        if len(self._held) >= self.settings.held_packets:
+        if not self._held.add(HeldPacket(packet, data, now_s)):
             return Drop(reason)
-        self._held.append(_HeldPacket(packet, data, now_s))
         if self.ready:
             self._ask_registry(now_s)
-        self.effects.append(_held_note("packet_held", packet, reason.value, 0.0))
+        self.effects.append(held_note("packet_held", packet, reason.value, 0.0))
         return Hold()
 
     def _ask_registry(self, now_s: float) -> None:
@@ -403,22 +395,13 @@
         """Decide about held packets again, now that more is known."""
         if not self.ready:
             return
-        waiting, self._held = self._held, deque()
-        for held in waiting:
+        for held in self._held.take_all():
             if self._cookie_unknown(held.packet):
-                self._held.append(held)
+                self._held.add(held)
                 continue
             verdict = self._decide(held.packet, now_s)
             self.effects.append(Release(held.data, verdict))
 
-    def _drop_held(self, now_s: float) -> None:
-        while self._held and now_s - self._held[0].since_s >= self.settings.held_s:
-            held = self._held.popleft()
-            age_s = now_s - held.since_s
-            self.effects.append(
-                _held_note("packet_dropped", held.packet, "nothing learnt", age_s)
-            )
-
     def _reset_restarted(self, now_s: float) -> None:
         restarts, self.registry.restarts = self.registry.restarts, []
         for restart in restarts:
@@ -450,8 +433,3 @@
                     self.effects += self._judge.resets(belief)
                 case _:
                     pass
-
-
-def _held_note(name: str, packet: Packet, reason: str, age_s: float) -> Note:
-    cookie = f"cookie {packet.cookie:08x}"
-    return Note(name, packet.flow, "", f"{reason}, {cookie}", age_s=age_s)
--- a/endivepick/forwarding/registry.py
+++ b/endivepick/forwarding/registry.py
@@ -12,7 +12,6 @@
 
 from collections.abc import Iterable, Iterator
 
-from msgspec import Struct
 from msgspec.structs import replace
 
 from endivepick.forwarding.belief import (
@@ -28,9 +27,10 @@
 from endivepick.forwarding.cookies import CookieDirectory, cookie_of
 from endivepick.forwarding.model import Target, TargetPhase
 from endivepick.forwarding.placement import Candidates
+from endivepick.forwarding.registry_news import RegistryNews, RemovedTarget
 from endivepick.forwarding.settings import ForwardingSettings
 
-__all__ = ["RegistryNews", "RemovedTarget", "TargetRegistry"]
+__all__ = ["TargetRegistry"]
 
 REMEMBERED_UNREADABLE = 1024
 """Names of entries that were never readable; more are not told apart from none."""
@@ -44,46 +44,6 @@
 }
 
 
-class RemovedTarget(Struct, frozen=True, array_like=True):
-    """An entry that names no target any more.
-
-    Attributes
-    ----------
-    name : str
-        Its name.
-    revision : int
-        Revision of the store at which that was so.
-    unreadable : bool
-        It is still there, but cannot be read.  An instance of a build that does not
-        know this field takes it for removed.
-    """
-
-    name: str
-    revision: int
-    unreadable: bool = False
-
-
-class RegistryNews(Struct, frozen=True):
-    """What changed in the registry since a revision.
-
-    Attributes
-    ----------
-    targets : list of Target
-        Entries that were written since.
-    removed : list of RemovedTarget
-        Entries that vanished or became unreadable since.
-    whole : bool
-        The entries are all there are; what is not among them has vanished.
-    revision : int
-        Revision of the store up to which this reaches.
-    """
-
-    targets: list[Target]
-    removed: list[RemovedTarget]
-    whole: bool
-    revision: int
-
-
 class TargetRegistry:
     """All targets that are known, and the cookies that lead to them.
 
--- a/endivepick/forwarding/tests/test_unreadable.py
+++ b/endivepick/forwarding/tests/test_unreadable.py
@@ -14,7 +14,8 @@
     TargetState,
 )
 from endivepick.forwarding.cookies import cookie_of
-from endivepick.forwarding.registry import RemovedTarget, TargetRegistry
+from endivepick.forwarding.registry import TargetRegistry
+from endivepick.forwarding.registry_news import RemovedTarget
 from endivepick.forwarding.settings import ForwardingSettings
 from endivepick.forwarding.tests.support import (
     ALIVE,
--- a/endivepick/model/registry.py
+++ b/endivepick/model/registry.py
@@ -12,7 +12,8 @@
 from typing import NamedTuple
 
 from endivepick.forwarding import RegistryNews, Target, TargetPhase, TargetState
-from endivepick.forwarding.registry import RemovedTarget, TargetRegistry
+from endivepick.forwarding.registry import TargetRegistry
+from endivepick.forwarding.registry_news import RemovedTarget
 from endivepick.forwarding.settings import ForwardingSettings
 from endivepick.model._freeze import freeze
 from endivepick.model._memory import Memory
