Ask a feeder with a long watch again before its place is taken

Cause of test_zone_feeding, failed once beside load ("no the condition": two feeders were not there within 60 s): a feeder that nobody has asked for ten seconds, or that has just taken its place, holds a watch of up to 9 s and so has not heard of the store for longer than those who are fed may rely on. The first who asked took it for lost and replaced its claim; it noticed at its review 15 to 25 s later, asked the other, and did the same to it.

Change: the first question makes the feeder keep a short watch, as before; the asker goes on asking for the time that this watch may take, and follows the store meanwhile. A test with two stale answers before a fresh one fails without it. The test of a feeder that stays stale now has one that does so in all its answers, not in the first only.

--- a/endivepick/forwarder/tests/test_zone.py
+++ b/endivepick/forwarder/tests/test_zone.py
@@ -299,11 +299,13 @@
 class TestBeingFed(ZoneCase):
     """The answers are those of one feeder; the last one ends the following."""
 
-    def follow(self, *answers):
+    def follow(self, *answers, then=None, after_s=0.0):
         given = list(answers)
+        last = Response(404) if then is None else then
 
         def answer(_path, _query):
-            return given.pop(0) if given else Response(404)
+            gevent.sleep(after_s)
+            return given.pop(0) if given else last
 
         with http_server("127.0.0.1:0", answer) as address:
             with gevent.Timeout(TIMEOUT_S):
@@ -363,8 +365,14 @@
         later_s = steady_now_s() + 5.0
         self.assertEqual(self.neighbours.lost(later_s), [address, "10.0.0.9:1"])
 
-    def test_one_that_is_stale_from_the_start_is_not_followed(self):
-        address = self.follow(self.news(heard_before_s=9.0))
+    def test_one_that_had_a_long_watch_is_asked_again(self):
+        stale = self.news(heard_before_s=9.0)
+        address = self.follow(stale, stale, self.news(), self.news())
+        self.assertEqual(self.done(FeedKind.REGISTRY), ["suspend", "resume 10"])
+        self.assertNotIn(address, self.member._lost())
+
+    def test_one_that_stays_stale_is_not_followed(self):
+        address = self.follow(then=self.news(heard_before_s=9.0), after_s=0.1)
         self.assertEqual(self.done(FeedKind.REGISTRY), [])
         self.assertEqual(self.member._lost(), [address])
 
--- a/endivepick/forwarder/zone.py
+++ b/endivepick/forwarder/zone.py
@@ -19,7 +19,7 @@
 from endivepick.forwarder.feed import StoreFeed
 from endivepick.forwarder.feeders import Feed, FollowFeeder, WriteClaim, next_step
 from endivepick.forwarder.feeding import ZoneFeeder
-from endivepick.forwarder.freshness import POLL_WAIT_S, freshness_of
+from endivepick.forwarder.freshness import ANSWER_SLACK_S, POLL_WAIT_S, freshness_of
 from endivepick.forwarder.logs import BoundedLog, rounded
 from endivepick.forwarder.peer_book import Neighbours
 from endivepick.forwarder.peers import HELLO_PATH, NEWS_PATH, SEEN_PATH
@@ -277,7 +277,7 @@
         began_s = steady_now_s()
         try:
             with store_connection(feeder) as connection:
-                self._check_first(self._poll(feeder, connection))
+                self._check_first(self._first_news(feeder, connection))
                 with self._fed(feeder):
                     while True:
                         self._check(self._poll(feeder, connection))
@@ -366,6 +366,21 @@
             # The next question brings the same, and shows whether the feeder is lost.
             self._log.event("zone", "seen_untold", "feeder not told", error=str(error))
 
+    def _first_news(self, feeder: str, connection: StoreConnection) -> ZoneNews:
+        """Ask a feeder until it may have heard of the store since the first question.
+
+        Nobody may have asked it before, so that it kept a long watch.  Taken for lost,
+        it would lose its place to one that does no better, and so on.
+        """
+        until_s = steady_now_s() + self._freshness.feeding_wait_s + ANSWER_SLACK_S
+        news = self._poll(feeder, connection)
+        while self._is_stale(news) and steady_now_s() < until_s:
+            news = self._poll(feeder, connection)
+        return news
+
+    def _is_stale(self, news: ZoneNews) -> bool:
+        return news.heard_before_s > self._freshness.feeder_silent_s
+
     def _check_first(self, news: ZoneNews) -> None:
         """Take a feeder for lost that the store does not answer, though it does us.
 
@@ -379,7 +394,7 @@
 
     def _check(self, news: ZoneNews) -> None:
         """Rely on a feeder only while the store answers it."""
-        if news.heard_before_s > self._freshness.feeder_silent_s:
+        if self._is_stale(news):
             reason = f"store silent there for {news.heard_before_s:.1f} s"
             raise _FeederLeft(reason, lost=False)
         self._note_heard(FeedKind.CONFIGURATION, news.heard_before_s)
