Probe dead targets ever more seldom

Change: a dead target is probed after half of the time for which it has been dead, at least every 2 s, every 8 s where another target answers. Silent ones are probed as before. 24 probes of a dead target in 12 s before, 8 and 5 at most now (two tests, both fail without it).

Ruled out: a count of refusals in the belief (the model of evidence has no bounds then; its check did not end within ten minutes).

--- a/endivepick/forwarding/evidence.py
+++ b/endivepick/forwarding/evidence.py
@@ -30,6 +30,12 @@
 
 __all__ = ["EvidenceJudge"]
 
+LONGEST_REFUSED_GAP_S = 2.0
+"""Longest time between probes of a target that refuses them.  A partition that resets
+connections looks like that, and flows of live targets are reset until it is noticed."""
+LONGEST_REPLACED_GAP_S = 8.0
+"""The same where another target answers, in whose queue the probes wait."""
+DEAD_SHARE = 0.5
 _DEFAULT_HEALTH_PATH = "/health"
 _PROBE_EVENTS = {
     ProbeOutcome.ALIVE: ReachabilityEvent.PROBE_ALIVE,
@@ -240,16 +246,30 @@
 
         A dead one as well, while its entry is there: a partition that resets
         connections looks like a process that has ended, and once it was over, flows
-        of live targets were reset for as long as they lasted.
+        of live targets were reset for as long as they lasted.  The longer it is dead,
+        the more seldom it is probed, since hundreds of instances do it.
         """
         effects: list[Effect] = []
         for belief in self._registry.unsettled:
             if belief.state is TargetState.GONE:
                 continue
-            if belief.reachability is not Reachability.REACHABLE:
+            if belief.reachability is Reachability.REACHABLE:
+                continue
+            if now_s - belief.probed_s >= self._retry_gap_s(belief, now_s):
                 effects += self._probe(belief, now_s)
         return effects
 
+    def _retry_gap_s(self, belief: TargetBelief, now_s: float) -> float:
+        """Return the time between two probes: half of how long a target is dead."""
+        gap_s = self._settings.probe_gap_s
+        if belief.reachability is not Reachability.DEAD:
+            return gap_s
+        longest_s = LONGEST_REFUSED_GAP_S
+        if belief.replaced:
+            longest_s = LONGEST_REPLACED_GAP_S
+        dead_for_s = now_s - belief.reachability_since_s
+        return max(gap_s, min(DEAD_SHARE * dead_for_s, longest_s))
+
     def _probe_zone(self, silent: TargetBelief, now_s: float) -> list[Effect]:
         """Probe the other targets of a zone from which one fell silent.
 
--- a/endivepick/forwarding/tests/support.py
+++ b/endivepick/forwarding/tests/support.py
@@ -100,4 +100,5 @@
 
 SILENT = ProbeOutcome.SILENT
 REFUSED = ProbeOutcome.REFUSED
+REPLACED = ProbeOutcome.REPLACED
 ALIVE = ProbeOutcome.ALIVE
--- a/endivepick/forwarding/tests/test_evidence.py
+++ b/endivepick/forwarding/tests/test_evidence.py
@@ -15,6 +15,7 @@
     IDEMPOTENT_PORT,
     ONCE_PORT,
     REFUSED,
+    REPLACED,
     SILENT,
     answer_probes,
     data,
@@ -173,6 +174,37 @@
         self.assertEqual(answer_probes(self.core, REFUSED, 3.1), [belief.name])
         self.assertEqual([r.flow for r in take(self.core, Reset)], [flow])
 
+    def probes_of_a_dead_one(self, outcome, seconds):
+        """Let time pass; return when a target that was found dead is probed."""
+        flow, belief = self.established(1)
+        self.ask(flow, belief, 2.0)
+        self.ask(flow, belief, 2.0 + REPEAT_S)
+        answer_probes(self.core, outcome, 2.3)
+        times_s = []
+        for tenth in range(24, 24 + 10 * seconds):
+            self.core.tick(tenth / 10)
+            if answer_probes(self.core, outcome, tenth / 10):
+                times_s.append(tenth / 10)
+        return times_s
+
+    def test_a_dead_target_is_probed_ever_more_seldom(self):
+        times_s = self.probes_of_a_dead_one(REFUSED, 12)
+        gaps_s = [b - a for a, b in zip(times_s, times_s[1:], strict=False)]
+        self.assertLessEqual(len(times_s), 8)
+        self.assertLess(max(gaps_s), 2.2)
+
+    def test_one_whose_address_is_another_s_leaves_that_one_alone(self):
+        self.assertLessEqual(len(self.probes_of_a_dead_one(REPLACED, 12)), 5)
+
+    def test_one_that_answers_again_is_probed_as_soon_as_before(self):
+        self.probes_of_a_dead_one(REFUSED, 6)
+        self.core.tick(20.0)
+        (name,) = answer_probes(self.core, ALIVE, 20.0)
+        belief = self.core.registry.get(name)
+        self.assertIs(belief.reachability, Reachability.REACHABLE)
+        self.core.on_hint(name, 30.0)
+        self.assertEqual(len(take(self.core, ProbeTarget)), 1)
+
     def test_after_an_outage_only_targets_with_flows_here_are_probed(self):
         core = make_core([make_target(f"i-{n:x}", revision=n) for n in range(1, 200)])
         beliefs = {open_flow(core, flow_key(port), 1.0).name for port in range(3)}
