--- a/endivepick/forwarder/peers.py
+++ b/endivepick/forwarder/peers.py
@@ -64,7 +64,7 @@
 MAX_HINTS = 16
 """Hints under way at a time; more are left out, since in a partition most fail."""
 PASSED_ON = 3
-"""Peers that are told again of a hint; each of three reaches nineteen of twenty."""
+"""Peers to whom a hint is passed on; told by each to three, it reaches nearly all."""
 MAX_GREETINGS = 16
 """Greetings of lost neighbours under way at a time."""
 CALL_TIMEOUT_S = 0.5
--- a/endivepick/forwarder/tests/test_zone.py
+++ b/endivepick/forwarder/tests/test_zone.py
@@ -9,6 +9,7 @@
 from endivepick.forwarder import feeding, zone
 from endivepick.forwarder.decision_log import DecisionLog
 from endivepick.forwarder.feeding import ZoneFeeder
+from endivepick.forwarder.freshness import ANSWER_SLACK_S
 from endivepick.forwarder.http import Response, http_server
 from endivepick.forwarder.logs import BoundedLog
 from endivepick.forwarder.metrics import ForwarderMetrics
@@ -371,6 +372,21 @@
         self.assertEqual(self.done(FeedKind.REGISTRY), ["suspend", "resume 10"])
         self.assertNotIn(address, self.member._lost())
 
+    def test_one_that_stays_stale_is_asked_now_and_then(self):
+        """It has a newer configuration, so that it answers each question at once."""
+        asked = []
+
+        def answer(_path, query):
+            asked.append(query)
+            return self.news(config=7, heard_before_s=9.0)
+
+        limit = gevent.Timeout(TIMEOUT_S)
+        with http_server("127.0.0.1:0", answer) as address, limit:
+            self.member._follow(address)
+        limits = self.member._freshness
+        asked_for_s = limits.feeding_wait_s + ANSWER_SLACK_S
+        self.assertLessEqual(len(asked), asked_for_s / zone.ASK_AGAIN_S + 2)
+
     def test_one_that_stays_stale_is_not_followed(self):
         address = self.follow(then=self.news(heard_before_s=9.0), after_s=0.1)
         self.assertEqual(self.done(FeedKind.REGISTRY), [])
--- a/endivepick/forwarder/zone.py
+++ b/endivepick/forwarder/zone.py
@@ -65,6 +65,8 @@
 LOST_MEMORY_S = 10.0
 """How long a feeder that did not answer is remembered as lost, or one that could feed
 no more as full."""
+ASK_AGAIN_S = 0.2
+"""Pause before a feeder is asked again; one with news answers at once each time."""
 GREETED_HOLDERS = 4
 """Feeders that are greeted after one was lost, at most."""
 MOST_PLACES = 64
@@ -375,6 +377,7 @@
         until_s = steady_now_s() + self._freshness.feeding_wait_s + ANSWER_SLACK_S
         news = self._poll(feeder, connection)
         while self._is_stale(news) and steady_now_s() < until_s:
+            gevent.sleep(ASK_AGAIN_S)
             news = self._poll(feeder, connection)
         return news
 
--- a/endivepick/forwarding/evidence.py
+++ b/endivepick/forwarding/evidence.py
@@ -36,6 +36,7 @@
 LONGEST_REPLACED_GAP_S = 8.0
 """The same where another target answers, in whose queue the probes wait."""
 DEAD_SHARE = 0.5
+"""Time between probes of a dead target, as a share of how long it has been dead."""
 _DEFAULT_HEALTH_PATH = "/health"
 _PROBE_EVENTS = {
     ProbeOutcome.ALIVE: ReachabilityEvent.PROBE_ALIVE,
