Let a zone learn together what is usual for a service's requests

Cause: an instance calls a request overdue only after 30 answers of its kind. With 195 instances each sees three a second, so that for ten seconds after each start, and half a minute for requests that may run once, no instance could tell that a target is slow or mute, however bad it was. Ruled out: fewer answers (the longest of ten is no bound of what is usual). Change: with what instances tell their feeder goes a histogram of their waits and sizes; it tells all the sum, which counts where an instance has not seen enough itself.

--- a/endivepick/forwarder/zone_messages.py
+++ b/endivepick/forwarder/zone_messages.py
@@ -53,7 +53,7 @@
         """The question as the query of a path."""
         revisions = f"config={self.config_revision}&registry={self.registry_revision}"
         question = f"from={self.asker}&{revisions}"
-        if not self.seen.targets:
+        if self.seen.empty:
             return question
         return f"{question}&seen={msgspec.json.encode(self.seen).hex()}"
 
--- a/endivepick/forwarding/fitness.py
+++ b/endivepick/forwarding/fitness.py
@@ -36,6 +36,7 @@
 from endivepick.forwarding.flows import FlowTable, ObservedFlow
 from endivepick.forwarding.model import RouteKind
 from endivepick.forwarding.registry import TargetRegistry
+from endivepick.forwarding.service_usual import ServiceUsual
 from endivepick.forwarding.settings import ForwardingSettings
 from endivepick.forwarding.usual import UsualRequests
 
@@ -97,7 +98,8 @@
         self._resets = settings.mechanisms.reset_impaired
         self._registry = registry
         self._flows = flows
-        self._usual: dict[tuple[str, RouteKind], UsualRequests] = {}
+        self._usual = ServiceUsual()
+        self._told_usual = ServiceUsual()
         self._awaited = AwaitedAnswers()
         self._doubted: dict[str, TargetBelief] = {}
         self._rests_s: dict[str, float] = {}
@@ -112,8 +114,8 @@
     def began(self, flow: ObservedFlow, now_s: float) -> None:
         """Take in that a request has begun on a flow."""
         flow.overdue = False
-        usual = self._usual.get((flow.belief.target.service, flow.kind))
-        if usual is not None and usual.known:
+        usual = self._usual_of(flow)
+        if usual is not None:
             self._awaited.expect(flow.key, now_s, now_s + usual.overdue_s())
 
     def answered(
@@ -132,8 +134,7 @@
         now_s : float
             Present time, in seconds.
         """
-        key = (flow.belief.target.service, flow.kind)
-        usual = self._usual.setdefault(key, UsualRequests())
+        usual = self._usual_of(flow)
         counts = _faded(flow.belief.requests, now_s)
         if flow.overdue:
             # It was late, not lost.
@@ -141,14 +142,20 @@
             counts.failed = max(0.0, counts.failed - 1.0)
             self._doubt(flow)
             counts.poor += 1.0
-        elif usual.known and usual.is_short(size_bytes):
+        elif usual is not None and usual.is_short(size_bytes):
             self._doubt(flow)
             counts.poor += 1.0
             counts.poor_s = now_s
         else:
             counts.good += 1.0
-        usual.waits_s.add(waited_s)
-        usual.first_bytes.add(size_bytes)
+        service = flow.belief.target.service
+        self._usual.add(service, flow.kind, waited_s, size_bytes)
+
+    def _usual_of(self, flow: ObservedFlow) -> UsualRequests | None:
+        """Return what is usual here, or else in the zone."""
+        service = flow.belief.target.service
+        own = self._usual.get(service, flow.kind)
+        return own or self._told_usual.get(service, flow.kind)
 
     def tick(self, now_s: float) -> list[Effect]:
         """Note what is overdue, and judge targets that something speaks against."""
@@ -207,13 +214,16 @@
         ]
         services = dict.fromkeys(belief.target.service for belief in doubted)
         return FitnessReport(
-            targets, [self._service_counts(service, now_s) for service in services]
+            targets,
+            [self._service_counts(service, now_s) for service in services],
+            usual=self._usual.tell(),
         )
 
     def take_told(self, report: FitnessReport, now_s: float) -> None:
         """Take in what the instances of the zone have seen together."""
         self._told = usable_report(report)
         self._told_s = now_s
+        self._told_usual.replace(self._told.usual)
         for told in self._told.targets:
             belief = self._registry.get(told.name)
             if belief is not None and belief.target.born_ms == told.born_ms:
--- a/endivepick/forwarding/fitness_reports.py
+++ b/endivepick/forwarding/fitness_reports.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Iterable
 
-from msgspec import Struct
+from msgspec import Struct, field
+
+from endivepick.forwarding.service_usual import MOST_USUAL, UsualCounts, merge_usual
 
 __all__ = [
     "LEAST_TOLD",
@@ -84,20 +86,30 @@
         Their services.
     instances : int
         Instances that it adds up.
+    usual : list of UsualCounts
+        What was usual for requests of late, whether or not a target is doubted.
     """
 
     targets: list[TargetCounts]
     services: list[ServiceCounts]
     instances: int = 1
+    usual: list[UsualCounts] = field(default_factory=list)
+
+    @property
+    def empty(self) -> bool:
+        """Whether it tells nothing."""
+        return not (self.targets or self.usual)
 
 
 def merge_reports(reports: Iterable[FitnessReport]) -> FitnessReport:
     """Add up what several instances have seen; each one's word is bounded."""
     targets: dict[tuple[str, int], TargetCounts] = {}
     services: dict[str, ServiceCounts] = {}
+    usual: list[UsualCounts] = []
     instances = 0
     for report in map(usable_report, reports):
         instances += 1
+        usual += report.usual
         for told in report.targets:
             key = (told.name, told.born_ms)
             known = targets.get(key)
@@ -113,14 +125,19 @@
     # One that all asked about and nobody doubts would be asked about for ever.
     doubted = [t for t in targets.values() if t.failed + t.poor >= LEAST_TOLD]
     worst = sorted(doubted, key=lambda told: -(told.failed + told.poor))
-    return FitnessReport(worst[:MOST_TOLD], list(services.values()), instances)
+    return FitnessReport(
+        worst[:MOST_TOLD], list(services.values()), instances, merge_usual(usual)
+    )
 
 
 def usable_report(report: FitnessReport) -> FitnessReport:
     """Leave out what no instance of this build would tell."""
     targets = [told for told in report.targets if _is_possible(told)]
     services = [s for s in report.services if 0.0 <= s.bad <= s.total <= MOST_COUNTED]
-    return FitnessReport(targets[:MOST_TOLD], services, max(1, report.instances))
+    usual = [counts for counts in report.usual if counts.possible]
+    return FitnessReport(
+        targets[:MOST_TOLD], services, max(1, report.instances), usual[:MOST_USUAL]
+    )
 
 
 def _is_possible(told: TargetCounts) -> bool:
--- a/endivepick/forwarding/usual.py
+++ b/endivepick/forwarding/usual.py
@@ -3,9 +3,12 @@
 Distributions forget as new values come, and take a few hundred bytes.
 """
 
+from collections.abc import Iterable
 from math import log2
 
-__all__ = ["UsualRequests", "UsualValues"]
+from msgspec import Struct
+
+__all__ = ["Bucket", "UsualRequests", "UsualValues"]
 
 _STEPS_PER_DOUBLING = 2
 _SMALLEST_S = 0.001
@@ -24,6 +27,33 @@
 """Values that count; older ones are halved away as new ones come, so that a change of
 load is usual after as many requests, however fast they are."""
 
+_MOST_TOLD = 2**24
+"""More values than all instances of a zone remember together."""
+
+
+class Bucket(Struct, frozen=True, array_like=True):
+    """Values of a histogram that are about alike, as instances tell each other.
+
+    Attributes
+    ----------
+    index : int
+        Which of the buckets.
+    values : int
+        How many values are in it.
+    """
+
+    index: int
+    values: int
+
+    @property
+    def possible(self) -> bool:
+        """Whether an instance or a feeder of this build tells such a bucket."""
+        return 0 <= self.index < _BUCKETS and 0 < self.values <= _MOST_TOLD
+
+    def bounded(self) -> "Bucket":
+        """Return this with no more values than one instance remembers."""
+        return Bucket(self.index, min(self.values, REMEMBERED))
+
 
 class UsualValues:
     """Counts positive values in buckets of half an octave.
@@ -58,6 +88,17 @@
             self._buckets = [number // 2 for number in self._buckets]
             self.count = sum(self._buckets)
 
+    def buckets(self) -> list[Bucket]:
+        """Return the buckets that hold values."""
+        numbers = enumerate(self._buckets)
+        return [Bucket(index, number) for index, number in numbers if number]
+
+    def add_buckets(self, buckets: Iterable[Bucket]) -> None:
+        """Take in what another instance has counted."""
+        for bucket in buckets:
+            self._buckets[bucket.index] += bucket.values
+            self.count += bucket.values
+
     def quantile(self, share: float) -> float:
         """Return an upper bound of the value that a share does not exceed."""
         wanted = share * self.count
