Move callers away from targets that have turned slow

Cause: a slow target was passed over by new flows, if it was noticed at all, and its open flows stayed: only requests that go unanswered led to resets. Ruled out: that it goes by itself (flows live for a minute); resets for requests in progress (it does answer them). Change: answers that are whole and late count apart from errors; those of a target that stands out are not usual; idle flows leave a target of whose requests three fifths are overdue, on the word of several instances, as for unanswered ones. What has to be sure before flows are reset is a module of its own. After: none; requests in progress are left, and so are flows of targets that are overrun in part, have just started, are slow like all others, or for one instance only (tests).

--- a/endivepick/forwarder/feeding.py
+++ b/endivepick/forwarder/feeding.py
@@ -26,7 +26,7 @@
     ForwardingCore,
     merge_reports,
 )
-from endivepick.forwarding.fitness import TOLD_S
+from endivepick.forwarding.certainty import TOLD_S
 
 __all__ = ["ZoneFeeder"]
 
--- a/endivepick/forwarder/status.py
+++ b/endivepick/forwarder/status.py
@@ -44,6 +44,7 @@
             "good": rounded(belief.requests.good),
             "failed": rounded(belief.requests.failed),
             "poor": rounded(belief.requests.poor),
+            "late": rounded(belief.requests.late),
             "counted_before_s": rounded(now_s - belief.requests.at_s),
         },
         "flows": belief.flows,
--- a/endivepick/forwarding/belief.py
+++ b/endivepick/forwarding/belief.py
@@ -149,7 +149,9 @@
     failed : float
         Not answered long after answers usually begin.
     poor : float
-        Answered far later than is usual, or with far less: an error.
+        Answered with far less than is usual: an error.
+    late : float
+        Answered as is usual, but far later.
     at_s : float
         Up to when they have faded, in seconds.
     failed_s, poor_s : float
@@ -159,14 +161,28 @@
     good: float = 0.0
     failed: float = 0.0
     poor: float = 0.0
+    late: float = 0.0
     at_s: float = 0.0
     failed_s: float = float("-inf")
     poor_s: float = float("-inf")
 
     @property
     def bad(self) -> float:
-        """Requests that failed or were answered poorly."""
-        return self.failed + self.poor
+        """Requests that failed, or were answered poorly or late."""
+        return self.failed + self.poor + self.late
+
+    @property
+    def bad_s(self) -> float:
+        """When the last one failed or was answered poorly, in seconds.
+
+        One that was late had failed before.
+        """
+        return max(self.failed_s, self.poor_s)
+
+    @property
+    def overdue(self) -> float:
+        """Requests that were not answered when answers usually are, also if later."""
+        return self.failed + self.late
 
     @property
     def total(self) -> float:
--- a/endivepick/forwarding/comparison.py
+++ b/endivepick/forwarding/comparison.py
@@ -40,7 +40,9 @@
     return against
 
 
-def compared_with_service(bad: float, total: float, service: ServiceCounts) -> float:
+def compared_with_service(
+    bad: float, total: float, service: ServiceCounts, least_share: float = LEAST_SHARE
+) -> float:
     """Return what speaks against a target of a service; 0 without enough to compare.
 
     Parameters
@@ -49,8 +51,10 @@
         Requests of the target, and those of them that went badly.
     service : ServiceCounts
         All of its service, the target's own among them.
+    least_share : float
+        Share of bad requests below which nothing speaks against it.
     """
     others_total = service.total - total
-    if others_total < COMPARED_REQUESTS or bad < LEAST_SHARE * total:
+    if others_total < COMPARED_REQUESTS or bad < least_share * total:
         return 0.0
     return evidence_against(bad, total, max(0.0, service.bad - bad), others_total)
--- a/endivepick/forwarding/fitness.py
+++ b/endivepick/forwarding/fitness.py
@@ -23,11 +23,19 @@
     TargetBelief,
     TargetState,
 )
+from endivepick.forwarding.certainty import (
+    SURE_CALLERS,
+    TOLD_S,
+    Certainty,
+    Testimony,
+    certainty_of,
+    is_fresh,
+    is_settled,
+)
 from endivepick.forwarding.comparison import LEAST_SHARE, compared_with_service
 from endivepick.forwarding.fitness_reports import (
     LEAST_TOLD,
     MOST_TOLD,
-    RESET_FAILED,
     FitnessReport,
     ServiceCounts,
     TargetCounts,
@@ -40,7 +48,7 @@
 from endivepick.forwarding.settings import ForwardingSettings
 from endivepick.forwarding.usual import UsualRequests
 
-__all__ = ["TOLD_S", "FitnessJudge"]
+__all__ = ["FitnessJudge"]
 
 FADE_S = 2.0
 """Time in which counts fade to a third; long enough for some requests of each target
@@ -50,6 +58,8 @@
 others, before new flows pass it over; that does no harm if it is by chance."""
 RETURNING_EVIDENCE = 2.0
 """The same for a target that was condemned just before."""
+STANDING_OUT = 2.0
+"""The same for a target whose late answers do not count as usual."""
 MOST_PASSED_OVER = 0.4
 """Share of a service's slots that may be passed over; with more, the rest would be
 overrun by what they cannot serve."""
@@ -61,19 +71,6 @@
 LONGEST_TRIAL_S = 10.0
 PROOFS = 1.0
 """Good answers, faded, that end the trial; without, it ends after the longest time."""
-FRESH_S = 1.2
-"""Flows are reset while failures are that fresh: with the age of words on them, some
-three seconds after a target has recovered at the latest."""
-FRESH_WORD_S = 1.2
-"""The same for what the zone has told, a little longer than a question is held."""
-SETTLED_S = 5.0
-"""How long a target has to be ready before its flows are reset: all instances open
-flows at one that has just started, and its queue grows long."""
-SURE_INSTANCES = 2
-SURE_CALLERS = 3
-"""Instances, or callers of a single one, that have to agree before flows are reset."""
-TOLD_S = 2.0
-"""What instances have told counts for so long: one that stands still tells nothing."""
 
 
 class FitnessJudge:
@@ -136,20 +133,33 @@
         """
         usual = self._usual_of(flow)
         counts = _faded(flow.belief.requests, now_s)
-        if flow.overdue:
-            # It was late, not lost.
+        late = flow.overdue
+        short = usual is not None and usual.is_short(size_bytes)
+        if late:
             flow.overdue = False
             counts.failed = max(0.0, counts.failed - 1.0)
-            self._doubt(flow)
-            counts.poor += 1.0
-        elif usual is not None and usual.is_short(size_bytes):
-            self._doubt(flow)
+        if short:
             counts.poor += 1.0
             counts.poor_s = now_s
+        elif late:
+            counts.late += 1.0
         else:
             counts.good += 1.0
-        service = flow.belief.target.service
-        self._usual.add(service, flow.kind, waited_s, size_bytes)
+        if short or late:
+            self._doubt(flow)
+        if not late or not self._stands_out(flow.belief, now_s):
+            service = flow.belief.target.service
+            self._usual.add(service, flow.kind, waited_s, size_bytes)
+
+    def _stands_out(self, belief: TargetBelief, now_s: float) -> bool:
+        """Whether a target does worse than the others of its service.
+
+        What it makes callers wait for is not usual then: a tenth of a service's targets
+        that turn slow would soon be the usual ones otherwise.
+        """
+        counts, told = belief.requests, self._told_of(belief, now_s)
+        against = self._compared(belief, counts, told, now_s, least_share=0.0)
+        return against >= STANDING_OUT
 
     def _usual_of(self, flow: ObservedFlow) -> UsualRequests | None:
         """Return what is usual here, or else in the zone."""
@@ -164,7 +174,7 @@
         for belief in list(self._doubted.values()):
             effects += self._judge(belief, now_s)
         for flow in overdue:
-            if self._resets_failed(flow.belief, now_s):
+            if self._certainty(flow.belief, now_s) is Certainty.FAILING:
                 effects += self._reset_overdue(flow)
         return effects
 
@@ -208,7 +218,8 @@
                 round(belief.requests.failed, 1),
                 round(belief.requests.poor, 1),
                 instances=int(belief.requests.bad >= LEAST_TOLD),
-                fresh=int(_is_fresh(belief.requests, now_s)),
+                fresh=int(is_fresh(belief.requests, now_s)),
+                late=round(belief.requests.late, 1),
             )
             for belief in doubted[:MOST_TOLD]
         ]
@@ -285,7 +296,7 @@
                 event = FitnessEvent.PROVED
                 return [*self._registry.judge(belief, event, "tried", now_s)]
             case Fitness.IMPAIRED if self._has_rested(belief, now_s):
-                counts.good = counts.failed = counts.poor = 0.0
+                counts.good = counts.failed = counts.poor = counts.late = 0.0
                 self._callers.pop(belief.name, None)
                 event = FitnessEvent.RESTED
                 return [*self._registry.judge(belief, event, "rested", now_s)]
@@ -315,17 +326,28 @@
         told: TargetCounts | None,
         now_s: float,
     ) -> float:
-        """Return what speaks against a target, here or in the zone."""
+        """Return what speaks against a target, here or in the zone, if it is judged."""
         if not self._is_judged(belief):
             return 0.0
+        return self._compared(belief, counts, told, now_s)
+
+    def _compared(
+        self,
+        belief: TargetBelief,
+        counts: RequestCounts,
+        told: TargetCounts | None,
+        now_s: float,
+        least_share: float = LEAST_SHARE,
+    ) -> float:
         service = self._service_counts(belief.target.service, now_s)
-        against = compared_with_service(counts.bad, counts.total, service)
+        against = compared_with_service(counts.bad, counts.total, service, least_share)
         if told is None:
             return against
-        bad = told.failed + told.poor
         for all_told in self._told.services:
             if all_told.service == belief.target.service:
-                zone = compared_with_service(bad, told.total, all_told)
+                zone = compared_with_service(
+                    told.bad, told.total, all_told, least_share
+                )
                 against = max(against, zone)
         return against
 
@@ -352,13 +374,13 @@
         if not self._may_pass_over(belief):
             return []
         reason = (
-            f"evidence {against:.1f}: {counts.failed:.1f} failed and "
-            f"{counts.poor:.1f} poor of {counts.total:.1f} here"
+            f"evidence {against:.1f}: {counts.failed:.1f} failed, {counts.poor:.1f} "
+            f"poor and {counts.late:.1f} late of {counts.total:.1f} here"
         )
         if told is not None:
             reason += (
-                f", {told.failed:.1f} and {told.poor:.1f} of {told.total:.1f} "
-                f"at {told.instances} instances"
+                f", {told.failed:.1f}, {told.poor:.1f} and {told.late:.1f} of "
+                f"{told.total:.1f} at {told.instances} instances"
             )
         event = FitnessEvent.CONDEMNED
         changes = self._registry.judge(belief, event, reason, now_s)
@@ -379,9 +401,7 @@
         return passed <= MOST_PASSED_OVER * slots
 
     def _has_rested(self, belief: TargetBelief, now_s: float) -> bool:
-        last_s = max(
-            belief.requests.failed_s, belief.requests.poor_s, belief.fitness_since_s
-        )
+        last_s = max(belief.requests.bad_s, belief.fitness_since_s)
         if self._told_of(belief, now_s) is not None:
             return False
         return now_s - last_s >= self._rests_s.get(belief.name, REST_S)
@@ -389,18 +409,20 @@
     # Resets.
 
     def _reset_flows(self, belief: TargetBelief, now_s: float) -> list[Effect]:
-        """Reset flows of a target that surely leaves unanswered what comes on them.
+        """Reset flows of a target that surely does not serve what comes on them.
 
         Not for answers that are short: a target that refuses requests since it is
-        overrun, as one that has just started, answers like one that errs.
+        overrun, as one that has just started, answers like one that errs.  A slow one
+        still answers what it has begun, so only idle flows leave it.
         """
-        if not self._resets_failed(belief, now_s):
+        certainty = self._certainty(belief, now_s)
+        if certainty is Certainty.NONE:
             return []
         effects: list[Effect] = []
         for flow in self._flows.of_target(belief):
             if flow.busy_since_s is None and flow.opened:
                 effects += self._reset(flow)
-            elif flow.overdue:
+            elif flow.overdue and certainty is Certainty.FAILING:
                 effects += self._reset_overdue(flow)
         return effects
 
@@ -415,44 +437,22 @@
         reason = ResetReason.TARGET_IMPAIRED
         return [Reset(flow.key, flow.acknowledged, reason, flow.belief.name)]
 
-    def _resets_failed(self, belief: TargetBelief, now_s: float) -> bool:
-        if not self._resets:
-            return False
-        if belief.fitness is not Fitness.IMPAIRED or not _is_settled(belief, now_s):
-            return False
+    def _certainty(self, belief: TargetBelief, now_s: float) -> Certainty:
+        """Return how sure it is that flows of a target are better reset."""
+        if not self._resets or belief.fitness is not Fitness.IMPAIRED:
+            return Certainty.NONE
+        if not is_settled(belief, now_s):
+            return Certainty.NONE
         counts, told = belief.requests, self._told_of(belief, now_s)
         if self._against(belief, counts, told, now_s) < ENOUGH_EVIDENCE:
-            return False
-        if told is not None and self._agree(told, now_s):
-            failed_enough = told.failed >= LEAST_SHARE * told.total
-            return failed_enough and told.sure >= RESET_FAILED
-        return (
-            self._is_sure_alone(belief, now_s)
-            and counts.failed >= RESET_FAILED
-            and counts.failed >= LEAST_SHARE * counts.total
-        )
-
-    def _agree(self, told: TargetCounts, now_s: float) -> bool:
-        """Whether several instances see requests fail now, and most were heard.
-
-        Those that happened to see failures would condemn a target by themselves of
-        which most saw nothing but good.
-        """
-        return (
-            now_s - self._told_s <= FRESH_WORD_S
-            and told.fresh >= SURE_INSTANCES
-            and 2 * told.reporting >= self._told.instances
-        )
-
-    def _is_sure_alone(self, belief: TargetBelief, now_s: float) -> bool:
-        """Whether what is seen here is enough where no other instance is heard."""
-        heard = now_s - self._told_s <= TOLD_S and self._told.instances > 1
-        callers = self._callers.get(belief.name, ())
-        return (
-            not heard
-            and len(callers) >= SURE_CALLERS
-            and _is_fresh(belief.requests, now_s)
+            return Certainty.NONE
+        testimony = Testimony(
+            told,
+            told_before_s=now_s - self._told_s,
+            heard_instances=self._told.instances,
+            callers=len(self._callers.get(belief.name, ())),
         )
+        return certainty_of(counts, testimony, now_s)
 
 
 def _is_proved(belief: TargetBelief, now_s: float) -> bool:
@@ -463,16 +463,6 @@
     return tried_s >= LONGEST_TRIAL_S
 
 
-def _is_settled(belief: TargetBelief, now_s: float) -> bool:
-    """Whether a target has long been there, and is not slow after its start."""
-    known_s = now_s - belief.state_since_s
-    return known_s >= SETTLED_S and now_s >= belief.cold_until_s
-
-
-def _is_fresh(counts: RequestCounts, now_s: float) -> bool:
-    return now_s - max(counts.failed_s, counts.poor_s) <= FRESH_S
-
-
 def _faded(counts: RequestCounts, now_s: float) -> RequestCounts:
     """Let counts fade up to now."""
     passed_s = now_s - counts.at_s
@@ -481,5 +471,6 @@
         counts.good *= kept
         counts.failed *= kept
         counts.poor *= kept
+        counts.late *= kept
         counts.at_s = now_s
     return counts
--- a/endivepick/forwarding/fitness_reports.py
+++ b/endivepick/forwarding/fitness_reports.py
@@ -49,6 +49,10 @@
         Instances that saw requests fail within `FRESH_S`.
     sure : float
         Failed requests, of each instance no more than resets need less one.
+    late : float
+        As in `RequestCounts`.
+    sure_overdue : float
+        As ``sure``, of requests that failed or were late.
     """
 
     name: str
@@ -60,11 +64,23 @@
     reporting: int = 1
     fresh: int = 0
     sure: float = 0.0
+    late: float = 0.0
+    sure_overdue: float = 0.0
+
+    @property
+    def bad(self) -> float:
+        """Requests that failed, or were answered poorly or late."""
+        return self.failed + self.poor + self.late
+
+    @property
+    def overdue(self) -> float:
+        """Requests that failed or were late."""
+        return self.failed + self.late
 
     @property
     def total(self) -> float:
         """All requests that count."""
-        return self.good + self.failed + self.poor
+        return self.good + self.bad
 
 
 class ServiceCounts(Struct, frozen=True, array_like=True):
@@ -123,8 +139,8 @@
                 service.bad + (0.0 if before is None else before.bad),
             )
     # One that all asked about and nobody doubts would be asked about for ever.
-    doubted = [t for t in targets.values() if t.failed + t.poor >= LEAST_TOLD]
-    worst = sorted(doubted, key=lambda told: -(told.failed + told.poor))
+    doubted = [told for told in targets.values() if told.bad >= LEAST_TOLD]
+    worst = sorted(doubted, key=lambda told: -told.bad)
     return FitnessReport(
         worst[:MOST_TOLD], list(services.values()), instances, merge_usual(usual)
     )
@@ -144,6 +160,7 @@
     counts = (
         *(told.good, told.failed, told.poor),
         *(told.instances, told.reporting, told.fresh, told.sure),
+        *(told.late, told.sure_overdue),
     )
     return all(0 <= count <= MOST_COUNTED for count in counts)
 
@@ -156,10 +173,12 @@
         told.good * share,
         told.failed * share,
         told.poor * share,
-        min(told.instances, 1),
-        1,
-        min(told.fresh, 1),
-        min(told.failed, RESET_FAILED - 1.0),
+        instances=min(told.instances, 1),
+        reporting=1,
+        fresh=min(told.fresh, 1),
+        sure=min(told.failed, RESET_FAILED - 1.0),
+        late=told.late * share,
+        sure_overdue=min(told.overdue, RESET_FAILED - 1.0),
     )
 
 
@@ -170,8 +189,10 @@
         first.good + second.good,
         first.failed + second.failed,
         first.poor + second.poor,
-        first.instances + second.instances,
-        first.reporting + second.reporting,
-        first.fresh + second.fresh,
-        first.sure + second.sure,
+        instances=first.instances + second.instances,
+        reporting=first.reporting + second.reporting,
+        fresh=first.fresh + second.fresh,
+        sure=first.sure + second.sure,
+        late=first.late + second.late,
+        sure_overdue=first.sure_overdue + second.sure_overdue,
     )
--- /dev/null
+++ b/endivepick/forwarding/tests/test_slow_targets.py
@@ -0,0 +1,116 @@
+"""A target turns slow while callers hold flows to it that live long."""
+
+import unittest
+
+from endivepick.forwarding import Fitness, ResetReason
+from endivepick.forwarding.tests.support import make_target
+from endivepick.forwarding.tests.test_fitness import ANSWER_BYTES, WORK_S, Zone
+
+SLOWED = 12
+"""How many times as long the slow target takes."""
+PER_S = 150.0
+
+
+class TestCallersOfSlowTargets(unittest.TestCase):
+    def setUp(self):
+        self.zone = Zone(instances=12)
+        self.slow = set()
+        self.slow_share = 1.0
+        self.zone.behave = self.behave
+
+    def behave(self, name):
+        wait_s, size = self.zone.usual(name)
+        if name in self.slow and self.zone.draw.random() < self.slow_share:
+            wait_s = WORK_S * SLOWED
+        return wait_s, size
+
+    def run_with_open_flows(self, for_s):
+        """Let new flows come, and requests on those that are open."""
+        for _ in range(round(for_s / 0.1)):
+            for name in self.zone.names:
+                self.zone.ask_on_open_flows(name, 1)
+            self.zone.run(0.1, PER_S)
+
+    def flows_at(self, name):
+        return sum(core.registry.get(name).flows for core in self.zone.cores)
+
+    def test_they_are_moved(self):
+        self.run_with_open_flows(6.0)
+        before = self.flows_at("i-3")
+        self.slow = {"i-3"}
+        self.run_with_open_flows(4.0)
+        self.assertGreater(before, 50)
+        self.assertEqual(self.flows_at("i-3"), 0)
+        resets = {(reset.target, reset.reason) for reset in self.zone.resets}
+        self.assertEqual(resets, {("i-3", ResetReason.TARGET_IMPAIRED)})
+
+    def test_requests_in_progress_are_left_to_it(self):
+        self.run_with_open_flows(6.0)
+        self.slow = {"i-3"}
+        for _ in range(40):
+            asked = {event[2].flow for event in self.zone.events}
+            self.zone.resets.clear()
+            self.run_with_open_flows(0.1)
+            waiting = {event[2].flow for event in self.zone.events} & asked
+            self.assertEqual({r.flow for r in self.zone.resets} & waiting, set())
+
+    def test_those_of_one_that_keeps_up_with_part_of_its_load_stay(self):
+        self.run_with_open_flows(6.0)
+        self.slow, self.slow_share = {"i-3"}, 0.4
+        self.run_with_open_flows(6.0)
+        self.assertIs(self.zone.fitness("i-3"), Fitness.IMPAIRED)
+        self.assertEqual(self.zone.resets, [])
+
+    def test_those_of_one_that_is_slow_after_its_start_stay(self):
+        self.run_with_open_flows(6.0)
+        new = make_target("i-9", revision=20)
+        self.zone.names.append("i-9")
+        for core in self.zone.cores:
+            core.on_target(new, self.zone.now_s)
+        self.slow = {"i-9"}
+        self.run_with_open_flows(3.0)
+        self.assertEqual(self.zone.resets, [])
+
+    def test_those_that_all_serve_slowly_stay(self):
+        self.run_with_open_flows(6.0)
+        self.slow = set(self.zone.names)
+        self.run_with_open_flows(6.0)
+        self.assertEqual(self.zone.resets, [])
+
+    def test_one_instance_that_finds_all_slow_moves_nobody(self):
+        self.run_with_open_flows(6.0)
+        usual, slowed = self.zone.behave, self.zone.cores[0]
+        request, ask = self.zone.request, self.zone.ask_on_open_flows
+
+        def slow_here(core, port=None):
+            late = core is slowed
+            self.zone.behave = (lambda _n: (0.4, ANSWER_BYTES)) if late else usual
+            return request(core, port) if port else request(core)
+
+        def ask_here(name, count):
+            cores = self.zone.cores
+            for core in cores:
+                self.zone.cores = [core]
+                late = core is slowed
+                self.zone.behave = (lambda _n: (0.4, ANSWER_BYTES)) if late else usual
+                ask(name, count)
+            self.zone.cores = cores
+
+        self.zone.request, self.zone.ask_on_open_flows = slow_here, ask_here
+        self.run_with_open_flows(6.0)
+        self.assertEqual(self.zone.resets, [])
+
+    def test_one_that_has_recovered_keeps_its_flows(self):
+        self.run_with_open_flows(6.0)
+        self.slow = {"i-3"}
+        self.run_with_open_flows(6.0)
+        self.assertNotEqual(self.zone.resets, [])
+        self.slow = set()
+        recovered_s = self.zone.now_s
+        self.run_with_open_flows(20.0)
+        self.assertLess(max(self.zone.reset_s), recovered_s + 4.0)
+        self.assertGreater(self.flows_at("i-3"), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
