Find silent targets sooner: compare probes with another target, tell the zone

Cause: on links of 10 Mbit/s a probe waited 1.06 s for an answer that a full link might keep back, whether or not the link was full, and each of the dozen instances that have flows at a target found its silence out alone. Change: with the last attempt at a silent target goes one at a target that has just made progress. If that one answers, the link is free and the wait ends after 0.2 s; if not, it lasts as before. What fell silent within the zone goes with what instances tell their feeder, at once; those with flows there probe once. New switch tell_silence. Before, after: the tests fail without (a second and more at a probe; flows stay until their next request is lost).

--- a/endivepick/forwarder/feeding.py
+++ b/endivepick/forwarder/feeding.py
@@ -147,11 +147,12 @@
         return Response(200)
 
     def review_seen(self) -> None:
-        """Tell all who are fed at once when the zone condemns one more target."""
+        """Tell all who are fed at once when one more target fails or is silent."""
         if not self.feeding:
             return
-        self._seen_together()
+        together = self._seen_together()
         alarming = self._core.fitness.alarming(steady_now_s())
+        alarming |= {told.name for told in together.silent}
         if not alarming <= self._alarming:
             self._alarms += 1
             self.notify()
@@ -169,9 +170,9 @@
         now_s = steady_now_s()
         oldest_s = now_s - TOLD_S
         self._seen = {a: seen for a, seen in self._seen.items() if seen[0] >= oldest_s}
-        own = self._core.fitness.report(now_s)
+        own = self._core.seen(now_s)
         together = merge_reports([own, *(report for _, report in self._seen.values())])
-        self._core.fitness.take_told(together, now_s)
+        self._core.on_seen(together, now_s)
         return together
 
     def _news(self, question: ZoneQuestion) -> ZoneNews:
--- a/endivepick/forwarder/probes.py
+++ b/endivepick/forwarder/probes.py
@@ -14,6 +14,7 @@
     ProbeOutcome,
     ProbeResult,
     ProbeTarget,
+    Target,
 )
 
 __all__ = ["ANSWER_TIMEOUT_S", "probe_target"]
@@ -54,6 +55,13 @@
     born_ms: int = 0
 
 
+class _Attempt(Struct, frozen=True):
+    """How an attempt to connect ended; without a connection it was not answered."""
+
+    connection: socket.socket | None = None
+    refused: bool = False
+
+
 def probe_target(
     probe: ProbeTarget,
     dialect: StoreDialect,
@@ -69,27 +77,23 @@
     dialect : StoreDialect
         Reads from an answer who gave it.
     settings : ForwardingSettings
-        Longest wait of each attempt.
+        Longest wait of each attempt, and of the last one if another target answers.
     deliver : callable
         Called once with the outcome.
     """
+    ended = _outcome(probe, dialect, settings)
     target = probe.target
-    ended = _Outcome(ProbeOutcome.SILENT)
-    for timeout_s in settings.probe_timeouts_s:
-        ended = _outcome(probe, dialect, timeout_s)
-        if ended.outcome is not ProbeOutcome.SILENT:
-            break
     deliver(ProbeResult(target.name, ended.outcome, target.born_ms, ended.born_ms))
 
 
-def _outcome(probe: ProbeTarget, dialect: StoreDialect, timeout_s: float) -> _Outcome:
-    address = (probe.target.host, probe.target.port)
+def _outcome(
+    probe: ProbeTarget, dialect: StoreDialect, settings: ForwardingSettings
+) -> _Outcome:
     try:
-        with gevent.Timeout(timeout_s):
-            connection = socket.create_connection(address)
+        connection = _connected(probe, settings)
     except ConnectionRefusedError:
         return _Outcome(ProbeOutcome.REFUSED)
-    except (OSError, gevent.Timeout):
+    if connection is None:
         return _Outcome(ProbeOutcome.SILENT)
     with _closing(connection):
         identity = _identity(connection, probe.path, dialect)
@@ -98,6 +102,83 @@
     return _Outcome(ProbeOutcome.ALIVE, identity.born_ms)
 
 
+def _connected(
+    probe: ProbeTarget, settings: ForwardingSettings
+) -> socket.socket | None:
+    """Connect to a target; None if it answers no attempt."""
+    *earlier_s, last_s = settings.probe_timeouts_s
+    for timeout_s in earlier_s:
+        connection = _connect(probe.target, timeout_s)
+        if connection is not None:
+            return connection
+    if probe.control is None or settings.probe_compared_s >= last_s:
+        return _connect(probe.target, last_s)
+    return _connect_compared(probe.target, probe.control, settings)
+
+
+def _connect_compared(
+    target: Target, control: Target, settings: ForwardingSettings
+) -> socket.socket | None:
+    """Connect to a target, and to another to see whether answers arrive here at all."""
+    last_s = settings.probe_timeouts_s[-1]
+    attempt = gevent.spawn(_attempt, target, last_s)
+    compared = gevent.spawn(_accepts, control, last_s)
+    try:
+        attempt.join(settings.probe_compared_s)
+        if not attempt.ready():
+            gevent.wait((attempt, compared), count=1)
+        if not attempt.ready() and not compared.value:
+            attempt.join()
+        return _connection_of(attempt.value)
+    finally:
+        gevent.killall([attempt, compared], block=False)
+
+
+def _attempt(target: Target, timeout_s: float) -> _Attempt:
+    """Make an attempt of which a task of its own is told the end."""
+    try:
+        return _Attempt(_connect(target, timeout_s))
+    except ConnectionRefusedError:
+        return _Attempt(refused=True)
+
+
+def _connection_of(attempt: _Attempt | None) -> socket.socket | None:
+    if attempt is None:
+        return None
+    if attempt.refused:
+        raise ConnectionRefusedError
+    return attempt.connection
+
+
+def _accepts(target: Target, timeout_s: float) -> bool:
+    try:
+        connection = _connect(target, timeout_s)
+    except ConnectionRefusedError:
+        # The refusal is an answer as well.
+        return True
+    if connection is None:
+        return False
+    connection.close()
+    return True
+
+
+def _connect(target: Target, timeout_s: float) -> socket.socket | None:
+    """Make one attempt; None if it is not answered.
+
+    Raises
+    ------
+    ConnectionRefusedError
+        The address refuses connections.
+    """
+    try:
+        with gevent.Timeout(timeout_s):
+            return socket.create_connection((target.host, target.port))
+    except ConnectionRefusedError:
+        raise
+    except (OSError, gevent.Timeout):
+        return None
+
+
 @contextmanager
 def _closing(connection: socket.socket) -> Iterator[None]:
     try:
--- a/endivepick/forwarder/tests/test_feeding.py
+++ b/endivepick/forwarder/tests/test_feeding.py
@@ -21,7 +21,11 @@
     ZoneQuestion,
 )
 from endivepick.forwarding import FitnessReport
-from endivepick.forwarding.fitness_reports import ServiceCounts, TargetCounts
+from endivepick.forwarding.fitness_reports import (
+    ServiceCounts,
+    SilentTarget,
+    TargetCounts,
+)
 from endivepick.forwarding.tests.support import (
     make_configuration,
     make_target,
@@ -183,6 +187,17 @@
         seen = msgspec.json.decode(news.body, type=ZoneNews).seen
         self.assertEqual(seen.targets[0].failed, 9.0)
 
+    def test_a_target_that_fell_silent_is_told_at_once(self):
+        self.feed()
+        waiting = gevent.spawn(self.member.feeder.answer, "from=a&config=1&registry=10")
+        gevent.sleep(0)
+        silent = FitnessReport([], [], silent=[SilentTarget("i-1", 0)])
+        question = ZoneQuestion("10.0.0.2:1", 0, 0, silent)
+        self.assertEqual(self.member.feeder.note_seen(question.query).status, 200)
+        news = waiting.get(timeout=TIMEOUT_S)
+        seen = msgspec.json.decode(news.body, type=ZoneNews).seen
+        self.assertEqual(seen.silent, silent.silent)
+
     def test_a_new_doubt_is_told_to_the_feeder_between_questions(self):
         asked = []
 
--- a/endivepick/forwarder/tests/test_probes.py
+++ b/endivepick/forwarder/tests/test_probes.py
@@ -5,6 +5,7 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from endivepick.clock import steady_now_s
 from endivepick.forwarder import probes
 from endivepick.forwarder.ports import TargetIdentity
 from endivepick.forwarder.probes import probe_target
@@ -100,3 +101,67 @@
         port = self.serve(lambda _connection, _: gevent.sleep(60))
         with patch.object(probes, "ANSWER_TIMEOUT_S", 0.01):
             self.assertIs(probe(port), ProbeOutcome.ALIVE)
+
+
+class TestComparedWithAnother(unittest.TestCase):
+    """A suspected target, and one of which callers have just acknowledged answers."""
+
+    SUSPECT, CONTROL = 7001, 7002
+    settings = ForwardingSettings(
+        zone="a", probe_timeouts_s=(0.02, 2.0), probe_compared_s=0.1
+    )
+
+    def probe(self, suspect, control):
+        """Return the outcome, and how long it took; each is a delay or an error."""
+        behaviours = {self.SUSPECT: suspect, self.CONTROL: control}
+
+        def connect(address):
+            behaviour = behaviours[address[1]]
+            if isinstance(behaviour, Exception):
+                raise behaviour
+            gevent.sleep(behaviour)
+            connection, self.other = socket.socketpair()
+            self.other.close()
+            return connection
+
+        results = []
+        targets = [
+            Target(f"i-{port}", 1, "notes", "127.0.0.1", port, "a", 2)
+            for port in (self.SUSPECT, self.CONTROL)
+        ]
+        began_s = steady_now_s()
+        with patch.object(probes.socket, "create_connection", side_effect=connect):
+            probe_target(
+                ProbeTarget(targets[0], "/health", targets[1]),
+                Dialect(),
+                self.settings,
+                results.append,
+            )
+        return results[0].outcome, steady_now_s() - began_s
+
+    def test_one_that_is_silent_while_the_other_answers_is_found_out_soon(self):
+        outcome, took_s = self.probe(suspect=60.0, control=0.0)
+        self.assertIs(outcome, ProbeOutcome.SILENT)
+        self.assertLess(took_s, 1.0)
+
+    def test_a_refusal_by_the_other_is_an_answer_as_well(self):
+        outcome, took_s = self.probe(60.0, ConnectionRefusedError())
+        self.assertIs(outcome, ProbeOutcome.SILENT)
+        self.assertLess(took_s, 1.0)
+
+    def test_a_full_link_is_waited_for(self):
+        outcome, _ = self.probe(suspect=0.5, control=0.6)
+        self.assertIs(outcome, ProbeOutcome.ALIVE)
+
+    def test_without_any_answer_the_whole_time_is_waited(self):
+        outcome, took_s = self.probe(60.0, 60.0)
+        self.assertIs(outcome, ProbeOutcome.SILENT)
+        self.assertGreater(took_s, 1.9)
+
+    def test_a_target_has_its_time_though_the_other_answers_at_once(self):
+        outcome, _ = self.probe(suspect=0.06, control=0.0)
+        self.assertIs(outcome, ProbeOutcome.ALIVE)
+
+    def test_a_refusal_by_the_target_is_told(self):
+        outcome, _ = self.probe(ConnectionRefusedError(), 0.0)
+        self.assertIs(outcome, ProbeOutcome.REFUSED)
--- a/endivepick/forwarder/zone.py
+++ b/endivepick/forwarder/zone.py
@@ -318,7 +318,7 @@
             # It is being read; once that has ended, an older one is asked for again.
             config = max(config, self._asked_config)
         registry = self._core.registry.revision
-        seen = self._core.fitness.report(steady_now_s())
+        seen = self._core.seen(steady_now_s())
         question = ZoneQuestion(self._settings.reached_at, config, registry, seen)
         try:
             path = f"{NEWS_PATH}?{question.query}"
@@ -337,8 +337,8 @@
                 raise _FeederLeft("it cannot tell what changed", lost=False)
             case ZoneNews():
                 self._neighbours.heard(feeder, steady_now_s())
+                self._core.on_seen(answer.seen, steady_now_s())
                 self._take(answer.registry, answer.config_change)
-                self._core.fitness.take_told(answer.seen, steady_now_s())
                 return answer
 
     def tell_seen(self) -> None:
@@ -348,7 +348,7 @@
         lose requests to a target that others know to be bad.
         """
         now_s = steady_now_s()
-        if not self._core.fitness.doubts or now_s - self._seen_told_s < TELL_EVERY_S:
+        if now_s - self._seen_told_s < TELL_EVERY_S or not self._core.doubts(now_s):
             return
         self._seen_told_s = now_s
         if self.feeder.feeding:
@@ -357,8 +357,8 @@
             gevent.spawn(self._tell_feeder, self._feeder_address)
 
     def _tell_feeder(self, feeder: str) -> None:
-        seen = self._core.fitness.report(steady_now_s())
-        if not seen.targets:
+        seen = self._core.seen(steady_now_s())
+        if not seen.urgent:
             return
         question = ZoneQuestion(self._settings.reached_at, 0, 0, seen)
         try:
--- a/endivepick/forwarding/actions.py
+++ b/endivepick/forwarding/actions.py
@@ -88,10 +88,22 @@
 
 
 class ProbeTarget(Struct, frozen=True):
-    """Find out whether a target lives."""
+    """Find out whether a target lives.
+
+    Attributes
+    ----------
+    target : Target
+        The target.
+    path : str
+        What it is asked for.
+    control : Target or None
+        Another target that made progress of late.  While it accepts connections, it is
+        not this instance's link that keeps answers back.
+    """
 
     target: Target
     path: str
+    control: Target | None = None
 
 
 class ReadRegistry(Struct, frozen=True):
--- a/endivepick/forwarding/evidence.py
+++ b/endivepick/forwarding/evidence.py
@@ -7,6 +7,8 @@
 slot; only a probe is enough to reset flows, since packets are lost now and then.
 """
 
+from collections.abc import Iterable
+
 from endivepick.forwarding.actions import (
     Effect,
     Note,
@@ -22,8 +24,10 @@
     TargetRestart,
     TargetState,
 )
+from endivepick.forwarding.certainty import TOLD_S
+from endivepick.forwarding.fitness_reports import SilentTarget
 from endivepick.forwarding.flows import FlowTable
-from endivepick.forwarding.model import FlowKey, RouteKind
+from endivepick.forwarding.model import FlowKey, RouteKind, Target
 from endivepick.forwarding.registry import TargetRegistry
 from endivepick.forwarding.routes import RouteTable
 from endivepick.forwarding.settings import ForwardingSettings
@@ -37,6 +41,9 @@
 """The same where another target answers, in whose queue the probes wait."""
 DEAD_SHARE = 0.5
 """Time between probes of a dead target, as a share of how long it has been dead."""
+CONTROL_PROGRESS_S = 2.0
+"""A target that made progress so long ago, at the most, is expected to accept
+connections; one that has ended since only lets the probe wait as without it."""
 _DEFAULT_HEALTH_PATH = "/health"
 _PROBE_EVENTS = {
     ProbeOutcome.ALIVE: ReachabilityEvent.PROBE_ALIVE,
@@ -72,6 +79,7 @@
         self._registry = registry
         self._flows = flows
         self._routes = routes
+        self._told_silent: frozenset[SilentTarget] = frozenset()
 
     def suspect(
         self, belief: TargetBelief, flow: FlowKey, since_s: float, now_s: float
@@ -242,6 +250,48 @@
             return []
         return list(self._probe(belief, now_s))
 
+    def fell_silent(self, now_s: float) -> list[SilentTarget]:
+        """Return targets of the zone that have just been found silent here.
+
+        Those of other zones are left out: in a partition they all are.
+        """
+        if not self._settings.mechanisms.tell_silence:
+            return []
+        return [
+            SilentTarget(belief.name, belief.target.born_ms)
+            for belief in self._registry.unsettled
+            if belief.reachability is Reachability.SILENT
+            and belief.target.zone == self._settings.zone
+            and now_s - belief.reachability_since_s <= TOLD_S
+        ]
+
+    def told_silent(self, silent: Iterable[SilentTarget], now_s: float) -> list[Effect]:
+        """Take in which targets others of the zone have just found silent.
+
+        Load pattern: many targets lose power at once, and each has flows at a dozen
+        instances.  Each would lose a request of its own before it looks.  Only those
+        with flows there probe, once for each word, so that it costs little if it was
+        the link of the one that told.
+
+        Parameters
+        ----------
+        silent : iterable of SilentTarget
+            The targets.
+        now_s : float
+            Present time, in seconds.
+        """
+        before, self._told_silent = self._told_silent, frozenset(silent)
+        effects: list[Effect] = []
+        if not self._settings.mechanisms.tell_silence:
+            return effects
+        for told in self._told_silent - before:
+            belief = self._registry.get(told.name)
+            if belief is None or belief.target.born_ms != told.born_ms:
+                continue
+            if belief.flows and belief.reachability is Reachability.REACHABLE:
+                effects += self._probe(belief, now_s)
+        return effects
+
     def retry_probes(self, now_s: float) -> list[Effect]:
         """Probe doubtful targets again, as long as they are not gone.
 
@@ -304,7 +354,16 @@
         configuration = self._routes.configuration
         paths = {} if configuration is None else configuration.health_paths
         path = paths.get(belief.target.service, _DEFAULT_HEALTH_PATH)
-        return [ProbeTarget(belief.target, path)]
+        return [ProbeTarget(belief.target, path, self._control_of(belief, now_s))]
+
+    def _control_of(self, belief: TargetBelief, now_s: float) -> Target | None:
+        """Return a target that surely lives, to compare a silent one with."""
+        control = self._flows.progressed_beside(belief)
+        if control is None or now_s - control.progress_s > CONTROL_PROGRESS_S:
+            return None
+        if control.reachability is not Reachability.REACHABLE:
+            return None
+        return control.target
 
 
 def _may_finish(belief: TargetBelief) -> bool:
--- a/endivepick/forwarding/fitness_reports.py
+++ b/endivepick/forwarding/fitness_reports.py
@@ -12,6 +12,7 @@
     "RESET_FAILED",
     "FitnessReport",
     "ServiceCounts",
+    "SilentTarget",
     "TargetCounts",
     "merge_reports",
     "usable_report",
@@ -91,6 +92,21 @@
     bad: float
 
 
+class SilentTarget(Struct, frozen=True, array_like=True):
+    """A target of the zone that answers no probe.
+
+    Attributes
+    ----------
+    name : str
+        The target.
+    born_ms : int
+        Its incarnation.
+    """
+
+    name: str
+    born_ms: int
+
+
 class FitnessReport(Struct, frozen=True):
     """What an instance, or all of a zone, have seen of late.
 
@@ -104,17 +120,25 @@
         Instances that it adds up.
     usual : list of UsualCounts
         What was usual for requests of late, whether or not a target is doubted.
+    silent : list of SilentTarget
+        Targets of the zone that have just fallen silent.
     """
 
     targets: list[TargetCounts]
     services: list[ServiceCounts]
     instances: int = 1
     usual: list[UsualCounts] = field(default_factory=list)
+    silent: list[SilentTarget] = field(default_factory=list)
 
     @property
     def empty(self) -> bool:
         """Whether it tells nothing."""
-        return not (self.targets or self.usual)
+        return not (self.targets or self.usual or self.silent)
+
+    @property
+    def urgent(self) -> bool:
+        """Whether it tells of a target that others should know of soon."""
+        return bool(self.targets or self.silent)
 
 
 def merge_reports(reports: Iterable[FitnessReport]) -> FitnessReport:
@@ -122,10 +146,12 @@
     targets: dict[tuple[str, int], TargetCounts] = {}
     services: dict[str, ServiceCounts] = {}
     usual: list[UsualCounts] = []
+    silent: dict[SilentTarget, None] = {}
     instances = 0
     for report in map(usable_report, reports):
         instances += 1
         usual += report.usual
+        silent |= dict.fromkeys(report.silent)
         for told in report.targets:
             key = (told.name, told.born_ms)
             known = targets.get(key)
@@ -142,7 +168,11 @@
     doubted = [told for told in targets.values() if told.bad >= LEAST_TOLD]
     worst = sorted(doubted, key=lambda told: -told.bad)
     return FitnessReport(
-        worst[:MOST_TOLD], list(services.values()), instances, merge_usual(usual)
+        worst[:MOST_TOLD],
+        list(services.values()),
+        instances,
+        merge_usual(usual),
+        list(silent)[:MOST_TOLD],
     )
 
 
@@ -152,7 +182,11 @@
     services = [s for s in report.services if 0.0 <= s.bad <= s.total <= MOST_COUNTED]
     usual = [counts for counts in report.usual if counts.possible]
     return FitnessReport(
-        targets[:MOST_TOLD], services, max(1, report.instances), usual[:MOST_USUAL]
+        targets[:MOST_TOLD],
+        services,
+        max(1, report.instances),
+        usual[:MOST_USUAL],
+        report.silent[:MOST_TOLD],
     )
 
 
--- a/endivepick/forwarding/flows.py
+++ b/endivepick/forwarding/flows.py
@@ -5,7 +5,7 @@
 acknowledged.  All of this is soft state; packets are forwarded without it.
 """
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Iterator
 from enum import Enum
 
@@ -98,6 +98,7 @@
     def __init__(self, settings: ForwardingSettings) -> None:
         self._settings = settings
         self._flows: OrderedDict[FlowKey, ObservedFlow] = OrderedDict()
+        self._progressed: deque[TargetBelief] = deque(maxlen=2)
 
     def __len__(self) -> int:
         return len(self._flows)
@@ -112,6 +113,11 @@
             return iter(())
         return iter([f for f in self._flows.values() if f.belief is belief])
 
+    def progressed_beside(self, belief: TargetBelief) -> TargetBelief | None:
+        """Return another target than this one that made progress last."""
+        others = (other for other in reversed(self._progressed) if other is not belief)
+        return next(others, None)
+
     def observe(
         self, packet: Packet, belief: TargetBelief, kind: RouteKind, now_s: float
     ) -> FlowSign:
@@ -191,8 +197,8 @@
         sign = FlowSign.NOTHING
         if flow.acknowledged == 0 or _ahead(packet.acknowledged, flow.acknowledged):
             flow.acknowledged = packet.acknowledged
-            flow.belief.progress_s = now_s
             self._set_idle(flow)
+            self._note_progress(flow.belief, now_s)
             sign = FlowSign.PROGRESS
         if not packet.data_bytes:
             return sign
@@ -204,6 +210,11 @@
             sign = FlowSign.REPETITION
         return sign
 
+    def _note_progress(self, belief: TargetBelief, now_s: float) -> None:
+        belief.progress_s = now_s
+        if not self._progressed or self._progressed[-1] is not belief:
+            self._progressed.append(belief)
+
     def _set_busy(self, flow: ObservedFlow, since_s: float) -> None:
         if flow.busy_since_s is None:
             flow.busy_since_s = since_s
--- a/endivepick/forwarding/forwarder.py
+++ b/endivepick/forwarding/forwarder.py
@@ -6,6 +6,8 @@
 
 from collections.abc import Callable, Iterable
 
+from msgspec.structs import replace
+
 from endivepick.forwarding.actions import (
     Drop,
     DropReason,
@@ -28,6 +30,7 @@
 )
 from endivepick.forwarding.evidence import EvidenceJudge
 from endivepick.forwarding.fitness import FitnessJudge
+from endivepick.forwarding.fitness_reports import MOST_TOLD, FitnessReport
 from endivepick.forwarding.flows import SEQUENCE_NUMBERS, FlowSign, FlowTable
 from endivepick.forwarding.held import HeldPacket, HeldPackets, held_note
 from endivepick.forwarding.model import (
@@ -199,6 +202,20 @@
         if belief is not None:
             self.effects += self._judge.hinted(belief, now_s)
 
+    def seen(self, now_s: float) -> FitnessReport:
+        """Return what was seen of targets here, for the instances of the zone."""
+        report = self.fitness.report(now_s)
+        return replace(report, silent=self._judge.fell_silent(now_s)[:MOST_TOLD])
+
+    def doubts(self, now_s: float) -> bool:
+        """Whether something speaks against a target, or one has just fallen silent."""
+        return self.fitness.doubts or bool(self._judge.fell_silent(now_s))
+
+    def on_seen(self, report: FitnessReport, now_s: float) -> None:
+        """Take in what the instances of the zone have seen of targets together."""
+        self.fitness.take_told(report, now_s)
+        self.effects += self._judge.told_silent(report.silent, now_s)
+
     def on_unread(self, now_s: float) -> None:
         """Take in that the registry could not be read until now.
 
--- a/endivepick/forwarding/mechanisms.py
+++ b/endivepick/forwarding/mechanisms.py
@@ -38,6 +38,8 @@
         When a target falls silent, the others of its zone are probed.
     hints : bool
         Peers are told of a target that was found dead.
+    tell_silence : bool
+        Instances of a zone tell each other of its targets that fell silent.
     reset_unreachable : bool
         Flows of dead and silent targets are reset before the registry gives the
         targets up.
@@ -71,6 +73,7 @@
     probe_silent_openings: bool = True
     probe_silent_zone: bool = True
     hints: bool = True
+    tell_silence: bool = True
     reset_unreachable: bool = True
     judge_targets: bool = True
     reset_impaired: bool = True
