Compare late, unanswered and short requests each for themselves

Change: one likelihood ratio over both kinds; where the rest serve in time, a target is compared with them without the other slow ones; of a flow that is answered shortly from the first request on, the first answer counts. Before: five of 23 targets that turn slow are not found within 1.2 s, nor one among callers with short answers within 2 s. After: all are (tests).

--- a/endivepick/forwarding/fitness.py
+++ b/endivepick/forwarding/fitness.py
@@ -32,7 +32,7 @@
     is_fresh,
     is_settled,
 )
-from endivepick.forwarding.comparison import LEAST_SHARE, compared_with_service
+from endivepick.forwarding.comparison import LEAST_SHARE, ServiceSample, TargetSums
 from endivepick.forwarding.fitness_reports import (
     LEAST_TOLD,
     MOST_TOLD,
@@ -53,6 +53,8 @@
 FADE_S = 2.0
 """Time in which counts fade to a third; long enough for some requests of each target
 within a zone, short enough that what one did before it failed soon counts little."""
+COUNTED_S = 0.1
+"""How long the requests of a service, once added up, may serve for comparisons."""
 ENOUGH_EVIDENCE = 7.0
 """Logarithm of how much likelier the counts are for a bad target than for one like the
 others, before new flows pass it over; that does no harm if it is by chance."""
@@ -103,7 +105,8 @@
         self._callers: dict[str, set[int]] = {}
         self._told = FitnessReport([], [])
         self._told_s = float("-inf")
-        self._counted: dict[str, ServiceCounts] = {}
+        self._told_samples: dict[str, ServiceSample] = {}
+        self._counted: dict[str, ServiceSample] = {}
         self._counted_s = float("-inf")
 
     # What packets show.
@@ -120,6 +123,10 @@
     ) -> None:
         """Take in that an answer has begun.
 
+        Of a flow that is answered shortly from its first request on, only the first
+        answer counts: its caller may ask for little, and all its requests go to one
+        target.
+
         Parameters
         ----------
         flow : ObservedFlow
@@ -132,12 +139,24 @@
             Present time, in seconds.
         """
         usual = self._usual_of(flow)
-        counts = _faded(flow.belief.requests, now_s)
-        late = flow.overdue
         short = usual is not None and usual.is_short(size_bytes)
+        late, flow.overdue = flow.overdue, False
+        told_before = flow.answered and not flow.served
+        flow.answered = True
+        flow.served = flow.served or not short
+        counts = _faded(flow.belief.requests, now_s)
         if late:
-            flow.overdue = False
             counts.failed = max(0.0, counts.failed - 1.0)
+        if not (short and told_before):
+            self._count_answer(flow, late, short, now_s)
+        if not late or not self._stands_out(flow.belief, now_s):
+            service = flow.belief.target.service
+            self._usual.add(service, flow.kind, waited_s, size_bytes)
+
+    def _count_answer(
+        self, flow: ObservedFlow, late: bool, short: bool, now_s: float
+    ) -> None:
+        counts = flow.belief.requests
         if short:
             counts.poor += 1.0
             counts.poor_s = now_s
@@ -147,9 +166,6 @@
             counts.good += 1.0
         if short or late:
             self._doubt(flow)
-        if not late or not self._stands_out(flow.belief, now_s):
-            service = flow.belief.target.service
-            self._usual.add(service, flow.kind, waited_s, size_bytes)
 
     def _stands_out(self, belief: TargetBelief, now_s: float) -> bool:
         """Whether a target does worse than the others of its service.
@@ -169,6 +185,7 @@
 
     def tick(self, now_s: float) -> list[Effect]:
         """Note what is overdue, and judge targets that something speaks against."""
+        self._counted.clear()
         overdue = self._take_overdue(now_s)
         effects: list[Effect] = []
         for belief in list(self._doubted.values()):
@@ -226,7 +243,7 @@
         services = dict.fromkeys(belief.target.service for belief in doubted)
         return FitnessReport(
             targets,
-            [self._service_counts(service, now_s) for service in services],
+            [self._sample(service, now_s).counts for service in services],
             usual=self._usual.tell(),
         )
 
@@ -235,6 +252,7 @@
         self._told = usable_report(report)
         self._told_s = now_s
         self._told_usual.replace(self._told.usual)
+        self._told_samples = self._sample_told(self._told)
         for told in self._told.targets:
             belief = self._registry.get(told.name)
             if belief is not None and belief.target.born_ms == told.born_ms:
@@ -254,9 +272,9 @@
                 names.append(belief.name)
         return frozenset(names)
 
-    def _service_counts(self, service: str, now_s: float) -> ServiceCounts:
-        """Add up the requests of a service's targets in the zone, once at a time."""
-        if self._counted_s != now_s:
+    def _sample(self, service: str, now_s: float) -> ServiceSample:
+        """Add up the requests of a service's targets in the zone, once for a tick."""
+        if now_s - self._counted_s >= COUNTED_S:
             self._counted.clear()
             self._counted_s = now_s
         counted = self._counted.get(service)
@@ -264,16 +282,29 @@
             counted = self._counted[service] = self._count(service, now_s)
         return counted
 
-    def _count(self, service: str, now_s: float) -> ServiceCounts:
+    def _count(self, service: str, now_s: float) -> ServiceSample:
         candidates = self._registry.candidates(service)
         zone = self._registry.zone
         impaired = [b for b in candidates.impaired if b.target.zone == zone]
-        total = bad = 0.0
-        for belief in (*candidates.own, *impaired):
-            counts = _faded(belief.requests, now_s)
-            total += counts.total
-            bad += counts.bad
-        return ServiceCounts(service, round(total, 1), round(bad, 1))
+        sums = [_sums(b, now_s) for b in (*candidates.own, *impaired)]
+        overdue = round(sum(each.overdue for each in sums), 1)
+        poor = round(sum(each.poor for each in sums), 1)
+        total = max(overdue + poor, round(sum(each.total for each in sums), 1))
+        counts = ServiceCounts(service, total, overdue + poor, overdue)
+        return ServiceSample(counts, sums)
+
+    def _sample_told(self, report: FitnessReport) -> dict[str, ServiceSample]:
+        """Return what the zone has seen of each service."""
+        doubted: dict[str, list[TargetSums]] = {}
+        for told in report.targets:
+            belief = self._registry.get(told.name)
+            if belief is not None:
+                sums = TargetSums(told.name, told.overdue, told.poor, told.total)
+                doubted.setdefault(belief.target.service, []).append(sums)
+        return {
+            counts.service: ServiceSample(counts, doubted.get(counts.service, ()))
+            for counts in report.services
+        }
 
     # Verdicts.
 
@@ -339,17 +370,13 @@
         now_s: float,
         least_share: float = LEAST_SHARE,
     ) -> float:
-        service = self._service_counts(belief.target.service, now_s)
-        against = compared_with_service(counts.bad, counts.total, service, least_share)
-        if told is None:
+        service = belief.target.service
+        here = TargetSums(belief.name, counts.overdue, counts.poor, counts.total)
+        against = self._sample(service, now_s).against(here, least_share)
+        if told is None or service not in self._told_samples:
             return against
-        for all_told in self._told.services:
-            if all_told.service == belief.target.service:
-                zone = compared_with_service(
-                    told.bad, told.total, all_told, least_share
-                )
-                against = max(against, zone)
-        return against
+        zone = TargetSums(belief.name, told.overdue, told.poor, told.total)
+        return max(against, self._told_samples[service].against(zone, least_share))
 
     def _is_judged(self, belief: TargetBelief) -> bool:
         """Whether a target's failures would be its own.
@@ -463,6 +490,11 @@
     return tried_s >= LONGEST_TRIAL_S
 
 
+def _sums(belief: TargetBelief, now_s: float) -> TargetSums:
+    counts = _faded(belief.requests, now_s)
+    return TargetSums(belief.name, counts.overdue, counts.poor, counts.total)
+
+
 def _faded(counts: RequestCounts, now_s: float) -> RequestCounts:
     """Let counts fade up to now."""
     passed_s = now_s - counts.at_s
--- a/endivepick/forwarding/fitness_reports.py
+++ b/endivepick/forwarding/fitness_reports.py
@@ -85,11 +85,36 @@
 
 
 class ServiceCounts(Struct, frozen=True, array_like=True):
-    """Requests of a service within the zone, and how many of them failed."""
+    """Requests of a service within the zone.
+
+    Attributes
+    ----------
+    service : str
+        The service.
+    total, bad : float
+        All of them, and those that went badly.
+    overdue : float
+        Bad ones that failed or were late.
+    """
 
     service: str
     total: float
     bad: float
+    overdue: float = 0.0
+
+    @property
+    def possible(self) -> bool:
+        """Whether an instance or a feeder of this build tells this."""
+        return 0.0 <= self.overdue <= self.bad <= self.total <= MOST_COUNTED
+
+    def added(self, other: "ServiceCounts") -> "ServiceCounts":
+        """Return the sum of what two instances have seen."""
+        return ServiceCounts(
+            self.service,
+            self.total + other.total,
+            self.bad + other.bad,
+            self.overdue + other.overdue,
+        )
 
 
 class SilentTarget(Struct, frozen=True, array_like=True):
@@ -158,11 +183,9 @@
             bounded = _bounded(told)
             targets[key] = bounded if known is None else _added(known, bounded)
         for service in report.services:
-            before = services.get(service.service)
-            services[service.service] = ServiceCounts(
-                service.service,
-                service.total + (0.0 if before is None else before.total),
-                service.bad + (0.0 if before is None else before.bad),
+            known_counts = services.get(service.service)
+            services[service.service] = (
+                service if known_counts is None else known_counts.added(service)
             )
     # One that all asked about and nobody doubts would be asked about for ever.
     doubted = [told for told in targets.values() if told.bad >= LEAST_TOLD]
@@ -179,7 +202,7 @@
 def usable_report(report: FitnessReport) -> FitnessReport:
     """Leave out what no instance of this build would tell."""
     targets = [told for told in report.targets if _is_possible(told)]
-    services = [s for s in report.services if 0.0 <= s.bad <= s.total <= MOST_COUNTED]
+    services = [counts for counts in report.services if counts.possible]
     usual = [counts for counts in report.usual if counts.possible]
     return FitnessReport(
         targets[:MOST_TOLD],
--- a/endivepick/forwarding/flows.py
+++ b/endivepick/forwarding/flows.py
@@ -54,6 +54,10 @@
         When the data that the target has not answered yet came first, in seconds.
     overdue : bool
         The request in progress is unanswered for longer than is usual.
+    answered : bool
+        A request was answered.
+    served : bool
+        One was answered at usual length.
     noted_doubt : str
         Doubt about the target that was noted of this flow last.
     """
@@ -67,6 +71,8 @@
     opened_s: float | None
     busy_since_s: float | None = None
     overdue: bool = False
+    answered: bool = False
+    served: bool = False
     noted_doubt: str = ""
 
     @property
--- a/endivepick/forwarding/tests/test_fitness.py
+++ b/endivepick/forwarding/tests/test_fitness.py
@@ -88,13 +88,20 @@
             belief = core.registry.get(name)
             idle = [f for f in core.flows.of_target(belief) if f.busy_since_s is None]
             for flow in idle[:count]:
-                asked = data(flow.key, belief.cookie, flow.sent_end, flow.acknowledged)
-                core.on_packet(asked, b"", self.now_s)
-                wait_s, size = self.behave(name)
-                acknowledged = flow.acknowledged + size
-                sequence = asked.sequence + asked.data_bytes
-                answer = data(flow.key, belief.cookie, sequence, acknowledged, 0)
-                self.events.append((self.now_s + wait_s, core, answer))
+                self.ask_on(core, flow)
+
+    def ask_on(self, core, flow):
+        """Send the next request on an idle flow."""
+        belief = flow.belief
+        asked = data(flow.key, belief.cookie, flow.sent_end, flow.acknowledged)
+        core.on_packet(asked, b"", self.now_s)
+        outcome = self.behave(belief.name)
+        if outcome is not None:
+            wait_s, size = outcome
+            acknowledged = flow.acknowledged + size
+            sequence = asked.sequence + asked.data_bytes
+            answer = data(flow.key, belief.cookie, sequence, acknowledged, 0)
+            self.events.append((self.now_s + wait_s, core, answer))
 
     def run(self, for_s, per_s=60.0, share=True, port=IDEMPOTENT_PORT):
         """Let requests come for a time, at instances in turn."""
--- a/endivepick/forwarding/tests/test_service_usual.py
+++ b/endivepick/forwarding/tests/test_service_usual.py
@@ -12,7 +12,7 @@
     UsualCounts,
     merge_usual,
 )
-from endivepick.forwarding.tests.test_fitness import WORK_S, Zone
+from endivepick.forwarding.tests.test_fitness import ERROR_BYTES, WORK_S, Zone
 from endivepick.forwarding.usual import REMEMBERED, Bucket
 
 KIND = RouteKind.IDEMPOTENT
@@ -28,19 +28,53 @@
 class TestLargeZone(unittest.TestCase):
     """Forty instances see three requests a second each; then one target turns slow."""
 
-    def slow_after(self, calm_s, share=True):
+    def slow_after(self, calm_s, share=True, slow=("i-3",), slow_s=2.0):
         zone = Zone(targets=23, instances=40)
         zone.run(calm_s, 120.0, share)
         zone.behave = lambda name: (
-            (WORK_S * 12, 900) if name == "i-3" else zone.usual(name)
+            (WORK_S * 12, 900) if name in slow else zone.usual(name)
         )
-        zone.run(2.0, 120.0, share)
+        zone.run(slow_s, 120.0, share)
         return zone
 
     def test_a_slow_target_gets_no_new_flows_soon_after_a_start(self):
         zone = self.slow_after(calm_s=2.0)
         self.assertEqual(zone.condemned(), {"i-3"})
 
+    def test_several_that_turn_slow_together_are_found_as_soon(self):
+        slow = {"i-3", "i-8", "i-13", "i-18", "i-23"}
+        zone = self.slow_after(calm_s=6.0, slow=slow, slow_s=1.2)
+        self.assertEqual(zone.condemned(), slow)
+
+    def test_a_slow_one_is_found_where_short_answers_are_usual(self):
+        zone = Zone(targets=23, instances=20)
+
+        def usual(name):
+            wait_s, size = zone.usual(name)
+            return wait_s, ERROR_BYTES if zone.draw.random() < 0.2 else size
+
+        zone.behave = usual
+        zone.run(6.0, 70.0)
+        self.assertEqual(zone.condemned(), set())
+        zone.behave = lambda name: (
+            (WORK_S * 12, usual(name)[1]) if name == "i-3" else usual(name)
+        )
+        zone.run(2.0, 70.0)
+        self.assertEqual(zone.condemned(), {"i-3"})
+
+    def test_a_caller_that_asks_for_little_condemns_no_target(self):
+        zone = Zone(targets=23, instances=40)
+        zone.run(6.0, 120.0)
+        core = zone.cores[0]
+        zone.behave = lambda _name: (WORK_S, ERROR_BYTES)
+        flow = core.flows.get(zone.request(core))
+        for _ in range(20):
+            zone.now_s += 0.1
+            zone.deliver()
+            zone.ask_on(core, flow)
+            zone.tick()
+        self.assertEqual(zone.condemned(), set())
+
     def test_alone_no_instance_could_tell(self):
         zone = self.slow_after(calm_s=2.0, share=False)
         self.assertEqual(zone.condemned(), set())
