Let the comparison end a probe as soon as the other target has answered

Cause: a request that is the first to meet a silent target is repeated by its caller after 0.2 s; with 0.26 s for the probe it was served after half a second, later than what callers of such streams wait for. Ruled out: a shorter wait for every probe (this process may stand still for a tenth of a second; both answers are then late alike). Change: the last attempt ends 0.06 s after its beginning, or as long after the other target's answer as that one took, with 0.02 s for what came while the process stood still.

--- a/endivepick/forwarder/forwarder.py
+++ b/endivepick/forwarder/forwarder.py
@@ -243,7 +243,7 @@
         zones=len(settings.zones),
         gone_memory_s=settings.flow_longest_s,
         probe_timeouts_s=timeouts_s,
-        probe_compared_s=PROBE_TIMEOUTS_S[1],
+        probe_compared_s=PROBE_TIMEOUTS_S[0],
         probe_gap_s=max(PROBE_GAP_S, sum(timeouts_s)),
         mechanisms=settings.mechanisms,
     )
--- a/endivepick/forwarder/probes.py
+++ b/endivepick/forwarder/probes.py
@@ -8,6 +8,7 @@
 from gevent import socket
 from msgspec import Struct
 
+from endivepick.clock import steady_now_s
 from endivepick.forwarder.ports import StoreDialect, TargetIdentity
 from endivepick.forwarding import (
     ForwardingSettings,
@@ -22,6 +23,9 @@
 ANSWER_TIMEOUT_S = 0.5
 """A target that accepted a connection lives; its answer only tells who it is, and
 waits for a free slot."""
+_AT_HAND_S = 0.02
+"""An answer that came with that of another target is taken in within that time, also
+after this process stood still."""
 _READ_BYTES = 4096
 LONGEST_BODY_BYTES = 65536
 """What is read of an answer that says who gives it."""
@@ -122,13 +126,12 @@
     """Connect to a target, and to another to see whether answers arrive here at all."""
     last_s = settings.probe_timeouts_s[-1]
     attempt = gevent.spawn(_attempt, target, last_s)
-    compared = gevent.spawn(_accepts, control, last_s)
+    compared = gevent.spawn(_answered_after_s, control, last_s)
     try:
         attempt.join(settings.probe_compared_s)
-        if not attempt.ready():
-            gevent.wait((attempt, compared), count=1)
-        if not attempt.ready() and not compared.value:
-            attempt.join()
+        gevent.wait((attempt, compared), count=1)
+        other_s = compared.value if compared.ready() else None
+        attempt.join(None if other_s is None else max(other_s, _AT_HAND_S))
         return _connection_of(attempt.value)
     finally:
         gevent.killall([attempt, compared], block=False)
@@ -150,16 +153,20 @@
     return attempt.connection
 
 
-def _accepts(target: Target, timeout_s: float) -> bool:
+def _answered_after_s(target: Target, timeout_s: float) -> float | None:
+    """Return how long a target took to accept a connection; None if it did not.
+
+    A refusal is an answer as well.
+    """
+    began_s = steady_now_s()
     try:
         connection = _connect(target, timeout_s)
     except ConnectionRefusedError:
-        # The refusal is an answer as well.
-        return True
+        return steady_now_s() - began_s
     if connection is None:
-        return False
+        return None
     connection.close()
-    return True
+    return steady_now_s() - began_s
 
 
 def _connect(target: Target, timeout_s: float) -> socket.socket | None:
--- a/endivepick/forwarder/tests/test_probes.py
+++ b/endivepick/forwarder/tests/test_probes.py
@@ -1,3 +1,4 @@
+import time
 import unittest
 from unittest.mock import patch
 
@@ -150,7 +151,14 @@
         self.assertLess(took_s, 1.0)
 
     def test_a_full_link_is_waited_for(self):
-        outcome, _ = self.probe(suspect=0.5, control=0.6)
+        for control in (0.6, 0.3):
+            outcome, _ = self.probe(suspect=0.5, control=control)
+            self.assertIs(outcome, ProbeOutcome.ALIVE)
+
+    def test_answers_that_came_while_the_process_stood_still_are_taken_in(self):
+        stood_still = gevent.spawn_later(0.06, time.sleep, 0.3)
+        outcome, _ = self.probe(suspect=0.08, control=0.07)
+        stood_still.join()
         self.assertIs(outcome, ProbeOutcome.ALIVE)
 
     def test_without_any_answer_the_whole_time_is_waited(self):
--- a/endivepick/forwarding/settings.py
+++ b/endivepick/forwarding/settings.py
@@ -53,8 +53,9 @@
         unanswered before a target counts as silent: one packet may get lost, or the
         answer may be late at this machine.
     probe_compared_s : float
-        The last attempt ends after that time, in seconds, once another target has
-        accepted a connection meanwhile: this instance's link is not full then.
+        The last attempt ends after that time, in seconds, or as long after another
+        target has accepted a connection as that one took: it is not this instance's
+        link, or its processor, that keeps the answer back.
     zones : int
         Availability zones of the installation.
     zone_headroom : float
@@ -96,7 +97,7 @@
     opening_answer_s: float = 0.25
     probe_gap_s: float = 0.5
     probe_timeouts_s: tuple[float, ...] = (0.06, 0.2)
-    probe_compared_s: float = 0.2
+    probe_compared_s: float = 0.06
     zones: int = 1
     zone_headroom: float = 1.3
     spill_busy: float = 1.0
