--- a/endivepick/forwarding/fitness.py
+++ b/endivepick/forwarding/fitness.py
@@ -25,9 +25,7 @@
 )
 from endivepick.forwarding.certainty import (
     SURE_CALLERS,
-    TOLD_S,
     Certainty,
-    Testimony,
     certainty_of,
     is_fresh,
     is_settled,
@@ -39,7 +37,6 @@
     FitnessReport,
     ServiceCounts,
     TargetCounts,
-    usable_report,
 )
 from endivepick.forwarding.flows import FlowTable, ObservedFlow
 from endivepick.forwarding.model import RouteKind
@@ -47,6 +44,7 @@
 from endivepick.forwarding.service_usual import ServiceUsual
 from endivepick.forwarding.settings import ForwardingSettings
 from endivepick.forwarding.usual import UsualRequests
+from endivepick.forwarding.zone_word import ZoneWord
 
 __all__ = ["FitnessJudge"]
 
@@ -98,14 +96,11 @@
         self._registry = registry
         self._flows = flows
         self._usual = ServiceUsual()
-        self._told_usual = ServiceUsual()
         self._awaited = AwaitedAnswers()
         self._doubted: dict[str, TargetBelief] = {}
         self._rests_s: dict[str, float] = {}
         self._callers: dict[str, set[int]] = {}
-        self._told = FitnessReport([], [])
-        self._told_s = float("-inf")
-        self._told_samples: dict[str, ServiceSample] = {}
+        self._zone = ZoneWord(registry)
         self._counted: dict[str, ServiceSample] = {}
         self._counted_s = float("-inf")
 
@@ -173,7 +168,7 @@
         What it makes callers wait for is not usual then: a tenth of a service's targets
         that turn slow would soon be the usual ones otherwise.
         """
-        counts, told = belief.requests, self._told_of(belief, now_s)
+        counts, told = belief.requests, self._zone.of(belief, now_s)
         against = self._compared(belief, counts, told, now_s, least_share=0.0)
         return against >= STANDING_OUT
 
@@ -181,7 +176,7 @@
         """Return what is usual here, or else in the zone."""
         service = flow.belief.target.service
         own = self._usual.get(service, flow.kind)
-        return own or self._told_usual.get(service, flow.kind)
+        return own or self._zone.usual(service, flow.kind)
 
     def tick(self, now_s: float) -> list[Effect]:
         """Note what is overdue, and judge targets that something speaks against."""
@@ -220,7 +215,7 @@
         Of those that others doubt as well, also if they did well here: otherwise only
         the instances that happened to see requests fail would be heard.
         """
-        asked = {told.name for told in self._told.targets}
+        asked = {told.name for told in self._zone.targets}
         doubted = [
             belief
             for belief in self._doubted.values()
@@ -249,11 +244,8 @@
 
     def take_told(self, report: FitnessReport, now_s: float) -> None:
         """Take in what the instances of the zone have seen together."""
-        self._told = usable_report(report)
-        self._told_s = now_s
-        self._told_usual.replace(self._told.usual)
-        self._told_samples = self._sample_told(self._told)
-        for told in self._told.targets:
+        self._zone.take(report, now_s)
+        for told in self._zone.targets:
             belief = self._registry.get(told.name)
             if belief is not None and belief.target.born_ms == told.born_ms:
                 self._doubted[told.name] = belief
@@ -267,7 +259,7 @@
         """Return targets that what is known of the zone condemns."""
         names = []
         for belief in self._doubted.values():
-            counts, told = _faded(belief.requests, now_s), self._told_of(belief, now_s)
+            counts, told = _faded(belief.requests, now_s), self._zone.of(belief, now_s)
             if self._against(belief, counts, told, now_s) >= ENOUGH_EVIDENCE:
                 names.append(belief.name)
         return frozenset(names)
@@ -293,19 +285,6 @@
         counts = ServiceCounts(service, total, overdue + poor, overdue)
         return ServiceSample(counts, sums)
 
-    def _sample_told(self, report: FitnessReport) -> dict[str, ServiceSample]:
-        """Return what the zone has seen of each service."""
-        doubted: dict[str, list[TargetSums]] = {}
-        for told in report.targets:
-            belief = self._registry.get(told.name)
-            if belief is not None:
-                sums = TargetSums(told.name, told.overdue, told.poor, told.total)
-                doubted.setdefault(belief.target.service, []).append(sums)
-        return {
-            counts.service: ServiceSample(counts, doubted.get(counts.service, ()))
-            for counts in report.services
-        }
-
     # Verdicts.
 
     def _judge(self, belief: TargetBelief, now_s: float) -> list[Effect]:
@@ -313,7 +292,7 @@
             self._forget(belief)
             return []
         counts = _faded(belief.requests, now_s)
-        told = self._told_of(belief, now_s)
+        told = self._zone.of(belief, now_s)
         against = self._against(belief, counts, told, now_s)
         match belief.fitness:
             case Fitness.SOUND if against >= ENOUGH_EVIDENCE:
@@ -342,14 +321,6 @@
         self._callers.pop(belief.name, None)
         self._rests_s.pop(belief.name, None)
 
-    def _told_of(self, belief: TargetBelief, now_s: float) -> TargetCounts | None:
-        if now_s - self._told_s > TOLD_S:
-            return None
-        for told in self._told.targets:
-            if told.name == belief.name and told.born_ms == belief.target.born_ms:
-                return told
-        return None
-
     def _against(
         self,
         belief: TargetBelief,
@@ -373,10 +344,9 @@
         service = belief.target.service
         here = TargetSums(belief.name, counts.overdue, counts.poor, counts.total)
         against = self._sample(service, now_s).against(here, least_share)
-        if told is None or service not in self._told_samples:
+        if told is None:
             return against
-        zone = TargetSums(belief.name, told.overdue, told.poor, told.total)
-        return max(against, self._told_samples[service].against(zone, least_share))
+        return max(against, self._zone.against(belief, told, least_share))
 
     def _is_judged(self, belief: TargetBelief) -> bool:
         """Whether a target's failures would be its own.
@@ -429,7 +399,7 @@
 
     def _has_rested(self, belief: TargetBelief, now_s: float) -> bool:
         last_s = max(belief.requests.bad_s, belief.fitness_since_s)
-        if self._told_of(belief, now_s) is not None:
+        if self._zone.of(belief, now_s) is not None:
             return False
         return now_s - last_s >= self._rests_s.get(belief.name, REST_S)
 
@@ -470,15 +440,11 @@
             return Certainty.NONE
         if not is_settled(belief, now_s):
             return Certainty.NONE
-        counts, told = belief.requests, self._told_of(belief, now_s)
+        counts, told = belief.requests, self._zone.of(belief, now_s)
         if self._against(belief, counts, told, now_s) < ENOUGH_EVIDENCE:
             return Certainty.NONE
-        testimony = Testimony(
-            told,
-            told_before_s=now_s - self._told_s,
-            heard_instances=self._told.instances,
-            callers=len(self._callers.get(belief.name, ())),
-        )
+        callers = len(self._callers.get(belief.name, ()))
+        testimony = self._zone.testimony(belief, callers, now_s)
         return certainty_of(counts, testimony, now_s)
 
 
--- /dev/null
+++ b/endivepick/forwarding/zone_word.py
@@ -0,0 +1,102 @@
+"""What the instances of a zone have told of targets, and how long it counts."""
+
+from endivepick.forwarding.belief import TargetBelief
+from endivepick.forwarding.certainty import TOLD_S, Testimony
+from endivepick.forwarding.comparison import ServiceSample, TargetSums
+from endivepick.forwarding.fitness_reports import (
+    FitnessReport,
+    TargetCounts,
+    usable_report,
+)
+from endivepick.forwarding.model import RouteKind
+from endivepick.forwarding.registry import TargetRegistry
+from endivepick.forwarding.service_usual import ServiceUsual
+from endivepick.forwarding.usual import UsualRequests
+
+__all__ = ["ZoneWord"]
+
+
+class ZoneWord:
+    """The newest word of the zone.
+
+    Parameters
+    ----------
+    registry : TargetRegistry
+        Tells which service a target is of.
+    """
+
+    def __init__(self, registry: TargetRegistry) -> None:
+        self._registry = registry
+        self._report = FitnessReport([], [])
+        self._taken_s = float("-inf")
+        self._usual = ServiceUsual()
+        self._samples: dict[str, ServiceSample] = {}
+
+    @property
+    def targets(self) -> list[TargetCounts]:
+        """Targets that the zone doubts."""
+        return self._report.targets
+
+    def take(self, report: FitnessReport, now_s: float) -> None:
+        """Take in what the instances have seen together; what none tells is left out.
+
+        What was usual before stays where the zone does not know any more.
+        """
+        self._report = usable_report(report)
+        self._taken_s = now_s
+        self._usual.replace(self._report.usual)
+        self._samples = self._sample_services()
+
+    def usual(self, service: str, kind: RouteKind) -> UsualRequests | None:
+        """Return what is usual in the zone, None if it is not known."""
+        return self._usual.get(service, kind)
+
+    def of(self, belief: TargetBelief, now_s: float) -> TargetCounts | None:
+        """Return what was told of a target's incarnation, while it counts."""
+        if now_s - self._taken_s > TOLD_S:
+            return None
+        for told in self._report.targets:
+            if told.name == belief.name and told.born_ms == belief.target.born_ms:
+                return told
+        return None
+
+    def against(
+        self, belief: TargetBelief, told: TargetCounts, least_share: float
+    ) -> float:
+        """Return what speaks against a target; see `ServiceSample`."""
+        sample = self._samples.get(belief.target.service)
+        if sample is None:
+            return 0.0
+        sums = TargetSums(told.name, told.overdue, told.poor, told.total)
+        return sample.against(sums, least_share)
+
+    def testimony(self, belief: TargetBelief, callers: int, now_s: float) -> Testimony:
+        """Return who has seen what of a target.
+
+        Parameters
+        ----------
+        belief : TargetBelief
+            The target.
+        callers : int
+            Callers of this instance whose requests went badly there.
+        now_s : float
+            Present time, in seconds.
+        """
+        return Testimony(
+            self.of(belief, now_s),
+            told_before_s=now_s - self._taken_s,
+            heard_instances=self._report.instances,
+            callers=callers,
+        )
+
+    def _sample_services(self) -> dict[str, ServiceSample]:
+        doubted: dict[str, list[TargetSums]] = {}
+        for told in self._report.targets:
+            belief = self._registry.get(told.name)
+            if belief is not None:
+                sums = TargetSums(told.name, told.overdue, told.poor, told.total)
+                doubted.setdefault(belief.target.service, []).append(sums)
+        return {
+            counts.service: ServiceSample(counts, doubted.get(counts.service, ()))
+            for counts in self._report.services
+        }
