Leave hints about far targets to instances that have flows there

Ruled out: telling fewer (who has flows there is not known to who tells). Change: those look that have flows there, or whose new flows would go there first: of its zone, or all where the own zone has none. Before: a hint about any target is probed. After: none about one of another zone without flows here (test).

--- a/endivepick/forwarding/evidence.py
+++ b/endivepick/forwarding/evidence.py
@@ -244,12 +244,25 @@
         return any(other is not belief for other in reachable)
 
     def hinted(self, belief: TargetBelief, now_s: float) -> list[Effect]:
-        """Take in a peer's word that a target does not answer: see for oneself."""
+        """Take in a peer's word that a target does not answer: see for oneself.
+
+        Load pattern: some dozen targets end at once, hundreds of instances are told of
+        each, and another target may have its address by then.  Only those look that
+        have flows there, or whose new flows would go there first.
+        """
         belief.hinted_s = now_s
         if belief.reachability is not Reachability.REACHABLE:
             return []
+        if not (belief.flows or self._is_first_choice(belief)):
+            return []
         return list(self._probe(belief, now_s))
 
+    def _is_first_choice(self, belief: TargetBelief) -> bool:
+        """Whether new flows go to targets like this one before others."""
+        if belief.target.zone == self._settings.zone:
+            return True
+        return not self._registry.candidates(belief.target.service).own
+
     def fell_silent(self, now_s: float) -> list[SilentTarget]:
         """Return targets of the zone that have just been found silent here.
 
--- a/endivepick/forwarding/tests/test_evidence.py
+++ b/endivepick/forwarding/tests/test_evidence.py
@@ -269,6 +269,23 @@
         self.assertEqual(answer_probes(self.core, REFUSED, 3.1), [belief.name])
         self.assertEqual([r.flow for r in take(self.core, Reset)], [flow])
 
+    def test_hints_about_targets_of_other_zones_are_left_to_those_with_flows(self):
+        near, far = make_target("i-1", "a"), make_target("i-2", "b", revision=2)
+        core = make_core([near, far], zones=2)
+        core.on_hint("i-2", 3.0)
+        self.assertEqual(take(core, ProbeTarget), [])
+        core.on_hint("i-1", 3.0)
+        self.assertEqual([p.target.name for p in take(core, ProbeTarget)], ["i-1"])
+        # It has flows here by now.
+        core.on_packet(data(flow_key(7), core.registry.get("i-2").cookie), b"", 3.1)
+        core.on_hint("i-2", 4.0)
+        self.assertEqual([p.target.name for p in take(core, ProbeTarget)], ["i-2"])
+
+    def test_hints_about_far_targets_count_where_none_is_near(self):
+        core = make_core([make_target("i-2", "b")], zones=2)
+        core.on_hint("i-2", 3.0)
+        self.assertEqual([p.target.name for p in take(core, ProbeTarget)], ["i-2"])
+
     def test_hints_about_targets_that_are_not_known_change_nothing(self):
         self.core.effects.clear()
         self.core.on_hint("i-77", 3.0)
