--- a/endivepick/forwarder/tests/test_zone.py
+++ b/endivepick/forwarder/tests/test_zone.py
@@ -183,6 +183,40 @@
         self.assertEqual(self.member._lost(), [])
 
 
+class TestFirstClaims(ZoneCase):
+    """Hundreds of instances start at once; each call of the store counts."""
+
+    def read_at_start(self, *claims):
+        """Return how often the claims are read until the first step is taken."""
+        reads, followed = [], []
+
+        def read(_store):
+            reads.append(claims)
+            return claims
+
+        def follow(holder):
+            followed.append(holder)
+            self.member._stopping = True
+
+        self.core.on_configuration(make_configuration(revision=9, version=9), 1.0)
+        with (
+            patch.object(zone, "_sleep", lambda _bounds_s: gevent.sleep(0)),
+            patch.object(self.member, "_claims", read),
+            patch.object(self.member, "_follow", follow),
+            patch.object(self.member, "_write", lambda *_: follow("")),
+            gevent.Timeout(TIMEOUT_S),
+        ):
+            self.member.run()
+        return len(reads), followed
+
+    def test_they_are_read_once_where_a_feeder_is_there(self):
+        place = FeederClaim(self.member._places[0], "127.0.0.1:2", 5)
+        self.assertEqual(self.read_at_start(place), (1, ["127.0.0.1:2"]))
+
+    def test_they_are_read_again_after_the_spread_where_a_place_is_free(self):
+        self.assertEqual(self.read_at_start(), (2, [""]))
+
+
 class TestLostHolders(ZoneCase):
     """Several feeders are lost at once; this instance was fed by one of them."""
 
--- a/endivepick/forwarder/zone.py
+++ b/endivepick/forwarder/zone.py
@@ -153,26 +153,34 @@
         if not self._places or not self._settings.peer_address:
             return
         _sleep(ENROL_S)
-        if self._core.ready and self._place_is_free():
-            _sleep(SPREAD_S)
+        claims = self._first_claims() if self._core.ready else None
         while not self._stopping:
             if not self._core.ready or not self._all_settled:
                 _sleep(RETRY_S)
                 continue
             try:
-                self._step()
+                self._step(claims)
             except EndivepickError as error:
                 self._say_unknown(error)
                 _sleep(RETRY_S)
+            claims = None
 
-    def _place_is_free(self) -> bool:
+    def _first_claims(self) -> tuple[FeederClaim, ...] | None:
+        """Read the claims; None if they are to be read again after a while.
+
+        Others that start at the same time claim a free place.
+        """
         try:
             with store_connection(self._settings.store_address) as store:
-                held = {claim.name for claim in self._claims(store)}
+                claims = self._claims(store)
         except EndivepickError as error:
             self._say_unknown(error)
-            return True
-        return not held.issuperset(self._places[: self._settings.zone_feeders])
+            claims = ()
+        held = {claim.name for claim in claims}
+        if held.issuperset(self._places[: self._settings.zone_feeders]):
+            return claims
+        _sleep(SPREAD_S)
+        return None
 
     def _say_unknown(self, error: EndivepickError) -> None:
         self._log.warning("zone", "claims_unknown", "claims not read", error=str(error))
@@ -181,9 +189,11 @@
     def _all_settled(self) -> bool:
         return all(feed.settled for feed in self._feeds.values())
 
-    def _step(self) -> None:
+    def _step(self, claims: tuple[FeederClaim, ...] | None = None) -> None:
+        """Do what the claims say; they are read unless that was done just before."""
         with store_connection(self._settings.store_address) as store:
-            claims = self._claims(store)
+            if claims is None:
+                claims = self._claims(store)
             self._greet_holders(claims)
             step = next_step(
                 self._settings.reached_at,
