--- a/endivepick/forwarder/feeding.py
+++ b/endivepick/forwarder/feeding.py
@@ -26,7 +26,7 @@
     ForwardingCore,
     merge_reports,
 )
-from endivepick.forwarding.certainty import TOLD_S
+from endivepick.forwarding.confirmation import TOLD_S
 from endivepick.forwarding.service_usual import UsualCounts, merge_usual
 
 __all__ = ["ZoneFeeder"]
--- a/endivepick/forwarding/certainty.py
+++ b/endivepick/forwarding/confirmation.py
@@ -1,9 +1,9 @@
-"""How sure it is that a target does not serve the requests on its open flows.
+"""Whether a target's failures are confirmed well enough to reset its flows.
 
 Load pattern: a reset of a flow whose target serves it breaks the caller's connection,
 and a few requests that one instance saw fail may be chance.  So flows are reset only
-for what is seen now, by several instances or callers, and by most of a zone that is
-heard.
+for failures that are recent, that several instances or callers have seen, and of which
+most instances of the zone have reported.
 """
 
 from enum import Enum
@@ -18,9 +18,9 @@
     "SETTLED_S",
     "SURE_CALLERS",
     "TOLD_S",
-    "Certainty",
-    "Testimony",
-    "certainty_of",
+    "ConfirmedFault",
+    "ZoneEvidence",
+    "confirmed_fault",
     "is_fresh",
     "is_settled",
 ]
@@ -43,13 +43,13 @@
 those in time that find its queue short, and sheds others at once."""
 
 
-class Certainty(Enum):
-    """What is sure of a target that was condemned.
+class ConfirmedFault(Enum):
+    """What is confirmed of a target that new flows pass over.
 
     Attributes
     ----------
     NONE
-        Its flows are left to it.
+        Nothing; its flows are left to it.
     SLOW
         It answers, but most requests far later than others of its service do.
     FAILING
@@ -61,8 +61,8 @@
     FAILING = "failing"
 
 
-class Testimony(Struct, frozen=True):
-    """Who has seen what of a target, beyond an instance's own counts.
+class ZoneEvidence(Struct, frozen=True):
+    """What others than this instance have seen of a target.
 
     Attributes
     ----------
@@ -82,34 +82,34 @@
     callers: int
 
 
-def certainty_of(
-    counts: RequestCounts, testimony: Testimony, now_s: float
-) -> Certainty:
-    """Return how sure it is that a condemned target does not serve its flows.
+def confirmed_fault(
+    counts: RequestCounts, evidence: ZoneEvidence, now_s: float
+) -> ConfirmedFault:
+    """Return what is confirmed of a target that new flows pass over.
 
     Parameters
     ----------
     counts : RequestCounts
         What this instance has seen, faded.
-    testimony : Testimony
+    evidence : ZoneEvidence
         What others have seen.
     now_s : float
         Present time, in seconds.
     """
-    told = testimony.told
-    if told is not None and _agree(told, testimony):
+    told = evidence.told
+    if told is not None and _agree(told, evidence):
         failing, slow = told.sure, told.sure_overdue
         seen: RequestCounts | TargetCounts = told
-    elif _is_sure_alone(counts, testimony, now_s):
+    elif _is_sure_alone(counts, evidence, now_s):
         failing, slow = counts.failed, counts.overdue
         seen = counts
     else:
-        return Certainty.NONE
+        return ConfirmedFault.NONE
     if failing >= RESET_FAILED and seen.failed >= LEAST_SHARE * seen.total:
-        return Certainty.FAILING
+        return ConfirmedFault.FAILING
     if slow >= RESET_FAILED and seen.overdue >= MOSTLY_OVERDUE * seen.total:
-        return Certainty.SLOW
-    return Certainty.NONE
+        return ConfirmedFault.SLOW
+    return ConfirmedFault.NONE
 
 
 def is_settled(belief: TargetBelief, now_s: float) -> bool:
@@ -123,20 +123,20 @@
     return now_s - counts.bad_s <= FRESH_S
 
 
-def _agree(told: TargetCounts, testimony: Testimony) -> bool:
+def _agree(told: TargetCounts, evidence: ZoneEvidence) -> bool:
     """Whether several instances see requests fail now, and most were heard.
 
     Those that happened to see failures would condemn a target by themselves of
     which most saw nothing but good.
     """
     return (
-        testimony.told_before_s <= FRESH_WORD_S
+        evidence.told_before_s <= FRESH_WORD_S
         and told.fresh >= SURE_INSTANCES
-        and 2 * told.reporting >= testimony.heard_instances
+        and 2 * told.reporting >= evidence.heard_instances
     )
 
 
-def _is_sure_alone(counts: RequestCounts, testimony: Testimony, now_s: float) -> bool:
+def _is_sure_alone(counts: RequestCounts, evidence: ZoneEvidence, now_s: float) -> bool:
     """Whether what is seen here is enough where no other instance is heard."""
-    heard = testimony.told_before_s <= TOLD_S and testimony.heard_instances > 1
-    return not heard and testimony.callers >= SURE_CALLERS and is_fresh(counts, now_s)
+    heard = evidence.told_before_s <= TOLD_S and evidence.heard_instances > 1
+    return not heard and evidence.callers >= SURE_CALLERS and is_fresh(counts, now_s)
--- a/endivepick/forwarding/evidence.py
+++ b/endivepick/forwarding/evidence.py
@@ -24,7 +24,7 @@
     TargetRestart,
     TargetState,
 )
-from endivepick.forwarding.certainty import TOLD_S
+from endivepick.forwarding.confirmation import TOLD_S
 from endivepick.forwarding.fitness_reports import SilentTarget
 from endivepick.forwarding.flows import FlowTable
 from endivepick.forwarding.model import FlowKey, RouteKind, Target
--- a/endivepick/forwarding/fitness.py
+++ b/endivepick/forwarding/fitness.py
@@ -11,8 +11,6 @@
 see is added up by their feeder.
 """
 
-from math import exp
-
 from endivepick.forwarding.actions import Effect, Reset, ResetReason
 from endivepick.forwarding.awaited import AwaitedAnswers
 from endivepick.forwarding.belief import (
@@ -23,36 +21,31 @@
     TargetBelief,
     TargetState,
 )
-from endivepick.forwarding.certainty import (
+from endivepick.forwarding.comparison import LEAST_SHARE, TargetSums
+from endivepick.forwarding.confirmation import (
     SURE_CALLERS,
-    Certainty,
-    certainty_of,
+    ConfirmedFault,
+    confirmed_fault,
     is_fresh,
     is_settled,
 )
-from endivepick.forwarding.comparison import LEAST_SHARE, ServiceSample, TargetSums
 from endivepick.forwarding.fitness_reports import (
     LEAST_TOLD,
     MOST_TOLD,
     FitnessReport,
-    ServiceCounts,
     TargetCounts,
 )
 from endivepick.forwarding.flows import FlowTable, ObservedFlow
 from endivepick.forwarding.model import RouteKind
 from endivepick.forwarding.registry import TargetRegistry
+from endivepick.forwarding.service_counts import ServiceSamples, faded
 from endivepick.forwarding.service_usual import ServiceUsual
 from endivepick.forwarding.settings import ForwardingSettings
 from endivepick.forwarding.usual import UsualRequests
-from endivepick.forwarding.zone_word import ZoneWord
+from endivepick.forwarding.zone_report import ZoneReport
 
 __all__ = ["FitnessJudge"]
 
-FADE_S = 2.0
-"""Time in which counts fade to a third; long enough for some requests of each target
-within a zone, short enough that what one did before it failed soon counts little."""
-COUNTED_S = 0.1
-"""How long the requests of a service, once added up, may serve for comparisons."""
 ENOUGH_EVIDENCE = 7.0
 """Logarithm of how much likelier the counts are for a bad target than for one like the
 others, before new flows pass it over; that does no harm if it is by chance."""
@@ -100,9 +93,8 @@
         self._doubted: dict[str, TargetBelief] = {}
         self._rests_s: dict[str, float] = {}
         self._callers: dict[str, set[int]] = {}
-        self._zone = ZoneWord(registry)
-        self._counted: dict[str, ServiceSample] = {}
-        self._counted_s = float("-inf")
+        self._zone = ZoneReport(registry)
+        self._samples = ServiceSamples(registry)
 
     # What packets show.
 
@@ -139,7 +131,7 @@
         told_before = flow.answered and not flow.served
         flow.answered = True
         flow.served = flow.served or not short
-        counts = _faded(flow.belief.requests, now_s)
+        counts = faded(flow.belief.requests, now_s)
         if late:
             counts.failed = max(0.0, counts.failed - 1.0)
         if not (short and told_before):
@@ -180,13 +172,13 @@
 
     def tick(self, now_s: float) -> list[Effect]:
         """Note what is overdue, and judge targets that something speaks against."""
-        self._counted.clear()
+        self._samples.renew()
         overdue = self._take_overdue(now_s)
         effects: list[Effect] = []
         for belief in list(self._doubted.values()):
             effects += self._judge(belief, now_s)
         for flow in overdue:
-            if self._certainty(flow.belief, now_s) is Certainty.FAILING:
+            if self._confirmed_fault(flow.belief, now_s) is ConfirmedFault.FAILING:
                 effects += self._reset_overdue(flow)
         return effects
 
@@ -194,7 +186,7 @@
         overdue = self._awaited.take_overdue(self._flows, now_s)
         for flow in overdue:
             flow.overdue = True
-            counts = _faded(flow.belief.requests, now_s)
+            counts = faded(flow.belief.requests, now_s)
             self._doubt(flow)
             counts.failed += 1.0
             counts.failed_s = now_s
@@ -219,7 +211,7 @@
         doubted = [
             belief
             for belief in self._doubted.values()
-            if _faded(belief.requests, now_s).bad >= LEAST_TOLD or belief.name in asked
+            if faded(belief.requests, now_s).bad >= LEAST_TOLD or belief.name in asked
         ]
         doubted.sort(key=lambda belief: -belief.requests.bad)
         targets = [
@@ -238,7 +230,7 @@
         services = dict.fromkeys(belief.target.service for belief in doubted)
         return FitnessReport(
             targets,
-            [self._sample(service, now_s).counts for service in services],
+            [self._samples.of(service, now_s).counts for service in services],
             usual=self._usual.tell(),
         )
 
@@ -259,39 +251,18 @@
         """Return targets that what is known of the zone condemns."""
         names = []
         for belief in self._doubted.values():
-            counts, told = _faded(belief.requests, now_s), self._zone.of(belief, now_s)
+            counts, told = faded(belief.requests, now_s), self._zone.of(belief, now_s)
             if self._against(belief, counts, told, now_s) >= ENOUGH_EVIDENCE:
                 names.append(belief.name)
         return frozenset(names)
 
-    def _sample(self, service: str, now_s: float) -> ServiceSample:
-        """Add up the requests of a service's targets in the zone, once for a tick."""
-        if now_s - self._counted_s >= COUNTED_S:
-            self._counted.clear()
-            self._counted_s = now_s
-        counted = self._counted.get(service)
-        if counted is None:
-            counted = self._counted[service] = self._count(service, now_s)
-        return counted
-
-    def _count(self, service: str, now_s: float) -> ServiceSample:
-        candidates = self._registry.candidates(service)
-        zone = self._registry.zone
-        impaired = [b for b in candidates.impaired if b.target.zone == zone]
-        sums = [_sums(b, now_s) for b in (*candidates.own, *impaired)]
-        overdue = round(sum(each.overdue for each in sums), 1)
-        poor = round(sum(each.poor for each in sums), 1)
-        total = max(overdue + poor, round(sum(each.total for each in sums), 1))
-        counts = ServiceCounts(service, total, overdue + poor, overdue)
-        return ServiceSample(counts, sums)
-
     # Verdicts.
 
     def _judge(self, belief: TargetBelief, now_s: float) -> list[Effect]:
         if self._registry.get(belief.name) is not belief:
             self._forget(belief)
             return []
-        counts = _faded(belief.requests, now_s)
+        counts = faded(belief.requests, now_s)
         told = self._zone.of(belief, now_s)
         against = self._against(belief, counts, told, now_s)
         match belief.fitness:
@@ -343,7 +314,7 @@
     ) -> float:
         service = belief.target.service
         here = TargetSums(belief.name, counts.overdue, counts.poor, counts.total)
-        against = self._sample(service, now_s).against(here, least_share)
+        against = self._samples.of(service, now_s).against(here, least_share)
         if told is None:
             return against
         return max(against, self._zone.against(belief, told, least_share))
@@ -412,14 +383,14 @@
         overrun, as one that has just started, answers like one that errs.  A slow one
         still answers what it has begun, so only idle flows leave it.
         """
-        certainty = self._certainty(belief, now_s)
-        if certainty is Certainty.NONE:
+        fault = self._confirmed_fault(belief, now_s)
+        if fault is ConfirmedFault.NONE:
             return []
         effects: list[Effect] = []
         for flow in self._flows.of_target(belief):
             if flow.busy_since_s is None and flow.opened:
                 effects += self._reset(flow)
-            elif flow.overdue and certainty is Certainty.FAILING:
+            elif flow.overdue and fault is ConfirmedFault.FAILING:
                 effects += self._reset_overdue(flow)
         return effects
 
@@ -434,18 +405,18 @@
         reason = ResetReason.TARGET_IMPAIRED
         return [Reset(flow.key, flow.acknowledged, reason, flow.belief.name)]
 
-    def _certainty(self, belief: TargetBelief, now_s: float) -> Certainty:
-        """Return how sure it is that flows of a target are better reset."""
+    def _confirmed_fault(self, belief: TargetBelief, now_s: float) -> ConfirmedFault:
+        """Return the fault for which flows of a target may be reset."""
         if not self._resets or belief.fitness is not Fitness.IMPAIRED:
-            return Certainty.NONE
+            return ConfirmedFault.NONE
         if not is_settled(belief, now_s):
-            return Certainty.NONE
+            return ConfirmedFault.NONE
         counts, told = belief.requests, self._zone.of(belief, now_s)
         if self._against(belief, counts, told, now_s) < ENOUGH_EVIDENCE:
-            return Certainty.NONE
+            return ConfirmedFault.NONE
         callers = len(self._callers.get(belief.name, ()))
-        testimony = self._zone.testimony(belief, callers, now_s)
-        return certainty_of(counts, testimony, now_s)
+        evidence = self._zone.evidence(belief, callers, now_s)
+        return confirmed_fault(counts, evidence, now_s)
 
 
 def _is_proved(belief: TargetBelief, now_s: float) -> bool:
@@ -454,21 +425,3 @@
     if belief.requests.good >= PROOFS:
         return tried_s >= TRIAL_S
     return tried_s >= LONGEST_TRIAL_S
-
-
-def _sums(belief: TargetBelief, now_s: float) -> TargetSums:
-    counts = _faded(belief.requests, now_s)
-    return TargetSums(belief.name, counts.overdue, counts.poor, counts.total)
-
-
-def _faded(counts: RequestCounts, now_s: float) -> RequestCounts:
-    """Let counts fade up to now."""
-    passed_s = now_s - counts.at_s
-    if passed_s > 0:
-        kept = exp(-passed_s / FADE_S)
-        counts.good *= kept
-        counts.failed *= kept
-        counts.poor *= kept
-        counts.late *= kept
-        counts.at_s = now_s
-    return counts
--- a/endivepick/forwarding/tests/test_fitness.py
+++ b/endivepick/forwarding/tests/test_fitness.py
@@ -473,13 +473,14 @@
         zone = Zone(targets=60)
         zone.run(4.0, 200.0)
         core, counted = zone.cores[0], []
-        count = core.fitness._count
+        samples = core.fitness._samples
+        take_sample = samples._take
 
         def noted(service, now_s):
             counted.append(service)
-            return count(service, now_s)
+            return take_sample(service, now_s)
 
-        core.fitness._count = noted
+        samples._take = noted
         bad = {"i-3", "i-17", "i-41"}
         zone.behave = lambda name: None if name in bad else zone.usual(name)
         zone.run(2.0, 400.0)
--- a/endivepick/forwarding/zone_word.py
+++ b/endivepick/forwarding/zone_report.py
@@ -1,8 +1,8 @@
-"""What the instances of a zone have told of targets, and how long it counts."""
+"""The newest report of a zone: what its instances have seen of targets together."""
 
 from endivepick.forwarding.belief import TargetBelief
-from endivepick.forwarding.certainty import TOLD_S, Testimony
 from endivepick.forwarding.comparison import ServiceSample, TargetSums
+from endivepick.forwarding.confirmation import TOLD_S, ZoneEvidence
 from endivepick.forwarding.fitness_reports import (
     FitnessReport,
     TargetCounts,
@@ -13,11 +13,11 @@
 from endivepick.forwarding.service_usual import ServiceUsual
 from endivepick.forwarding.usual import UsualRequests
 
-__all__ = ["ZoneWord"]
+__all__ = ["ZoneReport"]
 
 
-class ZoneWord:
-    """The newest word of the zone.
+class ZoneReport:
+    """Keeps the newest report of the zone, as long as it is valid.
 
     Parameters
     ----------
@@ -52,7 +52,7 @@
         return self._usual.get(service, kind)
 
     def of(self, belief: TargetBelief, now_s: float) -> TargetCounts | None:
-        """Return what was told of a target's incarnation, while it counts."""
+        """Return what was reported of a target's incarnation, while it is valid."""
         if now_s - self._taken_s > TOLD_S:
             return None
         for told in self._report.targets:
@@ -70,8 +70,10 @@
         sums = TargetSums(told.name, told.overdue, told.poor, told.total)
         return sample.against(sums, least_share)
 
-    def testimony(self, belief: TargetBelief, callers: int, now_s: float) -> Testimony:
-        """Return who has seen what of a target.
+    def evidence(
+        self, belief: TargetBelief, callers: int, now_s: float
+    ) -> ZoneEvidence:
+        """Return what others have seen of a target.
 
         Parameters
         ----------
@@ -82,7 +84,7 @@
         now_s : float
             Present time, in seconds.
         """
-        return Testimony(
+        return ZoneEvidence(
             self.of(belief, now_s),
             told_before_s=now_s - self._taken_s,
             heard_instances=self._report.instances,
