--- a/endivepick/tests/promises/test_point1_hand_over.py
+++ b/endivepick/tests/promises/test_point1_hand_over.py
@@ -76,7 +76,11 @@
             return [name for name in now if now[name] >= before[name] + flows]
 
         self.begin_stop(self.owner)
-        return wait(takers, "a successor to hold the flows")[0]
+        return wait(
+            takers,
+            f"one successor to hold {flows} flows more than {before}",
+            lambda: self.flows_held(self.others()),
+        )[0]
 
     def named_successor(self):
         """Return to whom the owner has sent flows, whether they arrived or not."""
