Read claims anew after waiting for the store at a start

Cause: claims that had been read at a start were still used after the instance had waited for its feeds, by up to four seconds each time, though they are only meant to be used at once. Ruled out: waiting before they are read (an instance is fed within the pause that follows its lists). Change: they are forgotten after such a wait. Before: read once and followed when old; after: read twice (test, fails without).

--- a/endivepick/forwarder/tests/test_zone.py
+++ b/endivepick/forwarder/tests/test_zone.py
@@ -213,6 +213,13 @@
         place = FeederClaim(self.member._places[0], "127.0.0.1:2", 5)
         self.assertEqual(self.read_at_start(place), (1, ["127.0.0.1:2"]))
 
+    def test_they_are_read_again_after_a_wait_for_the_store(self):
+        place = FeederClaim(self.member._places[0], "127.0.0.1:2", 5)
+        feed = self.feeds[FeedKind.REGISTRY]
+        feed.settled = False
+        gevent.spawn_later(0.01, setattr, feed, "settled", True)
+        self.assertEqual(self.read_at_start(place), (2, ["127.0.0.1:2"]))
+
     def test_they_are_read_again_after_the_spread_where_a_place_is_free(self):
         self.assertEqual(self.read_at_start(), (2, [""]))
 
--- a/endivepick/forwarder/zone.py
+++ b/endivepick/forwarder/zone.py
@@ -157,6 +157,7 @@
         while not self._stopping:
             if not self._core.ready or not self._all_settled:
                 _sleep(RETRY_S)
+                claims = None
                 continue
             try:
                 self._step(claims)
