Count a target's requests by one definition, and let an attempt to connect return its end

Cause: what is overdue, bad and all of a target's requests was defined in two classes and put together for a comparison in four places; an attempt to connect was wrapped in a type of its own only to carry a refusal out of its task. Ruled out: a common base with fields (the order of a report's fields is on the wire). Change: request_sums holds the definitions, TargetSums.of makes the sums; an attempt returns a connection or REFUSED or SILENT. New silent targets are probed in the order in which they were told, not in that of a set.

--- a/endivepick/forwarder/probes.py
+++ b/endivepick/forwarder/probes.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from typing import TypeAlias
 
 import gevent
 import httptools
@@ -31,6 +32,10 @@
 """What is read of an answer that says who gives it."""
 
 
+_Reached: TypeAlias = socket.socket | ProbeOutcome
+"""A connection, or ``REFUSED`` or ``SILENT``."""
+
+
 class _Answer:
     """Collects the header that names the target's entry, and the body."""
 
@@ -59,13 +64,6 @@
     born_ms: int = 0
 
 
-class _Attempt(Struct, frozen=True):
-    """How an attempt to connect ended; without a connection it was not answered."""
-
-    connection: socket.socket | None = None
-    refused: bool = False
-
-
 def probe_target(
     probe: ProbeTarget,
     dialect: StoreDialect,
@@ -93,97 +91,68 @@
 def _outcome(
     probe: ProbeTarget, dialect: StoreDialect, settings: ForwardingSettings
 ) -> _Outcome:
-    try:
-        connection = _connected(probe, settings)
-    except ConnectionRefusedError:
-        return _Outcome(ProbeOutcome.REFUSED)
-    if connection is None:
-        return _Outcome(ProbeOutcome.SILENT)
-    with _closing(connection):
-        identity = _identity(connection, probe.path, dialect)
+    reached = _reach(probe, settings)
+    if isinstance(reached, ProbeOutcome):
+        return _Outcome(reached)
+    with _closing(reached):
+        identity = _identity(reached, probe.path, dialect)
     if identity.name and identity.name != probe.target.name:
         return _Outcome(ProbeOutcome.REPLACED)
     return _Outcome(ProbeOutcome.ALIVE, identity.born_ms)
 
 
-def _connected(
-    probe: ProbeTarget, settings: ForwardingSettings
-) -> socket.socket | None:
-    """Connect to a target; None if it answers no attempt."""
+def _reach(probe: ProbeTarget, settings: ForwardingSettings) -> _Reached:
+    """Connect to a target, in several attempts if it is silent."""
     *earlier_s, last_s = settings.probe_timeouts_s
     for timeout_s in earlier_s:
-        connection = _connect(probe.target, timeout_s)
-        if connection is not None:
-            return connection
-    if probe.control is None or settings.probe_compared_s >= last_s:
+        reached = _connect(probe.target, timeout_s)
+        if reached is not ProbeOutcome.SILENT:
+            return reached
+    if probe.control is None:
         return _connect(probe.target, last_s)
     return _connect_compared(probe.target, probe.control, settings)
 
 
 def _connect_compared(
     target: Target, control: Target, settings: ForwardingSettings
-) -> socket.socket | None:
+) -> _Reached:
     """Connect to a target, and to another to see whether answers arrive here at all."""
     last_s = settings.probe_timeouts_s[-1]
-    attempt = gevent.spawn(_attempt, target, last_s)
+    attempt = gevent.spawn(_connect, target, last_s)
     compared = gevent.spawn(_answered_after_s, control, last_s)
     try:
         attempt.join(settings.probe_compared_s)
         gevent.wait((attempt, compared), count=1)
         other_s = compared.value if compared.ready() else None
         attempt.join(None if other_s is None else max(other_s, _AT_HAND_S))
-        return _connection_of(attempt.value)
+        return attempt.value if attempt.ready() else ProbeOutcome.SILENT
     finally:
         gevent.killall([attempt, compared], block=False)
 
 
-def _attempt(target: Target, timeout_s: float) -> _Attempt:
-    """Make an attempt of which a task of its own is told the end."""
-    try:
-        return _Attempt(_connect(target, timeout_s))
-    except ConnectionRefusedError:
-        return _Attempt(refused=True)
-
-
-def _connection_of(attempt: _Attempt | None) -> socket.socket | None:
-    if attempt is None:
-        return None
-    if attempt.refused:
-        raise ConnectionRefusedError
-    return attempt.connection
-
-
 def _answered_after_s(target: Target, timeout_s: float) -> float | None:
-    """Return how long a target took to accept a connection; None if it did not.
+    """Return how long a target took to answer, None if it did not.
 
     A refusal is an answer as well.
     """
     began_s = steady_now_s()
-    try:
-        connection = _connect(target, timeout_s)
-    except ConnectionRefusedError:
-        return steady_now_s() - began_s
-    if connection is None:
+    reached = _connect(target, timeout_s)
+    if reached is ProbeOutcome.SILENT:
         return None
-    connection.close()
+    if not isinstance(reached, ProbeOutcome):
+        reached.close()
     return steady_now_s() - began_s
 
 
-def _connect(target: Target, timeout_s: float) -> socket.socket | None:
-    """Make one attempt; None if it is not answered.
-
-    Raises
-    ------
-    ConnectionRefusedError
-        The address refuses connections.
-    """
+def _connect(target: Target, timeout_s: float) -> _Reached:
+    """Make one attempt."""
     try:
         with gevent.Timeout(timeout_s):
             return socket.create_connection((target.host, target.port))
     except ConnectionRefusedError:
-        raise
+        return ProbeOutcome.REFUSED
     except (OSError, gevent.Timeout):
-        return None
+        return ProbeOutcome.SILENT
 
 
 @contextmanager
--- a/endivepick/forwarding/belief.py
+++ b/endivepick/forwarding/belief.py
@@ -6,6 +6,7 @@
 
 from endivepick.forwarding._charts import FITNESS, REACHABILITY, REGISTERED_TARGET
 from endivepick.forwarding.model import Target
+from endivepick.forwarding.request_sums import RequestSums
 
 __all__ = [
     "BeliefChange",
@@ -139,19 +140,13 @@
 }
 
 
-class RequestCounts(Struct):
+class RequestCounts(RequestSums, Struct):
     """What became of requests of late, fading with time.
 
     Attributes
     ----------
-    good : float
-        Answered as is usual.
-    failed : float
-        Not answered long after answers usually begin.
-    poor : float
-        Answered with far less than is usual: an error.
-    late : float
-        Answered as is usual, but far later.
+    good, failed, poor, late : float
+        As in `RequestSums`.
     at_s : float
         Up to when they have faded, in seconds.
     failed_s, poor_s : float
@@ -166,11 +161,6 @@
     failed_s: float = float("-inf")
     poor_s: float = float("-inf")
 
-    @property
-    def bad(self) -> float:
-        """Requests that failed, or were answered poorly or late."""
-        return self.failed + self.poor + self.late
-
     @property
     def bad_s(self) -> float:
         """When the last one failed or was answered poorly, in seconds.
@@ -179,16 +169,6 @@
         """
         return max(self.failed_s, self.poor_s)
 
-    @property
-    def overdue(self) -> float:
-        """Requests that were not answered when answers usually are, also if later."""
-        return self.failed + self.late
-
-    @property
-    def total(self) -> float:
-        """All requests that count."""
-        return self.good + self.bad
-
 
 class TargetBelief(Struct):
     """What is believed of one incarnation of a target.
--- a/endivepick/forwarding/comparison.py
+++ b/endivepick/forwarding/comparison.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Iterable
 from math import log
+from typing import Self
 
 from msgspec import Struct
 
 from endivepick.forwarding.fitness_reports import ServiceCounts
+from endivepick.forwarding.request_sums import RequestSums
 
 __all__ = ["LEAST_SHARE", "ServiceSample", "TargetSums", "evidence_against"]
 
@@ -93,6 +95,11 @@
     poor: float
     total: float
 
+    @classmethod
+    def of(cls, name: str, requests: RequestSums) -> Self:
+        """Return the sums of a target, from wherever its requests were counted."""
+        return cls(name, requests.overdue, requests.poor, requests.total)
+
     @property
     def share(self) -> float:
         """Share of the requests that went badly."""
--- a/endivepick/forwarding/evidence.py
+++ b/endivepick/forwarding/evidence.py
@@ -7,7 +7,7 @@
 slot; only a probe is enough to reset flows, since packets are lost now and then.
 """
 
-from collections.abc import Iterable
+from collections.abc import Sequence
 
 from endivepick.forwarding.actions import (
     Effect,
@@ -278,7 +278,7 @@
             and now_s - belief.reachability_since_s <= TOLD_S
         ]
 
-    def told_silent(self, silent: Iterable[SilentTarget], now_s: float) -> list[Effect]:
+    def told_silent(self, silent: Sequence[SilentTarget], now_s: float) -> list[Effect]:
         """Take in which targets others of the zone have just found silent.
 
         Load pattern: many targets lose power at once, and each has flows at a dozen
@@ -288,16 +288,17 @@
 
         Parameters
         ----------
-        silent : iterable of SilentTarget
+        silent : sequence of SilentTarget
             The targets.
         now_s : float
             Present time, in seconds.
         """
         before, self._told_silent = self._told_silent, frozenset(silent)
+        new = [told for told in silent if told not in before]
         effects: list[Effect] = []
         if not self._settings.mechanisms.tell_silence:
             return effects
-        for told in self._told_silent - before:
+        for told in new:
             belief = self._registry.get(told.name)
             if belief is None or belief.target.born_ms != told.born_ms:
                 continue
--- a/endivepick/forwarding/fitness.py
+++ b/endivepick/forwarding/fitness.py
@@ -313,7 +313,7 @@
         least_share: float = LEAST_SHARE,
     ) -> float:
         service = belief.target.service
-        here = TargetSums(belief.name, counts.overdue, counts.poor, counts.total)
+        here = TargetSums.of(belief.name, counts)
         against = self._samples.of(service, now_s).against(here, least_share)
         if told is None:
             return against
--- a/endivepick/forwarding/fitness_reports.py
+++ b/endivepick/forwarding/fitness_reports.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct, field
 
+from endivepick.forwarding.request_sums import RequestSums
 from endivepick.forwarding.service_usual import MOST_USUAL, UsualCounts, merge_usual
 
 __all__ = [
@@ -31,7 +32,7 @@
 what one instance says."""
 
 
-class TargetCounts(Struct, frozen=True, array_like=True):
+class TargetCounts(RequestSums, Struct, frozen=True, array_like=True):
     """What became of a target's requests, as instances tell each other.
 
     Attributes
@@ -40,8 +41,8 @@
         The target.
     born_ms : int
         Its incarnation.
-    good, failed, poor : float
-        As in `RequestCounts`.
+    good, failed, poor, late : float
+        As in `RequestSums`.
     instances : int
         Instances that saw requests fail.
     reporting : int
@@ -50,8 +51,6 @@
         Instances that saw requests fail within `FRESH_S`.
     sure : float
         Failed requests, of each instance no more than resets need less one.
-    late : float
-        As in `RequestCounts`.
     sure_overdue : float
         As ``sure``, of requests that failed or were late.
     """
@@ -68,21 +67,6 @@
     late: float = 0.0
     sure_overdue: float = 0.0
 
-    @property
-    def bad(self) -> float:
-        """Requests that failed, or were answered poorly or late."""
-        return self.failed + self.poor + self.late
-
-    @property
-    def overdue(self) -> float:
-        """Requests that failed or were late."""
-        return self.failed + self.late
-
-    @property
-    def total(self) -> float:
-        """All requests that count."""
-        return self.good + self.bad
-
 
 class ServiceCounts(Struct, frozen=True, array_like=True):
     """Requests of a service within the zone.
--- a/endivepick/forwarding/service_counts.py
+++ b/endivepick/forwarding/service_counts.py
@@ -2,7 +2,7 @@
 
 from math import exp
 
-from endivepick.forwarding.belief import RequestCounts, TargetBelief
+from endivepick.forwarding.belief import RequestCounts
 from endivepick.forwarding.comparison import ServiceSample, TargetSums
 from endivepick.forwarding.fitness_reports import ServiceCounts
 from endivepick.forwarding.registry import TargetRegistry
@@ -61,14 +61,12 @@
         candidates = self._registry.candidates(service)
         zone = self._registry.zone
         impaired = [b for b in candidates.impaired if b.target.zone == zone]
-        sums = [_sums(b, now_s) for b in (*candidates.own, *impaired)]
+        sums = [
+            TargetSums.of(belief.name, faded(belief.requests, now_s))
+            for belief in (*candidates.own, *impaired)
+        ]
         overdue = round(sum(each.overdue for each in sums), 1)
         poor = round(sum(each.poor for each in sums), 1)
         total = max(overdue + poor, round(sum(each.total for each in sums), 1))
         counts = ServiceCounts(service, total, overdue + poor, overdue)
         return ServiceSample(counts, sums)
-
-
-def _sums(belief: TargetBelief, now_s: float) -> TargetSums:
-    counts = faded(belief.requests, now_s)
-    return TargetSums(belief.name, counts.overdue, counts.poor, counts.total)
--- a/endivepick/forwarding/zone_report.py
+++ b/endivepick/forwarding/zone_report.py
@@ -67,8 +67,7 @@
         sample = self._samples.get(belief.target.service)
         if sample is None:
             return 0.0
-        sums = TargetSums(told.name, told.overdue, told.poor, told.total)
-        return sample.against(sums, least_share)
+        return sample.against(TargetSums.of(told.name, told), least_share)
 
     def evidence(
         self, belief: TargetBelief, callers: int, now_s: float
@@ -96,7 +95,7 @@
         for told in self._report.targets:
             belief = self._registry.get(told.name)
             if belief is not None:
-                sums = TargetSums(told.name, told.overdue, told.poor, told.total)
+                sums = TargetSums.of(told.name, told)
                 doubted.setdefault(belief.target.service, []).append(sums)
         return {
             counts.service: ServiceSample(counts, doubted.get(counts.service, ()))
