Let a feed's task leave the circuit breaker itself when it ends

StoreFeed.stop asked for the end of the task and at once told the breaker that the feed no longer tries. Where the task's call failed between the two, the task became the one that tries again, and then ended: the other feed waited for ever. In a forwarder that is fed by its zone, this would have been the feed of the other kind, for good. Ruled out: load alone (the wait was for calls that could no longer come); a longer timeout. Change: a task is a caller of the breaker for as long as it runs (context manager), and each task is known for itself instead of by its kind.

--- a/endivepick/forwarder/breaker.py
+++ b/endivepick/forwarder/breaker.py
@@ -6,7 +6,8 @@
 much to the others.
 """
 
-from collections.abc import Hashable
+from collections.abc import Hashable, Iterator
+from contextlib import contextmanager
 
 from gevent.event import Event
 
@@ -29,6 +30,12 @@
     >>> breaker.answered()
     >>> breaker.failed("configuration")
     True
+    >>> with breaker.caller() as feed:
+    ...     breaker.answered()
+    ...     breaker.failed(feed)
+    True
+    >>> breaker.failed("registry")
+    True
     """
 
     def __init__(self, enabled: bool = True) -> None:
@@ -36,6 +43,19 @@
         self._trying: Hashable | None = None
         self._changed = Event()
 
+    @contextmanager
+    def caller(self) -> Iterator[Hashable]:
+        """Name a feed's task for as long as it makes calls.
+
+        The task itself leaves: a call that fails between the request to stop a task and
+        its end would otherwise make it the one that tries, with nobody left to try.
+        """
+        feed = object()
+        try:
+            yield feed
+        finally:
+            self.stopped(feed)
+
     def failed(self, feed: Hashable) -> bool:
         """Take in that a call failed; returns whether this feed is to try again."""
         if not self._enabled:
--- a/endivepick/forwarder/feed.py
+++ b/endivepick/forwarder/feed.py
@@ -143,7 +143,6 @@
         """End the task."""
         if self._task is not None:
             self._task.kill(block=False)
-        self._breaker.stopped(self._kind)
 
     @property
     def settled(self) -> bool:
@@ -200,7 +199,10 @@
         )
         backoff = Backoff(bounds)
         asked, self._asked = self._asked, None
-        with store_connection(self._settings.store_address, asked) as connection:
+        with (
+            store_connection(self._settings.store_address, asked) as connection,
+            self._breaker.caller() as caller,
+        ):
             self._connection = connection
             while True:
                 try:
@@ -219,7 +221,7 @@
                     backoff = backoff.failed(random.random(), _wait_asked(error))
                     self._on_failure(error, backoff.wait_s)
                     connection.close()
-                    if self._breaker.failed(self._kind):
+                    if self._breaker.failed(caller):
                         gevent.sleep(backoff.wait_s)
                     else:
                         self._breaker.wait()
--- a/endivepick/forwarder/tests/test_breaker.py
+++ b/endivepick/forwarder/tests/test_breaker.py
@@ -2,8 +2,10 @@
 
 import gevent
 import msgspec
+from gevent.event import Event
 from gevent.server import StreamServer
 
+from endivepick.errors import PlatformUnavailableError
 from endivepick.forwarder.breaker import CircuitBreaker
 from endivepick.forwarder.decision_log import DecisionLog
 from endivepick.forwarder.feed import StoreFeed
@@ -98,5 +100,55 @@
         self.wait(lambda: self.asked.count(other.value) >= 5)
 
 
+class RefusesWhenTold(Dialect):
+    """Each call waits for the event ``refuse`` and fails."""
+
+    def __init__(self):
+        self.called, self.refuse = Event(), Event()
+
+    def list_path(self, _kind, _after):
+        self.called.set()
+        self.refuse.wait()
+        raise PlatformUnavailableError("The store refused the call.")
+
+
+class TestFailureWhileStopped(unittest.TestCase):
+    """A call fails after its feed was told to stop, and before its task has ended."""
+
+    def setUp(self):
+        self.breaker = CircuitBreaker()
+        self.dialect = RefusesWhenTold()
+        self.feed = StoreFeed(
+            decode(),
+            FeedKind.REGISTRY,
+            self.dialect,
+            lambda _: None,
+            DecisionLog(BoundedLog("a", len), ForwarderMetrics()),
+            self.breaker,
+        )
+        self.addCleanup(self.feed.stop)
+        self.feed.start()
+        self.dialect.called.wait(TIMEOUT_S)
+
+    def wait_lost(self):
+        with gevent.Timeout(TIMEOUT_S):
+            while not self.feed.lost:
+                gevent.sleep(0)
+        gevent.sleep(0)
+
+    def test_a_suspended_feed_does_not_stay_the_one_that_tries(self):
+        self.dialect.refuse.set()
+        self.feed.suspend()
+        self.wait_lost()
+        self.assertTrue(self.breaker.failed(FeedKind.CONFIGURATION))
+
+    def test_a_feed_that_lists_again_does_not_wait_for_its_own_ended_task(self):
+        self.dialect.refuse.set()
+        self.feed.resume(0)
+        self.wait_lost()
+        self.dialect.called.clear()
+        self.assertTrue(self.dialect.called.wait(TIMEOUT_S))
+
+
 if __name__ == "__main__":
     unittest.main()
