Move callers away from targets that answer everything with errors

Hypothesis: of what an erring target costs most is lost on flows that are open there, request by request until they close; early resets for errors were taken out because a target that refuses its first rush looks alike. But one that is overrun serves what its queue holds, at its full rate, while one that errs serves nobody. Change: instances tell the zone how many short answers came in a row (three of one count) and whether a usual one came just now; six in a row while none sees a usual one confirm ERRING, and idle flows leave as they leave a slow target. Nothing in progress is reset. test_flows_of_one_that_errs_are_left_to_it asserted the opposite, for want of the distinction; test_erring_targets replaces it, stricter: one that serves a tenth, one that is overrun with long work, one just started, all that refuse, and a lone instance keep all flows.

--- a/endivepick/forwarding/confirmation.py
+++ b/endivepick/forwarding/confirmation.py
@@ -12,7 +12,11 @@
 
 from endivepick.forwarding.belief import RequestCounts, TargetBelief
 from endivepick.forwarding.comparison import LEAST_SHARE
-from endivepick.forwarding.fitness_reports import RESET_FAILED, TargetCounts
+from endivepick.forwarding.fitness_reports import (
+    RESET_FAILED,
+    RESET_POOR,
+    TargetCounts,
+)
 
 __all__ = [
     "SETTLED_S",
@@ -54,11 +58,15 @@
         It answers, but most requests far later than others of its service do.
     FAILING
         It leaves requests unanswered.
+    ERRING
+        It answers all requests with errors.  One that is overrun does not: it refuses
+        what its queue has no place for, and serves the rest.
     """
 
     NONE = "none"
     SLOW = "slow"
     FAILING = "failing"
+    ERRING = "erring"
 
 
 class ZoneEvidence(Struct, frozen=True):
@@ -99,9 +107,12 @@
     told = evidence.told
     if told is not None and _agree(told, evidence):
         failing, slow = told.sure, told.sure_overdue
+        erring = 0 if told.serving else told.poor_run
         seen: RequestCounts | TargetCounts = told
     elif _is_sure_alone(counts, evidence, now_s):
         failing, slow = counts.failed, counts.overdue
+        # One of many instances sees too little to know that nobody is served.
+        erring = 0
         seen = counts
     else:
         return ConfirmedFault.NONE
@@ -109,6 +120,8 @@
         return ConfirmedFault.FAILING
     if slow >= RESET_FAILED and seen.overdue >= MOSTLY_OVERDUE * seen.total:
         return ConfirmedFault.SLOW
+    if erring >= RESET_POOR:
+        return ConfirmedFault.ERRING
     return ConfirmedFault.NONE
 
 
--- a/endivepick/forwarding/fitness.py
+++ b/endivepick/forwarding/fitness.py
@@ -62,6 +62,11 @@
 TRIAL_S = 2.0
 """How long a target that returns gets a trickle of flows only, at the least."""
 LONGEST_TRIAL_S = 10.0
+SERVING_S = 0.6
+"""How long a usual answer shows that a target serves some of its requests."""
+SERVING_SHARE = 4.0
+"""The same as a multiple of the time after which a request is overdue: one that is
+overrun answers several requests in it, however long they take."""
 PROOFS = 1.0
 """Good answers, faded, that end the trial; without, it ends after the longest time."""
 
@@ -134,6 +139,8 @@
         counts = faded(flow.belief.requests, now_s)
         if late:
             counts.failed = max(0.0, counts.failed - 1.0)
+        if usual is not None and not short:
+            _note_usual_answer(counts, usual, now_s)
         if not (short and told_before):
             self._count_answer(flow, late, short, now_s)
         if not late or not self._stands_out(flow.belief, now_s):
@@ -147,6 +154,7 @@
         if short:
             counts.poor += 1.0
             counts.poor_s = now_s
+            counts.poor_run += 1
         elif late:
             counts.late += 1.0
         else:
@@ -224,6 +232,8 @@
                 instances=int(belief.requests.bad >= LEAST_TOLD),
                 fresh=int(is_fresh(belief.requests, now_s)),
                 late=round(belief.requests.late, 1),
+                poor_run=belief.requests.poor_run,
+                serving=int(now_s <= belief.requests.serving_until_s),
             )
             for belief in doubted[:MOST_TOLD]
         ]
@@ -278,6 +288,7 @@
                 return [*self._registry.judge(belief, event, "tried", now_s)]
             case Fitness.IMPAIRED if self._has_rested(belief, now_s):
                 counts.good = counts.failed = counts.poor = counts.late = 0.0
+                counts.poor_run = 0
                 self._callers.pop(belief.name, None)
                 event = FitnessEvent.RESTED
                 return [*self._registry.judge(belief, event, "rested", now_s)]
@@ -379,9 +390,8 @@
     def _reset_flows(self, belief: TargetBelief, now_s: float) -> list[Effect]:
         """Reset flows of a target that surely does not serve what comes on them.
 
-        Not for answers that are short: a target that refuses requests since it is
-        overrun, as one that has just started, answers like one that errs.  A slow one
-        still answers what it has begun, so only idle flows leave it.
+        A slow or erring one still answers what it has begun, so only idle flows leave
+        it.
         """
         fault = self._confirmed_fault(belief, now_s)
         if fault is ConfirmedFault.NONE:
@@ -419,6 +429,14 @@
         return confirmed_fault(counts, evidence, now_s)
 
 
+def _note_usual_answer(
+    counts: RequestCounts, usual: UsualRequests, now_s: float
+) -> None:
+    """Note that a target serves, for as long as an overrun one takes to do it again."""
+    counts.poor_run = 0
+    counts.serving_until_s = now_s + max(SERVING_S, SERVING_SHARE * usual.overdue_s())
+
+
 def _is_proved(belief: TargetBelief, now_s: float) -> bool:
     """Whether a target that returns has had its trial."""
     tried_s = now_s - belief.fitness_since_s
