Count no requests that an instance missed while it stood still

On waking it passed on what had waited in its socket, whose answers had long been acknowledged through others, took seven of eleven requests of one target for unanswered, and condemned it 0.2 s later. With one more request that had moved at another instance of the zone that was enough to reset the target's idle flows everywhere. Ruled out: the early resets for errors (no poor answer was counted); a longer rest before resets (the word of the frozen instance would only come later). Change: endivepick.forwarding.pauses finds the pause by the time between ticks, also while packets are read before the first tick after it; what was awaited and what went badly is forgotten, and for half a second nothing new is awaited. The daemon takes its limit from there.

--- a/endivepick/forwarder/forwarder.py
+++ b/endivepick/forwarder/forwarder.py
@@ -28,6 +28,7 @@
 from endivepick.forwarder.settings import ForwarderSettings
 from endivepick.forwarder.tasks import spawn_supervised
 from endivepick.forwarding import ForwardingCore, ForwardingSettings
+from endivepick.forwarding.pauses import PAUSE_S
 
 if TYPE_CHECKING:
     from endivepick.forwarder.zone import ZoneMember
@@ -48,9 +49,6 @@
 STOP_MARGIN_S = 0.5
 """A planned stop ends that long before the process would be killed: it takes some
 hundredths of a second to end, more on a machine whose share of a core is used up."""
-PAUSE_S = 1.0
-"""A tick that comes later by this much means that the process stood still, and that
-what it believes may be old."""
 
 
 class Forwarder:
--- a/endivepick/forwarding/awaited.py
+++ b/endivepick/forwarding/awaited.py
@@ -36,6 +36,10 @@
         """
         self._awaited.append(_Awaited(flow, since_s, due_s))
 
+    def clear(self) -> None:
+        """Await nothing any more."""
+        self._awaited.clear()
+
     def take_overdue(self, flows: FlowTable, now_s: float) -> list[ObservedFlow]:
         """Return flows whose requests are overdue by now, each once."""
         overdue = []
--- a/endivepick/forwarding/fitness.py
+++ b/endivepick/forwarding/fitness.py
@@ -37,6 +37,7 @@
 )
 from endivepick.forwarding.flows import FlowTable, ObservedFlow
 from endivepick.forwarding.model import RouteKind
+from endivepick.forwarding.pauses import PauseWatch
 from endivepick.forwarding.registry import TargetRegistry
 from endivepick.forwarding.service_counts import ServiceSamples, faded
 from endivepick.forwarding.service_usual import ServiceUsual
@@ -100,12 +101,15 @@
         self._callers: dict[str, set[int]] = {}
         self._zone = ZoneReport(registry)
         self._samples = ServiceSamples(registry)
+        self._pauses = PauseWatch()
 
     # What packets show.
 
     def began(self, flow: ObservedFlow, now_s: float) -> None:
         """Take in that a request has begun on a flow."""
         flow.overdue = False
+        if self._pauses.backlog(now_s):
+            return
         usual = self._usual_of(flow)
         if usual is not None:
             self._awaited.expect(flow.key, now_s, now_s + usual.overdue_s())
@@ -130,6 +134,8 @@
         now_s : float
             Present time, in seconds.
         """
+        if self._pauses.backlog(now_s):
+            return
         usual = self._usual_of(flow)
         short = usual is not None and usual.is_short(size_bytes)
         late, flow.overdue = flow.overdue, False
@@ -180,6 +186,8 @@
 
     def tick(self, now_s: float) -> list[Effect]:
         """Note what is overdue, and judge targets that something speaks against."""
+        if self._pauses.tick(now_s):
+            self._forget_requests()
         self._samples.renew()
         overdue = self._take_overdue(now_s)
         effects: list[Effect] = []
@@ -190,6 +198,15 @@
                 effects += self._reset_overdue(flow)
         return effects
 
+    def _forget_requests(self) -> None:
+        """Forget what went badly and what is awaited; others may have the answers."""
+        self._awaited.clear()
+        self._flows.forget_requests()
+        for belief in self._doubted.values():
+            counts = belief.requests
+            counts.failed = counts.poor = counts.late = 0.0
+            counts.poor_run = 0
+
     def _take_overdue(self, now_s: float) -> list[ObservedFlow]:
         overdue = self._awaited.take_overdue(self._flows, now_s)
         for flow in overdue:
--- a/endivepick/forwarding/flows.py
+++ b/endivepick/forwarding/flows.py
@@ -163,6 +163,12 @@
         self._set_idle(flow)
         flow.belief.flows -= 1
 
+    def forget_requests(self) -> None:
+        """Take no request for one in progress any more; flows stay."""
+        for flow in self._flows.values():
+            flow.overdue = False
+            self._set_idle(flow)
+
     def expire(self, idle_s: float, now_s: float) -> None:
         """Forget flows without packets for that long, in seconds."""
         limit_s = now_s - idle_s
