Let one instance's word count for half of what resets need

Hypothesis: the flows that were reset after a pause were reset on the word of one instance with ten false failures and of another with one real one: the first counted for two of the three failures that resets need. With half for each, two instances have to agree in substance. Ruled out: leaving the instance that tells most out of the sum (needs each word apart, and small zones have two or three instances). Change: 1.5 of the three (failed, or overdue) count of one instance. The new test (ten failures of one, one of another, none of a third) reset flows before.

--- a/endivepick/forwarding/fitness_reports.py
+++ b/endivepick/forwarding/fitness_reports.py
@@ -28,8 +28,10 @@
 LEAST_TOLD = 0.5
 """Bad requests of a target, faded, from which on it is told of."""
 RESET_FAILED = 3.0
-"""Requests that fail at a condemned target before its flows are reset; fewer count of
-what one instance says."""
+"""Requests that fail at a condemned target before its flows are reset."""
+FAILED_OF_ONE = 1.5
+"""Those of them that one instance's word counts for at the most.  With more, one failure
+by chance elsewhere would confirm what an instance with a fault of its own says."""
 RESET_POOR = 6
 """Requests in a row that are answered poorly before its flows are reset."""
 POOR_OF_ONE = 3
@@ -54,7 +56,7 @@
     fresh : int
         Instances that saw requests fail within `FRESH_S`.
     sure : float
-        Failed requests, of each instance no more than resets need less one.
+        Failed requests, of each instance `FAILED_OF_ONE` at the most.
     sure_overdue : float
         As ``sure``, of requests that failed or were late.
     poor_run : int
@@ -244,9 +246,9 @@
         instances=min(told.instances, 1),
         reporting=1,
         fresh=min(told.fresh, 1),
-        sure=min(told.failed, RESET_FAILED - 1.0),
+        sure=min(told.failed, FAILED_OF_ONE),
         late=told.late * share,
-        sure_overdue=min(told.overdue, RESET_FAILED - 1.0),
+        sure_overdue=min(told.overdue, FAILED_OF_ONE),
         poor_run=min(told.poor_run, POOR_OF_ONE),
         serving=min(told.serving, 1),
     )
--- a/endivepick/forwarding/tests/test_fitness.py
+++ b/endivepick/forwarding/tests/test_fitness.py
@@ -452,6 +452,23 @@
             core.tick(zone.now_s)
         self.assertEqual(take(core, Reset), [])
 
+    def test_one_failure_elsewhere_does_not_confirm_what_one_instance_says(self):
+        zone = Zone()
+        zone.run(6.0, 80.0)
+        core, resets = zone.cores[0], []
+        reports = [
+            self.told(failed=10.0),
+            self.told(failed=1.0, good=8.0),
+            self.told(failed=0.0, good=12.0),
+        ]
+        for _ in range(20):
+            zone.now_s += TICK_S
+            core.fitness.take_told(merge_reports(reports), zone.now_s)
+            core.tick(zone.now_s)
+            resets += take(core, Reset)
+        self.assertEqual(zone.condemned(), {"i-3"})
+        self.assertEqual(resets, [])
+
     def test_a_word_on_another_incarnation_counts_for_nothing(self):
         zone = Zone()
         zone.run(5.0, 80.0)
