--- a/endivepick/forwarding/fitness_reports.py
+++ b/endivepick/forwarding/fitness_reports.py
@@ -30,8 +30,8 @@
 RESET_FAILED = 3.0
 """Requests that fail at a condemned target before its flows are reset."""
 FAILED_OF_ONE = 1.5
-"""Those of them that one instance's word counts for at the most.  With more, one failure
-by chance elsewhere would confirm what an instance with a fault of its own says."""
+"""Those of them that one instance's word counts for at the most.  With more, a single
+failure elsewhere would confirm what an instance with a fault of its own says."""
 RESET_POOR = 6
 """Requests in a row that are answered poorly before its flows are reset."""
 POOR_OF_ONE = 3
