--- a/endivepick/forwarding/fitness.py
+++ b/endivepick/forwarding/fitness.py
@@ -12,7 +12,6 @@
 """
 
 from endivepick.forwarding.actions import Effect, Reset, ResetReason
-from endivepick.forwarding.awaited import AwaitedAnswers
 from endivepick.forwarding.belief import (
     Fitness,
     FitnessEvent,
@@ -23,7 +22,6 @@
 )
 from endivepick.forwarding.comparison import LEAST_SHARE, TargetSums
 from endivepick.forwarding.confirmation import (
-    SURE_CALLERS,
     ConfirmedFault,
     confirmed_fault,
     is_fresh,
@@ -37,12 +35,10 @@
 )
 from endivepick.forwarding.flows import FlowTable, ObservedFlow
 from endivepick.forwarding.model import RouteKind
-from endivepick.forwarding.pauses import PauseWatch
 from endivepick.forwarding.registry import TargetRegistry
+from endivepick.forwarding.request_counter import RequestCounter
 from endivepick.forwarding.service_counts import ServiceSamples, faded
-from endivepick.forwarding.service_usual import ServiceUsual
 from endivepick.forwarding.settings import ForwardingSettings
-from endivepick.forwarding.usual import UsualRequests
 from endivepick.forwarding.zone_report import ZoneReport
 
 __all__ = ["FitnessJudge"]
@@ -63,17 +59,12 @@
 TRIAL_S = 2.0
 """How long a target that returns gets a trickle of flows only, at the least."""
 LONGEST_TRIAL_S = 10.0
-SERVING_S = 0.6
-"""How long a usual answer shows that a target serves some of its requests."""
-SERVING_SHARE = 4.0
-"""The same as a multiple of the time after which a request is overdue: one that is
-overrun answers several requests in it, however long they take."""
 PROOFS = 1.0
 """Good answers, faded, that end the trial; without, it ends after the longest time."""
 
 
 class FitnessJudge:
-    """Counts what becomes of requests, and condemns targets.
+    """Condemns targets by what becomes of their requests.
 
     Parameters
     ----------
@@ -94,79 +85,11 @@
         self._resets = settings.mechanisms.reset_impaired
         self._registry = registry
         self._flows = flows
-        self._usual = ServiceUsual()
-        self._awaited = AwaitedAnswers()
-        self._doubted: dict[str, TargetBelief] = {}
         self._rests_s: dict[str, float] = {}
-        self._callers: dict[str, set[int]] = {}
         self._zone = ZoneReport(registry)
         self._samples = ServiceSamples(registry)
-        self._pauses = PauseWatch()
-
-    # What packets show.
-
-    def began(self, flow: ObservedFlow, now_s: float) -> None:
-        """Take in that a request has begun on a flow."""
-        flow.overdue = False
-        if self._pauses.backlog(now_s):
-            return
-        usual = self._usual_of(flow)
-        if usual is not None:
-            self._awaited.expect(flow.key, now_s, now_s + usual.overdue_s())
-
-    def answered(
-        self, flow: ObservedFlow, waited_s: float, size_bytes: int, now_s: float
-    ) -> None:
-        """Take in that an answer has begun.
-
-        Of a flow that is answered shortly from its first request on, only the first
-        answer counts: its caller may ask for little, and all its requests go to one
-        target.
-
-        Parameters
-        ----------
-        flow : ObservedFlow
-            The flow.
-        waited_s : float
-            Time since its request, in seconds.
-        size_bytes : int
-            What the caller has of the answer.
-        now_s : float
-            Present time, in seconds.
-        """
-        if self._pauses.backlog(now_s):
-            return
-        usual = self._usual_of(flow)
-        short = usual is not None and usual.is_short(size_bytes)
-        late, flow.overdue = flow.overdue, False
-        told_before = flow.answered and not flow.served
-        flow.answered = True
-        flow.served = flow.served or not short
-        counts = faded(flow.belief.requests, now_s)
-        if late:
-            counts.failed = max(0.0, counts.failed - 1.0)
-        if usual is not None and not short:
-            _note_usual_answer(counts, usual, now_s)
-        if not (short and told_before):
-            self._count_answer(flow, late, short, now_s)
-        if not late or not self._stands_out(flow.belief, now_s):
-            service = flow.belief.target.service
-            self._usual.add(service, flow.kind, waited_s, size_bytes)
-
-    def _count_answer(
-        self, flow: ObservedFlow, late: bool, short: bool, now_s: float
-    ) -> None:
-        counts = flow.belief.requests
-        if short:
-            counts.poor += 1.0
-            counts.poor_s = now_s
-            counts.poor_run += 1
-        elif late:
-            counts.late += 1.0
-        else:
-            counts.good += 1.0
-        if short or late:
-            self._doubt(flow)
+        self.requests = RequestCounter(flows, self._zone, self._stands_out)
+        """Counts what packets show of requests."""
 
     def _stands_out(self, belief: TargetBelief, now_s: float) -> bool:
         """Whether a target does worse than the others of its service.
@@ -178,52 +101,18 @@
         against = self._compared(belief, counts, told, now_s, least_share=0.0)
         return against >= STANDING_OUT
 
-    def _usual_of(self, flow: ObservedFlow) -> UsualRequests | None:
-        """Return what is usual here, or else in the zone."""
-        service = flow.belief.target.service
-        own = self._usual.get(service, flow.kind)
-        return own or self._zone.usual(service, flow.kind)
-
     def tick(self, now_s: float) -> list[Effect]:
         """Note what is overdue, and judge targets that something speaks against."""
-        if self._pauses.tick(now_s):
-            self._forget_requests()
         self._samples.renew()
-        overdue = self._take_overdue(now_s)
+        overdue = self.requests.tick(now_s)
         effects: list[Effect] = []
-        for belief in list(self._doubted.values()):
+        for belief in list(self.requests.doubted.values()):
             effects += self._judge(belief, now_s)
         for flow in overdue:
             if self._confirmed_fault(flow.belief, now_s) is ConfirmedFault.FAILING:
                 effects += self._reset_overdue(flow)
         return effects
 
-    def _forget_requests(self) -> None:
-        """Forget what went badly and what is awaited; others may have the answers."""
-        self._awaited.clear()
-        self._flows.forget_requests()
-        for belief in self._doubted.values():
-            counts = belief.requests
-            counts.failed = counts.poor = counts.late = 0.0
-            counts.poor_run = 0
-
-    def _take_overdue(self, now_s: float) -> list[ObservedFlow]:
-        overdue = self._awaited.take_overdue(self._flows, now_s)
-        for flow in overdue:
-            flow.overdue = True
-            counts = faded(flow.belief.requests, now_s)
-            self._doubt(flow)
-            counts.failed += 1.0
-            counts.failed_s = now_s
-        return overdue
-
-    def _doubt(self, flow: ObservedFlow) -> None:
-        name = flow.belief.name
-        self._doubted[name] = flow.belief
-        callers = self._callers.setdefault(name, set())
-        if len(callers) < SURE_CALLERS:
-            callers.add(flow.key.caller_host)
-
     # What others of the zone have seen.
 
     def report(self, now_s: float) -> FitnessReport:
@@ -235,7 +124,7 @@
         asked = {told.name for told in self._zone.targets}
         doubted = [
             belief
-            for belief in self._doubted.values()
+            for belief in self.requests.doubted.values()
             if faded(belief.requests, now_s).bad >= LEAST_TOLD or belief.name in asked
         ]
         doubted.sort(key=lambda belief: -belief.requests.bad)
@@ -258,7 +147,7 @@
         return FitnessReport(
             targets,
             [self._samples.of(service, now_s).counts for service in services],
-            usual=self._usual.tell(),
+            usual=self.requests.tell_usual(),
         )
 
     def take_told(self, report: FitnessReport, now_s: float) -> None:
@@ -267,17 +156,17 @@
         for told in self._zone.targets:
             belief = self._registry.get(told.name)
             if belief is not None and belief.target.born_ms == told.born_ms:
-                self._doubted[told.name] = belief
+                self.requests.doubted[told.name] = belief
 
     @property
     def doubts(self) -> bool:
         """Whether something speaks against a target here."""
-        return bool(self._doubted)
+        return bool(self.requests.doubted)
 
     def alarming(self, now_s: float) -> frozenset[str]:
         """Return targets that what is known of the zone condemns."""
         names = []
-        for belief in self._doubted.values():
+        for belief in self.requests.doubted.values():
             counts, told = faded(belief.requests, now_s), self._zone.of(belief, now_s)
             if self._against(belief, counts, told, now_s) >= ENOUGH_EVIDENCE:
                 names.append(belief.name)
@@ -306,7 +195,7 @@
             case Fitness.IMPAIRED if self._has_rested(belief, now_s):
                 counts.good = counts.failed = counts.poor = counts.late = 0.0
                 counts.poor_run = 0
-                self._callers.pop(belief.name, None)
+                self.requests.forget_callers(belief.name)
                 event = FitnessEvent.RESTED
                 return [*self._registry.judge(belief, event, "rested", now_s)]
             case Fitness.IMPAIRED:
@@ -316,8 +205,7 @@
         return []
 
     def _forget(self, belief: TargetBelief) -> None:
-        self._doubted.pop(belief.name, None)
-        self._callers.pop(belief.name, None)
+        self.requests.forget(belief.name)
         self._rests_s.pop(belief.name, None)
 
     def _against(
@@ -441,19 +329,11 @@
         counts, told = belief.requests, self._zone.of(belief, now_s)
         if self._against(belief, counts, told, now_s) < ENOUGH_EVIDENCE:
             return ConfirmedFault.NONE
-        callers = len(self._callers.get(belief.name, ()))
+        callers = self.requests.callers_of(belief.name)
         evidence = self._zone.evidence(belief, callers, now_s)
         return confirmed_fault(counts, evidence, now_s)
 
 
-def _note_usual_answer(
-    counts: RequestCounts, usual: UsualRequests, now_s: float
-) -> None:
-    """Note that a target serves, for as long as an overrun one takes to do it again."""
-    counts.poor_run = 0
-    counts.serving_until_s = now_s + max(SERVING_S, SERVING_SHARE * usual.overdue_s())
-
-
 def _is_proved(belief: TargetBelief, now_s: float) -> bool:
     """Whether a target that returns has had its trial."""
     tried_s = now_s - belief.fitness_since_s
--- a/endivepick/forwarding/forwarder.py
+++ b/endivepick/forwarding/forwarder.py
@@ -346,9 +346,9 @@
         if busy_since_s is not None and flow.busy_since_s != busy_since_s:
             size_bytes = (packet.acknowledged - acknowledged) % SEQUENCE_NUMBERS
             waited_s = now_s - busy_since_s
-            self.fitness.answered(flow, waited_s, size_bytes, now_s)
+            self.fitness.requests.answered(flow, waited_s, size_bytes, now_s)
         if flow.busy_since_s is not None and flow.busy_since_s != busy_since_s:
-            self.fitness.began(flow, now_s)
+            self.fitness.requests.began(flow, now_s)
 
     def _note_doubt(self, key: FlowKey, belief: TargetBelief, now_s: float) -> None:
         """Note once of each flow that its packets go on to a target in doubt."""
