Forget short answers in a row some seconds after the last of them

Cause, found in reading the change again: the run of short answers that confirms an error had no end in time. Where an instance sees a request of a target once in many seconds, three short answers of a minute ago counted as much as those of now. Change: a run is told for 4 s after its last answer. The new test found 0 told after 6 s where all of the run was told before.

--- a/endivepick/forwarding/confirmation.py
+++ b/endivepick/forwarding/confirmation.py
@@ -27,6 +27,7 @@
     "confirmed_fault",
     "is_fresh",
     "is_settled",
+    "recent_poor_run",
 ]
 
 FRESH_S = 1.2
@@ -34,6 +35,9 @@
 three seconds after a target has recovered at the latest."""
 FRESH_WORD_S = 1.2
 """The same for what the zone has told, a little longer than a question is held."""
+RUN_S = 4.0
+"""How long answers in a row count after the last of them.  Each of hundreds of instances
+sees a request of a target in seconds only."""
 TOLD_S = 2.0
 """What instances have told counts for so long: one that stands still tells nothing."""
 SETTLED_S = 5.0
@@ -136,6 +140,11 @@
     return now_s - counts.bad_s <= FRESH_S
 
 
+def recent_poor_run(counts: RequestCounts, now_s: float) -> int:
+    """Return how many requests in a row were answered poorly, up to just now."""
+    return counts.poor_run if now_s - counts.poor_s <= RUN_S else 0
+
+
 def _agree(told: TargetCounts, evidence: ZoneEvidence) -> bool:
     """Whether several instances see requests fail now, and most were heard.
 
--- a/endivepick/forwarding/fitness.py
+++ b/endivepick/forwarding/fitness.py
@@ -26,6 +26,7 @@
     confirmed_fault,
     is_fresh,
     is_settled,
+    recent_poor_run,
 )
 from endivepick.forwarding.fitness_reports import (
     LEAST_TOLD,
@@ -138,7 +139,7 @@
                 instances=int(belief.requests.bad >= LEAST_TOLD),
                 fresh=int(is_fresh(belief.requests, now_s)),
                 late=round(belief.requests.late, 1),
-                poor_run=belief.requests.poor_run,
+                poor_run=recent_poor_run(belief.requests, now_s),
                 serving=int(now_s <= belief.requests.serving_until_s),
             )
             for belief in doubted[:MOST_TOLD]
--- a/endivepick/forwarding/tests/test_erring_targets.py
+++ b/endivepick/forwarding/tests/test_erring_targets.py
@@ -126,6 +126,20 @@
         self.assertGreater(self.zone.flows_at("i-3"), 0)
 
 
+class TestLongAgo(unittest.TestCase):
+    def test_short_answers_of_long_ago_are_not_told(self):
+        zone = Zone()
+        zone.run_with_open_flows(6.0, PER_S)
+        zone.behave = lambda name: ERROR if name == "i-3" else zone.usual(name)
+        zone.run_with_open_flows(2.0, PER_S)
+        core = zone.cores[0]
+        told = {t.name: t.poor_run for t in core.fitness.report(zone.now_s).targets}
+        self.assertGreaterEqual(told["i-3"], RESET_POOR)
+        core.fitness.take_told(merge_reports([core.fitness.report(zone.now_s)]), 14.0)
+        later = core.fitness.report(14.0).targets
+        self.assertEqual([t.poor_run for t in later if t.name == "i-3"], [0])
+
+
 class TestAlone(unittest.TestCase):
     """An instance that hears nothing of its zone."""
 
