Say for which fault the flows of an impaired target are reset

Change: the core gives a FaultConfirmed effect before the first resets of each fault, once until the target is tried again, with what was seen here and in the zone and how old the zone's word is; the log has it as fault_confirmed.

--- a/endivepick/forwarder/decision_log.py
+++ b/endivepick/forwarder/decision_log.py
@@ -13,6 +13,7 @@
     Configuration,
     ConfigurationChange,
     DropReason,
+    FaultConfirmed,
     Note,
     ProbeResult,
     Reset,
@@ -73,6 +74,20 @@
             revision=change.revision,
         )
 
+    def fault_confirmed(self, confirmed: FaultConfirmed) -> None:
+        """Write for which fault flows of a target may be reset from now on."""
+        told_before_s = confirmed.told_before_s
+        self.log.event(
+            "target",
+            "fault_confirmed",
+            f"{confirmed.target} is {confirmed.fault.value}",
+            target=confirmed.target,
+            service=confirmed.service,
+            fault=confirmed.fault.value,
+            reason=confirmed.reason,
+            told_before_s=None if told_before_s is None else rounded(told_before_s),
+        )
+
     def reset_with_target(self, reset: Reset) -> None:
         """Write that a flow is reset because of its target."""
         self.log.event(
--- a/endivepick/forwarder/packet_path.py
+++ b/endivepick/forwarder/packet_path.py
@@ -16,6 +16,7 @@
 from endivepick.forwarding import (
     BeliefChange,
     Drop,
+    FaultConfirmed,
     Forward,
     ForwardingCore,
     Hold,
@@ -122,6 +123,8 @@
                     self._decisions.note(effect)
                 case BeliefChange():
                     self._decisions.belief_change(effect)
+                case FaultConfirmed():
+                    self._decisions.fault_confirmed(effect)
                 case Reset():
                     self._decisions.reset_with_target(effect)
                     self._reset(effect)
--- /dev/null
+++ b/endivepick/forwarder/tests/test_decision_log.py
@@ -0,0 +1,36 @@
+import unittest
+
+from endivepick.forwarder.decision_log import DecisionLog
+from endivepick.forwarder.logs import BoundedLog
+from endivepick.forwarder.metrics import ForwarderMetrics
+from endivepick.forwarder.tests.test_logs import Reader
+from endivepick.forwarding import FaultConfirmed
+from endivepick.forwarding.confirmation import ConfirmedFault
+
+
+class TestFaultConfirmed(unittest.TestCase):
+    def line(self, told_before_s):
+        reader = Reader()
+        log = BoundedLog("a", reader.write)
+        reason = "0.0 failed, 6.0 poor and 0.0 late of 6.0 here"
+        DecisionLog(log, ForwarderMetrics()).fault_confirmed(
+            FaultConfirmed("i-3", "notes", ConfirmedFault.ERRING, reason, told_before_s)
+        )
+        log.flush()
+        (line,) = reader.events
+        return line
+
+    def test_the_line_names_the_fault_and_what_it_rests_on(self):
+        line = self.line(0.25)
+        self.assertEqual(line["event"], "fault_confirmed")
+        self.assertEqual(line["message"], "target: i-3 is erring")
+        self.assertEqual((line["target"], line["fault"]), ("i-3", "erring"))
+        self.assertIn("6.0 poor", line["reason"])
+        self.assertEqual(line["told_before_s"], 0.25)
+
+    def test_without_a_word_of_the_zone_its_age_is_none(self):
+        self.assertIsNone(self.line(None)["told_before_s"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/endivepick/forwarding/actions.py
+++ b/endivepick/forwarding/actions.py
@@ -5,12 +5,14 @@
 from msgspec import Struct
 
 from endivepick.forwarding.belief import BeliefChange, TargetBelief
+from endivepick.forwarding.confirmation import ConfirmedFault
 from endivepick.forwarding.model import FlowKey, Target
 
 __all__ = [
     "Drop",
     "DropReason",
     "Effect",
+    "FaultConfirmed",
     "Forward",
     "Hold",
     "Note",
@@ -155,7 +157,31 @@
     age_s: float = 0.0
 
 
-Effect = ProbeTarget | ReadRegistry | Release | Reset | Note | BeliefChange
+class FaultConfirmed(Struct, frozen=True):
+    """A target's fault is confirmed well enough to reset flows, for the log.
+
+    Attributes
+    ----------
+    target, service : str
+        The target and its service.
+    fault : ConfirmedFault
+        What is confirmed.
+    reason : str
+        What was seen of its requests, here and in the zone.
+    told_before_s : float or None
+        How old the zone's word is, in seconds; None if nothing was told.
+    """
+
+    target: str
+    service: str
+    fault: ConfirmedFault
+    reason: str
+    told_before_s: float | None
+
+
+Effect = (
+    ProbeTarget | ReadRegistry | Release | Reset | Note | BeliefChange | FaultConfirmed
+)
 
 
 class ProbeOutcome(Enum):
--- a/endivepick/forwarding/confirmation.py
+++ b/endivepick/forwarding/confirmation.py
@@ -36,8 +36,8 @@
 FRESH_WORD_S = 1.2
 """The same for what the zone has told, a little longer than a question is held."""
 RUN_S = 4.0
-"""How long answers in a row count after the last of them.  Each of hundreds of instances
-sees a request of a target in seconds only."""
+"""How long answers in a row count after the last of them.  Each of hundreds of
+instances sees a request of a target in seconds only."""
 TOLD_S = 2.0
 """What instances have told counts for so long: one that stands still tells nothing."""
 SETTLED_S = 5.0
--- a/endivepick/forwarding/fitness.py
+++ b/endivepick/forwarding/fitness.py
@@ -11,7 +11,12 @@
 see is added up by their feeder.
 """
 
-from endivepick.forwarding.actions import Effect, Reset, ResetReason
+from endivepick.forwarding.actions import (
+    Effect,
+    FaultConfirmed,
+    Reset,
+    ResetReason,
+)
 from endivepick.forwarding.belief import (
     Fitness,
     FitnessEvent,
@@ -87,6 +92,7 @@
         self._registry = registry
         self._flows = flows
         self._rests_s: dict[str, float] = {}
+        self._noted_faults: dict[str, set[ConfirmedFault]] = {}
         self._zone = ZoneReport(registry)
         self._samples = ServiceSamples(registry)
         self.requests = RequestCounter(flows, self._zone, self._stands_out)
@@ -197,6 +203,7 @@
                 counts.good = counts.failed = counts.poor = counts.late = 0.0
                 counts.poor_run = 0
                 self.requests.forget_callers(belief.name)
+                self._noted_faults.pop(belief.name, None)
                 event = FitnessEvent.RESTED
                 return [*self._registry.judge(belief, event, "rested", now_s)]
             case Fitness.IMPAIRED:
@@ -208,6 +215,7 @@
     def _forget(self, belief: TargetBelief) -> None:
         self.requests.forget(belief.name)
         self._rests_s.pop(belief.name, None)
+        self._noted_faults.pop(belief.name, None)
 
     def _against(
         self,
@@ -258,15 +266,7 @@
     ) -> list[Effect]:
         if not self._may_pass_over(belief):
             return []
-        reason = (
-            f"evidence {against:.1f}: {counts.failed:.1f} failed, {counts.poor:.1f} "
-            f"poor and {counts.late:.1f} late of {counts.total:.1f} here"
-        )
-        if told is not None:
-            reason += (
-                f", {told.failed:.1f}, {told.poor:.1f} and {told.late:.1f} of "
-                f"{told.total:.1f} at {told.instances} instances"
-            )
+        reason = f"evidence {against:.1f}: {_describe(counts, told)}"
         event = FitnessEvent.CONDEMNED
         changes = self._registry.judge(belief, event, reason, now_s)
         return [*changes, *self._reset_flows(belief, now_s)]
@@ -302,7 +302,7 @@
         fault = self._confirmed_fault(belief, now_s)
         if fault is ConfirmedFault.NONE:
             return []
-        effects: list[Effect] = []
+        effects = self._note_fault(belief, fault, now_s)
         for flow in self._flows.of_target(belief):
             if flow.busy_since_s is None and flow.opened:
                 effects += self._reset(flow)
@@ -310,6 +310,25 @@
                 effects += self._reset_overdue(flow)
         return effects
 
+    def _note_fault(
+        self, belief: TargetBelief, fault: ConfirmedFault, now_s: float
+    ) -> list[Effect]:
+        """Note each fault of a target once until it is tried again."""
+        noted = self._noted_faults.setdefault(belief.name, set())
+        if fault in noted:
+            return []
+        noted.add(fault)
+        told = self._zone.of(belief, now_s)
+        return [
+            FaultConfirmed(
+                belief.name,
+                belief.target.service,
+                fault,
+                _describe(belief.requests, told),
+                None if told is None else self._zone.told_before_s(now_s),
+            )
+        ]
+
     def _reset_overdue(self, flow: ObservedFlow) -> list[Effect]:
         """Reset a flow whose request may be tried elsewhere."""
         if flow.kind is not RouteKind.IDEMPOTENT:
@@ -335,6 +354,20 @@
         return confirmed_fault(counts, evidence, now_s)
 
 
+def _describe(counts: RequestCounts, told: TargetCounts | None) -> str:
+    """Return what was seen of a target's requests, in words for the log."""
+    text = (
+        f"{counts.failed:.1f} failed, {counts.poor:.1f} poor and {counts.late:.1f} "
+        f"late of {counts.total:.1f} here"
+    )
+    if told is not None:
+        text += (
+            f", {told.failed:.1f}, {told.poor:.1f} and {told.late:.1f} of "
+            f"{told.total:.1f} at {told.instances} instances"
+        )
+    return text
+
+
 def _is_proved(belief: TargetBelief, now_s: float) -> bool:
     """Whether a target that returns has had its trial."""
     tried_s = now_s - belief.fitness_since_s
--- a/endivepick/forwarding/tests/test_erring_targets.py
+++ b/endivepick/forwarding/tests/test_erring_targets.py
@@ -3,12 +3,14 @@
 import unittest
 
 from endivepick.forwarding import (
+    FaultConfirmed,
     Fitness,
     FitnessReport,
     Reset,
     ResetReason,
     merge_reports,
 )
+from endivepick.forwarding.confirmation import ConfirmedFault
 from endivepick.forwarding.fitness_reports import (
     POOR_OF_ONE,
     RESET_POOR,
@@ -126,6 +128,38 @@
         self.assertGreater(self.zone.flows_at("i-3"), 0)
 
 
+class TestLog(unittest.TestCase):
+    """Whoever looks for the cause of a reset finds what confirmed it."""
+
+    def test_a_fault_is_noted_once_before_the_flows_are_reset(self):
+        zone = Zone(instances=6)
+        zone.run_with_open_flows(6.0, PER_S)
+        core, effects = zone.cores[0], []
+        core.effects = effects_seen = KeptEffects(effects)
+        zone.behave = lambda name: ERROR if name == "i-3" else zone.usual(name)
+        zone.run_with_open_flows(3.0, PER_S)
+        self.assertIs(core.effects, effects_seen)
+        confirmed = [e for e in effects if isinstance(e, FaultConfirmed)]
+        self.assertEqual([e.fault for e in confirmed], [ConfirmedFault.ERRING])
+        self.assertEqual(confirmed[0].target, "i-3")
+        self.assertRegex(confirmed[0].reason, r"poor .* at \d+ instances")
+        self.assertLess(confirmed[0].told_before_s, 1.0)
+        resets = [n for n, e in enumerate(effects) if isinstance(e, Reset)]
+        self.assertLess(effects.index(confirmed[0]), resets[0])
+
+
+class KeptEffects(list):
+    """Effects that are still seen after the core's user has taken them out."""
+
+    def __init__(self, kept):
+        super().__init__()
+        self.kept = kept
+
+    def __iadd__(self, effects):
+        self.kept += effects
+        return super().__iadd__(effects)
+
+
 class TestLongAgo(unittest.TestCase):
     def test_short_answers_of_long_ago_are_not_told(self):
         zone = Zone()
--- a/endivepick/forwarding/zone_report.py
+++ b/endivepick/forwarding/zone_report.py
@@ -85,11 +85,15 @@
         """
         return ZoneEvidence(
             self.of(belief, now_s),
-            told_before_s=now_s - self._taken_s,
+            told_before_s=self.told_before_s(now_s),
             heard_instances=self._report.instances,
             callers=callers,
         )
 
+    def told_before_s(self, now_s: float) -> float:
+        """Return how old the newest report is, in seconds."""
+        return now_s - self._taken_s
+
     def _sample_services(self) -> dict[str, ServiceSample]:
         doubted: dict[str, list[TargetSums]] = {}
         for told in self._report.targets:
