Take the early resets for errors out again: they broke FLOW at hundreds of instances

Cause, shown in made-up time: "in a row" was counted at each instance, and a usual answer counted for 0.6 s. The log line fault_confirmed stays.

--- a/endivepick/forwarder/tests/test_decision_log.py
+++ b/endivepick/forwarder/tests/test_decision_log.py
@@ -12,9 +12,11 @@
     def line(self, told_before_s):
         reader = Reader()
         log = BoundedLog("a", reader.write)
-        reason = "0.0 failed, 6.0 poor and 0.0 late of 6.0 here"
+        reason = "6.0 failed, 0.0 poor and 0.0 late of 6.0 here"
         DecisionLog(log, ForwarderMetrics()).fault_confirmed(
-            FaultConfirmed("i-3", "notes", ConfirmedFault.ERRING, reason, told_before_s)
+            FaultConfirmed(
+                "i-3", "notes", ConfirmedFault.FAILING, reason, told_before_s
+            )
         )
         log.flush()
         (line,) = reader.events
@@ -23,9 +25,9 @@
     def test_the_line_names_the_fault_and_what_it_rests_on(self):
         line = self.line(0.25)
         self.assertEqual(line["event"], "fault_confirmed")
-        self.assertEqual(line["message"], "target: i-3 is erring")
-        self.assertEqual((line["target"], line["fault"]), ("i-3", "erring"))
-        self.assertIn("6.0 poor", line["reason"])
+        self.assertEqual(line["message"], "target: i-3 is failing")
+        self.assertEqual((line["target"], line["fault"]), ("i-3", "failing"))
+        self.assertIn("6.0 failed", line["reason"])
         self.assertEqual(line["told_before_s"], 0.25)
 
     def test_without_a_word_of_the_zone_its_age_is_none(self):
--- a/endivepick/forwarding/belief.py
+++ b/endivepick/forwarding/belief.py
@@ -151,11 +151,6 @@
         Up to when they have faded, in seconds.
     failed_s, poor_s : float
         When the last one of the kind was noted, in seconds.
-    poor_run : int
-        Requests answered poorly since one was answered as is usual.
-    serving_until_s : float
-        Until when the last usual answer shows that it serves some of its requests,
-        in seconds.
     """
 
     good: float = 0.0
@@ -165,8 +160,6 @@
     at_s: float = 0.0
     failed_s: float = float("-inf")
     poor_s: float = float("-inf")
-    poor_run: int = 0
-    serving_until_s: float = float("-inf")
 
     @property
     def bad_s(self) -> float:
--- a/endivepick/forwarding/confirmation.py
+++ b/endivepick/forwarding/confirmation.py
@@ -12,11 +12,7 @@
 
 from endivepick.forwarding.belief import RequestCounts, TargetBelief
 from endivepick.forwarding.comparison import LEAST_SHARE
-from endivepick.forwarding.fitness_reports import (
-    RESET_FAILED,
-    RESET_POOR,
-    TargetCounts,
-)
+from endivepick.forwarding.fitness_reports import RESET_FAILED, TargetCounts
 
 __all__ = [
     "SETTLED_S",
@@ -27,7 +23,6 @@
     "confirmed_fault",
     "is_fresh",
     "is_settled",
-    "recent_poor_run",
 ]
 
 FRESH_S = 1.2
@@ -35,9 +30,6 @@
 three seconds after a target has recovered at the latest."""
 FRESH_WORD_S = 1.2
 """The same for what the zone has told, a little longer than a question is held."""
-RUN_S = 4.0
-"""How long answers in a row count after the last of them.  Each of hundreds of
-instances sees a request of a target in seconds only."""
 TOLD_S = 2.0
 """What instances have told counts for so long: one that stands still tells nothing."""
 SETTLED_S = 5.0
@@ -62,15 +54,11 @@
         It answers, but most requests far later than others of its service do.
     FAILING
         It leaves requests unanswered.
-    ERRING
-        It answers all requests with errors.  One that is overrun does not: it refuses
-        what its queue has no place for, and serves the rest.
     """
 
     NONE = "none"
     SLOW = "slow"
     FAILING = "failing"
-    ERRING = "erring"
 
 
 class ZoneEvidence(Struct, frozen=True):
@@ -111,12 +99,9 @@
     told = evidence.told
     if told is not None and _agree(told, evidence):
         failing, slow = told.sure, told.sure_overdue
-        erring = 0 if told.serving else told.poor_run
         seen: RequestCounts | TargetCounts = told
     elif _is_sure_alone(counts, evidence, now_s):
         failing, slow = counts.failed, counts.overdue
-        # One of many instances sees too little to know that nobody is served.
-        erring = 0
         seen = counts
     else:
         return ConfirmedFault.NONE
@@ -124,8 +109,6 @@
         return ConfirmedFault.FAILING
     if slow >= RESET_FAILED and seen.overdue >= MOSTLY_OVERDUE * seen.total:
         return ConfirmedFault.SLOW
-    if erring >= RESET_POOR:
-        return ConfirmedFault.ERRING
     return ConfirmedFault.NONE
 
 
@@ -140,11 +123,6 @@
     return now_s - counts.bad_s <= FRESH_S
 
 
-def recent_poor_run(counts: RequestCounts, now_s: float) -> int:
-    """Return how many requests in a row were answered poorly, up to just now."""
-    return counts.poor_run if now_s - counts.poor_s <= RUN_S else 0
-
-
 def _agree(told: TargetCounts, evidence: ZoneEvidence) -> bool:
     """Whether several instances see requests fail now, and most were heard.
 
--- a/endivepick/forwarding/fitness.py
+++ b/endivepick/forwarding/fitness.py
@@ -31,7 +31,6 @@
     confirmed_fault,
     is_fresh,
     is_settled,
-    recent_poor_run,
 )
 from endivepick.forwarding.fitness_reports import (
     LEAST_TOLD,
@@ -145,8 +144,6 @@
                 instances=int(belief.requests.bad >= LEAST_TOLD),
                 fresh=int(is_fresh(belief.requests, now_s)),
                 late=round(belief.requests.late, 1),
-                poor_run=recent_poor_run(belief.requests, now_s),
-                serving=int(now_s <= belief.requests.serving_until_s),
             )
             for belief in doubted[:MOST_TOLD]
         ]
@@ -201,7 +198,6 @@
                 return [*self._registry.judge(belief, event, "tried", now_s)]
             case Fitness.IMPAIRED if self._has_rested(belief, now_s):
                 counts.good = counts.failed = counts.poor = counts.late = 0.0
-                counts.poor_run = 0
                 self.requests.forget_callers(belief.name)
                 self._noted_faults.pop(belief.name, None)
                 event = FitnessEvent.RESTED
@@ -296,8 +292,9 @@
     def _reset_flows(self, belief: TargetBelief, now_s: float) -> list[Effect]:
         """Reset flows of a target that surely does not serve what comes on them.
 
-        A slow or erring one still answers what it has begun, so only idle flows leave
-        it.
+        Not for answers that are short: a target that refuses requests since it is
+        overrun, as one that has just started, answers like one that errs.  A slow one
+        still answers what it has begun, so only idle flows leave it.
         """
         fault = self._confirmed_fault(belief, now_s)
         if fault is ConfirmedFault.NONE:
--- a/endivepick/forwarding/fitness_reports.py
+++ b/endivepick/forwarding/fitness_reports.py
@@ -32,10 +32,6 @@
 FAILED_OF_ONE = 1.5
 """Those of them that one instance's word counts for at the most.  With more, a single
 failure elsewhere would confirm what an instance with a fault of its own says."""
-RESET_POOR = 6
-"""Requests in a row that are answered poorly before its flows are reset."""
-POOR_OF_ONE = 3
-"""Those of them that one instance's word counts for at the most."""
 
 
 class TargetCounts(RequestSums, Struct, frozen=True, array_like=True):
@@ -59,11 +55,6 @@
         Failed requests, of each instance `FAILED_OF_ONE` at the most.
     sure_overdue : float
         As ``sure``, of requests that failed or were late.
-    poor_run : int
-        Requests answered poorly since one was answered as is usual, of each instance
-        `POOR_OF_ONE` at the most.
-    serving : int
-        Instances that saw a usual answer just now.
     """
 
     name: str
@@ -77,8 +68,6 @@
     sure: float = 0.0
     late: float = 0.0
     sure_overdue: float = 0.0
-    poor_run: int = 0
-    serving: int = 0
 
 
 class ServiceCounts(Struct, frozen=True, array_like=True):
@@ -230,7 +219,7 @@
     counts = (
         *(told.good, told.failed, told.poor),
         *(told.instances, told.reporting, told.fresh, told.sure),
-        *(told.late, told.sure_overdue, told.poor_run, told.serving),
+        *(told.late, told.sure_overdue),
     )
     return all(0 <= count <= MOST_COUNTED for count in counts)
 
@@ -249,8 +238,6 @@
         sure=min(told.failed, FAILED_OF_ONE),
         late=told.late * share,
         sure_overdue=min(told.overdue, FAILED_OF_ONE),
-        poor_run=min(told.poor_run, POOR_OF_ONE),
-        serving=min(told.serving, 1),
     )
 
 
@@ -267,6 +254,4 @@
         sure=first.sure + second.sure,
         late=first.late + second.late,
         sure_overdue=first.sure_overdue + second.sure_overdue,
-        poor_run=first.poor_run + second.poor_run,
-        serving=first.serving + second.serving,
     )
--- a/endivepick/forwarding/request_counter.py
+++ b/endivepick/forwarding/request_counter.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from endivepick.forwarding.awaited import AwaitedAnswers
-from endivepick.forwarding.belief import RequestCounts, TargetBelief
+from endivepick.forwarding.belief import TargetBelief
 from endivepick.forwarding.confirmation import SURE_CALLERS
 from endivepick.forwarding.flows import FlowTable, ObservedFlow
 from endivepick.forwarding.pauses import PauseWatch
@@ -14,12 +14,6 @@
 
 __all__ = ["RequestCounter"]
 
-SERVING_S = 0.6
-"""How long a usual answer shows that a target serves some of its requests."""
-SERVING_SHARE = 4.0
-"""The same as a multiple of the time after which a request is overdue: one that is
-overrun answers several requests in it, however long they take."""
-
 
 class RequestCounter:
     """Counts requests of each target as good, unanswered, short or late.
@@ -91,8 +85,6 @@
         counts = faded(flow.belief.requests, now_s)
         if late:
             counts.failed = max(0.0, counts.failed - 1.0)
-        if usual is not None and not short:
-            _note_usual_answer(counts, usual, now_s)
         if not (short and told_before):
             self._count_answer(flow, late, short, now_s)
         if not late or not self._stands_out(flow.belief, now_s):
@@ -136,7 +128,6 @@
         if short:
             counts.poor += 1.0
             counts.poor_s = now_s
-            counts.poor_run += 1
         elif late:
             counts.late += 1.0
         else:
@@ -157,7 +148,6 @@
         for belief in self.doubted.values():
             counts = belief.requests
             counts.failed = counts.poor = counts.late = 0.0
-            counts.poor_run = 0
 
     def _doubt(self, flow: ObservedFlow) -> None:
         name = flow.belief.name
@@ -165,11 +155,3 @@
         callers = self._callers.setdefault(name, set())
         if len(callers) < SURE_CALLERS:
             callers.add(flow.key.caller_host)
-
-
-def _note_usual_answer(
-    counts: RequestCounts, usual: UsualRequests, now_s: float
-) -> None:
-    """Note that a target serves, for as long as an overrun one takes to do it again."""
-    counts.poor_run = 0
-    counts.serving_until_s = now_s + max(SERVING_S, SERVING_SHARE * usual.overdue_s())
--- a/endivepick/forwarding/tests/test_fitness.py
+++ b/endivepick/forwarding/tests/test_fitness.py
@@ -205,6 +205,15 @@
         zone = self.failing((0.001, ERROR_BYTES), share=1.0)
         self.assertEqual(zone.condemned(), {"i-3"})
 
+    def test_flows_of_one_that_errs_are_left_to_it(self):
+        # It cannot be told from one that refuses since it is overrun.
+        zone = self.failing((0.001, ERROR_BYTES), instances=6, share=1.0, per_s=200.0)
+        self.assertEqual(zone.condemned(), {"i-3"})
+        for _ in range(12):
+            zone.ask_on_open_flows("i-3", 2)
+            zone.run(0.1, 100.0)
+        self.assertEqual(zone.resets, [])
+
     def test_flows_of_one_that_has_just_started_are_left_alone(self):
         # All instances open flows there at once; it queues, refuses, and is slow.
         zone = Zone(instances=12)
