Put back the tests that were rewritten as their faults left the list

Cause: five entries left KNOWN-RED.txt, or never came there, although their tests were made easier with the removal or their cause was only likely. An entry leaves when its test passes many times as it stood.

Change: the first forms are back: one burst of copies in test_between_owner_and_caller, flows opened as they come in TestHandOver, 6 s until the end of a bounded stop. What was added stays where it tests something else: copies until all run, and the given up owner. `open_held` only served the easier set-up and goes. The bounded stop tells in its error where flows were held; before, that was a check of its own.

Ruled out for now: the tests of misdirected requests.

--- a/endivepick/tests/promises/_planned.py
+++ b/endivepick/tests/promises/_planned.py
@@ -99,31 +99,6 @@
         after = self.flows_held(self.cluster.instances)
         return max(after, key=lambda name: after[name] - before[name])
 
-    def open_held(self, owner: str, service: str, number: int) -> list[Flow]:
-        """Open flows until so many are held by one instance; return these.
-
-        On a busy machine an instance may be suspected for a moment.  Flows that come
-        over those who suspect it are held elsewhere, as they should be.
-        """
-        flows: list[Flow] = []
-
-        def enough() -> bool:
-            if len(flows) < number:
-                flows.extend(self._open_where_held(owner, service))
-            return len(flows) >= number
-
-        wait(enough, f"{number} flows at {owner}")
-        return flows
-
-    def _open_where_held(self, owner: str, service: str) -> list[Flow]:
-        """Open a flow; return it if that instance holds it, and close it otherwise."""
-        before = self.flows_at(owner)
-        flow = self.open(service)
-        if self.flows_at(owner) > before:
-            return [flow]
-        flow.close()
-        return []
-
     def flows_held(self, names: Iterable[str]) -> dict[str, int]:
         """Return how many flows each of these instances holds."""
         return {name: self.flows_at(name) for name in names}
--- a/endivepick/tests/promises/test_point1_hand_over.py
+++ b/endivepick/tests/promises/test_point1_hand_over.py
@@ -37,7 +37,7 @@
     def setUp(self):
         super().setUp()
         self.owner = self.owner_of(SESSIONS)
-        self.flows = self.open_held(self.owner, SESSIONS, 8)
+        self.flows = [self.open(SESSIONS) for _ in range(8)]
         self.reader = self.stream(self.flows[0])
         self.assert_answered([self.send(flow) for flow in self.flows])
 
--- a/endivepick/tests/promises/test_point4_not_run_is_true.py
+++ b/endivepick/tests/promises/test_point4_not_run_is_true.py
@@ -102,6 +102,18 @@
         self.assertEqual(len(runs_and_ends), 12)
 
     def test_between_owner_and_caller(self):
+        caller = self.new_raw_caller()
+        flow = caller.open(EXPORTS)
+        requests = [caller.request(flow, work_ms=5) for _ in range(8)]
+        self.disturb_callers(loss=1.0)
+        caller.send(requests, copies=COPIES)
+        self.wait_running(request.echo for request in requests)
+        self.wait_idle()
+        self.disturb_callers(loss=0.0)
+        self.wait_words(caller, requests)
+        self.assert_promises()
+
+    def test_between_owner_and_caller_with_copies_until_all_run(self):
         caller = self.new_raw_caller()
         flow = caller.open(EXPORTS)
         requests = [caller.request(flow, work_ms=5) for _ in range(8)]
--- a/endivepick/tests/promises/test_point7_graceful_stop.py
+++ b/endivepick/tests/promises/test_point7_graceful_stop.py
@@ -113,10 +113,8 @@
 class TestBoundedStop(PlannedChangeTestCase):
     settings = replace(
         PlannedChangeTestCase.settings,
-        instance_settings={"flow": {"drain_timeout_s": 16.0}},
+        instance_settings={"flow": {"drain_timeout_s": 6.0}},
     )
-    """Requests are cut 3 s before the end; what the test does until then has to fit,
-    also where processes stand still for seconds."""
 
     def test_target_that_never_answers(self):
         name = self.owner_of(SESSIONS)
@@ -130,7 +128,6 @@
         repeatable = self.send(stuck[0], idempotent=True, deadline_s=60.0)
         self.wait_running([*works, repeatable])
         held = self.flows_held(self.cluster.instances)
-        self.assertGreaterEqual(held[name], len(quiet + stuck), held)
         process = self.cluster.instances[name].process
         # The callers miss the first word of the successor.
         in_thread(lambda: self.cluster.control_fabric(to_callers={"loss": 1.0}))
@@ -142,7 +139,7 @@
         wait(
             lambda: "2 of them" in process.error_tail(),
             "word of what is open",
-            process.error_tail,
+            lambda: (name, held, process.error_tail()),
         )
         self.finish_stop(name)
         self.start_missing()
