Hand packets to a holder that is suspected instead of dropping them

What callers saw: while an instance stood still for some tenths of a second, requests of its flows that came over other instances were dropped.

Cause: `PacketRouter` answered for a suspected holder and dropped the packet. Ruled out: an owner that was given up (no such line), packets lost in its socket.

Change: the packet is handed to the suspect too; the caller is told to come back as before. Only the holder of the window runs or refuses, so nothing new is promised. `holder_suspected` (debug) says it in the log.

--- a/endivepick/core/relay.py
+++ b/endivepick/core/relay.py
@@ -157,11 +157,17 @@
         self.flows_relayed.add(token.flow_id)
 
     def say_unreachable(
-        self, token: FlowToken, seq: int, caller: CallerAddress
+        self, token: FlowToken, holder: Identity, seq: int, caller: CallerAddress
     ) -> list[Action]:
         """Tell the caller to come back; promise nothing about the run."""
         packet = Unreachable(token.flow_id, token.binding, seq, SILENT_RETRY_MS)
-        return [SendToCaller(caller, packet), Count("owner_unreachable")]
+        ids = {"flow": token.flow_id, "binding": token.binding, "seq": seq}
+        text = "holder is suspected, caller told to come back"
+        return [
+            Log("relay", "holder_suspected", text, {**ids, "peer": holder.name}),
+            SendToCaller(caller, packet),
+            Count("owner_unreachable"),
+        ]
 
     def reissue_after_loss(
         self, token: FlowToken, caller: CallerAddress, now_s: float
--- a/endivepick/core/router.py
+++ b/endivepick/core/router.py
@@ -120,9 +120,14 @@
             case Holder(identity=identity):
                 self._relay.note_flow(token)
                 return self._relay.forward(identity, caller, hops, datagram)
-            case HolderSilent():
+            case HolderSilent(identity=identity):
+                # A suspect may be alive and runs or refuses what it gets; a packet that
+                # is dropped here is lost if the caller does not hear the answer.
+                self._relay.note_flow(token)
+                forwarded = self._relay.forward(identity, caller, hops, datagram)
                 seq = getattr(packet, "seq", 0)
-                return self._relay.say_unreachable(token, seq, caller)
+                told = self._relay.say_unreachable(token, identity, seq, caller)
+                return forwarded + told
             case HolderLost():
                 return self._relay.reissue_after_loss(token, caller, now_s)
 
--- a/endivepick/core/tests/test_router.py
+++ b/endivepick/core/tests/test_router.py
@@ -2,7 +2,7 @@
 
 from endivepick.core.actions import SendToPeer
 from endivepick.core.flow_table import Identity
-from endivepick.core.messages import Reissued, Renew
+from endivepick.core.messages import Reissued, Renew, Unreachable
 from endivepick.core.relay import Relay
 from endivepick.core.router import PacketRouter
 from endivepick.core.tests._fixture import CALLER, NOW_S, OwnerFixture, packets
@@ -13,6 +13,7 @@
 
     def __init__(self) -> None:
         self.dead: set[Identity] = set()
+        self.suspects: set[str] = set()
         self.successors: dict[int, Identity] = {}
 
     def ready_names(self) -> tuple[str, ...]:
@@ -22,7 +23,7 @@
         return "z1"
 
     def is_silent(self, name: str) -> bool:
-        return False
+        return name in self.suspects
 
     def is_incarnation_dead(self, name: str, incarnation: int) -> bool:
         return Identity(name, incarnation) in self.dead
@@ -63,6 +64,13 @@
     def test_goes_to_its_taker(self):
         self.assertEqual(self.receivers(), ["b"])
 
+    def test_goes_to_its_taker_also_while_that_one_is_suspected(self):
+        """A suspect that is alive does what is asked, whatever its caller hears."""
+        self.peers.suspects.add(self.taker.name)
+        self.assertEqual(self.receivers(), ["b"])
+        [told] = packets(self.route(), Unreachable)
+        self.assertEqual(told.retry_after_ms, 300)
+
     def test_goes_to_the_last_holder_once_its_taker_has_left_too(self):
         self.peers.dead.add(self.taker)
         self.peers.successors[self.taker.incarnation] = Identity("c", 3)
--- a/endivepick/daemon/metrics.py
+++ b/endivepick/daemon/metrics.py
@@ -25,7 +25,7 @@
     ),
     "packets_dropped": ("reason", "Datagrams dropped, by reason."),
     "packets_relayed": ("reason", "Datagrams handed to the owner of their flow."),
-    "owner_unreachable": ("reason", "Datagrams whose owner could not be reached."),
+    "owner_unreachable": ("reason", "Datagrams handed to a suspected owner."),
     "flows_opened": ("service", "Flows opened, by service."),
     "opens_refused": ("reason", "Flows not opened, by reason."),
     "flows_reissued": (
--- a/endivepick/daemon/performer.py
+++ b/endivepick/daemon/performer.py
@@ -34,7 +34,13 @@
 __all__ = ["Performer", "PerformerTasks"]
 
 _DEBUG_EVENTS = frozenset(
-    {"request_accepted", "attempt_started", "request_answered", "transfer_sent"}
+    {
+        "request_accepted",
+        "holder_suspected",
+        "attempt_started",
+        "request_answered",
+        "transfer_sent",
+    }
 )
 
 
--- a/endivepick/model/_flow_mutants.py
+++ b/endivepick/model/_flow_mutants.py
@@ -40,7 +40,7 @@
     """A relay that says "not run" when it cannot reach the owner."""
 
     def say_unreachable(
-        self, token: FlowToken, seq: int, caller: CallerAddress
+        self, token: FlowToken, holder: Identity, seq: int, caller: CallerAddress
     ) -> list[Action]:
         """Refuse in the owner's place."""
         refused = Refused(token.flow_id, token.binding, seq, "unreachable", 0)
--- a/endivepick/tests/promises/_disturbed.py
+++ b/endivepick/tests/promises/_disturbed.py
@@ -214,10 +214,17 @@
 
     def wait_given_up(self, name: str) -> None:
         """Wait until all others have given an instance up."""
+        self._wait_seen(name, "dead")
+
+    def wait_suspected(self, name: str) -> None:
+        """Wait until all others suspect an instance."""
+        self._wait_seen(name, "suspect")
+
+    def _wait_seen(self, name: str, state: str) -> None:
         others = self.others(name)
         wait(
-            lambda: all(self._sees(other, name, "dead") for other in others),
-            f"{name} to be given up",
+            lambda: all(self._sees(other, name, state) for other in others),
+            f"{name} to be {state}",
         )
 
     def _sees(self, name: str, peer_name: str, state: str) -> bool:
@@ -355,6 +362,21 @@
 
         wait(all_have_one, "a word about requests")
 
+    def wait_relayed(self, requests: Iterable[RawRequest]) -> None:
+        """Wait until a relay that suspects the owner has had each request."""
+        wanted = {(f"{request.flow.flow_id:016x}", request.seq) for request in requests}
+        logs = [instance.log for instance in self.cluster.instances.values()]
+
+        def all_seen() -> bool:
+            lines = [line for path in logs for line in read_lines(path)]
+            return wanted <= {
+                (line["flow"], line["seq"])
+                for line in lines
+                if line.get("event") == "holder_suspected"
+            }
+
+        wait(all_seen, "relays to have the requests")
+
     def wait_idle(self) -> None:
         """Wait until no target and no owner has anything left to do."""
         wait(self._is_idle, "all work to end")
--- a/endivepick/tests/promises/test_point4_not_run_is_true.py
+++ b/endivepick/tests/promises/test_point4_not_run_is_true.py
@@ -9,6 +9,7 @@
 from endivepick.tests.promises._waiting import wait
 
 COPIES = 5
+_SUSPICION_ENDS = ("suspect_min_s", "suspect_max_s", "mass_dead_after_s")
 
 
 class TestCopies(DisturbedTestCase):
@@ -145,5 +146,35 @@
         self.assert_promises()
 
 
+class TestOwnerSuspected(DisturbedTestCase):
+    """An owner that stood still is suspected for long, and not given up."""
+
+    settings = replace(
+        DisturbedTestCase.settings,
+        instance_settings=DisturbedTestCase.settings.instance_settings
+        | {"membership": dict.fromkeys(_SUSPICION_ENDS, 60.0)},
+    )
+
+    def test_requests_over_relays_run_although_no_answer_is_heard(self):
+        """Relays dropped the packets of a flow while they suspected its owner."""
+        owner = self.owner_of(EXPORTS)
+        caller = self.new_raw_caller()
+        flow = caller.open(EXPORTS)
+        requests = [caller.request(flow, work_ms=5) for _ in range(8)]
+        self.cluster.freeze_instance(owner)
+        self.wait_suspected(owner)
+        self.disturb_callers(loss=1.0)
+        self.spray(self.others(owner))
+        caller.send(requests)
+        self.wait_relayed(requests)
+        self.cluster.thaw_instance(owner)
+        self.wait_running(request.echo for request in requests)
+        self.wait_idle()
+        self.spray(None)
+        self.disturb_callers(loss=0.0)
+        self.wait_words(caller, requests)
+        self.assert_promises()
+
+
 if __name__ == "__main__":
     unittest.main()
