--- a/endivepick/core/member_actions.py
+++ b/endivepick/core/member_actions.py
@@ -9,6 +9,8 @@
     LeaveRequested,
     PeerChanged,
     PeerState,
+    ProbeAnsweredLate,
+    ProbeFailed,
     Send,
     SendToSeed,
     Superseded,
@@ -65,6 +67,12 @@
                 return [_describe(old, new), *self._on_changed(now_s)]
             case LeaveRequested() | Superseded():
                 return self.translate(self._on_leave(now_s), now_s)
+            case ProbeFailed():
+                return [_describe_failure(action)]
+            case ProbeAnsweredLate(name=name, waited_s=waited_s):
+                ids = {"peer": name, "waited_s": round(waited_s, 3)}
+                text = "answer to a failed probe came"
+                return [Log("membership", "probe_answered_late", text, ids)]
             case MembershipLog(text=text, peer=peer):
                 return [Log("membership", "membership", text, {"peer": peer})]
             case _:
@@ -77,6 +85,17 @@
     return new.incarnation != old.incarnation
 
 
+def _describe_failure(failure: ProbeFailed) -> Action:
+    ids = {
+        "peer": failure.name,
+        "waited_s": round(failure.waited_s, 3),
+        "longest_gap_s": round(failure.longest_gap_s, 3),
+        "helpers": failure.helpers,
+        "reports": failure.reports,
+    }
+    return Log("membership", "probe_failed", "probe got no answer in time", ids)
+
+
 def _describe(old: InstanceView | None, new: InstanceView | None) -> Action:
     view = new or old
     assert view is not None
--- a/endivepick/daemon/peers.py
+++ b/endivepick/daemon/peers.py
@@ -227,6 +227,8 @@
             self._dealer(name, address).send(data, zmq.NOBLOCK)
         except zmq.Again:
             self._note_failure(name)
+            kind = type(message).__name__
+            _log.debug("message_not_sent", "no connection", peer=name, kind=kind)
             return False
         self._links[name].failing_since_s = 0.0
         self.traffic.messages_sent += 1
--- a/endivepick/membership/_prober.py
+++ b/endivepick/membership/_prober.py
@@ -8,6 +8,7 @@
 from endivepick.membership._member import Member
 from endivepick.membership._outbox import Outbox
 from endivepick.membership._table import MemberTable
+from endivepick.membership.actions import ProbeAnsweredLate, ProbeFailed
 from endivepick.membership.peer_messages import (
     Ack,
     Liveness,
@@ -21,6 +22,8 @@
 
 _URGENT_COUNT = 64
 _RELAYED_COUNT = 256
+_FAILED_COUNT = 64
+"""Failed probes whose late answers are told."""
 
 
 @dataclass(slots=True)
@@ -34,6 +37,8 @@
     helpers: int = 0
     reports: int = 0
     asked: bool = False
+    longest_gap_s: float = 0.0
+    """Longest time between two ticks since it was sent, in seconds."""
 
 
 class Prober:
@@ -51,6 +56,7 @@
         self._departed = departed
         self._outbox = outbox
         self._probes: dict[int, _Probe] = {}
+        self._failed: dict[int, _Probe] = {}
         # Answers to an earlier process of this name must fit no probe of this one.
         self._first_sequence = table.own.incarnation >> 3
         self._sequence = self._first_sequence
@@ -60,6 +66,7 @@
         self._dead_round: deque[str] = deque()
         self._next_probe_s = float("-inf")
         self._next_dead_s = float("-inf")
+        self._ticked_s = float("inf")
 
     def restart(self, now_s: float) -> None:
         """Forget the open probes, after a pause."""
@@ -81,6 +88,7 @@
         bool
             Whether a new period began.
         """
+        self._note_gap(now_s)
         self._follow_up(now_s, random_number)
         if self._urgent:
             self._probe_or_repeat(now_s, self._urgent.popleft())
@@ -94,6 +102,13 @@
             self._probe_dead(now_s, random_number)
         return True
 
+    def _note_gap(self, now_s: float) -> None:
+        """Keep how long this instance itself did nothing while probes were open."""
+        for probe in self._probes.values():
+            gap_s = now_s - max(self._ticked_s, probe.sent_s)
+            probe.longest_gap_s = max(probe.longest_gap_s, gap_s)
+        self._ticked_s = now_s
+
     def _probe_or_repeat(self, now_s: float, name: str) -> None:
         """Probe a peer, or send open probes again: a new link loses the first."""
         open_probes = [(s, p) for s, p in self._probes.items() if p.name == name]
@@ -218,7 +233,7 @@
             waited_s = now_s - probe.sent_s
             if waited_s >= deadline_s:
                 del self._probes[sequence]
-                self._fail(now_s, probe)
+                self._fail(now_s, sequence, probe)
             elif waited_s >= timeout_s and not probe.asked:
                 probe.asked = True
                 self._ask_others(sequence, probe, random_number)
@@ -242,7 +257,7 @@
         own = self._table.own.name
         return [n for n in self._table.live_names if n not in (name, own)]
 
-    def _fail(self, now_s: float, probe: _Probe) -> None:
+    def _fail(self, now_s: float, sequence: int, probe: _Probe) -> None:
         member = self._table.members.get(probe.name)
         if member is not None:
             member.introduced_refutation = -1
@@ -251,10 +266,25 @@
             return
         if probe.name in self._table.dead:
             return
+        self._note_failed(now_s, sequence, probe)
         if probe.reports < probe.helpers:
             self._table.health.worsen()
         self._table.suspect(now_s, probe.name, self._table.own.name)
 
+    def _note_failed(self, now_s: float, sequence: int, probe: _Probe) -> None:
+        self._failed[sequence] = probe
+        if len(self._failed) > _FAILED_COUNT:
+            del self._failed[next(iter(self._failed))]
+        self._outbox.add(
+            ProbeFailed(
+                name=probe.name,
+                waited_s=now_s - probe.sent_s,
+                longest_gap_s=probe.longest_gap_s,
+                helpers=probe.helpers,
+                reports=probe.reports,
+            )
+        )
+
     def _report(self, probe: _Probe, reached: bool) -> None:
         update = self._table.update_of(probe.name)
         updates = [update] if reached and update is not None else []
@@ -282,6 +312,9 @@
 
     def on_ack(self, now_s: float, sender: str, incarnation: int, ack: Ack) -> None:
         """Take the answer to a probe."""
+        late = self._failed.pop(ack.sequence, None)
+        if late is not None and late.name == sender:
+            self._outbox.add(ProbeAnsweredLate(sender, now_s - late.sent_s))
         probe = self._probes.get(ack.sequence)
         member = self._table.members.get(sender)
         if probe is None or probe.name != sender or member is None:
--- a/endivepick/membership/actions.py
+++ b/endivepick/membership/actions.py
@@ -10,6 +10,8 @@
     "LeaveRequested",
     "Log",
     "PeerChanged",
+    "ProbeAnsweredLate",
+    "ProbeFailed",
     "Send",
     "SendToSeed",
     "Superseded",
@@ -98,4 +100,53 @@
     peer: str = ""
 
 
-Action = Send | SendToSeed | PeerChanged | Superseded | LeaveRequested | Log
+@dataclass(frozen=True)
+class ProbeFailed:
+    """A probe of this instance got no answer in time.
+
+    Attributes
+    ----------
+    name : str
+        The peer.
+    waited_s : float
+        Time since the probe was sent, in seconds.
+    longest_gap_s : float
+        Longest time between two ticks of this instance meanwhile, in seconds: if it
+        is long, this instance was late rather than the peer.
+    helpers, reports : int
+        Peers that were asked to probe as well, and those that have answered.
+    """
+
+    name: str
+    waited_s: float
+    longest_gap_s: float
+    helpers: int
+    reports: int
+
+
+@dataclass(frozen=True)
+class ProbeAnsweredLate:
+    """The answer to a failed probe has come.
+
+    Attributes
+    ----------
+    name : str
+        The peer.
+    waited_s : float
+        Time since the probe was sent, in seconds.
+    """
+
+    name: str
+    waited_s: float
+
+
+Action = (
+    Send
+    | SendToSeed
+    | PeerChanged
+    | ProbeAnsweredLate
+    | ProbeFailed
+    | Superseded
+    | LeaveRequested
+    | Log
+)
