Repeat the answer to a probe whose connection was not up

What callers saw: right after a start a relay suspected a living instance for some tenths of a second and passed openings to the next one, so that flows of one service were held at two instances.

Cause: an answer goes over the answering instance's own connection, which may not be up when the first probe comes; the answer was dropped (`message_not_sent kind=Ack`), and nothing repeated it: the prober's own send had succeeded. 0.25 to 0.3 s later it suspected the instance (`probe_failed`, own gaps 0.05 s, no late answer), as had been done for lost probes before.

Change: the membership keeps the last answer to each peer and sends it again with the next tick when it hears that a message to that peer was not sent.

--- a/endivepick/membership/_prober.py
+++ b/endivepick/membership/_prober.py
@@ -41,6 +41,14 @@
     """Longest time between two ticks since it was sent, in seconds."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """The last answer that was sent to a peer."""
+
+    sequence: int
+    sent_s: float
+
+
 class Prober:
     """Starts probes, answers them, and suspects peers that don't answer."""
 
@@ -57,6 +65,8 @@
         self._outbox = outbox
         self._probes: dict[int, _Probe] = {}
         self._failed: dict[int, _Probe] = {}
+        self._answers: dict[str, _Answer] = {}
+        self._unsent_answers: dict[str, _Answer] = {}
         # Answers to an earlier process of this name must fit no probe of this one.
         self._first_sequence = table.own.incarnation >> 3
         self._sequence = self._first_sequence
@@ -78,6 +88,16 @@
         if name not in self._urgent:
             self._urgent.append(name)
 
+    def answer_again(self, name: str) -> None:
+        """Repeat the last answer to a peer with the next tick.
+
+        The connection to a peer that was just found may not be up when the first
+        answer is sent.  The peer would suspect this instance, whose answer it lost.
+        """
+        answer = self._answers.get(name)
+        if answer is not None:
+            self._unsent_answers[name] = answer
+
     # Time
 
     def tick(self, now_s: float, random_number: int) -> bool:
@@ -90,6 +110,7 @@
         """
         self._note_gap(now_s)
         self._follow_up(now_s, random_number)
+        self._repeat_answers(now_s)
         if self._urgent:
             self._probe_or_repeat(now_s, self._urgent.popleft())
         if now_s < self._next_probe_s:
@@ -109,6 +130,17 @@
             probe.longest_gap_s = max(probe.longest_gap_s, gap_s)
         self._ticked_s = now_s
 
+    def _repeat_answers(self, now_s: float) -> None:
+        """Send answers again whose probes may still be open at their senders."""
+        settings = self._settings
+        oldest_s = now_s - settings.probe_deadline_s * (1 + settings.health_max)
+        unsent, self._unsent_answers = self._unsent_answers, {}
+        for name, answer in unsent.items():
+            if answer.sent_s >= oldest_s:
+                self._send_ack(
+                    now_s, name, answer.sequence, [self._table.own.to_update()]
+                )
+
     def _probe_or_repeat(self, now_s: float, name: str) -> None:
         """Probe a peer, or send open probes again: a new link loses the first."""
         open_probes = [(s, p) for s, p in self._probes.items() if p.name == name]
@@ -303,12 +335,18 @@
         if known != (own.incarnation, own.refutation):
             updates.append(own.to_update())
         member = self._table.members.get(sender)
-        news = self._news(updates, member)
         if member and member.heard and member.incarnation != incarnation:
-            news.append(member.to_update())
+            updates.append(member.to_update())
+        self._answers[sender] = _Answer(ping.sequence, now_s)
+        self._send_ack(now_s, sender, ping.sequence, updates)
+
+    def _send_ack(
+        self, now_s: float, name: str, sequence: int, updates: list[MemberUpdate]
+    ) -> None:
+        news = self._news(updates, self._table.members.get(name))
         handed_over = self._departed.take_news(now_s, self._settings.piggyback_count)
-        short = self._table.take_short()
-        self._outbox.send(sender, Ack(ping.sequence, news, handed_over, short))
+        ack = Ack(sequence, news, handed_over, self._table.take_short())
+        self._outbox.send(name, ack)
 
     def on_ack(self, now_s: float, sender: str, incarnation: int, ack: Ack) -> None:
         """Take the answer to a probe."""
--- a/endivepick/membership/core.py
+++ b/endivepick/membership/core.py
@@ -197,10 +197,11 @@
         return self._outbox.drain()
 
     def direct_failure(self, now_s: float, name: str) -> list[Action]:
-        """Take evidence of a failed send: the peer is probed next."""
+        """Take evidence of a failed send: the peer is probed, and answered again."""
         self._enter(now_s)
         if name in self._table.members and name not in self._table.dead:
             self._prober.hurry(name)
+            self._prober.answer_again(name)
         return self._outbox.drain()
 
     def set_ready(self, now_s: float) -> list[Action]:
--- a/endivepick/membership/tests/test_detection.py
+++ b/endivepick/membership/tests/test_detection.py
@@ -91,6 +91,24 @@
         self.assertEqual(len(lost), 8)
         self.assertEqual(count_of(loop, PeerChanged), before)
 
+    def test_answer_is_sent_again_when_its_link_was_not_up(self):
+        """A living instance was suspected: it could not answer the first probe."""
+        loop = started(2)
+        node = loop.nodes["entry-0"]
+        before = count_of(loop, PeerChanged)
+        for _ in range(40):
+            loop.run(1.01)
+            link_is_up_s = loop.now_s + 0.1
+
+            def has_no_link(sender, receiver, up_s=link_is_up_s):
+                missing = sender == "entry-0" and loop.now_s < up_s
+                if missing:
+                    loop.carry_out(sender, node.direct_failure(loop.now_s, receiver))
+                return missing
+
+            loop.is_cut = has_no_link
+        self.assertEqual(count_of(loop, PeerChanged), before)
+
     def test_lost_rack_is_dropped_and_the_rest_stay(self):
         loop = started(12)
         for name in ("entry-0", "entry-3", "entry-6", "entry-9"):
