Give the first probe of an incarnation time to set up its connections

Cause: a probe failed 0.25 s after it was made, also when it was made before any connection to the peer was up; on a busy machine the connections of both sides and their encryption take longer. Evidence: in 4 of 9 starts beside 12 busy processes `probe_failed` with own gaps of 0.10 s, after `message_not_sent kind=Ping` to the same peer; one answer came 0.026 s after the verdict.

Change: a probe of an incarnation that has never answered fails after `first_contact_s` (1 s); whoever has answered once is judged as before, so the detection of instances that serve takes no longer. `probe_failed` also says when the peer answered last.

Test: test_first_contact_may_take_longer_than_a_probe, before both instances were suspected. Names of the two new actions say that they are about peers: targets have a ProbeFailed of their own.

--- a/endivepick/core/member_actions.py
+++ b/endivepick/core/member_actions.py
@@ -1,6 +1,7 @@
 """Translation of the membership's actions into those of the core."""
 
 from collections.abc import Callable, Iterable
+from math import isinf
 
 from endivepick.core.actions import Action, Log, SendToAddress, SendToPeer
 from endivepick.membership import Action as MembershipAction
@@ -8,9 +9,9 @@
     InstanceView,
     LeaveRequested,
     PeerChanged,
+    PeerProbeAnsweredLate,
+    PeerProbeFailed,
     PeerState,
-    ProbeAnsweredLate,
-    ProbeFailed,
     Send,
     SendToSeed,
     Superseded,
@@ -67,9 +68,9 @@
                 return [_describe(old, new), *self._on_changed(now_s)]
             case LeaveRequested() | Superseded():
                 return self.translate(self._on_leave(now_s), now_s)
-            case ProbeFailed():
+            case PeerProbeFailed():
                 return [_describe_failure(action)]
-            case ProbeAnsweredLate(name=name, waited_s=waited_s):
+            case PeerProbeAnsweredLate(name=name, waited_s=waited_s):
                 ids = {"peer": name, "waited_s": round(waited_s, 3)}
                 text = "answer to a failed probe came"
                 return [Log("membership", "probe_answered_late", text, ids)]
@@ -85,17 +86,23 @@
     return new.incarnation != old.incarnation
 
 
-def _describe_failure(failure: ProbeFailed) -> Action:
+def _describe_failure(failure: PeerProbeFailed) -> Action:
     ids = {
         "peer": failure.name,
         "waited_s": round(failure.waited_s, 3),
         "longest_gap_s": round(failure.longest_gap_s, 3),
+        "answered_before_s": _rounded_or_none(failure.answered_before_s),
         "helpers": failure.helpers,
         "reports": failure.reports,
     }
     return Log("membership", "probe_failed", "probe got no answer in time", ids)
 
 
+def _rounded_or_none(time_s: float) -> float | None:
+    """Round a time for the log, which has no infinite numbers."""
+    return None if isinf(time_s) else round(time_s, 3)
+
+
 def _describe(old: InstanceView | None, new: InstanceView | None) -> Action:
     view = new or old
     assert view is not None
--- a/endivepick/membership/_member.py
+++ b/endivepick/membership/_member.py
@@ -65,6 +65,11 @@
         """The incarnation is known."""
         return self.incarnation != 0
 
+    @property
+    def has_answered(self) -> bool:
+        """Whether the incarnation has answered a probe of this instance."""
+        return self.last_ack_s > float("-inf")
+
     @property
     def accused(self) -> bool:
         """Others found the incarnation suspect or dead, which it may refute."""
--- a/endivepick/membership/_prober.py
+++ b/endivepick/membership/_prober.py
@@ -8,7 +8,7 @@
 from endivepick.membership._member import Member
 from endivepick.membership._outbox import Outbox
 from endivepick.membership._table import MemberTable
-from endivepick.membership.actions import ProbeAnsweredLate, ProbeFailed
+from endivepick.membership.actions import PeerProbeAnsweredLate, PeerProbeFailed
 from endivepick.membership.peer_messages import (
     Ack,
     Liveness,
@@ -258,18 +258,25 @@
         return updates + self._table.take_news(self._settings.piggyback_count)
 
     def _follow_up(self, now_s: float, random_number: int) -> None:
-        factor = self._table.health.multiplier
-        deadline_s = self._settings.probe_deadline_s * factor
-        timeout_s = self._settings.probe_timeout_s * factor
+        timeout_s = self._settings.probe_timeout_s * self._table.health.multiplier
         for sequence, probe in list(self._probes.items()):
             waited_s = now_s - probe.sent_s
-            if waited_s >= deadline_s:
+            if waited_s >= self._deadline_s(probe):
                 del self._probes[sequence]
                 self._fail(now_s, sequence, probe)
             elif waited_s >= timeout_s and not probe.asked:
                 probe.asked = True
                 self._ask_others(sequence, probe, random_number)
 
+    def _deadline_s(self, probe: _Probe) -> float:
+        settings = self._settings
+        deadline_s = settings.probe_deadline_s * self._table.health.multiplier
+        member = self._table.members.get(probe.name)
+        if member is None or member.has_answered:
+            return deadline_s
+        # A living peer must not be suspected while connections to it are set up.
+        return max(deadline_s, settings.first_contact_s)
+
     def _ask_others(self, sequence: int, probe: _Probe, random_number: int) -> None:
         if probe.requester or probe.name in self._table.dead:
             return
@@ -296,22 +303,25 @@
         if probe.requester:
             self._report(probe, reached=False)
             return
-        if probe.name in self._table.dead:
+        if member is None or probe.name in self._table.dead:
             return
-        self._note_failed(now_s, sequence, probe)
+        self._note_failed(now_s, sequence, probe, member)
         if probe.reports < probe.helpers:
             self._table.health.worsen()
         self._table.suspect(now_s, probe.name, self._table.own.name)
 
-    def _note_failed(self, now_s: float, sequence: int, probe: _Probe) -> None:
+    def _note_failed(
+        self, now_s: float, sequence: int, probe: _Probe, member: Member
+    ) -> None:
         self._failed[sequence] = probe
         if len(self._failed) > _FAILED_COUNT:
             del self._failed[next(iter(self._failed))]
         self._outbox.add(
-            ProbeFailed(
+            PeerProbeFailed(
                 name=probe.name,
                 waited_s=now_s - probe.sent_s,
                 longest_gap_s=probe.longest_gap_s,
+                answered_before_s=now_s - member.last_ack_s,
                 helpers=probe.helpers,
                 reports=probe.reports,
             )
@@ -352,7 +362,7 @@
         """Take the answer to a probe."""
         late = self._failed.pop(ack.sequence, None)
         if late is not None and late.name == sender:
-            self._outbox.add(ProbeAnsweredLate(sender, now_s - late.sent_s))
+            self._outbox.add(PeerProbeAnsweredLate(sender, now_s - late.sent_s))
         probe = self._probes.get(ack.sequence)
         member = self._table.members.get(sender)
         if probe is None or probe.name != sender or member is None:
--- a/endivepick/membership/actions.py
+++ b/endivepick/membership/actions.py
@@ -10,8 +10,8 @@
     "LeaveRequested",
     "Log",
     "PeerChanged",
-    "ProbeAnsweredLate",
-    "ProbeFailed",
+    "PeerProbeAnsweredLate",
+    "PeerProbeFailed",
     "Send",
     "SendToSeed",
     "Superseded",
@@ -101,7 +101,7 @@
 
 
 @dataclass(frozen=True)
-class ProbeFailed:
+class PeerProbeFailed:
     """A probe of this instance got no answer in time.
 
     Attributes
@@ -113,6 +113,9 @@
     longest_gap_s : float
         Longest time between two ticks of this instance meanwhile, in seconds: if it
         is long, this instance was late rather than the peer.
+    answered_before_s : float
+        Time since the last answered probe was sent, in seconds; infinite if none
+        was answered.
     helpers, reports : int
         Peers that were asked to probe as well, and those that have answered.
     """
@@ -120,12 +123,13 @@
     name: str
     waited_s: float
     longest_gap_s: float
+    answered_before_s: float
     helpers: int
     reports: int
 
 
 @dataclass(frozen=True)
-class ProbeAnsweredLate:
+class PeerProbeAnsweredLate:
     """The answer to a failed probe has come.
 
     Attributes
@@ -144,8 +148,8 @@
     Send
     | SendToSeed
     | PeerChanged
-    | ProbeAnsweredLate
-    | ProbeFailed
+    | PeerProbeAnsweredLate
+    | PeerProbeFailed
     | Superseded
     | LeaveRequested
     | Log
--- a/endivepick/membership/settings.py
+++ b/endivepick/membership/settings.py
@@ -18,6 +18,9 @@
         Time after which peers are asked to probe as well, in seconds.
     probe_deadline_s : float
         Time after which a probe has failed, in seconds.
+    first_contact_s : float
+        Time after which a probe of an incarnation that has not answered before has
+        failed, in seconds: the connections have to be set up as well.
     indirect_probes : int
         Peers that are asked to probe as well.
     watchers : int
@@ -80,6 +83,7 @@
     probe_period_s: float = 0.25
     probe_timeout_s: float = 0.1
     probe_deadline_s: float = 0.25
+    first_contact_s: float = 1.0
     indirect_probes: int = 3
     watchers: int = 8
     all_probed_up_to: int = 32
--- a/endivepick/membership/tests/test_detection.py
+++ b/endivepick/membership/tests/test_detection.py
@@ -11,6 +11,7 @@
     PeerState,
     core,
 )
+from endivepick.membership._loop import Loop
 from endivepick.membership.peer_messages import (
     Ack,
 )
@@ -109,6 +110,32 @@
             loop.is_cut = has_no_link
         self.assertEqual(count_of(loop, PeerChanged), before)
 
+    def test_first_contact_may_take_longer_than_a_probe(self):
+        """A living instance was suspected while its connections were set up."""
+        loop = Loop(seed=1)
+        loop.add("entry-0", "fukuoka")
+        loop.add("entry-1", "kumamoto")
+
+        def has_no_link(sender, receiver):
+            missing = loop.now_s < 0.6
+            if missing:
+                node = loop.nodes[sender]
+                loop.carry_out(sender, node.direct_failure(loop.now_s, receiver))
+            return missing
+
+        loop.is_cut = has_no_link
+        loop.list_all()
+        loop.run(5)
+        suspected = [
+            action.new.name
+            for _, _, action in loop.actions
+            if isinstance(action, PeerChanged)
+            and action.new is not None
+            and action.new.state is PeerState.SUSPECT
+        ]
+        self.assertEqual(suspected, [])
+        self.assertTrue(everybody_sees(loop, 2))
+
     def test_lost_rack_is_dropped_and_the_rest_stay(self):
         loop = started(12)
         for name in ("entry-0", "entry-3", "entry-6", "entry-9"):
