Suspect no peer for a lost probe if it has answered a later one

Cause: a probe that was lost on a new connection stayed open while another probe of the same peer, made for a third instance, was answered; the lost one then failed and the peer was suspected. Evidence: `probe_failed waited_s=0.301 answered_before_s=0.133` and `0.300, 0.148`: the answered probe was sent 0.17 and 0.15 s after the lost one. Ruled out: an own delay (gaps of 0.10 s), a peer that stood still (it answered).

Change: a probe that fails is no evidence against a peer that has answered a later one.

Test: test_peer_that_answers_a_later_probe_is_not_suspected_for_a_lost_one, suspected before.

--- a/endivepick/membership/_prober.py
+++ b/endivepick/membership/_prober.py
@@ -305,6 +305,9 @@
             return
         if member is None or probe.name in self._table.dead:
             return
+        if member.last_ack_s >= probe.sent_s:
+            # It has answered a later probe: this one was lost on a new connection.
+            return
         self._note_failed(now_s, sequence, probe, member)
         if probe.reports < probe.helpers:
             self._table.health.worsen()
--- a/endivepick/membership/tests/test_detection.py
+++ b/endivepick/membership/tests/test_detection.py
@@ -9,11 +9,14 @@
     MembershipSettings,
     PeerChanged,
     PeerState,
+    Send,
     core,
 )
 from endivepick.membership._loop import Loop
 from endivepick.membership.peer_messages import (
     Ack,
+    Ping,
+    PingRequest,
 )
 from endivepick.membership.tests._fleet import (
     SETTINGS,
@@ -25,6 +28,14 @@
 )
 
 
+def pinged(actions):
+    return {
+        action.to_name
+        for action in actions
+        if isinstance(action, Send) and isinstance(action.message, Ping)
+    }
+
+
 class DetectionTest(unittest.TestCase):
     def test_examples_run(self):
         self.assertEqual(doctest.testmod(core).failed, 0)
@@ -110,6 +121,24 @@
             loop.is_cut = has_no_link
         self.assertEqual(count_of(loop, PeerChanged), before)
 
+    def test_peer_that_answers_a_later_probe_is_not_suspected_for_a_lost_one(self):
+        """A living instance was suspected when its first probe had been lost."""
+        loop = started(3)
+        node = loop.nodes["entry-0"]
+        peer = loop.me["entry-1"]
+        loop.run_until(lambda: "entry-1" in pinged(node.tick(loop.now_s, 1)), 5)
+        asked = PingRequest(1, "entry-1")
+        helped_s = loop.now_s + 0.1
+        [ping] = [
+            action.message
+            for action in node.on_message(helped_s, "entry-2", 1, asked)
+            if isinstance(action, Send)
+        ]
+        answer = Ack(ping.sequence, [], [])
+        node.on_message(helped_s, "entry-1", peer.incarnation, answer)
+        node.tick(helped_s + 0.2, 1)
+        self.assertIs(node.view()["entry-1"].state, PeerState.ALIVE)
+
     def test_first_contact_may_take_longer_than_a_probe(self):
         """A living instance was suspected while its connections were set up."""
         loop = Loop(seed=1)
