--- a/standins/control.py
+++ b/standins/control.py
@@ -20,6 +20,7 @@
 from gevent.pywsgi import WSGIServer
 
 __all__ = [
+    "BodyLostError",
     "Address",
     "AddressText",
     "Answer",
@@ -252,9 +253,25 @@
             listener()
 
 
+class BodyLostError(ValueError):
+    """The connection ended within the body of a request."""
+
+
 def read_json(environ: dict[str, Any]) -> Any:
-    """Decode the JSON body of a request; ValueError if it is none."""
-    return json.loads(environ["wsgi.input"].read())
+    """Decode the JSON body of a request.
+
+    Raises
+    ------
+    BodyLostError
+        If the connection ended within it.
+    ValueError
+        If it is no JSON.
+    """
+    try:
+        body = environ["wsgi.input"].read()
+    except OSError as error:
+        raise BodyLostError(str(error)) from error
+    return json.loads(body)
 
 
 def json_server(listen: str, answer: Callable[[dict[str, Any]], Answer]) -> WSGIServer:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -26,6 +26,7 @@
 from standins._platformsettings import InstanceEntry, PlatformSettings, PutRequest
 from standins.control import (
     Answer,
+    BodyLostError,
     Control,
     EventLog,
     format_address,
@@ -102,6 +103,10 @@
         except VersionConflictError as conflict:
             current = conflict.current
             return Answer(409, {"current": current.to_json() if current else None})
+        except BodyLostError as error:
+            # Whoever called has ended, or lost its connection, within the call.
+            self.log.append("body_lost", source=source, error=str(error))
+            return Answer(400, {"error": f"The body ended early: {error}."})
         except (ValueError, KeyError) as error:
             return Answer(400, {"error": f"Malformed call: {error!r}."})
 
--- a/standins/tests/programs.py
+++ b/standins/tests/programs.py
@@ -18,13 +18,14 @@
     def start(self, **settings):
         folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
         self.log = folder / "log"
+        self._errors = folder / "err"
         path = folder / "settings.json"
         path.write_text(json.dumps({"log_path": str(self.log), **settings}))
         self.process = ChildProcess(
             self.part,
             f"standins.{self.part}",
             [f"--settings={path}"],
-            str(folder / "err"),
+            str(self._errors),
         )
         self.addCleanup(self.process.kill)
         self.addresses = self.process.wait_ready()["addresses"]
@@ -37,3 +38,7 @@
 
     def logged(self, event):
         return [line for line in read_lines(self.log) if line["event"] == event]
+
+    def errors(self):
+        """Return what the program wrote to its error output."""
+        return self._errors.read_text()
--- a/standins/tests/test_platform.py
+++ b/standins/tests/test_platform.py
@@ -1,6 +1,8 @@
 import http.client
+import socket
 import threading
 
+from standins.control import parse_address
 from standins.endpoint import call, call_ok
 from standins.process import wait_until
 from standins.tests.programs import TIMEOUT_S, ProgramTestCase
@@ -68,6 +70,16 @@
         self.assertEqual([o["name"] for o in listed["objects"]], ["a", "b"])
         self.assertEqual(self.api("GET", "/v1/objects/status")[1]["objects"], [])
 
+    def test_write_that_is_cut_off_in_its_body_changes_nothing(self):
+        """Its writer was killed: that is no fault of the platform."""
+        head = "PUT /v1/objects/service/a HTTP/1.1\r\nHost: p\r\nContent-Length: 100"
+        address = parse_address(self.addresses["api"])
+        with socket.create_connection(address, TIMEOUT_S) as connection:
+            connection.sendall(f"{head}\r\n\r\n{{".encode())
+        wait_until(lambda: self.logged("body_lost") or self.errors(), "its end")
+        self.assertEqual(self.errors(), "")
+        self.assertEqual(self.api("GET", "/v1/objects/service/a")[0], 404)
+
     def test_conditional_writes(self):
         first = self.put("a", 1, if_version=0)[1]
         self.assertEqual(self.put("a", 2, if_version=0), (409, {"current": first}))
