Keep recent answers in a part of its own; say suspected for a holder that is suspected

Cause: the prober kept the last answer to each peer for good, so that peers that come and go took memory for ever (read in the diff, not seen in a run); and the relay said "silent" for what the membership calls suspected.

--- a/endivepick/core/peers.py
+++ b/endivepick/core/peers.py
@@ -27,7 +27,7 @@
         view = self._membership.view().get(name)
         return view.zone if view else ""
 
-    def is_silent(self, name: str) -> bool:
+    def is_suspected(self, name: str) -> bool:
         """Tell whether an instance is suspected and not yet declared dead."""
         view = self._membership.view().get(name)
         return view is not None and view.state is PeerState.SUSPECT
--- a/endivepick/core/relay.py
+++ b/endivepick/core/relay.py
@@ -20,7 +20,7 @@
 __all__ = [
     "Holder",
     "HolderLost",
-    "HolderSilent",
+    "HolderSuspected",
     "Peers",
     "Relay",
     "Whereabouts",
@@ -30,14 +30,14 @@
 """Instances that a datagram may pass before it is given up."""
 FORGOTTEN = "forgotten"
 """Why a flow got a new binding although its owner lives."""
-SILENT_RETRY_MS = 300
+SUSPECTED_RETRY_MS = 300
 """When to come back while the owner is suspected, in milliseconds."""
 
 
 class Peers(LiveInstances, Protocol):
     """What the relay asks of the membership."""
 
-    def is_silent(self, name: str) -> bool:
+    def is_suspected(self, name: str) -> bool:
         """Tell whether an instance is suspected and not yet declared dead."""
 
     def is_incarnation_dead(self, name: str, incarnation: int) -> bool:
@@ -58,8 +58,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class HolderSilent:
-    """The holder does not answer but may be alive."""
+class HolderSuspected:
+    """The holder answers no probe but may be alive."""
 
     identity: Identity
 
@@ -71,7 +71,7 @@
     identity: Identity
 
 
-Whereabouts = Holder | HolderSilent | HolderLost
+Whereabouts = Holder | HolderSuspected | HolderLost
 
 
 class Relay:
@@ -128,8 +128,8 @@
             return Holder(holder)
         if self.is_lost(holder):
             return HolderLost(holder)
-        if self._peers.is_silent(holder.name):
-            return HolderSilent(holder)
+        if self._peers.is_suspected(holder.name):
+            return HolderSuspected(holder)
         return Holder(holder)
 
     def is_lost(self, identity: Identity) -> bool:
@@ -141,7 +141,7 @@
         if self._peers.incarnation_of(identity.name) != identity.incarnation:
             return False
         known = identity.name in self._peers.ready_names()
-        return known and not self._peers.is_silent(identity.name)
+        return known and not self._peers.is_suspected(identity.name)
 
     def forward(
         self, identity: Identity, caller: CallerAddress, hops: int, datagram: bytes
@@ -160,7 +160,7 @@
         self, token: FlowToken, holder: Identity, seq: int, caller: CallerAddress
     ) -> list[Action]:
         """Tell the caller to come back; promise nothing about the run."""
-        packet = Unreachable(token.flow_id, token.binding, seq, SILENT_RETRY_MS)
+        packet = Unreachable(token.flow_id, token.binding, seq, SUSPECTED_RETRY_MS)
         ids = {"flow": token.flow_id, "binding": token.binding, "seq": seq}
         text = "holder is suspected, caller told to come back"
         return [
@@ -254,9 +254,9 @@
         self._owners.forget(service)
 
     def reachable_owner_name(self, service: str) -> str:
-        """Return the first instance in rank order that is not silent."""
+        """Return the first instance in rank order that is not suspected."""
         name = self._owners.first_that(
-            service, lambda name: not self._peers.is_silent(name)
+            service, lambda name: not self._peers.is_suspected(name)
         )
         return name or self._me.name
 
--- a/endivepick/core/router.py
+++ b/endivepick/core/router.py
@@ -7,7 +7,7 @@
 from endivepick.core.relay import (
     Holder,
     HolderLost,
-    HolderSilent,
+    HolderSuspected,
     Relay,
     Whereabouts,
 )
@@ -120,7 +120,7 @@
             case Holder(identity=identity):
                 self._relay.note_flow(token)
                 return self._relay.forward(identity, caller, hops, datagram)
-            case HolderSilent(identity=identity):
+            case HolderSuspected(identity=identity):
                 # A suspect may be alive and runs or refuses what it gets; a packet that
                 # is dropped here is lost if the caller does not hear the answer.
                 self._relay.note_flow(token)
--- a/endivepick/core/tests/test_closed_flows.py
+++ b/endivepick/core/tests/test_closed_flows.py
@@ -50,7 +50,7 @@
     def zone_of(self, name: str) -> str:
         return "z1"
 
-    def is_silent(self, name: str) -> bool:
+    def is_suspected(self, name: str) -> bool:
         return False
 
     def is_incarnation_dead(self, name: str, incarnation: int) -> bool:
--- a/endivepick/core/tests/test_router.py
+++ b/endivepick/core/tests/test_router.py
@@ -22,7 +22,7 @@
     def zone_of(self, name: str) -> str:
         return "z1"
 
-    def is_silent(self, name: str) -> bool:
+    def is_suspected(self, name: str) -> bool:
         return name in self.suspects
 
     def is_incarnation_dead(self, name: str, incarnation: int) -> bool:
--- a/endivepick/membership/_prober.py
+++ b/endivepick/membership/_prober.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from random import Random
 
+from endivepick.membership._answers import RecentAnswers
 from endivepick.membership._departed import DepartedLog
 from endivepick.membership._member import Member
 from endivepick.membership._outbox import Outbox
@@ -41,14 +42,6 @@
     """Longest time between two ticks since it was sent, in seconds."""
 
 
-@dataclass(frozen=True, slots=True)
-class _Answer:
-    """The last answer that was sent to a peer."""
-
-    sequence: int
-    sent_s: float
-
-
 class Prober:
     """Starts probes, answers them, and suspects peers that don't answer."""
 
@@ -65,8 +58,9 @@
         self._outbox = outbox
         self._probes: dict[int, _Probe] = {}
         self._failed: dict[int, _Probe] = {}
-        self._answers: dict[str, _Answer] = {}
-        self._unsent_answers: dict[str, _Answer] = {}
+        self._answers = RecentAnswers(
+            settings.probe_deadline_s * (1 + settings.health_max)
+        )
         # Answers to an earlier process of this name must fit no probe of this one.
         self._first_sequence = table.own.incarnation >> 3
         self._sequence = self._first_sequence
@@ -89,14 +83,8 @@
             self._urgent.append(name)
 
     def answer_again(self, name: str) -> None:
-        """Repeat the last answer to a peer with the next tick.
-
-        The connection to a peer that was just found may not be up when the first
-        answer is sent.  The peer would suspect this instance, whose answer it lost.
-        """
-        answer = self._answers.get(name)
-        if answer is not None:
-            self._unsent_answers[name] = answer
+        """Repeat the last answer to a peer with the next tick."""
+        self._answers.note_lost(name)
 
     # Time
 
@@ -131,15 +119,8 @@
         self._ticked_s = now_s
 
     def _repeat_answers(self, now_s: float) -> None:
-        """Send answers again whose probes may still be open at their senders."""
-        settings = self._settings
-        oldest_s = now_s - settings.probe_deadline_s * (1 + settings.health_max)
-        unsent, self._unsent_answers = self._unsent_answers, {}
-        for name, answer in unsent.items():
-            if answer.sent_s >= oldest_s:
-                self._send_ack(
-                    now_s, name, answer.sequence, [self._table.own.to_update()]
-                )
+        for name, sequence in self._answers.take_lost(now_s).items():
+            self._send_ack(now_s, name, sequence, [self._table.own.to_update()])
 
     def _probe_or_repeat(self, now_s: float, name: str) -> None:
         """Probe a peer, or send open probes again: a new link loses the first."""
@@ -350,7 +331,7 @@
         member = self._table.members.get(sender)
         if member and member.heard and member.incarnation != incarnation:
             updates.append(member.to_update())
-        self._answers[sender] = _Answer(ping.sequence, now_s)
+        self._answers.note_sent(sender, ping.sequence, now_s)
         self._send_ack(now_s, sender, ping.sequence, updates)
 
     def _send_ack(
@@ -363,9 +344,7 @@
 
     def on_ack(self, now_s: float, sender: str, incarnation: int, ack: Ack) -> None:
         """Take the answer to a probe."""
-        late = self._failed.pop(ack.sequence, None)
-        if late is not None and late.name == sender:
-            self._outbox.add(PeerProbeAnsweredLate(sender, now_s - late.sent_s))
+        self._tell_if_late(now_s, sender, ack.sequence)
         probe = self._probes.get(ack.sequence)
         member = self._table.members.get(sender)
         if probe is None or probe.name != sender or member is None:
@@ -382,6 +361,13 @@
         else:
             self._table.health.improve()
 
+    def _tell_if_late(self, now_s: float, sender: str, sequence: int) -> None:
+        failed = self._failed.get(sequence)
+        if failed is not None and failed.name == sender:
+            del self._failed[sequence]
+            waited_s = now_s - failed.sent_s
+            self._outbox.add(PeerProbeAnsweredLate(sender, waited_s))
+
     def on_ping_request(self, now_s: float, sender: str, request: PingRequest) -> None:
         """Probe an instance for a peer."""
         if request.name in self._table.members and len(self._probes) < _RELAYED_COUNT:
--- a/endivepick/model/_choices.py
+++ b/endivepick/model/_choices.py
@@ -48,7 +48,7 @@
 
     Attributes
     ----------
-    silent, dead : bool
+    suspected, dead : bool
         Whether the holder is suspected or given up, rightly or not.
     successor : Identity or None
         Who took the flows of the token's owner over, as far as it was heard.
@@ -56,7 +56,7 @@
         Instance that opens flows at present; itself if None.
     """
 
-    silent: bool = False
+    suspected: bool = False
     dead: bool = False
     successor: Identity | None = None
     opener: Identity | None = None
@@ -93,10 +93,10 @@
         """Return the one zone of the model."""
         return ZONE
 
-    def is_silent(self, name: str) -> bool:
+    def is_suspected(self, name: str) -> bool:
         """Tell whether the holder is suspected."""
         self.asked = True
-        return self.view.silent
+        return self.view.suspected
 
     def is_incarnation_dead(self, name: str, incarnation: int) -> bool:
         """Tell whether the holder was given up."""
--- a/endivepick/model/_description.py
+++ b/endivepick/model/_description.py
@@ -33,8 +33,8 @@
 def describe_view(view: View) -> str:
     """Describe an instance's belief, unless it is the usual one."""
     parts = []
-    if view.silent:
-        parts.append("holder silent")
+    if view.suspected:
+        parts.append("holder suspected")
     if view.dead:
         parts.append("holder given up")
     if view.successor:
--- a/endivepick/model/flows.py
+++ b/endivepick/model/flows.py
@@ -169,7 +169,7 @@
 
     def _views(self, world: World, index: int, datagram: bytes) -> Iterator[View]:
         yield View()
-        yield View(silent=True)
+        yield View(suspected=True)
         token = token_of(datagram)
         owner = Identity(token.owner, token.owner_incarnation)
         successors = [None, *self._successors(world, owner)]
