Check beside the bounded stop that flows are held where it begins

Change: the check is a test of its own; it also guards against flows that are opened elsewhere because a living instance is suspected.

--- a/endivepick/tests/promises/test_point7_graceful_stop.py
+++ b/endivepick/tests/promises/test_point7_graceful_stop.py
@@ -116,6 +116,13 @@
         instance_settings={"flow": {"drain_timeout_s": 6.0}},
     )
 
+    def test_flows_that_are_opened_before_the_stop_are_held_where_it_begins(self):
+        """They were opened elsewhere while a living instance was suspected."""
+        name = self.owner_of(SESSIONS)
+        flows = [self.open(SESSIONS) for _ in range(6)]
+        held = self.flows_held(self.cluster.instances)
+        self.assertGreaterEqual(held[name], len(flows), held)
+
     def test_target_that_never_answers(self):
         name = self.owner_of(SESSIONS)
         quiet = [self.open(SESSIONS) for _ in range(4)]
