--- a/standins/upgrade.py
+++ b/standins/upgrade.py
@@ -146,6 +146,18 @@
     return [f"{what} ({number} times)" for what, number in sorted(counts.items())]
 
 
+def _print_beliefs(running: Cluster) -> None:
+    """Print when instances suspected peers, gave them up, or heard of them again."""
+    changes = [
+        line
+        for path in running.launcher.logs("instances")
+        for line in read_lines(path)
+        if line["event"] == "peer_changed"
+    ]
+    for line in sorted(changes, key=lambda line: line["at_s"]):
+        print(f"{line['at_s']:.2f} {line['process']}: {line['peer']} {line['state']}")
+
+
 def _judge(upgrade: _Upgrade, watch: VersionWatch) -> Report:
     logs = upgrade.running.launcher.logs
     evidence = read_evidence(logs("callers"), logs("targets"), logs("platform"))
@@ -197,6 +209,7 @@
         upgrade.play()
         stop_callers(callers)
         upgrade.story.note("callers have ended")
+        _print_beliefs(running)
         return _judge(upgrade, watch), _faults_in_logs(running)
 
 
