--- a/endivepick/membership/_answers.py
+++ b/endivepick/membership/_answers.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 _COUNT_MAX = 256
+"""Peers whose last answer is remembered."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/endivepick/membership/tests/test_detection.py
+++ b/endivepick/membership/tests/test_detection.py
@@ -8,6 +8,8 @@
 from endivepick.membership import (
     MembershipSettings,
     PeerChanged,
+    PeerProbeAnsweredLate,
+    PeerProbeFailed,
     PeerState,
     Send,
     core,
@@ -139,6 +141,36 @@
         node.tick(helped_s + 0.2, 1)
         self.assertIs(node.view()["entry-1"].state, PeerState.ALIVE)
 
+    def test_late_answer_is_told_with_what_the_suspicion_rested_on(self):
+        loop = started(2)
+        loop.run(5)
+        node = loop.nodes["entry-0"]
+        peer = loop.me["entry-1"]
+        ticks = (loop.now_s + 0.05 * step for step in range(1, 100))
+        pings = []
+        while not pings:
+            sent_s = next(ticks)
+            pings = [
+                action.message
+                for action in node.tick(sent_s, 1)
+                if isinstance(action, Send) and isinstance(action.message, Ping)
+            ]
+        failures = []
+        while not failures:
+            failures = [
+                action
+                for action in node.tick(next(ticks), 1)
+                if isinstance(action, PeerProbeFailed)
+            ]
+        self.assertEqual([failure.name for failure in failures], ["entry-1"])
+        self.assertAlmostEqual(failures[0].waited_s, 0.25, delta=0.06)
+        self.assertAlmostEqual(failures[0].longest_gap_s, 0.05)
+        answer = Ack(pings[0].sequence, [], [])
+        actions = node.on_message(sent_s + 0.4, "entry-1", peer.incarnation, answer)
+        [late] = [one for one in actions if isinstance(one, PeerProbeAnsweredLate)]
+        self.assertEqual(late.name, "entry-1")
+        self.assertAlmostEqual(late.waited_s, 0.4)
+
     def test_first_contact_may_take_longer_than_a_probe(self):
         """A living instance was suspected while its connections were set up."""
         loop = Loop(seed=1)
