Time out a lost watch before the store counts as settled

Both times begin at the end of an outage at the latest, so a watch that was sent during an outage of 4.1 s and never answered hid a version of 0.3 s after its end for longer than the 5 s allowed. Ruled out: a third kind of object (the code has none), a version that went back (the requests were handled as by the version before). Change: wait plus time-out, first retry and reading stay below the longer of both times: 2.45 s instead of 6.95 s here, 1.45 s instead of 4.0 s where they are 3 s and 4 s. Test: test_watch_lost_at_the_end_of_an_outage_times_out_before_the_store_settles fails on the code before for all installations.

--- a/endivepick/forwarder/freshness.py
+++ b/endivepick/forwarder/freshness.py
@@ -15,6 +15,8 @@
 """Maximum time for which a feeder holds a poll."""
 ANSWER_TIMEOUT_MARGIN_S = 1.0
 """Time after the end of its wait at which an unanswered watch is considered lost."""
+FIRST_RETRY_S = 0.6
+"""Maximum delay before the first retry of a failed call."""
 CHANGE_READ_S = 0.7
 """Time that an instance needs to read a change from the store over a slow link that
 also carries packets."""
@@ -80,7 +82,7 @@
     --------
     >>> from endivepick.forwarder.tests.test_settings import decode
     >>> compute_freshness(decode(change_in_force_ms=3000, store_settles_ms=4000))
-    Freshness(watch_wait_s=4.0, gather_s=0.75, feeder_silent_s=1.6, feeding_wait_s=1.0)
+    Freshness(watch_wait_s=1.45, gather_s=0.75, feeder_silent_s=1.6, feeding_wait_s=1.0)
     """
     in_force_s = _MS * min(settings.change_in_force_ms, settings.drain_in_force_ms)
     gather_s = settings.gather_s
@@ -88,12 +90,14 @@
         gather_s = min(GATHER_SHARE * in_force_s, MAX_GATHER_S)
     watch_wait_s = settings.watch_wait_s
     if watch_wait_s is None:
-        lost_for_s = _MS * settings.store_settles_ms + in_force_s
+        # The times run in parallel: a change of just before the end of an outage must
+        # be in force when the store has settled, and not only after both times.
+        missed_for_s = max(_MS * settings.store_settles_ms, in_force_s)
         spent_s = (
-            ANSWER_TIMEOUT_MARGIN_S + settings.retry_cap_s + gather_s + TIMER_MARGIN_S
+            ANSWER_TIMEOUT_MARGIN_S + FIRST_RETRY_S + CHANGE_READ_S + TIMER_MARGIN_S
         )
         shortest_s, longest_s = WATCH_BOUNDS_S
-        watch_wait_s = max(shortest_s, min(lost_for_s - spent_s, longest_s))
+        watch_wait_s = max(shortest_s, min(missed_for_s - spent_s, longest_s))
     silent_s = min(
         in_force_s - POLL_WAIT_S - CHANGE_READ_S,
         in_force_s * FEEDER_SILENT_SHARE,
@@ -104,5 +108,6 @@
         silent_s - HISTORY_LOSS_MARGIN_S,
         min(MIN_FEEDING_WAIT_S, silent_s - FEEDING_MARGIN_S),
     )
-    feeding_wait_s = round(max(feeding_wait_s, WATCH_BOUNDS_S[0]), 3)
+    feeding_wait_s = max(feeding_wait_s, WATCH_BOUNDS_S[0])
+    feeding_wait_s = round(min(feeding_wait_s, watch_wait_s), 3)
     return Freshness(watch_wait_s, gather_s, silent_s, feeding_wait_s)
--- a/endivepick/forwarder/tests/test_freshness.py
+++ b/endivepick/forwarder/tests/test_freshness.py
@@ -1,9 +1,11 @@
 import unittest
 
+from endivepick.backoff import Backoff, BackoffSettings
 from endivepick.forwarder.forwarder import STOP_MARGIN_S, Forwarder
 from endivepick.forwarder.freshness import (
     ANSWER_TIMEOUT_MARGIN_S,
     CHANGE_READ_S,
+    FIRST_RETRY_S,
     POLL_WAIT_S,
     WATCH_BOUNDS_S,
     compute_freshness,
@@ -13,6 +15,9 @@
 
 IN_FORCE_MS = (1500, 2000, 3000, 5000, 8000, 20000)
 SETTLES_MS = (2000, 4000, 5000)
+SHORTEST_BOUND_S = 3.0
+"""Shortest bound that a lost watch can keep: its answer is awaited for a second after
+its wait, since a store that drops its history answers that late."""
 
 
 class TestFreshness(unittest.TestCase):
@@ -38,6 +43,23 @@
             allowed_s = settings.store_settles_ms / 1000 + in_force_s
             self.assertLess(known_s, allowed_s)
 
+    def test_watch_lost_at_the_end_of_an_outage_times_out_before_the_store_settles(
+        self,
+    ):
+        """The time to settle and the time to be in force begin at the same moment."""
+        for settings, limits, in_force_s in self.cases():
+            settles_s = settings.store_settles_ms / 1000
+            if max(settles_s, in_force_s) < SHORTEST_BOUND_S:
+                continue
+            missed_s = limits.watch_wait_s + ANSWER_TIMEOUT_MARGIN_S
+            known_s = missed_s + FIRST_RETRY_S + CHANGE_READ_S
+            self.assertLess(known_s, max(settles_s, in_force_s))
+
+    def test_first_retry_is_made_in_time(self):
+        settings = decode()
+        bounds = BackoffSettings(settings.retry_base_s, settings.retry_cap_s)
+        self.assertLessEqual(Backoff(bounds).failed(1.0).wait_s, FIRST_RETRY_S + 1e-9)
+
     def test_stale_feeder_is_left_in_time_for_a_list(self):
         for _, limits, in_force_s in self.cases():
             left_s = limits.feeder_silent_s + POLL_WAIT_S
