Decide which targets an opening may reach: evacuated zones, regions, cold targets

Ways weighed: a filter inside the registry's candidates (its outlier detection and its baselines need all targets of the own zone, so they would lose those of an evacuated one); a check after the choice (each way of choosing would need it). Taken: the set of evacuated zones is a type of its own, ordered by the store's revisions, and one filter before the choice serves all ways: own zone, spill, copies, probation, ejected, doubtful. Flows that are open stay. Without a target left the caller is reset at once, with a reason of its own. A zone that returns counts as cold for the configured time, since its entries show that only seconds later. Cold targets: where the configuration gives a rate, an instance uses its share of half of it, divided by an upper bound of the instances; beyond it other targets are used, and without others the caller is reset at once. Without a rate nothing changes.

--- a/endivepick/forwarding/__init__.py
+++ b/endivepick/forwarding/__init__.py
@@ -28,9 +28,16 @@
     ConfigurationChange,
     apply_change,
 )
+from endivepick.forwarding.evacuations import (
+    EvacuatedZone,
+    EvacuatedZones,
+    EvacuationChange,
+    EvacuationSnapshot,
+)
 from endivepick.forwarding.fitness_reports import FitnessReport, merge_reports
 from endivepick.forwarding.forwarder import ForwardingCore
 from endivepick.forwarding.model import (
+    ColdStart,
     Configuration,
     FlowKey,
     Packet,
@@ -46,11 +53,16 @@
 
 __all__ = [
     "BeliefChange",
+    "ColdStart",
     "Configuration",
     "ConfigurationChange",
     "Drop",
     "DropReason",
     "Effect",
+    "EvacuatedZone",
+    "EvacuatedZones",
+    "EvacuationChange",
+    "EvacuationSnapshot",
     "FaultConfirmed",
     "Fitness",
     "FitnessReport",
--- a/endivepick/forwarding/actions.py
+++ b/endivepick/forwarding/actions.py
@@ -33,6 +33,8 @@
     NO_ROUTE = "no_route"
     ROUTE_REMOVED = "route_removed"
     NO_TARGET = "no_target"
+    ZONES_EVACUATED = "zones_evacuated"
+    TARGETS_COLD = "targets_cold"
     TARGET_DEAD = "target_dead"
     TARGET_SILENT = "target_silent"
     TARGET_GONE = "target_gone"
--- a/endivepick/forwarding/configuration_changes.py
+++ b/endivepick/forwarding/configuration_changes.py
@@ -11,9 +11,9 @@
 from collections.abc import Iterable
 from typing import TypeVar
 
-from msgspec import Struct
+from msgspec import Struct, field
 
-from endivepick.forwarding.model import Configuration, Route
+from endivepick.forwarding.model import ColdStart, Configuration, Route
 
 __all__ = ["ChangeHistory", "ConfigurationChange", "apply_change", "compute_change"]
 
@@ -49,6 +49,9 @@
         As in `Configuration`, in seconds.
     route_count : int
         Number of routes of the result, to verify that the change fits.
+    cold_starts : dict of str to ColdStart
+        Cold start of services for which it was added or modified.  An instance of a
+        build without this field sends none, and the known ones remain.
     """
 
     before_revision: int
@@ -60,6 +63,7 @@
     removed_services: tuple[str, ...]
     idle_timeout_s: float
     route_count: int
+    cold_starts: dict[str, ColdStart] = field(default_factory=dict)
 
 
 def compute_change(before: Configuration, after: Configuration) -> ConfigurationChange:
@@ -78,6 +82,7 @@
     known = _index_by_name(before.routes)
     names = {route.name for route in after.routes}
     paths = after.health_paths.items()
+    cold_starts = after.cold_starts.items()
     return ConfigurationChange(
         before.revision,
         after.version,
@@ -88,6 +93,7 @@
         tuple(s for s in before.health_paths if s not in after.health_paths),
         after.idle_timeout_s,
         len(after.routes),
+        {s: cold for s, cold in cold_starts if before.cold_starts.get(s) != cold},
     )
 
 
@@ -102,12 +108,14 @@
     if len(routes) != change.route_count:
         return None
     paths = _drop_keys(configuration.health_paths, change.removed_services)
+    cold_starts = _drop_keys(configuration.cold_starts, change.removed_services)
     return Configuration(
         change.version,
         change.revision,
         tuple(routes.values()),
         paths | change.health_paths,
         change.idle_timeout_s,
+        cold_starts | change.cold_starts,
     )
 
 
@@ -163,6 +171,8 @@
     removed = dict.fromkeys(first.removed_routes + second.removed_routes)
     paths = _drop_keys(first.health_paths, second.removed_services)
     paths |= second.health_paths
+    cold_starts = _drop_keys(first.cold_starts, second.removed_services)
+    cold_starts |= second.cold_starts
     dropped_services = dict.fromkeys(first.removed_services + second.removed_services)
     return ConfigurationChange(
         first.before_revision,
@@ -174,6 +184,7 @@
         tuple(_drop_keys(dropped_services, paths)),
         second.idle_timeout_s,
         second.route_count,
+        cold_starts,
     )
 
 
--- a/endivepick/forwarding/failure_detector.py
+++ b/endivepick/forwarding/failure_detector.py
@@ -29,6 +29,7 @@
 from endivepick.forwarding.fitness_reports import SilentTarget
 from endivepick.forwarding.flows import FlowTable
 from endivepick.forwarding.model import FlowKey, RouteKind, Target
+from endivepick.forwarding.placement_filter import PlacementFilter
 from endivepick.forwarding.registry import TargetRegistry
 from endivepick.forwarding.routes import RouteTable
 from endivepick.forwarding.settings import ForwardingSettings
@@ -72,6 +73,8 @@
         Flows to reset when a target fails.
     routes : RouteTable
         Health paths of the services.
+    placement_filter : PlacementFilter
+        Targets to which flows may go instead.
     """
 
     def __init__(
@@ -80,11 +83,13 @@
         registry: TargetRegistry,
         flows: FlowTable,
         routes: RouteTable,
+        placement_filter: PlacementFilter,
     ) -> None:
         self._settings = settings
         self._registry = registry
         self._flows = flows
         self._routes = routes
+        self._filter = placement_filter
         self._reported_silent: frozenset[SilentTarget] = frozenset()
 
     def suspect(
@@ -258,7 +263,7 @@
 
     def has_alternative(self, belief: TargetBelief) -> bool:
         """Whether the service has another reachable target that may take flows."""
-        candidates = self._registry.candidates(belief.target.service)
+        candidates = self._filter.find_candidates(belief.target.service)
         reachable = (*candidates.own, *candidates.others)
         return any(other is not belief for other in reachable)
 
@@ -280,7 +285,7 @@
         """Whether placement prefers targets of this target's zone."""
         if belief.target.zone == self._settings.zone:
             return True
-        return not self._registry.candidates(belief.target.service).own
+        return not self._filter.find_candidates(belief.target.service).own
 
     def find_silent_targets(self, now_s: float) -> list[SilentTarget]:
         """Return targets of the own zone that were recently found silent here.
--- a/endivepick/forwarding/forwarder.py
+++ b/endivepick/forwarding/forwarder.py
@@ -28,6 +28,11 @@
     TargetBelief,
     TargetState,
 )
+from endivepick.forwarding.evacuations import (
+    EvacuatedZone,
+    EvacuatedZones,
+    EvacuationChange,
+)
 from endivepick.forwarding.failure_detector import FailureDetector
 from endivepick.forwarding.fitness_reports import MAX_REPORTED_TARGETS, FitnessReport
 from endivepick.forwarding.flows import SEQUENCE_NUMBERS, FlowEvidence, FlowTable
@@ -44,12 +49,13 @@
     RouteKind,
     Target,
 )
+from endivepick.forwarding.opening_placement import OpeningPlacer
 from endivepick.forwarding.openings import Opening, RecentOpenings
 from endivepick.forwarding.outlier_detector import OutlierDetector
-from endivepick.forwarding.placement import choose_target
+from endivepick.forwarding.placement_filter import PlacementFilter
 from endivepick.forwarding.registry import TargetRegistry
 from endivepick.forwarding.registry_news import RegistryNews
-from endivepick.forwarding.routes import RouteTable, select_service
+from endivepick.forwarding.routes import RouteTable
 from endivepick.forwarding.settings import ForwardingSettings, apply_mechanisms
 from endivepick.forwarding.unknown_cookies import UnknownCookies
 
@@ -77,10 +83,14 @@
         self.flows = FlowTable(settings)
         self.effects: list[Effect] = []
         """Effects to carry out; the caller clears the list."""
-        self._random_share = random_share
+        self.evacuated = EvacuatedZones()
         self._openings = RecentOpenings(settings)
+        self._filter = PlacementFilter(
+            self.registry, self.evacuated, settings.zone_regions
+        )
+        self._placer = OpeningPlacer(settings, self.routes, self._filter, random_share)
         self._failure_detector = FailureDetector(
-            settings, self.registry, self.flows, self.routes
+            settings, self.registry, self.flows, self.routes, self._filter
         )
         self.outlier_detector = OutlierDetector(settings, self.registry, self.flows)
         self._unknown = UnknownCookies(settings.lapse_grace_s)
@@ -181,6 +191,47 @@
         changes = self.registry.apply_removal(name, revision, now_s)
         self._handle_belief_changes(changes, now_s)
 
+    def on_evacuation_list(
+        self, zones: Iterable[EvacuatedZone], revision: int, now_s: float
+    ) -> list[EvacuationChange]:
+        """Apply the complete set of evacuated zones at a revision of the store."""
+        changes = self.evacuated.apply_list(zones, revision)
+        return self._handle_evacuation_changes(changes, now_s)
+
+    def on_zone_evacuated(
+        self, evacuated: EvacuatedZone, now_s: float
+    ) -> list[EvacuationChange]:
+        """Apply the evacuation of one zone."""
+        changes = self.evacuated.apply_begin(evacuated)
+        return self._handle_evacuation_changes(changes, now_s)
+
+    def on_evacuation_ended(
+        self, zone: str, revision: int, now_s: float
+    ) -> list[EvacuationChange]:
+        """Apply the end of a zone's evacuation."""
+        changes = self.evacuated.apply_end(zone, revision)
+        return self._handle_evacuation_changes(changes, now_s)
+
+    @property
+    def instance_bound(self) -> int | None:
+        """Upper bound of the number of instances that place flows, None if unknown."""
+        return self._placer.cold_targets.instances
+
+    def set_instance_bound(self, instances: int) -> None:
+        """Set an upper bound of the number of instances that place flows."""
+        self._placer.cold_targets.instances = instances
+
+    def _handle_evacuation_changes(
+        self, changes: list[EvacuationChange], now_s: float
+    ) -> list[EvacuationChange]:
+        for change in changes:
+            if change.in_force:
+                continue
+            for service in self.registry.services:
+                duration_s = self.routes.get_cold_start(service).duration_s
+                self.registry.mark_zone_cold(change.zone, service, now_s + duration_s)
+        return changes
+
     def on_probe(self, result: ProbeResult, now_s: float) -> None:
         """Apply a probe result, if it is of the known incarnation."""
         belief = self.registry.get(result.target)
@@ -253,6 +304,7 @@
         self._check_unanswered_openings(now_s)
         self.flows.expire(self._idle_timeout_s, now_s)
         self._openings.expire(now_s)
+        self._placer.cold_targets.expire(now_s)
         self.effects += self._held.expire(now_s)
         self._handle_belief_changes(self.registry.expire(now_s, heard_s), now_s)
         if self.registry.awaits_confirmation(now_s, heard_s):
@@ -268,13 +320,9 @@
         tried = opening.targets if opening is not None and retry_elsewhere else ()
         if opening is not None:
             self._suspect_previous_target(opening, packet.flow, now_s)
-        candidates = self.registry.candidates(select_service(route, packet.flow))
-        repeatable = route.kind is RouteKind.IDEMPOTENT
-        placement = choose_target(
-            self.settings, candidates, tried, self._random_share, now_s, repeatable
-        )
-        if placement is None:
-            return self._reset(packet, ResetReason.NO_TARGET, "", now_s)
+        placement = self._placer.place(packet.flow, route, tried, now_s)
+        if isinstance(placement, ResetReason):
+            return self._reset(packet, placement, "", now_s)
         belief = placement.belief
         self._openings.record(packet.flow, belief.name, now_s)
         self.flows.observe(packet, belief, route.kind, now_s)
--- a/endivepick/forwarding/model.py
+++ b/endivepick/forwarding/model.py
@@ -6,6 +6,7 @@
 from msgspec import Struct, field
 
 __all__ = [
+    "ColdStart",
     "Configuration",
     "FlowKey",
     "Packet",
@@ -172,6 +173,8 @@
         Services and their weights.
     kind : RouteKind
         Whether its requests may be repeated.
+    regions : tuple of str
+        Regions whose targets may take its flows; empty for all regions.
     """
 
     name: str
@@ -179,6 +182,23 @@
     port: int
     shares: tuple[ServiceShare, ...]
     kind: RouteKind
+    regions: tuple[str, ...] = ()
+
+
+class ColdStart(Struct, frozen=True):
+    """What the targets of a service bear after a start.
+
+    Attributes
+    ----------
+    duration_s : float
+        How long a target is cold, in seconds.
+    requests_per_s : float
+        Requests per second that a cold target bears from all instances; 0 if no rate
+        is given.
+    """
+
+    duration_s: float = 0.0
+    requests_per_s: float = 0.0
 
 
 class Configuration(Struct, frozen=True):
@@ -196,6 +216,8 @@
         Path of the health check, by service.
     idle_timeout_s : float
         Flows without packets for longer than this may be removed, in seconds.
+    cold_starts : dict of str to ColdStart
+        Cold start of the targets, by service.
     """
 
     version: int
@@ -203,3 +225,4 @@
     routes: tuple[Route, ...]
     health_paths: dict[str, str] = field(default_factory=dict)
     idle_timeout_s: float = 60.0
+    cold_starts: dict[str, ColdStart] = field(default_factory=dict)
--- a/endivepick/forwarding/placement.py
+++ b/endivepick/forwarding/placement.py
@@ -10,9 +10,10 @@
 observe for targets that mostly serve other instances.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 from endivepick.forwarding.belief import Fitness, Reachability, TargetBelief
 from endivepick.forwarding.settings import ForwardingSettings
@@ -43,6 +44,10 @@
         Reachable targets that are ejected.
     returning : bool
         Some targets of the own zone are on probation.
+    own_evacuated : bool
+        The own zone is evacuated, so none of its targets is a candidate.
+    all_evacuated : bool
+        There are targets, and the zones of all of them are evacuated.
     """
 
     every: list[TargetBelief]
@@ -51,9 +56,17 @@
     all_slots: int
     impaired: list[TargetBelief]
     returning: bool
+    own_evacuated: bool = False
+    all_evacuated: bool = False
 
     @classmethod
-    def of_zone(cls, zone: str, beliefs: Sequence[TargetBelief]) -> "Candidates":
+    def of_zone(
+        cls,
+        zone: str,
+        beliefs: Sequence[TargetBelief],
+        own_evacuated: bool = False,
+        all_evacuated: bool = False,
+    ) -> "Candidates":
         """Group targets for the instances of a zone."""
         reachable = [b for b in beliefs if b.reachability is Reachability.REACHABLE]
         fit = [b for b in reachable if b.fitness is not Fitness.IMPAIRED]
@@ -65,6 +78,8 @@
             sum(b.target.slots for b in fit),
             [b for b in reachable if b.fitness is Fitness.IMPAIRED],
             any(b.fitness is Fitness.RETURNING for b in own),
+            own_evacuated,
+            all_evacuated,
         )
 
     def exclude(self, tried: Sequence[str]) -> "Candidates":
@@ -76,7 +91,20 @@
         own = [b for b in self.own if b.name not in tried]
         others = [b for b in self.others if b.name not in tried]
         slots = sum(b.target.slots for b in (*own, *others))
-        return Candidates(self.every, own, others, slots, self.impaired, self.returning)
+        return replace(self, own=own, others=others, all_slots=slots)
+
+    def without(self, closed: Collection[str]) -> "Candidates":
+        """Return the candidates without targets that may not take an opening at all."""
+        return Candidates(
+            [b for b in self.every if b.name not in closed],
+            own := [b for b in self.own if b.name not in closed],
+            others := [b for b in self.others if b.name not in closed],
+            sum(b.target.slots for b in (*own, *others)),
+            [b for b in self.impaired if b.name not in closed],
+            self.returning,
+            self.own_evacuated,
+            self.all_evacuated,
+        )
 
     def exclude_returning(self) -> "Candidates":
         """Return the candidates without own targets on probation, if any are left."""
@@ -84,7 +112,7 @@
         if not own:
             return self
         slots = sum(b.target.slots for b in (*own, *self.others))
-        return Candidates(self.every, own, self.others, slots, self.impaired, False)
+        return replace(self, own=own, all_slots=slots, returning=False)
 
 
 class Placement(Struct, frozen=True):
@@ -100,8 +128,8 @@
     load : float
         Its load per slot at that time.
     reason : str
-        ``"zone"``, ``"spill"``, ``"busy"``, ``"any"``, ``"retried"``,
-        ``"impaired"`` or ``"doubtful"``.
+        ``"zone"``, ``"spill"``, ``"evacuated"``, ``"busy"``, ``"any"``,
+        ``"retried"``, ``"impaired"`` or ``"doubtful"``.
     """
 
     belief: TargetBelief
@@ -191,7 +219,7 @@
     if not others:
         return own, "zone"
     if not own:
-        return others, "spill"
+        return others, "evacuated" if candidates.own_evacuated else "spill"
     if settings.mechanisms.spill_when_busy and all(
         _busy_per_slot(belief) >= settings.spill_busy for belief in own
     ):
--- a/endivepick/forwarding/registry.py
+++ b/endivepick/forwarding/registry.py
@@ -101,6 +101,11 @@
         """Availability zone of this instance."""
         return self._settings.zone
 
+    @property
+    def services(self) -> list[str]:
+        """Services that have targets."""
+        return list(self._by_service)
+
     def of_service(self, service: str) -> Iterable[TargetBelief]:
         """Return the states of the targets of a service."""
         return self._by_service.get(service, {}).values()
@@ -337,6 +342,16 @@
             if belief.state is TargetState.LAPSED:
                 belief.state_since_s = now_s
 
+    def mark_zone_cold(self, zone: str, service: str, until_s: float) -> None:
+        """Regard the targets of a service in a zone as cold until a time, in seconds.
+
+        Called when the evacuation of the zone ends: its targets may have become cold
+        meanwhile, and their entries show it only seconds later.
+        """
+        for belief in self.of_service(service):
+            if belief.target.zone == zone:
+                belief.cold_until_s = max(belief.cold_until_s, until_s)
+
     def record_reachability(
         self,
         belief: TargetBelief,
--- a/endivepick/forwarding/routes.py
+++ b/endivepick/forwarding/routes.py
@@ -4,7 +4,7 @@
     ChangeHistory,
     ConfigurationChange,
 )
-from endivepick.forwarding.model import Configuration, FlowKey, Route
+from endivepick.forwarding.model import ColdStart, Configuration, FlowKey, Route
 
 __all__ = ["RouteTable", "select_service"]
 
@@ -12,6 +12,8 @@
 _HASH_MULTIPLIER = 0x9E3779B1
 """Odd multiplier (32-bit golden ratio) that spreads adjacent ports."""
 
+_NO_COLD_START = ColdStart()
+
 
 class RouteTable:
     """Finds the route of a flow.
@@ -87,6 +89,13 @@
         """
         return self._history.since(revision)
 
+    def get_cold_start(self, service: str) -> ColdStart:
+        """Return the cold start of a service's targets; without a rate if unknown."""
+        configuration = self.configuration
+        if configuration is None:
+            return _NO_COLD_START
+        return configuration.cold_starts.get(service, _NO_COLD_START)
+
     def find(self, flow: FlowKey) -> Route | None:
         """Return the route for the flow's service address and port, if any."""
         return self._routes.get((flow.service_host, flow.service_port))
--- a/endivepick/forwarding/settings.py
+++ b/endivepick/forwarding/settings.py
@@ -1,6 +1,6 @@
 """Settings of the forwarding core."""
 
-from msgspec import Struct
+from msgspec import Struct, field
 from msgspec.structs import replace
 
 from endivepick.forwarding.mechanisms import Mechanisms
@@ -83,6 +83,8 @@
     ask_gap_s : float
         Minimum time between two reads of the registry for an unknown cookie, in
         seconds.
+    zone_regions : dict of str to str
+        Region of each availability zone; empty if there are no regions.
     mechanisms : Mechanisms
         Enabled mechanisms; see `apply_mechanisms` for those that are limits.
     """
@@ -109,6 +111,7 @@
     held_packets: int = 256
     held_s: float = 0.4
     ask_gap_s: float = 0.5
+    zone_regions: dict[str, str] = field(default_factory=dict)
     mechanisms: Mechanisms = Mechanisms()
 
 
--- a/endivepick/model/_evidence_mutants.py
+++ b/endivepick/model/_evidence_mutants.py
@@ -163,7 +163,7 @@
 def _with_judge(mutant: type[FailureDetector]) -> Callable[[ForwardingCore], None]:
     def mutate(core: ForwardingCore) -> None:
         core._failure_detector = mutant(
-            core.settings, core.registry, core.flows, core.routes
+            core.settings, core.registry, core.flows, core.routes, core._filter
         )
 
     return mutate
--- a/endivepick/model/_restart_mutants.py
+++ b/endivepick/model/_restart_mutants.py
@@ -82,7 +82,7 @@
     def on_target(self, target: Target, now_s: float) -> None:
         """Install the judge, then handle the target."""
         judge = ResetsAllFlowsJudge(
-            self.settings, self.registry, self.flows, self.routes
+            self.settings, self.registry, self.flows, self.routes, self._filter
         )
         self._failure_detector = judge
         super().on_target(target, now_s)
