Read evacuated zones, pass them on through feeders and peers

Taken: feeders follow the third kind, their answers carry the whole set with its revision, and the others follow it at the store only while no feeder tells them. A start reads a list that may be seconds old, at a tenth of the price, and applies it as changes. The third kind cannot delay the others: it has its own connection, other feeds never wait for its retries, and neither readiness nor the choice of a feeder looks at it. Where the settings give no time for evacuations, it is not read. A feeder whose news turn stale is no longer left at once: one call of the instance finds out whether the store answers it. An answer of the store after a failure renews the watches that were pending. Old and new: a question without the new field gets no evacuations and is not woken by them; an answer without them leaves the kind to the store.

--- a/endivepick/cli/forwarder.py
+++ b/endivepick/cli/forwarder.py
@@ -77,6 +77,8 @@
             f"ready: {status['ready']}, flows: {status['flows']}, configuration "
             f"version {status['config_version']} for {status['config_since_s']} s"
         )
+        if status.get("evacuated_zones"):
+            print_line(f"evacuated zones: {', '.join(status['evacuated_zones'])}")
         print_table(_HEADER, [_to_cells(target) for target in status["targets"]])
 
     def flow(
--- a/endivepick/forwarder/decision_log.py
+++ b/endivepick/forwarder/decision_log.py
@@ -14,6 +14,7 @@
     ConfigurationChange,
     DecisionRecord,
     DropReason,
+    EvacuationChange,
     FaultConfirmed,
     ProbeResult,
     Reset,
@@ -137,6 +138,32 @@
             learnt_from=learnt_from,
         )
 
+    def log_evacuation(
+        self, change: EvacuationChange, learnt_from: str, before_s: float
+    ) -> None:
+        """Log that the evacuation of a zone came into force here, or ended.
+
+        Parameters
+        ----------
+        change : EvacuationChange
+            The change.
+        learnt_from : str
+            Where it was learnt: from the store, a feeder or a peer.
+        before_s : float
+            Time since the store last answered there, in seconds.
+        """
+        event = "zone_evacuated" if change.in_force else "zone_returned"
+        self.metrics.count("evacuation_changes", event)
+        self.log.event(
+            "zone",
+            event,
+            f"{change.zone} takes {'no' if change.in_force else 'new'} flows",
+            zone=change.zone,
+            revision=change.revision,
+            learnt_from=learnt_from,
+            heard_before_s=truncate_number(before_s),
+        )
+
     def log_inapplicable_delta(
         self, change: ConfigurationChange, known_revision: int
     ) -> None:
--- a/endivepick/forwarder/early.py
+++ b/endivepick/forwarder/early.py
@@ -28,6 +28,7 @@
     "send_early_requests",
     "bind_early",
     "connect_early",
+    "has_evacuations",
     "new_datagram_socket",
     "install_early_signal_handlers",
 ]
@@ -36,6 +37,7 @@
 """Packets of about a second at the highest load of one instance."""
 _DATA_KEY = '"data_address"'
 _STORE_KEY = '"store_address"'
+_EVACUATIONS_KEY = '"evacuation_in_force_ms"'
 
 
 def new_datagram_socket(address: tuple[str, int]) -> socket:
@@ -126,6 +128,17 @@
     return requested
 
 
+def has_evacuations(path: str) -> bool:
+    """Return whether a settings file gives a time for evacuations of zones."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            value = file.read().partition(_EVACUATIONS_KEY)[2]
+    except (OSError, ValueError):
+        # As above; the program reports the error.
+        return False
+    return value.lstrip(" :\t\n")[:1].isdigit()
+
+
 def _address_in(path: str, key: str) -> tuple[str, int]:
     with open(path, encoding="utf-8") as file:
         value = file.read().partition(key)[2].split('"', 2)[1]
--- a/endivepick/forwarder/feeder_election.py
+++ b/endivepick/forwarder/feeder_election.py
@@ -29,6 +29,7 @@
     "FollowStore",
     "Step",
     "WriteClaim",
+    "bound_instances",
     "choose_step",
 ]
 
@@ -117,6 +118,28 @@
     return FollowStore()
 
 
+def bound_instances(claims: Sequence[FeederClaim], zones: int, fed_most: int) -> int:
+    """Return an upper bound of the number of instances of all zones.
+
+    Every instance is a feeder or is fed by one, except for some seconds after a start.
+
+    Parameters
+    ----------
+    claims : sequence of FeederClaim
+        Claims in the store, of all zones.
+    zones : int
+        Number of zones; each is to have a feeder.
+    fed_most : int
+        Maximum number of instances that a feeder feeds.
+
+    Examples
+    --------
+    >>> bound_instances([], 3, 24)
+    75
+    """
+    return max(len(claims), zones) * (fed_most + 1)
+
+
 class FedInstances:
     """Instances that a feeder feeds, as shown by their polls.
 
--- a/endivepick/forwarder/forwarder.py
+++ b/endivepick/forwarder/forwarder.py
@@ -23,7 +23,12 @@
 from endivepick.forwarder.packet_path import PacketPath, PathRequests
 from endivepick.forwarder.pages import Pages
 from endivepick.forwarder.peers import PeerExchange
-from endivepick.forwarder.ports import FeedKind, PacketCodec, StoreDialect
+from endivepick.forwarder.ports import (
+    REQUIRED_KINDS,
+    FeedKind,
+    PacketCodec,
+    StoreDialect,
+)
 from endivepick.forwarder.settings import ForwarderSettings
 from endivepick.forwarder.store_feed import StoreFeed
 from endivepick.forwarder.tasks import spawn_supervised
@@ -100,13 +105,14 @@
                 self.decisions,
                 breaker,
                 (pending_sockets or {}).get(kind),
+                stale_first=kind is FeedKind.EVACUATIONS,
             )
-            for kind in FeedKind
+            for kind in _select_kinds(settings)
         }
         self._peers = PeerExchange(
             settings,
             self.core,
-            list(self._feeds.values()),
+            [self._feeds[kind] for kind in REQUIRED_KINDS],
             news.on_snapshot,
             log,
         )
@@ -236,6 +242,13 @@
             feed.request_list()
 
 
+def _select_kinds(settings: ForwarderSettings) -> tuple[FeedKind, ...]:
+    """Return the kinds of objects that the store of this installation has."""
+    if settings.evacuation_in_force_ms is None:
+        return REQUIRED_KINDS
+    return (*REQUIRED_KINDS, FeedKind.EVACUATIONS)
+
+
 def _make_core_settings(settings: ForwarderSettings) -> ForwardingSettings:
     last_timeout_s = PROBE_TIMEOUTS_S[1] + LARGEST_OBJECT_MBIT / settings.link_mbps
     timeouts_s = (PROBE_TIMEOUTS_S[0], last_timeout_s)
@@ -246,5 +259,6 @@
         probe_timeouts_s=timeouts_s,
         probe_compared_s=PROBE_TIMEOUTS_S[0],
         probe_gap_s=max(PROBE_GAP_S, sum(timeouts_s)),
+        zone_regions=settings.zone_regions,
         mechanisms=settings.mechanisms,
     )
--- a/endivepick/forwarder/freshness.py
+++ b/endivepick/forwarder/freshness.py
@@ -67,12 +67,17 @@
         Maximum time for which the store may hold a feeder's watch of the registry. Its
         answers prove to the followers that their feeder is fresh, and each costs a
         call.
+    evacuations_silent_s : float
+        Maximum time since the store last answered a feeder about evacuated zones, while
+        it answers about the other kinds; beyond it, the instances that follow the
+        feeder read this kind themselves.
     """
 
     watch_wait_s: float
     gather_s: float
     feeder_silent_s: float
     feeding_wait_s: float
+    evacuations_silent_s: float
 
 
 def compute_freshness(settings: ForwarderSettings) -> Freshness:
@@ -82,9 +87,14 @@
     --------
     >>> from endivepick.forwarder.tests.test_settings import decode
     >>> compute_freshness(decode(change_in_force_ms=3000, store_settles_ms=4000))
-    Freshness(watch_wait_s=1.45, gather_s=0.75, feeder_silent_s=1.6, feeding_wait_s=1.0)
+    Freshness(watch_wait_s=1.45, gather_s=0.75, feeder_silent_s=1.6, \
+feeding_wait_s=1.0, evacuations_silent_s=3.3)
     """
-    in_force_s = _MS * min(settings.change_in_force_ms, settings.drain_in_force_ms)
+    in_force_s = _MS * min(
+        settings.change_in_force_ms,
+        settings.drain_in_force_ms,
+        settings.evacuation_in_force_ms or settings.change_in_force_ms,
+    )
     gather_s = settings.gather_s
     if gather_s is None:
         gather_s = min(GATHER_SHARE * in_force_s, MAX_GATHER_S)
@@ -110,4 +120,9 @@
     )
     feeding_wait_s = max(feeding_wait_s, WATCH_BOUNDS_S[0])
     feeding_wait_s = round(min(feeding_wait_s, watch_wait_s), 3)
-    return Freshness(watch_wait_s, gather_s, silent_s, feeding_wait_s)
+    evacuations_silent_s = round(
+        watch_wait_s + ANSWER_TIMEOUT_MARGIN_S + FIRST_RETRY_S + TIMER_MARGIN_S, 3
+    )
+    return Freshness(
+        watch_wait_s, gather_s, silent_s, feeding_wait_s, evacuations_silent_s
+    )
--- a/endivepick/forwarder/news_handler.py
+++ b/endivepick/forwarder/news_handler.py
@@ -1,15 +1,21 @@
 """Applies what the store, the feeder and peers report to the core."""
 
+from __future__ import annotations
+
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from endivepick.clock import steady_now_s
 from endivepick.forwarder.decision_log import DecisionLog
 from endivepick.forwarder.peers import PeerSnapshot
-from endivepick.forwarder.ports import FeedKind, ItemRemoved, UnreadableItem
+from endivepick.forwarder.ports import FeedKind, Item, ItemRemoved, UnreadableItem
 from endivepick.forwarder.store_feed import FeedChanges, FeedList
 from endivepick.forwarding import (
     Configuration,
     ConfigurationChange,
+    EvacuatedZone,
+    EvacuationChange,
+    EvacuationSnapshot,
     ForwardingCore,
     RegistryNews,
     RemovedTarget,
@@ -18,10 +24,13 @@
     check_target,
 )
 
+if TYPE_CHECKING:
+    from endivepick.forwarder.zone_messages import ZoneNews
+
 __all__ = ["NewsHandler"]
 
 STORE, FEEDER, PEER = "store", "feeder", "peer"
-"""Sources of a configuration, for the log."""
+"""Sources of a configuration or an evacuation, for the log."""
 
 
 class NewsHandler:
@@ -62,25 +71,25 @@
                 self._core.on_target_list(
                     targets, news.revision, now_s, news.requested_s, unreadable
                 )
+            case FeedList(kind=FeedKind.EVACUATIONS, items=items):
+                zones = [z for item in items if (z := _to_evacuated(item)) is not None]
+                self._on_evacuation_list(zones, news.revision, STORE, 0.0)
             case _:
                 self._on_items(news, now_s)
         if news.kind is FeedKind.REGISTRY:
             self._core.on_registry_revision(news.revision)
+        elif news.kind is FeedKind.EVACUATIONS:
+            self._core.evacuated.advance_revision(news.revision)
         self._on_applied()
 
-    def on_zone_news(
-        self, registry: RegistryNews, change: ConfigurationChange | None
-    ) -> None:
-        """Apply the news of the zone's feeder.
-
-        Parameters
-        ----------
-        registry : RegistryNews
-            Changes of the registry.
-        change : ConfigurationChange or None
-            Delta of the configuration, if the feeder can compute it.
-        """
+    def on_zone_news(self, news: ZoneNews) -> None:
+        """Apply the news of the zone's feeder."""
         now_s = steady_now_s()
+        registry, change = news.registry, news.config_change
+        if news.evacuations is not None:
+            self._on_evacuation_snapshot(
+                news.evacuations, FEEDER, news.evacuations_before_s
+            )
         newer = registry.revision > self._core.registry.revision
         if change is not None:
             self._on_change(change, now_s)
@@ -98,6 +107,10 @@
             known is None or configuration.revision > known.revision
         ):
             self._on_configuration(configuration, now_s, PEER)
+        if snapshot.evacuations is not None:
+            self._on_evacuation_snapshot(
+                snapshot.evacuations, PEER, snapshot.heard_before_s
+            )
         if snapshot.targets is not None and revision >= self._core.registry.revision:
             removed = [RemovedTarget(n, revision, True) for n in snapshot.unreadable]
             received = RegistryNews(snapshot.targets, removed, True, revision)
@@ -116,11 +129,19 @@
 
     def _on_items(self, news: FeedList | FeedChanges, now_s: float) -> None:
         for item in news.items:
+            evacuated = _to_evacuated(item)
+            if news.kind is FeedKind.EVACUATIONS and evacuated is not None:
+                changes = self._core.on_zone_evacuated(evacuated, now_s)
+                self._log_evacuations(changes, STORE, 0.0)
+                continue
             match item:
                 case Target():
                     self._core.on_target(item, now_s)
                 case ItemRemoved(name, revision) if news.kind is FeedKind.REGISTRY:
                     self._core.on_target_removed(name, revision, now_s)
+                case ItemRemoved(name, revision) if news.kind is FeedKind.EVACUATIONS:
+                    ended = self._core.on_evacuation_ended(name, revision, now_s)
+                    self._log_evacuations(ended, STORE, 0.0)
                 case UnreadableItem(name, _, revision) if _is_entry(news.kind, name):
                     self._core.on_target_unreadable(name, revision, now_s)
                 case Configuration():
@@ -156,6 +177,29 @@
         else:
             self._on_configuration(configuration, now_s, FEEDER)
 
+    def _on_evacuation_snapshot(
+        self, snapshot: EvacuationSnapshot, learnt_from: str, before_s: float
+    ) -> None:
+        self._on_evacuation_list(
+            snapshot.zones, snapshot.revision, learnt_from, before_s
+        )
+
+    def _on_evacuation_list(
+        self,
+        zones: list[EvacuatedZone],
+        revision: int,
+        learnt_from: str,
+        before_s: float,
+    ) -> None:
+        changes = self._core.on_evacuation_list(zones, revision, steady_now_s())
+        self._log_evacuations(changes, learnt_from, before_s)
+
+    def _log_evacuations(
+        self, changes: list[EvacuationChange], learnt_from: str, before_s: float
+    ) -> None:
+        for change in changes:
+            self._decisions.log_evacuation(change, learnt_from, before_s)
+
     def _on_configuration(
         self, configuration: Configuration, now_s: float, learnt_from: str
     ) -> None:
@@ -166,3 +210,18 @@
 def _is_entry(kind: FeedKind, name: str) -> bool:
     """Return whether an unreadable object is a registry entry with a known name."""
     return kind is FeedKind.REGISTRY and bool(name)
+
+
+def _to_evacuated(item: Item) -> EvacuatedZone | None:
+    """Return the evacuation that an object requests, None if it requests none.
+
+    An unreadable object requests what its name says: ignoring it would send flows to
+    targets that are about to stop.
+    """
+    match item:
+        case EvacuatedZone():
+            return item
+        case UnreadableItem(name, _, revision) if name:
+            return EvacuatedZone(name, revision)
+        case _:
+            return None
--- a/endivepick/forwarder/peers.py
+++ b/endivepick/forwarder/peers.py
@@ -24,7 +24,13 @@
 from endivepick.forwarder.peer_directory import MAX_PEERS, Neighbours, PeerDirectory
 from endivepick.forwarder.settings import ForwarderSettings
 from endivepick.forwarder.store_feed import StoreFeed, get_time_since_answer_s
-from endivepick.forwarding import Configuration, ForwardingCore, Target, TargetState
+from endivepick.forwarding import (
+    Configuration,
+    EvacuationSnapshot,
+    ForwardingCore,
+    Target,
+    TargetState,
+)
 from endivepick.store import store_connection
 
 __all__ = [
@@ -97,6 +103,8 @@
         Addresses of peers known there.
     unreadable : list of str
         Names of registry entries that exist and cannot be read.
+    evacuations : EvacuationSnapshot or None
+        Evacuated zones, None if they are not known there.
     """
 
     name: str
@@ -107,6 +115,7 @@
     store_lost: bool
     peers: list[str]
     unreadable: list[str] = field(default_factory=list)
+    evacuations: EvacuationSnapshot | None = None
 
 
 _read_snapshot = msgspec.json.Decoder(PeerSnapshot)
@@ -251,6 +260,7 @@
             self._store_lost,
             self.directory.list_recent(MAX_SHARED_PEERS),
             [b.name for b in self._core.registry if b.state is TargetState.UNREADABLE],
+            self._core.evacuated.make_snapshot(),
         )
 
     def _list_targets(self) -> list[Target]:
--- a/endivepick/forwarder/ports.py
+++ b/endivepick/forwarder/ports.py
@@ -10,13 +10,20 @@
 
 from msgspec import Struct
 
-from endivepick.forwarding import Configuration, FlowKey, Packet, Target
+from endivepick.forwarding import (
+    Configuration,
+    EvacuatedZone,
+    FlowKey,
+    Packet,
+    Target,
+)
 from endivepick.store import StoreCall
 
 __all__ = [
     "ChangeBatch",
     "FeedKind",
     "FeederClaim",
+    "REQUIRED_KINDS",
     "ItemRemoved",
     "ListPage",
     "PacketCodec",
@@ -31,6 +38,12 @@
 
     REGISTRY = "registry"
     CONFIGURATION = "configuration"
+    EVACUATIONS = "evacuations"
+
+
+REQUIRED_KINDS = (FeedKind.REGISTRY, FeedKind.CONFIGURATION)
+"""Kinds without which an instance cannot place flows.  The others exist only in some
+installations, and trouble with reading them must not delay these."""
 
 
 class ItemRemoved(Struct, frozen=True):
@@ -58,7 +71,7 @@
     revision: int
 
 
-Item = Target | Configuration | ItemRemoved | UnreadableItem
+Item = Target | Configuration | EvacuatedZone | ItemRemoved | UnreadableItem
 
 
 class ListPage(Struct, frozen=True):
@@ -135,6 +148,10 @@
         """Return path and query that list objects, after a name or from the start."""
         ...
 
+    def stale_list_path(self, kind: FeedKind) -> str:
+        """Return path and query of a cheaper list, which may be seconds old."""
+        ...
+
     def watch_path(self, kind: FeedKind, revision: int, wait_s: float) -> str:
         """Return path and query that watch for changes after a revision."""
         ...
--- a/endivepick/forwarder/settings.py
+++ b/endivepick/forwarder/settings.py
@@ -46,6 +46,12 @@
     store_settles_ms : float
         Time after an outage of the store from which these limits hold again, in
         milliseconds.
+    evacuation_in_force_ms : float or None
+        Maximum time from the store's acknowledgement of a zone's evacuation, or of its
+        end, until it is in force here, in milliseconds; None if the store has no
+        evacuations, and then they are not read.
+    zone_regions : dict of str to str
+        Region of each availability zone; empty if there are no regions.
     watch_wait_s, gather_s : float or None
         Maximum time for which the store may hold a watch, and the pause after changes,
         in seconds; None derives them from the times above, see
@@ -90,6 +96,8 @@
     change_in_force_ms: _Milliseconds = 3000.0
     drain_in_force_ms: _Milliseconds = 3000.0
     store_settles_ms: _Milliseconds = 4000.0
+    evacuation_in_force_ms: _Milliseconds | None = None
+    zone_regions: dict[str, str] = {}
     watch_wait_s: _Seconds | None = None
     gather_s: Annotated[float, msgspec.Meta(ge=0, le=60)] | None = None
     call_timeout_s: _Seconds = 2.0
--- a/endivepick/forwarder/store_feed.py
+++ b/endivepick/forwarder/store_feed.py
@@ -1,7 +1,7 @@
 """Follows one kind of objects in the store by lists and watches."""
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Hashable, Iterable
 from socket import socket as PlainSocket
 
 import gevent
@@ -18,15 +18,16 @@
 from endivepick.forwarder.decision_log import DecisionLog
 from endivepick.forwarder.freshness import ANSWER_TIMEOUT_MARGIN_S, compute_freshness
 from endivepick.forwarder.logs import truncate_number
-from endivepick.forwarder.ports import FeedKind, Item, StoreDialect
+from endivepick.forwarder.ports import REQUIRED_KINDS, FeedKind, Item, StoreDialect
 from endivepick.forwarder.settings import ForwarderSettings
 from endivepick.forwarder.tasks import spawn_supervised
 from endivepick.store import StoreConnection, store_connection
 
 __all__ = ["FeedChanges", "FeedList", "StoreFeed", "get_time_since_answer_s"]
 
-_FIRST_WATCH_WAIT_S = 0.2
-"""Wait of the first watch after a loss; its answer shows that the store is back."""
+_FIRST_WATCH_WAIT_S = 0.02
+"""Wait of the first watch after a loss; its answer shows that the store is back, and
+the other feeds of the instance wait for it."""
 
 
 class FeedList(Struct, frozen=True):
@@ -87,6 +88,10 @@
         Shared with the other feeds of this instance.
     pending_socket : socket, default=None
         Connection on which the first list was already requested.
+    stale_first : bool, default=False
+        The first list may be seconds old, and a complete one follows unless the feed is
+        suspended by then.  An instance that starts learns the objects at once, and at a
+        tenth of the price, and the rest from its feeder.
     """
 
     def __init__(
@@ -98,8 +103,12 @@
         decisions: DecisionLog,
         breaker: CircuitBreaker,
         pending_socket: PlainSocket | None = None,
+        stale_first: bool = False,
     ) -> None:
         self._pending_socket = pending_socket
+        self._stale_first = stale_first
+        self._required = kind in REQUIRED_KINDS
+        self._check_wanted = False
         self._settings = settings
         self._kind = kind
         self._dialect = dialect
@@ -150,16 +159,41 @@
         return not self._list_wanted and not self.lost
 
     def suspend(self) -> None:
-        """Stop following the store while a feeder is followed."""
+        """Stop following the store while a feeder is followed.
+
+        The feeder sends what a pending list would show.
+        """
         self._suspended = True
+        self._stale_first = False
+        self._list_wanted = False
+        self._check_wanted = False
+        self._lost_since_s = None
         self.stop()
 
-    def resume(self, revision: int) -> None:
-        """Follow the store again, from a revision that is known by now."""
+    def resume(self, revision: int, store_silent: bool = False) -> None:
+        """Follow the store again, from a revision that is known by now.
+
+        Parameters
+        ----------
+        revision : int
+            Revision of the store; 0 if nothing is known.
+        store_silent : bool, default=False
+            The store did not answer the feeder.  The call then counts as a retry: one
+            feed makes it, the others wait, and the first watch is short, since the
+            store may be down and never answer it.
+        """
         self._suspended = False
         self._revision = max(self._revision, revision)
+        if store_silent and self._lost_since_s is None:
+            self._lost_since_s = steady_now_s()
+            self._check_wanted = True
         self._restart()
 
+    def _renew_watch(self) -> None:
+        """Replace a watch that was sent before the store failed to answer."""
+        if self.settled and not self._suspended:
+            self._restart()
+
     def set_watch_wait(self, wait_s: float | None = None) -> None:
         """Set the wait of the following watches.
 
@@ -203,9 +237,13 @@
             store_connection(
                 self._settings.store_address, pending_socket
             ) as connection,
-            self._breaker.register() as feed,
+            self._breaker.register(self._renew_watch) as feed,
         ):
             self._connection = connection
+            if self._check_wanted:
+                self._check_wanted = False
+                if not self._breaker.record_failure(feed, self._required):
+                    self._breaker.wait()
             while True:
                 try:
                     changed = self._step(connection)
@@ -224,13 +262,13 @@
                     backoff = backoff.failed(random.random(), _get_retry_after(error))
                     self._on_failure(error, backoff.wait_s)
                     connection.close()
-                    if self._breaker.record_failure(feed):
+                    if self._breaker.record_failure(feed, self._required):
                         gevent.sleep(backoff.wait_s)
                     else:
                         self._breaker.wait()
                 else:
                     backoff = backoff.succeeded()
-                    self._on_success()
+                    self._on_success(feed)
                     if self._suspended:
                         return
                     if changed:
@@ -238,11 +276,21 @@
 
     def _step(self, connection: StoreConnection) -> bool:
         """Make one call or read one list; return whether anything changed."""
+        if self._stale_first:
+            self._read_stale_list(connection)
+            return True
         if self._list_wanted:
             self._list(connection)
             return True
         return self._watch(connection)
 
+    def _read_stale_list(self, connection: StoreConnection) -> None:
+        path = self._dialect.stale_list_path(self._kind)
+        body = connection.get(path, self._settings.call_timeout_s)
+        page = self._dialect.read_page(self._kind, body)
+        self._stale_first = False
+        self._deliver(FeedChanges(self._kind, page.items, 0))
+
     def _list(self, connection: StoreConnection) -> None:
         items: list[Item] = []
         after, revision = "", None
@@ -295,9 +343,9 @@
             error=str(error),
         )
 
-    def _on_success(self) -> None:
+    def _on_success(self, feed: Hashable) -> None:
         self._count("answered")
-        self._breaker.record_success()
+        self._breaker.record_success(feed)
         self.last_answer_s = steady_now_s()
         if self._lost_since_s is None:
             return
--- a/endivepick/forwarder/tests/empty_store.py
+++ b/endivepick/forwarder/tests/empty_store.py
@@ -9,6 +9,9 @@
     def list_path(self, kind, _after):
         return f"/{kind.value}"
 
+    def stale_list_path(self, kind):
+        return f"/{kind.value}?stale"
+
     def watch_path(self, kind, _revision, wait_s):
         return f"/{kind.value}?wait_s={wait_s}"
 
--- a/endivepick/forwarder/tests/test_freshness.py
+++ b/endivepick/forwarder/tests/test_freshness.py
@@ -60,6 +60,13 @@
         bounds = BackoffSettings(settings.retry_base_s, settings.retry_cap_s)
         self.assertLessEqual(Backoff(bounds).failed(1.0).wait_s, FIRST_RETRY_S + 1e-9)
 
+    def test_shorter_time_of_evacuations_applies(self):
+        usual = compute_freshness(decode(change_in_force_ms=9000))
+        short = compute_freshness(
+            decode(change_in_force_ms=9000, evacuation_in_force_ms=2000)
+        )
+        self.assertLess(short.gather_s, usual.gather_s)
+
     def test_stale_feeder_is_left_in_time_for_a_list(self):
         for _, limits, in_force_s in self.cases():
             left_s = limits.feeder_silent_s + POLL_WAIT_S
--- a/endivepick/forwarder/zone_feeder.py
+++ b/endivepick/forwarder/zone_feeder.py
@@ -11,7 +11,7 @@
 from endivepick.forwarder.http import Response, json_response
 from endivepick.forwarder.logs import BoundedLog
 from endivepick.forwarder.peer_directory import Neighbours
-from endivepick.forwarder.ports import FeedKind
+from endivepick.forwarder.ports import REQUIRED_KINDS, FeedKind
 from endivepick.forwarder.settings import ForwarderSettings
 from endivepick.forwarder.store_feed import StoreFeed, get_time_since_answer_s
 from endivepick.forwarder.zone_messages import (
@@ -43,6 +43,8 @@
 FULL_REGISTRY_SEND_S = 1.0
 """Maximum time for which the full registry, sent to all fed instances, may occupy the
 feeder's link; packets queue behind it."""
+MAX_AGE_S = 1e9
+"""Age of what was never read, a number that JSON can represent."""
 _MBIT_BYTES = 125_000
 _NOT_FOUND = Response(404)
 
@@ -201,16 +203,28 @@
         return merged
 
     def _make_news(self, poll: ZoneQuestion) -> ZoneNews:
+        asks_evacuations = poll.evacuation_revision is not None
         return ZoneNews(
             self._name,
             self._core.routes.revision,
             self._change_since(poll.config_revision),
             self._core.registry.news_since(poll.registry_revision),
-            get_time_since_answer_s(self._feeds.values()),
-            get_time_since_answer_s([self._feeds[FeedKind.REGISTRY]]),
+            self._get_age_s(*REQUIRED_KINDS),
+            self._get_age_s(FeedKind.REGISTRY),
             self._merge_zone_reports(),
+            self._core.evacuated.make_snapshot() if asks_evacuations else None,
+            self._get_age_s(FeedKind.EVACUATIONS) if asks_evacuations else 0.0,
+            self._core.instance_bound,
         )
 
+    def _get_age_s(self, *kinds: FeedKind) -> float:
+        """Return the time since the store last answered for some kinds, in seconds.
+
+        It is `MAX_AGE_S` for kinds that this instance does not read.
+        """
+        feeds = [self._feeds[kind] for kind in kinds if kind in self._feeds]
+        return get_time_since_answer_s(feeds) if feeds else MAX_AGE_S
+
     def _change_since(self, revision: int) -> ConfigurationChange | None:
         if not self._sends_deltas:
             return None
@@ -220,8 +234,13 @@
         return (
             self._core.routes.revision > poll.config_revision
             or self._core.registry.revision > poll.registry_revision
+            or self._has_evacuation_news(poll)
         )
 
+    def _has_evacuation_news(self, poll: ZoneQuestion) -> bool:
+        known = poll.evacuation_revision
+        return known is not None and self._core.evacuated.changed_revision > known
+
     def _set_watch_wait(self) -> None:
         """Hold short watches of the registry while other instances are fed.
 
--- a/endivepick/forwarder/zone_member.py
+++ b/endivepick/forwarder/zone_member.py
@@ -24,8 +24,10 @@
     Feed,
     FollowFeeder,
     WriteClaim,
+    bound_instances,
     choose_step,
 )
+from endivepick.forwarder.followed_feeds import FeederUnreliable, FollowedFeeds
 from endivepick.forwarder.freshness import (
     ANSWER_TIMEOUT_MARGIN_S,
     POLL_WAIT_S,
@@ -45,11 +47,7 @@
     ZoneQuestion,
     read_feeder_answer,
 )
-from endivepick.forwarding import (
-    ConfigurationChange,
-    ForwardingCore,
-    RegistryNews,
-)
+from endivepick.forwarding import ForwardingCore
 from endivepick.store import (
     AnswerLost,
     CallLimits,
@@ -90,23 +88,6 @@
 expected zone."""
 
 
-class _FeederUnreliable(Exception):
-    """Raised when the current feeder can no longer be relied on.
-
-    Parameters
-    ----------
-    reason : str
-        Reason for the log.
-    lost : bool
-        Whether its claim may be taken over because it does not answer or is cut off.
-    """
-
-    def __init__(self, reason: str, lost: bool) -> None:
-        super().__init__(reason)
-        self.reason = reason
-        self.lost = lost
-
-
 class ZoneMember:
     """Task that makes an instance a feeder of its zone or a follower of one.
 
@@ -121,7 +102,7 @@
     dialect : StoreDialect
         Encodes and decodes the claims in the store.
     apply_news : callable
-        Called with the registry news and the configuration change that a feeder sends.
+        Called with the news that a feeder sends.
     neighbours : Neighbours
         Records the feeders and the fed instances of this instance.
     log : BoundedLog
@@ -134,7 +115,7 @@
         core: ForwardingCore,
         feeds: Mapping[FeedKind, StoreFeed],
         dialect: StoreDialect,
-        apply_news: Callable[[RegistryNews, ConfigurationChange | None], None],
+        apply_news: Callable[[ZoneNews], None],
         neighbours: Neighbours,
         log: BoundedLog,
     ) -> None:
@@ -146,6 +127,7 @@
         self._neighbours = neighbours
         self._log = log
         self._freshness = compute_freshness(settings)
+        self._followed = FollowedFeeds(core, feeds, self._freshness)
         number = MAX_FEEDERS if settings.zone_feeders else 0
         self._claim_names = [f"{settings.zone}.{n}" for n in range(number)]
         self._lost_at_s: dict[str, float] = {}
@@ -171,7 +153,7 @@
         _sleep(CLAIM_READ_DELAY_S)
         claims = self._read_initial_claims() if self._core.ready else None
         while not self._stopping:
-            if not self._core.ready or not self._all_feeds_settled:
+            if not self._core.ready or not self._followed.all_settled:
                 _sleep(RETRY_DELAY_S)
                 claims = None
                 continue
@@ -208,10 +190,6 @@
             error=str(error),
         )
 
-    @property
-    def _all_feeds_settled(self) -> bool:
-        return all(feed.settled for feed in self._feeds.values())
-
     def _act_on_claims(self, claims: tuple[FeederClaim, ...] | None = None) -> None:
         """Act on the claims; read them first unless they have just been read."""
         with store_connection(self._settings.store_address) as store:
@@ -240,7 +218,12 @@
 
     def _read_claims(self, store: StoreConnection) -> tuple[FeederClaim, ...]:
         path = self._dialect.claims_path()
-        return self._dialect.read_claims(store.get(path, self._settings.call_timeout_s))
+        body = store.get(path, self._settings.call_timeout_s)
+        claims = self._dialect.read_claims(body)
+        self._core.set_instance_bound(
+            bound_instances(claims, len(self._settings.zones), self._settings.fed_most)
+        )
+        return claims
 
     def _check_holders(self, claims: Sequence[FeederClaim]) -> None:
         """Check whether other feeders are lost too, after one was lost.
@@ -317,11 +300,14 @@
         began_s = steady_now_s()
         try:
             with store_connection(feeder) as connection:
-                self._check_initial(self._poll_until_fresh(feeder, connection))
+                news = self._poll_until_fresh(feeder, connection)
+                self._check_initial(news)
                 with self._following(feeder):
                     while True:
-                        self._check_freshness(self._poll(feeder, connection))
-        except _FeederUnreliable as failure:
+                        self._followed.on_news(news)
+                        self._read_unsent_configuration(news)
+                        news = self._poll(feeder, connection)
+        except FeederUnreliable as failure:
             if failure.lost:
                 self._lost_at_s[feeder] = steady_now_s()
             self._log.event(
@@ -335,21 +321,20 @@
 
     @contextmanager
     def _following(self, feeder: str) -> Iterator[None]:
-        if not self._all_feeds_settled:
-            raise _FeederUnreliable(
-                "store became unreachable from this instance", lost=False
-            )
         self._log.event("zone", "feeder_followed", "following a feeder", feeder=feeder)
         self.fed = True
         self._feeder_address = feeder
-        for feed in self._feeds.values():
-            feed.suspend()
         try:
-            yield
+            with self._followed.following():
+                yield
         finally:
             self.fed = False
-            self._feeds[FeedKind.REGISTRY].resume(self._core.registry.revision)
-            self._feeds[FeedKind.CONFIGURATION].resume(self._core.routes.revision)
+
+    def _read_unsent_configuration(self, news: ZoneNews) -> None:
+        """Read a configuration from the store whose change the feeder did not send."""
+        if news.config_revision > self._core.routes.revision:
+            self._requested_config_revision = news.config_revision
+            self._feeds[FeedKind.CONFIGURATION].request_list()
 
     def _poll(self, feeder: str, connection: StoreConnection) -> ZoneNews:
         """Poll the feeder for news and apply them."""
@@ -359,32 +344,48 @@
             # avoids an immediate answer; when the read ends with an older revision, it
             # is requested again.
             config = max(config, self._requested_config_revision)
-        registry = self._core.registry.revision
-        report = self._core.build_report(steady_now_s())
-        poll = ZoneQuestion(self._settings.advertised_address, config, registry, report)
+        poll = ZoneQuestion(
+            self._settings.advertised_address,
+            config,
+            self._core.registry.revision,
+            self._core.build_report(steady_now_s()),
+            self._evacuation_revision,
+        )
         try:
             path = f"{NEWS_PATH}?{poll.query}"
             body = connection.get(path, POLL_WAIT_S + POLL_TIMEOUT_MARGIN_S)
             answer = read_feeder_answer(body)
         except PlatformAnswerError:
             # The feeder is alive; it has just started or is about to stop.
-            raise _FeederUnreliable("instance is no feeder", lost=False) from None
+            raise FeederUnreliable("instance is no feeder", lost=False) from None
         except (EndivepickError, msgspec.MsgspecError) as error:
-            raise _FeederUnreliable(str(error), lost=True) from None
+            raise FeederUnreliable(str(error), lost=True) from None
         match answer:
             case FeederFull():
                 self._full_at_s[feeder] = steady_now_s()
-                raise _FeederUnreliable(
+                raise FeederUnreliable(
                     "feeder has reached its limit of instances", lost=False
                 )
             case FeederAhead():
-                raise _FeederUnreliable("feeder cannot send the changes", lost=False)
+                raise FeederUnreliable("feeder cannot send the changes", lost=False)
             case ZoneNews():
-                self._neighbours.mark_alive(feeder, steady_now_s())
-                self._core.on_zone_report(answer.seen, steady_now_s())
-                self._apply_news(answer.registry, answer.config_change)
+                self._apply(feeder, answer)
                 return answer
 
+    def _apply(self, feeder: str, news: ZoneNews) -> None:
+        self._neighbours.mark_alive(feeder, steady_now_s())
+        self._core.on_zone_report(news.seen, steady_now_s())
+        if news.instances is not None:
+            self._core.set_instance_bound(news.instances)
+        self._apply_news(news)
+
+    @property
+    def _evacuation_revision(self) -> int | None:
+        """Revision up to which the evacuated zones are known, None if not read."""
+        if FeedKind.EVACUATIONS not in self._feeds:
+            return None
+        return self._core.evacuated.revision
+
     def report_observations(self) -> None:
         """Report suspected targets to the zone without blocking.
 
@@ -430,14 +431,11 @@
             steady_now_s() + self._freshness.feeding_wait_s + ANSWER_TIMEOUT_MARGIN_S
         )
         news = self._poll(feeder, connection)
-        while self._is_stale(news) and steady_now_s() < until_s:
+        while self._followed.is_stale(news) and steady_now_s() < until_s:
             gevent.sleep(POLL_RETRY_DELAY_S)
             news = self._poll(feeder, connection)
         return news
 
-    def _is_stale(self, news: ZoneNews) -> bool:
-        return news.heard_before_s > self._freshness.feeder_silent_s
-
     def _check_initial(self, news: ZoneNews) -> None:
         """Consider a feeder lost if its news are stale although the store answers here.
 
@@ -445,31 +443,13 @@
         kept its claim, its followers would return to it every few seconds until its
         partition ends.
         """
-        try:
-            self._check_freshness(news)
-        except _FeederUnreliable as failure:
-            raise _FeederUnreliable(failure.reason, lost=True) from None
-
-    def _check_freshness(self, news: ZoneNews) -> None:
-        """Raise ``_FeederUnreliable`` if the store has not answered the feeder.
-
-        Otherwise the times of the feeder's last answers count as those of this
-        instance.
-        """
-        if self._is_stale(news):
+        if not self._followed.all_settled:
+            raise FeederUnreliable(
+                "store became unreachable from this instance", lost=False
+            )
+        if self._followed.is_stale(news):
             reason = f"store silent there for {news.heard_before_s:.1f} s"
-            raise _FeederUnreliable(reason, lost=False)
-        self._update_heard(FeedKind.CONFIGURATION, news.heard_before_s)
-        # Tracked per kind: lapsed entries are removed only after an answer about the
-        # registry itself.
-        self._update_heard(FeedKind.REGISTRY, news.registry_before_s)
-        if news.config_revision > self._core.routes.revision:
-            self._requested_config_revision = news.config_revision
-            self._feeds[FeedKind.CONFIGURATION].request_list()
-
-    def _update_heard(self, kind: FeedKind, before_s: float) -> None:
-        feed = self._feeds[kind]
-        feed.last_answer_s = max(feed.last_answer_s, steady_now_s() - before_s)
+            raise FeederUnreliable(reason, lost=True)
 
 
 def _drop_expired(noted_s: Mapping[str, float]) -> dict[str, float]:
--- a/endivepick/forwarder/zone_messages.py
+++ b/endivepick/forwarder/zone_messages.py
@@ -6,7 +6,12 @@
 from msgspec import Struct, field
 
 from endivepick.forwarder.http import parse_query
-from endivepick.forwarding import ConfigurationChange, FitnessReport, RegistryNews
+from endivepick.forwarding import (
+    ConfigurationChange,
+    EvacuationSnapshot,
+    FitnessReport,
+    RegistryNews,
+)
 
 __all__ = [
     "FeederAhead",
@@ -34,6 +39,9 @@
         configuration and the registry.
     seen : FitnessReport
         Report of the outcomes of requests at the polling instance.
+    evacuation_revision : int or None
+        Revision of the store up to which it knows the evacuated zones; None for an
+        instance that does not ask for them.
 
     Examples
     --------
@@ -48,12 +56,15 @@
     config_revision: int
     registry_revision: int
     seen: FitnessReport = field(default_factory=_empty_report)
+    evacuation_revision: int | None = None
 
     @property
     def query(self) -> str:
         """The poll as the query string of a path."""
         revisions = f"config={self.config_revision}&registry={self.registry_revision}"
         query = f"from={self.asker}&{revisions}"
+        if self.evacuation_revision is not None:
+            query += f"&evacuations={self.evacuation_revision}"
         if self.seen.empty:
             return query
         return f"{query}&seen={msgspec.json.encode(self.seen).hex()}"
@@ -64,7 +75,10 @@
         fields = parse_query(query)
         try:
             config, registry = int(fields["config"]), int(fields["registry"])
-            return cls(fields["from"], config, registry, _read_report(fields))
+            asked = fields.get("evacuations")
+            evacuations = None if asked is None else int(asked)
+            report = _read_report(fields)
+            return cls(fields["from"], config, registry, report, evacuations)
         except (KeyError, ValueError):
             return None
 
@@ -123,6 +137,13 @@
         Time since the store last answered for the registry, in seconds.
     seen : FitnessReport
         Merged reports of the outcomes of requests at all instances of the zone.
+    evacuations : EvacuationSnapshot or None
+        Evacuated zones; None if the feeder does not know them, or is of a build without
+        them.
+    evacuations_before_s : float
+        Time since the store last answered for the evacuated zones, in seconds.
+    instances : int or None
+        Upper bound of the number of instances of all zones, None if it is not known.
     """
 
     feeder: str
@@ -132,6 +153,9 @@
     heard_before_s: float
     registry_before_s: float
     seen: FitnessReport = field(default_factory=_empty_report)
+    evacuations: EvacuationSnapshot | None = None
+    evacuations_before_s: float = 0.0
+    instances: int | None = None
 
 
 FeederAnswer = ZoneNews | FeederFull | FeederAhead
