Pass a feeder's claim to a follower before a planned stop; make fewer calls

Change, each with its reason beside it: - A feeder that stops writes one of its followers into its claim, under the revision that it has read, and names it to the others, which poll it with their feeds suspended. It stops as before if the write fails, also towards instances of the former build. - The first poll is not held, a holder that is just starting is polled again for a second, and the first watch after a start waits for that (0.35 of the time to be in force). - Only the registry's watch is short. An answer after its loss renews the others, so they may be held for 10 s. - While a stale feeder is polled, the store is called at most every 2 s (0.4 of the time to be in force) instead of every second, since the feeder calls it as well. - A feeder feeds 32 others instead of 24.

--- a/endivepick/forwarder/feeder_election.py
+++ b/endivepick/forwarder/feeder_election.py
@@ -42,7 +42,9 @@
 
 
 class Feed(Struct, frozen=True):
-    """Serve as a feeder, which follows the store: this instance holds a claim."""
+    """Serve as a feeder, which follows the store: this instance holds the claim."""
+
+    claim: FeederClaim
 
 
 class WriteClaim(Struct, frozen=True):
@@ -100,8 +102,9 @@
     WriteClaim(claim=FeederClaim(name='a.0', holder='10.0.0.1:1', revision=0))
     """
     held = {claim.name: claim for claim in claims if claim.name in claim_names}
-    if any(claim.holder == own for claim in held.values()):
-        return Feed()
+    for claim in held.values():
+        if claim.holder == own:
+            return Feed(claim)
     missing = [name for name in claim_names[:min_feeders] if name not in held]
     if missing:
         return WriteClaim(FeederClaim(_choose(missing, random_share), own))
--- a/endivepick/forwarder/followed_feeds.py
+++ b/endivepick/forwarder/followed_feeds.py
@@ -21,30 +21,13 @@
 from endivepick.forwarder.zone_messages import ZoneNews
 from endivepick.forwarding import ForwardingCore
 
-__all__ = ["FeederUnreliable", "FollowedFeeds"]
+__all__ = ["FollowedFeeds"]
 
 FEEDER_RECOVERY_S = 1.5
 """Time for which a stale feeder is still polled after the store has answered here; a
 feeder retries an unavailable store about once a second."""
 
 
-class FeederUnreliable(Exception):
-    """Raised when the current feeder can no longer be relied on.
-
-    Parameters
-    ----------
-    reason : str
-        Reason for the log.
-    lost : bool
-        Whether its claim may be taken over because it does not answer or is cut off.
-    """
-
-    def __init__(self, reason: str, lost: bool) -> None:
-        super().__init__(reason)
-        self.reason = reason
-        self.lost = lost
-
-
 class FollowedFeeds:
     """The feeds of an instance that follows a feeder.
 
@@ -77,8 +60,7 @@
 
     @contextmanager
     def following(self) -> Iterator[None]:
-        """Suspend the required feeds; resume all feeds with the end of the context."""
-        self._suspend(REQUIRED_KINDS)
+        """Resume all suspended feeds at the end of the context."""
         try:
             yield
         finally:
@@ -89,17 +71,17 @@
         """Whether the store has not answered the feeder for too long."""
         return news.heard_before_s > self._freshness.feeder_silent_s
 
-    def on_news(self, news: ZoneNews) -> None:
+    def on_news(self, news: ZoneNews) -> bool:
         """Suspend or resume feeds according to a feeder's answer.
 
-        Raises
-        ------
-        FeederUnreliable
-            If the store answers this instance and has not answered the feeder.
+        Returns
+        -------
+        bool
+            False if the feeder is cut off: the store answers this instance and has not
+            answered the feeder.
         """
         if self.is_stale(news):
-            self._check_store(news)
-            return
+            return self._check_store()
         self._check_began_s = None
         self._suspend(REQUIRED_KINDS)
         self._update_heard(FeedKind.CONFIGURATION, news.heard_before_s)
@@ -107,6 +89,7 @@
         # registry itself.
         self._update_heard(FeedKind.REGISTRY, news.registry_before_s)
         self._follow_evacuations(news)
+        return True
 
     def _follow_evacuations(self, news: ZoneNews) -> None:
         """Follow the evacuated zones at the feeder, or else at the store.
@@ -123,20 +106,17 @@
         elif FeedKind.EVACUATIONS in self._suspended:
             self._resume([FeedKind.EVACUATIONS])
 
-    def _check_store(self, news: ZoneNews) -> None:
-        """Find out whether the store answers this instance."""
+    def _check_store(self) -> bool:
+        """Find out whether the store answers this instance; False if it does so."""
         now_s = steady_now_s()
         if self._check_began_s is None:
             self._check_began_s = now_s
             self._resume(list(self._suspended), store_silent=True)
-            return
+            return True
         answered_s = self._feeds[FeedKind.REGISTRY].last_answer_s
-        if (
-            answered_s > self._check_began_s
-            and now_s - self._check_began_s >= FEEDER_RECOVERY_S
-        ):
-            reason = f"store silent there for {news.heard_before_s:.1f} s"
-            raise FeederUnreliable(reason, lost=True)
+        checked_for_s = now_s - self._check_began_s
+        answers_here = answered_s > self._check_began_s
+        return not (answers_here and checked_for_s >= FEEDER_RECOVERY_S)
 
     def _suspend(self, kinds: Iterable[FeedKind]) -> None:
         for kind in kinds:
--- a/endivepick/forwarder/freshness.py
+++ b/endivepick/forwarder/freshness.py
@@ -13,6 +13,17 @@
 
 POLL_WAIT_S = 0.7
 """Maximum time for which a feeder holds a poll."""
+POLL_TIMEOUT_MARGIN_S = 0.5
+"""Margin added to the hold time of a poll; a feeder that answers later is considered
+frozen or cut off."""
+START_PAUSE_SHARE = 0.35
+"""Share of the time to be in force that may pass between the first list and the first
+watch; an instance finds a feeder within it even if that one is starting as well."""
+CHECK_RETRY_SHARE = 0.4
+"""Share of the time to be in force that may pass between two calls of an unavailable
+store; the time-out of a call that was lost at the end of an outage comes first."""
+MAX_RESUME_PAUSE_S = 2.5
+"""Upper limit of the pause before a kind that is not required is read again."""
 ANSWER_TIMEOUT_MARGIN_S = 1.0
 """Time after the end of its wait at which an unanswered watch is considered lost."""
 FIRST_RETRY_S = 0.6
@@ -55,9 +66,13 @@
     Attributes
     ----------
     watch_wait_s : float
-        Maximum time for which the store may hold a watch. A watch that the store
-        accepted and then lost is never answered, even when the store is back; changes
-        are missed until the watch times out.
+        Maximum time for which the store may hold a watch of the registry. A watch that
+        the store accepted and then lost is never answered, even when the store is back;
+        changes are missed until the watch times out.
+    long_wait_s : float
+        The same for the other kinds. Their watches are renewed when the store answers
+        again after the watch of the registry was lost, so they need not time out by
+        themselves.
     gather_s : float
         Coalescing delay after changes, so that a series of changes costs one call.
     feeder_silent_s : float
@@ -71,13 +86,26 @@
         Maximum time since the store last answered a feeder about evacuated zones, while
         it answers about the other kinds; beyond it, the instances that follow the
         feeder read this kind themselves.
+    start_pause_s : float
+        Pause between the first list and the first watch after a start; an instance that
+        follows a feeder by then holds no watch at all.
+    check_retry_s : float
+        Longest delay before an instance calls an unavailable store again while it polls
+        a feeder, which retries as well.
+    resume_pause_s : float
+        Time after leaving a feeder before a kind is read that is not required; most
+        instances follow another feeder by then.
     """
 
     watch_wait_s: float
+    long_wait_s: float
     gather_s: float
     feeder_silent_s: float
     feeding_wait_s: float
     evacuations_silent_s: float
+    start_pause_s: float
+    check_retry_s: float
+    resume_pause_s: float
 
 
 def compute_freshness(settings: ForwarderSettings) -> Freshness:
@@ -87,8 +115,9 @@
     --------
     >>> from endivepick.forwarder.tests.test_settings import decode
     >>> compute_freshness(decode(change_in_force_ms=3000, store_settles_ms=4000))
-    Freshness(watch_wait_s=1.45, gather_s=0.75, feeder_silent_s=1.6, \
-feeding_wait_s=1.0, evacuations_silent_s=3.3)
+    Freshness(watch_wait_s=1.45, long_wait_s=10.0, gather_s=0.75, \
+feeder_silent_s=1.6, feeding_wait_s=1.0, evacuations_silent_s=11.85, \
+start_pause_s=1.05, check_retry_s=1.2, resume_pause_s=0.85)
     """
     in_force_s = _MS * min(
         settings.change_in_force_ms,
@@ -98,8 +127,8 @@
     gather_s = settings.gather_s
     if gather_s is None:
         gather_s = min(GATHER_SHARE * in_force_s, MAX_GATHER_S)
-    watch_wait_s = settings.watch_wait_s
-    if watch_wait_s is None:
+    watch_wait_s = long_wait_s = settings.watch_wait_s
+    if watch_wait_s is None or long_wait_s is None:
         # The times run in parallel: a change of just before the end of an outage must
         # be in force when the store has settled, and not only after both times.
         missed_for_s = max(_MS * settings.store_settles_ms, in_force_s)
@@ -107,7 +136,9 @@
             ANSWER_TIMEOUT_MARGIN_S + FIRST_RETRY_S + CHANGE_READ_S + TIMER_MARGIN_S
         )
         shortest_s, longest_s = WATCH_BOUNDS_S
-        watch_wait_s = max(shortest_s, min(missed_for_s - spent_s, longest_s))
+        watch_wait_s = min(missed_for_s - spent_s, longest_s)
+        watch_wait_s = round(max(shortest_s, watch_wait_s), 3)
+        long_wait_s = longest_s
     silent_s = min(
         in_force_s - POLL_WAIT_S - CHANGE_READ_S,
         in_force_s * FEEDER_SILENT_SHARE,
@@ -121,8 +152,29 @@
     feeding_wait_s = max(feeding_wait_s, WATCH_BOUNDS_S[0])
     feeding_wait_s = round(min(feeding_wait_s, watch_wait_s), 3)
     evacuations_silent_s = round(
-        watch_wait_s + ANSWER_TIMEOUT_MARGIN_S + FIRST_RETRY_S + TIMER_MARGIN_S, 3
+        long_wait_s + ANSWER_TIMEOUT_MARGIN_S + FIRST_RETRY_S + TIMER_MARGIN_S, 3
     )
     return Freshness(
-        watch_wait_s, gather_s, silent_s, feeding_wait_s, evacuations_silent_s
+        watch_wait_s,
+        long_wait_s,
+        gather_s,
+        silent_s,
+        feeding_wait_s,
+        evacuations_silent_s,
+        _compute_start_pause_s(settings, in_force_s),
+        round(CHECK_RETRY_SHARE * in_force_s, 3),
+        _compute_resume_pause_s(settings, in_force_s),
     )
+
+
+def _compute_start_pause_s(settings: ForwarderSettings, in_force_s: float) -> float:
+    if settings.gather_s is not None or not settings.zone_feeders:
+        return settings.gather_s or 0.0
+    return round(START_PAUSE_SHARE * in_force_s, 3)
+
+
+def _compute_resume_pause_s(settings: ForwarderSettings, in_force_s: float) -> float:
+    if settings.gather_s is not None:
+        return settings.gather_s
+    known_s = POLL_WAIT_S + POLL_TIMEOUT_MARGIN_S + CHANGE_READ_S + TIMER_MARGIN_S
+    return round(max(0.0, min(in_force_s - known_s, MAX_RESUME_PAUSE_S)), 3)
--- a/endivepick/forwarder/pages.py
+++ b/endivepick/forwarder/pages.py
@@ -109,7 +109,7 @@
             "flows": len(self._core.flows),
             "ready": int(self._ready()),
             "feeding": int(zone is not None and zone.feeder.feeding),
-            "fed": int(zone is not None and zone.fed),
+            "fed": int(zone is not None and zone.follower.fed),
             "evacuated_zones": len(self._core.evacuated),
             "config_age_seconds": now_s - self._core.routes.since_s,
             **{
--- a/endivepick/forwarder/settings.py
+++ b/endivepick/forwarder/settings.py
@@ -108,7 +108,7 @@
     flow_longest_s: _Seconds = 60.0
     link_mbps: Annotated[float, msgspec.Meta(gt=0)] = 1000.0
     zone_feeders: Annotated[int, msgspec.Meta(ge=0, le=64)] = 1
-    fed_most: Annotated[int, msgspec.Meta(ge=1, le=1000)] = 24
+    fed_most: Annotated[int, msgspec.Meta(ge=1, le=1000)] = 32
     mechanisms: Mechanisms = Mechanisms()
 
     @property
--- a/endivepick/forwarder/store_feed.py
+++ b/endivepick/forwarder/store_feed.py
@@ -109,6 +109,9 @@
         self._stale_first = stale_first
         self._required = kind in REQUIRED_KINDS
         self._check_wanted = False
+        self._presumed_lost = False
+        self._started = False
+        self._resumed = False
         self._settings = settings
         self._kind = kind
         self._dialect = dialect
@@ -124,13 +127,18 @@
         self.last_answer_s = steady_now_s()
         """Time of the store's last answer, here or to the feeder, in seconds."""
         self._freshness = compute_freshness(settings)
-        self._watch_wait_s = self._freshness.watch_wait_s
+        self._longest_wait_s = (
+            self._freshness.watch_wait_s
+            if kind is FeedKind.REGISTRY
+            else self._freshness.long_wait_s
+        )
+        self._watch_wait_s = self._longest_wait_s
         self._lost_since_s: float | None = None
 
     @property
     def lost(self) -> bool:
-        """Whether the last call failed."""
-        return self._lost_since_s is not None
+        """Whether the last call failed, or no call has succeeded since a resumption."""
+        return self._lost_since_s is not None or self._presumed_lost
 
     def is_receiving_list(self, within_s: float) -> bool:
         """Whether a list is being read and its data arrived recently.
@@ -167,6 +175,7 @@
         self._stale_first = False
         self._list_wanted = False
         self._check_wanted = False
+        self._presumed_lost = False
         self._lost_since_s = None
         self.stop()
 
@@ -184,11 +193,15 @@
         """
         self._suspended = False
         self._revision = max(self._revision, revision)
-        if store_silent and self._lost_since_s is None:
-            self._lost_since_s = steady_now_s()
-            self._check_wanted = True
+        self._check_wanted = self._presumed_lost = store_silent
+        self._resumed = not store_silent
         self._restart()
 
+    def end_pause(self) -> None:
+        """Read a list that is pending at once: other instances wait for its objects."""
+        if self._list_wanted and not self._stale_first and not self._suspended:
+            self._restart()
+
     def _renew_watch(self) -> None:
         """Replace a watch that was sent before the store failed to answer."""
         if self.settled and not self._suspended:
@@ -205,7 +218,7 @@
         wait_s : float or None
             Maximum wait, in seconds; None for the one of the settings.
         """
-        longest_s = self._freshness.watch_wait_s
+        longest_s = self._longest_wait_s
         wait_s = longest_s if wait_s is None else min(wait_s, longest_s)
         shorter = wait_s < self._watch_wait_s
         self._watch_wait_s = wait_s
@@ -228,10 +241,7 @@
         self.start()
 
     def _run(self) -> None:
-        bounds = BackoffSettings(
-            self._settings.retry_base_s, self._settings.retry_cap_s
-        )
-        backoff = Backoff(bounds)
+        backoff = Backoff(self._choose_backoff())
         pending_socket, self._pending_socket = self._pending_socket, None
         with (
             store_connection(
@@ -240,10 +250,7 @@
             self._breaker.register(self._renew_watch) as feed,
         ):
             self._connection = connection
-            if self._check_wanted:
-                self._check_wanted = False
-                if not self._breaker.record_failure(feed, self._required):
-                    self._breaker.wait()
+            self._await_first_call(feed)
             while True:
                 try:
                     changed = self._step(connection)
@@ -267,12 +274,40 @@
                     else:
                         self._breaker.wait()
                 else:
-                    backoff = backoff.succeeded()
+                    backoff = Backoff(self._choose_backoff())
                     self._on_success(feed)
                     if self._suspended:
                         return
                     if changed:
-                        gevent.sleep(self._freshness.gather_s)
+                        gevent.sleep(self._take_pause_s())
+
+    def _choose_backoff(self) -> BackoffSettings:
+        """Return the bounds of the delay before retries.
+
+        While a feeder is followed, it retries as often as all others together would.
+        """
+        base_s, cap_s = self._settings.retry_base_s, self._settings.retry_cap_s
+        if self._check_wanted:
+            base_s, cap_s = cap_s, max(cap_s, self._freshness.check_retry_s)
+        return BackoffSettings(base_s, cap_s)
+
+    def _await_first_call(self, feed: Hashable) -> None:
+        """Wait until a resumed feed may call the store."""
+        resumed, self._resumed = self._resumed, False
+        if resumed and not self._required:
+            gevent.sleep(self._freshness.resume_pause_s)
+        check_wanted, self._check_wanted = self._check_wanted, False
+        if check_wanted and not self._breaker.record_failure(feed, self._required):
+            self._breaker.wait()
+
+    def _take_pause_s(self) -> float:
+        """Return the pause after a list or changes, in seconds."""
+        if self._started:
+            return self._freshness.gather_s
+        self._started = True
+        if self._required:
+            return self._freshness.start_pause_s
+        return self._freshness.resume_pause_s
 
     def _step(self, connection: StoreConnection) -> bool:
         """Make one call or read one list; return whether anything changed."""
@@ -347,6 +382,7 @@
         self._count("answered")
         self._breaker.record_success(feed)
         self.last_answer_s = steady_now_s()
+        self._presumed_lost = False
         if self._lost_since_s is None:
             return
         lost_s = self.last_answer_s - self._lost_since_s
--- a/endivepick/forwarder/tests/test_evacuation_news.py
+++ b/endivepick/forwarder/tests/test_evacuation_news.py
@@ -29,7 +29,7 @@
 
     def setUp(self):
         super().setUp()
-        self.news_handler = self.member._apply_news.__self__
+        self.news_handler = self.member.follower._apply_news.__self__
 
     def zones(self):
         return [each.zone for each in self.core.evacuated.list_zones()]
@@ -191,7 +191,7 @@
 
     def test_kind_that_the_feeder_cannot_read_is_read_here(self):
         known = EvacuationSnapshot([], 44)
-        late_s = self.member._freshness.evacuations_silent_s + 0.1
+        late_s = self.member.follower._freshness.evacuations_silent_s + 0.1
         self.follow(self.news(known), self.news(known, late_s), self.news(known))
         expected = ["suspend", "resume 44", "suspend", "resume 44"]
         self.assertEqual(self.calls(), expected)
@@ -238,7 +238,7 @@
 
     def test_all_polls_are_answered_at_once(self):
         self.member = self.make_member(self.core, fed_most=self.FOLLOWERS)
-        self.news_handler = self.member._apply_news.__self__
+        self.news_handler = self.member.follower._apply_news.__self__
         self.read(revision=15, whole=True)
         self.feed()
         query = "&config=1&registry=10&evacuations=15"
--- a/endivepick/forwarder/tests/test_feed.py
+++ b/endivepick/forwarder/tests/test_feed.py
@@ -264,7 +264,7 @@
         self.assertEqual(store.asked, expected)
 
     def test_feeder_replaces_the_complete_list(self):
-        store = ScriptedStore(self, gather_s=60.0)
+        store = ScriptedStore(self, gather_s=0.2)
         feed = store.start_feed(FeedKind.EVACUATIONS, stale_first=True)
         store.wait_asked("/evacuations?stale")
         feed.suspend()
--- a/endivepick/forwarder/tests/test_feeders.py
+++ b/endivepick/forwarder/tests/test_feeders.py
@@ -35,7 +35,8 @@
         self.assertEqual(step(OTHERS[2:]).claim.name, "a.0")
 
     def test_holder_of_a_claim_feeds(self):
-        self.assertEqual(step([FeederClaim("a.1", OWN, 3), OTHERS[0]]), Feed())
+        own = FeederClaim("a.1", OWN, 3)
+        self.assertEqual(step([own, OTHERS[0]]), Feed(own))
 
     def test_other_instances_follow_a_feeder(self):
         followed = {step(OTHERS, share=share) for share in (0.0, 0.4, 0.6, 0.999)}
--- a/endivepick/forwarder/tests/test_feeding.py
+++ b/endivepick/forwarder/tests/test_feeding.py
@@ -113,7 +113,7 @@
         self.feed()
         self.assertIsNone(feed.wait_s)
         self.ask(config=0)
-        self.assertEqual(feed.wait_s, self.member._freshness.feeding_wait_s)
+        self.assertEqual(feed.wait_s, self.member.follower._freshness.feeding_wait_s)
         with patch.object(zone_feeder, "REQUEST_IDLE_S", 0.0):
             self.member.feeder.start_feeding()
         self.assertIsNone(feed.wait_s)
@@ -215,8 +215,7 @@
         self.core.registry.get("i-1").requests.failed = 5.0
         self.core.registry.get("i-1").requests.at_s = steady_now_s()
         with http_server("127.0.0.1:0", answer) as address:
-            self.member.fed = True
-            self.member._feeder_address = address
+            self.member.follower.feeder_address = address
             for _ in range(3):
                 self.member.report_observations()
             with gevent.Timeout(TIMEOUT_S):
@@ -227,10 +226,9 @@
         self.assertEqual([told.name for told in question.seen.targets], ["i-1"])
 
     def test_nothing_is_reported_without_suspicion(self):
-        self.member.fed = True
-        self.member._feeder_address = "127.0.0.1:1"
+        self.member.follower.feeder_address = "127.0.0.1:1"
         self.member.report_observations()
-        self.assertEqual(self.member._report_sent_s, float("-inf"))
+        self.assertEqual(self.member.follower._report_sent_s, float("-inf"))
 
     def test_report_to_an_instance_that_does_not_feed(self):
         question = ZoneQuestion("10.0.0.2:1", 0, 0, self.report(9.0))
--- a/endivepick/forwarder/tests/test_freshness.py
+++ b/endivepick/forwarder/tests/test_freshness.py
@@ -75,6 +75,7 @@
     def test_feeding_wait_ends_before_the_feeder_is_stale(self):
         for _, limits, in_force_s in self.cases():
             self.assertLessEqual(limits.feeding_wait_s, limits.watch_wait_s)
+            self.assertLessEqual(limits.watch_wait_s, limits.long_wait_s)
             if in_force_s >= 3.0:
                 self.assertLess(limits.feeding_wait_s, limits.feeder_silent_s)
 
--- a/endivepick/forwarder/tests/test_zone.py
+++ b/endivepick/forwarder/tests/test_zone.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from endivepick.clock import steady_now_s
-from endivepick.forwarder import followed_feeds, zone_member
+from endivepick.forwarder import feeder_follower, followed_feeds, zone_member
 from endivepick.forwarder.freshness import ANSWER_TIMEOUT_MARGIN_S
 from endivepick.forwarder.http import Response, http_server
 from endivepick.forwarder.ports import REQUIRED_KINDS, FeederClaim, FeedKind
@@ -14,6 +14,7 @@
 from endivepick.forwarder.zone_messages import (
     FeederAhead,
     FeederFull,
+    FeederMoved,
     ZoneNews,
 )
 from endivepick.forwarding import RegistryNews, TargetState
@@ -82,7 +83,7 @@
 
     def follow_stale(self, store_answers):
         """Follow a feeder whose news turn stale and stay so; return its address."""
-        stale_s = self.member._freshness.feeder_silent_s + 0.1
+        stale_s = self.member.follower._freshness.feeder_silent_s + 0.1
         polls = []
 
         def answer(_path, _query):
@@ -110,7 +111,7 @@
 
     def test_store_is_called_at_the_first_stale_news(self):
         """All kinds are resumed, so changes are read as early as without the check."""
-        stale_s = self.member._freshness.feeder_silent_s + 0.1
+        stale_s = self.member.follower._freshness.feeder_silent_s + 0.1
         self.follow(self.news(), then=Response(404))
         for feed in self.feeds.values():
             feed.calls.clear()
@@ -126,7 +127,7 @@
         self.assertEqual(self.member._lost_feeders(), [])
 
     def test_fresh_news_end_the_check(self):
-        stale_s = self.member._freshness.feeder_silent_s + 0.1
+        stale_s = self.member.follower._freshness.feeder_silent_s + 0.1
         self.follow(self.news(), self.news(heard_before_s=stale_s), self.news())
         expected = ["suspend", "resume 10 silent", "suspend", "resume 10"]
         self.assertEqual(self.calls(FeedKind.REGISTRY), expected)
@@ -155,10 +156,10 @@
         limit = gevent.Timeout(TIMEOUT_S)
         with http_server("127.0.0.1:0", answer) as address, limit:
             self.member._follow(address)
-        limits = self.member._freshness
+        limits = self.member.follower._freshness
         asked_for_s = limits.feeding_wait_s + ANSWER_TIMEOUT_MARGIN_S
         self.assertLessEqual(
-            len(asked), asked_for_s / zone_member.POLL_RETRY_DELAY_S + 2
+            len(asked), asked_for_s / feeder_follower.POLL_RETRY_DELAY_S + 2
         )
 
     def test_feeder_that_stays_stale_is_not_followed(self):
@@ -202,7 +203,7 @@
             gevent.sleep(TIMEOUT_S)
             return Response(404)
 
-        slack = patch.object(zone_member, "POLL_WAIT_S", 0.1)
+        slack = patch.object(feeder_follower, "POLL_WAIT_S", 0.1)
         with slack, http_server("127.0.0.1:0", silent) as address:
             self.member._follow(address)
         self.assertEqual(self.member._lost_feeders(), [address])
@@ -273,6 +274,98 @@
         self.assertEqual(self.read_at_start(), (2, [""]))
 
 
+class TestHandOver(ZoneCase):
+    """A feeder that stops names its successor, so its followers need no store."""
+
+    SUCCESSOR = "10.0.0.2:1"
+
+    def ask(self, asker=SUCCESSOR, query="&wait=1"):
+        return gevent.spawn(
+            self.member.feeder.answer_poll,
+            f"from={asker}&config=1&registry=10{query}",
+        )
+
+    def stop(self, written=True):
+        """Stop the feeder; return the claims that it tried to write."""
+        claims = []
+
+        def write(claim, successor):
+            claims.append((claim, successor))
+            return written
+
+        self.member._claim = FeederClaim(self.member._claim_names[0], "own", 7)
+        with patch.object(self.member, "_pass_claim", write):
+            self.member.stop()
+            gevent.sleep(0)
+        return claims
+
+    def moved(self, asked):
+        answer = asked.get(timeout=TIMEOUT_S)
+        return msgspec.json.decode(answer.body, type=FeederMoved).successor
+
+    def test_pending_polls_name_the_successor(self):
+        self.feed()
+        asked = self.ask()
+        older = self.ask("10.0.0.3:1", query="")
+        gevent.sleep(0)
+        self.assertEqual(len(self.stop()), 1)
+        self.assertEqual(self.moved(asked), self.SUCCESSOR)
+        self.assertEqual(self.moved(self.ask("10.0.0.4:1")), self.SUCCESSOR)
+        self.assertEqual(older.get(timeout=TIMEOUT_S).status, 404)
+
+    def test_claim_that_another_instance_replaced_is_not_passed_on(self):
+        self.feed()
+        asked = self.ask()
+        gevent.sleep(0)
+        self.stop(written=False)
+        self.assertEqual(asked.get(timeout=TIMEOUT_S).status, 404)
+
+    def test_instance_without_followers_passes_nothing_on(self):
+        self.feed()
+        self.assertEqual(self.stop(), [])
+        self.assertFalse(self.member.feeder.feeding)
+
+    def test_follower_of_an_older_build_is_no_successor(self):
+        self.feed()
+        self.ask(query="")
+        gevent.sleep(0)
+        self.assertEqual(self.stop(), [])
+
+    def follow_moved(self, successor):
+        """Follow a feeder that names a successor with its second answer."""
+        news = ZoneNews("front-9", 1, None, NOTHING, 0.1, 0.1)
+        answers = [news, FeederMoved("front-9", successor)]
+
+        def answer(_path, _query):
+            body = msgspec.json.encode(answers.pop(0))
+            return Response(200, body, "application/json")
+
+        limit = gevent.Timeout(TIMEOUT_S)
+        with http_server("127.0.0.1:0", answer) as address, limit:
+            self.member._follow(address)
+
+    def test_successor_starts_feeding(self):
+        self.follow_moved(self.member._settings.advertised_address)
+        self.assertTrue(self.member.feeder.feeding)
+        calls = self.feeds[FeedKind.REGISTRY].calls
+        self.assertEqual(calls, ["suspend", "resume 10"])
+
+    def test_others_follow_the_successor_without_the_store(self):
+        polls = []
+
+        def answer(_path, _query):
+            polls.append(list(self.feeds[FeedKind.REGISTRY].calls))
+            if len(polls) > 3:
+                return Response(404)
+            news = ZoneNews("front-8", 1, None, NOTHING, 0.1, 0.1)
+            return Response(200, msgspec.json.encode(news), "application/json")
+
+        with http_server("127.0.0.1:0", answer) as successor:
+            self.follow_moved(successor)
+        self.assertEqual(polls[:3], [["suspend"]] * 3)
+        self.assertFalse(self.member.feeder.feeding)
+
+
 class TestLostHolders(ZoneCase):
     """Several feeders are lost at once; this instance followed one of them."""
 
@@ -325,7 +418,7 @@
 
         with http_server("127.0.0.1:0", answer) as address:
             self.member._follow(address)
-        self.assertEqual(asked, ["from=127.0.0.1:1&config=9&registry=10"])
+        self.assertEqual(asked, ["from=127.0.0.1:1&config=9&registry=10&wait=0"])
 
 
 if __name__ == "__main__":
--- a/endivepick/forwarder/tests/zone_case.py
+++ b/endivepick/forwarder/tests/zone_case.py
@@ -2,8 +2,10 @@
 
 import json
 import unittest
+from unittest.mock import patch
 
 from endivepick.clock import steady_now_s
+from endivepick.forwarder import feeder_follower
 from endivepick.forwarder.decision_log import DecisionLog
 from endivepick.forwarder.logs import BoundedLog
 from endivepick.forwarder.metrics import ForwarderMetrics
@@ -46,12 +48,18 @@
     def request_list(self):
         self.calls.append("list")
 
+    def end_pause(self):
+        self.calls.append("end pause")
+
 
 class ZoneCase(unittest.TestCase):
     kinds = REQUIRED_KINDS
     """Kinds of objects that the instance reads."""
 
     def setUp(self):
+        # A feeder of these tests that refuses a poll does so for good.
+        starting = patch.object(feeder_follower, "FEEDER_START_S", 0.0)
+        self.enterContext(starting)
         self.core = make_core([make_target("i-1", revision=5)])
         self.feeds = {kind: FakeFeed() for kind in self.kinds}
         self.lines = []
--- a/endivepick/forwarder/zone_feeder.py
+++ b/endivepick/forwarder/zone_feeder.py
@@ -1,5 +1,6 @@
 """Feeds other instances of the zone: answers their polls with newer state."""
 
+import random
 from collections.abc import Mapping
 
 import gevent
@@ -17,6 +18,7 @@
 from endivepick.forwarder.zone_messages import (
     FeederAhead,
     FeederFull,
+    FeederMoved,
     ZoneNews,
     ZoneQuestion,
 )
@@ -43,6 +45,9 @@
 FULL_REGISTRY_SEND_S = 1.0
 """Maximum time for which the full registry, sent to all fed instances, may occupy the
 feeder's link; packets queue behind it."""
+SUCCESSOR_MARGIN_S = 0.3
+"""Time after the longest poll within which a follower has to poll again to be chosen as
+successor: one that is silent for longer may have stopped."""
 MAX_AGE_S = 1e9
 """Age of what was never read, a number that JSON can represent."""
 _MBIT_BYTES = 125_000
@@ -94,6 +99,8 @@
         self._news_event = Event()
         self._last_request_s = float("-inf")
         self._stopping = False
+        self._successor = ""
+        self._can_succeed: set[str] = set()
         self.feeding = False
         """Whether other instances may be fed here."""
 
@@ -101,8 +108,13 @@
         """Start feeding other instances unless a planned stop has begun."""
         if not self.feeding and not self._stopping:
             self._log.event("zone", "feeding", "feeding other instances of the zone")
+        if self.feeding:
+            self._set_watch_wait()
+            return
         self.feeding = not self._stopping
         self._set_watch_wait()
+        if FeedKind.EVACUATIONS in self._feeds:
+            self._feeds[FeedKind.EVACUATIONS].end_pause()
 
     def end_feeding(self) -> None:
         """Stop feeding: another instance holds the claim."""
@@ -112,12 +124,23 @@
         self._set_watch_wait()
         self.wake_polls()
 
-    def stop(self) -> None:
+    def stop(self, successor: str = "") -> None:
         """Stop feeding for good, so that the fed instances look for another feeder."""
         self._stopping = True
+        self._successor = successor
         self.feeding = False
         self.wake_polls()
 
+    def choose_successor(self) -> str:
+        """Return the address of a follower that can take the role over, "" if none."""
+        oldest_s = steady_now_s() - POLL_WAIT_S - SUCCESSOR_MARGIN_S
+        recent = [
+            asker
+            for asker in self._can_succeed
+            if asker in self._reports and self._reports[asker][0] >= oldest_s
+        ]
+        return random.choice(recent) if recent else ""
+
     def wake_polls(self) -> None:
         """Wake the pending polls; each answers if there is news for it."""
         waiting, self._news_event = self._news_event, Event()
@@ -129,6 +152,8 @@
         if poll is None:
             return _NOT_FOUND
         self._last_request_s = steady_now_s()
+        if poll.may_wait is not None:
+            self._can_succeed.add(poll.asker)
         if self.feeding and not self._fed_instances.admit(
             poll.asker, self._last_request_s
         ):
@@ -140,6 +165,8 @@
         with gevent.Timeout(POLL_WAIT_S, False):
             while self._should_wait(poll, alert_number):
                 self._news_event.wait()
+        if self._successor and poll.may_wait is not None:
+            return json_response(FeederMoved(self._name, self._successor))
         if not self.feeding or not self._core.ready:
             return _NOT_FOUND
         if self._exceeds_link(poll):
@@ -150,6 +177,7 @@
         """Return whether there is no news for an instance yet."""
         return (
             self.feeding
+            and poll.may_wait is not False
             and self._alert_number == alert_number
             and not self._has_news(poll)
         )
@@ -189,6 +217,7 @@
         self._reports = {
             a: entry for a, entry in self._reports.items() if entry[0] >= oldest_s
         }
+        self._can_succeed &= self._reports.keys()
         reports = [
             self._core.build_report(now_s),
             *(report for _, report in self._reports.values()),
--- a/endivepick/forwarder/zone_member.py
+++ b/endivepick/forwarder/zone_member.py
@@ -1,25 +1,17 @@
-"""Elects the feeders of a zone by claims in the store, and follows a feeder.
+"""Elects the feeders of a zone by claims in the store.
 
 A feeder is an instance that follows the store and serves the changes to other instances
-of its zone. While an instance follows a feeder, it does not watch the store, so its
-knowledge is as fresh as its feeder's: each answer carries the time since the store last
-answered the feeder. If that time exceeds a limit, or the feeder does not answer, the
-instance follows the store itself at once.
-
-The feeder sends a new configuration as a delta. If the feeder does not know the delta,
-or the delta is too large for its link, which also carries packets, it sends only the
-new revision, and the instance reads the configuration from the store.
+of its zone; `endivepick.forwarder.feeder_follower` says how these follow it.  A feeder
+that stops passes its claim to one of them.
 """
 
 import random
-from collections.abc import Callable, Iterator, Mapping, Sequence
-from contextlib import contextmanager
+from collections.abc import Callable, Mapping, Sequence
 
 import gevent
-import msgspec
 
 from endivepick.clock import steady_now_s
-from endivepick.errors import EndivepickError, PlatformAnswerError
+from endivepick.errors import EndivepickError
 from endivepick.forwarder.feeder_election import (
     Feed,
     FollowFeeder,
@@ -27,26 +19,21 @@
     bound_instances,
     choose_step,
 )
-from endivepick.forwarder.followed_feeds import FeederUnreliable, FollowedFeeds
-from endivepick.forwarder.freshness import (
-    ANSWER_TIMEOUT_MARGIN_S,
-    POLL_WAIT_S,
-    compute_freshness,
+from endivepick.forwarder.feeder_follower import (
+    FeederFollower,
+    FeederLeft,
+    FeederRoleReceived,
+    FeederState,
 )
-from endivepick.forwarder.logs import BoundedLog, truncate_number
+from endivepick.forwarder.freshness import POLL_TIMEOUT_MARGIN_S
+from endivepick.forwarder.logs import BoundedLog
 from endivepick.forwarder.peer_directory import Neighbours
-from endivepick.forwarder.peers import HELLO_PATH, NEWS_PATH, SEEN_PATH
+from endivepick.forwarder.peers import HELLO_PATH
 from endivepick.forwarder.ports import FeederClaim, FeedKind, StoreDialect
 from endivepick.forwarder.settings import ForwarderSettings
 from endivepick.forwarder.store_feed import StoreFeed
 from endivepick.forwarder.zone_feeder import ZoneFeeder
-from endivepick.forwarder.zone_messages import (
-    FeederAhead,
-    FeederFull,
-    ZoneNews,
-    ZoneQuestion,
-    read_feeder_answer,
-)
+from endivepick.forwarder.zone_messages import ZoneNews
 from endivepick.forwarding import ForwardingCore
 from endivepick.store import (
     AnswerLost,
@@ -63,24 +50,20 @@
 """Range of the delay before claims are first read. It lies within the pause that
 follows a list, so that an instance follows a feeder before it starts its first watches,
 which saves two calls for each start."""
-CLAIM_WRITE_DELAY_S = (0.0, 2.0)
+CLAIM_WRITE_DELAY_S = (0.0, 1.0)
 """Range of the delay before a claim found free at a start is written. Without it, all
-instances that start at once would try to write it, and all but one would fail."""
+instances that start at once would try to write it, and all but one would fail. It lies
+within the pause that follows the first list, like `CLAIM_READ_DELAY_S`."""
 CLAIM_CHECK_PERIOD_S = (15.0, 25.0)
 """Range of the period at which a feeder checks that it still holds its claim."""
 RETRY_DELAY_S = (1.0, 4.0)
 """Range of the delay after a feeder was left; the store is followed meanwhile."""
-POLL_TIMEOUT_MARGIN_S = 0.5
-"""Margin added to the hold time of a poll; a feeder that answers later is considered
-frozen or cut off."""
-REPORT_PERIOD_S = 0.3
-"""Minimum time between two reports of failing targets to a feeder, outside of polls."""
+HAND_OVER_TIMEOUT_S = 0.5
+"""Maximum time for which a stopping feeder waits for the store; afterwards its
+followers look for another feeder by themselves."""
 FEEDER_STATE_TTL_S = 10.0
 """How long a feeder that did not answer is regarded as lost, and one that refused for
 lack of capacity as full."""
-POLL_RETRY_DELAY_S = 0.2
-"""Delay before a stale feeder is polled again; a feeder that has news answers each poll
-at once."""
 MAX_CHECKED_HOLDERS = 4
 """Maximum number of other feeders that are checked after one was lost."""
 MAX_FEEDERS = 64
@@ -121,30 +104,37 @@
     ) -> None:
         self._settings = settings
         self._core = core
-        self._feeds = feeds
         self._dialect = dialect
-        self._apply_news = apply_news
-        self._neighbours = neighbours
         self._log = log
-        self._freshness = compute_freshness(settings)
-        self._followed = FollowedFeeds(core, feeds, self._freshness)
         number = MAX_FEEDERS if settings.zone_feeders else 0
         self._claim_names = [f"{settings.zone}.{n}" for n in range(number)]
         self._lost_at_s: dict[str, float] = {}
         self._full_at_s: dict[str, float] = {}
-        self._requested_config_revision = 0
-        self._feeder_address = ""
-        self._report_sent_s = float("-inf")
+        self._claim: FeederClaim | None = None
         self._stopping = False
         self.feeder = ZoneFeeder(settings, core, feeds, neighbours, log)
         """Serves the followers of this instance."""
-        self.fed = False
-        """Whether this instance follows a feeder instead of the store."""
+        self.follower = FeederFollower(
+            settings, core, feeds, apply_news, neighbours, log
+        )
+        """Follows the feeder of this instance."""
 
     def stop(self) -> None:
-        """Make the followers of this instance look for another feeder."""
+        """Make the followers of this instance follow another feeder."""
         self._stopping = True
-        self.feeder.stop()
+        if self.feeder.feeding:
+            gevent.spawn(self._hand_over)
+        else:
+            self.feeder.stop()
+
+    def report_observations(self) -> None:
+        """Report suspected targets to the zone without blocking."""
+        if not self._core.has_suspects(steady_now_s()):
+            return
+        if self.feeder.feeding:
+            self.feeder.notify_new_outliers()
+        else:
+            self.follower.report_observations()
 
     def run(self) -> None:
         """Serve as a feeder or follow one, as the claims say, until a planned stop."""
@@ -153,7 +143,7 @@
         _sleep(CLAIM_READ_DELAY_S)
         claims = self._read_initial_claims() if self._core.ready else None
         while not self._stopping:
-            if not self._core.ready or not self._followed.all_settled:
+            if not self._core.ready or not self.follower.store_answers:
                 _sleep(RETRY_DELAY_S)
                 claims = None
                 continue
@@ -208,11 +198,12 @@
             if isinstance(step, WriteClaim):
                 self._write_claim(store, step.claim)
         match step:
-            case Feed():
-                self._serve_as_feeder()
+            case Feed(claim):
+                self._serve_as_feeder(claim)
             case FollowFeeder(claim):
                 self._follow(claim.holder)
-                _sleep(RETRY_DELAY_S)
+                if not self.feeder.feeding:
+                    _sleep(RETRY_DELAY_S)
             case _:
                 _sleep(RETRY_DELAY_S)
 
@@ -289,167 +280,56 @@
         self._full_at_s = _drop_expired(self._full_at_s)
         return list(self._full_at_s)
 
-    def _serve_as_feeder(self) -> None:
+    def _serve_as_feeder(self, claim: FeederClaim) -> None:
         """Feed other instances until the claims are next read."""
+        self._claim = claim
         self.feeder.start_feeding()
         _sleep(CLAIM_CHECK_PERIOD_S)
 
     def _follow(self, feeder: str) -> None:
-        """Follow a feeder until it is unreliable."""
+        """Follow a feeder until it is unreliable, or makes this instance a feeder."""
         self.feeder.end_feeding()
-        began_s = steady_now_s()
-        try:
-            with store_connection(feeder) as connection:
-                news = self._poll_until_fresh(feeder, connection)
-                self._check_initial(news)
-                with self._following(feeder):
-                    while True:
-                        self._followed.on_news(news)
-                        self._read_unsent_configuration(news)
-                        news = self._poll(feeder, connection)
-        except FeederUnreliable as failure:
-            if failure.lost:
-                self._lost_at_s[feeder] = steady_now_s()
-            self._log.event(
-                "zone",
-                "feeder_left",
-                "left the feeder; following the store",
-                feeder=feeder,
-                reason=failure.reason,
-                fed_for_s=truncate_number(steady_now_s() - began_s),
-            )
-
-    @contextmanager
-    def _following(self, feeder: str) -> Iterator[None]:
-        self._log.event("zone", "feeder_followed", "following a feeder", feeder=feeder)
-        self.fed = True
-        self._feeder_address = feeder
-        try:
-            with self._followed.following():
-                yield
-        finally:
-            self.fed = False
-
-    def _read_unsent_configuration(self, news: ZoneNews) -> None:
-        """Read a configuration from the store whose change the feeder did not send."""
-        if news.config_revision > self._core.routes.revision:
-            self._requested_config_revision = news.config_revision
-            self._feeds[FeedKind.CONFIGURATION].request_list()
-
-    def _poll(self, feeder: str, connection: StoreConnection) -> ZoneNews:
-        """Poll the feeder for news and apply them."""
-        config = self._core.routes.revision
-        if not self._feeds[FeedKind.CONFIGURATION].settled:
-            # The configuration is being read. Polling with the requested revision
-            # avoids an immediate answer; when the read ends with an older revision, it
-            # is requested again.
-            config = max(config, self._requested_config_revision)
-        poll = ZoneQuestion(
-            self._settings.advertised_address,
-            config,
-            self._core.registry.revision,
-            self._core.build_report(steady_now_s()),
-            self._evacuation_revision,
-        )
-        try:
-            path = f"{NEWS_PATH}?{poll.query}"
-            body = connection.get(path, POLL_WAIT_S + POLL_TIMEOUT_MARGIN_S)
-            answer = read_feeder_answer(body)
-        except PlatformAnswerError:
-            # The feeder is alive; it has just started or is about to stop.
-            raise FeederUnreliable("instance is no feeder", lost=False) from None
-        except (EndivepickError, msgspec.MsgspecError) as error:
-            raise FeederUnreliable(str(error), lost=True) from None
-        match answer:
-            case FeederFull():
-                self._full_at_s[feeder] = steady_now_s()
-                raise FeederUnreliable(
-                    "feeder has reached its limit of instances", lost=False
-                )
-            case FeederAhead():
-                raise FeederUnreliable("feeder cannot send the changes", lost=False)
-            case ZoneNews():
-                self._apply(feeder, answer)
-                return answer
-
-    def _apply(self, feeder: str, news: ZoneNews) -> None:
-        self._neighbours.mark_alive(feeder, steady_now_s())
-        self._core.on_zone_report(news.seen, steady_now_s())
-        if news.instances is not None:
-            self._core.set_instance_bound(news.instances)
-        self._apply_news(news)
-
-    @property
-    def _evacuation_revision(self) -> int | None:
-        """Revision up to which the evacuated zones are known, None if not read."""
-        if FeedKind.EVACUATIONS not in self._feeds:
-            return None
-        return self._core.evacuated.revision
-
-    def report_observations(self) -> None:
-        """Report suspected targets to the zone without blocking.
-
-        A poll is held for most of a second. Without a report in between, each instance
-        would lose requests to a target that others already know to be failing.
+        match self.follower.follow(feeder):
+            case FeederLeft(address, _, state):
+                if state is FeederState.LOST:
+                    self._lost_at_s[address] = steady_now_s()
+                elif state is FeederState.FULL:
+                    self._full_at_s[address] = steady_now_s()
+            case FeederRoleReceived():
+                self.feeder.start_feeding()
+
+    def _hand_over(self) -> None:
+        """Pass the claim to a follower before a planned stop, then stop feeding.
+
+        Otherwise all followers would follow the store until one of them has found the
+        claim's holder lost and replaced it.
         """
-        now_s = steady_now_s()
-        if now_s - self._report_sent_s < REPORT_PERIOD_S or not self._core.has_suspects(
-            now_s
-        ):
-            return
-        self._report_sent_s = now_s
-        if self.feeder.feeding:
-            self.feeder.notify_new_outliers()
-        elif self.fed:
-            gevent.spawn(self._send_report, self._feeder_address)
-
-    def _send_report(self, feeder: str) -> None:
-        report = self._core.build_report(steady_now_s())
-        if not report.is_urgent:
-            return
-        poll = ZoneQuestion(self._settings.advertised_address, 0, 0, report)
+        successor = self.feeder.choose_successor()
+        claim = self._claim
+        if claim is None or not successor or not self._pass_claim(claim, successor):
+            successor = ""
+        self.feeder.stop(successor)
+
+    def _pass_claim(self, claim: FeederClaim, successor: str) -> bool:
+        """Write a successor into the claim; return whether it was written."""
+        passed = FeederClaim(claim.name, successor, claim.revision)
         try:
-            with store_connection(feeder) as connection:
-                connection.get(f"{SEEN_PATH}?{poll.query}", POLL_TIMEOUT_MARGIN_S)
-        except (EndivepickError, ValueError) as error:
-            # The next poll carries the same report and detects a lost feeder.
-            self._log.event(
-                "zone",
-                "seen_untold",
-                "failed to send a report to the feeder",
-                error=str(error),
-            )
-
-    def _poll_until_fresh(self, feeder: str, connection: StoreConnection) -> ZoneNews:
-        """Poll until the news is fresh or a short watch must have been answered.
-
-        If nobody has polled the feeder before, its watch of the store is a long one, so
-        its first answers may be stale. If it were considered lost for that, its claim
-        would pass to another instance in the same state, and so on.
-        """
-        until_s = (
-            steady_now_s() + self._freshness.feeding_wait_s + ANSWER_TIMEOUT_MARGIN_S
+            with store_connection(self._settings.store_address) as store:
+                written = store.write(
+                    self._dialect.write_claim(passed), HAND_OVER_TIMEOUT_S
+                )
+        except EndivepickError as error:
+            self._log_unknown_claims(error)
+            return False
+        self._log.event(
+            "zone",
+            "feeder_passed_on" if written else "claim_lost",
+            "place of a feeder passed on" if written else "place taken by another",
+            claim=claim.name,
+            before_revision=claim.revision,
+            successor=successor,
         )
-        news = self._poll(feeder, connection)
-        while self._followed.is_stale(news) and steady_now_s() < until_s:
-            gevent.sleep(POLL_RETRY_DELAY_S)
-            news = self._poll(feeder, connection)
-        return news
-
-    def _check_initial(self, news: ZoneNews) -> None:
-        """Consider a feeder lost if its news are stale although the store answers here.
-
-        The claims have just been read here, so the store is reachable. If the feeder
-        kept its claim, its followers would return to it every few seconds until its
-        partition ends.
-        """
-        if not self._followed.all_settled:
-            raise FeederUnreliable(
-                "store became unreachable from this instance", lost=False
-            )
-        if self._followed.is_stale(news):
-            reason = f"store silent there for {news.heard_before_s:.1f} s"
-            raise FeederUnreliable(reason, lost=True)
+        return written
 
 
 def _drop_expired(noted_s: Mapping[str, float]) -> dict[str, float]:
--- a/endivepick/forwarder/zone_messages.py
+++ b/endivepick/forwarder/zone_messages.py
@@ -17,6 +17,7 @@
     "FeederAhead",
     "FeederAnswer",
     "FeederFull",
+    "FeederMoved",
     "ZoneNews",
     "ZoneQuestion",
     "read_feeder_answer",
@@ -42,6 +43,9 @@
     evacuation_revision : int or None
         Revision of the store up to which it knows the evacuated zones; None for an
         instance that does not ask for them.
+    may_wait : bool or None
+        Whether the feeder may hold the poll until there is news; None for an instance
+        of a build that does not say so, which does not know `FeederMoved` either.
 
     Examples
     --------
@@ -57,6 +61,7 @@
     registry_revision: int
     seen: FitnessReport = field(default_factory=_empty_report)
     evacuation_revision: int | None = None
+    may_wait: bool | None = None
 
     @property
     def query(self) -> str:
@@ -65,6 +70,8 @@
         query = f"from={self.asker}&{revisions}"
         if self.evacuation_revision is not None:
             query += f"&evacuations={self.evacuation_revision}"
+        if self.may_wait is not None:
+            query += f"&wait={int(self.may_wait)}"
         if self.seen.empty:
             return query
         return f"{query}&seen={msgspec.json.encode(self.seen).hex()}"
@@ -77,8 +84,9 @@
             config, registry = int(fields["config"]), int(fields["registry"])
             asked = fields.get("evacuations")
             evacuations = None if asked is None else int(asked)
+            may_wait = bool(int(fields["wait"])) if "wait" in fields else None
             report = _read_report(fields)
-            return cls(fields["from"], config, registry, report, evacuations)
+            return cls(fields["from"], config, registry, report, evacuations, may_wait)
         except (KeyError, ValueError):
             return None
 
@@ -118,6 +126,21 @@
     feeder: str
 
 
+class FeederMoved(Struct, frozen=True, tag=True):
+    """Answer of a feeder that stops: another instance feeds its followers.
+
+    Attributes
+    ----------
+    feeder : str
+        Name of the feeder.
+    successor : str
+        Address of the instance that holds its claim now.
+    """
+
+    feeder: str
+    successor: str
+
+
 class ZoneNews(Struct, frozen=True, tag=True):
     """Answer of a feeder to a poll.
 
@@ -158,7 +181,7 @@
     instances: int | None = None
 
 
-FeederAnswer = ZoneNews | FeederFull | FeederAhead
+FeederAnswer = ZoneNews | FeederFull | FeederAhead | FeederMoved
 _report_decoder = msgspec.json.Decoder(FitnessReport)
 _decoder: msgspec.json.Decoder[FeederAnswer] = msgspec.json.Decoder(FeederAnswer)
 
