Check the evacuated zones with a model; a list counts as a change

The same where an evacuation ended and began again between two reads. Nothing was wrong for good: each answer carries the whole set. Change: each list, and a later begin of a known evacuation, counts as a change at its revision.

--- a/endivepick/forwarding/evacuations.py
+++ b/endivepick/forwarding/evacuations.py
@@ -90,7 +90,7 @@
         self.revision = 0
         """Revision of the store up to which all changes are known."""
         self.changed_revision = 0
-        """Revision of the last change of the set."""
+        """Revision of the last change of the set, or of the last list."""
         self.changes = 0
         """Number of changes of the set, to invalidate what was derived from it."""
 
@@ -132,6 +132,8 @@
                 changes += self._end(zone, revision)
         for each in listed:
             changes += self._begin(each)
+        # A list does not show what began and ended before it, but others may know it.
+        self.changed_revision = max(self.changed_revision, revision)
         self.known = True
         self.advance_revision(revision)
         return changes
@@ -165,9 +167,11 @@
         zone, revision = evacuated.zone, evacuated.revision
         if revision <= self._ended.get(zone, 0):
             return []
-        already_in_force = zone in self._revisions
-        self._revisions[zone] = max(revision, self._revisions.get(zone, 0))
-        if already_in_force:
+        known_revision = self._revisions.get(zone)
+        self._revisions[zone] = max(revision, known_revision or 0)
+        if known_revision is not None:
+            # It may have ended in between, and others may know that.
+            self.changed_revision = max(self.changed_revision, revision)
             return []
         return [self._record_change(zone, True, revision)]
 
--- a/endivepick/forwarding/tests/test_evacuations.py
+++ b/endivepick/forwarding/tests/test_evacuations.py
@@ -85,6 +85,12 @@
         self.zones.apply_list([], 9)
         self.assertIn("a", self.zones)
 
+    def test_each_list_counts_as_a_change(self):
+        """A zone that began and ended before it may be evacuated at others."""
+        for revision in (3, 7):
+            self.zones.apply_list([EvacuatedZone("b", 2)], revision)
+            self.assertEqual(self.zones.changed_revision, revision)
+
     def test_begin_and_end_in_one_batch(self):
         self.zones.apply_list([], 10)
         self.zones.apply_begin(EvacuatedZone("a", 11))
--- a/endivepick/model/_other_scenarios.py
+++ b/endivepick/model/_other_scenarios.py
@@ -11,6 +11,10 @@
 from endivepick.core.key_rotation import RotationSettings
 from endivepick.model._change_mutants import CHANGE_MUTATIONS, CHANGE_SCENARIOS
 from endivepick.model._config_node import ConfigParts
+from endivepick.model._evacuation_mutants import (
+    EVACUATION_MUTATIONS,
+    EVACUATION_SCENARIOS,
+)
 from endivepick.model._evidence_mutants import EVIDENCE_MUTATIONS, EVIDENCE_SCENARIOS
 from endivepick.model._mutation import Mutation
 from endivepick.model._placement_node import PlacementParts
@@ -122,6 +126,7 @@
     **REGISTRY_SCENARIOS,
     **EVIDENCE_SCENARIOS,
     **CHANGE_SCENARIOS,
+    **EVACUATION_SCENARIOS,
     **RESTART_SCENARIOS,
 }
 """Factories of the specifications to check, by name."""
@@ -130,6 +135,7 @@
     **REGISTRY_MUTATIONS,
     **EVIDENCE_MUTATIONS,
     **CHANGE_MUTATIONS,
+    **EVACUATION_MUTATIONS,
     **RESTART_MUTATIONS,
     "a target runs any request": _placement(
         PlacementBounds(False, rules=TargetRules(service=False, incarnation=False))
