Take the evacuations out of the forwarding core

Change: ZoneEvacuations applies lists, begins and ends; the core offers it whole. No behaviour changes: forwarding's and the forwarder's tests are the same but for the names of the calls.

--- a/endivepick/forwarder/feeder_follower.py
+++ b/endivepick/forwarder/feeder_follower.py
@@ -278,7 +278,7 @@
             config = max(config, self._requested_config_revision)
         evacuations = None
         if FeedKind.EVACUATIONS in self._feeds:
-            evacuations = self._core.evacuated.revision
+            evacuations = self._core.evacuations.zones.revision
         return ZoneQuestion(
             self._own_address,
             config,
--- a/endivepick/forwarder/followed_feeds.py
+++ b/endivepick/forwarder/followed_feeds.py
@@ -138,7 +138,7 @@
             case FeedKind.CONFIGURATION:
                 return self._core.routes.revision
             case FeedKind.EVACUATIONS:
-                return self._core.evacuated.revision
+                return self._core.evacuations.zones.revision
 
     def _update_heard(self, kind: FeedKind, before_s: float) -> None:
         feed = self._feeds[kind]
--- a/endivepick/forwarder/news_handler.py
+++ b/endivepick/forwarder/news_handler.py
@@ -79,7 +79,7 @@
         if news.kind is FeedKind.REGISTRY:
             self._core.on_registry_revision(news.revision)
         elif news.kind is FeedKind.EVACUATIONS:
-            self._core.evacuated.advance_revision(news.revision)
+            self._core.evacuations.zones.advance_revision(news.revision)
         self._on_applied()
 
     def on_zone_news(self, news: ZoneNews) -> None:
@@ -131,7 +131,7 @@
         for item in news.items:
             evacuated = _to_evacuated(item)
             if news.kind is FeedKind.EVACUATIONS and evacuated is not None:
-                changes = self._core.on_zone_evacuated(evacuated, now_s)
+                changes = self._core.evacuations.apply_begin(evacuated, now_s)
                 self._log_evacuations(changes, STORE, 0.0)
                 continue
             match item:
@@ -140,7 +140,7 @@
                 case ItemRemoved(name, revision) if news.kind is FeedKind.REGISTRY:
                     self._core.on_target_removed(name, revision, now_s)
                 case ItemRemoved(name, revision) if news.kind is FeedKind.EVACUATIONS:
-                    ended = self._core.on_evacuation_ended(name, revision, now_s)
+                    ended = self._core.evacuations.apply_end(name, revision, now_s)
                     self._log_evacuations(ended, STORE, 0.0)
                 case UnreadableItem(name, _, revision) if _is_entry(news.kind, name):
                     self._core.on_target_unreadable(name, revision, now_s)
@@ -191,7 +191,7 @@
         learnt_from: str,
         before_s: float,
     ) -> None:
-        changes = self._core.on_evacuation_list(zones, revision, steady_now_s())
+        changes = self._core.evacuations.apply_list(zones, revision, steady_now_s())
         self._log_evacuations(changes, learnt_from, before_s)
 
     def _log_evacuations(
--- a/endivepick/forwarder/pages.py
+++ b/endivepick/forwarder/pages.py
@@ -110,7 +110,7 @@
             "ready": int(self._ready()),
             "feeding": int(zone is not None and zone.feeder.feeding),
             "fed": int(zone is not None and zone.follower.fed),
-            "evacuated_zones": len(self._core.evacuated),
+            "evacuated_zones": len(self._core.evacuations.zones),
             "config_age_seconds": now_s - self._core.routes.since_s,
             **{
                 f"{kind.value}_heard_seconds": now_s - feed.last_answer_s
--- a/endivepick/forwarder/peers.py
+++ b/endivepick/forwarder/peers.py
@@ -260,7 +260,7 @@
             self._store_lost,
             self.directory.list_recent(MAX_SHARED_PEERS),
             [b.name for b in self._core.registry if b.state is TargetState.UNREADABLE],
-            self._core.evacuated.make_snapshot(),
+            self._core.evacuations.zones.make_snapshot(),
         )
 
     def _list_targets(self) -> list[Target]:
--- a/endivepick/forwarder/status.py
+++ b/endivepick/forwarder/status.py
@@ -24,7 +24,7 @@
         "flows": len(core.flows),
         "config_version": configuration.version if configuration else None,
         "config_since_s": truncate_number(now_s - core.routes.since_s),
-        "evacuated_zones": [each.zone for each in core.evacuated.list_zones()],
+        "evacuated_zones": [each.zone for each in core.evacuations.zones.list_zones()],
         "targets": [_target(belief, now_s) for belief in core.registry],
     }
 
--- a/endivepick/forwarder/tests/test_evacuation_news.py
+++ b/endivepick/forwarder/tests/test_evacuation_news.py
@@ -32,7 +32,7 @@
         self.news_handler = self.member.follower._apply_news.__self__
 
     def zones(self):
-        return [each.zone for each in self.core.evacuated.list_zones()]
+        return [each.zone for each in self.core.evacuations.zones.list_zones()]
 
     def read(self, *items, revision, whole=False):
         if whole:
@@ -52,7 +52,7 @@
         self.assertEqual(self.zones(), ["a"])
         self.read(ItemRemoved("a", 31), EvacuatedZone("b", 32), revision=35)
         self.assertEqual(self.zones(), ["b"])
-        self.assertEqual(self.core.evacuated.revision, 35)
+        self.assertEqual(self.core.evacuations.zones.revision, 35)
         expected = [
             ("zone_evacuated", "a"),
             ("zone_returned", "a"),
@@ -76,7 +76,7 @@
     def test_stale_list_of_a_start_is_no_complete_list(self):
         self.read(A, revision=0)
         self.assertEqual(self.zones(), ["a"])
-        self.assertIsNone(self.core.evacuated.make_snapshot())
+        self.assertIsNone(self.core.evacuations.zones.make_snapshot())
         self.read(revision=25, whole=True)
         self.assertEqual(self.zones(), [])
 
--- a/endivepick/forwarder/zone_feeder.py
+++ b/endivepick/forwarder/zone_feeder.py
@@ -241,7 +241,7 @@
             self._get_age_s(*REQUIRED_KINDS),
             self._get_age_s(FeedKind.REGISTRY),
             self._merge_zone_reports(),
-            self._core.evacuated.make_snapshot() if asks_evacuations else None,
+            self._core.evacuations.zones.make_snapshot() if asks_evacuations else None,
             self._get_age_s(FeedKind.EVACUATIONS) if asks_evacuations else 0.0,
             self._core.instance_bound,
         )
@@ -268,7 +268,9 @@
 
     def _has_evacuation_news(self, poll: ZoneQuestion) -> bool:
         known = poll.evacuation_revision
-        return known is not None and self._core.evacuated.changed_revision > known
+        return (
+            known is not None and self._core.evacuations.zones.changed_revision > known
+        )
 
     def _set_watch_wait(self) -> None:
         """Hold short watches of the registry while other instances are fed.
--- a/endivepick/forwarding/forwarder.py
+++ b/endivepick/forwarding/forwarder.py
@@ -28,11 +28,6 @@
     TargetBelief,
     TargetState,
 )
-from endivepick.forwarding.evacuations import (
-    EvacuatedZone,
-    EvacuatedZones,
-    EvacuationChange,
-)
 from endivepick.forwarding.failure_detector import FailureDetector
 from endivepick.forwarding.fitness_reports import MAX_REPORTED_TARGETS, FitnessReport
 from endivepick.forwarding.flows import SEQUENCE_NUMBERS, FlowEvidence, FlowTable
@@ -58,6 +53,7 @@
 from endivepick.forwarding.routes import RouteTable
 from endivepick.forwarding.settings import ForwardingSettings, apply_mechanisms
 from endivepick.forwarding.unknown_cookies import UnknownCookies
+from endivepick.forwarding.zone_evacuations import ZoneEvacuations
 
 __all__ = ["ForwardingCore"]
 
@@ -83,10 +79,10 @@
         self.flows = FlowTable(settings)
         self.effects: list[Effect] = []
         """Effects to carry out; the caller clears the list."""
-        self.evacuated = EvacuatedZones()
+        self.evacuations = ZoneEvacuations(self.registry, self.routes)
         self._openings = RecentOpenings(settings)
         self._filter = PlacementFilter(
-            self.registry, self.evacuated, settings.zone_regions
+            self.registry, self.evacuations.zones, settings.zone_regions
         )
         self._placer = OpeningPlacer(settings, self.routes, self._filter, random_share)
         self._failure_detector = FailureDetector(
@@ -191,27 +187,6 @@
         changes = self.registry.apply_removal(name, revision, now_s)
         self._handle_belief_changes(changes, now_s)
 
-    def on_evacuation_list(
-        self, zones: Iterable[EvacuatedZone], revision: int, now_s: float
-    ) -> list[EvacuationChange]:
-        """Apply the complete set of evacuated zones at a revision of the store."""
-        changes = self.evacuated.apply_list(zones, revision)
-        return self._handle_evacuation_changes(changes, now_s)
-
-    def on_zone_evacuated(
-        self, evacuated: EvacuatedZone, now_s: float
-    ) -> list[EvacuationChange]:
-        """Apply the evacuation of one zone."""
-        changes = self.evacuated.apply_begin(evacuated)
-        return self._handle_evacuation_changes(changes, now_s)
-
-    def on_evacuation_ended(
-        self, zone: str, revision: int, now_s: float
-    ) -> list[EvacuationChange]:
-        """Apply the end of a zone's evacuation."""
-        changes = self.evacuated.apply_end(zone, revision)
-        return self._handle_evacuation_changes(changes, now_s)
-
     @property
     def instance_bound(self) -> int | None:
         """Upper bound of the number of instances that place flows, None if unknown."""
@@ -221,17 +196,6 @@
         """Set an upper bound of the number of instances that place flows."""
         self._placer.cold_targets.instances = instances
 
-    def _handle_evacuation_changes(
-        self, changes: list[EvacuationChange], now_s: float
-    ) -> list[EvacuationChange]:
-        for change in changes:
-            if change.in_force:
-                continue
-            for service in self.registry.services:
-                duration_s = self.routes.get_cold_start(service).duration_s
-                self.registry.mark_zone_cold(change.zone, service, now_s + duration_s)
-        return changes
-
     def on_probe(self, result: ProbeResult, now_s: float) -> None:
         """Apply a probe result, if it is of the known incarnation."""
         belief = self.registry.get(result.target)
--- a/endivepick/forwarding/tests/test_cold_targets.py
+++ b/endivepick/forwarding/tests/test_cold_targets.py
@@ -56,8 +56,8 @@
         bound = max(3, -(-instances // (FED_MOST + 1))) * (FED_MOST + 1)
         for index in range(instances):
             core = make_cold_core(targets, seed * 1000 + index, bound)
-            core.on_evacuation_list([EvacuatedZone("a", 20)], 21, 1.0)
-            core.on_evacuation_list([], 30, 10.0)
+            core.evacuations.apply_list([EvacuatedZone("a", 20)], 21, 1.0)
+            core.evacuations.apply_list([], 30, 10.0)
             now_s = 10.0
             port = 1000
             while now_s < 10.0 + COLD_S:
--- a/endivepick/forwarding/tests/test_evacuations.py
+++ b/endivepick/forwarding/tests/test_evacuations.py
@@ -129,12 +129,12 @@
         numbers = range(1, 3 * targets_per_zone + 1)
         targets = [make_target(f"i-{n:x}", zone=ZONES[n % 3]) for n in numbers]
         core = make_core(targets, zones=3, seed=seed)
-        core.on_evacuation_list([], 10, 0.0)
+        core.evacuations.apply_list([], 10, 0.0)
         return core
 
     def evacuate(self, core, *zones, revision=20, now_s=1.0):
         for zone in zones:
-            core.on_zone_evacuated(EvacuatedZone(zone, revision), now_s)
+            core.evacuations.apply_begin(EvacuatedZone(zone, revision), now_s)
 
     def place(self, core, number=100, now_s=2.0, first_port=1000):
         """Open flows; return the zones of their targets and the resets."""
@@ -235,13 +235,13 @@
         core = self.make_core()
         self.evacuate(core, "a")
         self.place(core)
-        core.on_evacuation_ended("a", 30, 3.0)
+        core.evacuations.apply_end("a", 30, 3.0)
         self.assertEqual(set(self.place(core, now_s=3.0, first_port=4000)[0]), {"a"})
 
     def test_late_begin_after_the_end(self):
         core = self.make_core()
         self.evacuate(core, "a")
-        core.on_evacuation_ended("a", 30, 3.0)
+        core.evacuations.apply_end("a", 30, 3.0)
         self.evacuate(core, "a", revision=20, now_s=4.0)
         self.assertEqual(set(self.place(core)[0]), {"a"})
 
@@ -304,7 +304,7 @@
         newer = Configuration(8, 2, known.routes, known.health_paths, 60.0, starts)
         core.on_configuration(newer, 0.0)
         self.evacuate(core, "a")
-        core.on_evacuation_ended("a", 30, 3.0)
+        core.evacuations.apply_end("a", 30, 3.0)
         until_s = {b.target.zone: b.cold_until_s for b in core.registry}
         self.assertEqual(until_s["a"], 5.0)
         self.assertLess(until_s["b"], 3.0)
