Keep the limit of a full registry's test at the number of instances it was made for

Cause: fed_most grew to 32, from which the limit of targets that a feeder sends follows; the test names 24 now, and its expectation is as before.

--- a/endivepick/forwarder/tests/test_feeding.py
+++ b/endivepick/forwarder/tests/test_feeding.py
@@ -90,7 +90,9 @@
         self.assertEqual(len(self.ask(registry=900).registry.targets), 1)
 
     def test_full_registry_limit_follows_from_the_link(self):
-        settings = decode_settings(json.dumps(GOOD | {"link_mbps": 10}).encode())
+        settings = decode_settings(
+            json.dumps(GOOD | {"link_mbps": 10, "fed_most": 24}).encode()
+        )
         feeder = ZoneFeeder(settings, self.core, self.feeds, self.neighbours, None)
         self.assertAlmostEqual(feeder._max_full_targets, 520, delta=1)
 
