Keep a received role until the claims can show it; keep the turn of a cold target

Cause, from reading the change again: an instance that received a feeder's claim read the claims at once, from a store that may return them seconds old; it then found its predecessor there, stopped feeding and asked it again. And an instance drew a new random delay for a cold target at each tick after its turn had come, so that one with few openings never placed one there. Change: it waits 8 to 12 s before it reads the claims; a turn stays for 10 s. A feeder reads its evacuations at once also after a resumption, and stops feeding if passing its claim on fails in any way. Names: throttled targets, call_now, possible successors.

--- a/endivepick/forwarder/store_feed.py
+++ b/endivepick/forwarder/store_feed.py
@@ -108,10 +108,13 @@
         self._pending_socket = pending_socket
         self._stale_first = stale_first
         self._required = kind in REQUIRED_KINDS
+        # Set by `resume` until the task has made its first call.
         self._check_wanted = False
+        self._resumed = False
+        # Set by `resume` until a call has succeeded.
         self._presumed_lost = False
+        # Whether the pause after the first list has passed.
         self._started = False
-        self._resumed = False
         self._settings = settings
         self._kind = kind
         self._dialect = dialect
@@ -197,9 +200,10 @@
         self._resumed = not store_silent
         self._restart()
 
-    def end_pause(self) -> None:
-        """Read a list that is pending at once: other instances wait for its objects."""
-        if self._list_wanted and not self._stale_first and not self._suspended:
+    def call_now(self) -> None:
+        """Make the next call at once: other instances wait for its objects."""
+        if not self._stale_first and not self._suspended:
+            self._resumed = False
             self._restart()
 
     def _renew_watch(self) -> None:
--- a/endivepick/forwarder/tests/test_feed.py
+++ b/endivepick/forwarder/tests/test_feed.py
@@ -272,6 +272,15 @@
         store.wait_asked("/evacuations?wait_s=60.0")
         self.assertEqual(len(store.asked), 2)
 
+    def test_new_feeder_calls_the_store_without_a_pause(self):
+        store = ScriptedStore(self, gather_s=60.0)
+        feed = store.start_feed(FeedKind.EVACUATIONS, stale_first=True)
+        store.wait_asked("/evacuations?stale")
+        feed.suspend()
+        feed.resume(40)
+        feed.call_now()
+        store.wait_asked("/evacuations?wait_s=60.0")
+
     def test_its_failures_do_not_delay_a_required_kind(self):
         """The store serves the registry and never answers the third kind."""
         store = ScriptedStore(self, call_timeout_s=0.02)
--- a/endivepick/forwarder/tests/test_zone.py
+++ b/endivepick/forwarder/tests/test_zone.py
@@ -279,6 +279,10 @@
 
     SUCCESSOR = "10.0.0.2:1"
 
+    def setUp(self):
+        super().setUp()
+        self.pauses = []
+
     def ask(self, asker=SUCCESSOR, query="&wait=1"):
         return gevent.spawn(
             self.member.feeder.answer_poll,
@@ -341,12 +345,14 @@
             return Response(200, body, "application/json")
 
         limit = gevent.Timeout(TIMEOUT_S)
-        with http_server("127.0.0.1:0", answer) as address, limit:
+        waits = patch.object(zone_member, "_sleep", self.pauses.append)
+        with http_server("127.0.0.1:0", answer) as address, limit, waits:
             self.member._follow(address)
 
     def test_successor_starts_feeding(self):
         self.follow_moved(self.member._settings.advertised_address)
         self.assertTrue(self.member.feeder.feeding)
+        self.assertEqual(self.pauses, [zone_member.ROLE_CHECK_DELAY_S])
         calls = self.feeds[FeedKind.REGISTRY].calls
         self.assertEqual(calls, ["suspend", "resume 10"])
 
--- a/endivepick/forwarder/tests/zone_case.py
+++ b/endivepick/forwarder/tests/zone_case.py
@@ -48,8 +48,8 @@
     def request_list(self):
         self.calls.append("list")
 
-    def end_pause(self):
-        self.calls.append("end pause")
+    def call_now(self):
+        self.calls.append("call now")
 
 
 class ZoneCase(unittest.TestCase):
--- a/endivepick/forwarder/zone_feeder.py
+++ b/endivepick/forwarder/zone_feeder.py
@@ -100,7 +100,7 @@
         self._last_request_s = float("-inf")
         self._stopping = False
         self._successor = ""
-        self._can_succeed: set[str] = set()
+        self._possible_successors: set[str] = set()
         self.feeding = False
         """Whether other instances may be fed here."""
 
@@ -114,7 +114,7 @@
         self.feeding = not self._stopping
         self._set_watch_wait()
         if FeedKind.EVACUATIONS in self._feeds:
-            self._feeds[FeedKind.EVACUATIONS].end_pause()
+            self._feeds[FeedKind.EVACUATIONS].call_now()
 
     def end_feeding(self) -> None:
         """Stop feeding: another instance holds the claim."""
@@ -136,7 +136,7 @@
         oldest_s = steady_now_s() - POLL_WAIT_S - SUCCESSOR_MARGIN_S
         recent = [
             asker
-            for asker in self._can_succeed
+            for asker in self._possible_successors
             if asker in self._reports and self._reports[asker][0] >= oldest_s
         ]
         return random.choice(recent) if recent else ""
@@ -153,7 +153,7 @@
             return _NOT_FOUND
         self._last_request_s = steady_now_s()
         if poll.may_wait is not None:
-            self._can_succeed.add(poll.asker)
+            self._possible_successors.add(poll.asker)
         if self.feeding and not self._fed_instances.admit(
             poll.asker, self._last_request_s
         ):
@@ -217,7 +217,7 @@
         self._reports = {
             a: entry for a, entry in self._reports.items() if entry[0] >= oldest_s
         }
-        self._can_succeed &= self._reports.keys()
+        self._possible_successors &= self._reports.keys()
         reports = [
             self._core.build_report(now_s),
             *(report for _, report in self._reports.values()),
--- a/endivepick/forwarder/zone_member.py
+++ b/endivepick/forwarder/zone_member.py
@@ -56,6 +56,9 @@
 within the pause that follows the first list, like `CLAIM_READ_DELAY_S`."""
 CLAIM_CHECK_PERIOD_S = (15.0, 25.0)
 """Range of the period at which a feeder checks that it still holds its claim."""
+ROLE_CHECK_DELAY_S = (8.0, 12.0)
+"""Range of the delay before an instance that received a claim reads the claims; it
+exceeds the age of what the store returns at the lower price."""
 RETRY_DELAY_S = (1.0, 4.0)
 """Range of the delay after a feeder was left; the store is followed meanwhile."""
 HAND_OVER_TIMEOUT_S = 0.5
@@ -297,6 +300,8 @@
                     self._full_at_s[address] = steady_now_s()
             case FeederRoleReceived():
                 self.feeder.start_feeding()
+                # Until then the claims, which may be out of date, name the predecessor.
+                _sleep(ROLE_CHECK_DELAY_S)
 
     def _hand_over(self) -> None:
         """Pass the claim to a follower before a planned stop, then stop feeding.
@@ -304,11 +309,13 @@
         Otherwise all followers would follow the store until one of them has found the
         claim's holder lost and replaced it.
         """
-        successor = self.feeder.choose_successor()
-        claim = self._claim
-        if claim is None or not successor or not self._pass_claim(claim, successor):
-            successor = ""
-        self.feeder.stop(successor)
+        successor = ""
+        try:
+            chosen = self.feeder.choose_successor()
+            if self._claim and chosen and self._pass_claim(self._claim, chosen):
+                successor = chosen
+        finally:
+            self.feeder.stop(successor)
 
     def _pass_claim(self, claim: FeederClaim, successor: str) -> bool:
         """Write a successor into the claim; return whether it was written."""
--- a/endivepick/forwarding/cold_targets.py
+++ b/endivepick/forwarding/cold_targets.py
@@ -22,6 +22,10 @@
 """Share of a cold target's rate that all instances use together.  Their openings are
 independent, so the count in a given second varies by several times its square root."""
 
+RETENTION_S = 10.0
+"""How long a target is kept that may take an opening; with a new random delay after
+each check, an instance with few openings would never place one there."""
+
 
 class ColdTargetLimiter:
     """Decides which cold targets may take an opening of this instance.
@@ -39,7 +43,7 @@
         """Upper bound of the number of instances; None if it is unknown, and then cold
         targets with a given rate take no openings of this instance."""
 
-    def find_closed(
+    def find_throttled(
         self, beliefs: Sequence[TargetBelief], cold_start: ColdStart, now_s: float
     ) -> frozenset[str]:
         """Return the names of cold targets that may not take an opening now.
@@ -59,7 +63,7 @@
             belief.name
             for belief in beliefs
             if now_s < belief.cold_until_s
-            and not self._is_open(belief, cold_start, now_s)
+            and not self._may_take_opening(belief, cold_start, now_s)
         )
 
     def record_opening(
@@ -73,12 +77,13 @@
             self._next_opening_s[belief.name] = now_s + interval_s
 
     def expire(self, now_s: float) -> None:
-        """Remove targets whose interval has passed, some time ago."""
+        """Remove targets that could have taken an opening for a while."""
+        oldest_s = now_s - RETENTION_S
         self._next_opening_s = {
-            name: at_s for name, at_s in self._next_opening_s.items() if at_s > now_s
+            name: at_s for name, at_s in self._next_opening_s.items() if at_s > oldest_s
         }
 
-    def _is_open(
+    def _may_take_opening(
         self, belief: TargetBelief, cold_start: ColdStart, now_s: float
     ) -> bool:
         interval_s = self._compute_interval_s(cold_start)
--- a/endivepick/forwarding/opening_placement.py
+++ b/endivepick/forwarding/opening_placement.py
@@ -60,24 +60,26 @@
         service = select_service(route, flow)
         cold_start = self._routes.get_cold_start(service)
         candidates = self._filter.find_candidates(service, route.regions)
-        closed = self.cold_targets.find_closed(candidates.every, cold_start, now_s)
+        throttled = self.cold_targets.find_throttled(
+            candidates.every, cold_start, now_s
+        )
         placement = choose_target(
             self._settings,
-            candidates.without(closed) if closed else candidates,
+            candidates.without(throttled) if throttled else candidates,
             tried,
             self._random_share,
             now_s,
             route.kind is RouteKind.IDEMPOTENT,
         )
         if placement is None:
-            return _explain_missing_target(candidates, closed)
+            return _explain_missing_target(candidates, throttled)
         self.cold_targets.record_opening(placement.belief, cold_start, now_s)
         return placement
 
 
 def _explain_missing_target(
-    candidates: Candidates, closed: Collection[str]
+    candidates: Candidates, throttled: Collection[str]
 ) -> ResetReason:
     if candidates.all_evacuated:
         return ResetReason.ZONES_EVACUATED
-    return ResetReason.TARGETS_COLD if closed else ResetReason.NO_TARGET
+    return ResetReason.TARGETS_COLD if throttled else ResetReason.NO_TARGET
--- a/endivepick/forwarding/placement.py
+++ b/endivepick/forwarding/placement.py
@@ -93,14 +93,14 @@
         slots = sum(b.target.slots for b in (*own, *others))
         return replace(self, own=own, others=others, all_slots=slots)
 
-    def without(self, closed: Collection[str]) -> "Candidates":
-        """Return the candidates without targets that may not take an opening at all."""
+    def without(self, names: Collection[str]) -> "Candidates":
+        """Return the candidates without some targets, in every group."""
         return Candidates(
-            [b for b in self.every if b.name not in closed],
-            own := [b for b in self.own if b.name not in closed],
-            others := [b for b in self.others if b.name not in closed],
+            [b for b in self.every if b.name not in names],
+            own := [b for b in self.own if b.name not in names],
+            others := [b for b in self.others if b.name not in names],
             sum(b.target.slots for b in (*own, *others)),
-            [b for b in self.impaired if b.name not in closed],
+            [b for b in self.impaired if b.name not in names],
             self.returning,
             self.own_evacuated,
             self.all_evacuated,
--- a/endivepick/forwarding/tests/test_cold_targets.py
+++ b/endivepick/forwarding/tests/test_cold_targets.py
@@ -109,6 +109,17 @@
         core = make_cold_core([self.cold_target(), make_target("i-2", zone="b")], 1)
         self.assertEqual(self.open(core, 1.9).belief.name, "i-2")
 
+    def test_instance_with_few_openings_gets_its_share(self):
+        """The turn of an instance does not pass while it has no opening."""
+        target = make_target("i-1", cold_s=60.0)
+        core = make_cold_core([target], 1, 75)
+        verdicts = []
+        for tenth in range(1, 600):
+            core.tick(tenth / 10)
+            if not tenth % 100:
+                verdicts.append(self.open(core, tenth / 10, tenth))
+        self.assertTrue(any(isinstance(verdict, Forward) for verdict in verdicts))
+
     def test_no_limit_without_a_rate(self):
         core = make_cold_core([self.cold_target()], 1, 75, rate_per_s=0.0)
         for port in range(50):
