Limit how often a feeder merges the zone's reports again

Cause, from reading the change: when following was split from the election, the period of 0.3 s between two reports stayed with the follower only, so a feeder with a suspected target merged the reports of its zone at each tick, ten times a second. Change: the period is back with the zone member, for both roles. Test: test_feeder_merges_reports_at_a_limited_rate failed before.

--- a/endivepick/forwarder/feeder_follower.py
+++ b/endivepick/forwarder/feeder_follower.py
@@ -47,8 +47,6 @@
 
 __all__ = ["FeederFollower", "FeederLeft", "FeederRoleReceived", "FeederState"]
 
-REPORT_PERIOD_S = 0.3
-"""Minimum time between two reports of failing targets to a feeder, outside of polls."""
 POLL_RETRY_DELAY_S = 0.2
 """Delay before a feeder is polled again that is stale or not yet feeding; a feeder that
 has news answers each poll at once."""
@@ -147,7 +145,6 @@
         self._freshness = compute_freshness(settings)
         self._followed = FollowedFeeds(core, feeds, self._freshness)
         self._requested_config_revision = 0
-        self._report_sent_s = float("-inf")
         self.feeder_address = ""
         """Address of the feeder that is followed, "" if the store is followed."""
 
@@ -296,15 +293,8 @@
         self._apply_news(news)
 
     def report_observations(self) -> None:
-        """Report suspected targets to the feeder without blocking.
-
-        A poll is held for most of a second. Without a report in between, each instance
-        would lose requests to a target that others already know to be failing.
-        """
-        now_s = steady_now_s()
-        if self.fed and now_s - self._report_sent_s >= REPORT_PERIOD_S:
-            self._report_sent_s = now_s
-            gevent.spawn(self._send_report, self.feeder_address)
+        """Report suspected targets to the feeder without blocking."""
+        gevent.spawn(self._send_report, self.feeder_address)
 
     def _send_report(self, feeder: str) -> None:
         report = self._core.build_report(steady_now_s())
--- a/endivepick/forwarder/news_handler.py
+++ b/endivepick/forwarder/news_handler.py
@@ -73,7 +73,8 @@
                 )
             case FeedList(kind=FeedKind.EVACUATIONS, items=items):
                 zones = [z for item in items if (z := _to_evacuated(item)) is not None]
-                self._on_evacuation_list(zones, news.revision, STORE, 0.0)
+                complete = EvacuationSnapshot(zones, news.revision)
+                self._on_evacuations(complete, STORE, 0.0)
             case _:
                 self._on_items(news, now_s)
         if news.kind is FeedKind.REGISTRY:
@@ -87,9 +88,7 @@
         now_s = steady_now_s()
         registry, change = news.registry, news.config_change
         if news.evacuations is not None:
-            self._on_evacuation_snapshot(
-                news.evacuations, FEEDER, news.evacuations_before_s
-            )
+            self._on_evacuations(news.evacuations, FEEDER, news.evacuations_before_s)
         newer = registry.revision > self._core.registry.revision
         if change is not None:
             self._on_change(change, now_s)
@@ -108,9 +107,7 @@
         ):
             self._on_configuration(configuration, now_s, PEER)
         if snapshot.evacuations is not None:
-            self._on_evacuation_snapshot(
-                snapshot.evacuations, PEER, snapshot.heard_before_s
-            )
+            self._on_evacuations(snapshot.evacuations, PEER, snapshot.heard_before_s)
         if snapshot.targets is not None and revision >= self._core.registry.revision:
             removed = [RemovedTarget(n, revision, True) for n in snapshot.unreadable]
             received = RegistryNews(snapshot.targets, removed, True, revision)
@@ -177,21 +174,12 @@
         else:
             self._on_configuration(configuration, now_s, FEEDER)
 
-    def _on_evacuation_snapshot(
-        self, snapshot: EvacuationSnapshot, learnt_from: str, before_s: float
+    def _on_evacuations(
+        self, complete: EvacuationSnapshot, learnt_from: str, before_s: float
     ) -> None:
-        self._on_evacuation_list(
-            snapshot.zones, snapshot.revision, learnt_from, before_s
+        changes = self._core.evacuations.apply_list(
+            complete.zones, complete.revision, steady_now_s()
         )
-
-    def _on_evacuation_list(
-        self,
-        zones: list[EvacuatedZone],
-        revision: int,
-        learnt_from: str,
-        before_s: float,
-    ) -> None:
-        changes = self._core.evacuations.apply_list(zones, revision, steady_now_s())
         self._log_evacuations(changes, learnt_from, before_s)
 
     def _log_evacuations(
--- a/endivepick/forwarder/tests/test_feeding.py
+++ b/endivepick/forwarder/tests/test_feeding.py
@@ -227,10 +227,20 @@
         self.assertEqual(path, SEEN_PATH)
         self.assertEqual([told.name for told in question.seen.targets], ["i-1"])
 
+    def test_feeder_merges_reports_at_a_limited_rate(self):
+        self.feed()
+        with (
+            patch.object(self.core, "has_suspects", lambda _now_s: True),
+            patch.object(self.member.feeder, "notify_new_outliers") as notify,
+        ):
+            for _ in range(5):
+                self.member.report_observations()
+        notify.assert_called_once()
+
     def test_nothing_is_reported_without_suspicion(self):
         self.member.follower.feeder_address = "127.0.0.1:1"
         self.member.report_observations()
-        self.assertEqual(self.member.follower._report_sent_s, float("-inf"))
+        self.assertEqual(self.member._report_sent_s, float("-inf"))
 
     def test_report_to_an_instance_that_does_not_feed(self):
         question = ZoneQuestion("10.0.0.2:1", 0, 0, self.report(9.0))
--- a/endivepick/forwarder/zone_member.py
+++ b/endivepick/forwarder/zone_member.py
@@ -61,6 +61,8 @@
 exceeds the age of what the store returns at the lower price."""
 RETRY_DELAY_S = (1.0, 4.0)
 """Range of the delay after a feeder was left; the store is followed meanwhile."""
+REPORT_PERIOD_S = 0.3
+"""Minimum time between two reports of failing targets to the zone, outside of polls."""
 HAND_OVER_TIMEOUT_S = 0.5
 """Maximum time for which a stopping feeder waits for the store; afterwards its
 followers look for another feeder by themselves."""
@@ -114,6 +116,7 @@
         self._lost_at_s: dict[str, float] = {}
         self._full_at_s: dict[str, float] = {}
         self._claim: FeederClaim | None = None
+        self._report_sent_s = float("-inf")
         self._stopping = False
         self.feeder = ZoneFeeder(settings, core, feeds, neighbours, log)
         """Serves the followers of this instance."""
@@ -131,12 +134,20 @@
             self.feeder.stop()
 
     def report_observations(self) -> None:
-        """Report suspected targets to the zone without blocking."""
-        if not self._core.has_suspects(steady_now_s()):
+        """Report suspected targets to the zone without blocking.
+
+        A poll is held for most of a second. Without a report in between, each instance
+        would lose requests to a target that others already know to be failing.
+        """
+        now_s = steady_now_s()
+        if now_s - self._report_sent_s < REPORT_PERIOD_S or not self._core.has_suspects(
+            now_s
+        ):
             return
+        self._report_sent_s = now_s
         if self.feeder.feeding:
             self.feeder.notify_new_outliers()
-        else:
+        elif self.follower.fed:
             self.follower.report_observations()
 
     def run(self) -> None:
