--- a/endivepick/forwarder/forwarder.py
+++ b/endivepick/forwarder/forwarder.py
@@ -260,5 +260,7 @@
         probe_compared_s=PROBE_TIMEOUTS_S[0],
         probe_gap_s=max(PROBE_GAP_S, sum(timeouts_s)),
         zone_regions=settings.zone_regions,
+        shares_load=settings.shares_load,
+        limits_overload=settings.limits_overload,
         mechanisms=settings.mechanisms,
     )
--- a/endivepick/forwarder/settings.py
+++ b/endivepick/forwarder/settings.py
@@ -14,6 +14,8 @@
 _TEXT_OR_COMMENT = re.compile(rb'"(?:\\.|[^"\\])*"|//[^\n]*|/\*.*?\*/', re.DOTALL)
 _Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
 _Milliseconds = Annotated[float, msgspec.Meta(gt=0, le=3_600_000)]
+OVERLOAD_REQUIREMENT = "pressure"
+"""Requirement of a platform that enables the parts for overloaded services."""
 
 
 class ForwarderSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -78,6 +80,13 @@
     fed_most : int
         Maximum number of instances that one feeder feeds; a larger zone has more
         feeders.
+    requirements : list of str
+        Requirements that the platform places on this installation; ``"pressure"`` is
+        the one that services stay usable under more load than their targets bear.
+    share_load, limit_overload : bool or None
+        Whether instances share the load of targets and place openings by it, and
+        whether openings of low priority are rejected while a service is overloaded;
+        None if both follow from the requirements.
     mechanisms : Mechanisms
         Mechanisms in use; all are unless the settings disable them.
     """
@@ -109,8 +118,24 @@
     link_mbps: Annotated[float, msgspec.Meta(gt=0)] = 1000.0
     zone_feeders: Annotated[int, msgspec.Meta(ge=0, le=64)] = 1
     fed_most: Annotated[int, msgspec.Meta(ge=1, le=1000)] = 32
+    requirements: list[str] = []
+    share_load: bool | None = None
+    limit_overload: bool | None = None
     mechanisms: Mechanisms = Mechanisms()
 
+    @property
+    def shares_load(self) -> bool:
+        """Whether instances share the load of targets."""
+        return self._is_enabled(self.share_load)
+
+    @property
+    def limits_overload(self) -> bool:
+        """Whether openings of low priority are rejected during an overload."""
+        return self._is_enabled(self.limit_overload)
+
+    def _is_enabled(self, chosen: bool | None) -> bool:
+        return OVERLOAD_REQUIREMENT in self.requirements if chosen is None else chosen
+
     @property
     def advertised_address(self) -> str:
         """Address at which peers reach this instance."""
--- /dev/null
+++ b/endivepick/forwarding/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of openings by priority while a service is overloaded."""
--- a/endivepick/forwarding/model.py
+++ b/endivepick/forwarding/model.py
@@ -175,6 +175,12 @@
         Whether its requests may be repeated.
     regions : tuple of str
         Regions whose targets may take its flows; empty for all regions.
+    priority : int
+        Priority of its requests; 0 is the highest.
+    timeout_s : float
+        Time after which callers give up a request, in seconds; 0 if it is unknown.
+    aim_s : float
+        Time within which requests should be answered, in seconds; 0 if it is unknown.
     """
 
     name: str
@@ -183,6 +189,9 @@
     shares: tuple[ServiceShare, ...]
     kind: RouteKind
     regions: tuple[str, ...] = ()
+    priority: int = 0
+    timeout_s: float = 0.0
+    aim_s: float = 0.0
 
 
 class ColdStart(Struct, frozen=True):
--- a/endivepick/forwarding/settings.py
+++ b/endivepick/forwarding/settings.py
@@ -85,6 +85,11 @@
         seconds.
     zone_regions : dict of str to str
         Region of each availability zone; empty if there are no regions.
+    shares_load : bool
+        The instances of a zone tell each other the load that their callers put on
+        targets, and place openings by it.
+    limits_overload : bool
+        Openings of low priority are rejected while a service is overloaded.
     mechanisms : Mechanisms
         Enabled mechanisms; see `apply_mechanisms` for those that are limits.
     """
@@ -112,6 +117,8 @@
     held_s: float = 0.4
     ask_gap_s: float = 0.5
     zone_regions: dict[str, str] = field(default_factory=dict)
+    shares_load: bool = False
+    limits_overload: bool = False
     mechanisms: Mechanisms = Mechanisms()
 
 
