Keep flows of targets that serve while their service is overloaded

Two things led there. Callers with a flow per request acknowledge its answer with the packet that closes the flow, which was not read: an overdue request that was then answered or shed stayed unanswered for good. And a target that is full was compared with others whose queues had emptied earlier.

Ruled out: a fault of the targets (all of them serve), one instance alone (28 to 32 agreed), and the late answers of slow targets (0.0 late).

Change: the closing packet counts as an answer where it acknowledges more. A service is overloaded where short answers stay frequent without the worst targets; then they tell nothing, and only targets that leave most requests overdue are outliers or failing. What is ejected as an overload begins is readmitted at once.

--- a/endivepick/forwarding/comparison.py
+++ b/endivepick/forwarding/comparison.py
@@ -22,6 +22,16 @@
 """Largest share of overdue requests in the baseline that remains after exclusion.
 
 With more, the fault is service-wide, and differences between targets are noise."""
+MAX_HEALTHY_SHORT_SHARE = 0.05
+"""Largest share of short answers in the baseline that remains after exclusion.
+
+With more, most targets shed load: the service is overloaded."""
+OVERLOAD_MIN_OVERDUE_SHARE = 0.4
+"""Share of overdue requests below which a target of an overloaded service is no
+outlier.
+
+A full target still answers what it has begun; queues that empty at different moments
+make fewer requests overdue."""
 SELECTED_BASELINE_WEIGHT = 0.5
 """Weight of a score against a baseline from which outliers were excluded.
 
@@ -124,6 +134,11 @@
         """Share of overdue requests."""
         return self.overdue / self.total if self.total else 0.0
 
+    @property
+    def short_share(self) -> float:
+        """Share of requests with short answers."""
+        return self.poor / self.total if self.total else 0.0
+
 
 class ServiceSample:
     """Requests of the targets of a service, to compare each with the others.
@@ -150,11 +165,17 @@
 
     def __init__(self, counts: ServiceCounts, suspects: Iterable[TargetSums]) -> None:
         self.counts = counts
+        suspects = list(suspects)
+        self.overloaded = _is_overloaded(counts, suspects)
+        """Whether most targets shed load, not only a few that fail requests."""
         outliers = [each for each in suspects if each.overdue_share >= MIN_BAD_SHARE]
         self._outliers = sorted(outliers, key=lambda each: -each.overdue_share)
 
     def score_target(
-        self, target: TargetSums, min_bad_share: float = MIN_BAD_SHARE
+        self,
+        target: TargetSums,
+        min_bad_share: float = MIN_BAD_SHARE,
+        overloaded: bool = False,
     ) -> float:
         """Return the log-likelihood ratio of a target; 0 with too few requests.
 
@@ -164,10 +185,21 @@
             The target, whose requests are part of the sample.
         min_bad_share : float
             Share of bad requests below which the score is 0.
+        overloaded : bool
+            The service is overloaded, or was shortly before.  Differences in shed or
+            late requests then show the lengths of queues and not a fault, so only
+            targets that leave most requests overdue can be outliers.
         """
+        if overloaded and target.overdue_share < OVERLOAD_MIN_OVERDUE_SHARE:
+            return 0.0
         others = self._others(target)
         if others.total < MIN_BASELINE_REQUESTS or target.share < min_bad_share:
             return 0.0
+        if overloaded:
+            # Shed requests and a favourable selection of the others say nothing then.
+            return log_likelihood_ratio(
+                target.overdue, target.total, others.overdue, others.total
+            )
         return max(
             _compare_sums(target, others),
             SELECTED_BASELINE_WEIGHT
@@ -200,6 +232,21 @@
         return rest if rest.overdue_share <= MAX_HEALTHY_OVERDUE_SHARE else others
 
 
+def _is_overloaded(counts: ServiceCounts, suspects: Iterable[TargetSums]) -> bool:
+    """Whether short answers remain frequent without the targets that send most."""
+    short, total = counts.bad - counts.overdue, counts.total
+    excludable = MAX_EXCLUDED_SHARE * total
+    for suspect in sorted(suspects, key=lambda each: -each.short_share):
+        excludable -= suspect.total
+        if excludable < 0.0:
+            break
+        total -= suspect.total
+        short -= suspect.poor
+    if total < MIN_BASELINE_REQUESTS:
+        return False
+    return short > MAX_HEALTHY_SHORT_SHARE * total
+
+
 def _compare_sums(target: TargetSums, others: TargetSums) -> float:
     kinds = ((target.overdue, others.overdue), (target.poor, others.poor))
     return _sum_log_likelihood_ratios(kinds, target.total, others.total)
--- a/endivepick/forwarding/fault_confirmation.py
+++ b/endivepick/forwarding/fault_confirmation.py
@@ -48,6 +48,12 @@
 
 An overloaded target has a lower share and is not taken for slow: it answers requests in
 time that find its queue short, and rejects others at once."""
+SHEDDING_SHARE = 0.1
+"""Share of short answers from which a target may be shedding load.
+
+Requests that wait in its full queue look unanswered.  It is then failing only if most
+requests stay unanswered, as with `SLOW_OVERDUE_SHARE`, and so is any target while its
+service is overloaded."""
 
 
 class ConfirmedFault(Enum):
@@ -82,12 +88,15 @@
     callers : int
         Callers of this instance with bad requests there, up to
         `MIN_CONFIRMING_CALLERS`.
+    overloaded : bool
+        The target's service is overloaded, or was shortly before.
     """
 
     target_counts: TargetCounts | None
     report_age_s: float
     reporting_instances: int
     callers: int
+    overloaded: bool = False
 
 
 def confirm_fault(
@@ -113,9 +122,12 @@
         observed = counts
     else:
         return ConfirmedFault.NONE
+    sheds = observed.poor >= SHEDDING_SHARE * observed.total
+    may_be_full = sheds or evidence.overloaded
+    min_failed_share = SLOW_OVERDUE_SHARE if may_be_full else MIN_BAD_SHARE
     if (
         failing >= MIN_RESET_FAILURES
-        and observed.failed >= MIN_BAD_SHARE * observed.total
+        and observed.failed >= min_failed_share * observed.total
     ):
         return ConfirmedFault.FAILING
     if (
--- a/endivepick/forwarding/flows.py
+++ b/endivepick/forwarding/flows.py
@@ -142,8 +142,7 @@
         """
         flow = self._flows.get(packet.flow)
         if packet.closing:
-            self.end(packet.flow)
-            return FlowEvidence.NOTHING
+            return self._close(packet, now_s)
         if flow is None:
             self._start(packet, belief, kind, now_s)
             return FlowEvidence.NOTHING
@@ -155,6 +154,23 @@
             return FlowEvidence.NOTHING
         return self._evaluate_packet(flow, packet, now_s)
 
+    def _close(self, packet: Packet, now_s: float) -> FlowEvidence:
+        """Remove a flow; its last packet may acknowledge an answer.
+
+        The caller of a flow with a single request acknowledges the answer only then.
+        """
+        flow = self._flows.get(packet.flow)
+        if flow is None:
+            return FlowEvidence.NOTHING
+        answered = flow.busy_since_s is not None and _is_newer(
+            packet.acknowledged, flow.acknowledged
+        )
+        self.end(packet.flow)
+        if not answered:
+            return FlowEvidence.NOTHING
+        self._record_progress(flow.belief, now_s)
+        return FlowEvidence.PROGRESS
+
     def end(self, key: FlowKey) -> None:
         """Remove a flow."""
         flow = self._flows.pop(key, None)
--- a/endivepick/forwarding/forwarder.py
+++ b/endivepick/forwarding/forwarder.py
@@ -30,7 +30,12 @@
 )
 from endivepick.forwarding.failure_detector import FailureDetector
 from endivepick.forwarding.fitness_reports import MAX_REPORTED_TARGETS, FitnessReport
-from endivepick.forwarding.flows import SEQUENCE_NUMBERS, FlowEvidence, FlowTable
+from endivepick.forwarding.flows import (
+    SEQUENCE_NUMBERS,
+    FlowEvidence,
+    FlowTable,
+    ObservedFlow,
+)
 from endivepick.forwarding.held_packets import (
     HeldPacket,
     HeldPackets,
@@ -339,7 +344,15 @@
             self.flows.end(packet.flow)
             return self._reset(packet, reason, belief.name, now_s)
         flow_evidence = self.flows.observe(packet, belief, kind, now_s)
-        self._record_request(packet, busy_since_s, acknowledged, now_s)
+        flow = self.flows.get(packet.flow) or known
+        if flow is not None and self.settings.mechanisms.judge_targets:
+            answered_since_s = (
+                busy_since_s if flow_evidence is FlowEvidence.PROGRESS else None
+            )
+            size_bytes = (packet.acknowledged - acknowledged) % SEQUENCE_NUMBERS
+            self._record_answer(flow, answered_since_s, size_bytes, now_s)
+            if not packet.closing:
+                self._record_request(flow, busy_since_s, now_s)
         self._log_degraded_target(packet.flow, belief, now_s)
         match flow_evidence:
             case FlowEvidence.PROGRESS:
@@ -352,33 +365,39 @@
                 pass
         return Forward(belief)
 
-    def _record_request(
+    def _record_answer(
         self,
-        packet: Packet,
+        flow: ObservedFlow,
         busy_since_s: float | None,
-        acknowledged: int,
+        size_bytes: int,
         now_s: float,
     ) -> None:
-        """Record that a packet shows the start of a request, or of its answer.
+        """Record the start of the answer to the request in progress, if there was one.
 
         Parameters
         ----------
-        packet : Packet
-            The packet, already observed.
+        flow : ObservedFlow
+            Its flow, which the packet that acknowledged the answer may have closed.
         busy_since_s : float or None
-            When the previous request started, in seconds; None if it was answered.
-        acknowledged : int
-            The caller's acknowledgement number before this packet.
+            When the request started, in seconds; None if there was none.
+        size_bytes : int
+            Bytes of the answer that were acknowledged.
         now_s : float
             Current time, in seconds.
         """
-        flow = self.flows.get(packet.flow)
-        if flow is None or not self.settings.mechanisms.judge_targets:
+        if busy_since_s is None:
             return
-        if busy_since_s is not None and flow.busy_since_s != busy_since_s:
-            size_bytes = (packet.acknowledged - acknowledged) % SEQUENCE_NUMBERS
-            waited_s = now_s - busy_since_s
-            self.outlier_detector.requests.answered(flow, waited_s, size_bytes, now_s)
+        waited_s = now_s - busy_since_s
+        self.outlier_detector.requests.answered(flow, waited_s, size_bytes, now_s)
+
+    def _record_request(
+        self, flow: ObservedFlow, busy_since_s: float | None, now_s: float
+    ) -> None:
+        """Record the start of a request, if the packet was its first.
+
+        ``busy_since_s`` is when the previous request started, in seconds; None if it
+        was answered.
+        """
         if flow.busy_since_s is not None and flow.busy_since_s != busy_since_s:
             self.outlier_detector.requests.record_request(flow, now_s)
 
--- a/endivepick/forwarding/outlier_detector.py
+++ b/endivepick/forwarding/outlier_detector.py
@@ -41,6 +41,7 @@
 )
 from endivepick.forwarding.flows import FlowTable, ObservedFlow
 from endivepick.forwarding.model import RouteKind
+from endivepick.forwarding.recent_overloads import RecentOverloads
 from endivepick.forwarding.registry import TargetRegistry
 from endivepick.forwarding.request_counter import RequestCounter
 from endivepick.forwarding.service_counts import ServiceSamples, decay
@@ -100,6 +101,7 @@
         self._noted_faults: dict[str, set[ConfirmedFault]] = {}
         self._zone = ZoneReport(registry)
         self._samples = ServiceSamples(registry)
+        self._overloads = RecentOverloads()
         self.requests = RequestCounter(flows, self._zone, self._is_outlier)
         """Counts the outcomes of requests."""
 
@@ -214,11 +216,11 @@
                 event = FitnessEvent.PROVED
                 return [*self._registry.record_fitness(belief, event, "tried", now_s)]
             case Fitness.IMPAIRED if self._is_ejection_over(belief, now_s):
-                counts.good = counts.failed = counts.poor = counts.late = 0.0
-                self.requests.forget_callers(belief.name)
-                self._noted_faults.pop(belief.name, None)
-                event = FitnessEvent.RESTED
-                return [*self._registry.record_fitness(belief, event, "rested", now_s)]
+                return self._start_probation(belief, counts, "rested", now_s)
+            case Fitness.IMPAIRED if self._was_ejected_for_overload(
+                belief, score, now_s
+            ):
+                return self._readmit(belief, counts, now_s)
             case Fitness.IMPAIRED:
                 return self._reset_flows(belief, now_s)
             case Fitness.SOUND if counts.bad < MIN_REPORTED_BAD and reported is None:
@@ -251,13 +253,21 @@
         min_bad_share: float = MIN_BAD_SHARE,
     ) -> float:
         service = belief.target.service
-        here = TargetSums.of(belief.name, counts)
-        score = self._samples.get_sample(service, now_s).score_target(
-            here, min_bad_share
-        )
-        if reported is None:
+        here = self._samples.get_sample(service, now_s)
+        in_zone = self._zone.get_sample(service)
+        overloaded = self._is_overloaded(service, now_s)
+        own_sums = TargetSums.of(belief.name, counts)
+        score = here.score_target(own_sums, min_bad_share, overloaded)
+        if reported is None or in_zone is None:
             return score
-        return max(score, self._zone.score_target(belief, reported, min_bad_share))
+        zone_sums = TargetSums.of(reported.name, reported)
+        return max(score, in_zone.score_target(zone_sums, min_bad_share, overloaded))
+
+    def _is_overloaded(self, service: str, now_s: float) -> bool:
+        """Whether overload explains the bad requests of a service's targets."""
+        here = self._samples.get_sample(service, now_s)
+        in_zone = self._zone.get_sample(service)
+        return self._overloads.is_overloaded(service, (here, in_zone), now_s)
 
     def _is_eligible(self, belief: TargetBelief) -> bool:
         """Whether failures of a target's requests can be attributed to it.
@@ -300,6 +310,42 @@
             ejected += belief.target.slots
         return ejected <= MAX_EJECTED_SHARE * slots
 
+    def _start_probation(
+        self, belief: TargetBelief, counts: RequestCounts, reason: str, now_s: float
+    ) -> list[Effect]:
+        counts.good = counts.failed = counts.poor = counts.late = 0.0
+        self.requests.forget_callers(belief.name)
+        self._noted_faults.pop(belief.name, None)
+        event = FitnessEvent.RESTED
+        return [*self._registry.record_fitness(belief, event, reason, now_s)]
+
+    def _was_ejected_for_overload(
+        self, belief: TargetBelief, score: float, now_s: float
+    ) -> bool:
+        """Whether an ejected target turns out to be as full as all the others.
+
+        The targets that are full first stand out for a moment.  Without them, the rest
+        has even less room.
+        """
+        if score > 0.0 or not self._is_eligible(belief):
+            return False
+        if belief.name in self._noted_faults:
+            return False
+        return self._is_overloaded(belief.target.service, now_s)
+
+    def _readmit(
+        self, belief: TargetBelief, counts: RequestCounts, now_s: float
+    ) -> list[Effect]:
+        """Readmit a target without probation: its service needs all its slots."""
+        reason = "service overloaded"
+        effects = self._start_probation(belief, counts, reason, now_s)
+        self._ejection_times_s.pop(belief.name, None)
+        event = FitnessEvent.PROVED
+        return [
+            *effects,
+            *self._registry.record_fitness(belief, event, reason, now_s),
+        ]
+
     def _is_ejection_over(self, belief: TargetBelief, now_s: float) -> bool:
         last_s = max(belief.requests.last_bad_s, belief.fitness_since_s)
         if self._zone.get_counts(belief, now_s) is not None:
@@ -371,7 +417,8 @@
         ):
             return ConfirmedFault.NONE
         callers = self.requests.count_affected_callers(belief.name)
-        evidence = self._zone.evidence(belief, callers, now_s)
+        overloaded = self._is_overloaded(belief.target.service, now_s)
+        evidence = self._zone.evidence(belief, callers, overloaded, now_s)
         return confirm_fault(counts, evidence, now_s)
 
 
--- a/endivepick/forwarding/request_counter.py
+++ b/endivepick/forwarding/request_counter.py
@@ -102,13 +102,17 @@
             self._forget_requests()
         overdue = self._deadlines.pop_overdue(self._flows, now_s)
         for flow in overdue:
-            flow.overdue = True
-            counts = decay(flow.belief.requests, now_s)
-            self._add_suspect(flow)
-            counts.failed += 1.0
-            counts.last_failed_s = now_s
+            self.record_overdue(flow, now_s)
         return overdue
 
+    def record_overdue(self, flow: ObservedFlow, now_s: float) -> None:
+        """Count the request in progress of a flow as unanswered, until it is."""
+        flow.overdue = True
+        counts = decay(flow.belief.requests, now_s)
+        self._add_suspect(flow)
+        counts.failed += 1.0
+        counts.last_failed_s = now_s
+
     def export_baselines(self) -> list[UsualCounts]:
         """Return the baselines of recent requests for the zone's report."""
         return self._baselines.to_counts()
--- a/endivepick/forwarding/zone_report.py
+++ b/endivepick/forwarding/zone_report.py
@@ -63,19 +63,12 @@
                 return reported
         return None
 
-    def score_target(
-        self, belief: TargetBelief, reported: TargetCounts, min_bad_share: float
-    ) -> float:
-        """Return the outlier score of a target in the zone; see `ServiceSample`."""
-        sample = self._samples.get(belief.target.service)
-        if sample is None:
-            return 0.0
-        return sample.score_target(
-            TargetSums.of(reported.name, reported), min_bad_share
-        )
+    def get_sample(self, service: str) -> ServiceSample | None:
+        """Return the requests of a service in the zone, None if none were reported."""
+        return self._samples.get(service)
 
     def evidence(
-        self, belief: TargetBelief, callers: int, now_s: float
+        self, belief: TargetBelief, callers: int, overloaded: bool, now_s: float
     ) -> ZoneEvidence:
         """Return the observations of a target beyond this instance's own counts.
 
@@ -85,6 +78,8 @@
             The target.
         callers : int
             Callers of this instance with bad requests there.
+        overloaded : bool
+            Its service is overloaded, or was shortly before.
         now_s : float
             Present time, in seconds.
         """
@@ -93,6 +88,7 @@
             report_age_s=self.report_age_s(now_s),
             reporting_instances=self._report.instances,
             callers=callers,
+            overloaded=overloaded,
         )
 
     def report_age_s(self, now_s: float) -> float:
