Show shared load and admission at a forwarder

Cause: operators could not see the load that instances will share, nor which openings a service admits while it is overloaded.

The page /load returns typed structs from a provider, by default the status of an instance that shares nothing, so the page does not depend on the parts that share and limit. `endivepick forwarder load` prints services, zones and the fullest targets. Gauges tell the number of limited services and the age of the reports. Per-target metrics were ruled out: their number grows with the installation.

Settings: limit_overload without shared load is refused, since overload is detected by it. share_load false disables both parts where the requirement would enable them, so that one key is enough and does not end in a refused file. `forwarder check` prints both parts with the reason.

--- a/endivepick/cli/forwarder.py
+++ b/endivepick/cli/forwarder.py
@@ -1,4 +1,4 @@
-"""Commands for forwarders: validate settings, show target states, trace a flow."""
+"""Commands for forwarders: validate settings, show states and load, trace a flow."""
 
 import json as json_format
 import urllib.error
@@ -6,18 +6,26 @@
 from collections.abc import Iterator, Sequence
 from typing import Any
 
+import msgspec
 from msgspec.structs import asdict
 
 from endivepick.cli.command_errors import CommandError, option_values
 from endivepick.cli.exit_codes import ExitCode
+from endivepick.cli.forwarder_load import print_load
 from endivepick.cli.output import print_json, print_line, print_table
-from endivepick.forwarder.settings import load_forwarder_settings
+from endivepick.forwarder.load_status import LoadStatus
+from endivepick.forwarder.settings import (
+    OVERLOAD_REQUIREMENT,
+    ForwarderSettings,
+    load_forwarder_settings,
+)
 from endivepick.timeline import LogEvent, format_fields, read_log, trace_flow
 
 __all__ = ["ForwarderCommands"]
 
 STATUS_TIMEOUT_S = 5.0
 """Timeout of reading a forwarder's status; it answers within milliseconds."""
+_NOT_FOUND = 404
 _HEADER = (
     *("service", "target", "zone", "state", "for", "reached", "for"),
     *("fitness", "for", "flows"),
@@ -25,19 +33,21 @@
 
 
 class ForwarderCommands:
-    """Validate settings of forwarders, show target states, trace a flow.
+    """Validate settings of forwarders, show target states and load, trace a flow.
 
     Examples
     --------
     endivepick forwarder check settings.json
     endivepick forwarder status 10.1.0.10:7720
+    endivepick forwarder load 10.1.0.10:7720
     endivepick forwarder flow 100.64.0.7:40001 logs/front-1.log logs/front-2.log
     """
 
     def check(self, file: str) -> None:
         """Validate a settings file and print key and remedy of an error.
 
-        Lists the mechanisms that the settings disable.
+        Prints whether load is shared and overload limited, with the reason, and lists
+        the mechanisms that the settings disable.
 
         Examples
         --------
@@ -50,6 +60,9 @@
         """
         settings = load_forwarder_settings(file)
         print_line(f"{file}: fine for forwarder {settings.name} in {settings.zone}")
+        shares, limits = settings.shares_load, settings.limits_overload
+        print_line(f"shares load: {_yes_or_no(shares)} ({_why_shared(settings)})")
+        print_line(f"limits overload: {_yes_or_no(limits)} ({_why_limited(settings)})")
         for name, used in asdict(settings.mechanisms).items():
             if not used:
                 print_line(f"off: {name}")
@@ -81,6 +94,27 @@
             print_line(f"evacuated zones: {', '.join(status['evacuated_zones'])}")
         print_table(_HEADER, [_to_cells(target) for target in status["targets"]])
 
+    def load(self, address: str, json: bool = False) -> None:
+        """Show the shared load of services, zones and targets, and what is admitted.
+
+        Examples
+        --------
+        endivepick forwarder load 10.1.0.10:7720
+        endivepick forwarder load 10.1.0.10:7720 --json
+
+        Parameters
+        ----------
+        address : str
+            host:port of the metrics endpoint of the forwarder.
+        json : bool
+            Print JSON with all targets.
+        """
+        load = _read_load(address)
+        if json:
+            print_json(msgspec.to_builtins(load))
+        else:
+            print_load(load)
+
     def flow(
         self, key: str, *logs: str, before_s: str = "10", after_s: str = "2"
     ) -> None:
@@ -120,13 +154,61 @@
 
 
 def _read_status(address: str) -> dict[str, Any]:
-    url = f"http://{address}/status"
+    body = _read_page(address, "/status")
+    try:
+        return json_format.loads(body)
+    except ValueError as error:
+        raise _unusable_page(f"http://{address}/status", error) from None
+
+
+def _read_load(address: str) -> LoadStatus:
+    body = _read_page(address, "/load")
+    try:
+        return msgspec.json.decode(body, type=LoadStatus)
+    except msgspec.DecodeError as error:
+        raise _unusable_page(f"http://{address}/load", error) from None
+
+
+def _read_page(address: str, path: str) -> bytes:
+    url = f"http://{address}{path}"
     try:
         with urllib.request.urlopen(url, timeout=STATUS_TIMEOUT_S) as answer:
-            return json_format.load(answer)
-    except (urllib.error.URLError, ValueError) as error:
-        message = f"{url}: {error}. Give the metrics address of a running forwarder."
-        raise CommandError(message, ExitCode.FAILURE) from None
+            return answer.read()
+    except urllib.error.HTTPError as error:
+        error.close()
+        if error.code != _NOT_FOUND:
+            raise _unusable_page(url, error) from None
+        message = f"{url}: not found. The forwarder runs a build without this page."
+        raise CommandError(message, ExitCode.NOT_FOUND) from None
+    except (OSError, ValueError) as error:
+        raise _unusable_page(url, error) from None
+
+
+def _unusable_page(url: str, error: Exception) -> CommandError:
+    message = f"{url}: {error}. Give the metrics address of a running forwarder."
+    return CommandError(message, ExitCode.FAILURE)
+
+
+def _yes_or_no(enabled: bool) -> str:
+    return "yes" if enabled else "no"
+
+
+def _why_shared(settings: ForwarderSettings) -> str:
+    if settings.share_load is not None:
+        return f"share_load is {str(settings.share_load).lower()}"
+    if settings.shares_load:
+        return f"requirement {OVERLOAD_REQUIREMENT}"
+    return f"no requirement {OVERLOAD_REQUIREMENT}, share_load is not set"
+
+
+def _why_limited(settings: ForwarderSettings) -> str:
+    if settings.limit_overload is not None:
+        return f"limit_overload is {str(settings.limit_overload).lower()}"
+    if settings.limits_overload:
+        return f"requirement {OVERLOAD_REQUIREMENT}"
+    if settings.share_load is False:
+        return "share_load is false"
+    return f"no requirement {OVERLOAD_REQUIREMENT}, limit_overload is not set"
 
 
 def _to_cells(target: dict[str, Any]) -> tuple[Any, ...]:
--- a/endivepick/cli/main.py
+++ b/endivepick/cli/main.py
@@ -197,7 +197,7 @@
 
     @property
     def forwarder(self) -> Any:
-        """Validate settings of forwarders, show target states, trace a flow."""
+        """Validate settings of forwarders, show states and load, trace a flow."""
         from endivepick.cli.forwarder import ForwarderCommands
 
         return ForwarderCommands()
--- a/endivepick/forwarder/pages.py
+++ b/endivepick/forwarder/pages.py
@@ -11,6 +11,7 @@
 from endivepick.forwarder import peers
 from endivepick.forwarder.decision_log import DecisionLog
 from endivepick.forwarder.http import Response, json_response
+from endivepick.forwarder.load_status import LoadStatus, LoadStatusProvider
 from endivepick.forwarder.metrics import render_page
 from endivepick.forwarder.peers import PeerExchange
 from endivepick.forwarder.ports import FeedKind
@@ -46,6 +47,9 @@
         Called with the name of a target that does not answer a peer.
     ready : callable
         Returns whether the fabric may send flows to this instance.
+    load : callable
+        Returns the status of shared load; by default, that of an instance that shares
+        none.
     """
 
     def __init__(
@@ -58,6 +62,7 @@
         decisions: DecisionLog,
         on_hint: Callable[[str], None],
         ready: Callable[[], bool],
+        load: LoadStatusProvider = LoadStatus,
     ) -> None:
         self._settings = settings
         self._core = core
@@ -67,6 +72,7 @@
         self._decisions = decisions
         self._on_hint = on_hint
         self._ready = ready
+        self._load = load
 
     def answer(self, path: str, query: str) -> Response:
         """Return the answer to a request."""
@@ -90,6 +96,8 @@
                 return self._metrics()
             case "/status":
                 return json_response(build_status(self._core, steady_now_s()))
+            case "/load":
+                return json_response(self._load())
             case _:
                 return Response(404)
 
@@ -116,4 +124,15 @@
                 f"{kind.value}_heard_seconds": now_s - feed.last_answer_s
                 for kind, feed in self._feeds.items()
             },
+            **_load_gauges(self._load()),
         }
+
+
+def _load_gauges(load: LoadStatus) -> dict[str, float]:
+    """Return the gauges of shared load; none if it is not shared."""
+    if not load.enabled:
+        return {}
+    gauges: dict[str, float] = {"limited_services": load.limited_services}
+    if load.age_s is not None:
+        gauges["load_age_seconds"] = load.age_s
+    return gauges
--- a/endivepick/forwarder/settings.py
+++ b/endivepick/forwarder/settings.py
@@ -9,7 +9,12 @@
 from endivepick.errors import SettingsInvalidError
 from endivepick.forwarding.mechanisms import Mechanisms
 
-__all__ = ["ForwarderSettings", "decode_settings", "load_forwarder_settings"]
+__all__ = [
+    "OVERLOAD_REQUIREMENT",
+    "ForwarderSettings",
+    "decode_settings",
+    "load_forwarder_settings",
+]
 
 _TEXT_OR_COMMENT = re.compile(rb'"(?:\\.|[^"\\])*"|//[^\n]*|/\*.*?\*/', re.DOTALL)
 _Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
@@ -86,7 +91,8 @@
     share_load, limit_overload : bool or None
         Whether instances share the load of targets and place openings by it, and
         whether openings of low priority are rejected while a service is overloaded;
-        None if both follow from the requirements.
+        None if both follow from the requirements.  Openings are rejected only where
+        load is shared, so `share_load` false disables both.
     mechanisms : Mechanisms
         Mechanisms in use; all are unless the settings disable them.
     """
@@ -126,15 +132,20 @@
     @property
     def shares_load(self) -> bool:
         """Whether instances share the load of targets."""
-        return self._is_enabled(self.share_load)
+        if self.share_load is not None:
+            return self.share_load
+        return self._requires_overload_parts
 
     @property
     def limits_overload(self) -> bool:
         """Whether openings of low priority are rejected during an overload."""
-        return self._is_enabled(self.limit_overload)
+        if self.limit_overload is not None:
+            return self.limit_overload
+        return self.shares_load and self._requires_overload_parts
 
-    def _is_enabled(self, chosen: bool | None) -> bool:
-        return OVERLOAD_REQUIREMENT in self.requirements if chosen is None else chosen
+    @property
+    def _requires_overload_parts(self) -> bool:
+        return OVERLOAD_REQUIREMENT in self.requirements
 
     @property
     def advertised_address(self) -> str:
@@ -144,6 +155,10 @@
 
 _ADDRESSES = ("data_address", "ready_address", "metrics_address", "store_address")
 _OPTIONAL_ADDRESSES = ("peer_address", "peer_reach_address")
+_LIMIT_WITHOUT_LOAD = (
+    "limit_overload: overload is detected by shared load. Set share_load to true, or "
+    "limit_overload to false."
+)
 
 
 def decode_settings(text: bytes) -> ForwarderSettings:
@@ -183,6 +198,8 @@
             raise SettingsInvalidError(f"{key}: {error}.") from None
     if settings.zone not in settings.zones:
         raise SettingsInvalidError(f"zone: add {settings.zone} to zones.")
+    if settings.limits_overload and not settings.shares_load:
+        raise SettingsInvalidError(_LIMIT_WITHOUT_LOAD)
     return settings
 
 
--- a/endivepick/forwarder/tests/test_settings.py
+++ b/endivepick/forwarder/tests/test_settings.py
@@ -58,6 +58,35 @@
     def test_times_must_be_positive(self):
         self.assertIn("stop_s", self.refused(stop_s=0))
 
+    def enabled_parts(self, **fields):
+        settings = decode(**fields)
+        return settings.shares_load, settings.limits_overload
+
+    def test_parts_for_overload_follow_the_requirements(self):
+        self.assertEqual(self.enabled_parts(), (False, False))
+        self.assertEqual(self.enabled_parts(requirements=["pressure"]), (True, True))
+
+    def test_settings_of_parts_for_overload_precede_the_requirements(self):
+        pressure = {"requirements": ["pressure"]}
+        self.assertEqual(self.enabled_parts(share_load=True), (True, False))
+        self.assertEqual(
+            self.enabled_parts(**pressure, limit_overload=False), (True, False)
+        )
+        self.assertEqual(
+            self.enabled_parts(**pressure, share_load=False), (False, False)
+        )
+
+    def test_limit_of_overload_without_shared_load_is_refused(self):
+        for fields in (
+            {"share_load": False},
+            {"share_load": False, "requirements": ["pressure"]},
+            {},
+        ):
+            with self.subTest(fields):
+                message = self.refused(limit_overload=True, **fields)
+                self.assertIn("limit_overload", message)
+                self.assertIn("Set share_load to true", message)
+
     def test_a_file_that_is_missing_is_named(self):
         with self.assertRaises(SettingsInvalidError) as raised:
             load_forwarder_settings("/nowhere/settings.json")
