Show changes of overload in the trace of a flow

Cause: the trace of a flow holds events of its targets and processes; a change of overload names a service, so the reason why an opening was turned away would have been left out.

A change of overload is related if it names the flow's service, which events of the flow or of its targets tell. Where none tells it (an opening that was turned away has no target), changes of all services at its instances are shown: they are rare. The last change before the flow is shown however old it is, since its state holds at the flow. Treating the change as an event of the process was ruled out: it shows other services, and misses an overload that began more than ten seconds before.

The order of events needs nothing new: the line has a service and no version, so it takes part in no edge between logs. The line is a warning while a service is overloaded.

--- a/endivepick/forwarder/decision_log.py
+++ b/endivepick/forwarder/decision_log.py
@@ -5,6 +5,7 @@
 """
 
 from endivepick.errors import PacketInvalidError
+from endivepick.forwarder.load_status import OVERLOADED_STATE
 from endivepick.forwarder.logs import BoundedLog, truncate_number
 from endivepick.forwarder.metrics import ForwarderMetrics
 from endivepick.forwarder.ports import FeedKind, UnreadableItem
@@ -135,7 +136,8 @@
             are none.
         """
         self.metrics.count("overload_changes", state)
-        self.log.event(
+        write = self.log.warning if state == OVERLOADED_STATE else self.log.event
+        write(
             "load",
             "overload_changed",
             f"{service} is {state}",
--- a/endivepick/forwarder/load_status.py
+++ b/endivepick/forwarder/load_status.py
@@ -9,6 +9,8 @@
 from msgspec import Struct
 
 __all__ = [
+    "NORMAL_STATE",
+    "OVERLOADED_STATE",
     "LoadStatus",
     "LoadStatusProvider",
     "PriorityStatus",
@@ -20,6 +22,8 @@
 
 NORMAL_STATE = "normal"
 """State of a service that is not overloaded; no opening is rejected in it."""
+OVERLOADED_STATE = "overloaded"
+"""State of a service whose targets get more work than they can process."""
 
 
 class TargetLoadStatus(Struct, frozen=True, kw_only=True):
--- a/endivepick/timeline/select.py
+++ b/endivepick/timeline/select.py
@@ -27,8 +27,8 @@
     since_s, until_s : float or None
         Time bounds, in seconds since 1970.
     flow_key : str
-        Addresses of a forwarder flow, or a substring of them; events of its targets
-        and processes around that time match as well.
+        Addresses of a forwarder flow, or a substring of them; events of its targets,
+        services and processes around that time match as well.
     """
 
     flow: int | None = None
--- a/endivepick/timeline/tests/test_flows.py
+++ b/endivepick/timeline/tests/test_flows.py
@@ -80,3 +80,94 @@
         path.write_text(f"12.5 front-9 {LINES['front-3'][0]}\n")
         (event,) = read_log(path)
         self.assertEqual((event.process, event.event), ("front-3", "store_lost"))
+
+
+def overload(at_s, process, service, state):
+    fields = {"service": service, "state": state, "short_share": 0.3}
+    fields |= {"busy_per_slot": 1.5, "age_s": 0.4}
+    return line(at_s, process, "load", "overload_changed", **fields)
+
+
+def belief(at_s, target, service):
+    fields = {"target": target, "service": service, "after": "ready"}
+    return line(at_s, "front-1", "target", "target_belief", **fields)
+
+
+REJECTED = line(
+    100, "front-1", "flow", "flow_reset", target="", flow_key=FLOW, reason="overloaded"
+)
+
+
+class TestOverload(unittest.TestCase):
+    """A flow, with the changes of overload of its service."""
+
+    def trace(self, *lines):
+        folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        path = folder / "front-1.log"
+        path.write_text("\n".join(lines) + "\n")
+        self.path = path
+        return trace_flow(list(read_log(path)), FLOW)
+
+    def changes(self, *lines):
+        return [
+            (event.fields["service"], event.fields["state"])
+            for event in self.trace(*lines)
+            if event.event == "overload_changed"
+        ]
+
+    def test_opening_rejected_long_after_its_service_became_overloaded(self):
+        found = self.trace(
+            overload(10, "front-1", "notes", "overloaded"),
+            overload(20, "front-1", "notes", "recovering"),
+            overload(40, "front-1", "notes", "overloaded"),
+            REJECTED,
+            overload(101, "front-1", "notes", "recovering"),
+            overload(190, "front-1", "notes", "normal"),
+        )
+        self.assertEqual([event.at_s for event in found], [40, 100, 101])
+
+    def test_overload_of_another_service_is_left_out(self):
+        found = self.changes(
+            belief(1, "i-1", "notes"),
+            belief(1, "i-2", "mail"),
+            overload(98, "front-1", "notes", "overloaded"),
+            overload(99, "front-1", "mail", "overloaded"),
+            line(100, "front-1", "flow", "flow_placed", target="i-1", flow_key=FLOW),
+        )
+        self.assertEqual(found, [("notes", "overloaded")])
+
+    def test_flow_that_names_its_service(self):
+        found = self.changes(
+            overload(50, "front-1", "mail", "overloaded"),
+            overload(50, "front-1", "notes", "overloaded"),
+            json.dumps(json.loads(REJECTED) | {"service": "notes"}),
+        )
+        self.assertEqual(found, [("notes", "overloaded")])
+
+    def test_overload_of_any_service_if_that_of_the_flow_is_unknown(self):
+        found = self.changes(
+            overload(50, "front-1", "mail", "overloaded"),
+            overload(99, "front-1", "notes", "overloaded"),
+            REJECTED,
+        )
+        self.assertEqual(found, [("mail", "overloaded"), ("notes", "overloaded")])
+
+    def test_overload_at_an_instance_that_did_not_see_the_flow(self):
+        found = self.changes(overload(99, "front-2", "notes", "overloaded"), REJECTED)
+        self.assertEqual(found, [])
+
+    def test_timeline_shows_reason_and_values(self):
+        self.trace(overload(99, "front-1", "notes", "overloaded"), REJECTED)
+        shown = select_events(merge_logs([self.path]), EventFilter(flow_key=FLOW))
+        change, reset = render_text(shown).splitlines()
+        self.assertIn("state=overloaded", change)
+        self.assertIn("short_share=0.3 busy_per_slot=1.5 age_s=0.4", change)
+        self.assertIn("reason=overloaded", reset)
+
+    def test_changes_of_a_service_are_selected_by_its_name(self):
+        self.trace(
+            overload(98, "front-1", "notes", "overloaded"),
+            overload(99, "front-1", "mail", "overloaded"),
+        )
+        shown = select_events(merge_logs([self.path]), EventFilter(record="notes"))
+        self.assertEqual([each.log.at_s for each in shown.events], [98])
