--- a/endivepick/cli/forwarder_load.py
+++ b/endivepick/cli/forwarder_load.py
@@ -22,7 +22,10 @@
     "admitted by priority",
 )
 _ZONE_HEADER = ("service", "zone", "busy", "slots", "busy/slot")
-_TARGET_HEADER = (*_ZONE_HEADER[:1], "target", *_ZONE_HEADER[1:], "flows here")
+_TARGET_HEADER = (
+    *("service", "target", "zone", "load", "slots", "load/slot"),
+    "flows here",
+)
 _NOT_SHARED = (
     "This forwarder shares no load, so it knows only the requests of its own callers "
     "and rejects no opening by priority. Set share_load to true in its settings and "
@@ -35,7 +38,7 @@
     if not load.enabled:
         print_line(_NOT_SHARED)
         return
-    print_line(f"reports of other instances: {_format_age(load.age_s)}")
+    print_line(f"totals of other zones: {_format_age(load.age_s)}")
     print_line(
         f"rejects openings by priority: {'yes' if load.limits_overload else 'no'}"
     )
@@ -82,9 +85,9 @@
         target.service,
         target.name,
         target.zone,
-        _format_number(target.busy),
+        _format_number(target.load),
         target.slots,
-        _format_number(target.busy_per_slot),
+        _format_number(target.load_per_slot),
         target.open_flows,
     )
 
@@ -97,7 +100,7 @@
 
 
 def _format_age(age_s: float | None) -> str:
-    return "none" if age_s is None else f"{age_s:.1f} s old"
+    return "none" if age_s is None else f"up to {age_s:.1f} s old"
 
 
 def _format_duration(duration_s: float | None) -> str:
--- a/endivepick/cli/tests/test_forwarder.py
+++ b/endivepick/cli/tests/test_forwarder.py
@@ -140,9 +140,9 @@
         self.assertIn("metrics address", outcome.err)
 
 
-def load_target(number, busy):
+def load_target(number, load):
     return TargetLoadStatus(
-        name=f"i-{number}", service="notes", zone="hall", slots=2, busy=busy
+        name=f"i-{number}", service="notes", zone="hall", slots=2, load=load
     )
 
 
@@ -184,7 +184,7 @@
     def test_overload_of_one_service_that_rejects_its_lowest_priority(self):
         outcome = self.show(OVERLOADED)
         self.assertEqual(outcome.code, ExitCode.OK)
-        self.assertIn("reports of other instances: 0.4 s old", outcome.out)
+        self.assertIn("totals of other zones: up to 0.4 s old", outcome.out)
         self.assertIn("rejects openings by priority: yes", outcome.out)
         self.assertEqual(
             self.row(outcome, "notes overloaded"),
@@ -219,7 +219,7 @@
         address = serve_page(self, "/load", b'{"enabled": true, "regions": [1]}')
         outcome = run_command("forwarder", "load", address)
         self.assertEqual(outcome.code, ExitCode.OK)
-        self.assertIn("reports of other instances: none", outcome.out)
+        self.assertIn("totals of other zones: none", outcome.out)
 
     def test_former_build_without_the_page(self):
         address = serve_page(self, "/status", b"{}")
--- a/endivepick/forwarder/decision_log.py
+++ b/endivepick/forwarder/decision_log.py
@@ -132,8 +132,8 @@
         busy_per_slot : float or None
             Requests in progress per slot of its targets; None if they are unknown.
         age_s : float or None
-            Age of the load reports that this is based on, in seconds; None if there
-            are none.
+            Age of the oldest totals of another zone that this is based on, in seconds;
+            None if those of no other zone are known.
         """
         self.metrics.count("overload_changes", state)
         write = self.log.warning if state == OVERLOADED_STATE else self.log.event
--- a/endivepick/forwarder/load_status.py
+++ b/endivepick/forwarder/load_status.py
@@ -35,9 +35,10 @@
         The target, its service and its availability zone.
     slots : int
         Number of requests that it processes concurrently.
-    busy : float or None
-        Mean number of requests in progress there, from callers of all known instances;
-        None if no recent report covers the target.
+    load : float or None
+        Load that callers of this instance's zone put on it, in requests in progress;
+        open flows without one count as a small part of a request.  None if it is
+        unknown.
     open_flows : int
         Open flows of callers of this instance.
     """
@@ -46,13 +47,13 @@
     service: str
     zone: str
     slots: int
-    busy: float | None = None
+    load: float | None = None
     open_flows: int = 0
 
     @property
-    def busy_per_slot(self) -> float | None:
-        """Requests in progress per slot; None if they are unknown."""
-        return _divide_by_slots(self.busy, self.slots)
+    def load_per_slot(self) -> float | None:
+        """Load per slot, in requests in progress; None if it is unknown."""
+        return _divide_by_slots(self.load, self.slots)
 
 
 class ZoneLoadStatus(Struct, frozen=True, kw_only=True):
@@ -63,10 +64,10 @@
     service, zone : str
         The service and the availability zone of its targets.
     slots : int
-        Sum of the slots of these targets.
+        Sum of the slots of those targets that take new flows.
     busy : float or None
-        Mean number of requests in progress there, from callers of all known zones;
-        None if no recent report covers the zone.
+        Mean number of requests in progress there, from callers of all zones whose
+        totals are known; None if it is unknown.
     """
 
     service: str
@@ -110,10 +111,10 @@
     state_for_s : float or None
         How long it has been in this state, in seconds.
     slots : int
-        Sum of the slots of its targets.
+        Sum of the slots of those of its targets that take new flows.
     busy : float or None
-        Mean number of requests in progress, from callers of all known zones; None if
-        it is unknown.
+        Mean number of requests in progress, from callers of all zones whose totals are
+        known; None if it is unknown.
     short_share : float or None
         Share of its answers that are short, from 0 to 1; a target that sheds load
         sends these.  None if there are too few answers.
@@ -145,13 +146,14 @@
     limits_overload : bool
         This instance rejects openings of low priority while a service is overloaded.
     age_s : float or None
-        Age of the reports of other instances, in seconds; None if there are none.
+        Age of the oldest totals of another zone that are in use, in seconds; None if
+        those of no other zone are known.
     services : tuple of ServiceLoadStatus
         All services with targets.
     zones : tuple of ZoneLoadStatus
         Each service in each zone.
     targets : tuple of TargetLoadStatus
-        All targets that are in use.
+        Targets that take new flows.
 
     Examples
     --------
@@ -177,15 +179,15 @@
 
 
 def sort_by_fullness(targets: Iterable[TargetLoadStatus]) -> list[TargetLoadStatus]:
-    """Sort targets by requests in progress per slot, the fullest first.
+    """Sort targets by load per slot, the fullest first.
 
     Targets of unknown load are last.
 
     Examples
     --------
     >>> common = {"service": "notes", "zone": "a", "slots": 2}
-    >>> idle = TargetLoadStatus(name="i-1", busy=0.0, **common)
-    >>> full = TargetLoadStatus(name="i-2", busy=2.0, **common)
+    >>> idle = TargetLoadStatus(name="i-1", load=0.0, **common)
+    >>> full = TargetLoadStatus(name="i-2", load=2.0, **common)
     >>> unknown = TargetLoadStatus(name="i-3", **common)
     >>> [each.name for each in sort_by_fullness([unknown, idle, full])]
     ['i-2', 'i-1', 'i-3']
@@ -194,7 +196,7 @@
 
 
 def _order_by_fullness(target: TargetLoadStatus) -> tuple[float, str]:
-    per_slot = target.busy_per_slot
+    per_slot = target.load_per_slot
     return (1.0 if per_slot is None else -per_slot, target.name)
 
 
--- a/endivepick/forwarder/tests/test_pages.py
+++ b/endivepick/forwarder/tests/test_pages.py
@@ -88,10 +88,10 @@
         self.assertNotIn(b"load_age", text)
 
 
-class TestBusyPerSlot(unittest.TestCase):
-    def make(self, name, slots, busy):
+class TestFullestTargets(unittest.TestCase):
+    def make(self, name, slots, load):
         common = {"service": "notes", "zone": "hall"}
-        return TargetLoadStatus(name=name, slots=slots, busy=busy, **common)
+        return TargetLoadStatus(name=name, slots=slots, load=load, **common)
 
     def test_targets_of_unequal_slots_are_sorted_by_load_per_slot(self):
         large = self.make("i-1", 8, 4.0)
