Explain resets of an overload and work that leaves its zone

Cause: operators had no page on shared load, and the table of resets lacked `overloaded`, and also `zones_evacuated` and `targets_cold`, which came with evacuations.

The settings' rows are on the page of forwarders: docs/operators/settings.md is generated from the settings of the other program. Two new checks compare that page with the fields of ForwarderSettings, and the table with ResetReason, so that neither can lack an entry again.

The log line of an overload's change leaves the decision log: the part for admission writes it.

--- a/endivepick/cli/tests/test_pages.py
+++ b/endivepick/cli/tests/test_pages.py
@@ -5,6 +5,8 @@
 import endivepick
 from endivepick.client import CallerSettings
 from endivepick.core.dispatch.messages import FailReason, RefusalReason
+from endivepick.forwarder.settings import ForwarderSettings
+from endivepick.forwarding import ResetReason
 from endivepick.forwarding.mechanisms import Mechanisms
 
 ROOT = Path(endivepick.__file__).parent.parent
@@ -46,6 +48,21 @@
         explained = re.findall(r"^\| `([a-z_]+)` \|", section, re.MULTILINE)
         self.assertEqual(tuple(explained), Mechanisms.__struct_fields__)
 
+    def test_every_setting_of_a_forwarder_is_explained(self):
+        page = (ROOT / "docs" / "operators" / "forwarder.md").read_text()
+        section = page.partition("## Settings")[2].partition("\n## ")[0]
+        rows = re.findall(r"^\| (`.*?) \|", section, re.MULTILINE)
+        explained = {name for row in rows for name in re.findall(r"`(\w+)`", row)}
+        self.assertEqual(explained, set(ForwarderSettings.__struct_fields__))
+
+    def test_every_reason_of_a_reset_is_explained(self):
+        page = (ROOT / "docs" / "OPERATIONS.md").read_text()
+        section = page.partition("### Why was my request turned away")[2]
+        section = section.partition("\n## ")[0]
+        explained = re.findall(r"^\| `([a-z_]+)` \|", section, re.MULTILINE)
+        reasons = {reason.value for reason in ResetReason}
+        self.assertEqual(reasons - set(explained), set())
+
     def test_links_between_pages_lead_somewhere(self):
         pages = [ROOT / "README.md", ROOT / "CONTRIBUTING.md"]
         for page in (*pages, *(ROOT / "docs").rglob("*.md")):
--- a/endivepick/forwarder/decision_log.py
+++ b/endivepick/forwarder/decision_log.py
@@ -5,7 +5,6 @@
 """
 
 from endivepick.errors import PacketInvalidError
-from endivepick.forwarder.load_status import OVERLOADED_STATE
 from endivepick.forwarder.logs import BoundedLog, truncate_number
 from endivepick.forwarder.metrics import ForwarderMetrics
 from endivepick.forwarder.ports import FeedKind, UnreadableItem
@@ -78,6 +77,7 @@
 
     def log_fault_confirmed(self, confirmed: FaultConfirmed) -> None:
         """Log the confirmed fault for which flows of a target may be reset."""
+        told_before_s = confirmed.told_before_s
         self.log.event(
             "target",
             "fault_confirmed",
@@ -86,7 +86,9 @@
             service=confirmed.service,
             fault=confirmed.fault.value,
             reason=confirmed.reason,
-            told_before_s=_truncate_known(confirmed.told_before_s),
+            told_before_s=None
+            if told_before_s is None
+            else truncate_number(told_before_s),
         )
 
     def log_target_reset(self, reset: Reset) -> None:
@@ -113,41 +115,6 @@
             shown_born_ms=result.shown_born_ms,
         )
 
-    def log_overload_change(
-        self,
-        service: str,
-        state: str,
-        short_share: float | None,
-        busy_per_slot: float | None,
-        age_s: float | None,
-    ) -> None:
-        """Log that a service became overloaded, recovers, or is normal again.
-
-        Parameters
-        ----------
-        service, state : str
-            The service and its new state.
-        short_share : float or None
-            Share of its answers that are short, from 0 to 1; None if it is unknown.
-        busy_per_slot : float or None
-            Requests in progress per slot of its targets; None if they are unknown.
-        age_s : float or None
-            Age of the oldest totals of another zone that this is based on, in seconds;
-            None if those of no other zone are known.
-        """
-        self.metrics.count("overload_changes", state)
-        write = self.log.warning if state == OVERLOADED_STATE else self.log.event
-        write(
-            "load",
-            "overload_changed",
-            f"{service} is {state}",
-            service=service,
-            state=state,
-            short_share=_truncate_known(short_share),
-            busy_per_slot=_truncate_known(busy_per_slot),
-            age_s=_truncate_known(age_s),
-        )
-
     def log_hint(self, target: str) -> None:
         """Log a peer's hint that a target does not answer."""
         self.log.event(
@@ -324,7 +291,3 @@
             error=repr(error),
             where=traceback.format_exc(limit=_TRACE_FRAMES),
         )
-
-
-def _truncate_known(number: float | None) -> float | None:
-    return None if number is None else truncate_number(number)
--- a/endivepick/forwarder/load_status.py
+++ b/endivepick/forwarder/load_status.py
@@ -10,7 +10,6 @@
 
 __all__ = [
     "NORMAL_STATE",
-    "OVERLOADED_STATE",
     "LoadStatus",
     "LoadStatusProvider",
     "PriorityStatus",
@@ -22,8 +21,6 @@
 
 NORMAL_STATE = "normal"
 """State of a service that is not overloaded; no opening is rejected in it."""
-OVERLOADED_STATE = "overloaded"
-"""State of a service whose targets get more work than they can process."""
 
 
 class TargetLoadStatus(Struct, frozen=True, kw_only=True):
--- a/endivepick/forwarder/metrics.py
+++ b/endivepick/forwarder/metrics.py
@@ -19,7 +19,6 @@
     "flows_placed": "Opening packets sent to targets, by reason of the choice.",
     "flows_reset": "Flows reset at their callers, by reason.",
     "evacuation_changes": "Evacuations of zones that came into force or ended.",
-    "overload_changes": "Changes of services' overload, by new state.",
     "target_changes": "Changes of what is believed of targets, by new belief.",
     "probes": "Probes of targets, by outcome.",
     "items_unreadable": "Objects of the store that could not be read, by kind.",
--- a/endivepick/forwarder/tests/test_decision_log.py
+++ b/endivepick/forwarder/tests/test_decision_log.py
@@ -34,32 +34,5 @@
         self.assertIsNone(self.line(None)["told_before_s"])
 
 
-class TestOverloadChange(unittest.TestCase):
-    def setUp(self):
-        self.reader = Reader()
-        self.log = BoundedLog("a", self.reader.write)
-        self.metrics = ForwarderMetrics()
-
-    def line(self, *change):
-        DecisionLog(self.log, self.metrics).log_overload_change(*change)
-        self.log.flush()
-        return self.reader.events[-1]
-
-    def test_overload_is_a_warning_with_its_basis(self):
-        line = self.line("notes", "overloaded", 0.25, 1.5004, 0.4)
-        self.assertEqual(line["event"], "overload_changed")
-        self.assertEqual(line["level"], "warning")
-        self.assertEqual(line["message"], "load: notes is overloaded")
-        self.assertEqual((line["service"], line["state"]), ("notes", "overloaded"))
-        basis = [line["short_share"], line["busy_per_slot"], line["age_s"]]
-        self.assertEqual(basis, [0.25, 1.5, 0.4])
-        self.assertEqual(self.metrics.counts["overload_changes", "overloaded"], 1)
-
-    def test_end_of_overload_after_the_other_reports_were_lost(self):
-        line = self.line("notes", "normal", None, None, None)
-        self.assertEqual(line["level"], "info")
-        self.assertIsNone(line["age_s"])
-
-
 if __name__ == "__main__":
     unittest.main()
