Admit openings by priority while a service is overloaded

While all slots of a service are used and its targets shed requests, urgent requests wait and are shed like others, since no instance refuses anything. Now each instance tracks by the shared load whether a service is overloaded (chart `overload`), and rejects a share of the openings of its less urgent priorities at once, the least urgent first. Each priority keeps a tenth; the most urgent one of a service is never limited. Only the first copy of an opening is rejected, and none of a flow that this instance knows, so that "nothing has run" holds. It acts only where limits_overload is set and signals are connected.

--- a/endivepick/core/chart_tables.py
+++ b/endivepick/core/chart_tables.py
@@ -12,7 +12,7 @@
 
 __all__ = ["main", "render_tables"]
 
-_CHARTS = ("fitness", "reachability", "registered_target")
+_CHARTS = ("fitness", "overload", "reachability", "registered_target")
 _HEADER = '''"""State charts as tables: the next state by state and event.
 
 Made from endivepick/charts by ``python -m endivepick.core.chart_tables``; change the
--- a/endivepick/core/tests/test_chart_tables.py
+++ b/endivepick/core/tests/test_chart_tables.py
@@ -3,6 +3,10 @@
 
 from endivepick.core.chart import load_chart
 from endivepick.core.chart_tables import render_tables
+from endivepick.forwarding.admission.overload_state import (
+    OverloadEvent,
+    OverloadState,
+)
 from endivepick.forwarding.belief import (
     Reachability,
     ReachabilityEvent,
@@ -19,6 +23,7 @@
     def test_charts_and_enumerations_have_the_same_states_and_events(self):
         enumerations = {
             "registered_target": (TargetState, TargetEvent),
+            "overload": (OverloadState, OverloadEvent),
             "reachability": (Reachability, ReachabilityEvent),
         }
         for name, (states, events) in enumerations.items():
--- a/endivepick/forwarder/decision_log.py
+++ b/endivepick/forwarder/decision_log.py
@@ -16,8 +16,11 @@
     DropReason,
     EvacuationChange,
     FaultConfirmed,
+    OpeningRejected,
+    OverloadChanged,
     ProbeResult,
     Reset,
+    ResetReason,
 )
 
 __all__ = ["DecisionLog"]
@@ -91,6 +94,40 @@
             else truncate_number(told_before_s),
         )
 
+    def log_opening_rejected(self, rejected: OpeningRejected) -> None:
+        """Log that an opening is rejected because its service is overloaded."""
+        decision = rejected.decision
+        self.metrics.count("openings_rejected", str(decision.priority))
+        self.log.event(
+            "flow",
+            "flow_reset",
+            f"opening rejected: {decision.service} is overloaded",
+            flow_key=str(rejected.flow),
+            target="",
+            reason=ResetReason.OVERLOADED.value,
+            service=decision.service,
+            priority=decision.priority,
+            admitted_share=truncate_number(decision.admitted_share),
+            short_share=truncate_number(decision.short_share),
+            busy_per_slot=truncate_number(decision.busy_per_slot),
+            config_version=rejected.version,
+            signals_age_s=truncate_number(decision.age_s),
+        )
+
+    def log_overload_changed(self, change: OverloadChanged) -> None:
+        """Log that the overload state of a service has changed."""
+        self.metrics.count("overload_changes", change.state.value)
+        self.log.event(
+            "service",
+            "overload_changed",
+            f"{change.service} is {change.state.value}",
+            service=change.service,
+            state=change.state.value,
+            short_share=truncate_number(change.short_share),
+            busy_per_slot=truncate_number(change.busy_per_slot),
+            signals_age_s=truncate_number(change.age_s),
+        )
+
     def log_target_reset(self, reset: Reset) -> None:
         """Log that a flow is reset because of its target."""
         self.log.event(
--- a/endivepick/forwarder/metrics.py
+++ b/endivepick/forwarder/metrics.py
@@ -18,6 +18,8 @@
     "packets_dropped": "Packets that went nowhere, by reason.",
     "flows_placed": "Opening packets sent to targets, by reason of the choice.",
     "flows_reset": "Flows reset at their callers, by reason.",
+    "openings_rejected": "Openings rejected during an overload, by priority.",
+    "overload_changes": "Changes of the overload states of services, by new state.",
     "evacuation_changes": "Evacuations of zones that came into force or ended.",
     "target_changes": "Changes of what is believed of targets, by new belief.",
     "probes": "Probes of targets, by outcome.",
--- a/endivepick/forwarder/packet_path.py
+++ b/endivepick/forwarder/packet_path.py
@@ -21,6 +21,8 @@
     Forward,
     ForwardingCore,
     Hold,
+    OpeningRejected,
+    OverloadChanged,
     ProbeOutcome,
     ProbeResult,
     ProbeTarget,
@@ -128,6 +130,10 @@
                     self._decisions.log_belief_change(effect)
                 case FaultConfirmed():
                     self._decisions.log_fault_confirmed(effect)
+                case OpeningRejected():
+                    self._decisions.log_opening_rejected(effect)
+                case OverloadChanged():
+                    self._decisions.log_overload_changed(effect)
                 case Reset():
                     self._decisions.log_target_reset(effect)
                     self._reset(effect)
--- a/endivepick/forwarder/tests/test_decision_log.py
+++ b/endivepick/forwarder/tests/test_decision_log.py
@@ -4,7 +4,14 @@
 from endivepick.forwarder.logs import BoundedLog
 from endivepick.forwarder.metrics import ForwarderMetrics
 from endivepick.forwarder.tests.test_logs import Reader
-from endivepick.forwarding import FaultConfirmed
+from endivepick.forwarding import (
+    FaultConfirmed,
+    FlowKey,
+    OpeningRejected,
+    OverloadChanged,
+)
+from endivepick.forwarding.admission.decisions import Rejected
+from endivepick.forwarding.admission.overload_state import OverloadState
 from endivepick.forwarding.fault_confirmation import ConfirmedFault
 
 
@@ -34,5 +41,39 @@
         self.assertIsNone(self.line(None)["told_before_s"])
 
 
+class TestOverload(unittest.TestCase):
+    def setUp(self):
+        self.reader = Reader()
+        self.metrics = ForwarderMetrics()
+        self.decisions = DecisionLog(BoundedLog("a", self.reader.write), self.metrics)
+
+    def read_line(self):
+        self.decisions.log.flush()
+        (line,) = self.reader.events
+        return line
+
+    def test_change_names_service_and_grounds(self):
+        self.decisions.log_overload_changed(
+            OverloadChanged("notes", OverloadState.OVERLOADED, 0.25, 3.5, 0.125)
+        )
+        line = self.read_line()
+        self.assertEqual(line["event"], "overload_changed")
+        self.assertEqual(line["message"], "service: notes is overloaded")
+        self.assertEqual((line["short_share"], line["busy_per_slot"]), (0.25, 3.5))
+        self.assertEqual(line["signals_age_s"], 0.125)
+        self.assertEqual(self.metrics.counts["overload_changes", "overloaded"], 1)
+
+    def test_rejection_is_a_reset_with_its_grounds(self):
+        flow = FlowKey(0x64400007, 40001, 0xC6120001, 443)
+        decision = Rejected("notes", 2, 0.6, 0.25, 3.5, 0.125)
+        self.decisions.log_opening_rejected(OpeningRejected(flow, decision, 7))
+        line = self.read_line()
+        self.assertEqual((line["event"], line["reason"]), ("flow_reset", "overloaded"))
+        self.assertEqual(line["flow_key"], str(flow))
+        self.assertEqual((line["service"], line["priority"]), ("notes", 2))
+        self.assertEqual((line["admitted_share"], line["config_version"]), (0.6, 7))
+        self.assertEqual(self.metrics.counts["openings_rejected", "2"], 1)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/endivepick/forwarding/_charts.py
+++ b/endivepick/forwarding/_charts.py
@@ -4,7 +4,7 @@
 charts instead of this file.
 """
 
-__all__ = ["FITNESS", "REACHABILITY", "REGISTERED_TARGET"]
+__all__ = ["FITNESS", "OVERLOAD", "REACHABILITY", "REGISTERED_TARGET"]
 
 FITNESS = {
     ("impaired", "rested"): "returning",
@@ -13,6 +13,15 @@
     ("sound", "condemned"): "impaired",
 }
 
+OVERLOAD = {
+    ("normal", "room_used_up"): "overloaded",
+    ("overloaded", "room_found"): "recovering",
+    ("overloaded", "signals_lost"): "normal",
+    ("recovering", "all_admitted"): "normal",
+    ("recovering", "room_used_up"): "overloaded",
+    ("recovering", "signals_lost"): "normal",
+}
+
 REACHABILITY = {
     ("dead", "probe_alive"): "reachable",
     ("dead", "probe_silent"): "silent",
--- a/endivepick/forwarding/actions.py
+++ b/endivepick/forwarding/actions.py
@@ -4,6 +4,8 @@
 
 from msgspec import Struct
 
+from endivepick.forwarding.admission.decisions import Rejected
+from endivepick.forwarding.admission.overload_state import OverloadState
 from endivepick.forwarding.belief import BeliefChange, TargetBelief
 from endivepick.forwarding.fault_confirmation import ConfirmedFault
 from endivepick.forwarding.model import FlowKey, Target
@@ -16,6 +18,8 @@
     "Forward",
     "Hold",
     "DecisionRecord",
+    "OpeningRejected",
+    "OverloadChanged",
     "ProbeOutcome",
     "ProbeResult",
     "ProbeTarget",
@@ -35,6 +39,7 @@
     NO_TARGET = "no_target"
     ZONES_EVACUATED = "zones_evacuated"
     TARGETS_COLD = "targets_cold"
+    OVERLOADED = "overloaded"
     TARGET_DEAD = "target_dead"
     TARGET_SILENT = "target_silent"
     TARGET_GONE = "target_gone"
@@ -182,6 +187,48 @@
     told_before_s: float | None
 
 
+class OpeningRejected(Struct, frozen=True):
+    """An opening is rejected and its flow reset, for the log.
+
+    Attributes
+    ----------
+    flow : FlowKey
+        The flow.
+    decision : Rejected
+        Why it is rejected.
+    version : int
+        Version of the configuration that gives the priority.
+    """
+
+    flow: FlowKey
+    decision: Rejected
+    version: int
+
+
+class OverloadChanged(Struct, frozen=True):
+    """The overload state of a service has changed, for the log.
+
+    Attributes
+    ----------
+    service : str
+        The service.
+    state : OverloadState
+        Its new state.
+    short_share : float
+        Share of short answers among all answers of the service.
+    busy_per_slot : float
+        Requests in progress per slot of the service.
+    age_s : float
+        Time since these were known, in seconds.
+    """
+
+    service: str
+    state: OverloadState
+    short_share: float
+    busy_per_slot: float
+    age_s: float
+
+
 Effect = (
     ProbeTarget
     | ReadRegistry
@@ -190,6 +237,8 @@
     | DecisionRecord
     | BeliefChange
     | FaultConfirmed
+    | OpeningRejected
+    | OverloadChanged
 )
 
 
--- /dev/null
+++ b/endivepick/forwarding/admission/service_admission.py
@@ -0,0 +1,81 @@
+"""Adjusts the admitted shares of one service to its load."""
+
+from endivepick.forwarding.admission.limits import AdmissionLimits
+from endivepick.forwarding.admission.overload_state import (
+    OverloadReading,
+    OverloadState,
+    OverloadTracker,
+)
+
+__all__ = ["ServiceAdmission"]
+
+CUT_INTERVAL_S = 1.0
+"""Time between two cuts, in seconds.  The signals show a cut after about this time:
+they are means over one or two seconds and arrive half a second later."""
+RAISE_INTERVAL_S = 0.5
+"""Time between two raises, in seconds."""
+FALLING_FACTOR = 0.9
+"""Factor of the share of short answers between two cuts below which it falls, and no
+further cut is needed.  A mean over two seconds falls to 0.6 in this time if nothing is
+shed any more."""
+FREE_BUSY_PER_SLOT = 0.75
+"""Requests in progress per slot below which all priorities are raised together and by
+more: with a quarter of the slots free, none takes room from a more urgent one."""
+
+
+class ServiceAdmission:
+    """Overload state and admitted shares of one service.
+
+    Attributes
+    ----------
+    tracker : OverloadTracker
+        Overload state.
+    limits : AdmissionLimits
+        Admitted shares.
+    """
+
+    def __init__(self) -> None:
+        self.tracker = OverloadTracker()
+        self.limits = AdmissionLimits()
+        self._adjusted_s = float("-inf")
+        self._short_share_at_cut = 0.0
+
+    def update(self, reading: OverloadReading | None, now_s: float) -> bool:
+        """Apply a reading, None if the load is unknown.
+
+        Returns
+        -------
+        bool
+            Whether the overload state has changed.
+        """
+        before = self.tracker.state
+        self.tracker.update(reading, now_s)
+        if self.tracker.state is OverloadState.NORMAL:
+            self.limits.admit_all()
+        elif reading is not None:
+            self._adjust(reading, now_s)
+        return self.tracker.state is not before
+
+    def _adjust(self, reading: OverloadReading, now_s: float) -> None:
+        since_s = now_s - self._adjusted_s
+        if self.tracker.state is OverloadState.OVERLOADED:
+            if reading.used_up and since_s >= CUT_INTERVAL_S:
+                self._adjusted_s = now_s
+                self._cut(reading)
+        elif reading.has_room and since_s >= RAISE_INTERVAL_S:
+            self._adjusted_s = now_s
+            self._raise(reading)
+        if self.limits.all_admitted:
+            self.tracker.on_all_admitted()
+
+    def _cut(self, reading: OverloadReading) -> None:
+        falling_share = FALLING_FACTOR * self._short_share_at_cut
+        self._short_share_at_cut = reading.short_share
+        if reading.short_share >= falling_share:
+            self.limits.cut()
+
+    def _raise(self, reading: OverloadReading) -> None:
+        if reading.busy_per_slot < FREE_BUSY_PER_SLOT:
+            self.limits.raise_all()
+        else:
+            self.limits.raise_most_urgent()
--- a/endivepick/forwarding/forwarder.py
+++ b/endivepick/forwarding/forwarder.py
@@ -15,6 +15,7 @@
     Effect,
     Forward,
     Hold,
+    OpeningRejected,
     ProbeResult,
     ReadRegistry,
     Release,
@@ -22,6 +23,8 @@
     ResetReason,
     Verdict,
 )
+from endivepick.forwarding.admission.admission import OpeningAdmission
+from endivepick.forwarding.admission.decisions import Rejected
 from endivepick.forwarding.belief import (
     BeliefChange,
     Reachability,
@@ -50,7 +53,7 @@
 from endivepick.forwarding.placement_filter import PlacementFilter
 from endivepick.forwarding.registry import TargetRegistry
 from endivepick.forwarding.registry_news import RegistryNews
-from endivepick.forwarding.routes import RouteTable
+from endivepick.forwarding.routes import RouteTable, select_service
 from endivepick.forwarding.settings import ForwardingSettings, apply_mechanisms
 from endivepick.forwarding.unknown_cookies import UnknownCookies
 from endivepick.forwarding.zone_evacuations import ZoneEvacuations
@@ -84,6 +87,9 @@
         self._filter = PlacementFilter(
             self.registry, self.evacuations.zones, settings.zone_regions
         )
+        self._random_share = random_share
+        self.admission = OpeningAdmission(self.routes, self._filter)
+        """Admits all openings while its `signals` are None."""
         self._placer = OpeningPlacer(settings, self.routes, self._filter, random_share)
         self._failure_detector = FailureDetector(
             settings, self.registry, self.flows, self.routes, self._filter
@@ -275,11 +281,17 @@
             self._request_registry_read(now_s)
         self.effects += self._failure_detector.retry_probes(now_s)
         self.effects += self.outlier_detector.tick(now_s)
+        if self.settings.limits_overload:
+            self.effects += self.admission.tick(now_s)
 
     def _on_opening(self, packet: Packet, route: Route | None, now_s: float) -> Verdict:
         if route is None:
             return self._reset(packet, ResetReason.NO_ROUTE, "", now_s)
         opening = self._openings.get(packet.flow)
+        if self.settings.limits_overload:
+            rejected = self._find_rejection(packet, route, now_s)
+            if rejected is not None:
+                return self._reject(packet.flow, rejected)
         retry_elsewhere = self.settings.mechanisms.copies_elsewhere
         tried = opening.targets if opening is not None and retry_elsewhere else ()
         if opening is not None:
@@ -305,6 +317,26 @@
         )
         return Forward(belief)
 
+    def _find_rejection(
+        self, packet: Packet, route: Route, now_s: float
+    ) -> Rejected | None:
+        """Return why an opening is rejected, None if it is admitted."""
+        flow = packet.flow
+        forwarded = self._openings.get(flow) or self.flows.get(flow)
+        decision = self.admission.admits(
+            packet.acknowledged,
+            forwarded is not None,
+            route,
+            select_service(route, flow),
+            self._random_share,
+            now_s,
+        )
+        return decision if isinstance(decision, Rejected) else None
+
+    def _reject(self, flow: FlowKey, rejected: Rejected) -> Reset:
+        self.effects.append(OpeningRejected(flow, rejected, self.routes.version))
+        return Reset(flow, 0, ResetReason.OVERLOADED)
+
     def _suspect_previous_target(
         self, opening: Opening, flow: FlowKey, now_s: float
     ) -> None:
