--- a/endivepick/forwarding/admission/tests/replay.py
+++ b/endivepick/forwarding/admission/tests/replay.py
@@ -24,6 +24,8 @@
 """Also the time that a request takes."""
 CAPACITY_PER_S = SLOTS / STEP_S
 RETRY_STEPS = (2, 6)
+AIM_STEPS = 4
+"""Steps within which a request should be answered."""
 BULK_REQUESTS, BULK_PAUSE_STEPS = 5, 5
 DELAY_STEPS = 5
 FADES = (STEP_S, STEP_S / 2, STEP_S / 2)
@@ -33,6 +35,7 @@
 
 class Request(Struct):
     priority: int
+    asked_step: int
     is_open: bool = False
     retries: int = 0
     left: int = 1
@@ -61,7 +64,7 @@
         self.queue = deque()
         self.credit = Counter()
         self.openings, self.rejected, self.lost = Counter(), Counter(), Counter()
-        self.asked, self.served = Counter(), Counter()
+        self.asked, self.served, self.late = Counter(), Counter(), Counter()
         self.first_rejected = {}
         self.changes = []
         self.means = deque([(0.0, 0.0, 0.0)] * DELAY_STEPS)
@@ -98,10 +101,13 @@
         busy = len(self.queue)
         served = [self.queue.popleft() for _ in range(min(busy, SLOTS))]
         self.served.update(each.priority for each in served)
+        late = [each for each in served if self.step - each.asked_step > AIM_STEPS]
+        self.late.update(each.priority for each in late)
         for each in served:
             if each.left > 1:
-                later = Request(each.priority, True, 0, each.left - 1)
-                self.due[self.step + BULK_PAUSE_STEPS].append(later)
+                step = self.step + BULK_PAUSE_STEPS
+                later = Request(each.priority, step, True, 0, each.left - 1)
+                self.due[step].append(later)
         self.add_means(busy, shed, shed + len(served))
         self.core.tick(self.now_s)
         self.changes += [e for e in self.core.effects if isinstance(e, OverloadChanged)]
@@ -115,7 +121,7 @@
             while self.credit[priority] >= 1.0:
                 self.credit[priority] -= 1.0
                 self.asked[priority] += 1
-                requests.append(Request(priority, left=left))
+                requests.append(Request(priority, self.step, left=left))
         return requests
 
     def handle(self, request):
--- a/endivepick/forwarding/admission/tests/test_replay.py
+++ b/endivepick/forwarding/admission/tests/test_replay.py
@@ -46,15 +46,17 @@
             self.assertEqual(replay.rejected[URGENT], 0)
             self.assertAlmostEqual(replay.first_rejected[USUAL][BULK], 0.1)
 
-    def test_urgent_requests_are_lost_less_often_than_without_limits(self):
+    def test_urgent_requests_are_lost_and_late_less_often_than_without_limits(self):
         for seed in SEEDS:
-            lost = {}
+            lost, late = {}, {}
             for limits in (False, True):
                 replay = Replay(seed, limits)
                 replay.run(60.0, mix(1.5))
                 lost[limits] = replay.lost[URGENT] / replay.asked[URGENT]
-            with self.subTest(seed=seed, lost=lost):
+                late[limits] = replay.late[URGENT] / replay.served[URGENT]
+            with self.subTest(seed=seed, lost=lost, late=late):
                 self.assertLess(lost[True], 0.2 * lost[False])
+                self.assertLess(late[True], 0.2 * late[False])
 
     def test_urgent_demand_without_end_leaves_each_priority_a_tenth(self):
         for seed in SEEDS:
