Cut at once in an overload that follows a heavier one

The share of short answers at the last cut of a former overload was kept, so a milder one seemed to fall already and its first cut was left out. It is now forgotten when the state of a service changes; the test failed before.

--- a/endivepick/forwarding/admission/service_admission.py
+++ b/endivepick/forwarding/admission/service_admission.py
@@ -50,11 +50,14 @@
         """
         before = self.tracker.state
         self.tracker.update(reading, now_s)
+        changed = self.tracker.state is not before
+        if changed:
+            self._short_share_at_cut = 0.0
         if self.tracker.state is OverloadState.NORMAL:
             self.limits.admit_all()
         elif reading is not None:
             self._adjust(reading, now_s)
-        return self.tracker.state is not before
+        return changed or self.tracker.state is not before
 
     def _adjust(self, reading: OverloadReading, now_s: float) -> None:
         since_s = now_s - self._adjusted_s
