Measure and sum the load that callers put on targets

With 88 instances each sees about a hundredth of a target's flows, so its own counts show neither a full queue nor an overloaded service. The meter averages the requests in progress of the targets that have flows here; its cost does not grow with the installation.

Nothing decides by it yet. Without `shares_load` the core has no shared load and does not import it.

--- a/endivepick/forwarding/flows.py
+++ b/endivepick/forwarding/flows.py
@@ -105,6 +105,7 @@
         self._settings = settings
         self._flows: OrderedDict[FlowKey, ObservedFlow] = OrderedDict()
         self._progressed: deque[TargetBelief] = deque(maxlen=2)
+        self._used: dict[int, TargetBelief] = {}
 
     def __len__(self) -> int:
         return len(self._flows)
@@ -119,6 +120,10 @@
             return iter(())
         return iter([f for f in self._flows.values() if f.belief is belief])
 
+    def list_used_targets(self) -> list[TargetBelief]:
+        """Return the targets that have flows here."""
+        return list(self._used.values())
+
     def other_progressing_target(self, belief: TargetBelief) -> TargetBelief | None:
         """Return the target other than this one that made progress last."""
         others = (other for other in reversed(self._progressed) if other is not belief)
@@ -161,7 +166,7 @@
         if flow is None:
             return
         self._set_idle(flow)
-        flow.belief.flows -= 1
+        self._remove_from_target(flow.belief)
 
     def forget_requests(self) -> None:
         """Clear the requests in progress of all flows, but keep the flows."""
@@ -188,7 +193,7 @@
             packet.flow, belief, kind, acknowledged, end, now_s, opened_s
         )
         self._flows[packet.flow] = flow
-        belief.flows += 1
+        self._add_to_target(belief)
         if packet.data_bytes:
             self._set_busy(flow, now_s)
         if len(self._flows) > self._settings.observed_flows:
@@ -197,12 +202,22 @@
     def _reassign(self, flow: ObservedFlow, belief: TargetBelief) -> None:
         busy_since_s = flow.busy_since_s
         self._set_idle(flow)
-        flow.belief.flows -= 1
+        self._remove_from_target(flow.belief)
         flow.belief = belief
-        belief.flows += 1
+        self._add_to_target(belief)
         if busy_since_s is not None:
             self._set_busy(flow, busy_since_s)
 
+    def _add_to_target(self, belief: TargetBelief) -> None:
+        belief.flows += 1
+        # Two incarnations of a target have the same name.
+        self._used[id(belief)] = belief
+
+    def _remove_from_target(self, belief: TargetBelief) -> None:
+        belief.flows -= 1
+        if not belief.flows:
+            self._used.pop(id(belief), None)
+
     def _evaluate_packet(
         self, flow: ObservedFlow, packet: Packet, now_s: float
     ) -> FlowEvidence:
--- a/endivepick/forwarding/forwarder.py
+++ b/endivepick/forwarding/forwarder.py
@@ -4,7 +4,10 @@
 its outputs are verdicts and effects.  It uses no sockets and no clock.
 """
 
+from __future__ import annotations
+
 from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING
 
 from msgspec.structs import replace
 
@@ -55,6 +58,9 @@
 from endivepick.forwarding.unknown_cookies import UnknownCookies
 from endivepick.forwarding.zone_evacuations import ZoneEvacuations
 
+if TYPE_CHECKING:
+    from endivepick.forwarding.load.shared_load import SharedLoad
+
 __all__ = ["ForwardingCore"]
 
 
@@ -89,6 +95,13 @@
             settings, self.registry, self.flows, self.routes, self._filter
         )
         self.outlier_detector = OutlierDetector(settings, self.registry, self.flows)
+        self.load: SharedLoad | None = None
+        """Load shared with other instances, None if the settings disable it."""
+        if settings.shares_load:
+            # Loaded only where it is used: a start waits for each import.
+            from endivepick.forwarding.load.shared_load import SharedLoad
+
+            self.load = SharedLoad(settings.zone, self.flows, self.registry)
         self._unknown = UnknownCookies(settings.lapse_grace_s)
         self._held = HeldPackets(settings)
         self._registry_requested_s = float("-inf")
@@ -275,6 +288,8 @@
             self._request_registry_read(now_s)
         self.effects += self._failure_detector.retry_probes(now_s)
         self.effects += self.outlier_detector.tick(now_s)
+        if self.load is not None:
+            self.load.tick(now_s)
 
     def _on_opening(self, packet: Packet, route: Route | None, now_s: float) -> Verdict:
         if route is None:
