--- a/endivepick/forwarding/placement.py
+++ b/endivepick/forwarding/placement.py
@@ -18,7 +18,13 @@
 from endivepick.forwarding.belief import Fitness, Reachability, TargetBelief
 from endivepick.forwarding.settings import ForwardingSettings
 
-__all__ = ["Candidates", "Placement", "choose_target", "compute_own_zone_share"]
+__all__ = [
+    "Candidates",
+    "Placement",
+    "choose_target",
+    "compute_own_zone_share",
+    "select_eligible",
+]
 
 TRIAL_FLOW_SHARE = 0.05
 """Share of new flows for which targets on probation are considered.  Such a target has
@@ -129,7 +135,8 @@
         Its load per slot at that time.
     reason : str
         ``"zone"``, ``"spill"``, ``"evacuated"``, ``"busy"``, ``"any"``,
-        ``"retried"``, ``"impaired"`` or ``"doubtful"``.
+        ``"retried"``, ``"impaired"`` or ``"doubtful"``; by shared load ``"zone_load"``
+        or ``"other_zone_load"``.
     """
 
     belief: TargetBelief
@@ -169,10 +176,7 @@
     Placement or None
         None if no target is left that may be alive.
     """
-    eligible = candidates.exclude(tried) if tried else candidates
-    if eligible.returning and settings.mechanisms.trickle:
-        is_trial = repeatable and random_share() < TRIAL_FLOW_SHARE
-        eligible = eligible if is_trial else eligible.exclude_returning()
+    eligible = select_eligible(settings, candidates, tried, random_share, repeatable)
     pool: Sequence[TargetBelief]
     if eligible.own or eligible.others:
         pool, reason = _select_pool(settings, eligible, random_share)
@@ -193,6 +197,25 @@
     return Placement(chosen, len(candidates.every), least, reason)
 
 
+def select_eligible(
+    settings: ForwardingSettings,
+    candidates: Candidates,
+    tried: Sequence[str],
+    random_share: Callable[[], float],
+    repeatable: bool,
+) -> Candidates:
+    """Return the candidates without tried targets, and mostly without returning ones.
+
+    A small share of repeatable flows may go to targets on probation; the result then
+    has `returning` set.
+    """
+    eligible = candidates.exclude(tried) if tried else candidates
+    if eligible.returning and settings.mechanisms.trickle:
+        is_trial = repeatable and random_share() < TRIAL_FLOW_SHARE
+        eligible = eligible if is_trial else eligible.exclude_returning()
+    return eligible
+
+
 def compute_own_zone_share(
     settings: ForwardingSettings, own: Sequence[TargetBelief], all_slots: int
 ) -> float:
