Connect shared load with placement and admission

The core sets up shared load, placement by it and admission only where the settings ask for them, and loads their modules only then, since a start waits for each import. A request to place an opening is one typed value. Openings of limited priorities leave the reserved targets free.

The load of a zone's targets is unknown without the totals of that zone's own callers; before it counted as 0, and a zone that was cut off would have looked idle.

--- a/endivepick/forwarding/admission/tests/test_admission.py
+++ b/endivepick/forwarding/admission/tests/test_admission.py
@@ -41,6 +41,7 @@
 
 
 def make_limited_core(signals, priorities=(0, 2), targets=TARGETS, **settings):
+    settings["shares_load"] = settings["limits_overload"]
     core = make_core(targets, zones=2, **settings)
     shares, kind = (ServiceShare("notes", 1.0),), RouteKind.IDEMPOTENT
     ports = (URGENT_PORT, BULK_PORT)
@@ -49,7 +50,8 @@
         for port, priority in zip(ports, priorities, strict=True)
     ]
     core.on_configuration(Configuration(8, 2, tuple(routes)), 0.0)
-    core.admission.signals = signals
+    if core.admission is not None:
+        core.admission.signals = signals
     core.effects.clear()
     return core
 
--- a/endivepick/forwarding/forwarder.py
+++ b/endivepick/forwarding/forwarder.py
@@ -26,7 +26,6 @@
     ResetReason,
     Verdict,
 )
-from endivepick.forwarding.admission.admission import OpeningAdmission
 from endivepick.forwarding.admission.decisions import Rejected
 from endivepick.forwarding.belief import (
     BeliefChange,
@@ -59,6 +58,7 @@
 from endivepick.forwarding.openings import Opening, RecentOpenings
 from endivepick.forwarding.outlier_detector import OutlierDetector
 from endivepick.forwarding.placement_filter import PlacementFilter
+from endivepick.forwarding.placement_request import PlacementRequest
 from endivepick.forwarding.registry import TargetRegistry
 from endivepick.forwarding.registry_news import RegistryNews
 from endivepick.forwarding.routes import RouteTable, select_service
@@ -67,6 +67,8 @@
 from endivepick.forwarding.zone_evacuations import ZoneEvacuations
 
 if TYPE_CHECKING:
+    from endivepick.forwarding.admission.admission import OpeningAdmission
+    from endivepick.forwarding.load.load_placement import LoadPlacer
     from endivepick.forwarding.load.shared_load import SharedLoad
 
 __all__ = ["ForwardingCore"]
@@ -99,25 +101,42 @@
             self.registry, self.evacuations.zones, settings.zone_regions
         )
         self._random_share = random_share
-        self.admission = OpeningAdmission(self.routes, self._filter)
-        """Admits all openings while its `signals` are None."""
-        self._placer = OpeningPlacer(settings, self.routes, self._filter, random_share)
+        self.load: SharedLoad | None = None
+        """Load shared with other instances, None if the settings disable it."""
+        self.admission: OpeningAdmission | None = None
+        """Admission by priority, None if the settings disable it."""
+        self._placer = OpeningPlacer(
+            settings, self.routes, self._filter, random_share, self._share_load()
+        )
         self._failure_detector = FailureDetector(
             settings, self.registry, self.flows, self.routes, self._filter
         )
         self.outlier_detector = OutlierDetector(settings, self.registry, self.flows)
-        self.load: SharedLoad | None = None
-        """Load shared with other instances, None if the settings disable it."""
-        if settings.shares_load:
-            # Loaded only where it is used: a start waits for each import.
-            from endivepick.forwarding.load.shared_load import SharedLoad
-
-            self.load = SharedLoad(settings.zone, self.flows, self.registry)
         self._unknown = UnknownCookies(settings.lapse_grace_s)
         self._held = HeldPackets(settings)
         self._registry_requested_s = float("-inf")
         self._wall_ahead_s = float("-inf")
 
+    def _share_load(self) -> LoadPlacer | None:
+        """Set up what the settings enable; modules are loaded only where it is used.
+
+        A start waits for each import.
+        """
+        if not self.settings.shares_load:
+            return None
+        from endivepick.forwarding.load.load_placement import LoadPlacer
+        from endivepick.forwarding.load.shared_load import SharedLoad
+
+        self.load = SharedLoad(self.settings.zone, self.flows, self.registry)
+        if self.settings.limits_overload:
+            from endivepick.forwarding.admission.admission import OpeningAdmission
+
+            self.admission = OpeningAdmission(self.routes, self._filter)
+            self.admission.signals = self.load.view
+        return LoadPlacer(
+            self.settings, self.routes, self.load.view, self._random_share
+        )
+
     @property
     def ready(self) -> bool:
         """Whether routes and targets are known."""
@@ -301,22 +320,24 @@
         self.effects += self.outlier_detector.tick(now_s)
         if self.load is not None:
             self.load.tick(now_s)
-        if self.settings.limits_overload:
+        if self.admission is not None:
             self.effects += self.admission.tick(now_s)
 
     def _on_opening(self, packet: Packet, route: Route | None, now_s: float) -> Verdict:
         if route is None:
             return self._reset(packet, ResetReason.NO_ROUTE, "", now_s)
+        service = select_service(route, packet.flow)
         opening = self._openings.get(packet.flow)
-        if self.settings.limits_overload:
-            rejected = self._find_rejection(packet, route, now_s)
-            if rejected is not None:
-                return self._reject(packet.flow, rejected)
+        rejected = self._find_rejection(packet, route, service, now_s)
+        if rejected is not None:
+            return self._reject(packet.flow, rejected)
         retry_elsewhere = self.settings.mechanisms.copies_elsewhere
         tried = opening.targets if opening is not None and retry_elsewhere else ()
         if opening is not None:
             self._suspect_previous_target(opening, packet.flow, now_s)
-        placement = self._placer.place(packet.flow, route, tried, now_s)
+        is_limited = self._is_limited(route, service, now_s)
+        request = PlacementRequest(service, route, tried, spares_reserved=is_limited)
+        placement = self._placer.place(request, now_s)
         if isinstance(placement, ResetReason):
             return self._reset(packet, placement, "", now_s)
         belief = placement.belief
@@ -338,21 +359,29 @@
         return Forward(belief)
 
     def _find_rejection(
-        self, packet: Packet, route: Route, now_s: float
+        self, packet: Packet, route: Route, service: str, now_s: float
     ) -> Rejected | None:
         """Return why an opening is rejected, None if it is admitted."""
+        if self.admission is None:
+            return None
         flow = packet.flow
         forwarded = self._openings.get(flow) or self.flows.get(flow)
         decision = self.admission.admits(
             packet.acknowledged,
             forwarded is not None,
             route,
-            select_service(route, flow),
+            service,
             self._random_share,
             now_s,
         )
         return decision if isinstance(decision, Rejected) else None
 
+    def _is_limited(self, route: Route, service: str, now_s: float) -> bool:
+        """Whether openings of a route's priority are limited now."""
+        if self.admission is None:
+            return False
+        return self.admission.limits(service, route.priority, now_s)
+
     def _reject(self, flow: FlowKey, rejected: Rejected) -> Reset:
         self.effects.append(OpeningRejected(flow, rejected, self.routes.version))
         return Reset(flow, 0, ResetReason.OVERLOADED)
--- a/endivepick/forwarding/load/shared_load.py
+++ b/endivepick/forwarding/load/shared_load.py
@@ -40,7 +40,7 @@
     def __init__(self, zone: str, flows: FlowTable, registry: TargetRegistry) -> None:
         self.meter = LoadMeter(flows, registry)
         self.sums = ZoneSums(zone)
-        self.view = LoadView()
+        self.view = LoadView(zone)
         self._zone = zone
         self._number = 0
         self._reported_s = float("-inf")
--- a/endivepick/forwarding/load/view.py
+++ b/endivepick/forwarding/load/view.py
@@ -28,13 +28,19 @@
     """Load of targets and services as told by the zone's feeder.
 
     All queries return None if the last news are older than `VIEW_VALID_S`.
+
+    Parameters
+    ----------
+    zone : str
+        Availability zone of this instance.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, zone: str) -> None:
+        self._zone = zone
+        self._total_ages_s: dict[str, float] = {}
         self._updated_s = float("-inf")
         self._targets: dict[tuple[str, int], TargetLoad] = {}
         self._sums: dict[str, list[tuple[float, ServiceLoad]]] = {}
-        self._other_ages_s: list[float] = []
         self._unlisted_busy = 0.0
         self._placements: deque[tuple[float, tuple[str, int]]] = deque()
         self._placed: Counter[tuple[str, int]] = Counter()
@@ -60,7 +66,7 @@
         self._add_sums(valid.own.services, 0.0)
         for totals in valid.others:
             self._add_sums(totals.services, totals.age_s)
-        self._other_ages_s = [totals.age_s for totals in valid.others]
+        self._total_ages_s = {each.zone: each.age_s for each in valid.others}
         self._unlisted_busy = valid.unlisted_busy
         self._updated_s = now_s
         self._drop_placements(now_s if included_s is None else included_s)
@@ -90,9 +96,10 @@
     def zone_busy(self, service: str, target_zone: str, now_s: float) -> float | None:
         """Return the requests in progress at a service's targets in a zone.
 
-        They are those of the callers of all zones whose totals are known.
+        They are those of the callers of all zones whose totals are known.  None as well
+        without the totals of the targets' zone: its callers send most of the requests.
         """
-        if not self._is_valid(now_s):
+        if not self._is_valid(now_s) or not self._knows_zone(target_zone, now_s):
             return None
         sums = self._list_sums(service, now_s)
         return sum((load.busy for load in sums if load.target_zone == target_zone), 0.0)
@@ -118,12 +125,20 @@
         if not self._is_valid(now_s):
             return None
         passed_s = now_s - self._updated_s
-        ages_s = [age_s + passed_s for age_s in self._other_ages_s]
+        ages_s = [age_s + passed_s for age_s in self._total_ages_s.values()]
         return max((age_s for age_s in ages_s if age_s <= TOTALS_VALID_S), default=None)
 
     def _is_valid(self, now_s: float) -> bool:
         return now_s - self._updated_s <= VIEW_VALID_S
 
+    def _knows_zone(self, zone: str, now_s: float) -> bool:
+        """Whether the load that the callers of a zone put on targets is known."""
+        if zone == self._zone:
+            return True
+        age_s = self._total_ages_s.get(zone)
+        passed_s = now_s - self._updated_s
+        return age_s is not None and age_s + passed_s <= TOTALS_VALID_S
+
     def _add_sums(self, loads: Iterable[ServiceLoad], age_s: float) -> None:
         for load in loads:
             self._sums.setdefault(load.service, []).append((age_s, load))
