Read the status of shared load and admission from the core

The page /load and the command show the state of each service, how long it lasts, the admitted shares and the openings rejected since the start. Tests of admission without limits set up a core as the settings do.

--- a/endivepick/forwarder/forwarder.py
+++ b/endivepick/forwarder/forwarder.py
@@ -17,6 +17,7 @@
 from endivepick.forwarder.datagrams import DatagramSocket
 from endivepick.forwarder.decision_log import DecisionLog
 from endivepick.forwarder.http import http_server
+from endivepick.forwarder.load_status import LoadStatus
 from endivepick.forwarder.logs import BoundedLog
 from endivepick.forwarder.metrics import ForwarderMetrics
 from endivepick.forwarder.news_handler import NewsHandler
@@ -130,8 +131,16 @@
             self.decisions,
             self._path.on_hint,
             lambda: self.ready,
+            self._read_load_status,
         )
 
+    def _read_load_status(self) -> LoadStatus:
+        # Loaded on demand: it is needed only by operators, and a start waits for each
+        # import.
+        from endivepick.forwarder.load_status_builder import read_load_status
+
+        return read_load_status(self.core, steady_now_s())
+
     @property
     def ready(self) -> bool:
         """Whether the fabric may send flows to this instance."""
--- a/endivepick/forwarder/load_status_builder.py
+++ b/endivepick/forwarder/load_status_builder.py
@@ -1,8 +1,11 @@
 """Builds the status of shared load from what an instance knows."""
 
+from __future__ import annotations
+
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Sequence
-from typing import Protocol
+from functools import partial
+from typing import TYPE_CHECKING, Protocol
 
 from msgspec import Struct
 
@@ -17,7 +20,17 @@
 from endivepick.forwarder.logs import truncate_number
 from endivepick.forwarding.belief import TargetBelief
 
-__all__ = ["AdmissionSource", "AdmissionStatus", "LoadSource", "build_load_status"]
+if TYPE_CHECKING:
+    from endivepick.forwarding import ForwardingCore
+    from endivepick.forwarding.admission.admission import OpeningAdmission
+
+__all__ = [
+    "AdmissionSource",
+    "AdmissionStatus",
+    "LoadSource",
+    "build_load_status",
+    "read_load_status",
+]
 
 
 class LoadSource(Protocol):
@@ -58,6 +71,38 @@
 """Returns the admission of a service."""
 
 
+def read_load_status(core: ForwardingCore, now_s: float) -> LoadStatus:
+    """Return what a core knows of shared load and of admission."""
+    if core.load is None:
+        return LoadStatus()
+    admission = core.admission
+    source: AdmissionSource | None = None
+    if admission is not None:
+        source = partial(_read_admission, admission, now_s)
+    return build_load_status(core.registry, core.load.view, source, now_s)
+
+
+def _read_admission(
+    admission: OpeningAdmission, now_s: float, service: str
+) -> AdmissionStatus:
+    state = admission.get_service(service)
+    if state is None:
+        return AdmissionStatus()
+    since_s = state.tracker.since_s
+    return AdmissionStatus(
+        state=state.tracker.state.value,
+        state_for_s=None if since_s is None else now_s - since_s,
+        priorities=tuple(
+            PriorityStatus(
+                priority=priority,
+                admitted_share=share,
+                rejected_openings=state.rejected[priority],
+            )
+            for priority, share in state.limits.shares.items()
+        ),
+    )
+
+
 def build_load_status(
     beliefs: Iterable[TargetBelief],
     load: LoadSource,
--- a/endivepick/forwarder/tests/test_load_status_builder.py
+++ b/endivepick/forwarder/tests/test_load_status_builder.py
@@ -1,7 +1,21 @@
 import unittest
 
 from endivepick.forwarder.load_status import LoadStatus, PriorityStatus
-from endivepick.forwarder.load_status_builder import AdmissionStatus, build_load_status
+from endivepick.forwarder.load_status_builder import (
+    AdmissionStatus,
+    build_load_status,
+    read_load_status,
+)
+from endivepick.forwarding import Reset
+from endivepick.forwarding.admission.tests.test_admission import (
+    TARGETS,
+    Signals,
+    make_limited_core,
+    tick_until,
+)
+from endivepick.forwarding.admission.tests.test_admission import (
+    open_flow as open_bulk_flow,
+)
 from endivepick.forwarding.model import TargetPhase
 from endivepick.forwarding.tests.support import make_core, make_target
 
@@ -88,5 +102,24 @@
         )
 
 
+class TestReadFromCore(unittest.TestCase):
+    def test_load_is_not_shared(self):
+        self.assertEqual(read_load_status(make_core(TARGETS), 1.0), LoadStatus())
+
+    def test_state_and_rejections_of_an_overloaded_service(self):
+        core = make_limited_core(Signals(), limits_overload=True)
+        tick_until(core, 0.0, 10.0)
+        rejected = sum(
+            isinstance(open_bulk_flow(core, port, 10.0), Reset) for port in range(50)
+        )
+        (notes,) = read_load_status(core, 10.0).services
+        self.assertEqual(notes.state, "overloaded")
+        self.assertAlmostEqual(notes.state_for_s, 9.5, places=1)
+        by_priority = {each.priority: each for each in notes.priorities}
+        self.assertGreater(rejected, 0)
+        self.assertEqual(by_priority[2].rejected_openings, rejected)
+        self.assertLess(by_priority[2].admitted_share, by_priority[0].admitted_share)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/endivepick/forwarding/admission/admission.py
+++ b/endivepick/forwarding/admission/admission.py
@@ -78,7 +78,9 @@
         share = self.get_admitted_share(service, route.priority, now_s)
         if share >= 1.0 or random_share() < share:
             return _ADMITTED
-        tracker = self._services[service].tracker
+        admission = self._services[service]
+        admission.rejected[route.priority] += 1
+        tracker = admission.tracker
         return Rejected(
             service,
             route.priority,
@@ -92,6 +94,10 @@
         """Whether openings of a priority are limited now."""
         return self.get_admitted_share(service, priority, now_s) < 1.0
 
+    def get_service(self, service: str) -> ServiceAdmission | None:
+        """Return the admission of a service, None if no route uses it."""
+        return self._services.get(service)
+
     def tick(self, now_s: float) -> list[OverloadChanged]:
         """Read the load of all services and adjust the admitted shares."""
         if self.signals is None:
--- a/endivepick/forwarding/admission/limits.py
+++ b/endivepick/forwarding/admission/limits.py
@@ -57,6 +57,11 @@
         """Return the admitted share of a priority, 1 if it is unknown."""
         return self._shares.get(priority, 1.0)
 
+    @property
+    def shares(self) -> dict[int, float]:
+        """Admitted share by priority, the most urgent first."""
+        return dict(self._shares)
+
     @property
     def all_admitted(self) -> bool:
         """Whether no priority is limited."""
--- a/endivepick/forwarding/admission/overload_state.py
+++ b/endivepick/forwarding/admission/overload_state.py
@@ -107,6 +107,8 @@
         Last known reading.
     known_s : float
         When it was taken, in seconds.
+    since_s : float or None
+        When the state was entered, in seconds; None before its first change.
 
     Examples
     --------
@@ -121,6 +123,7 @@
         self.state = OverloadState.NORMAL
         self.reading = OverloadReading(0.0, 0.0)
         self.known_s = float("-inf")
+        self.since_s: float | None = None
         self._condition_since_s: float | None = None
 
     def update(self, reading: OverloadReading | None, now_s: float) -> None:
@@ -138,9 +141,9 @@
                 OverloadEvent.ROOM_USED_UP, reading.used_up, ENTER_AFTER_S, now_s
             )
 
-    def on_all_admitted(self) -> None:
+    def on_all_admitted(self, now_s: float) -> None:
         """End a recovery: no opening is rejected any more."""
-        self._apply(OverloadEvent.ALL_ADMITTED)
+        self._apply(OverloadEvent.ALL_ADMITTED, now_s)
 
     def is_known(self, now_s: float) -> bool:
         """Whether the state rests on a reading that is not too old."""
@@ -149,7 +152,7 @@
     def _on_unknown(self, now_s: float) -> None:
         self._condition_since_s = None
         if not self.is_known(now_s):
-            self._apply(OverloadEvent.SIGNALS_LOST)
+            self._apply(OverloadEvent.SIGNALS_LOST, now_s)
 
     def _await(
         self, event: OverloadEvent, condition: bool, hold_s: float, now_s: float
@@ -161,10 +164,12 @@
         if self._condition_since_s is None:
             self._condition_since_s = now_s
         if now_s - self._condition_since_s >= hold_s:
-            self._apply(event)
+            self._apply(event, now_s)
 
-    def _apply(self, event: OverloadEvent) -> None:
+    def _apply(self, event: OverloadEvent, now_s: float) -> None:
         after = self.state.after(event)
-        if after is not self.state:
-            self._condition_since_s = None
+        if after is self.state:
+            return
         self.state = after
+        self.since_s = now_s
+        self._condition_since_s = None
--- a/endivepick/forwarding/admission/service_admission.py
+++ b/endivepick/forwarding/admission/service_admission.py
@@ -1,5 +1,7 @@
 """Adjusts the admitted shares of one service to its load."""
 
+from collections import Counter
+
 from endivepick.forwarding.admission.limits import AdmissionLimits
 from endivepick.forwarding.admission.overload_state import (
     OverloadReading,
@@ -32,11 +34,14 @@
         Overload state.
     limits : AdmissionLimits
         Admitted shares.
+    rejected : Counter of int
+        Rejected openings by priority.
     """
 
     def __init__(self) -> None:
         self.tracker = OverloadTracker()
         self.limits = AdmissionLimits()
+        self.rejected: Counter[int] = Counter()
         self._adjusted_s = float("-inf")
         self._short_share_at_cut = 0.0
 
@@ -69,7 +74,7 @@
             self._adjusted_s = now_s
             self._raise(reading)
         if self.limits.all_admitted:
-            self.tracker.on_all_admitted()
+            self.tracker.on_all_admitted(now_s)
 
     def _cut(self, reading: OverloadReading) -> None:
         falling_share = FALLING_FACTOR * self._short_share_at_cut
--- a/endivepick/forwarding/admission/tests/test_admission.py
+++ b/endivepick/forwarding/admission/tests/test_admission.py
@@ -41,7 +41,7 @@
 
 
 def make_limited_core(signals, priorities=(0, 2), targets=TARGETS, **settings):
-    settings["shares_load"] = settings["limits_overload"]
+    settings["shares_load"] = settings.get("limits_overload", False)
     core = make_core(targets, zones=2, **settings)
     shares, kind = (ServiceShare("notes", 1.0),), RouteKind.IDEMPOTENT
     ports = (URGENT_PORT, BULK_PORT)
