--- a/endivepick/forwarding/load/balancing.py
+++ b/endivepick/forwarding/load/balancing.py
@@ -221,11 +221,11 @@
     busy: float | None,
     slots: float,
 ) -> float | None:
-    """Return the load of a target with this opening; a difference of 1 is decisive."""
+    """Return the load of a target; a difference of 1 is decisive."""
     if busy is None:
         return None
     seen_here = belief.flows + settings.busy_weight * belief.busy_flows
-    return ((busy + 1.0) / FULL_PER_SLOT + OWN_LOAD_WEIGHT * seen_here) / slots
+    return (busy / FULL_PER_SLOT + OWN_LOAD_WEIGHT * seen_here) / slots
 
 
 def _draw_less_loaded(
--- a/endivepick/forwarding/load/tests/test_balancing.py
+++ b/endivepick/forwarding/load/tests/test_balancing.py
@@ -229,3 +229,12 @@
         load = FixedLoad({"i-1": 1.0, "i-2": 1.0})
         placed = place(beliefs, load, 50, shares={"a": 0.5, "c": 0.5})
         self.assertEqual(placed, {"i-1": 50})
+
+    def test_a_copy_leaves_the_own_zone_by_the_shares_of_the_others(self):
+        beliefs = [make_belief("i-1")]
+        beliefs += [make_belief("i-2", "b"), make_belief("i-3", "c")]
+        load = FixedLoad({b.name: 1.0 for b in beliefs})
+        shares = {"a": 0.8, "b": 0.15, "c": 0.05}
+        placed = place(beliefs, load, 2000, shares=shares, tried=("i-1",))
+        self.assertAlmostEqual(placed["i-2"] / 2000, 0.75, delta=0.04)
+        self.assertEqual(placed.total(), placed["i-2"] + placed["i-3"])
--- a/endivepick/forwarding/load/tests/test_zone_choice.py
+++ b/endivepick/forwarding/load/tests/test_zone_choice.py
@@ -51,7 +51,7 @@
     lifetime of the flows as time constant.
     """
 
-    def __init__(self, names, lifetime_s, seed=1, evacuated=(), unknown=()):
+    def __init__(self, names, lifetime_s, seed=1, unknown=()):
         self.names = names
         self.load = {a: dict.fromkeys(names, 0.0) for a in names}
         """Requests in progress by the zone of the callers and that of the targets."""
@@ -64,13 +64,17 @@
             a: ZoneBalancer(ForwardingSettings(a, zones=len(names)), "notes")
             for a in names
         }
+        self.evacuate("")
+
+    def evacuate(self, zone):
+        """Make the targets of a zone unusable for openings."""
         beliefs = [
-            make_belief(f"i-{zone}{n:x}", zone)
-            for zone in names
-            if zone not in evacuated
+            make_belief(f"i-{name}{n:x}", name)
+            for name in self.names
+            if name != zone
             for n in range(TARGETS)
         ]
-        self._candidates = {a: Candidates.of_zone(a, beliefs) for a in names}
+        self._candidates = {a: Candidates.of_zone(a, beliefs) for a in self.names}
 
     def run(self, demand, seconds):
         """Run with the requests per slot that each zone's callers would have there."""
@@ -201,12 +205,33 @@
 
 class TestMissingZones(unittest.TestCase):
     def test_evacuated_zone_spreads_over_the_others_by_free_room(self):
-        zones = Zones("abc", lifetime_s=2.0, evacuated="a")
+        zones = Zones("abc", lifetime_s=2.0)
+        zones.evacuate("a")
         zones.run({"a": 0.4, "b": 0.3, "c": 0.6}, 60)
         self.assertEqual(zones.shares["a"].get("a", 0.0), 0.0)
         self.assertAlmostEqual(zones.shares["a"]["b"], 0.7 / 1.1, delta=0.05)
         self.assertAlmostEqual(zones.away_share("b"), 0.0)
 
+    def test_room_is_what_is_free_without_the_own_callers(self):
+        """The shares do not follow the load that they cause."""
+        states = [ZoneState("b", 10.0, 8.0, 6.0), ZoneState("c", 10.0, 8.0, 2.0)]
+        shares = compute_zone_shares("a", states, 0.0)
+        self.assertAlmostEqual(shares["b"], 2 / 3)
+
+    def test_all_openings_leave_a_zone_as_soon_as_it_is_evacuated(self):
+        zones = Zones("abc", lifetime_s=2.0)
+        zones.run({"a": 0.4, "b": 0.3, "c": 0.6}, 20)
+        zones.evacuate("a")
+        zones.run({"a": 0.4, "b": 0.3, "c": 0.6}, UPDATE_GAP_S)
+        self.assertEqual(zones.shares["a"].get("a", 0.0), 0.0)
+        self.assertAlmostEqual(sum(zones.shares["a"].values()), 1.0)
+
+    def test_own_callers_alone_crowd_their_zone(self):
+        """The totals of the own zone's targets lack those of other callers."""
+        zones = Zones("abc", lifetime_s=2.0, unknown="a")
+        zones.run({"a": 1.8, "b": 0.5, "c": 0.5}, 60)
+        self.assertGreater(zones.away_share("a"), 0.2)
+
     def test_evacuated_zone_uses_full_ones_by_their_slots(self):
         states = [ZoneState("b", 10.0, 10.0, 0.0), ZoneState("c", 20.0, 20.0, 0.0)]
         shares = compute_zone_shares("a", states, 0.0)
