Split the handling of openings from the forwarding core

Openings have a handler of their own, resets and the set-up of the parts for overload a module each; decisions and their order are unchanged. The model's mutants of the failure detector are installed for openings as well, since these hold it themselves now.

--- a/endivepick/forwarding/actions.py
+++ b/endivepick/forwarding/actions.py
@@ -11,6 +11,7 @@
 from endivepick.forwarding.model import FlowKey, Target
 
 __all__ = [
+    "Decision",
     "Drop",
     "DropReason",
     "Effect",
@@ -242,6 +243,21 @@
 )
 
 
+class Decision(Struct, frozen=True):
+    """What to do with a packet, and what follows from it.
+
+    Attributes
+    ----------
+    verdict : Verdict
+        What to do with the packet.
+    effects : list of Effect
+        What to carry out besides.
+    """
+
+    verdict: Verdict
+    effects: list[Effect]
+
+
 class ProbeOutcome(Enum):
     """Outcome of a probe."""
 
--- a/endivepick/forwarding/forwarder.py
+++ b/endivepick/forwarding/forwarder.py
@@ -7,26 +7,23 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from typing import TYPE_CHECKING
 
 from msgspec.structs import replace
 
 from endivepick.forwarding.actions import (
+    Decision,
     DecisionRecord,
     Drop,
     DropReason,
     Effect,
     Forward,
     Hold,
-    OpeningRejected,
     ProbeResult,
     ReadRegistry,
     Release,
-    Reset,
     ResetReason,
     Verdict,
 )
-from endivepick.forwarding.admission.decisions import Rejected
 from endivepick.forwarding.belief import (
     BeliefChange,
     Reachability,
@@ -54,23 +51,18 @@
     RouteKind,
     Target,
 )
-from endivepick.forwarding.opening_placement import OpeningPlacer
-from endivepick.forwarding.openings import Opening, RecentOpenings
+from endivepick.forwarding.opening_handler import OpeningHandler
 from endivepick.forwarding.outlier_detector import OutlierDetector
+from endivepick.forwarding.overload_parts import set_up_overload_parts
 from endivepick.forwarding.placement_filter import PlacementFilter
-from endivepick.forwarding.placement_request import PlacementRequest
 from endivepick.forwarding.registry import TargetRegistry
 from endivepick.forwarding.registry_news import RegistryNews
-from endivepick.forwarding.routes import RouteTable, select_service
+from endivepick.forwarding.resets import reset_packet
+from endivepick.forwarding.routes import RouteTable
 from endivepick.forwarding.settings import ForwardingSettings, apply_mechanisms
 from endivepick.forwarding.unknown_cookies import UnknownCookies
 from endivepick.forwarding.zone_evacuations import ZoneEvacuations
 
-if TYPE_CHECKING:
-    from endivepick.forwarding.admission.admission import OpeningAdmission
-    from endivepick.forwarding.load.load_placement import LoadPlacer
-    from endivepick.forwarding.load.shared_load import SharedLoad
-
 __all__ = ["ForwardingCore"]
 
 
@@ -96,20 +88,33 @@
         self.effects: list[Effect] = []
         """Effects to carry out; the caller clears the list."""
         self.evacuations = ZoneEvacuations(self.registry, self.routes)
-        self._openings = RecentOpenings(settings)
-        self._filter = PlacementFilter(
+        self._filter = placement_filter = PlacementFilter(
             self.registry, self.evacuations.zones, settings.zone_regions
         )
-        self._random_share = random_share
-        self.load: SharedLoad | None = None
+        self._failure_detector = FailureDetector(
+            settings, self.registry, self.flows, self.routes, placement_filter
+        )
+        overload = set_up_overload_parts(
+            settings,
+            self.routes,
+            self.flows,
+            self.registry,
+            placement_filter,
+            random_share,
+        )
+        self.load = overload.load
         """Load shared with other instances, None if the settings disable it."""
-        self.admission: OpeningAdmission | None = None
+        self.admission = overload.admission
         """Admission by priority, None if the settings disable it."""
-        self._placer = OpeningPlacer(
-            settings, self.routes, self._filter, random_share, self._share_load()
-        )
-        self._failure_detector = FailureDetector(
-            settings, self.registry, self.flows, self.routes, self._filter
+        self._openings = OpeningHandler(
+            settings,
+            self.routes,
+            self.registry,
+            self.flows,
+            self._failure_detector,
+            placement_filter,
+            overload,
+            random_share,
         )
         self.outlier_detector = OutlierDetector(settings, self.registry, self.flows)
         self._unknown = UnknownCookies(settings.lapse_grace_s)
@@ -117,26 +122,6 @@
         self._registry_requested_s = float("-inf")
         self._wall_ahead_s = float("-inf")
 
-    def _share_load(self) -> LoadPlacer | None:
-        """Set up what the settings enable; modules are loaded only where it is used.
-
-        A start waits for each import.
-        """
-        if not self.settings.shares_load:
-            return None
-        from endivepick.forwarding.load.load_placement import LoadPlacer
-        from endivepick.forwarding.load.shared_load import SharedLoad
-
-        self.load = SharedLoad(self.settings.zone, self.flows, self.registry)
-        if self.settings.limits_overload:
-            from endivepick.forwarding.admission.admission import OpeningAdmission
-
-            self.admission = OpeningAdmission(self.routes, self._filter)
-            self.admission.signals = self.load.view
-        return LoadPlacer(
-            self.settings, self.routes, self.load.view, self._random_share
-        )
-
     @property
     def ready(self) -> bool:
         """Whether routes and targets are known."""
@@ -165,7 +150,7 @@
     def _decide(self, packet: Packet, now_s: float) -> Verdict:
         route = self.routes.find(packet.flow)
         if packet.opening:
-            return self._on_opening(packet, route, now_s)
+            return self._apply(self._openings.on_opening(packet, route, now_s))
         if not packet.cookie:
             return Drop(DropReason.NO_COOKIE)
         belief = self.registry.find_by_cookie(packet.cookie)
@@ -233,11 +218,11 @@
     @property
     def instance_bound(self) -> int | None:
         """Upper bound of the number of instances that place flows, None if unknown."""
-        return self._placer.cold_targets.instances
+        return self._openings.instance_bound
 
     def set_instance_bound(self, instances: int) -> None:
         """Set an upper bound of the number of instances that place flows."""
-        self._placer.cold_targets.instances = instances
+        self._openings.instance_bound = instances
 
     def on_probe(self, result: ProbeResult, now_s: float) -> None:
         """Apply a probe result, if it is of the known incarnation."""
@@ -308,10 +293,9 @@
         heard_s : float
             When the store last answered about the registry, in seconds.
         """
-        self._check_unanswered_openings(now_s)
+        self.effects += self._openings.tick(now_s)
         self.flows.expire(self._idle_timeout_s, now_s)
         self._openings.expire(now_s)
-        self._placer.cold_targets.expire(now_s)
         self.effects += self._held.expire(now_s)
         self._handle_belief_changes(self.registry.expire(now_s, heard_s), now_s)
         if self.registry.awaits_confirmation(now_s, heard_s):
@@ -323,87 +307,6 @@
         if self.admission is not None:
             self.effects += self.admission.tick(now_s)
 
-    def _on_opening(self, packet: Packet, route: Route | None, now_s: float) -> Verdict:
-        if route is None:
-            return self._reset(packet, ResetReason.NO_ROUTE, "", now_s)
-        service = select_service(route, packet.flow)
-        opening = self._openings.get(packet.flow)
-        rejected = self._find_rejection(packet, route, service, now_s)
-        if rejected is not None:
-            return self._reject(packet.flow, rejected)
-        retry_elsewhere = self.settings.mechanisms.copies_elsewhere
-        tried = opening.targets if opening is not None and retry_elsewhere else ()
-        if opening is not None:
-            self._suspect_previous_target(opening, packet.flow, now_s)
-        is_limited = self._is_limited(route, service, now_s)
-        request = PlacementRequest(service, route, tried, spares_reserved=is_limited)
-        placement = self._placer.place(request, now_s)
-        if isinstance(placement, ResetReason):
-            return self._reset(packet, placement, "", now_s)
-        belief = placement.belief
-        self._openings.record(packet.flow, belief.name, now_s)
-        self.flows.observe(packet, belief, route.kind, now_s)
-        self.effects.append(
-            DecisionRecord(
-                "flow_placed",
-                packet.flow,
-                belief.name,
-                placement.reason,
-                placement.candidates,
-                placement.load,
-                packet.acknowledged,
-                self.routes.version,
-                now_s - belief.state_since_s,
-            )
-        )
-        return Forward(belief)
-
-    def _find_rejection(
-        self, packet: Packet, route: Route, service: str, now_s: float
-    ) -> Rejected | None:
-        """Return why an opening is rejected, None if it is admitted."""
-        if self.admission is None:
-            return None
-        flow = packet.flow
-        forwarded = self._openings.get(flow) or self.flows.get(flow)
-        decision = self.admission.admits(
-            packet.acknowledged,
-            forwarded is not None,
-            route,
-            service,
-            self._random_share,
-            now_s,
-        )
-        return decision if isinstance(decision, Rejected) else None
-
-    def _is_limited(self, route: Route, service: str, now_s: float) -> bool:
-        """Whether openings of a route's priority are limited now."""
-        if self.admission is None:
-            return False
-        return self.admission.limits(service, route.priority, now_s)
-
-    def _reject(self, flow: FlowKey, rejected: Rejected) -> Reset:
-        self.effects.append(OpeningRejected(flow, rejected, self.routes.version))
-        return Reset(flow, 0, ResetReason.OVERLOADED)
-
-    def _suspect_previous_target(
-        self, opening: Opening, flow: FlowKey, now_s: float
-    ) -> None:
-        belief = self.registry.get(opening.targets[-1])
-        if belief is not None:
-            self.effects += self._failure_detector.suspect(
-                belief, flow, opening.last_s, now_s
-            )
-
-    def _check_unanswered_openings(self, now_s: float) -> None:
-        """Report unanswered openings to the failure detector."""
-        for key, opening in self._openings.pop_unanswered(now_s):
-            flow = self.flows.get(key)
-            if flow is not None and not flow.opened:
-                self.effects += self._failure_detector.on_opening_unanswered(
-                    flow.belief, key, opening.last_s, now_s
-                )
-
     def _on_flow_packet(
         self, packet: Packet, route: Route | None, belief: TargetBelief, now_s: float
     ) -> Verdict:
@@ -502,20 +405,13 @@
 
     def _reset(
         self, packet: Packet, reason: ResetReason, target: str, now_s: float
-    ) -> Reset:
-        sequence = 0 if packet.opening else packet.acknowledged
-        age_s = now_s - self.routes.since_s
-        self.effects.append(
-            DecisionRecord(
-                "flow_reset",
-                packet.flow,
-                target,
-                reason.value,
-                version=self.routes.version,
-                age_s=age_s,
-            )
-        )
-        return Reset(packet.flow, sequence, reason, target)
+    ) -> Verdict:
+        return self._apply(reset_packet(packet, reason, target, self.routes, now_s))
+
+    def _apply(self, decision: Decision) -> Verdict:
+        """Add the effects of a decision and return its verdict."""
+        self.effects += decision.effects
+        return decision.verdict
 
     @property
     def _idle_timeout_s(self) -> float:
--- /dev/null
+++ b/endivepick/forwarding/resets.py
@@ -0,0 +1,42 @@
+"""Resets of flows in answer to a packet of their caller."""
+
+from endivepick.forwarding.actions import (
+    Decision,
+    DecisionRecord,
+    Reset,
+    ResetReason,
+)
+from endivepick.forwarding.model import Packet
+from endivepick.forwarding.routes import RouteTable
+
+__all__ = ["reset_packet"]
+
+
+def reset_packet(
+    packet: Packet, reason: ResetReason, target: str, routes: RouteTable, now_s: float
+) -> Decision:
+    """Return the reset of a packet's flow, and its record.
+
+    Parameters
+    ----------
+    packet : Packet
+        The caller's packet.
+    reason : ResetReason
+        Why its flow is reset.
+    target : str
+        Target of the flow, "" if it has none.
+    routes : RouteTable
+        Routes of the configuration in force.
+    now_s : float
+        Current time, in seconds.
+    """
+    sequence = 0 if packet.opening else packet.acknowledged
+    record = DecisionRecord(
+        "flow_reset",
+        packet.flow,
+        target,
+        reason.value,
+        version=routes.version,
+        age_s=now_s - routes.since_s,
+    )
+    return Decision(Reset(packet.flow, sequence, reason, target), [record])
--- a/endivepick/model/_evidence_mutants.py
+++ b/endivepick/model/_evidence_mutants.py
@@ -19,7 +19,11 @@
 from endivepick.model.checker import Specification
 from endivepick.model.evidence import EvidenceBounds, evidence_specification
 
-__all__ = ["EVIDENCE_MUTATIONS", "EVIDENCE_SCENARIOS"]
+__all__ = [
+    "EVIDENCE_MUTATIONS",
+    "EVIDENCE_SCENARIOS",
+    "install_failure_detector",
+]
 
 
 class TreatsSuspectAsDead(FailureDetector):
@@ -160,13 +164,19 @@
     return lambda name: evidence_specification(name, bounds)
 
 
-def _with_judge(mutant: type[FailureDetector]) -> Callable[[ForwardingCore], None]:
-    def mutate(core: ForwardingCore) -> None:
-        core._failure_detector = mutant(
-            core.settings, core.registry, core.flows, core.routes, core._filter
-        )
+def install_failure_detector(
+    core: ForwardingCore, mutant: type[FailureDetector]
+) -> None:
+    """Make a core use a mutant of the failure detector, for openings as well."""
+    detector = mutant(
+        core.settings, core.registry, core.flows, core.routes, core._filter
+    )
+    core._failure_detector = detector
+    core._openings._failure_detector = detector
+
 
-    return mutate
+def _with_judge(mutant: type[FailureDetector]) -> Callable[[ForwardingCore], None]:
+    return lambda core: install_failure_detector(core, mutant)
 
 
 EVIDENCE_SCENARIOS: dict[str, Callable[[str], Specification]] = {
--- a/endivepick/model/_restart_mutants.py
+++ b/endivepick/model/_restart_mutants.py
@@ -15,6 +15,7 @@
 )
 from endivepick.forwarding.belief import TargetRestart
 from endivepick.forwarding.failure_detector import FailureDetector
+from endivepick.model._evidence_mutants import install_failure_detector
 from endivepick.model.checker import Specification
 from endivepick.model.restarts import RestartBounds, restart_specification
 
@@ -81,10 +82,7 @@
 
     def on_target(self, target: Target, now_s: float) -> None:
         """Install the judge, then handle the target."""
-        judge = ResetsAllFlowsJudge(
-            self.settings, self.registry, self.flows, self.routes, self._filter
-        )
-        self._failure_detector = judge
+        install_failure_detector(self, ResetsAllFlowsJudge)
         super().on_target(target, now_s)
 
 
