Exchange load within a zone and between zones

Followers send their load in the poll that they make anyway, and feeders answer with the sums of the zone; feeders ask each other each second. Only totals pass between zones. Feeders' addresses come from the claims that are read anyway and from the calls of other feeders, so no store call is added. All message fields are optional: the former build reads and sends messages without them. A poll with 75 targets is below 4 kB, and the targets in an answer are limited to a tenth of the feeder's link.

A silent feeder is called in a task of its own with a timeout of 0.5 s, so that it delays no other zone. A new feeder tells nothing for 0.6 s, until the followers of its predecessor have polled it.

--- a/endivepick/forwarder/feeder_follower.py
+++ b/endivepick/forwarder/feeder_follower.py
@@ -276,6 +276,9 @@
         evacuations = None
         if FeedKind.EVACUATIONS in self._feeds:
             evacuations = self._core.evacuations.zones.revision
+        load, number = None, 0
+        if self._core.load is not None:
+            number, load = self._core.load.make_report(steady_now_s())
         return ZoneQuestion(
             self._own_address,
             config,
@@ -283,6 +286,8 @@
             self._core.build_report(steady_now_s()),
             evacuations,
             may_wait,
+            load,
+            number,
         )
 
     def _apply(self, feeder: str, news: ZoneNews) -> None:
@@ -290,6 +295,8 @@
         self._core.on_zone_report(news.seen, steady_now_s())
         if news.instances is not None:
             self._core.set_instance_bound(news.instances)
+        if self._core.load is not None and news.load is not None:
+            self._core.load.receive(news.load, steady_now_s())
         self._apply_news(news)
 
     def report_observations(self) -> None:
--- a/endivepick/forwarder/forwarder.py
+++ b/endivepick/forwarder/forwarder.py
@@ -92,6 +92,7 @@
         self._dialect = dialect
         self._zone: ZoneMember | None = None
         self._zone_task: gevent.Greenlet | None = None
+        self._load_task: gevent.Greenlet | None = None
         self._news = news = NewsHandler(
             self.core, self.decisions, self._on_news_applied
         )
@@ -210,11 +211,20 @@
         )
         if self.stopping:
             self._zone.stop()
+        self._start_load_exchange(self._zone)
         self._zone.run()
 
+    def _start_load_exchange(self, zone: ZoneMember) -> None:
+        if self._load_task is not None:
+            self._load_task.kill()
+        if zone.load_exchange is not None:
+            work = zone.load_exchange.run
+            self._load_task = spawn_supervised("load", work, self.decisions)
+
     def _end_zone(self) -> None:
-        if self._zone_task is not None:
-            self._zone_task.kill()
+        for task in (self._zone_task, self._load_task):
+            if task is not None:
+                task.kill()
 
     def _tick(self) -> None:
         while True:
--- a/endivepick/forwarder/pages.py
+++ b/endivepick/forwarder/pages.py
@@ -86,6 +86,10 @@
                 return (
                     Response(404) if zone is None else zone.feeder.receive_report(query)
                 )
+            case peers.LOAD_PATH:
+                zone = self._zone()
+                exchange = None if zone is None else zone.load_exchange
+                return Response(404) if exchange is None else exchange.answer(query)
             case "/metrics":
                 return self._metrics()
             case "/status":
--- a/endivepick/forwarder/peers.py
+++ b/endivepick/forwarder/peers.py
@@ -36,6 +36,7 @@
 __all__ = [
     "HELLO_PATH",
     "HINT_PATH",
+    "LOAD_PATH",
     "NEWS_PATH",
     "SNAPSHOT_PATH",
     "SEEN_PATH",
@@ -50,6 +51,8 @@
 """Path of a feeder's news, see `endivepick.forwarder.zone_member`."""
 SEEN_PATH = "/peers/seen"
 """Path of a follower's reports about targets to its feeder."""
+LOAD_PATH = "/peers/load"
+"""Path of the load that a feeder knows, see `endivepick.forwarder.load_exchange`."""
 HINT_PATH = "/peers/hint/"
 """Prefix of a hint, followed by the name of a target that does not answer."""
 _FROM = "from"
--- a/endivepick/forwarder/zone_feeder.py
+++ b/endivepick/forwarder/zone_feeder.py
@@ -29,6 +29,7 @@
     merge_reports,
 )
 from endivepick.forwarding.fault_confirmation import REPORT_VALID_S
+from endivepick.forwarding.load.reports import ZoneLoad
 from endivepick.forwarding.service_baselines import UsualCounts, merge_baselines
 
 __all__ = ["ZoneFeeder"]
@@ -48,6 +49,13 @@
 SUCCESSOR_MARGIN_S = 0.3
 """Time after the longest poll within which a follower has to poll again to be chosen as
 successor: one that is silent for longer may have stopped."""
+LOAD_ENTRY_BYTES = 45
+"""Size of a target's load in an answer, with a name of usual length."""
+LOAD_LINK_SHARE = 0.1
+"""Maximum share of the feeder's link that the load of targets may take in its
+answers."""
+MIN_LOAD_TARGETS = 16
+"""Number of targets whose load is sent over any link."""
 MAX_AGE_S = 1e9
 """Age of what was never read, a number that JSON can represent."""
 _MBIT_BYTES = 125_000
@@ -91,6 +99,7 @@
         self._max_full_targets = (
             FULL_REGISTRY_SEND_S * settings.link_mbps * _MBIT_BYTES / sent_bytes
         )
+        self._max_load_targets = _compute_load_targets(settings)
         self._reports: dict[str, tuple[float, FitnessReport]] = {}
         self._baselines: list[UsualCounts] = []
         self._baselines_at_s = float("-inf")
@@ -112,6 +121,7 @@
             self._set_watch_wait()
             return
         self.feeding = not self._stopping
+        self._share_role()
         self._set_watch_wait()
         if FeedKind.EVACUATIONS in self._feeds:
             self._feeds[FeedKind.EVACUATIONS].call_now()
@@ -121,6 +131,7 @@
         if self.feeding:
             self._log.event("zone", "feeding_ended", "another instance feeds the zone")
         self.feeding = False
+        self._share_role()
         self._set_watch_wait()
         self.wake_polls()
 
@@ -129,6 +140,7 @@
         self._stopping = True
         self._successor = successor
         self.feeding = False
+        self._share_role()
         self.wake_polls()
 
     def choose_successor(self) -> str:
@@ -160,6 +172,7 @@
             return json_response(FeederFull(self._name))
         self._neighbours.mark_alive(poll.asker, self._last_request_s)
         self._reports[poll.asker] = (self._last_request_s, poll.seen)
+        self._record_load(poll)
         self._set_watch_wait()
         alert_number = self._alert_number
         with gevent.Timeout(POLL_WAIT_S, False):
@@ -173,6 +186,24 @@
             return json_response(FeederAhead(self._name))
         return json_response(self._make_news(poll))
 
+    def _share_role(self) -> None:
+        """Tell the shared load whether this instance feeds others."""
+        if self._core.load is not None:
+            self._core.load.set_feeding(self.feeding, steady_now_s())
+
+    def _record_load(self, poll: ZoneQuestion) -> None:
+        if self._core.load is None or poll.load is None or not self.feeding:
+            return
+        self._core.load.sums.record(
+            poll.asker, poll.load_number, poll.load, steady_now_s()
+        )
+
+    def _get_load(self, poll: ZoneQuestion) -> ZoneLoad | None:
+        if self._core.load is None or poll.load is None:
+            return None
+        load = self._core.load.zone_load(steady_now_s())
+        return None if load is None else load.shortened(self._max_load_targets)
+
     def _should_wait(self, poll: ZoneQuestion, alert_number: int) -> bool:
         """Return whether there is no news for an instance yet."""
         return (
@@ -244,6 +275,7 @@
             self._core.evacuations.zones.make_snapshot() if asks_evacuations else None,
             self._get_age_s(FeedKind.EVACUATIONS) if asks_evacuations else 0.0,
             self._core.instance_bound,
+            self._get_load(poll),
         )
 
     def _get_age_s(self, *kinds: FeedKind) -> float:
@@ -281,3 +313,10 @@
         polled = steady_now_s() - self._last_request_s < REQUEST_IDLE_S
         wait_s = self._watch_wait_s if self.feeding and polled else None
         self._feeds[FeedKind.REGISTRY].set_watch_wait(wait_s)
+
+
+def _compute_load_targets(settings: ForwarderSettings) -> int:
+    """Return the number of targets whose load each answer may tell."""
+    link_bytes_per_s = LOAD_LINK_SHARE * settings.link_mbps * _MBIT_BYTES
+    answer_bytes = link_bytes_per_s * POLL_WAIT_S / settings.fed_most
+    return max(MIN_LOAD_TARGETS, int(answer_bytes / LOAD_ENTRY_BYTES))
--- a/endivepick/forwarder/zone_member.py
+++ b/endivepick/forwarder/zone_member.py
@@ -6,6 +6,7 @@
 """
 
 import random
+import time
 from collections.abc import Callable, Mapping, Sequence
 
 import gevent
@@ -26,6 +27,7 @@
     FeederState,
 )
 from endivepick.forwarder.freshness import POLL_TIMEOUT_MARGIN_S
+from endivepick.forwarder.load_exchange import LoadExchange
 from endivepick.forwarder.logs import BoundedLog
 from endivepick.forwarder.peer_directory import Neighbours
 from endivepick.forwarder.peers import HELLO_PATH
@@ -124,6 +126,12 @@
             settings, core, feeds, apply_news, neighbours, log
         )
         """Follows the feeder of this instance."""
+        self.load_exchange: LoadExchange | None = None
+        """Exchanges load with other feeders, None if load is not shared."""
+        if core.load is not None:
+            own_address = settings.advertised_address
+            core.load.begin(own_address, int(time.time() * 1000))
+            self.load_exchange = LoadExchange(settings, core.load, log)
 
     def stop(self) -> None:
         """Make the followers of this instance follow another feeder."""
@@ -225,6 +233,8 @@
         path = self._dialect.claims_path()
         body = store.get(path, self._settings.call_timeout_s)
         claims = self._dialect.read_claims(body)
+        if self.load_exchange is not None:
+            self.load_exchange.directory.set_claims(claims)
         self._core.set_instance_bound(
             bound_instances(claims, len(self._settings.zones), self._settings.fed_most)
         )
--- a/endivepick/forwarder/zone_messages.py
+++ b/endivepick/forwarder/zone_messages.py
@@ -1,5 +1,8 @@
 """Messages between the instances of a zone and their feeder."""
 
+import binascii
+import zlib
+from base64 import urlsafe_b64decode, urlsafe_b64encode
 from typing import Self
 
 import msgspec
@@ -12,6 +15,7 @@
     FitnessReport,
     RegistryNews,
 )
+from endivepick.forwarding.load.reports import LoadReport, ZoneLoad
 
 __all__ = [
     "FeederAhead",
@@ -23,6 +27,10 @@
     "read_feeder_answer",
 ]
 
+MAX_LOAD_BYTES = 32_768
+"""Largest load report in a poll before its compression; twice the size of one with the
+maximum number of entries and names of usual length."""
+
 
 def _empty_report() -> FitnessReport:
     return FitnessReport([], [])
@@ -46,6 +54,11 @@
     may_wait : bool or None
         Whether the feeder may hold the poll until there is news; None for an instance
         of a build that does not say so, which does not know `FeederMoved` either.
+    load : LoadReport or None
+        Load that its callers put on targets; None for an instance that does not share
+        it.
+    load_number : int
+        Number of that report.
 
     Examples
     --------
@@ -62,6 +75,8 @@
     seen: FitnessReport = field(default_factory=_empty_report)
     evacuation_revision: int | None = None
     may_wait: bool | None = None
+    load: LoadReport | None = None
+    load_number: int = 0
 
     @property
     def query(self) -> str:
@@ -72,6 +87,8 @@
             query += f"&evacuations={self.evacuation_revision}"
         if self.may_wait is not None:
             query += f"&wait={int(self.may_wait)}"
+        if self.load is not None:
+            query += f"&number={self.load_number}&load={_encode_load(self.load)}"
         if self.seen.empty:
             return query
         return f"{query}&seen={msgspec.json.encode(self.seen).hex()}"
@@ -81,14 +98,26 @@
         """Decode a query string; return None if it is not a poll."""
         fields = parse_query(query)
         try:
+            asker = fields["from"]
             config, registry = int(fields["config"]), int(fields["registry"])
             asked = fields.get("evacuations")
             evacuations = None if asked is None else int(asked)
             may_wait = bool(int(fields["wait"])) if "wait" in fields else None
             report = _read_report(fields)
-            return cls(fields["from"], config, registry, report, evacuations, may_wait)
+            load = _read_load(fields)
+            number = 0 if load is None else int(fields.get("number", 0))
         except (KeyError, ValueError):
             return None
+        return cls(
+            asker,
+            config,
+            registry,
+            report,
+            evacuations,
+            may_wait,
+            load,
+            number,
+        )
 
 
 def _read_report(fields: dict[str, str]) -> FitnessReport:
@@ -99,6 +128,24 @@
         return _empty_report()
 
 
+def _encode_load(load: LoadReport) -> str:
+    """Encode a load report; it is compressed, as it is part of each poll."""
+    compressed = zlib.compress(msgspec.json.encode(load))
+    return urlsafe_b64encode(compressed).decode()
+
+
+def _read_load(fields: dict[str, str]) -> LoadReport | None:
+    """Decode an instance's load; None if there is none, or it is of another build."""
+    if "load" not in fields:
+        return None
+    try:
+        compressed = urlsafe_b64decode(fields["load"])
+        text = zlib.decompressobj().decompress(compressed, MAX_LOAD_BYTES)
+        return _load_decoder.decode(text)
+    except (ValueError, binascii.Error, zlib.error):
+        return None
+
+
 class FeederFull(Struct, frozen=True, tag=True):
     """Answer of a feeder that has reached its maximum number of instances.
 
@@ -167,6 +214,9 @@
         Time since the store last answered for the evacuated zones, in seconds.
     instances : int or None
         Upper bound of the number of instances of all zones, None if it is not known.
+    load : ZoneLoad or None
+        Load that the callers of all instances put on targets; None if the feeder does
+        not know it, or the polling instance does not share its own.
     """
 
     feeder: str
@@ -179,10 +229,12 @@
     evacuations: EvacuationSnapshot | None = None
     evacuations_before_s: float = 0.0
     instances: int | None = None
+    load: ZoneLoad | None = None
 
 
 FeederAnswer = ZoneNews | FeederFull | FeederAhead | FeederMoved
 _report_decoder = msgspec.json.Decoder(FitnessReport)
+_load_decoder = msgspec.json.Decoder(LoadReport)
 _decoder: msgspec.json.Decoder[FeederAnswer] = msgspec.json.Decoder(FeederAnswer)
 
 
