--- a/endivepick/forwarding/load/tests/test_zone_choice.py
+++ b/endivepick/forwarding/load/tests/test_zone_choice.py
@@ -144,6 +144,10 @@
         zones.run({"a": 0.85, "b": 0.5, "c": 0.5}, 60)
         self.assertEqual(zones.away_share("a"), 0.0)
 
+    def test_all_flows_stay_while_the_other_zones_are_hardly_emptier(self):
+        states = [ZoneState("a", 10.0, 15.0, 15.0), ZoneState("b", 10.0, 12.6, 0.0)]
+        self.assertEqual(compute_zone_shares("a", states, 1.0)["a"], 1.0)
+
     def test_flows_return_home_after_the_peak(self):
         zones = Zones("abc", lifetime_s=5.0)
         zones.run(self.DEMAND, 60)
@@ -226,6 +230,16 @@
         self.assertEqual(zones.shares["a"].get("a", 0.0), 0.0)
         self.assertAlmostEqual(sum(zones.shares["a"].values()), 1.0)
 
+    def test_openings_come_back_to_a_returning_zone_over_seconds(self):
+        zones = Zones("abc", lifetime_s=2.0)
+        zones.evacuate("a")
+        zones.run({"a": 0.4, "b": 0.3, "c": 0.6}, 20)
+        zones.evacuate("")
+        zones.run({"a": 0.4, "b": 0.3, "c": 0.6}, UPDATE_GAP_S)
+        self.assertGreater(zones.away_share("a"), 0.9)
+        zones.run({"a": 0.4, "b": 0.3, "c": 0.6}, 10)
+        self.assertLess(zones.away_share("a"), 0.05)
+
     def test_own_callers_alone_crowd_their_zone(self):
         """The totals of the own zone's targets lack those of other callers."""
         zones = Zones("abc", lifetime_s=2.0, unknown="a")
