Replay zones whose targets' load counts idle flows

A load source may weigh idle flows at targets and not in a zone's sums. The shares still make the zones meet and return home then, more slowly; nothing had to change.

--- a/endivepick/forwarding/load/balancing.py
+++ b/endivepick/forwarding/load/balancing.py
@@ -35,8 +35,9 @@
     def target_load(self, belief: TargetBelief, now_s: float) -> float | None:
         """Return the requests in progress at a target from callers of the own zone.
 
-        Openings that this instance has placed since the news are added.  None if the
-        load is unknown or too old; a target without load has 0.
+        Openings that this instance has placed since the news are added, and idle flows
+        may count with a small weight.  None if the load is unknown or too old; a target
+        without load has 0.
         """
 
     def zone_busy(self, service: str, target_zone: str, now_s: float) -> float | None:
--- a/endivepick/forwarding/load/tests/test_zone_choice.py
+++ b/endivepick/forwarding/load/tests/test_zone_choice.py
@@ -23,8 +23,9 @@
 class ZoneView:
     """Load as the instances of a zone know it."""
 
-    def __init__(self, zone, history, unknown):
+    def __init__(self, zone, history, unknown, idle_part):
         self._zone = zone
+        self._weight = 1.0 + idle_part
         self._history = history
         self._unknown = unknown
 
@@ -33,7 +34,8 @@
         return self._history[max(0, len(self._history) - 1 - age)][callers]
 
     def target_load(self, belief, now_s):
-        return self._seen(self._zone)[belief.target.zone] / TARGETS
+        busy = self._seen(self._zone)[belief.target.zone] / TARGETS
+        return busy * self._weight
 
     def zone_busy(self, service, target_zone, now_s):
         if target_zone in self._unknown:
@@ -51,7 +53,7 @@
     lifetime of the flows as time constant.
     """
 
-    def __init__(self, names, lifetime_s, seed=1, unknown=()):
+    def __init__(self, names, lifetime_s, seed=1, unknown=(), idle_part=0.0):
         self.names = names
         self.load = {a: dict.fromkeys(names, 0.0) for a in names}
         """Requests in progress by the zone of the callers and that of the targets."""
@@ -59,7 +61,7 @@
         self._lifetime_s = lifetime_s
         self._source = random.Random(seed)
         self._history = [self.load]
-        self._views = {a: ZoneView(a, self._history, unknown) for a in names}
+        self._views = {a: ZoneView(a, self._history, unknown, idle_part) for a in names}
         self._balancers = {
             a: ZoneBalancer(ForwardingSettings(a, zones=len(names)), "notes")
             for a in names
@@ -178,6 +180,25 @@
                 self.assertEqual(self.find_turns(lifetime_s), 5)
 
 
+class TestIdleFlows(unittest.TestCase):
+    """Idle flows count in the load of a target but not in the sums of a zone."""
+
+    def test_loads_meet_and_flows_return_home(self):
+        zones = Zones("abc", lifetime_s=5.0, idle_part=1.0)
+        zones.run({"a": 1.53, "b": 0.9, "c": 0.9}, 90)
+        loads = [zones.per_slot(zone) for zone in "abc"]
+        self.assertLess(max(loads) - min(loads), 0.2)
+        self.assertLess(zones.away_share("b"), 0.02)
+        zones.run({"a": 0.7, "b": 0.9, "c": 0.9}, 60)
+        self.assertLess(zones.away_share("a"), 0.02)
+
+    def test_full_zones_alike_move_little(self):
+        zones = Zones("abc", lifetime_s=2.0, idle_part=1.0)
+        zones.run(dict.fromkeys("abc", 2.5), 60)
+        for zone in "abc":
+            self.assertLess(zones.away_share(zone), 0.02)
+
+
 class TestFullZonesAlike(unittest.TestCase):
     DEMAND = {"a": 2.5, "b": 2.5, "c": 2.5}
 
