Count a closing packet only for the target of its request

Cause: the closing packet of a flow counts as an answer where its acknowledgement number is newer. A reset of a connection that its caller has forgotten has the number 0, which is newer for half of all sequence numbers: it counted as a good answer and as progress of a target that may be mute. A closing packet to another target, where a caller reuses its port, counted for the first one.

Ruled out: repeated closing packets, sequence numbers that wrap around, and flows whose first packet here is the closing one; they were right and have tests now.

Change: only a closing packet to the same target with an acknowledgement counts, and only in an open flow.

--- a/endivepick/forwarding/flows.py
+++ b/endivepick/forwarding/flows.py
@@ -92,6 +92,17 @@
     return 0 < (number - other) % SEQUENCE_NUMBERS < _HALF_RANGE
 
 
+def _is_answered_by(flow: ObservedFlow, closing: Packet) -> bool:
+    """Whether a flow's last packet acknowledges an answer to its request in progress.
+
+    A reset (RST) of a connection that its caller has forgotten acknowledges nothing,
+    and its acknowledgement number is 0.
+    """
+    if flow.busy_since_s is None or not flow.opened or closing.acknowledged == 0:
+        return False
+    return _is_newer(closing.acknowledged, flow.acknowledged)
+
+
 class FlowTable:
     """Observed flows, least recently seen first.
 
@@ -142,7 +153,7 @@
         """
         flow = self._flows.get(packet.flow)
         if packet.closing:
-            return self._close(packet, now_s)
+            return self._close(packet, belief, now_s)
         if flow is None:
             self._start(packet, belief, kind, now_s)
             return FlowEvidence.NOTHING
@@ -154,7 +165,9 @@
             return FlowEvidence.NOTHING
         return self._evaluate_packet(flow, packet, now_s)
 
-    def _close(self, packet: Packet, now_s: float) -> FlowEvidence:
+    def _close(
+        self, packet: Packet, belief: TargetBelief, now_s: float
+    ) -> FlowEvidence:
         """Remove a flow; its last packet may acknowledge an answer.
 
         The caller of a flow with a single request acknowledges the answer only then.
@@ -162,13 +175,11 @@
         flow = self._flows.get(packet.flow)
         if flow is None:
             return FlowEvidence.NOTHING
-        answered = flow.busy_since_s is not None and _is_newer(
-            packet.acknowledged, flow.acknowledged
-        )
+        answered = flow.belief is belief and _is_answered_by(flow, packet)
         self.end(packet.flow)
         if not answered:
             return FlowEvidence.NOTHING
-        self._record_progress(flow.belief, now_s)
+        self._record_progress(belief, now_s)
         return FlowEvidence.PROGRESS
 
     def end(self, key: FlowKey) -> None:
--- a/endivepick/forwarding/tests/test_overload.py
+++ b/endivepick/forwarding/tests/test_overload.py
@@ -12,6 +12,7 @@
 from endivepick.forwarding import Fitness, FitnessReport, Reset
 from endivepick.forwarding.comparison import ServiceSample, TargetSums
 from endivepick.forwarding.fitness_reports import ServiceCounts, TargetCounts
+from endivepick.forwarding.flows import SEQUENCE_NUMBERS
 from endivepick.forwarding.recent_overloads import OVERLOAD_MEMORY_S, RecentOverloads
 from endivepick.forwarding.tests.support import (
     IDEMPOTENT_PORT,
@@ -208,6 +209,46 @@
         self.close(acknowledged=500)
         self.assertEqual(self.belief.requests.total, 0.0)
 
+    def test_answer_is_counted_once_when_the_last_packet_is_repeated(self):
+        self.close(acknowledged=500 + ANSWER_BYTES)
+        self.close(acknowledged=500 + ANSWER_BYTES)
+        self.assertEqual(self.belief.requests.total, 1.0)
+        self.assertEqual(self.belief.flows, 0)
+
+    def test_acknowledgement_that_wraps_around_is_an_answer(self):
+        near_end = SEQUENCE_NUMBERS - 100
+        flow = flow_key(1001, IDEMPOTENT_PORT)
+        self.core.on_packet(data(flow, self.belief.cookie, 101, near_end), b"", 0.01)
+        last = data(flow, self.belief.cookie, 401, ANSWER_BYTES - 100, 0)
+        self.core.on_packet(replace(last, closing=True), b"", 0.05)
+        self.assertEqual(self.belief.requests.good, 1.0)
+
+    def test_reset_without_acknowledgement_is_no_answer(self):
+        # For half of all sequence numbers, 0 is newer.
+        flow = flow_key(1001, IDEMPOTENT_PORT)
+        last_half = SEQUENCE_NUMBERS - 1000
+        self.core.on_packet(data(flow, self.belief.cookie, 101, last_half), b"", 0.01)
+        last = data(flow, self.belief.cookie, 401, 0, 0)
+        self.core.on_packet(replace(last, closing=True), b"", 0.05)
+        self.assertEqual(self.belief.requests.total, 0.0)
+        self.assertIsNone(self.core.flows.get(flow))
+
+    def test_last_packet_of_a_flow_that_began_elsewhere_is_no_answer(self):
+        last = data(flow_key(1001), self.belief.cookie, 401, 500 + ANSWER_BYTES, 0)
+        self.core.on_packet(replace(last, closing=True), b"", 0.05)
+        self.assertEqual(self.belief.requests.total, 0.0)
+
+    def test_last_packet_to_another_target_is_no_answer_of_the_first(self):
+        # The caller reused its port, and the new flow was opened elsewhere.
+        self.core.on_target(make_target("i-2", revision=20), 0.02)
+        other = self.core.registry.get("i-2")
+        last = data(self.flow, other.cookie, 401, 500 + ANSWER_BYTES, 0)
+        self.core.on_packet(replace(last, closing=True), b"", 0.05)
+        self.assertEqual(self.belief.requests.total, 0.0)
+        self.assertEqual(other.requests.total, 0.0)
+        self.assertEqual(self.belief.flows, 0)
+        self.assertEqual(self.belief.busy_flows, 0)
+
 
 if __name__ == "__main__":
     unittest.main()
