Protect the most urgent priority that has openings, and reserve fewer targets

Urgent openings were rejected as well, since routes without traffic have a higher priority, and less urgent openings crowded on half of the targets while the reserved ones had free slots.

Change: only priorities with openings in the last 10 s count; a quarter of the targets is reserved, and an admitted opening of a limited priority leaves it free with the share that is rejected of that priority.

--- a/endivepick/forwarding/admission/admission.py
+++ b/endivepick/forwarding/admission/admission.py
@@ -75,10 +75,13 @@
         """
         if packet_copy_number > 0 or has_earlier_copy:
             return _ADMITTED
+        admission = self._services.get(service)
+        if admission is None:
+            return _ADMITTED
+        admission.record_opening(route.priority, now_s)
         share = self.get_admitted_share(service, route.priority, now_s)
         if share >= 1.0 or random_share() < share:
             return _ADMITTED
-        admission = self._services[service]
         admission.rejected[route.priority] += 1
         tracker = admission.tracker
         return Rejected(
@@ -90,9 +93,20 @@
             now_s - tracker.known_s,
         )
 
-    def limits(self, service: str, priority: int, now_s: float) -> bool:
-        """Whether openings of a priority are limited now."""
-        return self.get_admitted_share(service, priority, now_s) < 1.0
+    def spares_reserved(
+        self,
+        service: str,
+        priority: int,
+        random_share: Callable[[], float],
+        now_s: float,
+    ) -> bool:
+        """Whether an admitted opening is kept off the targets reserved for urgent ones.
+
+        The more openings of its priority are rejected, the fewer of the others go
+        there.  ``random_share`` is called only if the priority is limited.
+        """
+        share = self.get_admitted_share(service, priority, now_s)
+        return share < 1.0 and random_share() >= share
 
     def get_service(self, service: str) -> ServiceAdmission | None:
         """Return the admission of a service, None if no route uses it."""
--- a/endivepick/forwarding/admission/limits.py
+++ b/endivepick/forwarding/admission/limits.py
@@ -6,7 +6,7 @@
 than requests of any priority shed.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from endivepick.forwarding.model import Configuration
 
@@ -29,13 +29,13 @@
     """Admitted share of the openings of each priority of one service.
 
     A more urgent priority never has a lower share than a less urgent one, and the most
-    urgent one is never limited.
+    urgent one that has openings is never limited.
 
     Examples
     --------
     >>> limits = AdmissionLimits()
     >>> limits.set_priorities([0, 2])
-    >>> limits.cut()
+    >>> limits.cut(active={0, 2})
     >>> limits.get_share(0), limits.get_share(2)
     (1.0, 0.6)
     """
@@ -72,11 +72,20 @@
         for priority in self._shares:
             self._shares[priority] = 1.0
 
-    def cut(self) -> None:
-        """Cut the least urgent priority that is above the lowest share."""
-        for priority in reversed(list(self._shares)[1:]):
-            share = self._shares[priority]
-            if share > MIN_ADMITTED_SHARE:
+    def cut(self, active: Collection[int]) -> None:
+        """Cut the least urgent priority that is above the lowest share.
+
+        Parameters
+        ----------
+        active : collection of int
+            Priorities that have had openings recently.  The most urgent of them is not
+            limited: others that are more urgent have no openings to make room for.
+        """
+        most_urgent = min((p for p in active if p in self._shares), default=None)
+        if most_urgent is None:
+            return
+        for priority, share in reversed(self._shares.items()):
+            if priority > most_urgent and share > MIN_ADMITTED_SHARE:
                 self._shares[priority] = max(MIN_ADMITTED_SHARE, share * CUT_FACTOR)
                 return
 
--- a/endivepick/forwarding/admission/service_admission.py
+++ b/endivepick/forwarding/admission/service_admission.py
@@ -20,6 +20,9 @@
 """Factor of the share of short answers between two cuts below which it falls, and no
 further cut is needed.  A mean over two seconds falls to 0.6 in this time if nothing is
 shed any more."""
+ACTIVE_S = 10.0
+"""Time since its last opening for which a priority is active, in seconds; one of many
+instances sees an opening of a rare priority every few seconds."""
 FREE_BUSY_PER_SLOT = 0.75
 """Requests in progress per slot below which all priorities are raised together and by
 more: with a quarter of the slots free, none takes room from a more urgent one."""
@@ -44,6 +47,11 @@
         self.rejected: Counter[int] = Counter()
         self._adjusted_s = float("-inf")
         self._short_share_at_cut = 0.0
+        self._opened_s: dict[int, float] = {}
+
+    def record_opening(self, priority: int, now_s: float) -> None:
+        """Record that a caller opens a flow of a priority."""
+        self._opened_s[priority] = now_s
 
     def update(self, reading: OverloadReading | None, now_s: float) -> bool:
         """Apply a reading, None if the load is unknown.
@@ -69,18 +77,23 @@
         if self.tracker.state is OverloadState.OVERLOADED:
             if reading.used_up and since_s >= CUT_INTERVAL_S:
                 self._adjusted_s = now_s
-                self._cut(reading)
+                self._cut(reading, now_s)
         elif reading.has_room and since_s >= RAISE_INTERVAL_S:
             self._adjusted_s = now_s
             self._raise(reading)
         if self.limits.all_admitted:
             self.tracker.on_all_admitted(now_s)
 
-    def _cut(self, reading: OverloadReading) -> None:
+    def _cut(self, reading: OverloadReading, now_s: float) -> None:
         falling_share = FALLING_FACTOR * self._short_share_at_cut
         self._short_share_at_cut = reading.short_share
         if reading.short_share >= falling_share:
-            self.limits.cut()
+            self.limits.cut(self._find_active(now_s))
+
+    def _find_active(self, now_s: float) -> set[int]:
+        """Return the priorities that have had openings recently."""
+        oldest_s = now_s - ACTIVE_S
+        return {p for p, opened_s in self._opened_s.items() if opened_s >= oldest_s}
 
     def _raise(self, reading: OverloadReading) -> None:
         if reading.busy_per_slot < FREE_BUSY_PER_SLOT:
--- a/endivepick/forwarding/admission/tests/test_service_admission.py
+++ b/endivepick/forwarding/admission/tests/test_service_admission.py
@@ -19,6 +19,8 @@
         """Apply a reading until a time has passed; returns the share of priority 2."""
         for _ in range(round(duration_s * 8)):
             self.now_s += 0.125
+            for priority in (0, 1, 2):
+                self.admission.record_opening(priority, self.now_s)
             self.admission.update(reading, self.now_s)
         return self.admission.limits.get_share(2)
 
--- a/endivepick/forwarding/load/reserved.py
+++ b/endivepick/forwarding/load/reserved.py
@@ -17,9 +17,9 @@
 
 __all__ = ["RESERVED_SHARE", "exclude_reserved", "is_reserved"]
 
-RESERVED_SHARE = 0.5
-"""Share of the targets that less urgent flows leave free while they are limited.  With
-half of the targets, neither kind of flow can fill all of them."""
+RESERVED_SHARE = 0.25
+"""Share of the targets that less urgent flows may be kept off while they are limited.
+The other three quarters keep room for them when little is asked with more urgency."""
 
 _HASH_RANGE = 2**32
 
--- a/endivepick/forwarding/opening_handler.py
+++ b/endivepick/forwarding/opening_handler.py
@@ -166,10 +166,12 @@
         tried: tuple[str, ...] = ()
         if opening is not None and self._retries_elsewhere:
             tried = opening.targets
-        is_limited = self._admission is not None and self._admission.limits(
-            service, route.priority, now_s
-        )
-        return PlacementRequest(service, route, tried, spares_reserved=is_limited)
+        spares_reserved = False
+        if self._admission is not None:
+            spares_reserved = self._admission.spares_reserved(
+                service, route.priority, self._random_share, now_s
+            )
+        return PlacementRequest(service, route, tried, spares_reserved)
 
     def _suspect_previous_target(
         self, opening: Opening | None, flow: FlowKey, now_s: float
