--- a/endivepick/forwarding/admission/overload_state.py
+++ b/endivepick/forwarding/admission/overload_state.py
@@ -6,8 +6,10 @@
 """
 
 from enum import Enum
+from math import exp
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 from endivepick.forwarding._charts import OVERLOAD
 
@@ -27,6 +29,9 @@
 LEAVE_AFTER_S = 1.0
 """Time for which a service has to have room, in seconds; signals are means over about a
 second, so an earlier end would rest on the beginning of a decline."""
+USUAL_SHARE_TIME_S = 10.0
+"""Time constant of the usual share of short answers, in seconds; it is learnt while
+slots are free, when hardly any request is shed."""
 MAX_SIGNAL_AGE_S = 2.0
 """Time for which a state is kept without signals, in seconds."""
 
@@ -77,16 +82,19 @@
         Share of short answers among all answers.
     busy_per_slot : float
         Requests in progress per slot, waiting ones included.
+    usual_short_share : float
+        Share of short answers while slots are free: some requests ask for little.
     """
 
     short_share: float
     busy_per_slot: float
+    usual_short_share: float = 0.0
 
     @property
     def used_up(self) -> bool:
         """Whether requests are shed because every slot is used."""
         return (
-            self.short_share >= ENTER_SHORT_SHARE
+            self.short_share - self.usual_short_share >= ENTER_SHORT_SHARE
             and self.busy_per_slot >= FULL_BUSY_PER_SLOT
         )
 
@@ -125,13 +133,18 @@
         self.known_s = float("-inf")
         self.since_s: float | None = None
         self._condition_since_s: float | None = None
+        self._usual_short_share: float | None = None
 
     def update(self, reading: OverloadReading | None, now_s: float) -> None:
         """Apply a reading; None if the load is unknown."""
         if reading is None:
             self._on_unknown(now_s)
             return
-        self.reading, self.known_s = reading, now_s
+        self._learn_usual(reading, now_s)
+        self.reading = reading = replace(
+            reading, usual_short_share=self._usual_short_share or 0.0
+        )
+        self.known_s = now_s
         if self.state is OverloadState.OVERLOADED:
             self._await(
                 OverloadEvent.ROOM_FOUND, reading.has_room, LEAVE_AFTER_S, now_s
@@ -149,6 +162,18 @@
         """Whether the state rests on a reading that is not too old."""
         return now_s - self.known_s <= MAX_SIGNAL_AGE_S
 
+    def _learn_usual(self, reading: OverloadReading, now_s: float) -> None:
+        """Learn the usual share of short answers while slots are free."""
+        if not reading.has_room or self.state is not OverloadState.NORMAL:
+            return
+        if self._usual_short_share is None:
+            self._usual_short_share = reading.short_share
+            return
+        weight = 1.0 - exp(-(now_s - self.known_s) / USUAL_SHARE_TIME_S)
+        self._usual_short_share += weight * (
+            reading.short_share - self._usual_short_share
+        )
+
     def _on_unknown(self, now_s: float) -> None:
         self._condition_since_s = None
         if not self.is_known(now_s):
--- a/endivepick/forwarding/admission/service_admission.py
+++ b/endivepick/forwarding/admission/service_admission.py
@@ -75,7 +75,7 @@
     def _adjust(self, reading: OverloadReading, now_s: float) -> None:
         since_s = now_s - self._adjusted_s
         if self.tracker.state is OverloadState.OVERLOADED:
-            if reading.used_up and since_s >= CUT_INTERVAL_S:
+            if self.tracker.reading.used_up and since_s >= CUT_INTERVAL_S:
                 self._adjusted_s = now_s
                 self._cut(reading, now_s)
         elif reading.has_room and since_s >= RAISE_INTERVAL_S:
--- a/endivepick/forwarding/admission/tests/test_overload_state.py
+++ b/endivepick/forwarding/admission/tests/test_overload_state.py
@@ -30,6 +30,21 @@
         self.assertIs(self.run_for(0.5, FULL), OverloadState.NORMAL)
         self.assertIs(self.run_for(STEP_S, FULL), OverloadState.OVERLOADED)
 
+    def test_usual_short_answers_of_a_busy_service_are_no_overload(self):
+        """A part of the requests asks for little, so their answers are short."""
+        self.run_for(10.0, OverloadReading(0.12, 0.5))
+        state = self.run_for(30.0, OverloadReading(0.12, 1.5))
+        self.assertIs(state, OverloadState.NORMAL)
+        state = self.run_for(1.0, OverloadReading(0.18, 1.5))
+        self.assertIs(state, OverloadState.OVERLOADED)
+
+    def test_shares_of_an_overload_are_not_learnt_as_usual(self):
+        self.run_for(10.0, FREE)
+        self.run_for(30.0, FULL)
+        self.run_for(1.5, SHEDS_WITH_FREE_SLOTS)
+        self.tracker.on_all_admitted(self.now_s)
+        self.assertIs(self.run_for(1.0, FULL), OverloadState.OVERLOADED)
+
     def test_few_targets_that_shed_beside_free_slots_are_no_overload(self):
         state = self.run_for(30.0, SHEDS_WITH_FREE_SLOTS)
         self.assertIs(state, OverloadState.NORMAL)
--- a/endivepick/forwarding/belief.py
+++ b/endivepick/forwarding/belief.py
@@ -207,6 +207,8 @@
         Flows to it that this instance observes.
     busy_flows : int
         Those of them with a request in progress.
+    stalled_flows : int
+        Those of the busy ones whose request is overdue.
     progress_s : float
         When a caller last acknowledged new data from it, in seconds.
     probed_s : float
@@ -232,6 +234,7 @@
     cold_until_s: float = 0.0
     flows: int = 0
     busy_flows: int = 0
+    stalled_flows: int = 0
     progress_s: float = float("-inf")
     probed_s: float = float("-inf")
     hinted_s: float = float("-inf")
--- a/endivepick/forwarding/flows.py
+++ b/endivepick/forwarding/flows.py
@@ -54,6 +54,8 @@
         When the data that the target has not answered yet first arrived, in seconds.
     overdue : bool
         The request in progress is unanswered for far longer than the baseline.
+    stalled : bool
+        The request in progress is overdue and no longer counts as load of its target.
     answered : bool
         At least one request was answered.
     served : bool
@@ -71,6 +73,7 @@
     opened_s: float | None
     busy_since_s: float | None = None
     overdue: bool = False
+    stalled: bool = False
     answered: bool = False
     served: bool = False
     logged_degraded_reason: str = ""
@@ -195,6 +198,16 @@
         self._set_idle(flow)
         self._remove_from_target(flow.belief)
 
+    def mark_stalled(self, flow: ObservedFlow) -> None:
+        """Record that the request in progress of a flow is no load of its target.
+
+        Its target may have dropped the request, or reset the flow at its caller, which
+        an instance does not see.
+        """
+        if flow.busy_since_s is not None and not flow.stalled:
+            flow.stalled = True
+            flow.belief.stalled_flows += 1
+
     def forget_requests(self) -> None:
         """Clear the requests in progress of all flows, but keep the flows."""
         for flow in self._flows.values():
@@ -280,3 +293,6 @@
         if flow.busy_since_s is not None:
             flow.busy_since_s = None
             flow.belief.busy_flows -= 1
+        if flow.stalled:
+            flow.stalled = False
+            flow.belief.stalled_flows -= 1
--- a/endivepick/forwarding/load/meter.py
+++ b/endivepick/forwarding/load/meter.py
@@ -72,7 +72,7 @@
         gained = 1.0 - exp(-max(0.0, now_s - self._sampled_s) / MEAN_TIME_S)
         self._sampled_s = now_s
         for each in self._measured.values():
-            each.busy += (each.belief.busy_flows - each.busy) * gained
+            each.busy += (_count_busy(each.belief) - each.busy) * gained
         self._forget_idle_targets(now_s)
 
     def report(self, now_s: float) -> LoadReport:
@@ -105,6 +105,11 @@
         return max(measured.busy, *rates_per_s) < MIN_MEAN
 
 
+def _count_busy(belief: TargetBelief) -> int:
+    """Return the requests in progress that a target may be working on."""
+    return belief.busy_flows - belief.stalled_flows
+
+
 def _make_target_load(measured: _MeasuredTarget) -> TargetLoad:
     belief = measured.belief
     busy = round(measured.busy, 2)
--- a/endivepick/forwarding/request_counter.py
+++ b/endivepick/forwarding/request_counter.py
@@ -108,6 +108,7 @@
     def record_overdue(self, flow: ObservedFlow, now_s: float) -> None:
         """Count the request in progress of a flow as unanswered, until it is."""
         flow.overdue = True
+        self._flows.mark_stalled(flow)
         counts = decay(flow.belief.requests, now_s)
         self._add_suspect(flow)
         counts.failed += 1.0
