--- a/endivepick/forwarding/load/tests/test_meter.py
+++ b/endivepick/forwarding/load/tests/test_meter.py
@@ -67,6 +67,31 @@
         self.assertEqual(self.report().services, [])
         self.assertEqual((self.meter._measured, belief.busy_flows), ({}, 0))
 
+    def test_request_that_its_target_dropped_is_no_load(self):
+        """The target reset the flow at its caller, which opens another one."""
+        self.make_meter(make_target("i-1"))
+        belief = self.send_request()
+        self.run_for(3.0)
+        self.core.outlier_detector.requests.record_overdue(
+            self.core.flows.get(flow_key()), self.now_s
+        )
+        self.run_for(8.0)
+        self.assertEqual(self.report().targets[0].busy, 0.0)
+        self.assertEqual((belief.busy_flows, belief.stalled_flows), (1, 1))
+        self.core.flows.end(flow_key())
+        self.assertEqual((belief.busy_flows, belief.stalled_flows), (0, 0))
+
+    def test_request_that_is_answered_late_counts_again_with_the_next(self):
+        self.make_meter(make_target("i-1"))
+        belief = self.send_request()
+        flow = self.core.flows.get(flow_key())
+        self.core.outlier_detector.requests.record_overdue(flow, self.now_s)
+        answer = data(flow_key(), belief.cookie, 401, 900, 0)
+        self.core.on_packet(answer, b"", self.now_s)
+        self.assertEqual((belief.busy_flows, belief.stalled_flows), (0, 0))
+        self.core.on_packet(data(flow_key(), belief.cookie, 401, 900), b"", self.now_s)
+        self.assertEqual((belief.busy_flows, belief.stalled_flows), (1, 0))
+
     def test_pause_of_the_process_takes_the_present_load(self):
         self.make_meter(make_target("i-1"))
         self.send_request()
