End limits when an overload ends, and weigh priorities by their openings

And openings of the second priority were rejected for a first one that a few test flows only use.

Change: a request that waits for twice its route's aim is stalled and no load. A priority counts as active with a tenth of the recent openings.

--- a/endivepick/forwarding/admission/limits.py
+++ b/endivepick/forwarding/admission/limits.py
@@ -78,8 +78,8 @@
         Parameters
         ----------
         active : collection of int
-            Priorities that have had openings recently.  The most urgent of them is not
-            limited: others that are more urgent have no openings to make room for.
+            Priorities with a notable share of the openings.  The most urgent of them is
+            not limited: more urgent ones have hardly any openings to make room for.
         """
         most_urgent = min((p for p in active if p in self._shares), default=None)
         if most_urgent is None:
--- a/endivepick/forwarding/admission/tests/test_service_admission.py
+++ b/endivepick/forwarding/admission/tests/test_service_admission.py
@@ -24,6 +24,19 @@
             self.admission.update(reading, self.now_s)
         return self.admission.limits.get_share(2)
 
+    def test_priority_with_few_openings_takes_no_room_from_others(self):
+        """A route of the highest priority is only tested, once in five seconds."""
+        self.admission.limits.set_priorities([0, 1, 2])
+        for tick in range(240):
+            now_s = 0.125 * (tick + 1)
+            if tick % 40 == 0:
+                self.admission.record_opening(0, now_s)
+            for priority in (1, 2):
+                self.admission.record_opening(priority, now_s)
+            self.admission.update(OverloadReading(0.5, 4.0), now_s)
+        self.assertEqual(self.admission.limits.get_share(1), 1.0)
+        self.assertAlmostEqual(self.admission.limits.get_share(2), 0.1)
+
     def test_cut_is_not_repeated_while_the_last_one_works(self):
         share = self.run_for(0.75, OverloadReading(0.5, 4.0))
         for short_share in (0.4, 0.3, 0.2, 0.1):
--- a/endivepick/forwarding/forwarder.py
+++ b/endivepick/forwarding/forwarder.py
@@ -332,6 +332,8 @@
             self._record_answer(flow, answered_since_s, size_bytes, now_s)
             if not packet.closing:
                 self._record_request(flow, busy_since_s, now_s)
+        if self.load is not None and flow is not None and route is not None:
+            self._record_load(flow, route, busy_since_s, now_s)
         self._log_degraded_target(packet.flow, belief, now_s)
         match flow_evidence:
             case FlowEvidence.PROGRESS:
@@ -344,6 +346,18 @@
                 pass
         return Forward(belief)
 
+    def _record_load(
+        self,
+        flow: ObservedFlow,
+        route: Route,
+        busy_since_s: float | None,
+        now_s: float,
+    ) -> None:
+        """Record the start of a request with its aim, if the packet was its first."""
+        if flow.busy_since_s is not None and flow.busy_since_s != busy_since_s:
+            assert self.load is not None
+            self.load.record_request(flow, route.aim_s, now_s)
+
     def _record_answer(
         self,
         flow: ObservedFlow,
--- a/endivepick/forwarding/load/shared_load.py
+++ b/endivepick/forwarding/load/shared_load.py
@@ -1,6 +1,7 @@
 """Load that the instances share: own measurement, sums of a feeder, and the view."""
 
-from endivepick.forwarding.flows import FlowTable
+from endivepick.forwarding.answer_deadlines import AnswerDeadlines
+from endivepick.forwarding.flows import FlowTable, ObservedFlow
 from endivepick.forwarding.load.meter import LoadMeter
 from endivepick.forwarding.load.reports import LoadReport, ZoneLoad, ZoneTotals
 from endivepick.forwarding.load.view import LoadView
@@ -18,6 +19,12 @@
 The followers of a feeder that stopped poll its successor within this time.  It is less
 than a poll is held, so that the answers to these polls have the load."""
 
+STALLED_AIMS = 2.0
+"""Multiple of its aim after which a request in progress no longer counts as load.  Its
+target may have dropped it or reset its flow at the caller, which shows here only when
+the flow expires.  A target with so long a queue is still seen to be full by the
+requests that came later."""
+
 REPORT_LAG_S = 0.5
 """Time until a report shows the load of an opening, in seconds: its caller first
 completes the handshake, and the mean of the requests in progress follows in about a
@@ -39,6 +46,8 @@
 
     def __init__(self, zone: str, flows: FlowTable, registry: TargetRegistry) -> None:
         self.meter = LoadMeter(flows, registry)
+        self._flows = flows
+        self._deadlines = AnswerDeadlines()
         self.sums = ZoneSums(zone)
         self.view = LoadView(zone)
         self._zone = zone
@@ -74,8 +83,16 @@
         elif self._feeding_since_s is None:
             self._feeding_since_s = now_s
 
+    def record_request(self, flow: ObservedFlow, aim_s: float, now_s: float) -> None:
+        """Record the start of a request; ``aim_s`` is 0 if it has no aim."""
+        if aim_s > 0.0:
+            due_s = now_s + STALLED_AIMS * aim_s
+            self._deadlines.add_deadline(flow.key, now_s, due_s)
+
     def tick(self, now_s: float) -> None:
         """Sample the own load; at a feeder, update the view from the sums."""
+        for flow in self._deadlines.pop_overdue(self._flows, now_s):
+            self._flows.mark_stalled(flow)
         self.meter.tick(now_s)
         self.zone_load(now_s)
 
--- a/endivepick/forwarding/load/tests/test_shared_load.py
+++ b/endivepick/forwarding/load/tests/test_shared_load.py
@@ -1,10 +1,13 @@
 import unittest
 
+from msgspec.structs import replace
+
 from endivepick.forwarding.load.shared_load import FEEDING_SETTLES_S, MERGE_PERIOD_S
 from endivepick.forwarding.load.view import OPEN_FLOW_WEIGHT, VIEW_VALID_S
 from endivepick.forwarding.tests.support import (
     data,
     flow_key,
+    make_configuration,
     make_core,
     make_target,
     open_flow,
@@ -103,5 +106,28 @@
         self.assertGreater(after, before)
 
 
+class TestRequestsWithoutAnAnswer(unittest.TestCase):
+    """A target resets flows at their callers, whose requests stay in progress here."""
+
+    AIM_S = 0.4
+
+    def test_requests_are_no_load_after_twice_their_aim(self):
+        core = make_core([make_target("i-1")], shares_load=True)
+        configuration = make_configuration(revision=2, version=8)
+        routes = tuple(
+            replace(route, aim_s=self.AIM_S) for route in configuration.routes
+        )
+        core.on_configuration(replace(configuration, routes=routes), 0.0)
+        key = flow_key(1000)
+        belief = open_flow(core, key, 0.0)
+        core.on_packet(data(key, belief.cookie), b"", 0.0)
+        core.tick(2 * self.AIM_S - 0.01)
+        self.assertEqual(belief.stalled_flows, 0)
+        core.tick(2 * self.AIM_S)
+        self.assertEqual((belief.busy_flows, belief.stalled_flows), (1, 1))
+        core.on_packet(data(key, belief.cookie, 401, 900), b"", 1.0)
+        self.assertEqual((belief.busy_flows, belief.stalled_flows), (1, 0))
+
+
 if __name__ == "__main__":
     unittest.main()
