Split the recognition of requests and answers from the forwarding core

A recorder tells outlier detection and shared load of requests and answers; it has the packet, the flow before it and the aim of its route.

--- a/endivepick/forwarding/forwarder.py
+++ b/endivepick/forwarding/forwarder.py
@@ -32,12 +32,7 @@
 )
 from endivepick.forwarding.failure_detector import FailureDetector
 from endivepick.forwarding.fitness_reports import MAX_REPORTED_TARGETS, FitnessReport
-from endivepick.forwarding.flows import (
-    SEQUENCE_NUMBERS,
-    FlowEvidence,
-    FlowTable,
-    ObservedFlow,
-)
+from endivepick.forwarding.flows import FlowEvidence, FlowTable
 from endivepick.forwarding.held_packets import (
     HeldPacket,
     HeldPackets,
@@ -57,6 +52,7 @@
 from endivepick.forwarding.placement_filter import PlacementFilter
 from endivepick.forwarding.registry import TargetRegistry
 from endivepick.forwarding.registry_news import RegistryNews
+from endivepick.forwarding.request_recorder import FlowBefore, RequestRecorder
 from endivepick.forwarding.resets import reset_packet
 from endivepick.forwarding.routes import RouteTable
 from endivepick.forwarding.settings import ForwardingSettings, apply_mechanisms
@@ -117,6 +113,8 @@
             random_share,
         )
         self.outlier_detector = OutlierDetector(settings, self.registry, self.flows)
+        judged_by = self.outlier_detector if settings.mechanisms.judge_targets else None
+        self._requests = RequestRecorder(judged_by, self.load)
         self._unknown = UnknownCookies(settings.lapse_grace_s)
         self._held = HeldPackets(settings)
         self._registry_requested_s = float("-inf")
@@ -316,84 +314,28 @@
         # A flow without a route here was opened under a newer configuration.
         kind = RouteKind.AT_MOST_ONCE if route is None else route.kind
         known = self.flows.get(packet.flow)
-        busy_since_s = None if known is None else known.busy_since_s
-        acknowledged = packet.acknowledged if known is None else known.acknowledged
+        before = FlowBefore.of(known, packet)
         reason = self._find_reset_reason(packet, kind, belief)
         if reason is not None:
             self.flows.end(packet.flow)
             return self._reset(packet, reason, belief.name, now_s)
         flow_evidence = self.flows.observe(packet, belief, kind, now_s)
         flow = self.flows.get(packet.flow) or known
-        if flow is not None and self.settings.mechanisms.judge_targets:
-            answered_since_s = (
-                busy_since_s if flow_evidence is FlowEvidence.PROGRESS else None
-            )
-            size_bytes = (packet.acknowledged - acknowledged) % SEQUENCE_NUMBERS
-            self._record_answer(flow, answered_since_s, size_bytes, now_s)
-            if not packet.closing:
-                self._record_request(flow, busy_since_s, now_s)
-        if self.load is not None and flow is not None and route is not None:
-            self._record_load(flow, route, busy_since_s, now_s)
+        if flow is not None:
+            aim_s = 0.0 if route is None else route.aim_s
+            self._requests.record(flow, before, packet, flow_evidence, aim_s, now_s)
         self._log_degraded_target(packet.flow, belief, now_s)
         match flow_evidence:
             case FlowEvidence.PROGRESS:
                 self.effects += self._failure_detector.progress(belief, now_s)
-            case FlowEvidence.RETRANSMISSION if busy_since_s is not None:
+            case FlowEvidence.RETRANSMISSION if before.busy_since_s is not None:
                 self.effects += self._failure_detector.suspect(
-                    belief, packet.flow, busy_since_s, now_s
+                    belief, packet.flow, before.busy_since_s, now_s
                 )
             case _:
                 pass
         return Forward(belief)
 
-    def _record_load(
-        self,
-        flow: ObservedFlow,
-        route: Route,
-        busy_since_s: float | None,
-        now_s: float,
-    ) -> None:
-        """Record the start of a request with its aim, if the packet was its first."""
-        if flow.busy_since_s is not None and flow.busy_since_s != busy_since_s:
-            assert self.load is not None
-            self.load.record_request(flow, route.aim_s, now_s)
-
-    def _record_answer(
-        self,
-        flow: ObservedFlow,
-        busy_since_s: float | None,
-        size_bytes: int,
-        now_s: float,
-    ) -> None:
-        """Record the start of the answer to the request in progress, if there was one.
-
-        Parameters
-        ----------
-        flow : ObservedFlow
-            Its flow, which the packet that acknowledged the answer may have closed.
-        busy_since_s : float or None
-            When the request started, in seconds; None if there was none.
-        size_bytes : int
-            Bytes of the answer that were acknowledged.
-        now_s : float
-            Current time, in seconds.
-        """
-        if busy_since_s is None:
-            return
-        waited_s = now_s - busy_since_s
-        self.outlier_detector.requests.answered(flow, waited_s, size_bytes, now_s)
-
-    def _record_request(
-        self, flow: ObservedFlow, busy_since_s: float | None, now_s: float
-    ) -> None:
-        """Record the start of a request, if the packet was its first.
-
-        ``busy_since_s`` is when the previous request started, in seconds; None if it
-        was answered.
-        """
-        if flow.busy_since_s is not None and flow.busy_since_s != busy_since_s:
-            self.outlier_detector.requests.record_request(flow, now_s)
-
     def _log_degraded_target(
         self, key: FlowKey, belief: TargetBelief, now_s: float
     ) -> None:
