Check the sums of load reports in the model

Cause: that each instance counts once in a feeder's sums, with its newest report, was tested by example only; it depends on the order of late reports, of changes of the feeder and of what feeders tell each other.

Ruled out: modelling messages that outlive a second: polls and calls between feeders end sooner. A restart is a check of its own, within a second; feeders do not restart.

Change: a specification with the production `ZoneSums` of two feeders, two checks and five mutations: numbers ignored, sums told instead of reports, a restart from number zero, expired reports kept, reports told without age.

--- a/endivepick/model/_other_scenarios.py
+++ b/endivepick/model/_other_scenarios.py
@@ -16,6 +16,10 @@
     EVACUATION_SCENARIOS,
 )
 from endivepick.model._evidence_mutants import EVIDENCE_MUTATIONS, EVIDENCE_SCENARIOS
+from endivepick.model._load_report_mutants import (
+    LOAD_REPORT_MUTATIONS,
+    LOAD_REPORT_SCENARIOS,
+)
 from endivepick.model._mutation import Mutation
 from endivepick.model._placement_node import PlacementParts
 from endivepick.model._registry_mutants import REGISTRY_MUTATIONS, REGISTRY_SCENARIOS
@@ -127,6 +131,7 @@
     **EVIDENCE_SCENARIOS,
     **CHANGE_SCENARIOS,
     **EVACUATION_SCENARIOS,
+    **LOAD_REPORT_SCENARIOS,
     **RESTART_SCENARIOS,
 }
 """Factories of the specifications to check, by name."""
@@ -136,6 +141,7 @@
     **EVIDENCE_MUTATIONS,
     **CHANGE_MUTATIONS,
     **EVACUATION_MUTATIONS,
+    **LOAD_REPORT_MUTATIONS,
     **RESTART_MUTATIONS,
     "a target runs any request": _placement(
         PlacementBounds(False, rules=TargetRules(service=False, incarnation=False))
--- a/endivepick/model/tests/test_specifications.py
+++ b/endivepick/model/tests/test_specifications.py
@@ -28,6 +28,7 @@
     "evidence, one step of time",
     "restarts",
     "told changes, a route returns",
+    "load reports, a restart",
 )
 
 
