--- a/endivepick/forwarding/fitness_reports.py
+++ b/endivepick/forwarding/fitness_reports.py
@@ -19,6 +19,7 @@
     "ServiceCounts",
     "SilentTarget",
     "TargetCounts",
+    "describe_counts",
     "merge_reports",
     "sanitize_report",
 ]
@@ -206,6 +207,20 @@
     )
 
 
+def describe_counts(here: RequestSums, reported: TargetCounts | None) -> str:
+    """Return the counts of a target's requests as text for the log."""
+    text = (
+        f"{here.failed:.1f} failed, {here.poor:.1f} poor and {here.late:.1f} "
+        f"late of {here.total:.1f} here"
+    )
+    if reported is not None:
+        text += (
+            f", {reported.failed:.1f}, {reported.poor:.1f} and {reported.late:.1f} of "
+            f"{reported.total:.1f} at {reported.instances} instances"
+        )
+    return text
+
+
 def sanitize_report(report: FitnessReport) -> FitnessReport:
     """Return a report without content that no instance of this build can send."""
     usual = [counts for counts in report.usual if counts.is_valid]
--- a/endivepick/forwarding/outlier_detector.py
+++ b/endivepick/forwarding/outlier_detector.py
@@ -38,6 +38,7 @@
     MIN_REPORTED_BAD,
     FitnessReport,
     TargetCounts,
+    describe_counts,
 )
 from endivepick.forwarding.flows import FlowTable, ObservedFlow
 from endivepick.forwarding.model import RouteKind
@@ -297,7 +298,7 @@
     ) -> list[Effect]:
         if not self._may_eject(belief):
             return []
-        reason = f"evidence {score:.1f}: {_describe_counts(counts, reported)}"
+        reason = f"evidence {score:.1f}: {describe_counts(counts, reported)}"
         event = FitnessEvent.CONDEMNED
         changes = self._registry.record_fitness(belief, event, reason, now_s)
         return [*changes, *self._reset_flows(belief, now_s)]
@@ -397,7 +398,7 @@
                 belief.name,
                 belief.target.service,
                 fault,
-                _describe_counts(belief.requests, reported),
+                describe_counts(belief.requests, reported),
                 None if reported is None else self._zone.report_age_s(now_s),
             )
         ]
@@ -431,20 +432,6 @@
         return confirm_fault(counts, evidence, now_s)
 
 
-def _describe_counts(counts: RequestCounts, reported: TargetCounts | None) -> str:
-    """Return the counts of a target's requests as text for the log."""
-    text = (
-        f"{counts.failed:.1f} failed, {counts.poor:.1f} poor and {counts.late:.1f} "
-        f"late of {counts.total:.1f} here"
-    )
-    if reported is not None:
-        text += (
-            f", {reported.failed:.1f}, {reported.poor:.1f} and {reported.late:.1f} of "
-            f"{reported.total:.1f} at {reported.instances} instances"
-        )
-    return text
-
-
 def _has_passed_probation(belief: TargetBelief, now_s: float) -> bool:
     """Whether a target on probation has completed it."""
     probation_s = now_s - belief.fitness_since_s
