Keep shared load within the bytes that control may take

A feeder on a fast link told the load of 256 targets in each answer, more than the 9 kB a second that control may take of an instance. Now polls carry 64 targets and news 48; the rest counts as busy as the least busy that are listed.

--- a/endivepick/forwarding/load/reports.py
+++ b/endivepick/forwarding/load/reports.py
@@ -20,9 +20,9 @@
     "sanitize_zone_load",
 ]
 
-MAX_REPORT_TARGETS = 128
+MAX_REPORT_TARGETS = 64
 """Maximum number of targets in the report of one instance."""
-MAX_ZONE_TARGETS = 256
+MAX_ZONE_TARGETS = 48
 """Maximum number of targets in the sums of a zone, which a feeder sends to each of its
 followers; more targets share the load, so that each of them matters less."""
 MAX_SERVICE_SUMS = 128
