Load the status of shared load only where load is shared

Each reading of the metrics asked for that status, and the first one loaded its module while packets waited, also where no load is shared. What is returned stays the same.

--- a/endivepick/forwarder/forwarder.py
+++ b/endivepick/forwarder/forwarder.py
@@ -135,6 +135,8 @@
         )
 
     def _read_load_status(self) -> LoadStatus:
+        if self.core.load is None:
+            return LoadStatus()
         # Loaded on demand: it is needed only by operators, and a start waits for each
         # import.
         from endivepick.forwarder.load_status_builder import read_load_status
