Log the routes of overdue requests, and how long a reset flow was quiet

So the lines did not tell whether all requests of a target were late or only those of one route, nor whether a reset flow was in use here or had gone on through another instance.

fault_confirmed now has overdue_routes (routes and numbers of the overdue requests that this instance counted), and flow_reset has quiet_s (time since the flow's last packet here; null if the reset answers a packet). The callers and routes of bad requests move to a class of their own.

--- a/endivepick/forwarder/decision_log.py
+++ b/endivepick/forwarder/decision_log.py
@@ -92,6 +92,7 @@
             told_before_s=None
             if told_before_s is None
             else truncate_number(told_before_s),
+            overdue_routes=confirmed.overdue_routes,
         )
 
     def log_opening_rejected(self, rejected: OpeningRejected) -> None:
@@ -137,6 +138,7 @@
             flow_key=str(reset.flow),
             target=reset.target,
             reason=reset.reason.value,
+            quiet_s=None if reset.quiet_s is None else truncate_number(reset.quiet_s),
         )
 
     def log_probe(self, result: ProbeResult) -> None:
--- a/endivepick/forwarder/tests/test_decision_log.py
+++ b/endivepick/forwarder/tests/test_decision_log.py
@@ -29,6 +29,17 @@
         (line,) = reader.events
         return line
 
+    def test_line_tells_the_routes_of_overdue_requests(self):
+        confirmed = FaultConfirmed(
+            "i-3", "notes", ConfirmedFault.SLOW, "", None, "198.18.0.1:443: 7"
+        )
+        reader = Reader()
+        log = BoundedLog("a", reader.write)
+        DecisionLog(log, ForwarderMetrics()).log_fault_confirmed(confirmed)
+        log.flush()
+        (line,) = reader.events
+        self.assertEqual(line["overdue_routes"], "198.18.0.1:443: 7")
+
     def test_line_contains_fault_and_reason(self):
         line = self.line(0.25)
         self.assertEqual(line["event"], "fault_confirmed")
--- a/endivepick/forwarding/actions.py
+++ b/endivepick/forwarding/actions.py
@@ -76,12 +76,16 @@
         Why the flow is reset.
     target : str
         Target of the flow, "" if it has none.
+    quiet_s : float or None
+        Time since the flow's last packet here, in seconds; None if the reset answers a
+        packet.
     """
 
     flow: FlowKey
     sequence: int
     reason: ResetReason
     target: str = ""
+    quiet_s: float | None = None
 
 
 class Drop(Struct, frozen=True):
@@ -179,6 +183,8 @@
         Request counts that confirmed it, of this instance and of the zone.
     told_before_s : float or None
         Age of the zone's report, in seconds; None if there is none.
+    overdue_routes : str
+        Routes of the overdue requests that this instance counted, with their numbers.
     """
 
     target: str
@@ -186,6 +192,7 @@
     fault: ConfirmedFault
     reason: str
     told_before_s: float | None
+    overdue_routes: str = ""
 
 
 class OpeningRejected(Struct, frozen=True):
--- a/endivepick/forwarding/model.py
+++ b/endivepick/forwarding/model.py
@@ -44,10 +44,15 @@
         """Address of the caller, in dotted notation."""
         return inet_ntoa(self.caller_host.to_bytes(4, "big"))
 
-    def __str__(self) -> str:
+    @property
+    def route_address(self) -> str:
+        """Address and port of the flow's route, in dotted notation."""
         service_address = inet_ntoa(self.service_host.to_bytes(4, "big"))
+        return f"{service_address}:{self.service_port}"
+
+    def __str__(self) -> str:
         caller = f"{self.caller_address}:{self.caller_port}"
-        return f"{caller}>{service_address}:{self.service_port}"
+        return f"{caller}>{self.route_address}"
 
 
 class Packet(Struct, frozen=True):
--- a/endivepick/forwarding/outlier_detector.py
+++ b/endivepick/forwarding/outlier_detector.py
@@ -128,7 +128,7 @@
             effects += self._evaluate(belief, now_s)
         for flow in overdue:
             if self._confirm_fault(flow.belief, now_s) is ConfirmedFault.FAILING:
-                effects += self._reset_overdue(flow)
+                effects += self._reset_overdue(flow, now_s)
         return effects
 
     # Exchange with the other instances of the zone.
@@ -321,7 +321,7 @@
         self, belief: TargetBelief, counts: RequestCounts, reason: str, now_s: float
     ) -> list[Effect]:
         counts.good = counts.failed = counts.poor = counts.late = 0.0
-        self.requests.forget_callers(belief.name)
+        self.requests.bad_requests.forget(belief.name)
         self._noted_faults.pop(belief.name, None)
         event = FitnessEvent.RESTED
         return [*self._registry.record_fitness(belief, event, reason, now_s)]
@@ -379,9 +379,9 @@
         effects = self._note_fault(belief, fault, now_s)
         for flow in self._flows.of_target(belief):
             if flow.busy_since_s is None and flow.opened:
-                effects += self._reset(flow)
+                effects += self._reset(flow, now_s)
             elif flow.overdue and fault is ConfirmedFault.FAILING:
-                effects += self._reset_overdue(flow)
+                effects += self._reset_overdue(flow, now_s)
         return effects
 
     def _note_fault(
@@ -400,19 +400,21 @@
                 fault,
                 describe_counts(belief.requests, reported),
                 None if reported is None else self._zone.report_age_s(now_s),
+                self.requests.bad_requests.describe_overdue_routes(belief.name),
             )
         ]
 
-    def _reset_overdue(self, flow: ObservedFlow) -> list[Effect]:
+    def _reset_overdue(self, flow: ObservedFlow, now_s: float) -> list[Effect]:
         """Reset a flow with an overdue request if the request is idempotent."""
         if flow.kind is not RouteKind.IDEMPOTENT:
             return []
-        return self._reset(flow)
+        return self._reset(flow, now_s)
 
-    def _reset(self, flow: ObservedFlow) -> list[Effect]:
+    def _reset(self, flow: ObservedFlow, now_s: float) -> list[Effect]:
         self._flows.end(flow.key)
         reason = ResetReason.TARGET_IMPAIRED
-        return [Reset(flow.key, flow.acknowledged, reason, flow.belief.name)]
+        name, quiet_s = flow.belief.name, now_s - flow.seen_s
+        return [Reset(flow.key, flow.acknowledged, reason, name, quiet_s)]
 
     def _confirm_fault(self, belief: TargetBelief, now_s: float) -> ConfirmedFault:
         """Return the confirmed fault for which flows of a target may be reset."""
@@ -426,7 +428,7 @@
             < EJECTION_THRESHOLD
         ):
             return ConfirmedFault.NONE
-        callers = self.requests.count_affected_callers(belief.name)
+        callers = self.requests.bad_requests.count_callers(belief.name)
         overloaded = self._is_overloaded(belief.target.service, now_s)
         evidence = self._zone.evidence(belief, callers, overloaded, now_s)
         return confirm_fault(counts, evidence, now_s)
--- a/endivepick/forwarding/request_counter.py
+++ b/endivepick/forwarding/request_counter.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 
 from endivepick.forwarding.answer_deadlines import AnswerDeadlines
+from endivepick.forwarding.bad_requests import BadRequests
 from endivepick.forwarding.belief import TargetBelief
-from endivepick.forwarding.fault_confirmation import MIN_CONFIRMING_CALLERS
 from endivepick.forwarding.flows import FlowTable, ObservedFlow
 from endivepick.forwarding.pauses import PauseDetector
 from endivepick.forwarding.request_baseline import RequestBaseline
@@ -44,7 +44,8 @@
         self._baselines = ServiceBaselines()
         self._deadlines = AnswerDeadlines()
         self._pauses = PauseDetector()
-        self._callers: dict[str, set[int]] = {}
+        self.bad_requests = BadRequests()
+        """Callers and routes of the bad requests at each suspect."""
         self.suspects: dict[str, TargetBelief] = {}
         """Targets with bad requests here or in the zone, by name."""
 
@@ -110,7 +111,8 @@
         flow.overdue = True
         self._flows.mark_stalled(flow)
         counts = decay(flow.belief.requests, now_s)
-        self._add_suspect(flow)
+        self.suspects[flow.belief.name] = flow.belief
+        self.bad_requests.add_overdue(flow)
         counts.failed += 1.0
         counts.last_failed_s = now_s
 
@@ -118,18 +120,10 @@
         """Return the baselines of recent requests for the zone's report."""
         return self._baselines.to_counts()
 
-    def count_affected_callers(self, name: str) -> int:
-        """Return the number of callers with bad requests at a target, up to a limit."""
-        return len(self._callers.get(name, ()))
-
-    def forget_callers(self, name: str) -> None:
-        """Forget the callers with bad requests at a target."""
-        self._callers.pop(name, None)
-
     def forget(self, name: str) -> None:
         """Remove a target from the suspects."""
         self.suspects.pop(name, None)
-        self.forget_callers(name)
+        self.bad_requests.forget(name)
 
     def _count_answer(
         self, flow: ObservedFlow, was_overdue: bool, short: bool, now_s: float
@@ -143,7 +137,8 @@
         else:
             counts.good += 1.0
         if short or was_overdue:
-            self._add_suspect(flow)
+            self.suspects[flow.belief.name] = flow.belief
+            self.bad_requests.add(flow)
 
     def _find_baseline(self, flow: ObservedFlow) -> RequestBaseline | None:
         """Return the baseline of this instance, or else that of the zone."""
@@ -161,10 +156,3 @@
         for belief in self.suspects.values():
             counts = belief.requests
             counts.failed = counts.poor = counts.late = 0.0
-
-    def _add_suspect(self, flow: ObservedFlow) -> None:
-        name = flow.belief.name
-        self.suspects[name] = flow.belief
-        callers = self._callers.setdefault(name, set())
-        if len(callers) < MIN_CONFIRMING_CALLERS:
-            callers.add(flow.key.caller_host)
