Reset only flows of a bad target on which no request is in progress

Cause: an instance took a flow for idle if it had seen the last request answered. Flows that came over while another instance restarted, and returned to it, look idle for the whole idle timeout (15 s). Within an answer that comes in several parts a flow looks idle as well.

Evidence: flow_reset of two flows of orders by front-lalitpur-hall-2 has quiet_s 4.5 and 4.0, although their callers pause for 1.4 s at most; their instance is front-lalitpur-hall-3, which was back in rotation by then.

Change: a flow is idle only after its answer had as many parts as an earlier one, or 0.25 s without a packet; and if its requests may run once only, up to 1 s after its last packet here. Why this works: a flow that moved has its last packet here before the move, and its caller's next request comes after a pause; after 1 s the flow is left to the instance that sees it.

--- a/endivepick/forwarding/flows.py
+++ b/endivepick/forwarding/flows.py
@@ -63,6 +63,10 @@
         At least one request got an answer that was not short.
     history : WaitHistory
         Waits of its answered requests at this target.
+    answer_parts : int
+        Acknowledgements of new data since its last request.
+    longest_answer_parts : int
+        Most acknowledgements of an earlier answer.
     logged_degraded_reason : str
         Latest degraded reason of the target that was logged for this flow.
     """
@@ -80,6 +84,8 @@
     stalled: bool = False
     served: bool = False
     history: WaitHistory = field(default_factory=WaitHistory)
+    answer_parts: int = 0
+    longest_answer_parts: int = 0
     logged_degraded_reason: str = ""
 
     @property
@@ -271,6 +277,7 @@
         flow_evidence = FlowEvidence.NOTHING
         if flow.acknowledged == 0 or _is_newer(packet.acknowledged, flow.acknowledged):
             flow.acknowledged = packet.acknowledged
+            flow.answer_parts += 1
             self._set_idle(flow)
             self._record_progress(flow.belief, now_s)
             flow_evidence = FlowEvidence.PROGRESS
@@ -291,6 +298,8 @@
 
     def _set_busy(self, flow: ObservedFlow, since_s: float) -> None:
         if flow.busy_since_s is None:
+            parts = max(flow.longest_answer_parts, flow.answer_parts)
+            flow.longest_answer_parts, flow.answer_parts = parts, 0
             flow.busy_since_s = since_s
             flow.belief.busy_flows += 1
 
--- a/endivepick/forwarding/outlier_detector.py
+++ b/endivepick/forwarding/outlier_detector.py
@@ -41,6 +41,7 @@
     describe_counts,
 )
 from endivepick.forwarding.flows import FlowTable, ObservedFlow
+from endivepick.forwarding.idle_flows import is_surely_idle
 from endivepick.forwarding.model import RouteKind
 from endivepick.forwarding.recent_overloads import RecentOverloads
 from endivepick.forwarding.registry import TargetRegistry
@@ -381,7 +382,7 @@
             return []
         effects = self._note_fault(belief, fault, now_s)
         for flow in self._flows.of_target(belief):
-            if flow.busy_since_s is None and flow.opened:
+            if is_surely_idle(flow, now_s):
                 effects += self._reset(flow, now_s)
             elif flow.overdue and fault is ConfirmedFault.FAILING:
                 effects += self._reset_overdue(flow, now_s)
--- a/endivepick/forwarding/tests/sessions.py
+++ b/endivepick/forwarding/tests/sessions.py
@@ -16,6 +16,8 @@
 NAMES = ("i-1", "i-2")
 """Targets of the zone."""
 FIRST_SESSION_PORT = 50_000
+PART_GAP_S = 0.1
+"""Time between two parts of an answer."""
 
 
 class SessionZone(Zone):
@@ -36,12 +38,16 @@
         for core in self.cores:
             core.on_configuration(make_configuration(2, 8, ports), 0.0)
         self.sessions = []
+        self.interrupted = []
+        """Sessions that were reset while a request was in progress."""
+        self.cut_answers = []
+        """Those of them that were reset between two parts of an answer."""
 
-    def add_session(self, name, core, port, work_s, pause_s):
+    def add_session(self, name, core, port, work_s, pause_s, parts=1):
         """Begin a session; the ranges of work and pauses are in seconds."""
         number = FIRST_SESSION_PORT + len(self.sessions)
         key = flow_key(number, port)
-        session = Session(self, key, name, self.cores[core], work_s, pause_s)
+        session = Session(self, key, name, self.cores[core], work_s, pause_s, parts)
         self.sessions.append(session)
         return session
 
@@ -50,17 +56,30 @@
         for session in self.sessions:
             session.step()
 
+    def tick(self, share=True):
+        known = len(self.resets)
+        super().tick(share)
+        reset = {reset.flow for reset in self.resets[known:]}
+        interrupted = [
+            each for each in self.sessions if each.key in reset and each.is_waiting
+        ]
+        self.interrupted += interrupted
+        self.cut_answers += [
+            each for each in interrupted if each.answer_begins_s <= self.now_s
+        ]
+
 
 class Session:
     """Caller with one request at a time on one flow, and pauses between requests."""
 
-    def __init__(self, zone, key, name, core, work_s, pause_s):
+    def __init__(self, zone, key, name, core, work_s, pause_s, parts):
         self.zone, self.key, self.name, self.core = zone, key, name, core
-        self.work_s, self.pause_s = work_s, pause_s
+        self.work_s, self.pause_s, self.parts = work_s, pause_s, parts
         self.sequence, self.acknowledged = 101, 500
         self.next_s = zone.now_s + zone.draw.uniform(*pause_s)
+        self.answer_begins_s = 0.0
         self.answered_s = 0.0
-        """When the answer to the latest request arrives."""
+        """When the last part of the answer to the latest request arrives."""
 
     @property
     def is_waiting(self):
@@ -78,8 +97,10 @@
         )
         self.core.on_packet(request, b"", zone.now_s)
         self.sequence += REQUEST_BYTES
-        self.acknowledged += ANSWER_BYTES
-        self.answered_s = zone.now_s + zone.draw.uniform(*self.work_s)
-        answer = data(self.key, cookie, self.sequence, self.acknowledged, 0)
-        zone.events.append((self.answered_s, self.core, answer))
+        self.answer_begins_s = zone.now_s + zone.draw.uniform(*self.work_s)
+        for part in range(self.parts):
+            self.answered_s = self.answer_begins_s + part * PART_GAP_S
+            self.acknowledged += ANSWER_BYTES
+            answer = data(self.key, cookie, self.sequence, self.acknowledged, 0)
+            zone.events.append((self.answered_s, self.core, answer))
         self.next_s = self.answered_s + zone.draw.uniform(*self.pause_s)
