Judge no targets by their requests during a planned stop

What callers would see: resets of open flows of targets that serve them, by instances of a zone that stop together.

Cause: when an instance stops, the fabric sends its flows to others, and the answers to its requests in progress are acknowledged there. Here they look unanswered. The target with most of them has the largest share, and the reports of two stopping instances confirm each other.

Change: ForwardingCore.begin_stop ends the recording of requests, and OutlierDetector.stop the judgement; Forwarder.stop calls it. Why this works: what a stopping instance sees of its requests says nothing of targets.

--- a/endivepick/forwarder/forwarder.py
+++ b/endivepick/forwarder/forwarder.py
@@ -185,6 +185,7 @@
         """Report not ready to the fabric and go on forwarding packets."""
         self.stopping = True
         self._peers.stopping = True
+        self.core.begin_stop()
         if self._zone is not None:
             self._zone.stop()
         self.decisions.log_stop_begin(len(self.core.flows), self.forwards_for_s)
--- a/endivepick/forwarding/outlier_detector.py
+++ b/endivepick/forwarding/outlier_detector.py
@@ -107,6 +107,7 @@
         self._zone = ZoneReport(registry)
         self._samples = ServiceSamples(registry)
         self._overloads = RecentOverloads()
+        self._stopped = False
         self.requests = RequestCounter(flows, self._zone, self._is_outlier)
         """Counts the outcomes of requests."""
 
@@ -120,8 +121,20 @@
         score = self._score_target(belief, counts, reported, now_s, min_bad_share=0.0)
         return score >= OUTLIER_THRESHOLD
 
+    def stop(self) -> None:
+        """Judge no targets any more, and suspect none.
+
+        Scenario: an instance stops, and the fabric sends its flows to others, where the
+        answers to its requests are acknowledged.  Here they look unanswered.  If all
+        instances of a zone stop, their reports confirm each other.
+        """
+        self._stopped = True
+        self.requests.forget_all()
+
     def tick(self, now_s: float) -> list[Effect]:
         """Record overdue requests and evaluate all suspect targets."""
+        if self._stopped:
+            return []
         self._samples.discard()
         overdue = self.requests.tick(now_s)
         effects: list[Effect] = []
@@ -173,6 +186,8 @@
 
     def receive_zone_report(self, report: FitnessReport, now_s: float) -> None:
         """Store the merged report of the zone's instances."""
+        if self._stopped:
+            return
         self._zone.update(report, now_s)
         for reported in self._zone.targets:
             belief = self._registry.get(reported.name)
--- a/endivepick/forwarding/request_counter.py
+++ b/endivepick/forwarding/request_counter.py
@@ -136,6 +136,12 @@
         """Return the baselines of recent requests for the zone's report."""
         return self._baselines.to_counts()
 
+    def forget_all(self) -> None:
+        """Forget all requests in progress, and remove all suspects."""
+        self._forget_requests()
+        for name in list(self.suspects):
+            self.forget(name)
+
     def forget(self, name: str) -> None:
         """Remove a target from the suspects."""
         self.suspects.pop(name, None)
