Replace a long watch once the store shows a newer revision

Cause: a watch of the configuration that the store loses is given up after 11 s. It relied on the watch of the registry to notice the silence, but that one may be sent before the silence and answered after it.

Evidence, script on with logs: the store never answers three watches of the configuration. The feeders of two zones log store_lost after 11 s and apply the version 10 s after its acknowledgement. The third one also lost a watch of the registry, logs store_lost after 2 s, renews both and is in time. Ruled out: followers (they hold no watch and apply the version with their feeder), and the connection (its keep-alives are answered).

Change: the feeds of an instance share the newest revision that the store has shown. A long watch that started from an older one is replaced by a short one, which is answered at once if there is a change of its kind, and is given up after 2.45 s otherwise. Why this works: all kinds share one counter of revisions, and the watch of the registry is answered within 1.45 s, so a change shows within that time whether or not the long watch was lost.

Related paths: the watch of evacuated zones was as long and is mended by the same code. Starts, renewals and resumed feeds use the same watch.

--- a/endivepick/forwarder/forwarder.py
+++ b/endivepick/forwarder/forwarder.py
@@ -32,6 +32,7 @@
 )
 from endivepick.forwarder.settings import ForwarderSettings
 from endivepick.forwarder.store_feed import StoreFeed
+from endivepick.forwarder.store_revision import StoreRevision
 from endivepick.forwarder.tasks import spawn_supervised
 from endivepick.forwarding import ForwardingCore, ForwardingSettings
 from endivepick.forwarding.pauses import PAUSE_S
@@ -98,6 +99,7 @@
             self.core, self.decisions, self._on_news_applied
         )
         breaker = CircuitBreaker(settings.mechanisms.breaker)
+        store_revision = StoreRevision()
         self._feeds = {
             kind: StoreFeed(
                 settings,
@@ -108,6 +110,7 @@
                 breaker,
                 (pending_sockets or {}).get(kind),
                 stale_first=kind is FeedKind.EVACUATIONS,
+                store_revision=store_revision,
             )
             for kind in _select_kinds(settings)
         }
--- a/endivepick/forwarder/freshness.py
+++ b/endivepick/forwarder/freshness.py
@@ -71,7 +71,8 @@
         changes are missed until the watch times out.
     long_wait_s : float
         The same for the other kinds. Their watches are renewed when the store answers
-        again after the watch of the registry was lost, so they need not time out by
+        again after the watch of the registry was lost, and when an answer about the
+        registry shows a newer revision of the store, so they need not time out by
         themselves.
     gather_s : float
         Coalescing delay after changes, so that a series of changes costs one call.
--- a/endivepick/forwarder/store_feed.py
+++ b/endivepick/forwarder/store_feed.py
@@ -20,6 +20,7 @@
 from endivepick.forwarder.logs import truncate_number
 from endivepick.forwarder.ports import REQUIRED_KINDS, FeedKind, Item, StoreDialect
 from endivepick.forwarder.settings import ForwarderSettings
+from endivepick.forwarder.store_revision import StoreRevision
 from endivepick.forwarder.tasks import spawn_supervised
 from endivepick.store import StoreConnection, store_connection
 
@@ -88,6 +89,8 @@
         Shared with the other feeds of this instance.
     pending_socket : socket, default=None
         Connection on which the first list was already requested.
+    store_revision : StoreRevision, default=None
+        Shared with the other feeds of this instance; None if this is the only one.
     stale_first : bool, default=False
         The first list may be seconds old, and a complete one follows unless the feed is
         suspended by then.  An instance that starts learns the objects at once, and at a
@@ -104,6 +107,7 @@
         breaker: CircuitBreaker,
         pending_socket: PlainSocket | None = None,
         stale_first: bool = False,
+        store_revision: StoreRevision | None = None,
     ) -> None:
         self._pending_socket = pending_socket
         self._stale_first = stale_first
@@ -136,6 +140,10 @@
             else self._freshness.long_wait_s
         )
         self._watch_wait_s = self._longest_wait_s
+        # Wait of the watch in progress, 0 if there is none.
+        self._pending_wait_s = 0.0
+        self._store_revision = store_revision or StoreRevision()
+        self._store_revision.subscribe(self._on_store_revision)
         self._lost_since_s: float | None = None
 
     @property
@@ -211,6 +219,16 @@
         if self.settled and not self._suspended:
             self._restart()
 
+    def _on_store_revision(self) -> None:
+        """Replace a long watch when the store has changed since it was sent.
+
+        The store answers a watch at once if the change is of this kind.  If it has lost
+        the watch, only another one shows the change in time.
+        """
+        is_long = self._pending_wait_s > self._freshness.watch_wait_s
+        if is_long and self._store_revision.newest > self._revision:
+            self._renew_watch()
+
     def set_watch_wait(self, wait_s: float | None = None) -> None:
         """Set the wait of the following watches.
 
@@ -354,10 +372,22 @@
         self._list_wanted = False
         self._deliver(FeedList(self._kind, tuple(items), revision, requested_s))
 
+    def _choose_watch_wait_s(self) -> float:
+        """Return the wait of the next watch; short while a change may be missed."""
+        if self.lost:
+            return _FIRST_WATCH_WAIT_S
+        if self._store_revision.newest > self._revision:
+            return min(self._watch_wait_s, self._freshness.watch_wait_s)
+        return self._watch_wait_s
+
     def _watch(self, connection: StoreConnection) -> bool:
-        wait_s = _FIRST_WATCH_WAIT_S if self.lost else self._watch_wait_s
+        wait_s = self._choose_watch_wait_s()
         path = self._dialect.watch_path(self._kind, self._revision, wait_s)
-        body = connection.get(path, wait_s + ANSWER_TIMEOUT_MARGIN_S)
+        self._pending_wait_s = wait_s
+        try:
+            body = connection.get(path, wait_s + ANSWER_TIMEOUT_MARGIN_S)
+        finally:
+            self._pending_wait_s = 0.0
         batch = self._dialect.read_changes(self._kind, body)
         if batch.items or batch.revision > self._revision:
             self._deliver(FeedChanges(self._kind, batch.items, batch.revision))
@@ -387,6 +417,7 @@
         self._breaker.record_success(feed)
         self.last_answer_s = steady_now_s()
         self._presumed_lost = False
+        self._store_revision.advance(self._revision)
         if self._lost_since_s is None:
             return
         lost_s = self.last_answer_s - self._lost_since_s
