Take only answers for parts of an answer, and count answers in steps

The first packet after an opening acknowledges the handshake. It was counted as a part of an answer, so the first answer of a flow looked complete after one part, as that of a download of many parts. A bound for the flows with overdue requests that are kept for a target, 64; a target that fails for hours would collect them.

RequestCounter.answered is split into counting and learning, without a change of behaviour.

Tests: test_flow_is_not_idle_after_the_first_part_of_its_first_answer fails without the change and passes with it.

--- a/endivepick/forwarding/bad_requests.py
+++ b/endivepick/forwarding/bad_requests.py
@@ -10,6 +10,8 @@
 
 MAX_DESCRIBED_ROUTES = 4
 """Maximum number of routes in a log line, those with most flows first."""
+MAX_OVERDUE_FLOWS = 64
+"""Maximum number of flows with overdue requests that are kept for a target."""
 RECENT_OVERDUE_S = 2.0
 """Age up to which an overdue request is recent, the time in which counts fade."""
 
@@ -36,7 +38,11 @@
 
     def add_overdue(self, flow: ObservedFlow, now_s: float) -> None:
         """Record that a request of a flow is overdue since now, in seconds."""
-        self._overdue_s.setdefault(flow.belief.name, {})[flow.key] = now_s
+        overdue_s = self._overdue_s.setdefault(flow.belief.name, {})
+        overdue_s.pop(flow.key, None)
+        overdue_s[flow.key] = now_s
+        if len(overdue_s) > MAX_OVERDUE_FLOWS:
+            del overdue_s[next(iter(overdue_s))]
 
     def count_callers(self, name: str) -> int:
         """Return the number of callers, up to `MIN_CONFIRMING_CALLERS`."""
--- a/endivepick/forwarding/flows.py
+++ b/endivepick/forwarding/flows.py
@@ -275,9 +275,10 @@
         if flow.opened_s is None:
             flow.opened_s = now_s
         flow_evidence = FlowEvidence.NOTHING
-        if flow.acknowledged == 0 or _is_newer(packet.acknowledged, flow.acknowledged):
+        completes_opening = flow.acknowledged == 0
+        if completes_opening or _is_newer(packet.acknowledged, flow.acknowledged):
             flow.acknowledged = packet.acknowledged
-            flow.answer_parts += 1
+            flow.answer_parts += not completes_opening
             self._set_idle(flow)
             self._record_progress(flow.belief, now_s)
             flow_evidence = FlowEvidence.PROGRESS
--- a/endivepick/forwarding/request_counter.py
+++ b/endivepick/forwarding/request_counter.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+from msgspec import Struct
+
 from endivepick.forwarding.answer_deadlines import AnswerDeadlines
 from endivepick.forwarding.bad_requests import BadRequests
 from endivepick.forwarding.belief import TargetBelief
@@ -16,6 +18,30 @@
 __all__ = ["RequestCounter"]
 
 
+class _Answer(Struct, frozen=True):
+    """Answer to a request, compared with the baseline of its service.
+
+    Attributes
+    ----------
+    waited_s : float
+        Time until it began, in seconds.
+    size_bytes : int
+        Size of its first part.
+    is_short : bool
+        It is far shorter than usual.
+    is_in_time : bool
+        It began within the baseline, or there is none yet.
+    was_overdue : bool
+        Its request was overdue.
+    """
+
+    waited_s: float
+    size_bytes: int
+    is_short: bool
+    is_in_time: bool
+    was_overdue: bool
+
+
 class RequestCounter:
     """Counts requests of each target as good, unanswered, short or late.
 
@@ -85,30 +111,19 @@
         if self._pauses.is_backlog(now_s):
             return
         baseline = self._find_baseline(flow)
-        short = baseline is not None and baseline.is_short(size_bytes)
-        in_time = baseline is None or waited_s <= baseline.overdue_after_s()
-        was_overdue, flow.overdue = flow.overdue, False
-        was_counted, flow.counted_overdue = flow.counted_overdue, False
-        history = flow.history
-        counted_before = history.answered and not flow.served
-        flow.served = flow.served or not short
-        counts = decay(flow.belief.requests, now_s)
-        if was_counted:
-            counts.failed = max(0.0, counts.failed - 1.0)
-        if short and not counted_before:
-            counts.poor += 1.0
-            counts.last_poor_s = now_s
-            self._add_suspect(flow)
-        elif was_counted and not short:
-            counts.late += 1.0
-        elif in_time and not short:
-            counts.good += 1.0
-            self._route_answers.record(flow, now_s)
-        if in_time or self._is_usual(flow, was_overdue, now_s):
-            service = flow.belief.target.service
-            self._baselines.add(service, flow.kind, waited_s, size_bytes)
-        is_known_in_time = baseline is not None and in_time
-        history.add_answer(waited_s, is_known_in_time)
+        answer = _Answer(
+            waited_s,
+            size_bytes,
+            is_short=baseline is not None and baseline.is_short(size_bytes),
+            is_in_time=baseline is None or waited_s <= baseline.overdue_after_s(),
+            was_overdue=flow.overdue,
+        )
+        self._count_answer(flow, answer, now_s)
+        self._learn_answer(flow, answer, now_s)
+        flow.overdue = flow.counted_overdue = False
+        flow.served = flow.served or not answer.is_short
+        is_within_baseline = baseline is not None and answer.is_in_time
+        flow.history.add_answer(waited_s, is_within_baseline)
 
     def tick(self, now_s: float) -> list[ObservedFlow]:
         """Record overdue requests and return their flows."""
@@ -147,6 +162,40 @@
         self.suspects.pop(name, None)
         self.bad_requests.forget(name)
 
+    def _count_answer(self, flow: ObservedFlow, answer: _Answer, now_s: float) -> None:
+        """Count an answer as good, short or late, or not at all.
+
+        An answer that is late without being evidence against its target is not counted.
+        """
+        counts = decay(flow.belief.requests, now_s)
+        if flow.counted_overdue:
+            counts.failed = max(0.0, counts.failed - 1.0)
+        if answer.is_short:
+            had_only_short_ones = flow.history.answered and not flow.served
+            if not had_only_short_ones:
+                counts.poor += 1.0
+                counts.last_poor_s = now_s
+                self._add_suspect(flow)
+        elif flow.counted_overdue:
+            counts.late += 1.0
+        elif answer.is_in_time:
+            counts.good += 1.0
+            self._route_answers.record(flow, now_s)
+
+    def _learn_answer(self, flow: ObservedFlow, answer: _Answer, now_s: float) -> None:
+        """Add an answer to the baseline of its service if it is usual."""
+        if answer.is_in_time or self._is_usual_from_now_on(flow, answer, now_s):
+            service = flow.belief.target.service
+            self._baselines.add(service, flow.kind, answer.waited_s, answer.size_bytes)
+
+    def _is_usual_from_now_on(
+        self, flow: ObservedFlow, answer: _Answer, now_s: float
+    ) -> bool:
+        """Whether an answer after the baseline extends it."""
+        if not flow.history.is_informative:
+            return False
+        return not (answer.was_overdue and self._is_outlier(flow.belief, now_s))
+
     def _mark_overdue(self, flow: ObservedFlow) -> None:
         flow.overdue = True
         self._flows.mark_stalled(flow)
@@ -157,12 +206,6 @@
             self._route_answers.is_answered_elsewhere(flow, now_s)
         )
 
-    def _is_usual(self, flow: ObservedFlow, was_overdue: bool, now_s: float) -> bool:
-        """Whether an answer after the baseline belongs to it from now on."""
-        if not flow.history.is_informative:
-            return False
-        return not (was_overdue and self._is_outlier(flow.belief, now_s))
-
     def _find_baseline(self, flow: ObservedFlow) -> RequestBaseline | None:
         """Return the baseline of this instance, or else that of the zone."""
         service = flow.belief.target.service
