--- a/endivepick/forwarding/outlier_detector.py
+++ b/endivepick/forwarding/outlier_detector.py
@@ -15,8 +15,6 @@
 from endivepick.forwarding.actions import (
     Effect,
     FaultConfirmed,
-    Reset,
-    ResetReason,
 )
 from endivepick.forwarding.belief import (
     Fitness,
@@ -40,9 +38,8 @@
     TargetCounts,
     describe_counts,
 )
-from endivepick.forwarding.flows import FlowTable, ObservedFlow
-from endivepick.forwarding.idle_flows import is_surely_idle
-from endivepick.forwarding.model import RouteKind
+from endivepick.forwarding.flows import FlowTable
+from endivepick.forwarding.impaired_flows import ImpairedFlows
 from endivepick.forwarding.recent_overloads import RecentOverloads
 from endivepick.forwarding.registry import TargetRegistry
 from endivepick.forwarding.request_counter import RequestCounter
@@ -101,7 +98,7 @@
     ) -> None:
         self._resets_enabled = settings.mechanisms.reset_impaired
         self._registry = registry
-        self._flows = flows
+        self._impaired_flows = ImpairedFlows(flows)
         self._ejection_times_s: dict[str, float] = {}
         self._noted_faults: dict[str, set[ConfirmedFault]] = {}
         self._zone = ZoneReport(registry)
@@ -142,7 +139,7 @@
             effects += self._evaluate(belief, now_s)
         for flow in overdue:
             if self._confirm_fault(flow.belief, now_s) is ConfirmedFault.FAILING:
-                effects += self._reset_overdue(flow, now_s)
+                effects += self._impaired_flows.reset_overdue(flow, now_s)
         return effects
 
     # Exchange with the other instances of the zone.
@@ -389,19 +386,13 @@
         """Reset flows of a target whose fault is confirmed.
 
         Short answers alone do not lead to resets: a target that sheds load, for example
-        just after its start, answers like one that returns errors.  A slow target still
-        answers the requests that it has begun, so only its idle flows are reset.
+        just after its start, answers like one that returns errors.
         """
         fault = self._confirm_fault(belief, now_s)
         if fault is ConfirmedFault.NONE:
             return []
-        effects = self._note_fault(belief, fault, now_s)
-        for flow in self._flows.of_target(belief):
-            if is_surely_idle(flow, now_s):
-                effects += self._reset(flow, now_s)
-            elif flow.overdue and fault is ConfirmedFault.FAILING:
-                effects += self._reset_overdue(flow, now_s)
-        return effects
+        noted = self._note_fault(belief, fault, now_s)
+        return [*noted, *self._impaired_flows.reset_flows(belief, fault, now_s)]
 
     def _note_fault(
         self, belief: TargetBelief, fault: ConfirmedFault, now_s: float
@@ -423,18 +414,6 @@
             )
         ]
 
-    def _reset_overdue(self, flow: ObservedFlow, now_s: float) -> list[Effect]:
-        """Reset a flow with an overdue request if the request is idempotent."""
-        if flow.kind is not RouteKind.IDEMPOTENT:
-            return []
-        return self._reset(flow, now_s)
-
-    def _reset(self, flow: ObservedFlow, now_s: float) -> list[Effect]:
-        self._flows.end(flow.key)
-        reason = ResetReason.TARGET_IMPAIRED
-        name, quiet_s = flow.belief.name, now_s - flow.seen_s
-        return [Reset(flow.key, flow.acknowledged, reason, name, quiet_s)]
-
     def _confirm_fault(self, belief: TargetBelief, now_s: float) -> ConfirmedFault:
         """Return the confirmed fault for which flows of a target may be reset."""
         if not self._resets_enabled or belief.fitness is not Fitness.IMPAIRED:
