--- a/endivepick/forwarding/tests/test_unlike_requests.py
+++ b/endivepick/forwarding/tests/test_unlike_requests.py
@@ -6,8 +6,19 @@
 
 import unittest
 
+import msgspec
+
+from endivepick.forwarding.fitness_reports import TargetCounts
+from endivepick.forwarding.route_answers import RECENT_ANSWER_S, RouteAnswers
 from endivepick.forwarding.tests.sessions import NAMES, NEW_ROUTE_PORT, SessionZone
-from endivepick.forwarding.tests.support import IDEMPOTENT_PORT, ONCE_PORT
+from endivepick.forwarding.tests.support import (
+    IDEMPOTENT_PORT,
+    ONCE_PORT,
+    flow_key,
+    make_core,
+    make_target,
+    open_flow,
+)
 from endivepick.forwarding.tests.test_fitness import ANSWER_BYTES
 
 SHORT_WORK_S = (0.003, 0.01)
@@ -117,5 +128,47 @@
                 self.assertGreater(len(reset & {each.key for each in at_slow}), 6)
 
 
+class TestRouteAnswers(unittest.TestCase):
+    def setUp(self):
+        core = make_core([make_target(name, revision=1) for name in NAMES])
+        flows = [flow_key(port) for port in range(1000, 1002)]
+        for flow in flows:
+            open_flow(core, flow, 0.0)
+        self.flows = [core.flows.get(flow) for flow in flows]
+        self.assertIsNot(self.flows[0].belief, self.flows[1].belief)
+        self.answers = RouteAnswers()
+
+    def test_answer_of_the_same_target_is_nothing_to_compare_with(self):
+        self.answers.record(self.flows[0], 1.0)
+        self.assertFalse(self.answers.is_answered_elsewhere(self.flows[0], 1.0))
+        self.assertTrue(self.answers.is_answered_elsewhere(self.flows[1], 1.0))
+
+    def test_answer_of_another_target_is_remembered_behind_later_ones(self):
+        self.answers.record(self.flows[1], 1.0)
+        self.answers.record(self.flows[0], 1.1)
+        self.answers.record(self.flows[0], 1.2)
+        self.assertTrue(self.answers.is_answered_elsewhere(self.flows[0], 1.2))
+
+    def test_old_answer_does_not_count(self):
+        self.answers.record(self.flows[1], 1.0)
+        old_s = 1.1 + RECENT_ANSWER_S
+        self.assertFalse(self.answers.is_answered_elsewhere(self.flows[0], old_s))
+
+
+class TestReportsOfEarlierBuilds(unittest.TestCase):
+    def test_counts_without_overdue_flows_are_read(self):
+        counts = TargetCounts("i-1", 0, 4.0, 2.0, 0.0, overdue_flows=2)
+        fields = msgspec.json.decode(msgspec.json.encode(counts))
+        earlier = msgspec.json.encode(fields[:-1])
+        read = msgspec.json.decode(earlier, type=TargetCounts)
+        self.assertEqual(read, msgspec.structs.replace(counts, overdue_flows=0))
+
+    def test_counts_with_a_later_field_are_read(self):
+        counts = TargetCounts("i-1", 0, 4.0, 2.0, 0.0, overdue_flows=2)
+        fields = msgspec.json.decode(msgspec.json.encode(counts))
+        later = msgspec.json.encode([*fields, 7])
+        self.assertEqual(msgspec.json.decode(later, type=TargetCounts), counts)
+
+
 if __name__ == "__main__":
     unittest.main()
