Keep a target suspect after a late answer

Since a late answer no longer made its target a suspect: a target that had been dropped from the suspects while the request was in progress was judged only after its next overdue request. Found on reading the diff; no run showed an effect.

Tests: test_late_answer_makes_a_forgotten_target_suspect_again fails without the change and passes with it; test_unlike_requests and test_overload pass.

--- a/endivepick/forwarding/request_counter.py
+++ b/endivepick/forwarding/request_counter.py
@@ -178,6 +178,7 @@
                 self._add_suspect(flow)
         elif flow.counted_overdue:
             counts.late += 1.0
+            self._add_suspect(flow)
         elif answer.is_in_time:
             counts.good += 1.0
             self._route_answers.record(flow, now_s)
--- a/endivepick/forwarding/tests/test_unlike_requests.py
+++ b/endivepick/forwarding/tests/test_unlike_requests.py
@@ -14,6 +14,7 @@
 from endivepick.forwarding.tests.support import (
     IDEMPOTENT_PORT,
     ONCE_PORT,
+    data,
     flow_key,
     make_core,
     make_target,
@@ -155,6 +156,20 @@
         self.assertFalse(self.answers.is_answered_elsewhere(self.flows[0], old_s))
 
 
+class TestLateAnswers(unittest.TestCase):
+    def test_late_answer_makes_a_forgotten_target_suspect_again(self):
+        core = make_core([make_target("i-1", revision=1)])
+        key = flow_key(1000)
+        cookie = open_flow(core, key, 0.0).cookie
+        core.on_packet(data(key, cookie), b"", 0.1)
+        requests = core.outlier_detector.requests
+        requests.record_overdue(core.flows.get(key), 0.2)
+        requests.forget("i-1")
+        answer = data(key, cookie, 401, 500 + ANSWER_BYTES, 0)
+        core.on_packet(answer, b"", 3.0)
+        self.assertEqual(list(requests.suspects), ["i-1"])
+
+
 class TestReportsOfEarlierBuilds(unittest.TestCase):
     def test_counts_without_overdue_flows_are_read(self):
         counts = TargetCounts("i-1", 0, 4.0, 2.0, 0.0, overdue_flows=2)
