End a case's tasks and processes in any event

A run of case 7 hung at its end: asyncio.wait_for of Python 3.11 can lose a cancellation. The stand-ins use asyncio.timeout, cancel again until all tasks have ended, stop at SIGTERM, and give up after 105 s.

--- a/review/common-2/clients.py
+++ b/review/common-2/clients.py
@@ -128,7 +128,8 @@
         if left_s <= 0:
             return False
         try:
-            await asyncio.wait_for(self.changed.wait(), left_s)
+            async with asyncio.timeout(left_s):
+                await self.changed.wait()
         except TimeoutError:
             return False
         return True
--- a/review/common-2/installation.py
+++ b/review/common-2/installation.py
@@ -15,7 +15,7 @@
 import zlib
 from pathlib import Path
 
-from object_store import ObjectStore
+from object_store import ObjectStore, end_tasks
 
 ROOT = Path(__file__).resolve().parents[2]
 LOCK_PORT = 7001
@@ -23,6 +23,7 @@
 """Below the ports that the system gives to outgoing connections."""
 READY_PERIOD_S = 0.5
 MISSES = 2
+LONGEST_S = 105.0
 CANNOT_RUN, HELD, BROKEN = 2, 0, 1
 _PLACEHOLDER = re.compile(r"\{\{([^{}]+?)\}\}")
 _SECTION = re.compile(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
@@ -345,9 +346,7 @@
         """End all processes, tasks and sockets that the case started."""
         for node in self.nodes:
             node.end()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await end_tasks(self._tasks)
         for client in self.clients:
             client.stop()
         for target in self.targets:
@@ -450,10 +449,13 @@
         world = World()
         try:
             world.store_address = await world.store.start(world.new_host())
-            broken = await case(world)
+            loop = asyncio.get_running_loop()
+            loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+            async with asyncio.timeout(LONGEST_S):
+                broken = await case(world)
             world.record.add("verdict", broken=broken, trouble=world.trouble)
             return BROKEN if broken else HELD
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             # A fault of the case itself is no verdict on the rule.
             world.record.add("cannot run", error=repr(error))
             print(f"cannot run: {error!r}")
--- a/review/common-2/object_store.py
+++ b/review/common-2/object_store.py
@@ -14,6 +14,17 @@
 VALUE_BYTES = 1_048_576
 
 
+async def end_tasks(tasks):
+    """Cancel tasks until all have ended, for some seconds at most."""
+    pending = set(tasks)
+    for _ in range(50):
+        if not pending:
+            return
+        for task in pending:
+            task.cancel()
+        _, pending = await asyncio.wait(pending, timeout=0.1)
+
+
 class StoredObject:
     """One object: its metadata and the bytes of its spec and status."""
 
@@ -58,9 +69,7 @@
     async def stop(self):
         """Stop serving."""
         self._server.close()
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await end_tasks(self._tasks)
 
     def put(self, kind, name, spec):
         """Create or replace an object; return the time of the acknowledgement.
@@ -161,7 +170,8 @@
             if events or left_s <= 0:
                 break
             try:
-                await asyncio.wait_for(self._changed.wait(), left_s)
+                async with asyncio.timeout(left_s):
+                    await self._changed.wait()
             except TimeoutError:
                 continue
         body = b'{"events":[%b],"as_of":%d}' % (b",".join(events), self.revision)
