Let a target that is gone leave a shared cookie to the other

Cause: the cookie belonged to the target created first while an instance remembered it, also after it was gone. An instance that had started since did not know that target and opened flows at the second one; the others took these flows for those of the first and reset them as `target_dead`. Ruled out: flows left over from the first target; those that were reset had been opened at the second one by the restarted instance.

Change: a target that is gone owns its cookie only if no other target claims it, so that the owner follows from the entries that exist and is the same at all instances. A target that returns after it was gone claims the cookie by its new entry.

--- a/endivepick/forwarding/cookies.py
+++ b/endivepick/forwarding/cookies.py
@@ -2,6 +2,8 @@
 
 from zlib import crc32
 
+from msgspec import Struct
+
 __all__ = ["CookieDirectory", "compute_cookie"]
 
 
@@ -19,13 +21,22 @@
     return crc32(name.encode()) or 1
 
 
+class _Claim(Struct, order=True, frozen=True):
+    """Claim of a target to its cookie; the least of a cookie owns it."""
+
+    gone: bool
+    created: int
+    name: str
+
+
 class CookieDirectory:
     """Maps cookies to targets.
 
     Two names may hash to the same cookie; with 44,000 targets, one fleet in five is
     expected to have such a pair.  The cookie then belongs to the target that the store
     created first, which is the same at all instances, and the other target gets no new
-    flows until the first is removed.
+    flows until the first is gone.  A target that is gone keeps the cookie only while no
+    other one claims it: instances that have started since do not know that target.
 
     Examples
     --------
@@ -36,10 +47,10 @@
     """
 
     def __init__(self) -> None:
-        self._claims: dict[int, list[tuple[int, str]]] = {}
+        self._claims: dict[int, list[_Claim]] = {}
 
-    def add(self, name: str, created: int) -> int:
-        """Register a target and return its cookie.
+    def add(self, name: str, created: int, gone: bool = False) -> int:
+        """Register a target, or replace its claim, and return its cookie.
 
         Parameters
         ----------
@@ -47,28 +58,32 @@
             The target.
         created : int
             Store revision at which its entry was created.
+        gone : bool, default=False
+            Whether the target is gone, and only remembered for its flows.
         """
         cookie = compute_cookie(name)
-        claims = self._claims.setdefault(cookie, [])
-        if all(name != other for _, other in claims):
-            claims.append((created, name))
-            claims.sort()
+        others = [each for each in self._claims.get(cookie, []) if each.name != name]
+        self._claims[cookie] = sorted([*others, _Claim(gone, created, name)])
         return cookie
 
     def remove(self, name: str) -> None:
         """Remove a target."""
         cookie = compute_cookie(name)
-        claims = [claim for claim in self._claims.get(cookie, []) if claim[1] != name]
-        if claims:
-            self._claims[cookie] = claims
+        others = [each for each in self._claims.get(cookie, []) if each.name != name]
+        if others:
+            self._claims[cookie] = others
         else:
             self._claims.pop(cookie, None)
 
     def resolve(self, cookie: int) -> str | None:
         """Return the target that owns a cookie, None if it is unknown."""
         claims = self._claims.get(cookie)
-        return claims[0][1] if claims else None
+        return claims[0].name if claims else None
 
     def owns(self, name: str) -> bool:
         """Whether packets with a target's cookie are forwarded to that target."""
         return self.resolve(compute_cookie(name)) == name
+
+    def is_shared(self, name: str) -> bool:
+        """Whether another target claims the cookie of a target."""
+        return len(self._claims.get(compute_cookie(name), [])) > 1
--- a/endivepick/forwarding/registry.py
+++ b/endivepick/forwarding/registry.py
@@ -249,6 +249,8 @@
         after = self._replace_incarnation(belief, target, now_s)
         after.state, after.state_since_s = belief.state, belief.state_since_s
         self._update_revisit_index(after)
+        if after.state is TargetState.GONE:
+            self._update_cookie(after)
         return [_make_restart_change(belief, after, "answered a probe anew", now_s)]
 
     def mark_unreadable(
@@ -443,8 +445,18 @@
         belief.state_since_s = now_s
         self._candidates.pop(belief.target.service, None)
         self._update_revisit_index(belief)
+        if TargetState.GONE in (before, state):
+            self._update_cookie(belief)
         return [_make_change(belief, before.value, state.value, reason, age_s)]
 
+    def _update_cookie(self, belief: TargetBelief) -> None:
+        """Update the claim to the cookie of a target that is gone, or has returned."""
+        gone = belief.state is TargetState.GONE
+        self._cookies.add(belief.name, belief.target.created, gone)
+        if self._cookies.is_shared(belief.name):
+            # Another target, maybe of another service, starts or ends to take flows.
+            self._candidates.clear()
+
     def _update_revisit_index(self, belief: TargetBelief) -> None:
         """Add a target to `targets_to_revisit`, or remove it from there."""
         present = belief.state in (TargetState.READY, TargetState.DRAINING)
--- a/endivepick/forwarding/tests/test_cookies.py
+++ b/endivepick/forwarding/tests/test_cookies.py
@@ -47,3 +47,16 @@
             self.assertEqual(directory.resolve(5), "i-2")
             directory.remove("i-2")
             self.assertIsNone(directory.resolve(5))
+
+    def test_target_that_is_gone_leaves_the_cookie_to_the_other(self):
+        with unittest.mock.patch(
+            "endivepick.forwarding.cookies.compute_cookie", constant_hash(5)
+        ):
+            directory = CookieDirectory()
+            directory.add("i-1", created=10)
+            directory.add("i-1", created=10, gone=True)
+            self.assertEqual(directory.resolve(5), "i-1")
+            directory.add("i-2", created=20)
+            self.assertEqual(directory.resolve(5), "i-2")
+            directory.add("i-1", created=30)
+            self.assertEqual(directory.resolve(5), "i-2")
--- a/endivepick/forwarding/tests/test_forwarder.py
+++ b/endivepick/forwarding/tests/test_forwarder.py
@@ -17,6 +17,8 @@
 )
 from endivepick.forwarding.cookies import compute_cookie
 from endivepick.forwarding.tests.support import (
+    SILENT,
+    answer_probes,
     data,
     flow_key,
     make_configuration,
@@ -272,3 +274,46 @@
         # The timeout of the configuration applies, not that of the settings.
         core.tick(61.1)
         self.assertEqual((belief.flows, belief.busy_flows), (0, 0))
+
+
+class TestSharedCookie(unittest.TestCase):
+    """Two targets share a cookie; the one that the store created first leaves."""
+
+    LEAVING, STAYING = "i-512cedf1", "i-cfef23c3"
+
+    def setUp(self):
+        self.staying = make_target(self.STAYING, created=6, revision=6)
+        leaving = make_target(self.LEAVING, created=5, revision=5)
+        self.core = make_core([leaving, self.staying])
+        self.cookie = self.core.registry.get(self.STAYING).cookie
+        self.assertEqual(self.cookie, self.core.registry.get(self.LEAVING).cookie)
+
+    def leave(self):
+        open_flow(self.core, flow_key(3), 0.9)
+        draining = make_target(
+            self.LEAVING, phase=TargetPhase.DRAINING, created=5, revision=11
+        )
+        self.core.on_target(draining, 1.0)
+        self.core.on_target_removed(self.LEAVING, 12, 8.0)
+        answer_probes(self.core, SILENT, 8.2)
+
+    def test_instances_agree_on_the_owner_after_the_first_has_left(self):
+        # Guards against resets of the other's flows, which an instance that had
+        # started since opened there.
+        self.leave()
+        started_since = make_core([self.staying])
+        flow = flow_key()
+        for core in (started_since, self.core):
+            verdict = core.on_packet(data(flow, self.cookie), b"", 9.0)
+            self.assertIsInstance(verdict, Forward)
+            self.assertEqual(verdict.belief.name, self.STAYING)
+
+    def test_the_other_takes_new_flows_when_the_first_has_left(self):
+        self.assertEqual(open_flow(self.core, flow_key(1), 0.5).name, self.LEAVING)
+        self.leave()
+        self.assertEqual(open_flow(self.core, flow_key(2), 9.0).name, self.STAYING)
+
+    def test_first_keeps_the_cookie_while_its_entry_is_missing_for_a_moment(self):
+        self.core.on_target_removed(self.LEAVING, 12, 1.0)
+        verdict = self.core.on_packet(data(flow_key(), self.cookie), b"", 1.1)
+        self.assertEqual(verdict.belief.name, self.LEAVING)
