--- a/endivepick/forwarder/damaged_lists.py
+++ b/endivepick/forwarder/damaged_lists.py
@@ -1,20 +1,21 @@
-"""Reads the objects around one whose bytes damage the store's answers.
+"""Reads the objects around a damaged one in the store's answers.
 
 Scenario: the store embeds the bytes that other writers stored.  If they are cut off or
 contain brackets, nothing in the answer shows for certain where the next object begins,
 which objects it has, and whether it continues.  An instance that guesses takes live
 targets for removed ones and resets their flows.
 
-Nothing is guessed here.  Believed are an answer that is intact as a whole; the front of
-a list up to the first object that is not valid by itself; and an object that was read
-by its path, which is all that the answer contains.  The list is then continued after
-the name of the damaged object, which the store wrote before that object's bytes.
+Therefore only three parts of the answers are used: an answer that is intact as a whole;
+the front of a list up to the first object that is not valid by itself; and an object
+that was read by its path, which is all that the answer contains.  The list is then
+continued after the name of the damaged object, which the store wrote before that
+object's bytes.
 """
 
 from endivepick.errors import PlatformAnswerError
 from endivepick.forwarder.object_lists import (
+    ListedObjects,
     ListSource,
-    ObjectList,
     read_intact_page,
 )
 from endivepick.forwarder.ports import (
@@ -30,21 +31,21 @@
 MAX_CHANGED_OBJECTS = 64
 """Maximum number of objects that are read one by one after a damaged answer to a watch;
 beyond it the whole list takes fewer calls."""
-_MAX_GUESSED_NAMES = 1024
+_MAX_TRIED_NAMES = 1024
 """Maximum number of names of one list that are tried because that of a damaged object
 is not certain."""
 _TRAILER_BYTES = 64
 """Length that the fields after the elements of a list do not exceed."""
 
 
-def recover_list(source: ListSource, listed: ObjectList, body: bytes) -> None:
+def recover_list(source: ListSource, listed: ListedObjects, body: bytes) -> None:
     """Read the rest of a list from a page that is not intact.
 
     Parameters
     ----------
     source : ListSource
         Store and kind of the objects.
-    listed : ObjectList
+    listed : ListedObjects
         Objects of the pages before; extended by the others.
     body : bytes
         The page that is not intact.
@@ -114,14 +115,14 @@
     ----------
     source : ListSource
         Store and kind of the objects.
-    listed : ObjectList
+    listed : ListedObjects
         Extended page by page.
     """
 
-    def __init__(self, source: ListSource, listed: ObjectList) -> None:
+    def __init__(self, source: ListSource, listed: ListedObjects) -> None:
         self._source = source
         self._listed = listed
-        self._guessed_names = 0
+        self._tried_names = 0
 
     def take_page(self, body: bytes) -> bytes | None:
         """Add the certain objects of a page; return the next page, None at the end."""
@@ -145,8 +146,8 @@
     def _is_continued_by(self, damaged: DamagedPage, following: bytes) -> bool:
         """Whether the page after the last object is the rest of the damaged page.
 
-        Both are bytes of the store, so the objects before the rest are all there are up
-        to that name.
+        The store separated both at the same place, so the objects before it are all
+        that it has up to that name.
         """
         rest = self._source.dialect.read_list_content(following)
         common = max(1, min(len(rest), len(damaged.rest)) - _TRAILER_BYTES)
@@ -163,7 +164,7 @@
         listed, source = self._listed, self._source
         name = damaged.next_name
         if name <= listed.after:
-            name = self._guess_name(damaged)
+            name = self._find_least_name(damaged)
         if source.dialect.is_usable_name(source.kind, name):
             item = _read_object(source, name, listed.revision or 0)
             listed.items += [] if item is None else [item]
@@ -172,14 +173,15 @@
             listed.items.append(UnreadableItem(name, fault, listed.revision or 0))
         listed.after = name
 
-    def _guess_name(self, damaged: DamagedPage) -> str:
+    def _find_least_name(self, damaged: DamagedPage) -> str:
         """Return the least name that the next object can have.
 
-        No object is skipped: the name of the next one is among the names of the page.
+        To go on after it skips no object, since the names of all objects of a page
+        occur in its bytes.
         """
         names = [name for name in damaged.names if name > self._listed.after]
-        self._guessed_names += 1
-        if not names or self._guessed_names > _MAX_GUESSED_NAMES:
+        self._tried_names += 1
+        if not names or self._tried_names > _MAX_TRIED_NAMES:
             raise PlatformAnswerError(
                 f"List cannot be continued after {self._listed.after!r}: the name of a "
                 "damaged object is not certain. Remove the objects of other writers."
--- a/endivepick/forwarder/object_lists.py
+++ b/endivepick/forwarder/object_lists.py
@@ -14,7 +14,7 @@
 
 __all__ = [
     "ListSource",
-    "ObjectList",
+    "ListedObjects",
     "read_intact_page",
     "read_list",
     "read_stale_page",
@@ -46,17 +46,15 @@
 
     def get_page(self, after: str = "") -> bytes:
         """Return the body of the page after a name; "" for the first page."""
-        if not self.stale:
-            path = self.dialect.list_path(self.kind, after)
-        elif after:
+        if self.stale:
             path = self.dialect.stale_list_path(self.kind, after)
         else:
-            path = self.dialect.stale_list_path(self.kind)
+            path = self.dialect.list_path(self.kind, after)
         return self.connection.get(path, self.timeout_s)
 
 
-class ObjectList(Struct):
-    """Objects of a list that were read so far.
+class ListedObjects(Struct):
+    """Objects that were read of a list so far.
 
     Attributes
     ----------
@@ -77,7 +75,7 @@
     damaged: bool = False
 
 
-def read_list(source: ListSource) -> ObjectList:
+def read_list(source: ListSource) -> ListedObjects:
     """Read all objects of a kind.
 
     Changes between two pages are not in the list: they follow its revision, which is
@@ -90,7 +88,7 @@
     PlatformAnswerError
         If its answers are no list.
     """
-    listed = ObjectList([])
+    listed = ListedObjects([])
     while True:
         body = source.get_page(listed.after)
         page = read_intact_page(source, body)
@@ -110,13 +108,13 @@
             return listed
 
 
-def read_stale_page(source: ListSource) -> ObjectList:
+def read_stale_page(source: ListSource) -> ListedObjects:
     """Read the first page of a list that may be seconds old."""
     body = source.get_page()
     page = read_intact_page(source, body)
     if page is not None:
-        return ObjectList(list(page.items))
-    listed = ObjectList([])
+        return ListedObjects(list(page.items))
+    listed = ListedObjects([])
     _recover(source, listed, body)
     return listed
 
@@ -155,7 +153,7 @@
     return page if page.intact else None
 
 
-def _recover(source: ListSource, listed: ObjectList, body: bytes) -> None:
+def _recover(source: ListSource, listed: ListedObjects, body: bytes) -> None:
     # Imported on demand: other writers' objects are rarely invalid.
     from endivepick.forwarder.damaged_lists import recover_list
 
--- a/endivepick/forwarder/tests/empty_store.py
+++ b/endivepick/forwarder/tests/empty_store.py
@@ -9,7 +9,7 @@
     def list_path(self, kind, _after):
         return f"/{kind.value}"
 
-    def stale_list_path(self, kind):
+    def stale_list_path(self, kind, _after=""):
         return f"/{kind.value}?stale"
 
     def watch_path(self, kind, _revision, wait_s):
