--- a/endivepick/store/tests/test_connection.py
+++ b/endivepick/store/tests/test_connection.py
@@ -55,6 +55,15 @@
             self.assertEqual(store.get("/2", TIMEOUT_S), b"b")
         self.assertEqual(self.connections, 1)
 
+    def test_missing_object_is_none_and_other_errors_raise(self):
+        missing, failing = self.answer("404 Not Found"), self.answer("503 Busy")
+        address = self.serve(self.answer(body="a"), missing, failing, failing)
+        with store_connection(address) as store:
+            self.assertEqual(store.find("/1", TIMEOUT_S), b"a")
+            self.assertIsNone(store.find("/2", TIMEOUT_S))
+            with self.assertRaises(PlatformUnavailableError):
+                store.find("/3", TIMEOUT_S)
+
     def test_truncated_response_raises_unavailable(self):
         short = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\nx: close\r\n\r\nabc"
         with (
