--- a/endivepick/forwarder/damaged_lists.py
+++ b/endivepick/forwarder/damaged_lists.py
@@ -26,9 +26,9 @@
     UnreadableItem,
 )
 
-__all__ = ["MAX_CHANGED_OBJECTS", "recover_changes", "recover_list"]
+__all__ = ["recover_changes", "recover_list"]
 
-MAX_CHANGED_OBJECTS = 64
+_MAX_CHANGED_OBJECTS = 64
 """Maximum number of objects that are read one by one after a damaged answer to a watch;
 beyond it the whole list takes fewer calls."""
 _MAX_TRIED_NAMES = 1024
@@ -97,7 +97,7 @@
         for name in source.dialect.find_names(body)
         if source.dialect.is_usable_name(source.kind, name)
     ]
-    if len(names) > MAX_CHANGED_OBJECTS:
+    if len(names) > _MAX_CHANGED_OBJECTS:
         return None
     revision = _read_revision(source)
     items = [
@@ -167,7 +167,8 @@
             name = self._find_least_name(damaged)
         if source.dialect.is_usable_name(source.kind, name):
             item = _read_object(source, name, listed.revision or 0)
-            listed.items += [] if item is None else [item]
+            if item is not None:
+                listed.items.append(item)
         elif name == damaged.next_name:
             fault = "content damages the list"
             listed.items.append(UnreadableItem(name, fault, listed.revision or 0))
--- a/endivepick/forwarder/object_lists.py
+++ b/endivepick/forwarder/object_lists.py
@@ -15,6 +15,7 @@
 __all__ = [
     "ListSource",
     "ListedObjects",
+    "read_changes",
     "read_intact_page",
     "read_list",
     "read_stale_page",
--- a/endivepick/forwarder/store_feed.py
+++ b/endivepick/forwarder/store_feed.py
@@ -355,7 +355,8 @@
     def _read_stale_list(self, connection: StoreConnection) -> None:
         listed = read_stale_page(self._get_source(connection, stale=True))
         self._stale_first = False
-        self._log_damage(listed.damaged)
+        if listed.damaged:
+            self._log_damage()
         self._deliver(FeedChanges(self._kind, tuple(listed.items), 0))
 
     def _list(self, connection: StoreConnection) -> None:
@@ -363,7 +364,8 @@
         listed = read_list(self._get_source(connection))
         self._revision = listed.revision or 0
         self._list_wanted = False
-        self._log_damage(listed.damaged)
+        if listed.damaged:
+            self._log_damage()
         self._deliver(
             FeedList(self._kind, tuple(listed.items), self._revision, requested_s)
         )
@@ -374,9 +376,7 @@
         timeout_s = self._settings.call_timeout_s
         return ListSource(connection, self._dialect, self._kind, timeout_s, stale)
 
-    def _log_damage(self, damaged: bool) -> None:
-        if not damaged:
-            return
+    def _log_damage(self) -> None:
         self._count("damaged")
         self._log.warning(
             "store",
@@ -404,7 +404,8 @@
         finally:
             self._pending_wait_s = 0.0
         batch = read_changes(self._get_source(connection), body)
-        self._log_damage(batch is None or batch.recovered)
+        if batch is None or batch.recovered:
+            self._log_damage()
         if batch is None:
             # The next call reads the list, which has the changes.
             self._list_wanted = True
