Log why a target was probed and how old the evidence for a reset is

`target_probed` now has the cause of the probe, its duration and whether a reference target was contacted; each reset that answers no packet has the time since the flow's last packet and the age of the evidence. Before, only resets of ejected targets had the former. No decision changes.

--- a/endivepick/forwarder/decision_log.py
+++ b/endivepick/forwarder/decision_log.py
@@ -89,9 +89,7 @@
             service=confirmed.service,
             fault=confirmed.fault.value,
             reason=confirmed.reason,
-            told_before_s=None
-            if told_before_s is None
-            else truncate_number(told_before_s),
+            told_before_s=_truncate(told_before_s),
             overdue_routes=confirmed.overdue_routes,
         )
 
@@ -138,18 +136,23 @@
             flow_key=str(reset.flow),
             target=reset.target,
             reason=reset.reason.value,
-            quiet_s=None if reset.quiet_s is None else truncate_number(reset.quiet_s),
+            quiet_s=_truncate(reset.quiet_s),
+            evidence_age_s=_truncate(reset.evidence_age_s),
         )
 
     def log_probe(self, result: ProbeResult) -> None:
         """Log the outcome of a probe."""
         self.metrics.count("probes", result.outcome.value)
+        self.metrics.count("probe_causes", result.cause.value)
         self.log.event(
             "probe",
             "target_probed",
             f"probe of {result.target}: {result.outcome.value}",
             target=result.target,
             outcome=result.outcome.value,
+            cause=result.cause.value,
+            took_s=truncate_number(result.took_s),
+            compared=result.compared,
             probed_born_ms=result.probed_born_ms,
             shown_born_ms=result.shown_born_ms,
         )
@@ -330,3 +333,7 @@
             error=repr(error),
             where=traceback.format_exc(limit=_TRACE_FRAMES),
         )
+
+
+def _truncate(number: float | None) -> float | None:
+    return None if number is None else truncate_number(number)
--- a/endivepick/forwarder/metrics.py
+++ b/endivepick/forwarder/metrics.py
@@ -23,6 +23,7 @@
     "evacuation_changes": "Evacuations of zones that came into force or ended.",
     "target_changes": "Changes of what is believed of targets, by new belief.",
     "probes": "Probes of targets, by outcome.",
+    "probe_causes": "Probes of targets, by cause.",
     "items_unreadable": "Objects of the store that could not be read, by kind.",
     "store_calls": "Calls of the platform's object API, by answer.",
     "tasks_failed": "Tasks that met a fault and began again, by name.",
--- a/endivepick/forwarder/probes.py
+++ b/endivepick/forwarder/probes.py
@@ -84,9 +84,20 @@
     deliver : callable
         Called once with the result.
     """
+    began_s = steady_now_s()
     ended = _run_probe(probe, dialect, settings)
     target = probe.target
-    deliver(ProbeResult(target.name, ended.outcome, target.born_ms, ended.born_ms))
+    deliver(
+        ProbeResult(
+            target.name,
+            ended.outcome,
+            target.born_ms,
+            ended.born_ms,
+            cause=probe.cause,
+            took_s=steady_now_s() - began_s,
+            compared=probe.control is not None,
+        )
+    )
 
 
 def _run_probe(
--- a/endivepick/forwarder/tests/test_decision_log.py
+++ b/endivepick/forwarder/tests/test_decision_log.py
@@ -9,6 +9,11 @@
     FlowKey,
     OpeningRejected,
     OverloadChanged,
+    ProbeCause,
+    ProbeOutcome,
+    ProbeResult,
+    Reset,
+    ResetReason,
 )
 from endivepick.forwarding.admission.decisions import Rejected
 from endivepick.forwarding.admission.overload_state import OverloadState
@@ -86,5 +91,38 @@
         self.assertEqual(self.metrics.counts["openings_rejected", "2"], 1)
 
 
+class TestEvidence(unittest.TestCase):
+    """A reset that answers no packet can be traced to the probe behind it."""
+
+    FLOW = FlowKey(0x64400007, 40001, 0xC6120001, 443)
+
+    def setUp(self):
+        self.reader = Reader()
+        self.metrics = ForwarderMetrics()
+        self.decisions = DecisionLog(BoundedLog("a", self.reader.write), self.metrics)
+
+    def read_line(self):
+        self.decisions.log.flush()
+        (line,) = self.reader.events
+        return line
+
+    def test_probe_line_contains_cause_duration_and_comparison(self):
+        cause = ProbeCause.OPENING_UNANSWERED
+        self.decisions.log_probe(
+            ProbeResult("i-3", ProbeOutcome.SILENT, cause=cause, took_s=0.268)
+        )
+        line = self.read_line()
+        self.assertEqual((line["outcome"], line["cause"]), ("silent", cause.value))
+        self.assertEqual((line["took_s"], line["compared"]), (0.268, False))
+        self.assertEqual(self.metrics.counts["probe_causes", cause.value], 1)
+
+    def test_reset_line_contains_the_age_of_flow_and_evidence(self):
+        silent = ResetReason.TARGET_SILENT
+        self.decisions.log_target_reset(Reset(self.FLOW, 1, silent, "i-3", 5.1, 0.25))
+        line = self.read_line()
+        self.assertEqual((line["reason"], line["target"]), ("target_silent", "i-3"))
+        self.assertEqual((line["quiet_s"], line["evidence_age_s"]), (5.1, 0.25))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/endivepick/forwarding/actions.py
+++ b/endivepick/forwarding/actions.py
@@ -21,6 +21,7 @@
     "DecisionRecord",
     "OpeningRejected",
     "OverloadChanged",
+    "ProbeCause",
     "ProbeOutcome",
     "ProbeResult",
     "ProbeTarget",
@@ -79,6 +80,9 @@
     quiet_s : float or None
         Time since the flow's last packet here, in seconds; None if the reset answers a
         packet.
+    evidence_age_s : float or None
+        Time since the evidence against the target was obtained, in seconds; None if the
+        reset answers a packet.
     """
 
     flow: FlowKey
@@ -86,6 +90,7 @@
     reason: ResetReason
     target: str = ""
     quiet_s: float | None = None
+    evidence_age_s: float | None = None
 
 
 class Drop(Struct, frozen=True):
@@ -101,6 +106,36 @@
 Verdict = Forward | Reset | Drop | Hold
 
 
+class ProbeCause(Enum):
+    """Why a target is probed.
+
+    Attributes
+    ----------
+    CALLERS_REPEAT
+        A caller retransmits data that the target should have acknowledged.
+    OPENING_UNANSWERED
+        No packet has followed an opening.
+    ENTRY_REMOVED
+        Its registry entry was removed or cannot be read any more.
+    PEER_HINT
+        A peer found it dead.
+    ZONE_REPORT
+        Another instance of the zone found it silent.
+    SILENT_NEIGHBOUR
+        Another target of its zone is silent.
+    RETRY
+        An earlier probe found it not reachable.
+    """
+
+    CALLERS_REPEAT = "callers_repeat"
+    OPENING_UNANSWERED = "opening_unanswered"
+    ENTRY_REMOVED = "entry_removed"
+    PEER_HINT = "peer_hint"
+    ZONE_REPORT = "zone_report"
+    SILENT_NEIGHBOUR = "silent_neighbour"
+    RETRY = "retry"
+
+
 class ProbeTarget(Struct, frozen=True):
     """Probe a target to find out whether it is alive.
 
@@ -114,11 +149,14 @@
         Another target that made progress recently.  If it answers (accepts or refuses
         a connection), the silence of the probed target is not caused by this instance's
         own link.
+    cause : ProbeCause
+        Why it is probed.
     """
 
     target: Target
     path: str
     control: Target | None = None
+    cause: ProbeCause = ProbeCause.RETRY
 
 
 class ReadRegistry(Struct, frozen=True):
@@ -289,9 +327,18 @@
         entry has none.
     shown_born_ms : int
         Start time in the answer, in Unix milliseconds; 0 if the answer has none.
+    cause : ProbeCause
+        Why it was probed.
+    took_s : float
+        Duration of the probe, in seconds.
+    compared : bool
+        Whether a control target was contacted in parallel, if it was silent at first.
     """
 
     target: str
     outcome: ProbeOutcome
     probed_born_ms: int = 0
     shown_born_ms: int = 0
+    cause: ProbeCause = ProbeCause.RETRY
+    took_s: float = 0.0
+    compared: bool = False
--- a/endivepick/forwarding/failure_detector.py
+++ b/endivepick/forwarding/failure_detector.py
@@ -13,6 +13,7 @@
 from endivepick.forwarding.actions import (
     DecisionRecord,
     Effect,
+    ProbeCause,
     ProbeOutcome,
     ProbeTarget,
     Reset,
@@ -27,7 +28,7 @@
 )
 from endivepick.forwarding.fault_confirmation import REPORT_VALID_S
 from endivepick.forwarding.fitness_reports import SilentTarget
-from endivepick.forwarding.flows import FlowTable
+from endivepick.forwarding.flows import FlowTable, ObservedFlow
 from endivepick.forwarding.model import FlowKey, RouteKind, Target
 from endivepick.forwarding.placement_filter import PlacementFilter
 from endivepick.forwarding.registry import TargetRegistry
@@ -112,7 +113,8 @@
             return []
         if now_s - since_s < self._settings.repeat_after_s:
             return []
-        probe = self._probe_unless_progressed(belief, since_s, now_s)
+        cause = ProbeCause.CALLERS_REPEAT
+        probe = self._probe_unless_progressed(belief, since_s, cause, now_s)
         if not probe:
             return []
         event, reason = ReachabilityEvent.CALLERS_REPEAT, "callers repeat"
@@ -149,7 +151,8 @@
         """
         if not self._settings.mechanisms.probe_silent_openings:
             return []
-        probe = self._probe_unless_progressed(belief, since_s, now_s)
+        cause = ProbeCause.OPENING_UNANSWERED
+        probe = self._probe_unless_progressed(belief, since_s, cause, now_s)
         if not probe:
             return []
         age_s = now_s - since_s
@@ -171,7 +174,7 @@
         """
         if belief.reachability is Reachability.DEAD or not belief.flows:
             return []
-        return list(self._probe(belief, now_s))
+        return [*self._probe(belief, ProbeCause.ENTRY_REMOVED, now_s)]
 
     def progress(self, belief: TargetBelief, now_s: float) -> list[Effect]:
         """Mark a target as reachable after a caller acknowledged new data from it."""
@@ -189,12 +192,12 @@
         changes = self._registry.record_reachability(
             belief, _PROBE_EVENTS[outcome], reason, now_s
         )
-        effects: list[Effect] = [*changes, *self.reset_flows(belief)]
+        effects: list[Effect] = [*changes, *self.reset_flows(belief, now_s)]
         if changes and belief.reachability is Reachability.SILENT:
             effects += self._probe_zone(belief, now_s)
         return effects
 
-    def reset_flows(self, belief: TargetBelief) -> list[Effect]:
+    def reset_flows(self, belief: TargetBelief, now_s: float) -> list[Effect]:
         """Reset and remove the flows of a target that cannot serve them."""
         effects: list[Effect] = []
         if not self._may_reset(belief):
@@ -206,9 +209,8 @@
             # The next copy of an opening packet is placed on another target anyway.
             if reason is None or not flow.opened:
                 continue
-            reset = Reset(flow.key, flow.acknowledged, reason, belief.name)
-            effects.append(reset)
-            self._flows.end(flow.key)
+            evidence_age_s = now_s - belief.reachability_since_s
+            effects.append(self._reset(flow, reason, evidence_age_s, now_s))
         return effects
 
     def find_reset_reason(
@@ -233,8 +235,20 @@
             return True
         return self._settings.mechanisms.reset_unreachable
 
+    def _reset(
+        self,
+        flow: ObservedFlow,
+        reason: ResetReason,
+        evidence_age_s: float,
+        now_s: float,
+    ) -> Reset:
+        """Remove a flow of which no packet is in transit, and return its reset."""
+        self._flows.end(flow.key)
+        name, quiet_s = flow.belief.name, now_s - flow.seen_s
+        return Reset(flow.key, flow.acknowledged, reason, name, quiet_s, evidence_age_s)
+
     def reset_former_incarnation(
-        self, restart: TargetRestart, began_s: float
+        self, restart: TargetRestart, began_s: float, now_s: float
     ) -> list[Effect]:
         """Reset the flows of the previous incarnation of a restarted target.
 
@@ -250,15 +264,15 @@
         began_s : float
             Earliest possible start of the new incarnation under the allowed clock
             differences, in seconds.
+        now_s : float
+            Present time, in seconds.
         """
         effects: list[Effect] = []
         reason = ResetReason.TARGET_RESTARTED
         for flow in self._flows.of_target(restart.before):
             if flow.opened_s is None or flow.opened_s >= began_s:
                 continue
-            name = restart.before.name
-            effects.append(Reset(flow.key, flow.acknowledged, reason, name))
-            self._flows.end(flow.key)
+            effects.append(self._reset(flow, reason, 0.0, now_s))
         return effects
 
     def has_alternative(self, belief: TargetBelief) -> bool:
@@ -279,7 +293,7 @@
             return []
         if not (belief.flows or self._is_first_choice(belief)):
             return []
-        return list(self._probe(belief, now_s))
+        return [*self._probe(belief, ProbeCause.PEER_HINT, now_s)]
 
     def _is_first_choice(self, belief: TargetBelief) -> bool:
         """Whether placement prefers targets of this target's zone."""
@@ -330,7 +344,7 @@
             if belief is None or belief.target.born_ms != reported.born_ms:
                 continue
             if belief.flows and belief.reachability is Reachability.REACHABLE:
-                effects += self._probe(belief, now_s)
+                effects += self._probe(belief, ProbeCause.ZONE_REPORT, now_s)
         return effects
 
     def retry_probes(self, now_s: float) -> list[Effect]:
@@ -349,7 +363,7 @@
             if belief.reachability is Reachability.REACHABLE:
                 continue
             if now_s - belief.probed_s >= self._retry_gap_s(belief, now_s):
-                effects += self._probe(belief, now_s)
+                effects += self._probe(belief, ProbeCause.RETRY, now_s)
         return effects
 
     def _retry_gap_s(self, belief: TargetBelief, now_s: float) -> float:
@@ -376,27 +390,30 @@
             if belief.target.zone != silent.target.zone or not belief.flows:
                 continue
             if belief.reachability is Reachability.REACHABLE:
-                effects += self._probe(belief, now_s)
+                effects += self._probe(belief, ProbeCause.SILENT_NEIGHBOUR, now_s)
         return effects
 
     def _probe_unless_progressed(
-        self, belief: TargetBelief, since_s: float, now_s: float
+        self, belief: TargetBelief, since_s: float, cause: ProbeCause, now_s: float
     ) -> list[ProbeTarget]:
         """Probe a reachable target without progress since a time."""
         if belief.reachability is not Reachability.REACHABLE:
             return []
         if belief.progress_s > since_s:
             return []
-        return self._probe(belief, now_s)
+        return self._probe(belief, cause, now_s)
 
-    def _probe(self, belief: TargetBelief, now_s: float) -> list[ProbeTarget]:
+    def _probe(
+        self, belief: TargetBelief, cause: ProbeCause, now_s: float
+    ) -> list[ProbeTarget]:
         if now_s - belief.probed_s < self._settings.probe_gap_s:
             return []
         belief.probed_s = now_s
         configuration = self._routes.configuration
         paths = {} if configuration is None else configuration.health_paths
         path = paths.get(belief.target.service, _DEFAULT_HEALTH_PATH)
-        return [ProbeTarget(belief.target, path, self._find_control(belief, now_s))]
+        control = self._find_control(belief, now_s)
+        return [ProbeTarget(belief.target, path, control, cause)]
 
     def _find_control(self, belief: TargetBelief, now_s: float) -> Target | None:
         """Return a target with recent progress as control of a probe, or None."""
--- a/endivepick/forwarding/forwarder.py
+++ b/endivepick/forwarding/forwarder.py
@@ -417,7 +417,7 @@
         for restart in restarts:
             began_s = self._earliest_start_s(restart.after.target, now_s)
             self.effects += self._failure_detector.reset_former_incarnation(
-                restart, began_s
+                restart, began_s, now_s
             )
 
     def _earliest_start_s(self, target: Target, now_s: float) -> float:
@@ -448,6 +448,6 @@
                     self.effects += self._failure_detector.on_entry_removed(
                         belief, now_s
                     )
-                    self.effects += self._failure_detector.reset_flows(belief)
+                    self.effects += self._failure_detector.reset_flows(belief, now_s)
                 case _:
                     pass
--- a/endivepick/forwarding/impaired_flows.py
+++ b/endivepick/forwarding/impaired_flows.py
@@ -48,4 +48,5 @@
         self._flows.end(flow.key)
         reason = ResetReason.TARGET_IMPAIRED
         name, quiet_s = flow.belief.name, now_s - flow.seen_s
-        return Reset(flow.key, flow.acknowledged, reason, name, quiet_s)
+        evidence_age_s = now_s - flow.belief.fitness_since_s
+        return Reset(flow.key, flow.acknowledged, reason, name, quiet_s, evidence_age_s)
--- a/endivepick/forwarding/tests/test_evacuations.py
+++ b/endivepick/forwarding/tests/test_evacuations.py
@@ -8,6 +8,7 @@
     Forward,
     ForwardingCore,
     ForwardingSettings,
+    ProbeCause,
     Reset,
     ResetReason,
     Route,
@@ -193,7 +194,7 @@
             core.on_hint(belief.name, 2.0)
         core.effects.clear()
         for belief in others:
-            core.effects += core._failure_detector._probe(belief, 3.0)
+            core.effects += core._failure_detector._probe(belief, ProbeCause.RETRY, 3.0)
         answer_probes(core, SILENT, 3.0)
         zones, _ = self.place(core, now_s=4.0, first_port=3000)
         self.assertNotIn("a", zones)
--- a/endivepick/model/_evidence_mutants.py
+++ b/endivepick/model/_evidence_mutants.py
@@ -86,21 +86,21 @@
 class IgnoresRunningRequests(FailureDetector):
     """A judge that ignores requests in progress."""
 
-    def reset_flows(self, belief: TargetBelief) -> list[Effect]:
+    def reset_flows(self, belief: TargetBelief, now_s: float) -> list[Effect]:
         """Treat all flows as idle."""
         for flow in self._flows.of_target(belief):
             flow.busy_since_s = None
-        return super().reset_flows(belief)
+        return super().reset_flows(belief, now_s)
 
 
 class TreatsAllAsIdempotent(FailureDetector):
     """A judge that treats all requests as idempotent."""
 
-    def reset_flows(self, belief: TargetBelief) -> list[Effect]:
+    def reset_flows(self, belief: TargetBelief, now_s: float) -> list[Effect]:
         """Replace the kind of all flows."""
         for flow in self._flows.of_target(belief):
             flow.kind = RouteKind.IDEMPOTENT
-        return super().reset_flows(belief)
+        return super().reset_flows(belief, now_s)
 
 
 class AssumesAlternative(FailureDetector):
@@ -114,20 +114,20 @@
 class KeepsFlowsOfDead(FailureDetector):
     """A judge that keeps the flows of a dead target."""
 
-    def reset_flows(self, belief: TargetBelief) -> list[Effect]:
+    def reset_flows(self, belief: TargetBelief, now_s: float) -> list[Effect]:
         """Reset no flows of a dead target."""
         if belief.reachability is Reachability.DEAD:
             return []
-        return super().reset_flows(belief)
+        return super().reset_flows(belief, now_s)
 
 
 class ResetsDrainingTargets(FailureDetector):
     """A judge that treats a refusal by a draining target as its death."""
 
-    def reset_flows(self, belief: TargetBelief) -> list[Effect]:
+    def reset_flows(self, belief: TargetBelief, now_s: float) -> list[Effect]:
         """Reset all flows of a target that refuses connections."""
         if belief.reachability is not Reachability.DEAD:
-            return super().reset_flows(belief)
+            return super().reset_flows(belief, now_s)
         reason = ResetReason.TARGET_DEAD
         return [
             Reset(flow.key, flow.acknowledged, reason, belief.name)
--- a/endivepick/model/_restart_mutants.py
+++ b/endivepick/model/_restart_mutants.py
@@ -67,7 +67,7 @@
     """A judge that resets all flows to the name of a restarted target."""
 
     def reset_former_incarnation(
-        self, restart: TargetRestart, began_s: float
+        self, restart: TargetRestart, began_s: float, now_s: float
     ) -> list[Effect]:
         """Ignore when the flows were opened."""
         name, reason = restart.before.name, ResetReason.TARGET_RESTARTED
