Take no departed target for the sign of a partition

Callers saw open flows of targets that serve reset, while other targets left as planned.

Cause: a silent probe makes an instance probe all other targets of that target's zone, since a partition cuts off a whole zone at once. A target that has left as planned is silent too once its machine is gone, and each instance with flows there finds that out in the same tenth of a second. A target accepts a limited number of connections at once; a probe that it drops ends as silent, and its flows are reset.

Ruled out: outlier detection. The target whose flows were reset was ready for 1.3 s only, and flows are not reset for its verdicts before 5 s.

Change: only the silence of a target that neither drains nor has left, in another zone, is a sign of a partition. No partition separates an instance from its own zone. The silence of single targets of the own zone is told by callers and by the zone's reports, as before.

In test_mechanisms the targets of test_probe_silent_zone are in another zone now: it asked for the probes within the own zone that did the damage.

--- a/endivepick/forwarding/failure_detector.py
+++ b/endivepick/forwarding/failure_detector.py
@@ -386,6 +386,8 @@
         effects: list[Effect] = []
         if not self._settings.mechanisms.probe_silent_zone:
             return effects
+        if not self._may_be_partitioned(silent):
+            return effects
         for belief in self._registry:
             if belief.target.zone != silent.target.zone or not belief.flows:
                 continue
@@ -393,6 +395,16 @@
                 effects += self._probe(belief, ProbeCause.SILENT_NEIGHBOUR, now_s)
         return effects
 
+    def _may_be_partitioned(self, silent: TargetBelief) -> bool:
+        """Whether the silence of a target may be that of its whole zone.
+
+        No partition separates an instance from its own zone, and a target that drains
+        or has left may end at any time.  Otherwise all instances of a zone would probe
+        all its targets whenever one target leaves, and targets whose queue of new
+        connections overflows would be found silent.
+        """
+        return silent.takes_flows and silent.target.zone != self._settings.zone
+
     def _probe_unless_progressed(
         self, belief: TargetBelief, since_s: float, cause: ProbeCause, now_s: float
     ) -> list[ProbeTarget]:
--- a/endivepick/forwarding/tests/test_mechanisms.py
+++ b/endivepick/forwarding/tests/test_mechanisms.py
@@ -86,7 +86,8 @@
 
     def test_probe_silent_zone(self):
         for off, probes in ((), 2), (("probe_silent_zone",), 0):
-            core = self.core(*off)
+            targets = [make_target(f"i-{n}", "b", revision=n) for n in range(1, 4)]
+            core = self.core(*off, targets=targets, zones=2)
             flows = [self.open_busy_flow(core, port) for port in range(3)]
             self.retransmit(core, *flows[0])
             answer_probes(core, SILENT, 1.3)
