Require a second sign before a target counts as silent

Callers saw open flows of targets that serve reset, several at the same moment, mostly idle ones.

Cause: one unanswered probe made a target silent, whatever had started the probe, and reset its idle flows and its repeatable requests. A probe of a target that serves stays unanswered if a packet of it is lost or the target's queue of new connections is full. Probes start for weak reasons: an opening whose next packet passes another instance, an entry that the store dropped, another target that is silent.

No log shows the probe itself: causes and durations were not logged.

Change: the chart takes an unanswered probe as one sign, which makes a target suspect; a second sign makes it silent. A caller's repetition, a report of the zone and the removal of the entry are signs as well, so these cases take as long as before. An unanswered probe is no sign if a caller acknowledged new data since it began.

--- a/endivepick/forwarding/belief.py
+++ b/endivepick/forwarding/belief.py
@@ -74,9 +74,11 @@
     REACHABLE
         No sign of a failure.
     SUSPECT
-        Callers retransmit data that it should have acknowledged; a probe is running.
+        One sign of a failure: callers retransmit data that it should have acknowledged,
+        others found it failed, or it did not answer a probe.
     SILENT
-        It neither accepts nor refuses connections: power loss or a partition.
+        It did not answer a probe, and there was another sign before: power loss or a
+        partition.
     DEAD
         Its address refuses connections or belongs to another incarnation.
     """
@@ -95,6 +97,7 @@
     """Event that changes the reachability of a target."""
 
     CALLERS_REPEAT = "callers_repeat"
+    REPORTED = "reported"
     PROGRESS = "progress"
     PROBE_ALIVE = "probe_alive"
     PROBE_SILENT = "probe_silent"
--- a/endivepick/forwarding/failure_detector.py
+++ b/endivepick/forwarding/failure_detector.py
@@ -5,7 +5,9 @@
 registry removes the entry after three missed heartbeats, which is seconds later.  One
 retransmission is enough to start a probe, since a probe costs a target about a
 millisecond of a slot.  Only a probe is enough to reset flows, since packets are lost
-occasionally.
+occasionally.  A probe may also stay unanswered although its target serves: a packet
+of it is lost, or the target's queue of new connections is full.  So a target is silent
+only after two signs, of which at least one is an unanswered probe.
 """
 
 from collections.abc import Sequence
@@ -20,6 +22,7 @@
     ResetReason,
 )
 from endivepick.forwarding.belief import (
+    BeliefChange,
     Reachability,
     ReachabilityEvent,
     TargetBelief,
@@ -174,7 +177,11 @@
         """
         if belief.reachability is Reachability.DEAD or not belief.flows:
             return []
-        return [*self._probe(belief, ProbeCause.ENTRY_REMOVED, now_s)]
+        effects: list[Effect] = []
+        if belief.state is TargetState.GONE:
+            reason = "entry removed"
+            effects += self._record_reported(belief, reason, now_s)
+        return [*effects, *self._probe(belief, ProbeCause.ENTRY_REMOVED, now_s)]
 
     def progress(self, belief: TargetBelief, now_s: float) -> list[Effect]:
         """Mark a target as reachable after a caller acknowledged new data from it."""
@@ -187,6 +194,8 @@
         self, belief: TargetBelief, outcome: ProbeOutcome, now_s: float
     ) -> list[Effect]:
         """Update reachability from the outcome of a probe, and reset flows."""
+        if outcome is ProbeOutcome.SILENT and belief.progress_s > belief.probed_s:
+            return []
         reason = f"probe: {outcome.value}"
         belief.replaced = outcome is ProbeOutcome.REPLACED
         changes = self._registry.record_reachability(
@@ -344,9 +353,17 @@
             if belief is None or belief.target.born_ms != reported.born_ms:
                 continue
             if belief.flows and belief.reachability is Reachability.REACHABLE:
+                effects += self._record_reported(belief, "zone: silent", now_s)
                 effects += self._probe(belief, ProbeCause.ZONE_REPORT, now_s)
         return effects
 
+    def _record_reported(
+        self, belief: TargetBelief, reason: str, now_s: float
+    ) -> list[BeliefChange]:
+        """Suspect a target on a sign that this instance has not observed itself."""
+        event = ReachabilityEvent.REPORTED
+        return self._registry.record_reachability(belief, event, reason, now_s)
+
     def retry_probes(self, now_s: float) -> list[Effect]:
         """Probe unreachable targets again as long as they are not gone.
 
