Spread probes that all instances start at the same moment

Cause: a report of the zone, a removed entry and a silent target of another zone reach all instances of a zone at once, and each one with flows at a target probed it at that moment. A living target that was reported by mistake then left most of these probes unanswered, and with the report as the first sign their flows were reset. Found by a simulation of 24 instances and targets that accept 16 connections at a time: test_target_that_was_reported_by_mistake failed before with resets at several instances.

Change: such probes begin at a random time within 0.2 s. Those for a caller's repetition, an opening or a peer's hint begin at once, as before. Costs 0.1 s on average until idle flows of a reported silent target are reset; requests in progress are told by their callers.

--- a/endivepick/forwarder/packet_path.py
+++ b/endivepick/forwarder/packet_path.py
@@ -1,5 +1,6 @@
 """Decodes packets, passes them to the core and performs the core's decisions."""
 
+import random
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from socket import socket
@@ -190,7 +191,8 @@
         self._metrics.count("flows_reset", reset.reason.value)
 
     def _probe(self, probe: ProbeTarget) -> None:
-        gevent.spawn(
+        gevent.spawn_later(
+            random.uniform(0.0, probe.spread_s),
             probe_target,
             probe,
             self._dialect,
--- a/endivepick/forwarding/actions.py
+++ b/endivepick/forwarding/actions.py
@@ -151,12 +151,15 @@
         own link.
     cause : ProbeCause
         Why it is probed.
+    spread_s : float
+        The probe begins at a random time within this, in seconds.
     """
 
     target: Target
     path: str
     control: Target | None = None
     cause: ProbeCause = ProbeCause.RETRY
+    spread_s: float = 0.0
 
 
 class ReadRegistry(Struct, frozen=True):
--- a/endivepick/forwarding/failure_detector.py
+++ b/endivepick/forwarding/failure_detector.py
@@ -55,6 +55,14 @@
 """Largest time since the last progress of a target that serves as control of a probe.
 
 If the control has ended since, the probe waits as long as without a control."""
+PROBE_SPREAD_S = 0.2
+"""Time over which instances spread probes that all of them start at the same moment.
+
+A target's queue of new connections is shorter than the number of instances."""
+_SHARED_CAUSES = frozenset(
+    {ProbeCause.ENTRY_REMOVED, ProbeCause.ZONE_REPORT, ProbeCause.SILENT_NEIGHBOUR}
+)
+"""Causes of which all instances of a zone learn at the same moment."""
 _DEFAULT_HEALTH_PATH = "/health"
 _PROBE_EVENTS = {
     ProbeOutcome.ALIVE: ReachabilityEvent.PROBE_ALIVE,
@@ -442,7 +450,8 @@
         paths = {} if configuration is None else configuration.health_paths
         path = paths.get(belief.target.service, _DEFAULT_HEALTH_PATH)
         control = self._find_control(belief, now_s)
-        return [ProbeTarget(belief.target, path, control, cause)]
+        spread_s = PROBE_SPREAD_S if cause in _SHARED_CAUSES else 0.0
+        return [ProbeTarget(belief.target, path, control, cause, spread_s)]
 
     def _find_control(self, belief: TargetBelief, now_s: float) -> Target | None:
         """Return a target with recent progress as control of a probe, or None."""
--- a/endivepick/forwarding/tests/test_silent_probes.py
+++ b/endivepick/forwarding/tests/test_silent_probes.py
@@ -1,9 +1,11 @@
 """Probes of targets that serve may stay unanswered, and must not reset their flows."""
 
+import random
 import unittest
 from collections import defaultdict
 
 from endivepick.forwarding import (
+    FitnessReport,
     Forward,
     ProbeOutcome,
     ProbeResult,
@@ -13,6 +15,7 @@
     ResetReason,
     TargetPhase,
 )
+from endivepick.forwarding.fitness_reports import SilentTarget
 from endivepick.forwarding.tests.support import (
     ALIVE,
     ONCE_PORT,
@@ -155,6 +158,7 @@
             for port in range(12 * targets):
                 open_idle_flow(core, port)
             core.effects.clear()
+        self.draw = random.Random(1)
         self.accepted = accepted
         self.dark = set()
         self.connected_s = defaultdict(list)
@@ -182,7 +186,8 @@
 
     def probe(self, core, probe, now_s):
         """Return instance, end and result of a probe."""
-        name, at_s = probe.target.name, now_s + getattr(probe, "delay_s", 0.0)
+        delay_s = self.draw.uniform(0.0, probe.spread_s)
+        name, at_s = probe.target.name, now_s + delay_s
         recent = [s for s in self.connected_s[name] if abs(s - at_s) < self.WINDOW_S]
         if name in self.dark or len(recent) >= self.accepted:
             return core, at_s + self.TIMEOUT_S, ProbeResult(name, SILENT)
@@ -221,6 +226,14 @@
         zone.run(4.0, 2.0)
         self.assertEqual(zone.resets, [])
 
+    def test_target_that_was_reported_by_mistake(self):
+        zone = ProbedZone(accepted=16)
+        report = FitnessReport([], [], silent=[SilentTarget("i-1", 0)])
+        for core in zone.cores:
+            core.on_zone_report(report, 3.0)
+        zone.run(3.0, 2.0)
+        self.assertEqual(zone.resets, [])
+
     def test_target_that_lost_power(self):
         zone = ProbedZone()
         zone.dark.add("i-1")
