Reset flows only in answer to their packets during a planned stop

Callers saw two open flows of a target that serves reset at the same moment, idle for 5.1 and 5.7 s, by an instance 2.1 s after the begin of its planned stop; a request that may run once only failed.

Cause: `begin_stop` ended the outlier detector, but not the failure detector. The fabric turns away from an instance that stops, in this case when another one of the zone had returned. What it has forwarded is answered through others: openings stay unanswered here, requests look lost, no target shows progress, and so a probe has no reference target. Each of these starts a probe, and one unanswered probe reset all flows of its target that the instance still remembered, also those that had been idle or busy elsewhere for seconds.

Change: the failure detector ends too. An instance in its planned stop resets a flow only in answer to a packet of it, starts no probe for a target that is reachable, suspects none and reports none as silent. It goes on probing targets that it found failed before, since these are used again once they answer. Removed and restarted entries reset no flow without a packet either.

What it costs: idle flows of a target that ends in these 2.5 s are reset by the instance that gets their next packet, and not before it.

--- a/endivepick/forwarding/failure_detector.py
+++ b/endivepick/forwarding/failure_detector.py
@@ -103,6 +103,16 @@
         self._routes = routes
         self._filter = placement_filter
         self._reported_silent: frozenset[SilentTarget] = frozenset()
+        self._stopped = False
+
+    def stop(self) -> None:
+        """Reset flows only in answer to their packets, and suspect no target.
+
+        Scenario: an instance stops, and the fabric sends the next packets of its flows
+        to other instances.  Here openings stay unanswered, requests look lost, and no
+        target shows progress, although all of them serve.
+        """
+        self._stopped = True
 
     def suspect(
         self, belief: TargetBelief, flow: FlowKey, since_s: float, now_s: float
@@ -217,7 +227,7 @@
     def reset_flows(self, belief: TargetBelief, now_s: float) -> list[Effect]:
         """Reset and remove the flows of a target that cannot serve them."""
         effects: list[Effect] = []
-        if not self._may_reset(belief):
+        if self._stopped or not self._may_reset(belief):
             return effects
         alternative_exists = self.has_alternative(belief)
         for flow in self._flows.of_target(belief):
@@ -285,6 +295,8 @@
             Present time, in seconds.
         """
         effects: list[Effect] = []
+        if self._stopped:
+            return effects
         reason = ResetReason.TARGET_RESTARTED
         for flow in self._flows.of_target(restart.before):
             if flow.opened_s is None or flow.opened_s >= began_s:
@@ -324,7 +336,7 @@
         Targets of other zones are left out, since in a partition all of them are
         silent.
         """
-        if not self._settings.mechanisms.tell_silence:
+        if self._stopped or not self._settings.mechanisms.tell_silence:
             return []
         return [
             SilentTarget(belief.name, belief.target.born_ms)
@@ -443,6 +455,8 @@
     def _probe(
         self, belief: TargetBelief, cause: ProbeCause, now_s: float
     ) -> list[ProbeTarget]:
+        if self._stopped and cause is not ProbeCause.RETRY:
+            return []
         if now_s - belief.probed_s < self._settings.probe_gap_s:
             return []
         belief.probed_s = now_s
--- a/endivepick/forwarding/forwarder.py
+++ b/endivepick/forwarding/forwarder.py
@@ -260,12 +260,13 @@
         )
 
     def begin_stop(self) -> None:
-        """Judge no targets by their requests during a planned stop.
+        """Judge no targets during a planned stop, and go on forwarding packets.
 
         The fabric sends the flows of this instance to others.
         """
         self._requests = RequestRecorder(None, self.load)
         self.outlier_detector.stop()
+        self._failure_detector.stop()
 
     def has_suspects(self, now_s: float) -> bool:
         """Whether a target is an outlier suspect or was recently found silent."""
--- a/endivepick/forwarding/tests/test_silent_probes.py
+++ b/endivepick/forwarding/tests/test_silent_probes.py
@@ -283,6 +283,12 @@
                 answer_probes(self.core, outcome, 2.5)
                 self.assertEqual(take(self.core, Reset), [])
 
+    def test_silent_target_is_not_reported_to_the_zone(self):
+        self.probe_in_progress()
+        answer_probes(self.core, SILENT, 2.5)
+        self.assertIs(self.belief.reachability, Reachability.SILENT)
+        self.assertEqual(self.core.build_report(2.6).silent, [])
+
     def test_packet_of_a_flow_of_a_dead_target_is_answered_by_a_reset(self):
         self.probe_in_progress()
         answer_probes(self.core, REFUSED, 2.5)
