Take only what an instance has seen itself as signs of silence

A target that left while it was suspected, or shortly after a probe, was never probed again, and its flows were never reset. During a planned stop a report made targets suspect all the same. The second probe came only a probe interval after the first began, 1.9 s on a slow link.

Change: a caller's repetition and an unanswered probe, or two unanswered probes, make a target silent; reports and removed entries only start probes. The second probe begins 0.1 s after the end of the first, also for a target that is gone, and is spread like those of a shared cause. The spread grows with the number of instances of a zone, to 1 s at most. During a stop, removed entries are probed, so that packets of a target that is gone are answered by resets; reports start nothing.

In test_silence the idle flow of a reported target is reset after the second probe, no more after the first one.

--- a/endivepick/forwarding/_charts.py
+++ b/endivepick/forwarding/_charts.py
@@ -29,7 +29,6 @@
     ("reachable", "callers_repeat"): "suspect",
     ("reachable", "probe_refused"): "dead",
     ("reachable", "probe_silent"): "suspect",
-    ("reachable", "reported"): "suspect",
     ("silent", "probe_alive"): "reachable",
     ("silent", "probe_refused"): "dead",
     ("silent", "progress"): "reachable",
--- a/endivepick/forwarding/actions.py
+++ b/endivepick/forwarding/actions.py
@@ -123,8 +123,10 @@
         Another instance of the zone found it silent.
     SILENT_NEIGHBOUR
         Another target of its zone is silent.
+    CONFIRMATION
+        It left the probe before unanswered.
     RETRY
-        An earlier probe found it not reachable.
+        It was found silent or dead before.
     """
 
     CALLERS_REPEAT = "callers_repeat"
@@ -133,6 +135,7 @@
     PEER_HINT = "peer_hint"
     ZONE_REPORT = "zone_report"
     SILENT_NEIGHBOUR = "silent_neighbour"
+    CONFIRMATION = "confirmation"
     RETRY = "retry"
 
 
--- a/endivepick/forwarding/belief.py
+++ b/endivepick/forwarding/belief.py
@@ -74,10 +74,10 @@
     REACHABLE
         No sign of a failure.
     SUSPECT
-        One sign of a failure: callers retransmit data that it should have acknowledged,
-        others found it failed, or it did not answer a probe.
+        Callers retransmit data that it should have acknowledged and a probe is running,
+        or it left one probe unanswered.
     SILENT
-        It did not answer a probe, and there was another sign before: power loss or a
+        It neither accepts nor refuses connections, by two signs: power loss or a
         partition.
     DEAD
         Its address refuses connections or belongs to another incarnation.
@@ -97,7 +97,6 @@
     """Event that changes the reachability of a target."""
 
     CALLERS_REPEAT = "callers_repeat"
-    REPORTED = "reported"
     PROGRESS = "progress"
     PROBE_ALIVE = "probe_alive"
     PROBE_SILENT = "probe_silent"
@@ -215,7 +214,9 @@
     progress_s : float
         When a caller last acknowledged new data from it, in seconds.
     probed_s : float
-        Start of the last probe, in seconds.
+        Latest start of the last probe, in seconds.
+    probe_ended_s : float
+        End of the last probe, in seconds.
     hinted_s : float
         When a peer last reported that it does not answer, in seconds.
     fitness : Fitness
@@ -240,6 +241,7 @@
     stalled_flows: int = 0
     progress_s: float = float("-inf")
     probed_s: float = float("-inf")
+    probe_ended_s: float = float("-inf")
     hinted_s: float = float("-inf")
     fitness: Fitness = Fitness.SOUND
     fitness_since_s: float = 0.0
--- a/endivepick/forwarding/failure_detector.py
+++ b/endivepick/forwarding/failure_detector.py
@@ -7,7 +7,9 @@
 millisecond of a slot.  Only a probe is enough to reset flows, since packets are lost
 occasionally.  A probe may also stay unanswered although its target serves: a packet
 of it is lost, or the target's queue of new connections is full.  So a target is silent
-only after two signs, of which at least one is an unanswered probe.
+only after two signs that this instance has observed itself: two unanswered probes, or a
+caller's retransmission and an unanswered probe.  What others report starts a probe and
+is no sign: all instances of a zone hear it at the same moment.
 """
 
 from collections.abc import Sequence
@@ -22,7 +24,6 @@
     ResetReason,
 )
 from endivepick.forwarding.belief import (
-    BeliefChange,
     Reachability,
     ReachabilityEvent,
     TargetBelief,
@@ -55,14 +56,28 @@
 """Largest time since the last progress of a target that serves as control of a probe.
 
 If the control has ended since, the probe waits as long as without a control."""
-PROBE_SPREAD_S = 0.2
-"""Time over which instances spread probes that all of them start at the same moment.
+PROBE_INTERVAL_S = 0.01
+"""Mean time between two probes of a target by all instances of a zone, if all of them
+have the same cause at the same moment.
 
 A target's queue of new connections is shorter than the number of instances."""
+MIN_PROBE_SPREAD_S, MAX_PROBE_SPREAD_S = 0.2, 1.0
+"""Bounds of the time over which the instances of a zone spread these probes."""
+CONFIRMATION_DELAY_S = 0.1
+"""Time from the end of an unanswered probe to the next one.
+
+A burst of connections that filled the target's queue is over by then."""
 _SHARED_CAUSES = frozenset(
-    {ProbeCause.ENTRY_REMOVED, ProbeCause.ZONE_REPORT, ProbeCause.SILENT_NEIGHBOUR}
+    {
+        ProbeCause.ENTRY_REMOVED,
+        ProbeCause.ZONE_REPORT,
+        ProbeCause.SILENT_NEIGHBOUR,
+        ProbeCause.CONFIRMATION,
+    }
 )
 """Causes of which all instances of a zone learn at the same moment."""
+_CAUSES_DURING_STOP = frozenset({ProbeCause.ENTRY_REMOVED, ProbeCause.RETRY})
+"""Causes that do not depend on where the packets of flows go."""
 _DEFAULT_HEALTH_PATH = "/health"
 _PROBE_EVENTS = {
     ProbeOutcome.ALIVE: ReachabilityEvent.PROBE_ALIVE,
@@ -104,9 +119,15 @@
         self._filter = placement_filter
         self._reported_silent: frozenset[SilentTarget] = frozenset()
         self._stopped = False
+        self._spread_s = MIN_PROBE_SPREAD_S
+
+    def set_instance_bound(self, instances: int) -> None:
+        """Set an upper bound of the number of instances of the installation."""
+        spread_s = PROBE_INTERVAL_S * instances / self._settings.zones
+        self._spread_s = min(max(MIN_PROBE_SPREAD_S, spread_s), MAX_PROBE_SPREAD_S)
 
     def stop(self) -> None:
-        """Reset flows only in answer to their packets, and suspect no target.
+        """Reset flows only in answer to their packets, and suspect no target for them.
 
         Scenario: an instance stops, and the fabric sends the next packets of its flows
         to other instances.  Here openings stay unanswered, requests look lost, and no
@@ -195,11 +216,7 @@
         """
         if belief.reachability is Reachability.DEAD or not belief.flows:
             return []
-        effects: list[Effect] = []
-        if belief.state is TargetState.GONE:
-            reason = "entry removed"
-            effects += self._record_reported(belief, reason, now_s)
-        return [*effects, *self._probe(belief, ProbeCause.ENTRY_REMOVED, now_s)]
+        return [*self._probe(belief, ProbeCause.ENTRY_REMOVED, now_s)]
 
     def progress(self, belief: TargetBelief, now_s: float) -> list[Effect]:
         """Mark a target as reachable after a caller acknowledged new data from it."""
@@ -212,7 +229,9 @@
         self, belief: TargetBelief, outcome: ProbeOutcome, now_s: float
     ) -> list[Effect]:
         """Update reachability from the outcome of a probe, and reset flows."""
+        belief.probe_ended_s = max(now_s, belief.probed_s)
         if outcome is ProbeOutcome.SILENT and belief.progress_s > belief.probed_s:
+            # It answered a caller since, so a packet of the probe was lost.
             return []
         reason = f"probe: {outcome.value}"
         belief.replaced = outcome is ProbeOutcome.REPLACED
@@ -373,19 +392,14 @@
             if belief is None or belief.target.born_ms != reported.born_ms:
                 continue
             if belief.flows and belief.reachability is Reachability.REACHABLE:
-                effects += self._record_reported(belief, "zone: silent", now_s)
                 effects += self._probe(belief, ProbeCause.ZONE_REPORT, now_s)
         return effects
 
-    def _record_reported(
-        self, belief: TargetBelief, reason: str, now_s: float
-    ) -> list[BeliefChange]:
-        """Suspect a target on a sign that this instance has not observed itself."""
-        event = ReachabilityEvent.REPORTED
-        return self._registry.record_reachability(belief, event, reason, now_s)
-
     def retry_probes(self, now_s: float) -> list[Effect]:
-        """Probe unreachable targets again as long as they are not gone.
+        """Probe targets again that are not reachable.
+
+        A suspect is probed again soon after its first unanswered probe.  Targets that
+        are gone are probed only until it is known whether they still serve their flows.
 
         A dead target is probed as well while its entry exists: a partition that resets
         connections looks like a process that has ended, and without probes, flows of
@@ -395,14 +409,25 @@
         """
         effects: list[Effect] = []
         for belief in self._registry.targets_to_revisit:
-            if belief.state is TargetState.GONE:
-                continue
-            if belief.reachability is Reachability.REACHABLE:
-                continue
-            if now_s - belief.probed_s >= self._retry_gap_s(belief, now_s):
-                effects += self._probe(belief, ProbeCause.RETRY, now_s)
+            match belief.reachability:
+                case Reachability.REACHABLE:
+                    continue
+                case Reachability.SUSPECT if _has_ended_probe(belief):
+                    effects += self._confirm(belief, now_s)
+                case _ if belief.state is TargetState.GONE:
+                    continue
+                case _ if now_s - belief.probed_s >= self._retry_gap_s(belief, now_s):
+                    effects += self._probe(belief, ProbeCause.RETRY, now_s)
         return effects
 
+    def _confirm(self, belief: TargetBelief, now_s: float) -> list[ProbeTarget]:
+        """Probe a target for the second time, shortly after the first probe."""
+        if belief.state is TargetState.GONE and not belief.flows:
+            return []
+        if now_s - belief.probe_ended_s < CONFIRMATION_DELAY_S:
+            return []
+        return self._start_probe(belief, ProbeCause.CONFIRMATION, now_s)
+
     def _retry_gap_s(self, belief: TargetBelief, now_s: float) -> float:
         """Return the time between two probes, which grows while a target is dead."""
         gap_s = self._settings.probe_gap_s
@@ -455,16 +480,21 @@
     def _probe(
         self, belief: TargetBelief, cause: ProbeCause, now_s: float
     ) -> list[ProbeTarget]:
-        if self._stopped and cause is not ProbeCause.RETRY:
+        if self._stopped and cause not in _CAUSES_DURING_STOP:
             return []
         if now_s - belief.probed_s < self._settings.probe_gap_s:
             return []
-        belief.probed_s = now_s
+        return self._start_probe(belief, cause, now_s)
+
+    def _start_probe(
+        self, belief: TargetBelief, cause: ProbeCause, now_s: float
+    ) -> list[ProbeTarget]:
+        spread_s = self._spread_s if cause in _SHARED_CAUSES else 0.0
+        belief.probed_s = now_s + spread_s
         configuration = self._routes.configuration
         paths = {} if configuration is None else configuration.health_paths
         path = paths.get(belief.target.service, _DEFAULT_HEALTH_PATH)
         control = self._find_control(belief, now_s)
-        spread_s = PROBE_SPREAD_S if cause in _SHARED_CAUSES else 0.0
         return [ProbeTarget(belief.target, path, control, cause, spread_s)]
 
     def _find_control(self, belief: TargetBelief, now_s: float) -> Target | None:
@@ -477,6 +507,11 @@
         return control.target
 
 
+def _has_ended_probe(belief: TargetBelief) -> bool:
+    """Whether no probe of a target is in progress."""
+    return belief.probe_ended_s >= belief.probed_s
+
+
 def _may_have_requests_in_progress(belief: TargetBelief) -> bool:
     """Whether a target that refuses connections may have requests in progress.
 
--- a/endivepick/forwarding/forwarder.py
+++ b/endivepick/forwarding/forwarder.py
@@ -221,6 +221,7 @@
     def set_instance_bound(self, instances: int) -> None:
         """Set an upper bound of the number of instances that place flows."""
         self._openings.instance_bound = instances
+        self._failure_detector.set_instance_bound(instances)
 
     def on_probe(self, result: ProbeResult, now_s: float) -> None:
         """Apply a probe result, if it is of the known incarnation."""
--- a/endivepick/forwarding/tests/test_silence.py
+++ b/endivepick/forwarding/tests/test_silence.py
@@ -66,6 +66,9 @@
         core, flow, _ = self.with_flows_at(name)
         core.on_zone_report(merge_reports([first.build_report(3.1)]), 3.1)
         self.assertEqual(answer_probes(core, SILENT, 3.4), [name])
+        self.assertEqual(take(core, Reset), [])
+        core.tick(3.5)
+        self.assertEqual(answer_probes(core, SILENT, 3.7), [name])
         self.assertIn(flow, [reset.flow for reset in take(core, Reset)])
 
     def test_report_is_verified_once_by_a_probe(self):
