Let the evidence model lose probes and stop the instance

Cause: the model presumed that a probe of a target that serves is always answered, and it knew no planned stop of the instance.

Change: bounds `lost_probes`, `hints` (a peer's report, true or not, starts a probe), `stops` and `active_flows` (keeps the new checks small). If probes may be lost, callers retransmit only if the target did not serve, since a retransmission and a silent probe are two signs. Three invariants are new: a stopping instance resets a flow only in answer to its packet; it starts no probe; a silent probe shows nothing if the target made progress since it began. Four checks and four mutations are new. An ended target may be called silent if a probe was lost; without lost probes the rule for silence is as before. The states moved to a module of their own.

Weighed: without a report of a peer, only a target that had been silent was probed while its entry stood, so a lost probe could not have broken the invariant.

--- a/endivepick/model/_evidence_mutants.py
+++ b/endivepick/model/_evidence_mutants.py
@@ -149,6 +149,53 @@
         return effects
 
 
+class TreatsFirstSilenceAsFailure(FailureDetector):
+    """A judge to which one silent probe is enough."""
+
+    def on_probe(
+        self, belief: TargetBelief, outcome: ProbeOutcome, now_s: float
+    ) -> list[Effect]:
+        """Count a silent probe twice."""
+        effects = super().on_probe(belief, outcome, now_s)
+        if outcome is ProbeOutcome.SILENT:
+            effects += super().on_probe(belief, outcome, now_s)
+        return effects
+
+
+class IgnoresProgressDuringProbe(FailureDetector):
+    """A judge that ignores what callers acknowledged while a probe was running."""
+
+    def on_probe(
+        self, belief: TargetBelief, outcome: ProbeOutcome, now_s: float
+    ) -> list[Effect]:
+        """Discard the progress of the target."""
+        belief.progress_s = float("-inf")
+        return super().on_probe(belief, outcome, now_s)
+
+
+class JudgesWhileStopping(FailureDetector):
+    """A judge that does not notice the planned stop of its instance."""
+
+    def stop(self) -> None:
+        """Go on as before."""
+
+
+class ProbesWhileStopping(FailureDetector):
+    """A judge that resets no flows during a planned stop, but still probes."""
+
+    _omits_resets = False
+
+    def stop(self) -> None:
+        """Omit resets from now on."""
+        self._omits_resets = True
+
+    def reset_flows(self, belief: TargetBelief, now_s: float) -> list[Effect]:
+        """Reset no flows during the stop."""
+        if self._omits_resets:
+            return []
+        return super().reset_flows(belief, now_s)
+
+
 def _probes_target_that_is(
     judge: FailureDetector, effect: Effect, reachability: Reachability
 ) -> bool:
@@ -179,12 +226,21 @@
     return lambda core: install_failure_detector(core, mutant)
 
 
+_LOST = EvidenceBounds(steps=1, active_flows=1, hints=1, lost_probes=1)
+_LOST_AND_REMOVED = EvidenceBounds(steps=1, active_flows=1, removal=True, lost_probes=1)
+_STOPS = EvidenceBounds(steps=1, active_flows=1, hints=1, stops=True)
+_STOPS_AND_REMOVED = EvidenceBounds(steps=1, active_flows=1, removal=True, stops=True)
+
 EVIDENCE_SCENARIOS: dict[str, Callable[[str], Specification]] = {
     "evidence, one step of time": _evidence(EvidenceBounds(steps=1)),
     "evidence": _evidence(EvidenceBounds()),
     "evidence, no other target": _evidence(EvidenceBounds(with_alternative=False)),
     "evidence, entry removed": _evidence(EvidenceBounds(steps=1, removal=True)),
     "evidence, the target drains": _evidence(EvidenceBounds(drains=True)),
+    "evidence, a probe is lost": _evidence(_LOST),
+    "evidence, a probe is lost, entry removed": _evidence(_LOST_AND_REMOVED),
+    "evidence, the instance stops": _evidence(_STOPS),
+    "evidence, the instance stops, entry removed": _evidence(_STOPS_AND_REMOVED),
 }
 """Factories of the specifications to check, by name."""
 
@@ -205,6 +261,10 @@
         EvidenceBounds(steps=1, drains=True),
     ),
     "every probe resets flows": (ResetsAfterEveryProbe, EvidenceBounds()),
+    "one silent probe is enough": (TreatsFirstSilenceAsFailure, _LOST),
+    "progress during a probe is ignored": (IgnoresProgressDuringProbe, _LOST),
+    "a stopping instance judges targets": (JudgesWhileStopping, _STOPS),
+    "a stopping instance probes targets": (ProbesWhileStopping, _STOPS),
 }
 
 EVIDENCE_MUTATIONS: dict[str, Callable[[str], Specification]] = {
--- a/endivepick/model/evidence.py
+++ b/endivepick/model/evidence.py
@@ -5,12 +5,11 @@
 acknowledge on two flows to this target; the requests of one flow may run at most once.
 A draining target refuses connections while it finishes its requests, then ends, and
 its entry is removed.  A probe observes the target as it is when the probe begins, and
-ends at any later time.
+ends at any later time; the answers of some probes may be lost.  The instance may begin
+a planned stop, after which packets may reach the target through another instance.
 """
 
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
-from enum import Enum
 from functools import partial
 from typing import NamedTuple
 
@@ -33,6 +32,14 @@
     TargetPhase,
     TargetState,
 )
+from endivepick.model._evidence_world import (
+    Breach,
+    Condition,
+    EvidenceBounds,
+    EvidenceWorld,
+    FlowProgress,
+    FlowReset,
+)
 from endivepick.model._freeze import freeze
 from endivepick.model._transition_cache import TransitionCache
 from endivepick.model.checker import Specification
@@ -51,15 +58,6 @@
 _FIRST_SEQUENCE, _FIRST_ACKNOWLEDGEMENT = 101, 500
 
 
-class Condition(Enum):
-    """Condition of the target."""
-
-    SERVES = "serves"
-    SILENT = "silent"
-    FINISHES = "finishes"
-    ENDED = "ended"
-
-
 _OUTCOMES = {
     Condition.SERVES: ProbeOutcome.ALIVE,
     Condition.SILENT: ProbeOutcome.SILENT,
@@ -68,79 +66,17 @@
 }
 
 
-@dataclass(frozen=True)
-class EvidenceBounds:
-    """Limits on the events in one run of the evidence model.
-
-    Attributes
-    ----------
-    steps : int
-        Number of time steps.
-    requests : int
-        Number of requests of each flow.
-    with_alternative : bool
-        Another target of the service accepts flows.
-    removal : bool
-        The entry of the target may be removed.
-    drains : bool
-        The target drains and ends as planned.
-    mutate : callable
-        Modifies the core before the run; a mutation breaks one of its rules.
-    """
-
-    steps: int = 2
-    requests: int = 1
-    with_alternative: bool = True
-    removal: bool = False
-    drains: bool = False
-    mutate: Callable[[ForwardingCore], object] = lambda core: None
-
-
-class FlowProgress(NamedTuple):
-    """Progress of the requests on a flow, at the caller and at the target."""
-
-    requests: int = 0
-    answered: int = 0
-    running: bool = False
-
-
-class EvidenceWorld(NamedTuple):
-    """One state of the evidence model.
-
-    Attributes
-    ----------
-    core : int
-        State number of the instance.
-    step : int
-        Number of time steps so far.
-    condition : Condition
-        Current condition of the target.
-    past_conditions : frozenset of Condition
-        All conditions of the target so far.
-    removed : bool
-        Whether the entry of the target was removed.
-    progress : tuple of FlowProgress
-        Progress of each flow.
-    probes : frozenset of ProbeOutcome
-        Outcomes that the probes in progress will report.
-    resets : frozenset
-        Flow, reason and whether a request may be running, for each reset.
-    """
-
-    core: int
-    step: int
-    condition: Condition
-    past_conditions: frozenset[Condition]
-    removed: bool
-    progress: tuple[FlowProgress, ...]
-    probes: frozenset[ProbeOutcome]
-    resets: frozenset[tuple[int, ResetReason, bool]]
-
-
 Step = tuple[str, EvidenceWorld]
 Act = Callable[[ForwardingCore], object]
 
 
+class _Outcome(NamedTuple):
+    """Verdict on a packet, None without one, and the effects of an event."""
+
+    verdict: object
+    effects: tuple[object, ...]
+
+
 def evidence_specification(name: str, bounds: EvidenceBounds) -> Specification:
     """Build the specification of failure evidence within given bounds."""
     model = _EvidenceModel(bounds)
@@ -154,6 +90,15 @@
             "nothing is reset for silence without another target": model.has_fallback,
             "a target found dead keeps no flow": model.releases_flows,
             "a target in doubt is probed again": model.probes_again,
+            "a stopping instance resets a flow only in answer to its packet": partial(
+                _is_free_of, Breach.RESET_IN_STOP
+            ),
+            "a stopping instance starts no probe": partial(
+                _is_free_of, Breach.PROBE_IN_STOP
+            ),
+            "a silent probe shows nothing if the target made progress": partial(
+                _is_free_of, Breach.PROGRESS_IGNORED
+            ),
         },
     )
 
@@ -203,25 +148,15 @@
 
     def initial(self) -> EvidenceWorld:
         """Return the world in which two flows are open at the target."""
-        serves = Condition.SERVES
-        nothing: frozenset[ProbeOutcome] = frozenset()
-        progress = (FlowProgress(),) * len(_FLOWS)
         core = self._states.number_of(self._first)
-        return EvidenceWorld(
-            core, 0, serves, frozenset({serves}), False, progress, nothing, frozenset()
-        )
+        return EvidenceWorld(core, (FlowProgress(),) * len(_FLOWS))
 
     def steps(self, world: EvidenceWorld) -> Iterator[Step]:
         """Yield every step out of a state, with its label."""
         yield from self._condition_steps(world)
-        for index in range(len(_FLOWS)):
+        for index in range(self._bounds.active_flows):
             yield from self._packet_steps(world, index)
-        for outcome in sorted(world.probes, key=lambda one: one.value):
-            result = ProbeResult(_NAME, outcome)
-            ended = world._replace(probes=world.probes - {outcome})
-            now_s = world.step * _STEP_S
-            act: Act = partial(_on_probe, result, now_s)
-            yield self._apply_to_core(ended, f"probe ends: {outcome.value}", act)
+        yield from self._probe_steps(world)
         if world.step < self._bounds.steps:
             later = world._replace(step=world.step + 1)
             now_s = later.step * _STEP_S
@@ -232,6 +167,13 @@
             removed = world._replace(removed=True)
             act = partial(_on_removal, world.step * _STEP_S)
             yield self._apply_to_core(removed, "entry removed", act)
+        if world.hints < self._bounds.hints:
+            hinted = world._replace(hints=world.hints + 1)
+            act = partial(_on_hint, world.step * _STEP_S)
+            yield self._apply_to_core(hinted, "peer reports the target", act)
+        if self._bounds.stops and not world.stopping:
+            stopping = world._replace(stopping=True)
+            yield self._apply_to_core(stopping, "instance stops", _begin_stop)
 
     def _may_be_removed(self, world: EvidenceWorld) -> bool:
         if self._bounds.drains:
@@ -257,6 +199,37 @@
                 world._replace(condition=condition, past_conditions=past_conditions),
             )
 
+    def _probe_steps(self, world: EvidenceWorld) -> Iterator[Step]:
+        """End a probe, with what it observed or as lost."""
+        for outcome in sorted(world.probes, key=lambda one: one.value):
+            ended = world._replace(probes=world.probes - {outcome})
+            label = f"probe ends: {outcome.value}"
+            yield self._probe_end(ended, outcome, label)
+            serves = outcome is ProbeOutcome.ALIVE
+            if serves and world.lost_probes < self._bounds.lost_probes:
+                lost = ended._replace(lost_probes=world.lost_probes + 1)
+                yield self._probe_end(lost, ProbeOutcome.SILENT, "probe is lost")
+
+    def _probe_end(
+        self, world: EvidenceWorld, outcome: ProbeOutcome, label: str
+    ) -> Step:
+        act = partial(_on_probe, ProbeResult(_NAME, outcome), world.step * _STEP_S)
+        label, after = self._apply_to_core(world, label, act)
+        if outcome is ProbeOutcome.SILENT and self._ignores_progress(world, after):
+            breaches = after.breaches | {Breach.PROGRESS_IGNORED}
+            after = after._replace(breaches=breaches)
+        return label, after
+
+    def _ignores_progress(self, world: EvidenceWorld, after: EvidenceWorld) -> bool:
+        """Tell whether a probe's end changed the belief despite later progress."""
+        before = self._states[world.core].registry.get(_NAME)
+        belief = self._states[after.core].registry.get(_NAME)
+        if before is None or belief is None:
+            return False
+        if before.progress_s <= before.probed_s:
+            return False
+        return belief.reachability is not before.reachability
+
     def _packet_steps(self, world: EvidenceWorld, index: int) -> Iterator[Step]:
         progress = world.progress[index]
         serves = world.condition is Condition.SERVES
@@ -267,17 +240,38 @@
         ):
             number = progress.requests + 1
             begun = progress._replace(requests=number, running=serves)
-            yield self._packet_step(world, index, begun, f"{label} asks", True)
+            yield from self._send(world, index, begun, f"{label} asks", True)
         if progress.answered < progress.requests:
             # A retransmission may reach a target that has recovered.
             again = progress._replace(running=progress.running or serves)
-            yield self._packet_step(world, index, again, f"{label} retransmits", True)
+            if self._may_retransmit(world, progress):
+                yield from self._send(world, index, again, f"{label} retransmits", True)
             finishes = world.condition is Condition.FINISHES
             if (serves or finishes) and progress.running:
                 done = progress._replace(answered=progress.requests, running=False)
-                yield self._packet_step(
-                    world, index, done, f"{label} is answered", False
-                )
+                yield from self._send(world, index, done, f"{label} is answered", False)
+
+    def _may_retransmit(self, world: EvidenceWorld, progress: FlowProgress) -> bool:
+        """Tell whether a caller may retransmit, see `EvidenceBounds.lost_probes`."""
+        if not self._bounds.lost_probes:
+            return True
+        return not progress.running or world.condition is not Condition.SERVES
+
+    def _send(
+        self,
+        world: EvidenceWorld,
+        index: int,
+        progress: FlowProgress,
+        label: str,
+        data: bool,
+    ) -> Iterator[Step]:
+        """Send a packet through the instance or, while it stops, through another."""
+        yield self._packet_step(world, index, progress, label, data)
+        if world.stopping:
+            yield (
+                f"{label} elsewhere",
+                world._replace(progress=_with_progress(world, index, progress)),
+            )
 
     def _packet_step(
         self,
@@ -287,8 +281,6 @@
         label: str,
         data: bool,
     ) -> Step:
-        all_progress = list(world.progress)
-        all_progress[index] = progress
         size_bytes = _DATA_BYTES if data else 0
         sequence = _FIRST_SEQUENCE + _DATA_BYTES * (
             progress.requests - (1 if data else 0)
@@ -303,62 +295,66 @@
             size_bytes,
         )
         act = partial(_on_packet, packet, world.step * _STEP_S)
-        return self._apply_to_core(
-            world._replace(progress=tuple(all_progress)), label, act
-        )
+        sent = world._replace(progress=_with_progress(world, index, progress))
+        return self._apply_to_core(sent, label, act)
 
     def _apply_to_core(self, world: EvidenceWorld, label: str, act: Act) -> Step:
         """Apply an event to the core; start its probes and record its resets."""
         event = (label, world.step, world.progress)
-        core, effects = self._states.apply_event(
-            world.core, event, partial(_effects, act)
+        core, outcome = self._states.apply_event(
+            world.core, event, partial(_outcome, act)
         )
-        probes, resets = set(world.probes), set(world.resets)
-        for effect in effects:
+        after = world._replace(core=core)
+        if isinstance(outcome.verdict, Reset):
+            after = _with_reset(after, outcome.verdict)
+        for effect in outcome.effects:
             match effect:
-                case ProbeTarget(target) if target.name == _NAME:
-                    probes.add(_OUTCOMES[world.condition])
-                case Reset(flow, _, reason):
-                    index = _FLOWS.index(flow)
-                    resets.add((index, reason, world.progress[index].running))
+                case ProbeTarget(target):
+                    after = _with_probe(after, target.name)
+                case Reset():
+                    after = _with_breach_in_stop(after, Breach.RESET_IN_STOP)
+                    after = _with_reset(after, effect)
                 case _:
                     pass
-        changed = world._replace(
-            core=core, probes=frozenset(probes), resets=frozenset(resets)
-        )
-        return label, changed
+        return label, after
 
     def has_cause(self, world: EvidenceWorld) -> bool:
-        """Tell whether each reset has a cause in the conditions of the target."""
+        """Tell whether each reset has a cause in the conditions of the target.
+
+        An ended target seems silent if the probe that began before its end is lost.
+        """
         silent = Condition.SILENT in world.past_conditions
+        ended = Condition.ENDED in world.past_conditions
         causes = {
-            ResetReason.TARGET_SILENT: silent,
-            ResetReason.TARGET_DEAD: Condition.ENDED in world.past_conditions
-            or (silent and world.removed),
+            ResetReason.TARGET_SILENT: silent or (ended and world.lost_probes > 0),
+            ResetReason.TARGET_DEAD: ended or (silent and world.removed),
         }
-        return all(causes.get(reason, False) for _, reason, _ in world.resets)
+        return all(causes.get(reset.reason, False) for reset in world.resets)
 
     def keeps_running(self, world: EvidenceWorld) -> bool:
         """Tell whether silence reset no running request that may run only once."""
         return not any(
-            reason is ResetReason.TARGET_SILENT
-            and running
-            and _KINDS[index] is RouteKind.AT_MOST_ONCE
-            for index, reason, running in world.resets
+            reset.reason is ResetReason.TARGET_SILENT
+            and reset.running
+            and _KINDS[reset.flow] is RouteKind.AT_MOST_ONCE
+            for reset in world.resets
         )
 
     def has_fallback(self, world: EvidenceWorld) -> bool:
         """Tell whether flows were reset for silence only with another target left."""
         silent = ResetReason.TARGET_SILENT
         return self._bounds.with_alternative or all(
-            r is not silent for _, r, _ in world.resets
+            reset.reason is not silent for reset in world.resets
         )
 
     def releases_flows(self, world: EvidenceWorld) -> bool:
         """Tell whether a dead target has no open flow left.
 
-        A draining target is exempt because it refuses connections before it ends.
+        A draining target is exempt because it refuses connections before it ends.  An
+        instance that stops resets flows only in answer to their packets.
         """
+        if world.stopping:
+            return True
         core = self._states[world.core]
         belief = core.registry.get(_NAME)
         if belief is None or belief.reachability is not Reachability.DEAD:
@@ -368,7 +364,12 @@
         return not any(flow.opened for flow in core.flows.of_target(belief))
 
     def probes_again(self, world: EvidenceWorld) -> bool:
-        """Tell whether a listed target that is not reachable is probed again."""
+        """Tell whether a listed target that is not reachable is probed again.
+
+        An instance that stops starts no probes.
+        """
+        if world.stopping:
+            return True
         belief = self._states[world.core].registry.get(_NAME)
         if belief is None or belief.state is TargetState.GONE:
             return True
@@ -376,20 +377,51 @@
             return True
         act = partial(_tick, (world.step + 1) * _STEP_S)
         event = ("probes again", world.step)
-        after, effects = self._states.apply_event(
-            world.core, event, partial(_effects, act)
+        after, outcome = self._states.apply_event(
+            world.core, event, partial(_outcome, act)
         )
-        if any(isinstance(effect, ProbeTarget) for effect in effects):
+        if any(isinstance(effect, ProbeTarget) for effect in outcome.effects):
             return True
         belief = self._states[after].registry.get(_NAME)
         return belief is None or belief.state is TargetState.GONE
 
 
-def _effects(act: Act, core: ForwardingCore) -> tuple[object, ...]:
-    outcome = act(core)
-    effects = [*core.effects, outcome]
+def _with_progress(
+    world: EvidenceWorld, index: int, progress: FlowProgress
+) -> tuple[FlowProgress, ...]:
+    """Return the progress of all flows after that of one has changed."""
+    return (*world.progress[:index], progress, *world.progress[index + 1 :])
+
+
+def _with_reset(world: EvidenceWorld, reset: Reset) -> EvidenceWorld:
+    index = _FLOWS.index(reset.flow)
+    recorded = FlowReset(index, reset.reason, world.progress[index].running)
+    return world._replace(resets=world.resets | {recorded})
+
+
+def _with_probe(world: EvidenceWorld, target: str) -> EvidenceWorld:
+    """Return the world after a probe began; only one target's probes end."""
+    world = _with_breach_in_stop(world, Breach.PROBE_IN_STOP)
+    if target != _NAME:
+        return world
+    return world._replace(probes=world.probes | {_OUTCOMES[world.condition]})
+
+
+def _with_breach_in_stop(world: EvidenceWorld, breach: Breach) -> EvidenceWorld:
+    if not world.stopping:
+        return world
+    return world._replace(breaches=world.breaches | {breach})
+
+
+def _is_free_of(breach: Breach, world: EvidenceWorld) -> bool:
+    return breach not in world.breaches
+
+
+def _outcome(act: Act, core: ForwardingCore) -> _Outcome:
+    verdict = act(core)
+    effects = tuple(core.effects)
     core.effects.clear()
-    return tuple(effects)
+    return _Outcome(verdict, effects)
 
 
 def _on_packet(packet: Packet, now_s: float, core: ForwardingCore) -> object:
@@ -400,6 +432,14 @@
     core.on_probe(result, now_s)
 
 
+def _on_hint(now_s: float, core: ForwardingCore) -> None:
+    core.on_hint(_NAME, now_s)
+
+
+def _begin_stop(core: ForwardingCore) -> None:
+    core.begin_stop()
+
+
 def _on_removal(now_s: float, core: ForwardingCore) -> None:
     core.on_target_removed(_NAME, 2, now_s)
 
--- a/endivepick/model/tests/test_specifications.py
+++ b/endivepick/model/tests/test_specifications.py
@@ -26,6 +26,9 @@
     "registry, entry lapses and returns",
     "registry, target starts twice",
     "evidence, one step of time",
+    "evidence, a probe is lost",
+    "evidence, a probe is lost, entry removed",
+    "evidence, the instance stops",
     "restarts",
     "told changes, a route returns",
     "load reports, a restart",
@@ -46,6 +49,18 @@
                 result = check(mutation.specification, stop_at_violation=True)
                 self.assertTrue(result.violations)
 
+    def test_each_rule_of_a_stop_is_checked(self):
+        """Guard against an invariant hidden by a nearer violation of another."""
+        mutant = MUTATIONS["a stopping instance judges targets"].specification
+        for name in (
+            "a stopping instance resets a flow only in answer to its packet",
+            "a stopping instance starts no probe",
+        ):
+            with self.subTest(name):
+                alone = replace(mutant, invariants={name: mutant.invariants[name]})
+                result = check(alone, stop_at_violation=True)
+                self.assertEqual(list(result.violations), [name])
+
     def test_stops_and_crashes_reach_their_ends(self):
         """Guard against a chain of stops that never reaches the last instance's answer.
 
