Let the model's stopping instance probe targets that it has found failed

The evidence model required that a stopping instance starts no probe at all. It goes on probing targets that left a probe unanswered, were found silent or dead, or whose entries are removed: their outcome does not depend on where the packets of flows go, and without it packets would be reset on an outdated belief.

--- a/endivepick/model/_evidence_world.py
+++ b/endivepick/model/_evidence_world.py
@@ -34,7 +34,7 @@
     RESET_IN_STOP
         A stopping instance reset a flow other than in answer to a packet of it.
     PROBE_IN_STOP
-        A stopping instance started a probe.
+        A stopping instance started a probe for what becomes of its flows.
     PROGRESS_IGNORED
         A silent probe changed the reachability of a target that had made progress
         since the probe began.
