Refuse a configuration whose numbers are too large

Cause: a route's priority of 400 digits is valid JSON, and isfinite raised OverflowError for it, which nothing caught. The task that follows the configuration failed and was restarted for ever: a forwarder process kept the last version and followed no later one.

Ruled out: other fields and kinds. All fields of registry entries, configurations, evacuations and claims were read with 24 odd values by lists, stale lists, watches and single objects; only the priority raised. A version of 400 digits was accepted and written into each log line of a flow, and two weights of 1e308 gave all flows of a route to its last service.

--- a/endivepick/forwarding/__init__.py
+++ b/endivepick/forwarding/__init__.py
@@ -31,6 +31,7 @@
     ConfigurationChange,
     apply_change,
 )
+from endivepick.forwarding.configuration_checks import check_configuration
 from endivepick.forwarding.evacuations import (
     EvacuatedZone,
     EvacuatedZones,
@@ -98,6 +99,7 @@
     "TargetState",
     "Verdict",
     "apply_change",
+    "check_configuration",
     "check_target",
     "merge_reports",
     "parse_target_number",
