Refuse a rate of cold targets whose inverse is infinite

Half of it is 0, so the interval between openings at a cold target was a division by zero: each opening of the service was dropped with an internal error while one of its targets was cold.

Change: a rate is 0 or at least 1e-6 per second.

Before the change, test_what_is_accepted_can_be_used raised ZeroDivisionError for this value, with and without shared load; it passes now.

--- a/endivepick/forwarding/configuration_checks.py
+++ b/endivepick/forwarding/configuration_checks.py
@@ -2,7 +2,7 @@
 
 Other writers may have written the configuration, and an instance of another build may
 pass on one that this build refuses.  Each number is checked against its use: JSON has
-integers that no float can hold.
+integers that no float can hold, and rates so small that their inverse is infinite.
 """
 
 from math import isfinite
@@ -15,6 +15,8 @@
 """Largest version or priority; every JSON library reads integers up to it exactly."""
 MAX_WEIGHT = 1e9
 """Largest weight of a service; the sum over a route must be finite."""
+MIN_COLD_RATE_PER_S = 1e-6
+"""Smallest rate of openings at a cold target, one in eleven days."""
 
 
 def check_configuration(configuration: Configuration) -> None:
@@ -70,8 +72,14 @@
 
 
 def _check_cold_start(service: str, cold_start: ColdStart) -> None:
-    values = (cold_start.duration_s, cold_start.requests_per_s)
-    if not all(isfinite(value) and value >= 0 for value in values):
+    duration_s, rate_per_s = cold_start.duration_s, cold_start.requests_per_s
+    if not (isfinite(duration_s) and duration_s >= 0):
         raise ValueError(
-            f"service {service} has a cold start that is negative or not finite"
+            f"service {service} has a cold_start_s that is negative or not finite"
+        )
+    has_rate = isfinite(rate_per_s) and rate_per_s >= MIN_COLD_RATE_PER_S
+    if not (has_rate or rate_per_s == 0):
+        raise ValueError(
+            f"service {service} has a cold_per_s that is not finite, or neither 0 nor "
+            f"at least {MIN_COLD_RATE_PER_S:g}"
         )
