--- a/endivepick/forwarding/target_checks.py
+++ b/endivepick/forwarding/target_checks.py
@@ -9,7 +9,7 @@
 from endivepick.addresses import ipv4_to_int
 from endivepick.forwarding.model import Target
 
-__all__ = ["check_target", "parse_target_number"]
+__all__ = ["MAX_BORN_MS", "check_target", "parse_target_number"]
 
 MAX_NAME_LENGTH = 128
 """Characters; names are written into paths and log lines."""
