Refuse a message of another instance that is nested too deep

Cause: the decoders of messages between instances raise RecursionError for values nested too deep, also in fields that they skip, and their callers expected only errors of msgspec. The load of another feeder ended one call without a log line, and a follower's report one answer.

Ruled out: bytes that are no UTF-8 and halves of characters; msgspec's errors cover both.

Change: decode_message raises one typed error, which the callers log as an invalid answer.

--- a/endivepick/errors.py
+++ b/endivepick/errors.py
@@ -4,6 +4,7 @@
     "AnswerDamagedError",
     "ChartError",
     "EndivepickError",
+    "MessageInvalidError",
     "PacketInvalidError",
     "PlatformAnswerError",
     "PlatformUnavailableError",
@@ -24,6 +25,10 @@
     """A state chart is missing or lacks a transition."""
 
 
+class MessageInvalidError(EndivepickError):
+    """A message of another instance is invalid."""
+
+
 class PacketInvalidError(EndivepickError):
     """A datagram is not a valid packet of this protocol.
 
--- a/endivepick/forwarder/feeder_follower.py
+++ b/endivepick/forwarder/feeder_follower.py
@@ -16,7 +16,6 @@
 from enum import Enum
 
 import gevent
-import msgspec
 from msgspec import Struct
 
 from endivepick.clock import steady_now_s
@@ -251,7 +250,7 @@
         except PlatformAnswerError:
             # The feeder is alive; it has just started or is about to stop.
             raise _NoFeeder("instance is no feeder", FeederState.USABLE) from None
-        except (EndivepickError, msgspec.MsgspecError) as error:
+        except EndivepickError as error:
             raise _FeederUnreliable(str(error), FeederState.LOST) from None
         match answer:
             case FeederFull():
--- a/endivepick/forwarder/load_exchange.py
+++ b/endivepick/forwarder/load_exchange.py
@@ -22,6 +22,7 @@
 from endivepick.errors import EndivepickError
 from endivepick.forwarder.http import Response, parse_query
 from endivepick.forwarder.logs import BoundedLog
+from endivepick.forwarder.message_decoding import decode_message
 from endivepick.forwarder.peers import LOAD_PATH
 from endivepick.forwarder.ports import FeederClaim
 from endivepick.forwarder.settings import ForwarderSettings
@@ -253,9 +254,17 @@
 
 
 def _decode(body: bytes) -> LoadAnswer:
-    """Decode an answer; raise ``ValueError`` or ``zlib.error`` if it is invalid."""
+    """Decode an answer.
+
+    Raises
+    ------
+    MessageInvalidError
+        If it is not valid.
+    zlib.error
+        If it is not compressed.
+    """
     text = zlib.decompressobj().decompress(body, MAX_ANSWER_BYTES)
-    return _answer_decoder.decode(text)
+    return decode_message(_answer_decoder, text)
 
 
 def _is_address(text: str) -> bool:
--- a/endivepick/forwarder/peers.py
+++ b/endivepick/forwarder/peers.py
@@ -18,9 +18,10 @@
 
 from endivepick.addresses import parse_address
 from endivepick.clock import steady_now_s
-from endivepick.errors import EndivepickError
+from endivepick.errors import EndivepickError, MessageInvalidError
 from endivepick.forwarder.http import Response, json_response, parse_query
 from endivepick.forwarder.logs import BoundedLog
+from endivepick.forwarder.message_decoding import decode_message
 from endivepick.forwarder.peer_directory import MAX_PEERS, Neighbours, PeerDirectory
 from endivepick.forwarder.settings import ForwarderSettings
 from endivepick.forwarder.store_feed import StoreFeed, get_time_since_answer_s
@@ -121,8 +122,8 @@
     evacuations: EvacuationSnapshot | None = None
 
 
-_read_snapshot = msgspec.json.Decoder(PeerSnapshot)
-_read_peers = msgspec.json.Decoder(list[str])
+_snapshot_decoder = msgspec.json.Decoder(PeerSnapshot)
+_peers_decoder = msgspec.json.Decoder(list[str])
 
 
 def should_query_peers(ready: bool, store_lost: bool, arriving: bool) -> bool:
@@ -298,10 +299,12 @@
         if body is None:
             return False
         try:
-            self._add_candidates(_read_peers.decode(body))
-        except msgspec.MsgspecError as error:
+            addresses = decode_message(_peers_decoder, body)
+        except MessageInvalidError as error:
             # A peer of another build; it is alive all the same.
             self._log_failure(address, str(error))
+        else:
+            self._add_candidates(addresses)
         return True
 
     def _query_peers(self) -> None:
@@ -317,8 +320,8 @@
             if body is None:
                 continue
             try:
-                snapshot = _read_snapshot.decode(body)
-            except msgspec.MsgspecError as error:
+                snapshot = decode_message(_snapshot_decoder, body)
+            except MessageInvalidError as error:
                 # A peer of another build; the others may be of this one.
                 self._log_failure(address, str(error))
                 continue
--- a/endivepick/forwarder/zone_messages.py
+++ b/endivepick/forwarder/zone_messages.py
@@ -8,7 +8,9 @@
 import msgspec
 from msgspec import Struct, field
 
+from endivepick.errors import MessageInvalidError
 from endivepick.forwarder.http import parse_query
+from endivepick.forwarder.message_decoding import decode_message
 from endivepick.forwarding import (
     ConfigurationChange,
     EvacuationSnapshot,
@@ -123,8 +125,8 @@
 def _read_report(fields: dict[str, str]) -> FitnessReport:
     """Decode an instance's report; an empty one if it is of another build."""
     try:
-        return _report_decoder.decode(bytes.fromhex(fields["seen"]))
-    except (KeyError, ValueError):
+        return decode_message(_report_decoder, bytes.fromhex(fields["seen"]))
+    except (KeyError, ValueError, MessageInvalidError):
         return _empty_report()
 
 
@@ -141,8 +143,8 @@
     try:
         compressed = urlsafe_b64decode(fields["load"])
         text = zlib.decompressobj().decompress(compressed, MAX_LOAD_BYTES)
-        return _load_decoder.decode(text)
-    except (ValueError, binascii.Error, zlib.error):
+        return decode_message(_load_decoder, text)
+    except (ValueError, MessageInvalidError, binascii.Error, zlib.error):
         return None
 
 
@@ -239,5 +241,5 @@
 
 
 def read_feeder_answer(body: bytes) -> FeederAnswer:
-    """Decode a feeder's answer; raise ``msgspec.MsgspecError`` if it is invalid."""
-    return _decoder.decode(body)
+    """Decode a feeder's answer; raise ``MessageInvalidError`` if it is invalid."""
+    return decode_message(_decoder, body)
