Write numbers into log lines whose multiple is infinite

Cause: truncate_number tested the number and not its multiple. A time of 1e306 s is a valid number of JSON; a thousand times it is infinite, and int raised OverflowError.

Change: the multiple is tested, at the same cost.

Before the change, the new test raised OverflowError for 1e306 and -1e308; it passes now.

--- a/endivepick/forwarder/logs.py
+++ b/endivepick/forwarder/logs.py
@@ -37,16 +37,16 @@
     """Return a number truncated to a multiple of a fraction of a unit, for a line.
 
     It is several times as fast as ``round``, and each line needs about three calls.
-    Infinity, the age of an event that never occurred, is returned as it is.
+    Infinity, the age of an event that never occurred, is returned as it is, and so is
+    a number so large that its multiple is infinite.
 
     Examples
     --------
     >>> truncate_number(0.12345), truncate_number(1.5), truncate_number(float("inf"))
     (0.123, 1.5, inf)
     """
-    if not isfinite(number):
-        return number
-    return int(number * parts) / parts
+    multiple = number * parts
+    return int(multiple) / parts if isfinite(multiple) else number
 
 
 class BoundedLog:
--- a/endivepick/forwarder/tests/test_logs.py
+++ b/endivepick/forwarder/tests/test_logs.py
@@ -2,7 +2,12 @@
 import os
 import unittest
 
-from endivepick.forwarder.logs import BUFFER_BYTES, LINES_PER_S, BoundedLog
+from endivepick.forwarder.logs import (
+    BUFFER_BYTES,
+    LINES_PER_S,
+    BoundedLog,
+    truncate_number,
+)
 
 
 class Reader:
@@ -99,3 +104,11 @@
                 log.event("flow", "flow_placed", "placed")
             log.flush()
         self.assertGreater(log.lines_dropped, 0)
+
+
+class TestTruncateNumber(unittest.TestCase):
+    def test_numbers_that_cannot_be_multiplied_are_returned(self):
+        # A time of this length may come from another instance.
+        for number in (1e306, -1e308, float("inf"), float("-inf")):
+            with self.subTest(number):
+                self.assertEqual(truncate_number(number), number)
