Leave out reports whose start times no target has

Cause: a feeder checked the counts of its followers' reports, but neither the start times that tell incarnations apart nor, as a follower, the number of reporting instances. It sent start times of 400 digits on to all followers of its zone.

Change: both are checked where reports are merged and where they are used.

Before the change, both new tests of test_feeding failed; they pass now.

--- a/endivepick/forwarder/tests/test_feeding.py
+++ b/endivepick/forwarder/tests/test_feeding.py
@@ -22,9 +22,11 @@
 )
 from endivepick.forwarding import FitnessReport
 from endivepick.forwarding.fitness_reports import (
+    MAX_COUNT,
     ServiceCounts,
     SilentTarget,
     TargetCounts,
+    sanitize_report,
 )
 from endivepick.forwarding.tests.support import (
     make_configuration,
@@ -206,6 +208,29 @@
         seen = msgspec.json.decode(news.body, type=ZoneNews).seen
         self.assertEqual(seen.silent, silent.silent)
 
+    def test_reports_with_impossible_numbers_are_left_out(self):
+        # They would be sent to all followers of this instance.
+        self.feed()
+        for born_ms in (-1, 10**30, 10**400):
+            counts = TargetCounts("i-1", born_ms, 0.0, 9.0, 0.0)
+            report = FitnessReport([counts], [], silent=[SilentTarget("i-1", born_ms)])
+            question = ZoneQuestion("10.0.0.2:1", 0, 0, report)
+            with self.subTest(born_ms):
+                self.member.feeder.receive_report(question.query)
+                seen = self.ask(asker="10.0.0.3:1")
+                self.assertEqual((seen.targets, seen.silent), ([], []))
+
+    def test_news_with_impossible_reports(self):
+        report = FitnessReport(
+            [TargetCounts("i-1", 10**400, 0.0, 9.0, 0.0)],
+            [],
+            10**400,
+            silent=[SilentTarget("i-1", 10**400)],
+        )
+        left = sanitize_report(report)
+        self.assertEqual((left.targets, left.silent), ([], []))
+        self.assertEqual(left.instances, MAX_COUNT)
+
     def test_new_suspicion_is_reported_between_polls(self):
         asked = []
 
--- a/endivepick/forwarding/fitness_reports.py
+++ b/endivepick/forwarding/fitness_reports.py
@@ -10,8 +10,10 @@
     UsualCounts,
     merge_baselines,
 )
+from endivepick.forwarding.target_checks import MAX_BORN_MS
 
 __all__ = [
+    "MAX_COUNT",
     "MIN_REPORTED_BAD",
     "MIN_RESET_FAILURES",
     "MIN_RESET_FLOWS",
@@ -138,6 +140,11 @@
     name: str
     born_ms: int
 
+    @property
+    def is_valid(self) -> bool:
+        """Whether an instance or a feeder of this build can send this."""
+        return 0 <= self.born_ms <= MAX_BORN_MS
+
 
 class FitnessReport(Struct, frozen=True):
     """Recent observations of an instance, or of all instances of a zone.
@@ -191,7 +198,7 @@
     services: dict[str, ServiceCounts] = {}
     silent: dict[SilentTarget, None] = {}
     for report in all_reports:
-        silent |= dict.fromkeys(report.silent[:MAX_REPORTED_TARGETS])
+        silent |= dict.fromkeys(_valid_silent(report))
         for reported in _valid_targets(report):
             key = (reported.name, reported.born_ms)
             known = targets.get(key)
@@ -239,9 +246,9 @@
     return FitnessReport(
         _valid_targets(report),
         _valid_services(report),
-        max(1, report.instances),
+        int(max(1, min(report.instances, MAX_COUNT))),
         usual[:MAX_REPORTED_KINDS],
-        report.silent[:MAX_REPORTED_TARGETS],
+        _valid_silent(report),
     )
 
 
@@ -255,6 +262,11 @@
     return [counts for counts in report.services if counts.is_valid]
 
 
+def _valid_silent(report: FitnessReport) -> list[SilentTarget]:
+    valid = [target for target in report.silent if target.is_valid]
+    return valid[:MAX_REPORTED_TARGETS]
+
+
 def _has_valid_counts(reported: TargetCounts) -> bool:
     counts = (
         *(reported.good, reported.failed, reported.poor),
@@ -266,7 +278,9 @@
         ),
         *(reported.late, reported.capped_overdue, reported.overdue_flows),
     )
-    return all(0 <= count <= MAX_COUNT for count in counts)
+    return 0 <= reported.born_ms <= MAX_BORN_MS and all(
+        0 <= count <= MAX_COUNT for count in counts
+    )
 
 
 def _cap_counts(reported: TargetCounts) -> TargetCounts:
