Check configurations of other instances like those of the store

Cause: entries that another instance passes on are checked, configurations were not.

Change: a peer's configuration, and the result of a feeder's change, is ignored with a log line if it cannot be used.

Before the change, the new test of test_news failed in all four cases; it passes now.

--- a/endivepick/forwarder/news_handler.py
+++ b/endivepick/forwarder/news_handler.py
@@ -21,6 +21,7 @@
     RemovedTarget,
     Target,
     apply_change,
+    check_configuration,
     check_target,
 )
 
@@ -100,7 +101,8 @@
     def on_snapshot(self, snapshot: PeerSnapshot) -> None:
         """Apply the newer parts of a peer's snapshot; the registry also if as new."""
         now_s = steady_now_s()
-        configuration, revision = snapshot.configuration, snapshot.registry_revision
+        revision = snapshot.registry_revision
+        configuration = self._check_received(snapshot.configuration)
         known = self._core.routes.configuration
         if configuration is not None and (
             known is None or configuration.revision > known.revision
@@ -171,8 +173,25 @@
         if configuration is None:
             # The configuration is read from the store instead.
             self._decisions.log_inapplicable_delta(change, self._core.routes.revision)
-        else:
-            self._on_configuration(configuration, now_s, FEEDER)
+            return
+        checked = self._check_received(configuration)
+        if checked is not None:
+            self._on_configuration(checked, now_s, FEEDER)
+
+    def _check_received(self, received: Configuration | None) -> Configuration | None:
+        """Return another instance's configuration; None if it cannot be used.
+
+        An instance of another build may pass on one that this build does not accept.
+        """
+        if received is None:
+            return None
+        try:
+            check_configuration(received)
+        except ValueError as error:
+            item = UnreadableItem("", str(error), received.revision)
+            self._decisions.log_unreadable(FeedKind.CONFIGURATION, item)
+            return None
+        return received
 
     def _on_evacuations(
         self, complete: EvacuationSnapshot, learnt_from: str, before_s: float
--- a/endivepick/forwarder/tests/test_news.py
+++ b/endivepick/forwarder/tests/test_news.py
@@ -13,13 +13,19 @@
 from endivepick.forwarder.store_feed import FeedChanges, FeedList
 from endivepick.forwarder.zone_messages import ZoneNews
 from endivepick.forwarding import (
+    ColdStart,
     RegistryNews,
     RemovedTarget,
     Target,
     TargetState,
     check_target,
 )
-from endivepick.forwarding.tests.support import make_core, make_target
+from endivepick.forwarding.configuration_changes import compute_change
+from endivepick.forwarding.tests.support import (
+    make_configuration,
+    make_core,
+    make_target,
+)
 
 ODD_TARGETS = st.builds(
     Target,
@@ -36,8 +42,8 @@
 )
 
 
-def make_zone_news(registry, evacuations=None):
-    return ZoneNews("front-9", 0, None, registry, 0.1, 0.1, evacuations=evacuations)
+def make_zone_news(registry, evacuations=None, change=None):
+    return ZoneNews("front-9", 0, change, registry, 0.1, 0.1, evacuations=evacuations)
 
 
 class TestNews(unittest.TestCase):
@@ -102,6 +108,32 @@
         ready, unreadable = TargetState.READY, TargetState.UNREADABLE
         self.assertEqual(self.states(), [ready, unreadable, unreadable])
 
+    def test_an_unusable_configuration_of_another_instance_is_ignored(self):
+        good = make_configuration(revision=30, version=9)
+        route = good.routes[0]
+        for case, odd in {
+            "route without services": replace(
+                good, routes=(replace(route, shares=()),)
+            ),
+            "priority": replace(good, routes=(replace(route, priority=10**400),)),
+            "version": replace(good, version=10**400),
+            "rate": replace(good, cold_starts={"notes": ColdStart(9.0, 5e-324)}),
+        }.items():
+            with self.subTest(case):
+                self.setUp()
+                known = self.core.routes.configuration
+                self.intake.on_snapshot(PeerSnapshot("b", odd, None, 5, 0.0, False, []))
+                news = make_zone_news(
+                    RegistryNews([], [], False, 5), change=compute_change(known, odd)
+                )
+                self.intake.on_zone_news(news)
+                self.assertIs(self.core.routes.configuration, known)
+                self.assertEqual(self.written("item_unreadable"), 2)
+                self.intake.on_snapshot(
+                    PeerSnapshot("b", good, None, 5, 0.0, False, [])
+                )
+                self.assertEqual(self.core.routes.configuration, good)
+
     @settings(max_examples=200, deadline=None, derandomize=True)
     @given(st.lists(ODD_TARGETS, max_size=4), st.booleans())
     def test_whatever_is_told_only_what_can_be_used_is_believed(self, odd, whole):
