Refuse a successor that is no address

Cause: a poll's sender was taken for an address, and so was the successor that a feeder names. A sender with port 70000 could get the claim of a feeder that stops, and its followers, told to follow it, ended their zone's task with a ValueError when they connected.

Change: only an address can be a successor, and a feeder that names none is lost. A port with more digits than a port has is refused without conversion.

Before the change, test_feeder_with_a_successor_that_has_no_address_is_lost raised ValueError in three cases and test_an_asker_without_an_address_is_no_successor failed in three; both pass.

--- a/endivepick/addresses.py
+++ b/endivepick/addresses.py
@@ -2,9 +2,10 @@
 
 from socket import AF_INET, inet_pton
 
-__all__ = ["ipv4_to_int", "parse_address"]
+__all__ = ["ipv4_to_int", "is_address", "parse_address"]
 
 _PORT_MAX = 65535
+_PORT_DIGITS = 5
 
 
 def ipv4_to_int(text: str) -> int:
@@ -52,8 +53,22 @@
     host, separator, port_text = text.rpartition(":")
     if not separator or not (port_text.isascii() and port_text.isdigit()):
         raise ValueError("write host:port, for example 127.0.0.1:8080")
-    port = int(port_text)
-    if port > _PORT_MAX:
+    if len(port_text) > _PORT_DIGITS or int(port_text) > _PORT_MAX:
         raise ValueError(f"use a port from 0 to {_PORT_MAX}")
     ipv4_to_int(host)
-    return host, port
+    return host, int(port_text)
+
+
+def is_address(text: str) -> bool:
+    """Whether a text is a valid ``host:port`` address.
+
+    Examples
+    --------
+    >>> is_address("127.0.0.1:8080"), is_address("127.0.0.1:70000")
+    (True, False)
+    """
+    try:
+        parse_address(text)
+    except ValueError:
+        return False
+    return True
--- a/endivepick/forwarder/feeder_follower.py
+++ b/endivepick/forwarder/feeder_follower.py
@@ -18,6 +18,7 @@
 import gevent
 from msgspec import Struct
 
+from endivepick.addresses import is_address
 from endivepick.clock import steady_now_s
 from endivepick.errors import EndivepickError, PlatformAnswerError
 from endivepick.forwarder.followed_feeds import FollowedFeeds
@@ -261,6 +262,10 @@
                 raise _FeederUnreliable(
                     "feeder cannot send the changes", FeederState.USABLE
                 )
+            case FeederMoved(successor=successor) if not is_address(successor):
+                raise _FeederUnreliable(
+                    "feeder named no address of a successor", FeederState.LOST
+                )
             case ZoneNews():
                 self._apply(feeder, answer)
         return answer
--- a/endivepick/forwarder/load_exchange.py
+++ b/endivepick/forwarder/load_exchange.py
@@ -17,7 +17,7 @@
 from gevent.pool import Pool
 from msgspec import Struct, field
 
-from endivepick.addresses import parse_address
+from endivepick.addresses import is_address
 from endivepick.clock import steady_now_s
 from endivepick.errors import EndivepickError
 from endivepick.forwarder.http import Response, parse_query
@@ -101,7 +101,7 @@
     def mark_caller(self, zone: str, address: str, now_s: float) -> None:
         """Record that a feeder of a zone called."""
         callers = self._callers.get(zone)
-        if callers is None or not _is_address(address):
+        if callers is None or not is_address(address):
             return
         if address in callers or len(callers) < MAX_CALLERS:
             callers[address] = now_s
@@ -265,11 +265,3 @@
     """
     text = zlib.decompressobj().decompress(body, MAX_ANSWER_BYTES)
     return decode_message(_answer_decoder, text)
-
-
-def _is_address(text: str) -> bool:
-    try:
-        parse_address(text)
-    except ValueError:
-        return False
-    return True
--- a/endivepick/forwarder/peers.py
+++ b/endivepick/forwarder/peers.py
@@ -16,7 +16,7 @@
 from gevent.pool import Pool
 from msgspec import Struct, field
 
-from endivepick.addresses import parse_address
+from endivepick.addresses import is_address
 from endivepick.clock import steady_now_s
 from endivepick.errors import EndivepickError, MessageInvalidError
 from endivepick.forwarder.http import Response, json_response, parse_query
@@ -229,7 +229,7 @@
     def answer(self, path: str, query: str) -> Response:
         """Answer a peer's hello or query."""
         fields = parse_query(query)
-        if _is_address(fields.get(_FROM, "")):
+        if is_address(fields.get(_FROM, "")):
             self.directory.mark_alive(fields[_FROM])
             if not self._core.ready:
                 self._peer_heard.set()
@@ -385,14 +385,6 @@
         )
 
 
-def _is_address(text: str) -> bool:
-    try:
-        parse_address(text)
-    except ValueError:
-        return False
-    return True
-
-
 def _parse_number(fields: dict[str, str], key: str) -> int:
     text = fields.get(key, "")
     return int(text) if text.isascii() and text.isdigit() else 0
--- a/endivepick/forwarder/tests/test_feeding.py
+++ b/endivepick/forwarder/tests/test_feeding.py
@@ -56,6 +56,13 @@
         ):
             self.assertEqual(self.member.feeder.answer_poll(query).status, 404)
 
+    def test_an_asker_without_an_address_is_no_successor(self):
+        self.feed()
+        for asker in ("nobody", "10.0.0.2:70000", "10.0.0.2:" + "9" * 5000):
+            self.member.feeder.answer_poll(f"from={asker}&config=0&registry=0&wait=0")
+            with self.subTest(asker[:20]):
+                self.assertEqual(self.member.feeder.choose_successor(), "")
+
     def test_newer_state_is_answered_at_once(self):
         self.feed()
         self.core.on_target(make_target("i-2", revision=20, created=20), 1.0)
--- a/endivepick/forwarder/tests/test_zone.py
+++ b/endivepick/forwarder/tests/test_zone.py
@@ -223,6 +223,16 @@
         self.assertEqual(self.member._full_feeders(), [address])
         self.assertEqual(self.member._lost_feeders(), [])
 
+    def test_feeder_with_a_successor_that_has_no_address_is_lost(self):
+        for successor in ("nobody", "10.0.0.2:70000", "10.0.0.2:" + "9" * 5000):
+            moved = msgspec.json.encode(FeederMoved("f", successor))
+            with self.subTest(successor[:20]):
+                address = self.follow(Response(200, moved, "application/json"))
+                self.assertEqual(
+                    self.reasons()[-1], "feeder named no address of a successor"
+                )
+                self.assertIn(address, self.member._lost_feeders())
+
     def test_feeder_with_unreadable_answer_is_lost(self):
         address = self.follow(Response(200, b"[]", "application/json"))
         self.assertEqual(self.member._lost_feeders(), [address])
--- a/endivepick/forwarder/zone_feeder.py
+++ b/endivepick/forwarder/zone_feeder.py
@@ -6,6 +6,7 @@
 import gevent
 from gevent.event import Event
 
+from endivepick.addresses import is_address
 from endivepick.clock import steady_now_s
 from endivepick.forwarder.feeder_election import FedInstances
 from endivepick.forwarder.freshness import POLL_WAIT_S, compute_freshness
@@ -164,7 +165,7 @@
         if poll is None:
             return _NOT_FOUND
         self._last_request_s = steady_now_s()
-        if poll.may_wait is not None:
+        if poll.may_wait is not None and is_address(poll.asker):
             self._possible_successors.add(poll.asker)
         if self.feeding and not self._fed_instances.admit(
             poll.asker, self._last_request_s
