Answer a peer's query whose revision has too many digits

Cause: Python converts at most 4,300 digits; a query with more raised ValueError in the task of its connection, and the peer got no answer.

Change: a revision with more than 19 digits counts as unknown, like one that is no number.

Before the change, the new test of test_peers failed for 20 and 400 digits and raised ValueError for 6,000; it passes now.

--- a/endivepick/forwarder/peers.py
+++ b/endivepick/forwarder/peers.py
@@ -60,6 +60,8 @@
 _CONFIG = "config"
 _REGISTRY = "registry"
 """Query fields: the address of the querying peer, and the revisions that it knows."""
+_REVISION_DIGITS = 19
+"""Maximum number of digits of a revision, which is below 2**63."""
 MAX_SHARED_PEERS = 8
 """Maximum number of peers in an answer, the most recently active first."""
 MAX_QUERIED_PEERS = 8
@@ -387,4 +389,5 @@
 
 def _parse_number(fields: dict[str, str], key: str) -> int:
     text = fields.get(key, "")
-    return int(text) if text.isascii() and text.isdigit() else 0
+    is_number = text.isascii() and text.isdigit() and len(text) <= _REVISION_DIGITS
+    return int(text) if is_number else 0
--- a/endivepick/forwarder/tests/test_peers.py
+++ b/endivepick/forwarder/tests/test_peers.py
@@ -205,6 +205,18 @@
         self.assertIsNone(snapshot.targets)
         self.assertEqual(snapshot.registry_revision, 10)
 
+    def test_revisions_with_too_many_digits_count_as_unknown(self):
+        feed = make_feed(make_core([make_target("i-1", revision=1)]))
+        for digits in (20, 400, 6000):
+            number = "9" * digits
+            with self.subTest(digits):
+                answer = feed.answer(
+                    SNAPSHOT_PATH, f"config={number}&registry={number}"
+                )
+                snapshot = msgspec.json.decode(answer.body, type=PeerSnapshot)
+                self.assertIsNotNone(snapshot.configuration)
+                self.assertIsNotNone(snapshot.targets)
+
     def test_instance_without_state_answers_unavailable(self):
         core = ForwardingCore(ForwardingSettings(zone="a"), lambda: 0.5)
         self.assertEqual(make_feed(core).answer(SNAPSHOT_PATH, "").status, 503)
