Refuse messages whose revisions or ages no store can have

Cause: numbers in messages between instances had no range. A registry, an evacuation or a configuration of a revision of 30 digits was taken over, and all later changes of the store then counted as old: the instance stopped following. A bound of instances of 400 digits raised OverflowError for each opening of a service with a rate for cold targets.

Change: the decoder refuses such a message; an entry with such a revision is unreadable up to the revision of the message; a load report with such a number is left out.

--- a/endivepick/forwarder/news_handler.py
+++ b/endivepick/forwarder/news_handler.py
@@ -160,7 +160,9 @@
             try:
                 check_target(target)
             except ValueError as error:
-                item = UnreadableItem(target.name, str(error), target.revision)
+                # The revision of an invalid entry may be that of no change.
+                revision = min(target.revision, received.revision)
+                item = UnreadableItem(target.name, str(error), revision)
                 self._decisions.log_unreadable(FeedKind.REGISTRY, item)
                 removed.append(RemovedTarget(item.name, item.revision, True))
             else:
--- a/endivepick/forwarder/peers.py
+++ b/endivepick/forwarder/peers.py
@@ -32,6 +32,7 @@
     Target,
     TargetState,
 )
+from endivepick.forwarding.message_fields import AgeS, Revision
 from endivepick.store import store_connection
 
 __all__ = [
@@ -116,8 +117,8 @@
     name: str
     configuration: Configuration | None
     targets: list[Target] | None
-    registry_revision: int
-    heard_before_s: float
+    registry_revision: Revision
+    heard_before_s: AgeS
     store_lost: bool
     peers: list[str]
     unreadable: list[str] = field(default_factory=list)
--- a/endivepick/forwarder/tests/test_odd_messages.py
+++ b/endivepick/forwarder/tests/test_odd_messages.py
@@ -6,10 +6,13 @@
 from contextlib import contextmanager
 from unittest.mock import patch
 
+import msgspec
+
+from endivepick.addresses import is_address
 from endivepick.errors import PlatformAnswerError
-from endivepick.forwarder import feeder_follower, load_exchange
+from endivepick.forwarder import feeder_follower, load_exchange, zone_feeder
 from endivepick.forwarder.load_exchange import LoadAnswer
-from endivepick.forwarder.peers import PeerSnapshot
+from endivepick.forwarder.peers import HELLO_PATH, SNAPSHOT_PATH, PeerSnapshot
 from endivepick.forwarder.ports import FeedKind
 from endivepick.forwarder.store_feed import FeedChanges
 from endivepick.forwarder.tests.odd_values import ODD_VALUES, Reader, list_variants
@@ -56,16 +59,6 @@
     make_target,
 )
 
-UNDECODABLE = {
-    name: ODD_VALUES[name]
-    for name in (
-        "nested too deep",
-        "objects nested too deep",
-        "nested nearly too deep",
-        "no UTF-8",
-        "half of a character",
-    )
-}
 ADDRESS = "10.0.0.9:7000"
 MAX_REVISION = (1 << 63) - 1
 CONFIGURATION = Configuration(
@@ -78,7 +71,7 @@
             8080,
             (ServiceShare("notes", 1.0),),
             RouteKind.IDEMPOTENT,
-            ("north",),
+            (),
             1,
             5.0,
             1.0,
@@ -143,16 +136,20 @@
             self.assertLessEqual(0, revision)
             self.assertLessEqual(revision, MAX_REVISION)
         reader.exercise()
-        later = make_target("i-abc", revision=core.registry.revision + 1)
-        reader.news.on_store_update(
-            FeedChanges(FeedKind.REGISTRY, (later,), later.revision)
+        first = core.registry.revision + 1
+        later = tuple(
+            make_target(name, revision=revision)
+            for revision, name in enumerate(("i-1", "i-2", "i-abc"), first)
         )
-        self.assertIsNotNone(core.registry.get("i-abc"))
+        changes = FeedChanges(FeedKind.REGISTRY, later, later[-1].revision)
+        reader.news.on_store_update(changes)
+        for each in later:
+            self.assertEqual(core.registry.get(each.name).revision, each.revision)
 
 
 class TestPeers(MessageCase):
     def test_snapshots(self):
-        for case, body in list_variants(SNAPSHOT, UNDECODABLE):
+        for case, body in list_variants(SNAPSHOT):
             with self.subTest(case):
                 reader = Reader()
                 exchange = make_feed(reader.core, [ADDRESS])
@@ -162,12 +159,22 @@
                 self.assert_follows(reader)
 
     def test_lists_of_peers(self):
-        for case, body in list_variants([ADDRESS], UNDECODABLE):
+        for case, body in list_variants([ADDRESS]):
             with self.subTest(case):
                 exchange = make_feed(make_core(), [ADDRESS])
                 with patch.object(exchange, "_call", lambda *_, body=body: body):
                     self.assertTrue(exchange._send_hello(ADDRESS))
 
+    def test_queries(self):
+        exchange = make_feed(make_core([make_target("i-1")]))
+        for case, value in ODD_VALUES.items():
+            text = value.decode(errors="replace").strip('"')
+            with self.subTest(case):
+                for path in (SNAPSHOT_PATH, HELLO_PATH):
+                    query = f"from={text}&config={text}&registry={text}"
+                    self.assertEqual(exchange.answer(path, query).status, 200)
+        self.assertTrue(all(map(is_address, exchange.directory.list_recent(9))))
+
 
 class FakeFeeder:
     """Connection to a feeder that answers once and feeds no longer then."""
@@ -202,13 +209,13 @@
         return reader
 
     def test_news(self):
-        for case, body in list_variants(NEWS, UNDECODABLE):
+        for case, body in list_variants(NEWS):
             for shares_load in (False, True):
                 with self.subTest(case, shares_load=shares_load):
                     self.assert_follows(self.follow(body, shares_load))
 
     def test_successors(self):
-        for case, body in list_variants(FeederMoved("front-9", ADDRESS), UNDECODABLE):
+        for case, body in list_variants(FeederMoved("front-9", ADDRESS)):
             with self.subTest(case):
                 self.assert_follows(self.follow(body, False))
 
@@ -216,6 +223,7 @@
 class TestFeeders(ZoneCase):
     def setUp(self):
         super().setUp()
+        self.enterContext(patch.object(zone_feeder, "POLL_WAIT_S", 0.001))
         self.core = make_core([make_target("i-1", revision=5)], shares_load=True)
         self.member = self.make_member(self.core)
         self.feed()
@@ -232,7 +240,7 @@
             self.assertIn(reported.born_ms, range(1 << 53))
 
     def test_reports(self):
-        for case, body in list_variants(REPORT, UNDECODABLE):
+        for case, body in list_variants(REPORT):
             with self.subTest(case):
                 query = f"from=10.0.0.2:1&config=0&registry=0&wait=0&seen={body.hex()}"
                 self.assertEqual(self.member.feeder.receive_report(query).status, 200)
@@ -240,20 +248,34 @@
                 self.assert_feeds()
 
     def test_loads(self):
-        for case, body in list_variants(LOAD, UNDECODABLE):
+        for case, body in list_variants(LOAD):
             with self.subTest(case):
                 query = "from=10.0.0.2:1&config=0&registry=0&wait=0&number=1"
                 query += f"&load={encode_load(body)}"
                 self.assertEqual(self.member.feeder.answer_poll(query).status, 200)
                 self.assert_feeds()
 
+    def test_numbers(self):
+        for case, value in ODD_VALUES.items():
+            text = value.decode(errors="replace")
+            for name in ("config", "registry", "evacuations", "wait", "number"):
+                fields = {"config": 0, "registry": 0, "wait": 0, "number": 1}
+                fields |= {"load": encode_load(msgspec.json.encode(LOAD)), name: text}
+                query = "&".join(f"{key}={each}" for key, each in fields.items())
+                with self.subTest(case, name=name):
+                    self.member.feeder.receive_report(f"from=10.0.0.2:1&{query}")
+                    if name in ("config", "registry", "evacuations"):
+                        query += "&wait=0"
+                    self.member.feeder.answer_poll(f"from=10.0.0.2:1&{query}")
+                    self.assert_feeds()
+
     def test_load_of_other_feeders(self):
         exchange = self.member.load_exchange
         for answer in (
             LoadAnswer(TOTALS),
             LoadAnswer(reports=[ReportedLoad("10.0.0.2:1", 3, 0.1, LOAD)]),
         ):
-            for case, body in list_variants(answer, UNDECODABLE):
+            for case, body in list_variants(answer):
                 for zone in ("hall", "yard"):
                     with self.subTest(case, zone=zone):
                         self.ask(exchange, zone, zlib.compress(body))
--- a/endivepick/forwarder/zone_messages.py
+++ b/endivepick/forwarder/zone_messages.py
@@ -18,6 +18,7 @@
     RegistryNews,
 )
 from endivepick.forwarding.load.reports import LoadReport, ZoneLoad
+from endivepick.forwarding.message_fields import AgeS, InstanceBound, Revision
 
 __all__ = [
     "FeederAhead",
@@ -222,15 +223,15 @@
     """
 
     feeder: str
-    config_revision: int
+    config_revision: Revision
     config_change: ConfigurationChange | None
     registry: RegistryNews
-    heard_before_s: float
-    registry_before_s: float
+    heard_before_s: AgeS
+    registry_before_s: AgeS
     seen: FitnessReport = field(default_factory=_empty_report)
     evacuations: EvacuationSnapshot | None = None
-    evacuations_before_s: float = 0.0
-    instances: int | None = None
+    evacuations_before_s: AgeS = 0.0
+    instances: InstanceBound | None = None
     load: ZoneLoad | None = None
 
 
--- a/endivepick/forwarding/configuration_changes.py
+++ b/endivepick/forwarding/configuration_changes.py
@@ -13,6 +13,7 @@
 
 from msgspec import Struct, field
 
+from endivepick.forwarding.message_fields import Revision
 from endivepick.forwarding.model import ColdStart, Configuration, Route
 
 __all__ = ["ChangeHistory", "ConfigurationChange", "apply_change", "compute_change"]
@@ -54,9 +55,9 @@
         build without this field sends none, and the known ones remain.
     """
 
-    before_revision: int
+    before_revision: Revision
     version: int
-    revision: int
+    revision: Revision
     routes: tuple[Route, ...]
     removed_routes: tuple[str, ...]
     health_paths: dict[str, str]
--- a/endivepick/forwarding/evacuations.py
+++ b/endivepick/forwarding/evacuations.py
@@ -12,6 +12,8 @@
 
 from msgspec import Struct
 
+from endivepick.forwarding.message_fields import Revision
+
 __all__ = [
     "EvacuatedZone",
     "EvacuatedZones",
@@ -32,7 +34,7 @@
     """
 
     zone: str
-    revision: int
+    revision: Revision
 
 
 class EvacuationSnapshot(Struct, frozen=True):
@@ -47,7 +49,7 @@
     """
 
     zones: list[EvacuatedZone]
-    revision: int
+    revision: Revision
 
 
 class EvacuationChange(Struct, frozen=True):
--- a/endivepick/forwarding/load/zone_sums.py
+++ b/endivepick/forwarding/load/zone_sums.py
@@ -35,6 +35,9 @@
 TOTALS_VALID_S = 3.0
 """How long the totals of another zone count, in seconds; they are asked for each
 second."""
+MAX_NUMBER = 2**53
+"""Largest valid number of a report; each instance counts from the time of its start, in
+Unix milliseconds."""
 MAX_REPORTERS = 2048
 """Maximum number of instances of a zone whose reports are kept."""
 MAX_RELAYED_TARGETS = 1024
@@ -168,6 +171,8 @@
         return [_truncate_targets(each, quota) for each in reports]
 
     def _record(self, reporter: str, received: _HeldReport, now_s: float) -> None:
+        if not 0 <= received.number <= MAX_NUMBER:
+            return
         known = self._held.get(reporter)
         if known is None and len(self._held) >= MAX_REPORTERS:
             return
--- a/endivepick/forwarding/model.py
+++ b/endivepick/forwarding/model.py
@@ -5,6 +5,8 @@
 
 from msgspec import Struct, field
 
+from endivepick.forwarding.message_fields import Revision
+
 __all__ = [
     "ColdStart",
     "Configuration",
@@ -235,7 +237,7 @@
     """
 
     version: int
-    revision: int
+    revision: Revision
     routes: tuple[Route, ...]
     health_paths: dict[str, str] = field(default_factory=dict)
     idle_timeout_s: float = 60.0
--- a/endivepick/forwarding/registry_news.py
+++ b/endivepick/forwarding/registry_news.py
@@ -2,6 +2,7 @@
 
 from msgspec import Struct
 
+from endivepick.forwarding.message_fields import Revision
 from endivepick.forwarding.model import Target
 
 __all__ = ["RegistryNews", "RemovedTarget"]
@@ -22,7 +23,7 @@
     """
 
     name: str
-    revision: int
+    revision: Revision
     unreadable: bool = False
 
 
@@ -45,4 +46,4 @@
     targets: list[Target]
     removed: list[RemovedTarget]
     whole: bool
-    revision: int
+    revision: Revision
--- a/endivepick/forwarding/target_checks.py
+++ b/endivepick/forwarding/target_checks.py
@@ -7,6 +7,7 @@
 """
 
 from endivepick.addresses import ipv4_to_int
+from endivepick.forwarding.message_fields import MAX_REVISION
 from endivepick.forwarding.model import Target
 
 __all__ = ["MAX_BORN_MS", "check_target", "parse_target_number"]
@@ -87,5 +88,8 @@
         raise ValueError(f"slots must be from 1 to {MAX_SLOTS}")
     if not 0.0 <= target.cold_s <= MAX_COLD_S:
         raise ValueError(f"cold_s must be from 0 to {MAX_COLD_S:.0f} s")
+    revisions = (target.created, target.revision)
+    if not all(0 <= revision <= MAX_REVISION for revision in revisions):
+        raise ValueError(f"created and revision must be from 0 to {MAX_REVISION}")
     if not 0 <= target.born_ms <= MAX_BORN_MS:
         raise ValueError("born_ms must be a time in Unix milliseconds")
