Bound the delay that a store may ask for

Cause: a Retry-After of hundreds of digits is an infinite float, and a task that sleeps for an infinite time never follows the store again (seen with gevent.sleep). No odd entry can cause it, only an odd server or proxy at the store's address.

Change: at most an hour is kept to.

Before the change, the new test of test_connection failed for 6, 400 and 5,000 digits; it passes now.

--- a/endivepick/store/outcomes.py
+++ b/endivepick/store/outcomes.py
@@ -17,6 +17,10 @@
     "retry_after_s",
 ]
 
+MAX_RETRY_AFTER_S = 3600.0
+"""Longest delay that is kept to: a number of hundreds of digits is an infinite float,
+and a caller would never try again."""
+
 
 class Answer(Struct, frozen=True):
     """The complete response of the platform."""
@@ -44,7 +48,8 @@
 def retry_after_s(header: str | None) -> float | None:
     """Return the delay of a ``Retry-After`` header in seconds.
 
-    None if the header is absent or is no number of seconds.
+    None if the header is absent or is no number of seconds; at most
+    `MAX_RETRY_AFTER_S`.
 
     Examples
     --------
@@ -54,7 +59,7 @@
     # HTTP also allows a date; the platform's API specifies seconds.
     if header is None or not header.isascii() or not header.isdigit():
         return None
-    return float(header)
+    return min(float(header), MAX_RETRY_AFTER_S)
 
 
 def call_error(outcome: CallOutcome) -> EndivepickError:
--- a/endivepick/store/tests/test_connection.py
+++ b/endivepick/store/tests/test_connection.py
@@ -16,6 +16,7 @@
     NotSent,
     StoreCall,
     StorePool,
+    retry_after_s,
     store_connection,
 )
 
@@ -113,6 +114,12 @@
         with store_connection(f"127.0.0.1:{server.server_port}") as store:
             self.assertEqual(store.get("/", 0.15), b"x" * 20)
 
+    def test_retry_after_is_bounded(self):
+        # Hundreds of digits are an infinite float, and the wait would never end.
+        for digits in (6, 400, 5000):
+            with self.subTest(digits):
+                self.assertEqual(retry_after_s("9" * digits), 3600.0)
+
     def test_rejection_carries_retry_after(self):
         busy = self.answer("429 Too Many", headers="Retry-After: 3\r\n")
         with (
