--- a/endivepick/forwarder/feeder_follower.py
+++ b/endivepick/forwarder/feeder_follower.py
@@ -16,9 +16,9 @@
 from enum import Enum
 
 import gevent
-import msgspec
 from msgspec import Struct
 
+from endivepick.addresses import is_address
 from endivepick.clock import steady_now_s
 from endivepick.errors import EndivepickError, PlatformAnswerError
 from endivepick.forwarder.followed_feeds import FollowedFeeds
@@ -251,7 +251,7 @@
         except PlatformAnswerError:
             # The feeder is alive; it has just started or is about to stop.
             raise _NoFeeder("instance is no feeder", FeederState.USABLE) from None
-        except (EndivepickError, msgspec.MsgspecError) as error:
+        except EndivepickError as error:
             raise _FeederUnreliable(str(error), FeederState.LOST) from None
         match answer:
             case FeederFull():
@@ -262,6 +262,10 @@
                 raise _FeederUnreliable(
                     "feeder cannot send the changes", FeederState.USABLE
                 )
+            case FeederMoved(successor=successor) if not is_address(successor):
+                raise _FeederUnreliable(
+                    "feeder named no address of a successor", FeederState.LOST
+                )
             case ZoneNews():
                 self._apply(feeder, answer)
         return answer
--- a/endivepick/forwarder/load_exchange.py
+++ b/endivepick/forwarder/load_exchange.py
@@ -17,11 +17,12 @@
 from gevent.pool import Pool
 from msgspec import Struct, field
 
-from endivepick.addresses import parse_address
+from endivepick.addresses import is_address
 from endivepick.clock import steady_now_s
 from endivepick.errors import EndivepickError
 from endivepick.forwarder.http import Response, parse_query
 from endivepick.forwarder.logs import BoundedLog
+from endivepick.forwarder.message_decoding import decode_message
 from endivepick.forwarder.peers import LOAD_PATH
 from endivepick.forwarder.ports import FeederClaim
 from endivepick.forwarder.settings import ForwarderSettings
@@ -100,7 +101,7 @@
     def mark_caller(self, zone: str, address: str, now_s: float) -> None:
         """Record that a feeder of a zone called."""
         callers = self._callers.get(zone)
-        if callers is None or not _is_address(address):
+        if callers is None or not is_address(address):
             return
         if address in callers or len(callers) < MAX_CALLERS:
             callers[address] = now_s
@@ -253,14 +254,14 @@
 
 
 def _decode(body: bytes) -> LoadAnswer:
-    """Decode an answer; raise ``ValueError`` or ``zlib.error`` if it is invalid."""
+    """Decode an answer.
+
+    Raises
+    ------
+    MessageInvalidError
+        If it is not valid.
+    zlib.error
+        If it is not compressed.
+    """
     text = zlib.decompressobj().decompress(body, MAX_ANSWER_BYTES)
-    return _answer_decoder.decode(text)
-
-
-def _is_address(text: str) -> bool:
-    try:
-        parse_address(text)
-    except ValueError:
-        return False
-    return True
+    return decode_message(_answer_decoder, text)
--- a/endivepick/forwarder/peers.py
+++ b/endivepick/forwarder/peers.py
@@ -16,11 +16,12 @@
 from gevent.pool import Pool
 from msgspec import Struct, field
 
-from endivepick.addresses import parse_address
+from endivepick.addresses import is_address
 from endivepick.clock import steady_now_s
-from endivepick.errors import EndivepickError
+from endivepick.errors import EndivepickError, MessageInvalidError
 from endivepick.forwarder.http import Response, json_response, parse_query
 from endivepick.forwarder.logs import BoundedLog
+from endivepick.forwarder.message_decoding import decode_message
 from endivepick.forwarder.peer_directory import MAX_PEERS, Neighbours, PeerDirectory
 from endivepick.forwarder.settings import ForwarderSettings
 from endivepick.forwarder.store_feed import StoreFeed, get_time_since_answer_s
@@ -31,6 +32,7 @@
     Target,
     TargetState,
 )
+from endivepick.forwarding.message_fields import AgeS, Revision
 from endivepick.store import store_connection
 
 __all__ = [
@@ -59,6 +61,8 @@
 _CONFIG = "config"
 _REGISTRY = "registry"
 """Query fields: the address of the querying peer, and the revisions that it knows."""
+_REVISION_DIGITS = 19
+"""Maximum number of digits of a revision, which is below 2**63."""
 MAX_SHARED_PEERS = 8
 """Maximum number of peers in an answer, the most recently active first."""
 MAX_QUERIED_PEERS = 8
@@ -113,16 +117,16 @@
     name: str
     configuration: Configuration | None
     targets: list[Target] | None
-    registry_revision: int
-    heard_before_s: float
+    registry_revision: Revision
+    heard_before_s: AgeS
     store_lost: bool
     peers: list[str]
     unreadable: list[str] = field(default_factory=list)
     evacuations: EvacuationSnapshot | None = None
 
 
-_read_snapshot = msgspec.json.Decoder(PeerSnapshot)
-_read_peers = msgspec.json.Decoder(list[str])
+_snapshot_decoder = msgspec.json.Decoder(PeerSnapshot)
+_peers_decoder = msgspec.json.Decoder(list[str])
 
 
 def should_query_peers(ready: bool, store_lost: bool, arriving: bool) -> bool:
@@ -228,7 +232,7 @@
     def answer(self, path: str, query: str) -> Response:
         """Answer a peer's hello or query."""
         fields = parse_query(query)
-        if _is_address(fields.get(_FROM, "")):
+        if is_address(fields.get(_FROM, "")):
             self.directory.mark_alive(fields[_FROM])
             if not self._core.ready:
                 self._peer_heard.set()
@@ -298,10 +302,12 @@
         if body is None:
             return False
         try:
-            self._add_candidates(_read_peers.decode(body))
-        except msgspec.MsgspecError as error:
+            addresses = decode_message(_peers_decoder, body)
+        except MessageInvalidError as error:
             # A peer of another build; it is alive all the same.
             self._log_failure(address, str(error))
+        else:
+            self._add_candidates(addresses)
         return True
 
     def _query_peers(self) -> None:
@@ -317,8 +323,8 @@
             if body is None:
                 continue
             try:
-                snapshot = _read_snapshot.decode(body)
-            except msgspec.MsgspecError as error:
+                snapshot = decode_message(_snapshot_decoder, body)
+            except MessageInvalidError as error:
                 # A peer of another build; the others may be of this one.
                 self._log_failure(address, str(error))
                 continue
@@ -382,14 +388,7 @@
         )
 
 
-def _is_address(text: str) -> bool:
-    try:
-        parse_address(text)
-    except ValueError:
-        return False
-    return True
-
-
 def _parse_number(fields: dict[str, str], key: str) -> int:
     text = fields.get(key, "")
-    return int(text) if text.isascii() and text.isdigit() else 0
+    is_number = text.isascii() and text.isdigit() and len(text) <= _REVISION_DIGITS
+    return int(text) if is_number else 0
