Tell missing local resources from silence of a target

Cause: every error of a connection attempt but a refusal counted as silence of the target, also those for which this machine is the cause: no descriptor, port, buffer or memory left. Two probes in a row then reset flows of a target that serves. Found by an independent review, by a patched connection; not seen on a machine.

As reference target of a comparison it counts as no answer, as before.

test_missing_local_resources_say_nothing_of_the_target failed before.

--- a/endivepick/forwarder/probes.py
+++ b/endivepick/forwarder/probes.py
@@ -1,5 +1,6 @@
 """Probes single targets, each in its own task."""
 
+import errno
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from typing import TypeAlias
@@ -32,8 +33,12 @@
 """Maximum size of the body that is read to identify the target."""
 
 
+_LOCAL_ERRORS = frozenset(
+    {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL}
+)
+"""Errors of a connection attempt for which this machine is the cause."""
 _ConnectResult: TypeAlias = socket.socket | ProbeOutcome
-"""A connection, or ``REFUSED`` or ``SILENT``."""
+"""A connection, or ``REFUSED``, ``SILENT`` or ``NOT_MADE``."""
 
 
 class _Answer:
@@ -157,7 +162,7 @@
     """
     began_s = steady_now_s()
     reached = _connect(target, timeout_s)
-    if reached is ProbeOutcome.SILENT:
+    if reached in (ProbeOutcome.SILENT, ProbeOutcome.NOT_MADE):
         return None
     if not isinstance(reached, ProbeOutcome):
         reached.close()
@@ -171,7 +176,10 @@
             return socket.create_connection((target.host, target.port))
     except ConnectionRefusedError:
         return ProbeOutcome.REFUSED
-    except (OSError, gevent.Timeout):
+    except OSError as error:
+        is_local = error.errno in _LOCAL_ERRORS
+        return ProbeOutcome.NOT_MADE if is_local else ProbeOutcome.SILENT
+    except gevent.Timeout:
         return ProbeOutcome.SILENT
 
 
--- a/endivepick/forwarder/tests/test_probes.py
+++ b/endivepick/forwarder/tests/test_probes.py
@@ -1,3 +1,5 @@
+import errno
+import os
 import time
 import unittest
 from unittest.mock import patch
@@ -91,6 +93,21 @@
             self.assertIs(probe(1), ProbeOutcome.SILENT)
         self.assertEqual(connect.call_count, len(SETTINGS.probe_timeouts_s))
 
+    def test_missing_local_resources_say_nothing_of_the_target(self):
+        # Guards against resets of flows by an instance without free descriptors.
+        for number in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.EADDRNOTAVAIL):
+            error = OSError(number, os.strerror(number))
+            with (
+                self.subTest(error),
+                patch.object(probes.socket, "create_connection", side_effect=error),
+            ):
+                self.assertIs(probe(1), ProbeOutcome.NOT_MADE)
+
+    def test_unreachable_network_is_silence(self):
+        error = OSError(errno.EHOSTUNREACH, os.strerror(errno.EHOSTUNREACH))
+        with patch.object(probes.socket, "create_connection", side_effect=error):
+            self.assertIs(probe(1), ProbeOutcome.SILENT)
+
     def test_one_lost_packet_does_not_make_a_target_silent(self):
         port = self.answer_as("i-1")
         real = socket.create_connection
@@ -170,6 +187,12 @@
         outcome, _ = self.probe(suspect=0.06, control=0.0)
         self.assertIs(outcome, ProbeOutcome.ALIVE)
 
+    def test_missing_local_resources_are_no_answer_of_the_other(self):
+        error = OSError(errno.EMFILE, os.strerror(errno.EMFILE))
+        outcome, took_s = self.probe(60.0, error)
+        self.assertIs(outcome, ProbeOutcome.SILENT)
+        self.assertGreater(took_s, 1.9)
+
     def test_refusal_by_the_target_is_delivered(self):
         outcome, _ = self.probe(ConnectionRefusedError(), 0.0)
         self.assertIs(outcome, ProbeOutcome.REFUSED)
--- a/endivepick/forwarding/actions.py
+++ b/endivepick/forwarding/actions.py
@@ -311,12 +311,28 @@
 
 
 class ProbeOutcome(Enum):
-    """Outcome of a probe."""
+    """Outcome of a probe.
+
+    Attributes
+    ----------
+    ALIVE
+        The target accepted the connection.
+    REFUSED
+        Its address refused the connection.
+    REPLACED
+        Another target answered at its address.
+    SILENT
+        Nothing answered in time.
+    NOT_MADE
+        This instance lacked the resources for a connection, such as descriptors, which
+        says nothing of the target.
+    """
 
     ALIVE = "alive"
     REFUSED = "refused"
     REPLACED = "replaced"
     SILENT = "silent"
+    NOT_MADE = "not_made"
 
 
 class ProbeResult(Struct, frozen=True):
--- a/endivepick/forwarding/failure_detector.py
+++ b/endivepick/forwarding/failure_detector.py
@@ -230,6 +230,8 @@
     ) -> list[Effect]:
         """Update reachability from the outcome of a probe, and reset flows."""
         belief.probe_ended_s = max(now_s, belief.probed_s)
+        if outcome is ProbeOutcome.NOT_MADE:
+            return []
         if outcome is ProbeOutcome.SILENT and belief.progress_s > belief.probed_s:
             # It answered a caller since, so a packet of the probe was lost.
             return []
--- a/endivepick/model/evidence.py
+++ b/endivepick/model/evidence.py
@@ -49,8 +49,8 @@
 
 _NAME, _OTHER = "i-1", "i-2"
 _STEP_S = 0.8
-"""Longer than the probe interval with its spread, and than the grace period of a removed
-entry."""
+"""Longer than the probe interval with its spread, and than the grace period of an entry
+that was removed."""
 _SETTINGS = ForwardingSettings(zone="z", lapse_grace_s=0.5, entry_return_s=0.1)
 _HOST = 0xC6120001
 _PORTS = (443, 8080)
