Reset no flows for their requests while most instances restart

Cause: with fewer than half of its instances in rotation, the fabric uses all instances of a zone, and sends the flows back as instances return. At the instances that go on, requests in progress of flows that leave look unanswered. Of a target with long requests a larger share is in progress than of the others, so that it stands out, and the reports of two instances confirm each other. Instances that stop were silenced before; these do not stop.

Weighed: a request counts only if its flow is shown to be still here. A caller whose target answers nothing sends no further packet, so that a failing target could not be told from flows that moved. A moment in which many flows fall silent: callers that pause for seconds are silent as well.

Change: an instance reports that it stops, or has started in the last 3 s (FitnessReport.moving), and tells the feeder of its stop at once. While half of the reporting instances or more say so, no flow is reset for what requests show. New flows still avoid such a target.

--- a/endivepick/forwarder/feeder_follower.py
+++ b/endivepick/forwarder/feeder_follower.py
@@ -42,7 +42,7 @@
     ZoneQuestion,
     read_feeder_answer,
 )
-from endivepick.forwarding import ForwardingCore
+from endivepick.forwarding import FitnessReport, ForwardingCore
 from endivepick.store import StoreConnection, store_connection
 
 __all__ = ["FeederFollower", "FeederLeft", "FeederRoleReceived", "FeederState"]
@@ -301,12 +301,22 @@
 
     def report_observations(self) -> None:
         """Report suspected targets to the feeder without blocking."""
-        gevent.spawn(self._send_report, self.feeder_address)
+        gevent.spawn(self._send_urgent_report, self.feeder_address)
 
-    def _send_report(self, feeder: str) -> None:
+    def announce_stop(self) -> None:
+        """Report to the feeder, without blocking, that this instance stops.
+
+        The fabric may move its flows before the next poll.
+        """
         report = self._core.build_report(steady_now_s())
-        if not report.is_urgent:
-            return
+        gevent.spawn(self._send_report, self.feeder_address, report)
+
+    def _send_urgent_report(self, feeder: str) -> None:
+        report = self._core.build_report(steady_now_s())
+        if report.is_urgent:
+            self._send_report(feeder, report)
+
+    def _send_report(self, feeder: str, report: FitnessReport) -> None:
         poll = ZoneQuestion(self._own_address, 0, 0, report)
         try:
             with store_connection(feeder) as connection:
--- a/endivepick/forwarder/tests/test_feeding.py
+++ b/endivepick/forwarder/tests/test_feeding.py
@@ -227,6 +227,25 @@
         self.assertEqual(path, SEEN_PATH)
         self.assertEqual([told.name for told in question.seen.targets], ["i-1"])
 
+    def test_planned_stop_is_reported_at_once(self):
+        asked = []
+
+        def answer(path, query):
+            asked.append((path, ZoneQuestion.read(query)))
+            return Response(200)
+
+        self.core.tick(steady_now_s() - 60.0)
+        self.core.begin_stop()
+        with http_server("127.0.0.1:0", answer) as address:
+            self.member.follower.feeder_address = address
+            self.member.stop()
+            with gevent.Timeout(TIMEOUT_S):
+                while not asked:
+                    gevent.sleep(0.001)
+        ((path, question),) = asked
+        self.assertEqual(path, SEEN_PATH)
+        self.assertEqual(question.seen.moving, 1)
+
     def test_feeder_merges_reports_at_a_limited_rate(self):
         self.feed()
         with (
--- a/endivepick/forwarder/zone_member.py
+++ b/endivepick/forwarder/zone_member.py
@@ -139,8 +139,10 @@
         self._stopping = True
         if self.feeder.feeding:
             gevent.spawn(self._hand_over)
-        else:
-            self.feeder.stop()
+            return
+        self.feeder.stop()
+        if self.follower.fed:
+            self.follower.announce_stop()
 
     def report_observations(self) -> None:
         """Report suspected targets to the zone without blocking.
--- a/endivepick/forwarding/fitness_reports.py
+++ b/endivepick/forwarding/fitness_reports.py
@@ -154,6 +154,8 @@
         Baselines of recent requests, whether or not a target is suspect.
     silent : list of SilentTarget
         Targets of the zone that were recently found silent.
+    moving : int
+        Instances that stop or have just started, so that the fabric moves flows.
     """
 
     targets: list[TargetCounts]
@@ -161,11 +163,12 @@
     instances: int = 1
     usual: list[UsualCounts] = field(default_factory=list)
     silent: list[SilentTarget] = field(default_factory=list)
+    moving: int = 0
 
     @property
     def empty(self) -> bool:
         """Whether the report has no content."""
-        return not (self.targets or self.usual or self.silent)
+        return not (self.targets or self.usual or self.silent or self.moving)
 
     @property
     def is_urgent(self) -> bool:
@@ -216,6 +219,7 @@
         len(all_reports),
         usual,
         list(silent)[:MAX_REPORTED_TARGETS],
+        sum(report.moving > 0 for report in all_reports),
     )
 
 
@@ -242,6 +246,7 @@
         max(1, report.instances),
         usual[:MAX_REPORTED_KINDS],
         report.silent[:MAX_REPORTED_TARGETS],
+        max(0, report.moving),
     )
 
 
--- a/endivepick/forwarding/outlier_detector.py
+++ b/endivepick/forwarding/outlier_detector.py
@@ -76,6 +76,10 @@
 """Time before an overload is observed in which the targets that are full first may
 stand out and be ejected."""
 
+START_S = 3.0
+"""Time from the start of an instance until the fabric has moved flows to it and the
+requests that were in progress on them are no longer recent."""
+
 
 class OutlierDetector:
     """Ejects and readmits targets by the outcomes of their requests.
@@ -105,6 +109,7 @@
         self._samples = ServiceSamples(registry)
         self._overloads = RecentOverloads()
         self._stopped = False
+        self._started_s = float("inf")
         self.requests = RequestCounter(flows, self._zone, self._is_outlier)
         """Counts the outcomes of requests."""
 
@@ -130,6 +135,7 @@
 
     def tick(self, now_s: float) -> list[Effect]:
         """Record overdue requests and evaluate all suspect targets."""
+        self._started_s = min(self._started_s, now_s)
         if self._stopped:
             return []
         self._samples.discard()
@@ -179,6 +185,7 @@
             targets,
             [self._samples.get_sample(service, now_s).counts for service in services],
             usual=self.requests.export_baselines(),
+            moving=int(self.is_moving_flows(now_s)),
         )
 
     def receive_zone_report(self, report: FitnessReport, now_s: float) -> None:
@@ -191,6 +198,10 @@
             if belief is not None and belief.target.born_ms == reported.born_ms:
                 self.requests.suspects[reported.name] = belief
 
+    def is_moving_flows(self, now_s: float) -> bool:
+        """Whether the fabric moves flows as this instance stops or has just started."""
+        return self._stopped or now_s - self._started_s < START_S
+
     @property
     def has_suspects(self) -> bool:
         """Whether any target is suspect here."""
@@ -418,6 +429,8 @@
         """Return the confirmed fault for which flows of a target may be reset."""
         if not self._resets_enabled or belief.fitness is not Fitness.IMPAIRED:
             return ConfirmedFault.NONE
+        if self._zone.are_flows_moving(now_s):
+            return ConfirmedFault.NONE
         if not is_past_startup(belief, now_s):
             return ConfirmedFault.NONE
         counts, reported = belief.requests, self._zone.get_counts(belief, now_s)
--- a/endivepick/forwarding/zone_report.py
+++ b/endivepick/forwarding/zone_report.py
@@ -16,6 +16,11 @@
 __all__ = ["ZoneReport"]
 
 
+MIN_MOVING_SHARE = 0.5
+"""Share of a zone's instances that stop or have just started from which no flows are
+reset for what requests show; with more, the fabric uses all instances of the zone."""
+
+
 class ZoneReport:
     """Keeps the newest report of the zone, as long as it is valid.
 
@@ -69,6 +74,16 @@
             return None
         return self._samples.get(service)
 
+    def are_flows_moving(self, now_s: float) -> bool:
+        """Whether so many instances stop or start that most flows may move.
+
+        Requests in progress then look unanswered at the instances that their flows
+        leave, of the target with most of them first.
+        """
+        if self.report_age_s(now_s) > REPORT_VALID_S:
+            return False
+        return self._report.moving >= MIN_MOVING_SHARE * self._report.instances
+
     def evidence(
         self, belief: TargetBelief, callers: int, overloaded: bool, now_s: float
     ) -> ZoneEvidence:
