--- a/endivepick/forwarding/fitness_reports.py
+++ b/endivepick/forwarding/fitness_reports.py
@@ -161,6 +161,8 @@
         Baselines of recent requests, whether or not a target is suspect.
     silent : list of SilentTarget
         Targets of the zone that were recently found silent.
+    moving : int
+        Instances that stop or have just started, so that the fabric moves flows.
     """
 
     targets: list[TargetCounts]
@@ -168,11 +170,12 @@
     instances: int = 1
     usual: list[UsualCounts] = field(default_factory=list)
     silent: list[SilentTarget] = field(default_factory=list)
+    moving: int = 0
 
     @property
     def empty(self) -> bool:
         """Whether the report has no content."""
-        return not (self.targets or self.usual or self.silent)
+        return not (self.targets or self.usual or self.silent or self.moving)
 
     @property
     def is_urgent(self) -> bool:
@@ -223,6 +226,7 @@
         len(all_reports),
         usual,
         list(silent)[:MAX_REPORTED_TARGETS],
+        sum(report.moving > 0 for report in all_reports),
     )
 
 
@@ -249,6 +253,7 @@
         int(max(1, min(report.instances, MAX_COUNT))),
         usual[:MAX_REPORTED_KINDS],
         _valid_silent(report),
+        int(max(0, min(report.moving, MAX_COUNT))),
     )
 
 
