--- a/endivepick/forwarding/settings.py
+++ b/endivepick/forwarding/settings.py
@@ -49,7 +49,7 @@
         Minimum time between two probes of a suspect, in seconds; a probe occupies a
         slot of the target for about a millisecond.
     probe_timeouts_s : tuple of float
-        Connection timeout of each attempt, in seconds.  A target counts as silent only
+        Connection timeout of each attempt, in seconds.  A probe is unanswered only
         when all attempts fail: one packet may be lost, or this machine may process the
         answer late.
     probe_compared_s : float
