--- a/endivepick/forwarding/tests/test_planned_work.py
+++ b/endivepick/forwarding/tests/test_planned_work.py
@@ -84,6 +84,23 @@
         self.assertEqual({reset.target for reset in zone.resets}, {NAMES[0]})
 
 
+class TestSteadyWork(unittest.TestCase):
+    """Guards against resets of a target whose callers ask for longer requests."""
+
+    def test_callers_of_one_target_ask_for_more_from_the_start(self):
+        for seed in (130, 139, 148):
+            zone = FabricZone(seed, 2)
+            for number in range(96):
+                port = PORTS[number % 4 == 0]
+                zone.add_caller(NAMES[0], port, SHORT_WORK_S, SHORT_PAUSE_S)
+            for number in range(24):
+                port = PORTS[number % 4 == 0]
+                zone.add_caller(NAMES[1], port, LONG_WORK_S, LONG_PAUSE_S)
+            zone.run(LEARNT_S)
+            with self.subTest(seed):
+                self.assertEqual(zone.resets, [])
+
+
 class TestMovingFlows(unittest.TestCase):
     """Guards the report of instances that stop or have just started."""
 
