Make resets without a packet in one place

The failure detector and the resets of ejected targets each removed a flow and built its reset in the same way, with the same two ages for the log; `resets.reset_flow` serves both now. Behaviour is unchanged.

--- a/endivepick/forwarding/failure_detector.py
+++ b/endivepick/forwarding/failure_detector.py
@@ -20,7 +20,6 @@
     ProbeCause,
     ProbeOutcome,
     ProbeTarget,
-    Reset,
     ResetReason,
 )
 from endivepick.forwarding.belief import (
@@ -32,10 +31,11 @@
 )
 from endivepick.forwarding.fault_confirmation import REPORT_VALID_S
 from endivepick.forwarding.fitness_reports import SilentTarget
-from endivepick.forwarding.flows import FlowTable, ObservedFlow
+from endivepick.forwarding.flows import FlowTable
 from endivepick.forwarding.model import FlowKey, RouteKind, Target
 from endivepick.forwarding.placement_filter import PlacementFilter
 from endivepick.forwarding.registry import TargetRegistry
+from endivepick.forwarding.resets import reset_flow
 from endivepick.forwarding.routes import RouteTable
 from endivepick.forwarding.settings import ForwardingSettings
 
@@ -257,8 +257,8 @@
             # The next copy of an opening packet is placed on another target anyway.
             if reason is None or not flow.opened:
                 continue
-            evidence_age_s = now_s - belief.reachability_since_s
-            effects.append(self._reset(flow, reason, evidence_age_s, now_s))
+            since_s = belief.reachability_since_s
+            effects.append(reset_flow(self._flows, flow, reason, since_s, now_s))
         return effects
 
     def find_reset_reason(
@@ -283,18 +283,6 @@
             return True
         return self._settings.mechanisms.reset_unreachable
 
-    def _reset(
-        self,
-        flow: ObservedFlow,
-        reason: ResetReason,
-        evidence_age_s: float,
-        now_s: float,
-    ) -> Reset:
-        """Remove a flow of which no packet is in transit, and return its reset."""
-        self._flows.end(flow.key)
-        name, quiet_s = flow.belief.name, now_s - flow.seen_s
-        return Reset(flow.key, flow.acknowledged, reason, name, quiet_s, evidence_age_s)
-
     def reset_former_incarnation(
         self, restart: TargetRestart, began_s: float, now_s: float
     ) -> list[Effect]:
@@ -322,7 +310,7 @@
         for flow in self._flows.of_target(restart.before):
             if flow.opened_s is None or flow.opened_s >= began_s:
                 continue
-            effects.append(self._reset(flow, reason, 0.0, now_s))
+            effects.append(reset_flow(self._flows, flow, reason, now_s, now_s))
         return effects
 
     def has_alternative(self, belief: TargetBelief) -> bool:
--- a/endivepick/forwarding/impaired_flows.py
+++ b/endivepick/forwarding/impaired_flows.py
@@ -6,6 +6,7 @@
 from endivepick.forwarding.flows import FlowTable, ObservedFlow
 from endivepick.forwarding.idle_flows import is_surely_idle
 from endivepick.forwarding.model import RouteKind
+from endivepick.forwarding.resets import reset_flow
 
 __all__ = ["ImpairedFlows"]
 
@@ -45,8 +46,5 @@
         return [self._reset(flow, now_s)]
 
     def _reset(self, flow: ObservedFlow, now_s: float) -> Reset:
-        self._flows.end(flow.key)
-        reason = ResetReason.TARGET_IMPAIRED
-        name, quiet_s = flow.belief.name, now_s - flow.seen_s
-        evidence_age_s = now_s - flow.belief.fitness_since_s
-        return Reset(flow.key, flow.acknowledged, reason, name, quiet_s, evidence_age_s)
+        reason, since_s = ResetReason.TARGET_IMPAIRED, flow.belief.fitness_since_s
+        return reset_flow(self._flows, flow, reason, since_s, now_s)
